--- /dev/null
+++ b/pepperusher/__init__.py
@@ -0,0 +1,1 @@
+"""pepperusher: a load balancer for services that call services."""
--- /dev/null
+++ b/pepperusher/policy.py
@@ -0,0 +1,426 @@
+"""Every decision of the balancer: one instance of Balancer for each proxy.
+
+The caller keeps the tickets and the timers, and asks three things:
+    where(ticket, now)          a Backend to send to, or NOT_YET, BOUNCE or SCRAP
+    after(sent, how, over, now) AGAIN (ask where once more), BOUNCE, SCRAP or NOTHING, for a transmission that ended
+    wait(ticket, now)           the patience of the transmission just placed, or how long until where is asked
+                                again, or the advice that goes with a bounce; for None, when to ask for the list
+and gives notice by listed(), list_failed(), begun() and gone(). The interface is described in docs/interface.md,
+the design and each departure from it in docs/design.md. Times are whole microseconds.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from math import exp
+from random import Random
+
+from pepperusher.terms import (
+    AGAIN, BOUNCE, CALLED_OFF, CLOSED, DONE, HALF_OPEN, MOOT, NEVER_RAN, NOT_YET, NOTHING, OPEN, REFERENCED,
+    REPLAYABLE, SCOPE_ALL, SCOPE_CELL, SCOPE_ZONE, SCRAP, SINGLE_USE, TIMED_OUT, UNREACHED, Backend, Ground, Listing,
+    Ticket, Transmission)
+
+SECOND = 1_000_000
+# The breaker's figures; docs/design.md says what was tried for each.
+WINDOW = 20
+RUN = 5
+CLOSE_COUNT = 3
+TRIALS = 1
+OPEN_FOR = 5 * SECOND
+# A backend is passed over when its calls in flight exceed this many times the mean, and one.
+CROWDED = 2.0
+# Done tickets a second are reckoned over about this long.
+FLOW_SPAN = SECOND
+# Further transmissions for tickets that may have run, as a part of the tickets taken, and how many may be saved up.
+SPARE_PART = 0.2
+SPARE_MOST = 10.0
+
+
+class Balancer:
+    """The decisions of one proxy."""
+
+    def __init__(self, ground: Ground, now: int, say: Callable[[str], None]) -> None:
+        chance = Random(ground.seed)
+        self._chance = chance.random
+        self._say = say
+        self._first_tier = ground.stage == 0
+        self._most = ground.most_transmissions
+        self._calls_off = ground.may_call_off
+        self._longest_advice = ground.longest_advice if ground.may_advise else 0
+        self._tick = ground.tick
+        self._top_importance = max((use.importance for use in ground.use_cases), default=1.0) or 1.0
+        self._group = max(1, ground.group_size)
+        self._cold_share = ground.cold_share
+        self._warm_after = max(1, ground.warm_after)
+        # Half the rule's multiple: the other half is for what other proxies and chance add.
+        self._cold_rate = ground.tip_multiple / 2
+        self._cold_least = SECOND / max(1, ground.overload_for)
+        self._must_ask = ground.must_ask
+        self._ask_longest = max(SECOND, ground.ask_within // 2)
+        self._ask_step = 0
+        self._ask_at = now
+        self._asked = not ground.must_ask
+        self._list_lost = False
+        self._backends: list[Backend] = []   # emptied by the list: holds what it names as ready
+        self._young: list[Backend] = []      # emptied by age
+        self._flow = 0.0
+        self._flow_at = now
+        self._spare = SPARE_MOST
+
+    # --- where to send this ticket ---------------------------------------------------------------------------
+
+    def where(self, ticket: Ticket, now: int) -> Backend | int:
+        if ticket.over or ticket.until - now <= 0 or len(ticket.transmissions) >= self._most:
+            return self._no(ticket)
+        first = not ticket.transmissions
+        if first:
+            self._spare = min(SPARE_MOST, self._spare + SPARE_PART)
+        if self._young:
+            self._age(now)
+        anchor = None if first else self._anchor(ticket)
+        if anchor is not None and now - anchor.sent >= ticket.use_case.remembered > 0:
+            return self._no(ticket)
+        choice: list[Backend] = []
+        in_flight = 0
+        weight = 0.0
+        for backend in self._backends:
+            if backend.state != CLOSED and not self._admits(backend, now):
+                continue
+            in_flight += backend.in_flight
+            weight += backend.share
+            choice.append(backend)
+        if first and not self._in_time(ticket, in_flight, len(choice), now):
+            return self._no(ticket)
+        if anchor is not None:
+            choice = [b for b in choice if _drops_repeats(anchor.backend, b, ticket.use_case.scope)]
+        if not first and len(choice) > 1:
+            tried = [sent.backend for sent in ticket.transmissions]
+            choice = [b for b in choice if b not in tried] or choice
+        picked = self._turn(choice, in_flight / weight if weight else 0.0, now)
+        if picked is None:
+            picked = self._last_resort(ticket, anchor, now)
+            if picked is None:
+                return self._no(ticket)
+        self._place(ticket, picked, now)
+        return picked
+
+    def _turn(self, choice: list[Backend], mean: float, now: int) -> Backend | None:
+        """Smooth weighted rotation over `choice`, passing over the crowded and the cold with no allowance left."""
+        best = None
+        total = 0.0
+        limit = mean * CROWDED
+        for backend in choice:
+            share = backend.share
+            if backend.in_flight > limit * share + 1.0 and mean > 0:
+                continue
+            if backend.share < backend.weight and not self._may_warm(backend, now):
+                continue
+            total += share
+            backend.turn += share
+            if best is None or backend.turn > best.turn:
+                best = backend
+        if best is not None:
+            best.turn -= total
+        return best
+
+    def _last_resort(self, ticket: Ticket, anchor: Transmission | None, now: int) -> Backend | None:
+        """No breaker admits: a trial to the server whose open period ends first, as the design has it."""
+        scope = ticket.use_case.scope
+        best = None
+        for backend in self._backends:
+            if anchor is not None and not _drops_repeats(anchor.backend, backend, scope):
+                continue
+            if backend.share < backend.weight and not self._may_warm(backend, now):
+                continue
+            if backend.state == OPEN and (best is None or backend.open_until < best.open_until):
+                best = backend
+        if best is not None:
+            self._change(best, HALF_OPEN, now)
+        return best
+
+    def _place(self, ticket: Ticket, backend: Backend, now: int) -> None:
+        trial = backend.state == HALF_OPEN
+        sent = Transmission(ticket, backend, now, self._patience(ticket, now), trial)
+        ticket.transmissions.append(sent)
+        backend.in_flight += 1
+        if trial:
+            backend.trials += 1
+            backend.trial_due = now + sent.patience
+        if backend.share < backend.weight:
+            backend.allowance -= 1.0
+
+    def _in_time(self, ticket: Ticket, in_flight: int, admitting: int, now: int) -> bool:
+        """The operators' carry-over: a ticket is taken only if predicted in time."""
+        use = ticket.use_case
+        within = self._within_share(ticket, now)
+        if in_flight <= 2 * admitting:
+            return True
+        flow = self._flow_now(now)
+        predicted = in_flight * SECOND / flow if flow > 0 else 0
+        if not self._first_tier:
+            return predicted < ticket.until - now
+        room = min(use.promised, ticket.until - now)
+        if not within:
+            return predicted < room * 0.25
+        return predicted < room * (0.4 + 0.3 * use.importance / self._top_importance)
+
+    def _within_share(self, ticket: Ticket, now: int) -> bool:
+        customer = ticket.customer
+        if customer is None or not self._first_tier:
+            return True
+        rate = customer.rate / self._group
+        customer.allowance = min(max(rate, 1.0), customer.allowance + rate * (now - customer.counted_at) / SECOND)
+        customer.counted_at = now
+        if customer.allowance < 1.0:
+            return False
+        customer.allowance -= 1.0
+        return True
+
+    # --- after an outcome ------------------------------------------------------------------------------------
+
+    def after(self, sent: Transmission, how: int, over: bool, now: int) -> int:
+        ticket = sent.ticket
+        sent.ended = how
+        self._count(sent, how, now)
+        if ticket.over or over:
+            ticket.over = True
+            return NOTHING
+        if any(other.ended is None for other in ticket.transmissions):
+            return NOTHING
+        if how == MOOT or not self._may_repeat(ticket, now):
+            return self._no(ticket)
+        if how not in NEVER_RAN:
+            # Further transmissions feed a jam: beyond a part of the tickets taken they are not sent.
+            if self._spare < 1.0:
+                return self._no(ticket)
+            self._spare -= 1.0
+        return AGAIN
+
+    def _may_repeat(self, ticket: Ticket, now: int) -> bool:
+        use = ticket.use_case
+        end = self._worth_until(ticket)
+        if end - now < use.usual // 2 or end <= now or len(ticket.transmissions) >= self._most:
+            return False
+        return use.repeat != SINGLE_USE or self._anchor(ticket) is None
+
+    def _count(self, sent: Transmission, how: int, now: int) -> None:
+        backend = sent.backend
+        use = sent.ticket.use_case
+        backend.in_flight -= 1
+        took = now - sent.sent
+        if how == DONE or (how == TIMED_OUT and took >= use.usual):
+            # A time-out is a time as well: without it a use case slow everywhere would keep its short patience.
+            if use.usual:
+                use.spread += (abs(took - use.usual) - use.spread) // 16
+                use.usual += (took - use.usual) // 16
+            else:
+                use.usual, use.spread = took, took // 2
+        if how == DONE:
+            self._flow = self._flow_now(now) + SECOND / FLOW_SPAN
+        current = sent.generation == backend.generation
+        if current and sent.trial:
+            backend.trials -= 1
+        if not current or how in (MOOT, CALLED_OFF):
+            return
+        if how == TIMED_OUT and took < use.usual:
+            # A caller that left less than the usual time says nothing about the server.
+            return
+        self._result(backend, how == DONE, now)
+
+    # --- how long to wait ------------------------------------------------------------------------------------
+
+    def wait(self, ticket: Ticket | None, now: int) -> int:
+        if ticket is None:
+            if self._asked:
+                return -1
+            self._asked = now >= self._ask_at
+            return max(0, self._ask_at - now)
+        if not ticket.over and ticket.transmissions and ticket.transmissions[-1].ended is None:
+            return ticket.transmissions[-1].patience
+        return ticket.pause
+
+    def _patience(self, ticket: Ticket, now: int) -> int:
+        use = ticket.use_case
+        left = max(1, self._worth_until(ticket) - now)
+        if len(ticket.transmissions) + 1 >= self._most or use.repeat == SINGLE_USE:
+            return left
+        if use.usual == 0:
+            return max(left // 2, 1)
+        patience = max(2 * use.usual, use.usual + 5 * use.spread)
+        return patience if left - patience > use.usual else left
+
+    def _worth_until(self, ticket: Ticket) -> int:
+        use = ticket.use_case
+        if use.late_share > 0 or not self._first_tier:
+            return ticket.until
+        return min(ticket.until, ticket.came + use.promised + int(use.stretch * ticket.cost))
+
+    def _advice(self) -> int:
+        if not self._longest_advice:
+            return 0
+        return int(self._longest_advice * (0.25 + 0.75 * self._chance()))
+
+    # --- notices ---------------------------------------------------------------------------------------------
+
+    def listed(self, lines: Iterable[Listing], whole: bool, now: int) -> None:
+        kept = {} if whole else {id(b): b for b in self._backends}
+        was = {id(b) for b in self._backends}
+        for line in lines:
+            backend = line.backend
+            if not line.ready:
+                kept.pop(id(backend), None)
+                backend.ready = False
+                continue
+            if id(backend) not in was or line.born > backend.born:
+                # A process started anew is not the one that failed; a random start keeps proxies out of step.
+                if line.born > backend.born:
+                    self._change(backend, CLOSED, now)
+                    backend.allowance = 1.0
+                    backend.counted_at = now
+                backend.turn = -self._chance() * line.weight
+            backend.zone, backend.cell = line.zone, line.cell
+            backend.weight, backend.born, backend.ready = line.weight, line.born, True
+            backend.share = backend.weight
+            kept[id(backend)] = backend
+        self._backends = list(kept.values())
+        self._young = [b for b in self._backends if b.born and now - b.born < self._warm_after]
+        if self._list_lost:
+            self._list_lost = False
+            self._ask_step = 0
+            self._say(f"list regained, {len(self._backends)} backends ready")
+
+    def list_failed(self, now: int) -> None:
+        if not self._must_ask:
+            return
+        if not self._list_lost:
+            self._list_lost = True
+            self._say("list lost, asking again")
+        # Doubled, against a list service drowned by the calls of every proxy at once.
+        self._ask_step = min(self._ask_longest, 2 * self._ask_step or SECOND // 2)
+        self._ask_at = now + int(self._ask_step * (0.5 + 0.5 * self._chance()))
+        self._asked = False
+
+    def begun(self, sent: Transmission) -> None:
+        sent.ticket.over = True
+
+    def gone(self, ticket: Ticket) -> None:
+        ticket.over = True
+        ticket.pause = 0 if self._calls_off else -1
+
+    # --- the breaker -----------------------------------------------------------------------------------------
+
+    def _admits(self, backend: Backend, now: int) -> bool:
+        if backend.state == OPEN:
+            if now < backend.open_until:
+                return False
+            self._change(backend, HALF_OPEN, now)
+        if backend.trials >= TRIALS and now >= backend.trial_due:
+            backend.trials -= 1
+            self._result(backend, False, now)
+            return False
+        return backend.trials < TRIALS
+
+    def _result(self, backend: Backend, success: bool, now: int) -> None:
+        results = backend.results
+        results.append(success)
+        backend.failures += not success
+        if len(results) > WINDOW:
+            backend.failures -= not results.popleft()
+        if success:
+            backend.run_failed = 0
+            backend.run_done += 1
+            if backend.state == HALF_OPEN and backend.run_done >= CLOSE_COUNT:
+                self._change(backend, CLOSED, now)
+            return
+        backend.run_done = 0
+        backend.run_failed += 1
+        if backend.state == HALF_OPEN:
+            self._change(backend, OPEN, now)
+        elif backend.run_failed >= RUN or (len(results) >= WINDOW and 2 * backend.failures >= WINDOW):
+            if not self._shared(backend):
+                self._change(backend, OPEN, now)
+
+    def _shared(self, backend: Backend) -> bool:
+        """Whether the other servers fail about as much, so that the cause is not this one.
+
+        Against a tier below that fails, a use case slow everywhere, or callers with little time opening sound servers.
+        """
+        failures = results = 0
+        for other in self._backends:
+            if other is not backend and other.state == CLOSED:
+                failures += other.failures
+                results += len(other.results)
+        if results < RUN:
+            return False
+        own = 1.0 if backend.run_failed >= RUN else backend.failures / len(backend.results)
+        return 2.0 * failures / results >= own
+
+    def _change(self, backend: Backend, state: int, now: int) -> None:
+        if backend.state != state and state != HALF_OPEN:
+            word = "open" if state == OPEN else "closed"
+            self._say(f"{backend.address} {word}: {backend.failures} of {len(backend.results)} failed,"
+                      f" run {backend.run_failed}")
+        backend.state = state
+        backend.generation += 1
+        backend.results.clear()
+        backend.failures = backend.run_failed = backend.run_done = backend.trials = 0
+        if state == OPEN:
+            backend.open_until = now + OPEN_FOR
+
+    # --- cold backends ---------------------------------------------------------------------------------------
+
+    def _grown(self, backend: Backend, now: int) -> float:
+        age = min(1.0, max(0, now - backend.born) / self._warm_after)
+        return self._cold_share + (1.0 - self._cold_share) * age
+
+    def _age(self, now: int) -> None:
+        """The operators' carry-over: a fresh backend counts for less, by its age."""
+        young = []
+        for backend in self._young:
+            if now - backend.born >= self._warm_after:
+                backend.share = backend.weight
+            else:
+                backend.share = backend.weight * self._grown(backend, now)
+                young.append(backend)
+        self._young = young
+
+    def _may_warm(self, backend: Backend, now: int) -> bool:
+        """The cold rule's budget, by what warm backends of like size take from this proxy, spent evenly."""
+        weights = sum(b.weight for b in self._backends)
+        rate = self._flow_now(now) / weights * backend.share * self._cold_rate if weights else 0.0
+        rate = max(rate, self._cold_least / self._group)
+        gained = rate * (now - backend.counted_at) / SECOND
+        backend.allowance = min(max(1.0, rate / 4), backend.allowance + gained)
+        backend.counted_at = now
+        return backend.allowance >= 1.0
+
+    def _flow_now(self, now: int) -> float:
+        if now > self._flow_at:
+            self._flow *= exp((self._flow_at - now) / FLOW_SPAN)
+            self._flow_at = now
+        return self._flow
+
+    # --- what a ticket still allows --------------------------------------------------------------------------
+
+    def _anchor(self, ticket: Ticket) -> Transmission | None:
+        """The first transmission that may have run: it binds a referenced ticket to its group and its time."""
+        if ticket.use_case.repeat == REPLAYABLE:
+            return None
+        for sent in ticket.transmissions:
+            if sent.ended not in NEVER_RAN:
+                return sent
+        return None
+
+    def _no(self, ticket: Ticket) -> int:
+        ticket.over = True
+        ticket.pause = self._advice()
+        use = ticket.use_case
+        if self._anchor(ticket) is None or (use.repeat == REFERENCED and use.scope == SCOPE_ALL):
+            return BOUNCE
+        return SCRAP
+
+
+def _drops_repeats(ran: Backend, other: Backend, scope: int) -> bool:
+    if scope == SCOPE_CELL:
+        return ran.cell == other.cell
+    return scope != SCOPE_ZONE or ran.zone == other.zone
--- /dev/null
+++ b/pepperusher/terms.py
@@ -0,0 +1,180 @@
+"""The words of the interface: what passes between the decisions and whoever asks for them.
+
+Times are whole microseconds. docs/interface.md describes each call and value.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+
+# How a transmission ended.
+DONE = 0
+ERROR = 1
+FULL = 2
+TIMED_OUT = 3
+UNREACHED = 4
+RESET = 5
+CALLED_OFF = 6
+MOOT = 7
+UNKNOWN = 8
+NEVER_RAN = frozenset((FULL, UNREACHED, MOOT))
+
+# What the module answers where it names no backend.
+NOT_YET = 10
+BOUNCE = 11
+SCRAP = 12
+AGAIN = 13
+NOTHING = 14
+
+# May a use case run again, and which backends drop its repeats.
+REPLAYABLE = 20
+REFERENCED = 21
+SINGLE_USE = 22
+SCOPE_ALL = 30
+SCOPE_ZONE = 31
+SCOPE_CELL = 32
+
+# A breaker's states.
+CLOSED = 40
+OPEN = 41
+HALF_OPEN = 42
+
+
+class UseCase:
+    """One use case: its terms, and what this balancer has learned of its times (two figures)."""
+
+    __slots__ = ("name", "promised", "outer_limit", "importance", "late_share", "stretch", "repeat", "scope",
+                 "remembered", "usual", "spread")
+
+    def __init__(self, name: str, promised: int, outer_limit: int, importance: float, late_share: float = 0.0,
+                 repeat: int = REPLAYABLE, scope: int = SCOPE_ALL, remembered: int = 0,
+                 stretch: float = 0.0) -> None:
+        self.name = name
+        self.promised = promised
+        self.outer_limit = outer_limit
+        self.importance = importance
+        self.late_share = late_share
+        self.repeat = repeat
+        self.scope = scope
+        self.remembered = remembered
+        self.stretch = stretch
+        self.usual = 0
+        self.spread = 0
+
+
+class Customer:
+    """One customer: its share in tickets a second over all proxies, and this proxy's allowance of it."""
+
+    __slots__ = ("name", "rate", "allowance", "counted_at")
+
+    def __init__(self, name: str, rate: float) -> None:
+        self.name = name
+        self.rate = rate
+        self.allowance = 0.0
+        self.counted_at = 0
+
+
+class Backend:
+    """One backend as this proxy knows it, with its breaker. The window empties at each change of state."""
+
+    __slots__ = ("address", "zone", "cell", "weight", "born", "ready", "in_flight", "turn", "share", "state",
+                 "generation", "results", "failures", "run_failed", "run_done", "open_until", "trials",
+                 "trial_due", "allowance", "counted_at")
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.zone = ""
+        self.cell = 0
+        self.weight = 1.0
+        self.born = 0
+        self.ready = False
+        self.in_flight = 0
+        self.turn = 0.0
+        self.share = 1.0
+        self.state = CLOSED
+        self.generation = 0
+        self.results: deque[bool] = deque()
+        self.failures = 0
+        self.run_failed = 0
+        self.run_done = 0
+        self.open_until = 0
+        self.trials = 0
+        self.trial_due = 0
+        self.allowance = 0.0
+        self.counted_at = 0
+
+
+class Listing:
+    """One line of the list of backends. `born` 0 is long ago; `ready` is false while it drains or once gone."""
+
+    __slots__ = ("backend", "zone", "cell", "weight", "born", "ready")
+
+    def __init__(self, backend: Backend, zone: str, cell: int, weight: float, born: int, ready: bool) -> None:
+        self.backend = backend
+        self.zone = zone
+        self.cell = cell
+        self.weight = weight
+        self.born = born
+        self.ready = ready
+
+
+class Transmission:
+    """One sending of a ticket to a backend. `ended` is None while it is out."""
+
+    __slots__ = ("ticket", "backend", "sent", "patience", "generation", "trial", "ended")
+
+    def __init__(self, ticket: Ticket, backend: Backend, sent: int, patience: int, trial: bool) -> None:
+        self.ticket = ticket
+        self.backend = backend
+        self.sent = sent
+        self.patience = patience
+        self.generation = backend.generation
+        self.trial = trial
+        self.ended: int | None = None
+
+
+class Ticket:
+    """One ticket in hand. `until` is its outer limit; `over` once it has had its final answer or its client left."""
+
+    __slots__ = ("use_case", "customer", "came", "until", "cost", "repeated", "transmissions", "over", "pause")
+
+    def __init__(self, use_case: UseCase, customer: Customer | None, came: int, until: int, cost: float = 0.0,
+                 repeated: bool = False) -> None:
+        self.use_case = use_case
+        self.customer = customer
+        self.came = came
+        self.until = until
+        self.cost = cost
+        self.repeated = repeated
+        self.transmissions: list[Transmission] = []
+        self.over = False
+        self.pause = 0
+
+
+class Ground:
+    """What a proxy is told once, at its start: the use cases, the customers and the limits it works under."""
+
+    __slots__ = ("seed", "use_cases", "customers", "group_size", "stage", "zone", "zones", "most_transmissions",
+                 "may_call_off", "may_advise", "longest_advice", "must_ask", "ask_within", "cold_share",
+                 "warm_after", "tip_multiple", "overload_for", "crossing_price", "tick", "passes_limit")
+
+    seed: int
+    use_cases: list[UseCase]
+    customers: list[Customer]
+    group_size: int
+    stage: int
+    zone: str
+    zones: list[str]
+    most_transmissions: int
+    may_call_off: bool
+    may_advise: bool
+    longest_advice: int
+    must_ask: bool
+    ask_within: int
+    cold_share: float
+    warm_after: int
+    tip_multiple: float
+    overload_for: int
+    crossing_price: float
+    tick: int
+    passes_limit: bool
