Patience is never under half of the time left

Cause: calls carry what is left of the caller's patience, so a short patience at one tier became time-outs and errors at all tiers below, and retransmissions ran the work twice.

--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -44,6 +44,7 @@
         self._chance = chance.random
         self._say = say
         self._first_tier = ground.stage == 0
+        self._limit_passed = ground.passes_limit
         self._most = ground.most_transmissions
         self._calls_off = ground.may_call_off
         self._longest_advice = ground.longest_advice if ground.may_advise else 0
@@ -244,14 +245,14 @@
         left = max(1, self._worth_until(ticket) - now)
         if len(ticket.transmissions) + 1 >= self._most or use.repeat == SINGLE_USE:
             return left
-        if use.usual == 0:
-            return max(left // 2, 1)
-        patience = max(2 * use.usual, use.usual + 5 * use.spread)
+        # Never under half of what is left: a call carries what its caller allows, so a short patience here becomes
+        # time-outs and errors at every tier below, and where nothing stops the work it is done twice.
+        patience = max(left // 2, use.usual + 6 * use.spread)
         return patience if left - patience > use.usual else left
 
     def _worth_until(self, ticket: Ticket) -> int:
         use = ticket.use_case
-        if use.late_share > 0 or not self._first_tier:
+        if not self._first_tier and self._limit_passed or self._first_tier and use.late_share > 0:
             return ticket.until
         return min(ticket.until, ticket.came + use.promised + int(use.stretch * ticket.cost))
 
