--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -49,7 +49,8 @@
         self._calls_off = ground.may_call_off
         self._longest_advice = ground.longest_advice if ground.may_advise else 0
         self._tick = ground.tick
-        self._top_importance = max((use.importance for use in ground.use_cases), default=1.0) or 1.0
+        self._use_cases = [use for use in ground.use_cases if use.promised > 0 and use.importance > 0]
+        self._usual = 0
         self._group = max(1, ground.group_size)
         self._cold_share = ground.cold_share
         self._warm_after = max(1, ground.warm_after)
@@ -65,7 +66,7 @@
         self._backends: list[Backend] = []   # emptied by the list: holds what it names as ready
         self._young: list[Backend] = []      # emptied by age
         self._flow = 0.0
-        self._flow_at = now
+        self._flow_at = self._started = now
         self._spare = SPARE_MOST
 
     # --- where to send this ticket ---------------------------------------------------------------------------
@@ -151,19 +152,27 @@
             backend.allowance -= 1.0
 
     def _in_time(self, ticket: Ticket, in_flight: int, admitting: int, now: int) -> bool:
-        """The operators' carry-over: a ticket is taken only if predicted in time."""
+        """The operators' carry-over: a ticket is taken only if predicted in time.
+
+        Calls in flight over tickets done a second is the time a ticket now takes on average; each use case keeps its
+        own proportion to that average. The tightest use case sets the pressure for all, and what is worth least for
+        its time is bounced first, so that a short promised time alone does not shut a use case out.
+        """
         use = ticket.use_case
         within = self._within_share(ticket, now)
-        if in_flight <= 2 * admitting:
+        if in_flight <= 2 * admitting or not self._usual or not use.usual:
             return True
         flow = self._flow_now(now)
-        predicted = in_flight * SECOND / flow if flow > 0 else 0
+        stretch = in_flight * SECOND / (flow * self._usual) if flow > 0 else 1.0
         if not self._first_tier:
-            return predicted < ticket.until - now
-        room = min(use.promised, ticket.until - now)
-        if not within:
-            return predicted < room * 0.25
-        return predicted < room * (0.4 + 0.3 * use.importance / self._top_importance)
+            return stretch * use.usual < ticket.until - now
+        pressure = worth = 0.0
+        for one in self._use_cases:
+            pressure = max(pressure, one.usual / one.promised)
+            if one.usual:
+                worth = max(worth, one.importance / one.usual)
+        bound = 0.5 + 0.4 * use.importance / use.usual / worth
+        return pressure * stretch < (bound if within else bound / 2) and stretch * use.usual < ticket.until - now
 
     def _within_share(self, ticket: Ticket, now: int) -> bool:
         customer = ticket.customer
@@ -217,7 +226,9 @@
             else:
                 use.usual, use.spread = took, took // 2
         if how == DONE:
-            self._flow = self._flow_now(now) + SECOND / FLOW_SPAN
+            self._flow_now(now)
+            self._flow += SECOND / FLOW_SPAN
+            self._usual += (took - self._usual) // 16 if self._usual else took
         current = sent.generation == backend.generation
         if current and sent.trial:
             backend.trials -= 1
@@ -399,7 +410,8 @@
         if now > self._flow_at:
             self._flow *= exp((self._flow_at - now) / FLOW_SPAN)
             self._flow_at = now
-        return self._flow
+        # The first moments count as short as they are: else a proxy just started takes itself for slow and bounces.
+        return self._flow / (1.0 - exp((self._started - now) / FLOW_SPAN)) if now > self._started else 0.0
 
     # --- what a ticket still allows --------------------------------------------------------------------------
 
