--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -28,7 +28,7 @@
 TRIALS = 1
 OPEN_FOR = 5 * SECOND
 # A backend is passed over when its calls in flight exceed this many times the mean, and one.
-CROWDED = 2.0
+CROWDED = 1.5
 # Done tickets a second are reckoned over about this long.
 FLOW_SPAN = SECOND
 # Further transmissions for tickets that may have run, as a part of the tickets taken, and how many may be saved up.
@@ -84,21 +84,20 @@
             return self._no(ticket)
         choice: list[Backend] = []
         in_flight = 0
-        weight = 0.0
         for backend in self._backends:
             if backend.state != CLOSED and not self._admits(backend, now):
                 continue
             in_flight += backend.in_flight
-            weight += backend.share
             choice.append(backend)
-        if first and not self._in_time(ticket, in_flight, len(choice), now):
+        admitting = len(choice)
+        if first and not self._in_time(ticket, in_flight, admitting, now):
             return self._no(ticket)
         if anchor is not None:
             choice = [b for b in choice if _drops_repeats(anchor.backend, b, ticket.use_case.scope)]
         if not first and len(choice) > 1:
             tried = [sent.backend for sent in ticket.transmissions]
             choice = [b for b in choice if b not in tried] or choice
-        picked = self._turn(choice, in_flight / weight if weight else 0.0, now)
+        picked = self._turn(choice, in_flight / admitting if admitting else 0.0, now)
         if picked is None:
             picked = self._last_resort(ticket, anchor, now)
             if picked is None:
@@ -110,10 +109,10 @@
         """Smooth weighted rotation over `choice`, passing over the crowded and the cold with no allowance left."""
         best = None
         total = 0.0
-        limit = mean * CROWDED
+        limit = mean * CROWDED + 1.0
         for backend in choice:
             share = backend.share
-            if backend.in_flight > limit * share + 1.0 and mean > 0:
+            if backend.in_flight > limit:
                 continue
             if backend.share < backend.weight and not self._may_warm(backend, now):
                 continue
