--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -28,7 +28,7 @@
 TRIALS = 1
 OPEN_FOR = 5 * SECOND
 # A backend is passed over when its calls in flight exceed this many times the mean, and one.
-CROWDED = 1.5
+CROWDED = 1.0
 # Done tickets a second are reckoned over about this long.
 FLOW_SPAN = SECOND
 # Further transmissions for tickets that may have run, as a part of the tickets taken, and how many may be saved up.
