--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -48,7 +48,7 @@
         self._most = ground.most_transmissions
         self._calls_off = ground.may_call_off
         self._longest_advice = ground.longest_advice if ground.may_advise else 0
-        self._tick = ground.tick
+        self._zone, self._zones = ground.zone, len(ground.zones)
         self._use_cases = [use for use in ground.use_cases if use.promised > 0 and use.importance > 0]
         self._usual = 0
         self._group = max(1, ground.group_size)
@@ -114,7 +114,7 @@
             share = backend.share
             if backend.in_flight > limit:
                 continue
-            if backend.share < backend.weight and not self._may_warm(backend, now):
+            if backend.cold and not self._may_warm(backend, now):
                 continue
             total += share
             backend.turn += share
@@ -131,7 +131,7 @@
         for backend in self._backends:
             if anchor is not None and not _drops_repeats(anchor.backend, backend, scope):
                 continue
-            if backend.share < backend.weight and not self._may_warm(backend, now):
+            if backend.cold and not self._may_warm(backend, now):
                 continue
             if backend.state == OPEN and (best is None or backend.open_until < best.open_until):
                 best = backend
@@ -147,7 +147,7 @@
         if trial:
             backend.trials += 1
             backend.trial_due = now + sent.patience
-        if backend.share < backend.weight:
+        if backend.cold:
             backend.allowance -= 1.0
 
     def _in_time(self, ticket: Ticket, in_flight: int, admitting: int, now: int) -> bool:
@@ -291,15 +291,39 @@
                 backend.turn = -self._chance() * line.weight
             backend.zone, backend.cell = line.zone, line.cell
             backend.weight, backend.born, backend.ready = line.weight, line.born, True
-            backend.share = backend.weight
             kept[id(backend)] = backend
         self._backends = list(kept.values())
+        self._weigh_zones()
         self._young = [b for b in self._backends if b.born and now - b.born < self._warm_after]
+        for backend in self._backends:
+            backend.cold = False
+            backend.share = backend.weight * backend.nearness
+        self._age(now)
         if self._list_lost:
             self._list_lost = False
             self._ask_step = 0
             self._say(f"list regained, {len(self._backends)} backends ready")
 
+    def _weigh_zones(self) -> None:
+        """Calls stay in this zone as far as its part of the weights carries an even part of the traffic.
+
+        Against paying the way between zones, in time and price, at every tier; what the zone cannot carry goes to
+        the zones that have more than their part. Every backend keeps a little, so that its breaker stays informed.
+        """
+        zones: dict[str, float] = {}
+        for backend in self._backends:
+            zones[backend.zone] = zones.get(backend.zone, 0.0) + backend.weight
+        total = sum(zones.values())
+        if self._zones < 2 or not zones.get(self._zone):
+            return
+        here = min(1.0, zones[self._zone] * self._zones / total)
+        spare = {zone: max(0.0, part / total - 1.0 / self._zones) for zone, part in zones.items()}
+        spare[self._zone] = 0.0
+        over = sum(spare.values())
+        for backend in self._backends:
+            part = here if backend.zone == self._zone else (1.0 - here) * spare[backend.zone] / over if over else 0.0
+            backend.nearness = max(0.02, part * total / zones[backend.zone])
+
     def list_failed(self, now: int) -> None:
         if not self._must_ask:
             return
@@ -389,16 +413,18 @@
         young = []
         for backend in self._young:
             if now - backend.born >= self._warm_after:
-                backend.share = backend.weight
+                backend.cold = False
+                backend.share = backend.weight * backend.nearness
             else:
-                backend.share = backend.weight * self._grown(backend, now)
+                backend.cold = True
+                backend.share = backend.weight * backend.nearness * self._grown(backend, now)
                 young.append(backend)
         self._young = young
 
     def _may_warm(self, backend: Backend, now: int) -> bool:
         """The cold rule's budget, by what warm backends of like size take from this proxy, spent evenly."""
         weights = sum(b.weight for b in self._backends)
-        rate = self._flow_now(now) / weights * backend.share * self._cold_rate if weights else 0.0
+        rate = self._flow_now(now) / weights * backend.weight * self._grown(backend, now) * self._cold_rate if weights else 0.0
         rate = max(rate, self._cold_least / self._group)
         gained = rate * (now - backend.counted_at) / SECOND
         backend.allowance = min(max(1.0, rate / 4), backend.allowance + gained)
