Predict by the usual time and its spread, over a third of a second of flow

Cause: half the tightest promised time was too early where promised times lie near the usual ones and too late where times are widely spread; a flow reckoned over a second lags a burst. Conclusion: two spreads, bound 1.0 to 1.4, a third of a second kept.

--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -30,7 +30,7 @@
 # A backend is passed over when its calls in flight exceed this many times the mean, and one.
 CROWDED = 1.0
 # Done tickets a second are reckoned over about this long.
-FLOW_SPAN = SECOND
+FLOW_SPAN = SECOND // 3
 # Further transmissions for tickets that may have run, as a part of the tickets taken, and how many may be saved up.
 SPARE_PART = 0.2
 SPARE_MOST = 10.0
@@ -167,10 +167,10 @@
             return stretch * use.usual < ticket.until - now
         pressure = worth = 0.0
         for one in self._use_cases:
-            pressure = max(pressure, one.usual / one.promised)
+            pressure = max(pressure, (one.usual + 2 * one.spread) / one.promised)
             if one.usual:
                 worth = max(worth, one.importance / one.usual)
-        bound = 0.5 + 0.4 * use.importance / use.usual / worth
+        bound = 1.0 + 0.4 * use.importance / use.usual / worth
         return pressure * stretch < (bound if within else bound / 2) and stretch * use.usual < ticket.until - now
 
     def _within_share(self, ticket: Ticket, now: int) -> bool:
