--- /dev/null
+++ b/tests/test_tickets.py
@@ -0,0 +1,123 @@
+from pepperusher.terms import DONE, ERROR, FULL, TIMED_OUT, Backend
+
+from tests.scene import SECOND, Scene
+
+
+class Tickets(Scene):
+    def test_rotation_is_smooth_and_weighted(self) -> None:
+        self.open("a1", "b1")
+        self.list("c1", weight=2.0)
+        self.call(DONE, 0.001, times=8)
+        self.kept("rotation")
+
+    def test_a_backend_that_gathers_calls_is_passed_over(self) -> None:
+        """Incident idebbd2: a heavy backend that slowed gathered calls till it timed out."""
+        self.open("a1", "b1", "c1")
+        self.list("d1", weight=10.0)
+        for _ in range(40):
+            ticket = self.ticket()
+            picked = self.where(ticket, quiet=True)
+            if isinstance(picked, Backend) and picked.address != "d1":
+                self.after(ticket, DONE, 0.01, quiet=True)
+        self.note(f"calls at the slow backend {self.backends['d1'].in_flight}")
+        self.kept("passed_over")
+
+    def test_nothing_new_goes_to_a_backend_that_drains(self) -> None:
+        self.open("a1", "b1")
+        self.call(DONE, 0.001, times=2)
+        self.list("a1", ready=False)
+        self.call(DONE, 0.001, times=3)
+        self.list("b1", whole=True, ready=False)
+        self.call(DONE)
+        self.kept("drain")
+
+    def test_a_cold_backend_has_a_budget(self) -> None:
+        """The age weights alone don't guard it: here every other backend is gone."""
+        self.open("a1", "b1")
+        self.call(DONE, 0.02, times=200, quiet=True)
+        self.list("c1", born=self.now)
+        self.list("a1", "b1", ready=False)
+        for _ in range(40):
+            self.call(DONE, 0.05, quiet=True)
+            self.pass_time(0.01)
+        sent = int(self.backends["c1"].results.__len__())
+        self.note(f"in 2.4 s a backend just started was sent {sent} of 40")
+        self.kept("cold_budget")
+
+    def test_referenced_stays_in_its_cell_and_its_time(self) -> None:
+        self.open("a1", "b1", "c2", "d2")
+        for _ in range(2):
+            ticket = self.ticket("book", left=4.0)
+            self.where(ticket)
+            self.after(ticket, ERROR, 0.05)
+            self.where(ticket)
+            self.after(ticket, TIMED_OUT, 1.2)
+            self.where(ticket)
+        self.kept("referenced")
+
+    def test_referenced_that_never_ran_goes_anywhere(self) -> None:
+        self.open("a1", "b2")
+        ticket = self.ticket("book", left=4.0)
+        self.where(ticket)
+        self.after(ticket, FULL)
+        self.where(ticket)
+        self.after(ticket, FULL)
+        self.where(ticket)
+        self.after(ticket, FULL)
+        self.kept("referenced_never_ran")
+
+    def test_single_use_runs_once(self) -> None:
+        self.open("a1", "b1")
+        first, second = self.ticket("pay", left=4.0), self.ticket("pay", left=4.0)
+        for ticket, how in ((first, FULL), (second, ERROR)):
+            self.where(ticket)
+            self.after(ticket, how, 0.05)
+        self.where(first)
+        self.after(first, TIMED_OUT, 3.9)
+        self.kept("single_use")
+
+    def test_one_final_answer_at_the_outer_limit(self) -> None:
+        self.open("a1", "b1")
+        ticket = self.ticket(left=0.5)
+        self.where(ticket)
+        self.after(ticket, TIMED_OUT, 0.5)
+        gone = self.ticket()
+        self.where(gone)
+        self.balancer.gone(gone)
+        self.note(f"client left: calls off after {self.balancer.wait(gone, self.now)}")
+        self.after(gone, ERROR, 0.1)
+        self.kept("outer_limit")
+
+    def test_further_transmissions_are_a_part_of_the_tickets(self) -> None:
+        """What a jam is fed with: with its saved part spent, a ticket that may have run is bounced."""
+        self.open("a1", "b1", "c1")
+        self.balancer._spare = 1.0
+        for _ in range(3):
+            ticket = self.ticket()
+            self.where(ticket)
+            self.after(ticket, ERROR, 0.01)
+        self.kept("spare")
+
+    def test_an_empty_list_bounces(self) -> None:
+        self.open(may_advise=True, longest_advice=SECOND)
+        ticket = self.ticket()
+        self.where(ticket)
+        self.note(f"come back in {0 < self.balancer.wait(ticket, self.now) <= SECOND}")
+        self.kept("empty_list")
+
+    def test_the_list_is_asked_for_again_backed_off(self) -> None:
+        self.open("a1", must_ask=True)
+        for _ in range(6):
+            self.note(f"ask in {self.balancer.wait(None, self.now)}")
+            self.balancer.list_failed(self.now)
+            self.pass_time(self.balancer.wait(None, self.now) / SECOND)
+        self.note(f"ask in {self.balancer.wait(None, self.now)}")
+        self.list("a1")
+        self.note(f"ask in {self.balancer.wait(None, self.now)}")
+        self.kept("list_lost")
+
+    def test_calls_stay_in_their_zone_as_far_as_it_carries(self) -> None:
+        self.open("a1", "b1", zones=["here", "there"])
+        self.list("c1", "d1", "e1", zone="there")
+        self.call(DONE, 0.001, times=10)
+        self.kept("zones")
