--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -75,8 +75,6 @@
         if ticket.over or ticket.until - now <= 0 or len(ticket.transmissions) >= self._most:
             return self._no(ticket)
         first = not ticket.transmissions
-        if first:
-            self._spare = min(SPARE_MOST, self._spare + SPARE_PART)
         if self._young:
             self._age(now)
         anchor = None if first else self._anchor(ticket)
@@ -90,8 +88,11 @@
             in_flight += backend.in_flight
             choice.append(backend)
         admitting = len(choice)
-        if first and not self._in_time(ticket, in_flight, admitting, now):
+        # Asked of further transmissions too: in a jam they are the last thing the backends need.
+        if not self._in_time(ticket, in_flight, admitting, now):
             return self._no(ticket)
+        if first:
+            self._spare = min(SPARE_MOST, self._spare + SPARE_PART)
         if anchor is not None:
             choice = [b for b in choice if _drops_repeats(anchor.backend, b, ticket.use_case.scope)]
         if not first and len(choice) > 1:
@@ -158,7 +159,7 @@
         its time is bounced first, so that a short promised time alone does not shut a use case out.
         """
         use = ticket.use_case
-        within = self._within_share(ticket, now)
+        within = bool(ticket.transmissions) or self._within_share(ticket, now)
         if in_flight <= 2 * admitting or not self._usual or not use.usual:
             return True
         flow = self._flow_now(now)
