--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -12,7 +12,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Iterable
-from math import exp
+from math import exp, sqrt
 from random import Random
 
 from pepperusher.terms import (
@@ -82,10 +82,12 @@
             return self._no(ticket)
         choice: list[Backend] = []
         in_flight = 0
+        room = 0.0
         for backend in self._backends:
             if backend.state != CLOSED and not self._admits(backend, now):
                 continue
             in_flight += backend.in_flight
+            room += backend.room
             choice.append(backend)
         admitting = len(choice)
         # Asked of further transmissions too: in a jam they are the last thing the backends need.
@@ -98,7 +100,7 @@
         if not first and len(choice) > 1:
             tried = [sent.backend for sent in ticket.transmissions]
             choice = [b for b in choice if b not in tried] or choice
-        picked = self._turn(choice, in_flight / admitting if admitting else 0.0, now)
+        picked = self._turn(choice, in_flight / room if room else 0.0, now)
         if picked is None:
             picked = self._last_resort(ticket, anchor, now)
             if picked is None:
@@ -110,10 +112,10 @@
         """Smooth weighted rotation over `choice`, passing over the crowded and the cold with no allowance left."""
         best = None
         total = 0.0
-        limit = mean * CROWDED + 1.0
+        limit = mean * CROWDED
         for backend in choice:
             share = backend.share
-            if backend.in_flight > limit:
+            if backend.in_flight > limit * backend.room + 1.0:
                 continue
             if backend.cold and not self._may_warm(backend, now):
                 continue
@@ -168,10 +170,10 @@
             return stretch * use.usual < ticket.until - now
         pressure = worth = 0.0
         for one in self._use_cases:
-            pressure = max(pressure, (one.usual + 2 * one.spread) / one.promised)
+            pressure = max(pressure, (one.usual + 1 * one.spread) / one.promised)
             if one.usual:
                 worth = max(worth, one.importance / one.usual)
-        bound = 1.0 + 0.4 * use.importance / use.usual / worth
+        bound = 0.8 + 0.4 * use.importance / use.usual / worth
         return pressure * stretch < (bound if within else bound / 2) and stretch * use.usual < ticket.until - now
 
     def _within_share(self, ticket: Ticket, now: int) -> bool:
@@ -292,6 +294,9 @@
                 backend.turn = -self._chance() * line.weight
             backend.zone, backend.cell = line.zone, line.cell
             backend.weight, backend.born, backend.ready = line.weight, line.born, True
+            # Between the plain mean, which crowds a small backend, and the mean for each weight, which lets a heavy
+            # one that has slowed gather calls till they time out.
+            backend.room = sqrt(line.weight)
             kept[id(backend)] = backend
         self._backends = list(kept.values())
         self._weigh_zones()
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -77,7 +77,7 @@
 class Backend:
     """One backend as this proxy knows it, with its breaker. The window empties at each change of state."""
 
-    __slots__ = ("address", "zone", "cell", "weight", "born", "ready", "in_flight", "turn", "share", "nearness", "cold",
+    __slots__ = ("address", "zone", "cell", "weight", "born", "ready", "in_flight", "turn", "share", "nearness", "room", "cold",
                  "state",
                  "generation", "results", "failures", "run_failed", "run_done", "open_until", "trials",
                  "trial_due", "allowance", "counted_at")
@@ -93,6 +93,7 @@
         self.turn = 0.0
         self.share = 1.0
         self.nearness = 1.0
+        self.room = 1.0
         self.cold = False
         self.state = CLOSED
         self.generation = 0
