--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -115,7 +115,7 @@
         limit = mean * CROWDED
         for backend in choice:
             share = backend.share
-            if backend.in_flight > limit * backend.room + 1.0:
+            if backend.in_flight > limit * backend.room + 0.5:
                 continue
             if backend.cold and not self._may_warm(backend, now):
                 continue
