--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -46,6 +46,7 @@
         self.where(overdue)
         self.pass_time(2.5)
         self.call(DONE, times=1)
+        self.after(overdue, TIMED_OUT)
         self.pass_time(5)
         self.call(DONE, times=5)
         self.kept("trials")
