--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -16,7 +16,7 @@
 from random import Random
 
 from pepperusher.terms import (
-    AGAIN, BOUNCE, CALLED_OFF, CLOSED, DONE, HALF_OPEN, MOOT, NEVER_RAN, NOTHING, OPEN, REFERENCED,
+    AGAIN, BOUNCE, CALLED_OFF, CLOSED, DONE, FULL, HALF_OPEN, MOOT, NEVER_RAN, NOTHING, OPEN, REFERENCED,
     REPLAYABLE, SCOPE_ALL, SCOPE_CELL, SCOPE_ZONE, SCRAP, SINGLE_USE, TIMED_OUT, Backend, Ground, Listing,
     Ticket, Transmission)
 
@@ -65,6 +65,8 @@
         self._list_lost = False
         self._backends: list[Backend] = []   # emptied by the list: holds what it names as ready
         self._young: list[Backend] = []      # emptied by age
+        self._full_by: Backend | None = None
+        self._full_at = now
         self._flow = 0.0
         self._flow_at = self._started = now
         self._spare = SPARE_MOST
@@ -239,7 +241,11 @@
         if how == TIMED_OUT and took < use.usual:
             # A caller that left less than the usual time says nothing about the server.
             return
-        self._result(backend, how == DONE, now)
+        crowd = False
+        if how == FULL:
+            crowd = self._full_by is not backend and now - self._full_at < SECOND
+            self._full_by, self._full_at = backend, now
+        self._result(backend, how == DONE, now, crowd)
 
     # --- how long to wait ------------------------------------------------------------------------------------
 
@@ -361,7 +367,7 @@
             return False
         return backend.trials < TRIALS
 
-    def _result(self, backend: Backend, success: bool, now: int) -> None:
+    def _result(self, backend: Backend, success: bool, now: int, crowd: bool = False) -> None:
         results = backend.results
         results.append(success)
         backend.failures += not success
@@ -378,7 +384,8 @@
         if backend.state == HALF_OPEN:
             self._change(backend, OPEN, now)
         elif backend.run_failed >= RUN or (len(results) >= WINDOW and 2 * backend.failures >= WINDOW):
-            if not self._shared(backend):
+            # Full one after another is a crowd, not a fault: opening some would drown the rest, and then all are open.
+            if not crowd and not self._shared(backend):
                 self._change(backend, OPEN, now)
 
     def _shared(self, backend: Backend) -> bool:
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -79,3 +79,13 @@
             self.after(ticket, TIMED_OUT, 0.05, over=True, quiet=True)
         self.note(f"state {self.backends['a1'].state - 40}")
         self.kept("little_time")
+
+    def test_servers_full_one_after_another_stay_closed(self) -> None:
+        """A burst that fills every server must not open them all and drown the last."""
+        self.open("a1", "b1", "c1")
+        self.call(DONE, 0.05, times=90, quiet=True)
+        self.call(FULL, 0.01, times=45, quiet=True)
+        self.note(f"states {[backend.state - 40 for backend in self.backends.values()]}")
+        self.list("b1", "c1", ready=False)
+        self.call(FULL, 0.01, times=10, quiet=True)
+        self.kept("crowd")
