--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -119,6 +119,8 @@
             share = backend.share
             if backend.in_flight > limit * backend.room + 0.01:
                 continue
+            if now < backend.full_until and backend.in_flight >= backend.full_at:
+                continue
             if backend.cold and not self._may_warm(backend, now):
                 continue
             total += share
@@ -245,6 +247,10 @@
         if how == FULL:
             crowd = self._full_by is not backend and now - self._full_at < SECOND
             self._full_by, self._full_at = backend, now
+            # Not asked for more than it then held until a call of usual length has made room: against hundreds of
+            # tickets turned away one after another by the same full servers.
+            backend.full_at = backend.in_flight
+            backend.full_until = now + self._usual
         self._result(backend, how == DONE, now, crowd)
 
     # --- how long to wait ------------------------------------------------------------------------------------
@@ -404,7 +410,7 @@
         return 2.0 * failures / results >= own
 
     def _change(self, backend: Backend, state: int, now: int) -> None:
-        if backend.state != state and state != HALF_OPEN:
+        if backend.state != state and CLOSED in (backend.state, state):
             word = "open" if state == OPEN else "closed"
             self._say(f"{backend.address} {word}: {backend.failures} of {len(backend.results)} failed,"
                       f" run {backend.run_failed}")
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -80,7 +80,7 @@
     __slots__ = ("address", "zone", "cell", "weight", "born", "ready", "in_flight", "turn", "share", "nearness", "room", "cold",
                  "state",
                  "generation", "results", "failures", "run_failed", "run_done", "open_until", "trials",
-                 "trial_due", "allowance", "counted_at")
+                 "trial_due", "full_until", "full_at", "allowance", "counted_at")
 
     def __init__(self, address: str) -> None:
         self.address = address
@@ -104,6 +104,8 @@
         self.open_until = 0
         self.trials = 0
         self.trial_due = 0
+        self.full_until = 0
+        self.full_at = 0
         self.allowance = 0.0
         self.counted_at = 0
 
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -121,3 +121,20 @@
         self.list("c1", "d1", "e1", zone="there")
         self.call(DONE, 0.001, times=10)
         self.kept("zones")
+
+    def test_a_full_server_is_not_asked_for_more_than_it_held(self) -> None:
+        """A burst: with every server full, further tickets are bounced until a usual call has made room."""
+        self.open("a1", "b1")
+        self.call(DONE, 0.1, times=20, quiet=True)
+        first, second = self.ticket(), self.ticket()
+        for ticket in (first, second):
+            self.where(ticket, quiet=True)
+        for ticket in (self.ticket(), self.ticket()):
+            self.where(ticket)
+            self.after(ticket, FULL, over=True)
+        self.where(self.ticket())
+        self.after(first, DONE, 0.02)
+        self.where(self.ticket())
+        self.pass_time(0.1)
+        self.where(self.ticket())
+        self.kept("full")
