--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -166,9 +166,9 @@
         """
         use = ticket.use_case
         within = bool(ticket.transmissions) or self._within_share(ticket, now)
-        # Never refused while about two calls a server are in flight, over all proxies: a stale prediction must not shut
-        # this one, and every proxy allowing itself two would by that alone choke servers that eight proxies share.
-        if (in_flight - 1) * self._group <= 2 * admitting or not self._usual or not use.usual:
+        # Never refused while a few calls a server are in flight, over all proxies: a stale prediction must not shut
+        # this one, and every proxy allowing itself as many would by that alone choke servers that eight proxies share.
+        if (in_flight - 1) * self._group <= 4 * admitting or not self._usual or not use.usual:
             return True
         flow = self._flow_now(now)
         stretch = in_flight * SECOND / (flow * self._usual) if flow > 0 else 1.0
