--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -138,3 +138,14 @@
         self.pass_time(0.1)
         self.where(self.ticket())
         self.kept("full")
+
+    def test_what_is_never_bounced_is_shared_by_all_proxies(self) -> None:
+        """Incident iea4e88: eight proxies, each allowed two calls at every server unasked, choked them together."""
+        for group in (1, 8):
+            self.open("a1", "b1", group_size=group)
+            self.call(DONE, 0.6, times=10, quiet=True)
+            taken = sum(isinstance(self.where(self.ticket(), quiet=True), Backend) for _ in range(30))
+            kept = getattr(self, "said", [])
+            self.said = [*kept, f"of 30 at once, one of {group} proxies takes {taken}"]
+        self.lines = self.said
+        self.kept("shared_allowance")
