No new breaker for a backend listed with a new start; each departure's effect measured

Cause: taking departures out one at a time. Conclusion: the two departures stay for the failing lower tier, the new breaker goes.

--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -300,9 +300,8 @@
                 backend.ready = False
                 continue
             if id(backend) not in was or line.born > backend.born:
-                # A process started anew is not the one that failed; a random start keeps proxies out of step.
+                # A random start keeps proxies out of step.
                 if line.born > backend.born:
-                    self._change(backend, CLOSED, now)
                     backend.allowance = 1.0
                     backend.counted_at = now
                 backend.turn = -self._chance() * line.weight
