A further transmission is held to the mean of those it may go to

Cause: read in the module: a referenced ticket bound to a busy cell found none at or under the mean of all backends and was scrapped though its cell admitted.

--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -2,11 +2,11 @@
 
 The caller keeps the tickets and the timers, and asks three things:
     where(ticket, now)          a Backend to send to, or NOT_YET, BOUNCE or SCRAP
-    after(sent, how, over, now) AGAIN (ask where once more), BOUNCE, SCRAP or NOTHING, for a transmission that ended
-    wait(ticket, now)           the patience of the transmission just placed, or how long until where is asked
-                                again, or the advice that goes with a bounce; for None, when to ask for the list
-and gives notice by listed(), list_failed(), begun() and gone(). The interface is described in docs/interface.md,
-the design and each departure from it in docs/design.md. Times are whole microseconds.
+    after(sent, how, over, now) for a transmission that ended: AGAIN (ask where), BOUNCE, SCRAP or NOTHING
+    wait(ticket, now)           the patience of the transmission just placed, how long until where is asked
+                                again, or the advice with a bounce; for None, when to ask for the list
+and gives notice by listed(), list_failed(), begun() and gone(). The interface is described in
+docs/interface.md, the design and each departure from it in docs/design.md. Times are whole microseconds.
 """
 
 from __future__ import annotations
@@ -27,11 +27,10 @@
 CLOSE_COUNT = 3
 TRIALS = 1
 OPEN_FOR = 5 * SECOND
-# A backend is passed over when its calls in flight exceed this many times the mean, and one.
-CROWDED = 1.0
 # Done tickets a second are reckoned over about this long.
 FLOW_SPAN = SECOND // 3
-# Further transmissions for tickets that may have run, as a part of the tickets taken, and how many may be saved up.
+# Further transmissions for tickets that may have run, as a part of the tickets taken, and how many may be
+# saved up.
 SPARE_PART = 0.2
 SPARE_MOST = 10.0
 
@@ -71,7 +70,7 @@
         self._flow_at = self._started = now
         self._spare = SPARE_MOST
 
-    # --- where to send this ticket ---------------------------------------------------------------------------
+    # --- where to send this ticket ----------------------------------------------------------------
 
     def where(self, ticket: Ticket, now: int) -> Backend | int:
         if ticket.over or ticket.until - now <= 0 or len(ticket.transmissions) >= self._most:
@@ -102,6 +101,11 @@
         if not first and len(choice) > 1:
             tried = [sent.backend for sent in ticket.transmissions]
             choice = [b for b in choice if b not in tried] or choice
+        if not first:
+            # The mean of those it may still go to: by that of all, none of a busy cell would be at or under
+            # it.
+            in_flight = sum(b.in_flight for b in choice)
+            room = sum(b.room for b in choice)
         picked = self._turn(choice, in_flight / room if room else 0.0, now)
         if picked is None:
             picked = self._last_resort(ticket, anchor, now)
@@ -111,13 +115,12 @@
         return picked
 
     def _turn(self, choice: list[Backend], mean: float, now: int) -> Backend | None:
-        """Smooth weighted rotation over `choice`, passing over the crowded and the cold with no allowance left."""
+        """Smooth weighted rotation over `choice`, passing over the crowded, the full and the cold."""
         best = None
         total = 0.0
-        limit = mean * CROWDED
         for backend in choice:
             share = backend.share
-            if backend.in_flight > limit * backend.room + 0.01:
+            if backend.in_flight > mean * backend.room + 0.01:
                 continue
             if now < backend.full_until and backend.in_flight >= backend.full_at:
                 continue
@@ -160,14 +163,15 @@
     def _in_time(self, ticket: Ticket, in_flight: int, admitting: int, now: int) -> bool:
         """The operators' carry-over: a ticket is taken only if predicted in time.
 
-        Calls in flight over tickets done a second is the time a ticket now takes on average; each use case keeps its
-        own proportion to that average. The tightest use case sets the pressure for all, and what is worth least for
-        its time is bounced first, so that a short promised time alone does not shut a use case out.
+        Calls in flight over tickets done a second is the time a ticket now takes on average; each use case
+        keeps its own proportion to that average. The tightest use case sets the pressure for all, and what is
+        worth least for its time is bounced first, so that a short promised time does not shut a use case out.
         """
         use = ticket.use_case
         within = bool(ticket.transmissions) or self._within_share(ticket, now)
-        # Never refused while a few calls a server are in flight, over all proxies: a stale prediction must not shut
-        # this one, and every proxy allowing itself as many would by that alone choke servers that eight proxies share.
+        # Never refused while a few calls a server are in flight, over all proxies: a stale prediction must
+        # not shut this one, and every proxy allowing itself as many would by that alone choke servers that
+        # eight proxies share.
         if (in_flight - 1) * self._group <= 4 * admitting or not self._usual or not use.usual:
             return True
         flow = self._flow_now(now)
@@ -180,21 +184,24 @@
             if one.usual:
                 worth = max(worth, one.importance / one.usual)
         bound = 0.8 + 0.4 * use.importance / use.usual / worth
-        return pressure * stretch < (bound if within else bound / 2) and stretch * use.usual < ticket.until - now
+        if not within:
+            bound /= 2
+        return pressure * stretch < bound and stretch * use.usual < ticket.until - now
 
     def _within_share(self, ticket: Ticket, now: int) -> bool:
         customer = ticket.customer
         if customer is None or not self._first_tier:
             return True
         rate = customer.rate / self._group
-        customer.allowance = min(max(rate, 1.0), customer.allowance + rate * (now - customer.counted_at) / SECOND)
+        gained = rate * (now - customer.counted_at) / SECOND
+        customer.allowance = min(max(rate, 1.0), customer.allowance + gained)
         customer.counted_at = now
         if customer.allowance < 1.0:
             return False
         customer.allowance -= 1.0
         return True
 
-    # --- after an outcome ------------------------------------------------------------------------------------
+    # --- after an outcome -------------------------------------------------------------------------
 
     def after(self, sent: Transmission, how: int, over: bool, now: int) -> int:
         ticket = sent.ticket
@@ -227,7 +234,8 @@
         backend.in_flight -= 1
         took = now - sent.sent
         if how == DONE or (how == TIMED_OUT and took >= use.usual):
-            # A time-out is a time as well: without it a use case slow everywhere would keep its short patience.
+            # A time-out is a time as well: without it a use case slow everywhere would keep its short
+            # patience.
             if use.usual:
                 use.spread += (abs(took - use.usual) - use.spread) // 16
                 use.usual += (took - use.usual) // 16
@@ -249,13 +257,13 @@
         if how == FULL:
             crowd = self._full_by is not backend and now - self._full_at < SECOND
             self._full_by, self._full_at = backend, now
-            # Not asked for more than it then held until a call of usual length has made room: against hundreds of
-            # tickets turned away one after another by the same full servers.
+            # Not asked for more than it then held until a call of usual length has made room: against
+            # hundreds of tickets turned away one after another by the same full servers.
             backend.full_at = backend.in_flight
             backend.full_until = now + self._usual
         self._result(backend, how == DONE, now, crowd)
 
-    # --- how long to wait ------------------------------------------------------------------------------------
+    # --- how long to wait -------------------------------------------------------------------------
 
     def wait(self, ticket: Ticket | None, now: int) -> int:
         if ticket is None:
@@ -272,8 +280,9 @@
         left = max(1, self._worth_until(ticket) - now)
         if len(ticket.transmissions) + 1 >= self._most or use.repeat == SINGLE_USE:
             return left
-        # Never under half of what is left: a call carries what its caller allows, so a short patience here becomes
-        # time-outs and errors at every tier below, and where nothing stops the work it is done twice.
+        # Never under half of what is left: a call carries what its caller allows, so a short patience here
+        # becomes time-outs and errors at every tier below, and where nothing stops the work it is done
+        # twice.
         patience = max(left // 2, use.usual + 6 * use.spread)
         return patience if left - patience > use.usual else left
 
@@ -288,7 +297,7 @@
             return 0
         return int(self._longest_advice * (0.25 + 0.75 * self._chance()))
 
-    # --- notices ---------------------------------------------------------------------------------------------
+    # --- notices ----------------------------------------------------------------------------------
 
     def listed(self, lines: Iterable[Listing], whole: bool, now: int) -> None:
         kept = {} if whole else {id(b): b for b in self._backends}
@@ -307,8 +316,8 @@
                 backend.turn = -self._chance() * line.weight
             backend.zone, backend.cell = line.zone, line.cell
             backend.weight, backend.born, backend.ready = line.weight, line.born, True
-            # Between the plain mean, which crowds a small backend, and the mean for each weight, which lets a heavy
-            # one that has slowed gather calls till they time out.
+            # Between the plain mean, which crowds a small backend, and the mean for each weight, which lets
+            # a heavy one that has slowed gather calls till they time out.
             backend.room = sqrt(line.weight)
             kept[id(backend)] = backend
         self._backends = list(kept.values())
@@ -326,8 +335,8 @@
     def _weigh_zones(self) -> None:
         """Calls stay in this zone as far as its part of the weights carries an even part of the traffic.
 
-        Against paying the way between zones, in time and price, at every tier; what the zone cannot carry goes to
-        the zones that have more than their part. Every backend keeps a little, so that its breaker stays informed.
+        Against paying the way between zones, in time and price, at every tier; what the zone cannot carry goes
+        to the zones with more than their part. Every backend keeps a little, so its breaker stays informed.
         """
         zones: dict[str, float] = {}
         for backend in self._backends:
@@ -340,7 +349,9 @@
         spare[self._zone] = 0.0
         over = sum(spare.values())
         for backend in self._backends:
-            part = here if backend.zone == self._zone else (1.0 - here) * spare[backend.zone] / over if over else 0.0
+            part = here
+            if backend.zone != self._zone:
+                part = (1.0 - here) * spare[backend.zone] / over if over else 0.0
             backend.nearness = max(0.02, part * total / zones[backend.zone])
 
     def list_failed(self, now: int) -> None:
@@ -361,7 +372,7 @@
         ticket.over = True
         ticket.pause = 0 if self._calls_off else -1
 
-    # --- the breaker -----------------------------------------------------------------------------------------
+    # --- the breaker ------------------------------------------------------------------------------
 
     def _admits(self, backend: Backend, now: int) -> bool:
         if backend.state == OPEN:
@@ -391,14 +402,15 @@
         if backend.state == HALF_OPEN:
             self._change(backend, OPEN, now)
         elif backend.run_failed >= RUN or (len(results) >= WINDOW and 2 * backend.failures >= WINDOW):
-            # Full one after another is a crowd, not a fault: opening some would drown the rest, and then all are open.
+            # Full one after another is a crowd, not a fault: opening some would drown the rest, and then
+            # all are open.
             if not crowd and not self._shared(backend):
                 self._change(backend, OPEN, now)
 
     def _shared(self, backend: Backend) -> bool:
         """Whether the other servers fail about as much, so that the cause is not this one.
 
-        Against a tier below that fails, a use case slow everywhere, or callers with little time opening sound servers.
+        Against a tier below that fails, or a use case slow everywhere, opening sound servers.
         """
         failures = results = 0
         for other in self._backends:
@@ -422,7 +434,7 @@
         if state == OPEN:
             backend.open_until = now + OPEN_FOR
 
-    # --- cold backends ---------------------------------------------------------------------------------------
+    # --- cold backends ----------------------------------------------------------------------------
 
     def _grown(self, backend: Backend, now: int) -> float:
         age = min(1.0, max(0, now - backend.born) / self._warm_after)
@@ -444,7 +456,8 @@
     def _may_warm(self, backend: Backend, now: int) -> bool:
         """The cold rule's budget, by what warm backends of like size take from this proxy, spent evenly."""
         weights = sum(b.weight for b in self._backends)
-        rate = self._flow_now(now) / weights * backend.weight * self._grown(backend, now) * self._cold_rate if weights else 0.0
+        size = backend.weight * self._grown(backend, now)
+        rate = self._flow_now(now) / weights * size * self._cold_rate if weights else 0.0
         rate = max(rate, self._cold_least / self._group)
         gained = rate * (now - backend.counted_at) / SECOND
         backend.allowance = min(max(1.0, rate / 4), backend.allowance + gained)
@@ -455,13 +468,14 @@
         if now > self._flow_at:
             self._flow *= exp((self._flow_at - now) / FLOW_SPAN)
             self._flow_at = now
-        # The first moments count as short as they are: else a proxy just started takes itself for slow and bounces.
+        # The first moments count as short as they are: else a proxy just started takes itself for slow and
+        # bounces.
         return self._flow / (1.0 - exp((self._started - now) / FLOW_SPAN)) if now > self._started else 0.0
 
-    # --- what a ticket still allows --------------------------------------------------------------------------
+    # --- what a ticket still allows ---------------------------------------------------------------
 
     def _anchor(self, ticket: Ticket) -> Transmission | None:
-        """The first transmission that may have run: it binds a referenced ticket to its group and its time."""
+        """The first transmission that may have run: it binds a referenced ticket to its group and time."""
         if ticket.use_case.repeat == REPLAYABLE:
             return None
         for sent in ticket.transmissions:
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -149,3 +149,15 @@
             self.said = [*kept, f"of 30 at once, one of {group} proxies takes {taken}"]
         self.lines = self.said
         self.kept("shared_allowance")
+
+    def test_a_busy_cell_still_takes_what_is_bound_to_it(self) -> None:
+        """By the mean of all backends a busy cell would have none at or under it, and the ticket were scrapped."""
+        self.open("a1", "b1", "c2", "d2")
+        bound = self.ticket("book", left=4.0)
+        self.where(bound)
+        cell = bound.transmissions[0].backend.cell
+        for backend in self.backends.values():
+            backend.in_flight += 2 * (backend.cell == cell)
+        self.after(bound, ERROR, 0.01)
+        self.where(bound)
+        self.kept("busy_cell")
