Importance counted by work is not divided by the time a second time

Cause: the setting importance-by was read past; where importance is counted by work a heavy ticket's time is in it already. Names follow our words.

--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -18,7 +18,7 @@
 from pepperusher.terms import (
     AGAIN, BOUNCE, CALLED_OFF, CLOSED, DONE, FULL, HALF_OPEN, MOOT, NEVER_RAN, NOTHING, OPEN, REFERENCED,
     REPLAYABLE, SCOPE_ALL, SCOPE_CELL, SCOPE_ZONE, SCRAP, SINGLE_USE, TIMED_OUT, Backend, Ground, Listing,
-    Ticket, Transmission)
+    Ticket, Transmission, UseCase)
 
 SECOND = 1_000_000
 # The breaker's figures; docs/design.md says what was tried for each.
@@ -43,6 +43,7 @@
         self._chance = chance.random
         self._say = say
         self._first_tier = ground.stage == 0
+        self._by_work = ground.importance_by_work
         self._limit_passed = ground.passes_limit
         self._most = ground.most_transmissions
         self._calls_off = ground.may_call_off
@@ -165,7 +166,7 @@
 
         Calls in flight over tickets done a second is the time a ticket now takes on average; each use case
         keeps its own proportion to that average. The tightest use case sets the pressure for all, and what is
-        worth least for its time is bounced first, so that a short promised time does not shut a use case out.
+        of least importance for its time goes first, so that a short promised time does not shut a use case out.
         """
         use = ticket.use_case
         within = bool(ticket.transmissions) or self._within_share(ticket, now)
@@ -178,16 +179,20 @@
         stretch = in_flight * SECOND / (flow * self._usual) if flow > 0 else 1.0
         if not self._first_tier:
             return stretch * use.usual < ticket.until - now
-        pressure = worth = 0.0
+        pressure = most = 0.0
         for one in self._use_cases:
             pressure = max(pressure, (one.usual + 1 * one.spread) / one.promised)
             if one.usual:
-                worth = max(worth, one.importance / one.usual)
-        bound = 0.8 + 0.4 * use.importance / use.usual / worth
+                most = max(most, self._value(one))
+        bound = 0.8 + 0.4 * self._value(use) / most
         if not within:
             bound /= 2
         return pressure * stretch < bound and stretch * use.usual < ticket.until - now
 
+    def _value(self, use: UseCase) -> float:
+        """Importance for the time a ticket takes; where importance is counted by work, the time is in it already."""
+        return use.importance if self._by_work else use.importance / use.usual
+
     def _within_share(self, ticket: Ticket, now: int) -> bool:
         customer = ticket.customer
         if customer is None or not self._first_tier:
@@ -223,7 +228,7 @@
 
     def _may_repeat(self, ticket: Ticket, now: int) -> bool:
         use = ticket.use_case
-        end = self._worth_until(ticket)
+        end = self._useful_until(ticket)
         if end - now < use.usual // 2 or end <= now or len(ticket.transmissions) >= self._most:
             return False
         return use.repeat != SINGLE_USE or self._anchor(ticket) is None
@@ -277,7 +282,7 @@
 
     def _patience(self, ticket: Ticket, now: int) -> int:
         use = ticket.use_case
-        left = max(1, self._worth_until(ticket) - now)
+        left = max(1, self._useful_until(ticket) - now)
         if len(ticket.transmissions) + 1 >= self._most or use.repeat == SINGLE_USE:
             return left
         # Never under half of what is left: a call carries what its caller allows, so a short patience here
@@ -286,7 +291,7 @@
         patience = max(left // 2, use.usual + 6 * use.spread)
         return patience if left - patience > use.usual else left
 
-    def _worth_until(self, ticket: Ticket) -> int:
+    def _useful_until(self, ticket: Ticket) -> int:
         use = ticket.use_case
         if not self._first_tier and self._limit_passed or self._first_tier and use.late_share > 0:
             return ticket.until
--- a/pepperusher/simhost/wire.py
+++ b/pepperusher/simhost/wire.py
@@ -119,4 +119,5 @@
     made.crossing_price = _figure(_part(told, "prices", dict), "cross-zone", 0.0)
     made.tick = _span(told, "tick", 1.0)
     made.passes_limit = bool(_part(told, "family-info", dict).get("passes-deadline", False))
+    made.importance_by_work = told.get("importance-by") == "work"
     return made
