--- a/pepperusher/simhost/wire.py
+++ b/pepperusher/simhost/wire.py
@@ -116,8 +116,6 @@
     made.warm_after = _span(rules, "warm-after", 0.0)
     made.tip_multiple = _figure(rules, "tip-multiple", 1.0)
     made.overload_for = _span(rules, "overload-for", 1000.0)
-    made.crossing_price = _figure(_part(told, "prices", dict), "cross-zone", 0.0)
-    made.tick = _span(told, "tick", 1.0)
     made.passes_limit = bool(_part(told, "family-info", dict).get("passes-deadline", False))
     made.importance_by_work = told.get("importance-by") == "work"
     return made
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -162,7 +162,7 @@
 
     __slots__ = ("seed", "use_cases", "customers", "group_size", "stage", "zone", "zones", "most_transmissions",
                  "may_call_off", "may_advise", "longest_advice", "must_ask", "ask_within", "cold_share",
-                 "warm_after", "tip_multiple", "overload_for", "crossing_price", "tick", "passes_limit",
+                 "warm_after", "tip_multiple", "overload_for", "passes_limit",
                  "importance_by_work")
 
     seed: int
@@ -182,7 +182,5 @@
     warm_after: int
     tip_multiple: float
     overload_for: int
-    crossing_price: float
-    tick: int
     passes_limit: bool
     importance_by_work: bool
