--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -335,7 +335,7 @@
         """Calls stay in this zone as far as its part of the weights carries an even part of the traffic.
 
         Against paying the way between zones, in time and price, at every tier; what the zone cannot carry
-        goes to the zones with more than their part. Every backend keeps a little, so its breaker stays informed.
+        goes to the zones with more than their part. Every backend keeps a little, which informs its breaker.
         """
         if self._zones < 2:
             return
