Each proxy speaks to an arc of the list

Change: the list is laid on a ring, each backend as long as its weight; a proxy asks the arc that starts at its ordinal's place, wide enough that each backend hears from ten proxies and not under five backends, wider while under half admits. Small groups get the whole list, as before. A fresh backend's first call comes at a random part of its budget.

--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -13,6 +13,7 @@
 
 from collections.abc import Callable, Iterable
 from math import exp, sqrt
+from operator import attrgetter
 from random import Random
 
 from pepperusher.terms import (
@@ -33,6 +34,12 @@
 # may be saved up.
 SPARE_PART = 0.2
 SPARE_MOST = 10.0
+# A proxy speaks to a part of the list: so much that each backend hears from about HEARD proxies, which keeps
+# its load even, and not under REACH backends, which leaves a choice.
+HEARD = 10
+REACH = 5
+# Positions a golden part apart lie evenly on a ring whatever their number.
+GOLDEN = (sqrt(5) - 1) / 2
 
 
 class Balancer:
@@ -64,8 +71,10 @@
         self._asked = not ground.must_ask
         self._list_lost = False
         self._backends: list[Backend] = []   # emptied by the list: holds what it names as ready
+        self._ring: list[Backend] = []       # the same, this proxy's part of it first
+        self._part_weight = 0.0
+        self._position = ground.ordinal * GOLDEN % 1.0
         self._young: list[Backend] = []      # emptied by age
-        self._weights = 0.0
         self._full_by: Backend | None = None
         self._full_at = now
         self._flow = 0.0
@@ -85,12 +94,16 @@
             return self._no(ticket)
         choice: list[Backend] = []
         in_flight = 0
-        room = 0.0
-        for backend in self._backends:
+        room = admitting = 0.0
+        for backend in self._ring:
+            # Widened while less than half of this proxy's part admits.
+            if not backend.near and 2 * admitting >= self._part_weight:
+                break
             if backend.state != CLOSED and not self._admits(backend, now):
                 continue
             in_flight += backend.in_flight
             room += backend.room
+            admitting += backend.share
             choice.append(backend)
         # Asked of further transmissions too: in a jam they are the last thing the backends need.
         if not self._in_time(ticket, in_flight, len(choice), now):
@@ -98,7 +111,8 @@
         if first:
             self._spare = min(SPARE_MOST, self._spare + SPARE_PART)
         if anchor is not None:
-            choice = [b for b in choice if _drops_repeats(anchor.backend, b, ticket.use_case.scope)]
+            choice = [b for b in self._backends if _drops_repeats(anchor.backend, b, ticket.use_case.scope)
+                      and (b.state == CLOSED or self._admits(b, now))]
         if not first:
             tried = [sent.backend for sent in ticket.transmissions]
             choice = [b for b in choice if b not in tried] or choice
@@ -313,7 +327,8 @@
             if id(backend) not in was or line.born > backend.born:
                 # A random start keeps proxies out of step.
                 if line.born > backend.born:
-                    backend.allowance = 1.0
+                    # Somewhere in its first call's part: one each at once from every proxy is too much.
+                    backend.allowance = self._chance()
                     backend.counted_at = now
                 backend.turn = -self._chance() * line.weight
             backend.zone, backend.cell = line.zone, line.cell
@@ -323,8 +338,8 @@
             backend.room = sqrt(line.weight)
             kept[id(backend)] = backend
         self._backends = list(kept.values())
-        self._weights = sum(b.weight for b in self._backends)
         self._weigh_zones()
+        self._lay_ring()
         self._young = self._age(self._backends, now)
         if self._list_lost:
             self._list_lost = False
@@ -355,6 +370,39 @@
                 part = (1.0 - here) * spare[backend.zone] / over if over else 0.0
             backend.nearness = max(0.02, part * total / zones[backend.zone])
 
+    def _lay_ring(self) -> None:
+        """This proxy's part of the list: an arc of a ring on which each backend is as long as its weight.
+
+        Against thin evidence: a proxy with a call a second learns nothing of fifty backends. The ring is the
+        same at every proxy and the arcs' starts lie evenly, so that each backend is asked by its weight;
+        one that an arc covers in part counts for that part.
+        """
+        ring = sorted(self._backends, key=attrgetter("address"))
+        for backend in ring:
+            backend.portion = backend.weight * backend.nearness
+            backend.near = True
+        total = sum(b.portion for b in ring)
+        self._ring, self._part_weight = ring, total
+        if not ring:
+            return
+        even = total * total / sum(b.portion * b.portion for b in ring)
+        part = max(HEARD * self._zones / self._group, REACH / even)
+        if part >= 1.0:
+            return
+        before = self._position * total
+        start = 0
+        while before >= ring[start].portion and start < len(ring) - 1:
+            before -= ring[start].portion
+            start += 1
+        self._ring = ring = ring[start:] + ring[:start]
+        ring[0].portion = max(0.0, ring[0].portion - before)
+        self._part_weight = left = total * part
+        for backend in ring:
+            backend.near = left > 0.0
+            if backend.near:
+                backend.portion = min(backend.portion, left)
+                left -= backend.portion
+
     def list_failed(self, now: int) -> None:
         if not self._must_ask:
             return
@@ -445,15 +493,17 @@
         """The operators' carry-over: a fresh backend counts for less, by its age. Returns the fresh."""
         for backend in backends:
             backend.cold = backend.born != 0 and now - backend.born < self._warm_after
-            backend.share = backend.weight * backend.nearness
+            backend.share = backend.portion
             if backend.cold:
                 backend.share *= self._grown(backend, now)
         return [b for b in backends if b.cold]
 
     def _may_warm(self, backend: Backend, now: int) -> bool:
         """The cold rule's budget, by what warm backends of like size take from this proxy, spent evenly."""
-        size = backend.weight * self._grown(backend, now)
-        rate = self._flow_now(now) / self._weights * size * self._cold_rate
+        if not backend.near:
+            return False
+        size = backend.portion * self._grown(backend, now)
+        rate = self._flow_now(now) / self._part_weight * size * self._cold_rate
         rate = max(rate, self._cold_least / self._group)
         gained = rate * (now - backend.counted_at) / SECOND
         backend.allowance = min(max(1.0, rate / 4), backend.allowance + gained)
--- a/pepperusher/simhost/wire.py
+++ b/pepperusher/simhost/wire.py
@@ -103,6 +103,7 @@
     made.customers = [Customer(_named(one, "customers"), _figure(one, "quota-rps", 0.0))
                       for one in _part(told, "customers", list)]
     made.group_size = int(_figure(told, "group-size", 1))
+    made.ordinal = int(_figure(told, "ordinal", 0))
     made.stage = int(_figure(told, "stage", 0))
     made.zone = str(told.get("zone", ""))
     made.zones = [str(zone) for zone in _part(told, "zones", list)]
