Flow and calls in flight are reckoned over eight tickets at the least

Change: the flow's span is never under eight done tickets, calls in flight are the mean over about eight arrivals, and the floor of four calls a server over all proxies is rounded by chance.

--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -28,8 +28,9 @@
 CLOSE_COUNT = 3
 TRIALS = 1
 OPEN_FOR = 5 * SECOND
-# Done tickets a second are reckoned over about this long.
+# Done tickets a second are reckoned over about this long, and over so many of them at the least.
 FLOW_SPAN = SECOND // 3
+FLOW_LEAST = 8
 # Further transmissions for tickets that may have run, as a part of the tickets taken, and how many
 # may be saved up.
 SPARE_PART = 0.2
@@ -79,6 +80,9 @@
         self._full_at = now
         self._flow = 0.0
         self._flow_at = self._started = now
+        self._flow_span = FLOW_SPAN
+        self._done_at, self._gap = now, FLOW_SPAN // FLOW_LEAST
+        self._held = 0.0
         self._spare = SPARE_MOST
 
     # --- where to send this ticket ----------------------------------------------------------------
@@ -182,13 +186,15 @@
         """
         use = ticket.use_case
         within = bool(ticket.transmissions) or self._within_share(ticket, now)
+        # The mean over a few tickets: with one or two in flight at a time a single figure is chance.
+        self._held += (in_flight - self._held) / FLOW_LEAST
         # Never refused while a few calls a server are in flight, over all proxies: a stale prediction must
         # not shut this one, and every proxy allowing itself as many would by that alone choke servers that
-        # eight proxies share.
-        if (in_flight - 1) * self._group <= 4 * admitting or not self._usual or not use.usual:
+        # many share. Chance rounds what comes to less than a call for each.
+        if (in_flight + self._chance()) * self._group <= 4 * admitting or not self._usual or not use.usual:
             return True
         flow = self._flow_now(now)
-        stretch = in_flight * SECOND / (flow * self._usual) if flow > 0 else 1.0
+        stretch = self._held * SECOND / (flow * self._usual) if flow > 0 else 1.0
         if not self._first_tier:
             return stretch * use.usual < ticket.until - now
         pressure = most = 0.0
@@ -260,7 +266,10 @@
                 use.usual, use.spread = took, took // 2
         if how == DONE:
             self._flow_now(now)
-            self._flow += SECOND / FLOW_SPAN
+            self._gap += (now - self._done_at - self._gap) // FLOW_LEAST
+            self._done_at = now
+            self._flow_span = max(FLOW_SPAN, FLOW_LEAST * self._gap)
+            self._flow += SECOND / self._flow_span
             self._usual += (took - self._usual) // 16 if self._usual else took
         current = sent.generation == backend.generation
         if current and sent.trial:
@@ -512,11 +521,11 @@
 
     def _flow_now(self, now: int) -> float:
         if now > self._flow_at:
-            self._flow *= exp((self._flow_at - now) / FLOW_SPAN)
+            self._flow *= exp((self._flow_at - now) / self._flow_span)
             self._flow_at = now
         # The first moments count as short as they are: else a proxy just started takes itself for slow
         # and bounces.
-        return self._flow / (1.0 - exp((self._started - now) / FLOW_SPAN)) if now > self._started else 0.0
+        return self._flow / (1.0 - exp((self._started - now) / self._flow_span)) if now > self._started else 0.0
 
     # --- what a ticket still allows ---------------------------------------------------------------
 
