The floor counts the proxies that share a backend, not the whole group

With arcs, what a proxy has in flight is at its own few backends, which a tenth of the group shares; taking the group shut the floor altogether.

--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -74,6 +74,7 @@
         self._backends: list[Backend] = []   # emptied by the list: holds what it names as ready
         self._ring: list[Backend] = []       # the same, this proxy's part of it first
         self._part_weight = 0.0
+        self._sharing = 1.0
         self._position = ground.ordinal * GOLDEN % 1.0
         self._young: list[Backend] = []      # emptied by age
         self._full_by: Backend | None = None
@@ -191,7 +192,7 @@
         # Never refused while a few calls a server are in flight, over all proxies: a stale prediction must
         # not shut this one, and every proxy allowing itself as many would by that alone choke servers that
         # many share. Chance rounds what comes to less than a call for each.
-        if (in_flight + self._chance()) * self._group <= 4 * admitting or not self._usual or not use.usual:
+        if (in_flight + self._chance()) * self._sharing <= 4 * admitting or not self._usual or not use.usual:
             return True
         flow = self._flow_now(now)
         stretch = self._held * SECOND / (flow * self._usual) if flow > 0 else 1.0
@@ -391,7 +392,7 @@
             backend.portion = backend.weight * backend.nearness
             backend.near = True
         total = sum(b.portion for b in ring)
-        self._ring, self._part_weight = ring, total
+        self._ring, self._part_weight, self._sharing = ring, total, self._group
         if not ring:
             return
         even = total * total / sum(b.portion * b.portion for b in ring)
@@ -411,6 +412,7 @@
             if backend.near:
                 backend.portion = min(backend.portion, left)
                 left -= backend.portion
+        self._sharing *= sum(b.near for b in ring) / len(ring)
 
     def list_failed(self, now: int) -> None:
         if not self._must_ask:
