Passing over goes by the mean of calls in flight over several tickets

Change: where the mean is under a call a backend, the figure compared is an average over up to 16 tickets; with a call or more at each it is what is in flight, as before. A backend's part of the mean goes by the part of it this proxy has, so that far or partly covered backends do not lower the mean. The mean is taken over those with room.

--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -39,6 +39,8 @@
 # its load even, and not under REACH backends, which leaves a choice.
 HEARD = 10
 REACH = 5
+# Calls in flight at a backend are a mean over this part of a ticket at the least.
+HELD_LEAST = 1 / 16
 # Positions a golden part apart lie evenly on a ring whatever their number.
 GOLDEN = (sqrt(5) - 1) / 2
 
@@ -75,6 +77,7 @@
         self._ring: list[Backend] = []       # the same, this proxy's part of it first
         self._part_weight = 0.0
         self._sharing = 1.0
+        self._mean = 0.0
         self._position = ground.ordinal * GOLDEN % 1.0
         self._young: list[Backend] = []      # emptied by age
         self._full_by: Backend | None = None
@@ -99,7 +102,10 @@
             return self._no(ticket)
         choice: list[Backend] = []
         in_flight = 0
-        room = admitting = 0.0
+        held = room = admitting = 0.0
+        # Calls in flight, which with less than one at each backend are a mean over many tickets: else a
+        # proxy with few calls sees a slow backend as empty as the others.
+        pace = min(1.0, max(HELD_LEAST, self._mean))
         for backend in self._ring:
             # Widened while less than half of this proxy's part admits.
             if not backend.near and 2 * admitting >= self._part_weight:
@@ -107,9 +113,14 @@
             if backend.state != CLOSED and not self._admits(backend, now):
                 continue
             in_flight += backend.in_flight
+            if not self._has_room(backend, now):
+                continue
+            backend.held += (backend.in_flight - backend.held) * pace
+            held += backend.held
             room += backend.room
             admitting += backend.share
             choice.append(backend)
+        self._mean = held / room if room else 0.0
         # Asked of further transmissions too: in a jam they are the last thing the backends need.
         if not self._in_time(ticket, in_flight, len(choice), now):
             return self._no(ticket)
@@ -117,14 +128,14 @@
             self._spare = min(SPARE_MOST, self._spare + SPARE_PART)
         if anchor is not None:
             choice = [b for b in self._backends if _drops_repeats(anchor.backend, b, ticket.use_case.scope)
-                      and (b.state == CLOSED or self._admits(b, now))]
+                      and (b.state == CLOSED or self._admits(b, now)) and self._has_room(b, now)]
         if not first:
             tried = [sent.backend for sent in ticket.transmissions]
             choice = [b for b in choice if b not in tried] or choice
             # The mean of those it may still go to: by that of all, a busy cell would have none under it.
-            in_flight = sum(b.in_flight for b in choice)
+            held = sum(b.held for b in choice)
             room = sum(b.room for b in choice)
-        picked = self._turn(choice, in_flight / room if room else 0.0, now)
+        picked = self._turn(choice, held / room if room else 0.0)
         if picked is None:
             picked = self._last_resort(ticket, anchor, now)
             if picked is None:
@@ -132,20 +143,21 @@
         self._place(ticket, picked, now)
         return picked
 
-    def _turn(self, choice: list[Backend], mean: float, now: int) -> Backend | None:
-        """Smooth weighted rotation over `choice`, passing over the crowded, the full and the cold."""
+    def _has_room(self, backend: Backend, now: int) -> bool:
+        if now < backend.full_until and backend.in_flight >= backend.full_at:
+            return False
+        return not backend.cold or self._may_warm(backend, now)
+
+    @staticmethod
+    def _turn(choice: list[Backend], mean: float) -> Backend | None:
+        """Smooth weighted rotation over `choice`, passing over what holds more than its part of the mean."""
         best = None
         total = 0.0
         for backend in choice:
-            share = backend.share
-            if backend.in_flight > mean * backend.room + 0.01:
-                continue
-            if now < backend.full_until and backend.in_flight >= backend.full_at:
+            if backend.held > mean * backend.room + 0.01:
                 continue
-            if backend.cold and not self._may_warm(backend, now):
-                continue
-            total += share
-            backend.turn += share
+            total += backend.share
+            backend.turn += backend.share
             if best is None or backend.turn > best.turn:
                 best = backend
         if best is not None:
@@ -343,9 +355,6 @@
                 backend.turn = -self._chance() * line.weight
             backend.zone, backend.cell = line.zone, line.cell
             backend.weight, backend.born = line.weight, line.born
-            # Between the plain mean, which crowds a small backend, and the mean for each weight, which lets
-            # a heavy one that has slowed gather calls till they time out.
-            backend.room = sqrt(line.weight)
             kept[id(backend)] = backend
         self._backends = list(kept.values())
         self._weigh_zones()
@@ -505,6 +514,9 @@
         for backend in backends:
             backend.cold = backend.born != 0 and now - backend.born < self._warm_after
             backend.share = backend.portion
+            # Between the plain mean, which crowds a small backend, and the mean for each weight, which lets
+            # a heavy one that has slowed gather calls till they time out; for the part this proxy has in it.
+            backend.room = backend.portion / sqrt(backend.weight)
             if backend.cold:
                 backend.share *= self._grown(backend, now)
         return [b for b in backends if b.cold]
