--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -31,6 +31,9 @@
 # Done tickets a second are reckoned over about this long, and over so many of them at the least.
 FLOW_SPAN = SECOND // 3
 FLOW_LEAST = 8
+# A customer's share saves up so many tickets at the least: at a ticket every few seconds for each proxy
+# chance alone brings more than one at once.
+SHARE_LEAST = 4.0
 # Further transmissions for tickets that may have run, as a part of the tickets taken, and how many
 # may be saved up.
 SPARE_PART = 0.2
@@ -230,7 +233,7 @@
             return True
         rate = customer.rate / self._group
         gained = rate * (now - customer.counted_at) / SECOND
-        customer.allowance = min(max(rate, 1.0), customer.allowance + gained)
+        customer.allowance = min(max(rate, SHARE_LEAST), customer.allowance + gained)
         customer.counted_at = now
         if customer.allowance < 1.0:
             return False
