--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -41,7 +41,7 @@
 # A proxy speaks to a part of the list: so much that each backend hears from about HEARD proxies, which keeps
 # its load even, and not under REACH backends, which leaves a choice.
 HEARD = 10
-REACH = 5
+REACH = 4
 # Calls in flight at a backend are a mean over this part of a ticket at the least.
 HELD_LEAST = 1 / 16
 # Positions a golden part apart lie evenly on a ring whatever their number.
