--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -125,7 +125,7 @@
             choice.append(backend)
         self._mean = held / room if room else 0.0
         # Asked of further transmissions too: in a jam they are the last thing the backends need.
-        if not self._in_time(ticket, in_flight, len(choice), now):
+        if choice and not self._in_time(ticket, in_flight, len(choice), now):
             return self._no(ticket, now)
         if first:
             self._spare = min(SPARE_MOST, self._spare + SPARE_PART)
