--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -11,6 +11,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable, Iterable
 from math import exp, sqrt
 from operator import attrgetter
@@ -77,14 +78,12 @@
         self._asked = not ground.must_ask
         self._list_lost = False
         self._backends: list[Backend] = []   # emptied by the list: holds what it names as ready
-        self._ring: list[Backend] = []       # the same, this proxy's part of it first
+        self._ring: deque[Backend] = deque()   # the same, this proxy's part of it first
         self._part_weight = 0.0
         self._sharing = 1.0
         self._mean = 0.0
         self._position = ground.ordinal * GOLDEN % 1.0
         self._young: list[Backend] = []      # emptied by age
-        self._full_by: Backend | None = None
-        self._full_at = now
         self._flow = 0.0
         self._flow_at = self._started = now
         self._flow_span = FLOW_SPAN
@@ -299,15 +298,12 @@
         if how == TIMED_OUT and took < use.usual:
             # A caller that left less than the usual time says nothing about the server.
             return
-        crowd = False
         if how == FULL:
-            crowd = self._full_by is not backend and now - self._full_at < SECOND
-            self._full_by, self._full_at = backend, now
             # Not asked for more than it then held until a call of usual length has made room: against
             # hundreds of tickets turned away one after another by the same full servers.
             backend.full_at = backend.in_flight
             backend.full_until = now + self._usual
-        self._result(backend, how == DONE, now, crowd)
+        self._result(backend, how == DONE, now)
 
     # --- how long to wait -------------------------------------------------------------------------
 
@@ -405,25 +401,21 @@
         same at every proxy and the arcs' starts lie evenly, so that each backend is asked by its weight;
         one that an arc covers in part counts for that part.
         """
-        ring = sorted(self._backends, key=attrgetter("address"))
+        ring = deque(sorted(self._backends, key=attrgetter("address")))
         for backend in ring:
             backend.portion = backend.weight * backend.nearness
             backend.near = True
         total = sum(b.portion for b in ring)
         self._ring, self._part_weight, self._sharing = ring, total, self._group
-        if not ring:
-            return
-        even = total * total / sum(b.portion * b.portion for b in ring)
-        part = max(HEARD * self._zones / self._group, REACH / even)
+        even = total * total / sum(b.portion * b.portion for b in ring) if ring else 0.0
+        part = max(HEARD * self._zones / self._group, REACH / even) if ring else 1.0
         if part >= 1.0:
             return
         before = self._position * total
-        start = 0
-        while before >= ring[start].portion and start < len(ring) - 1:
-            before -= ring[start].portion
-            start += 1
-        self._ring = ring = ring[start:] + ring[:start]
-        ring[0].portion = max(0.0, ring[0].portion - before)
+        while before >= ring[0].portion:
+            before -= ring[0].portion
+            ring.rotate(-1)
+        ring[0].portion -= before
         self._part_weight = left = total * part
         for backend in ring:
             backend.near = left > 0.0
@@ -463,7 +455,7 @@
             return False
         return backend.trials < TRIALS
 
-    def _result(self, backend: Backend, success: bool, now: int, crowd: bool = False) -> None:
+    def _result(self, backend: Backend, success: bool, now: int) -> None:
         results = backend.results
         results.append(success)
         backend.failures += not success
@@ -480,9 +472,7 @@
         if backend.state == HALF_OPEN:
             self._change(backend, OPEN, now)
         elif backend.run_failed >= RUN or (len(results) >= WINDOW and 2 * backend.failures >= WINDOW):
-            # Full one after another is a crowd, not a fault: opening some would drown the rest, and
-            # then all are open.
-            if not crowd and not self._shared(backend):
+            if not self._shared(backend):
                 self._change(backend, OPEN, now)
 
     def _shared(self, backend: Backend) -> bool:
