--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -32,11 +32,9 @@
 # Done tickets a second are reckoned over about this long, and over so many of them at the least.
 FLOW_SPAN = SECOND // 3
 FLOW_LEAST = 8
-# A customer's share saves up so many tickets at the least: at a ticket every few seconds for each proxy
-# chance alone brings more than one at once.
+# A customer's share saves up so many tickets at the least: chance alone brings several at once.
 SHARE_LEAST = 4.0
-# Further transmissions for tickets that may have run, as a part of the tickets taken, and how many
-# may be saved up.
+# Further transmissions for tickets that may have run, as a part of the tickets taken, and the most saved up.
 SPARE_PART = 0.2
 SPARE_MOST = 10.0
 # A proxy speaks to a part of the list: so much that each backend hears from about HEARD proxies, which keeps
@@ -66,22 +64,18 @@
         self._use_cases = [use for use in ground.use_cases if use.promised > 0 and use.importance > 0]
         self._usual = 0
         self._group = max(1, ground.group_size)
-        self._cold_share = ground.cold_share
-        self._warm_after = max(1, ground.warm_after)
+        self._cold_share, self._warm_after = ground.cold_share, max(1, ground.warm_after)
         # Half the rule's multiple: the other half is for what other proxies and chance add.
         self._cold_rate = ground.tip_multiple / 2
         self._cold_least = SECOND / max(1, ground.overload_for)
         self._must_ask = ground.must_ask
         self._ask_longest = max(SECOND, ground.ask_within // 2)
-        self._ask_step = 0
-        self._ask_at = now
+        self._ask_step, self._ask_at = 0, now
         self._asked = not ground.must_ask
         self._list_lost = False
         self._backends: list[Backend] = []   # emptied by the list: holds what it names as ready
         self._ring: deque[Backend] = deque()   # the same, this proxy's part of it first
-        self._part_weight = 0.0
-        self._sharing = 1.0
-        self._mean = 0.0
+        self._part_weight, self._sharing, self._mean = 0.0, 1.0, 0.0
         self._position = ground.ordinal * GOLDEN % 1.0
         self._young: list[Backend] = []      # emptied by age
         self._flow = 0.0
@@ -169,14 +163,9 @@
     def _last_resort(self, ticket: Ticket, anchor: Transmission | None, now: int) -> Backend | None:
         """No breaker admits: a trial to the server whose open period ends first, as the design has it."""
         scope = ticket.use_case.scope
-        best = None
-        for backend in self._backends:
-            if anchor is not None and not _drops_repeats(anchor.backend, backend, scope):
-                continue
-            if backend.cold and not self._may_warm(backend, now):
-                continue
-            if backend.state == OPEN and (best is None or backend.open_until < best.open_until):
-                best = backend
+        shut = [b for b in self._backends if b.state == OPEN and self._has_room(b, now)
+                and (anchor is None or _drops_repeats(anchor.backend, b, scope))]
+        best = min(shut, key=attrgetter("open_until"), default=None)
         if best is not None:
             self._change(best, HALF_OPEN, now)
         return best
@@ -203,9 +192,8 @@
         within = bool(ticket.transmissions) or self._within_share(ticket, now)
         # The mean over a few tickets: with one or two in flight at a time a single figure is chance.
         self._held += (in_flight - self._held) / FLOW_LEAST
-        # Never refused while a few calls a server are in flight, over all proxies: a stale prediction must
-        # not shut this one, and every proxy allowing itself as many would by that alone choke servers that
-        # many share. Chance rounds what comes to less than a call for each.
+        # Never refused while a few calls a server are in flight, over all proxies that share it: a stale
+        # prediction must not shut this one. Chance rounds what comes to less than a call for each.
         # Three times as many while no time is known: a crowd at the very start chokes servers for long.
         few = 4 if self._usual else 12
         if (in_flight + self._chance()) * self._sharing <= few * admitting:
@@ -351,12 +339,10 @@
             if not line.ready:
                 kept.pop(id(backend), None)
                 continue
+            # A random start keeps proxies out of step; a call each at once is too much for a cold backend.
+            if line.born > backend.born:
+                backend.allowance, backend.counted_at = self._chance(), now
             if id(backend) not in was or line.born > backend.born:
-                # A random start keeps proxies out of step.
-                if line.born > backend.born:
-                    # Somewhere in its first call's part: one each at once from every proxy is too much.
-                    backend.allowance = self._chance()
-                    backend.counted_at = now
                 backend.turn = -self._chance() * line.weight
             backend.zone, backend.cell = line.zone, line.cell
             backend.weight, backend.born = line.weight, line.born
@@ -378,12 +364,10 @@
         """
         if self._zones < 2:
             return
-        zones: dict[str, float] = {}
+        zones = {self._zone: 0.0}
         for backend in self._backends:
             zones[backend.zone] = zones.get(backend.zone, 0.0) + backend.weight
-        total = sum(zones.values())
-        if not zones.get(self._zone):
-            return
+        total = sum(zones.values()) or 1.0
         here = min(1.0, zones[self._zone] * self._zones / total)
         spare = {zone: max(0.0, part / total - 1.0 / self._zones) for zone, part in zones.items()}
         spare[self._zone] = 0.0
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -1,4 +1,4 @@
-from pepperusher.terms import DONE, ERROR, FULL, TIMED_OUT, Backend
+from pepperusher.terms import DONE, ERROR, FULL, OPEN, TIMED_OUT, Backend
 
 from tests.scene import SECOND, Scene
 
@@ -122,6 +122,35 @@
         self.call(DONE, 0.001, times=10)
         self.kept("zones")
 
+    def test_a_zone_that_loses_its_backends_calls_the_others_by_weight(self) -> None:
+        self.open("a1", zones=["here", "there"])
+        self.list("b1", "c1", "d1", zone="there")
+        self.list("a1", ready=False)
+        self.call(DONE, 0.001, times=6)
+        self.kept("zone_lost")
+
+    def test_each_of_many_proxies_speaks_to_an_arc_of_the_list(self) -> None:
+        """Incidents i009e79, ic3acfa, i4088df: with few calls a proxy learns nothing of a long list."""
+        names = [chr(97 + number) + "1" for number in range(20)]
+        heard = dict.fromkeys(names, 0)
+        said = []
+        for ordinal in range(80):
+            self.open(*names, group_size=80, ordinal=ordinal)
+            self.call(DONE, 0.1, times=24, quiet=True)
+            asked = [name for name in names if self.backends[name].turn != 0 and self.backends[name].results]
+            for name in asked:
+                heard[name] += len(self.backends[name].results)
+            if ordinal < 3:
+                said.append(f"proxy {ordinal} asks {' '.join(asked)}")
+        said.append(f"of 96 calls each, backends get {min(heard.values())} to {max(heard.values())}")
+        near = [backend for backend in self.balancer._ring if backend.near]
+        for backend in near[1:]:
+            self.balancer._change(backend, OPEN, self.now)
+        self.lines = said
+        self.note("with one of its arc left the last proxy widens:")
+        self.call(DONE, times=4)
+        self.kept("arcs")
+
     def test_a_full_server_is_not_asked_for_more_than_it_held(self) -> None:
         """A burst: with every server full, further tickets are bounced until a usual call has made room."""
         self.open("a1", "b1")
