--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -150,7 +150,7 @@
         best = None
         total = 0.0
         for backend in choice:
-            if backend.held > mean * backend.room + 0.01:
+            if backend.held > 1.1 * mean * backend.room + 0.01:
                 continue
             total += backend.share
             backend.turn += backend.share
