--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -201,7 +201,8 @@
         if not self._usual or not use.usual:
             return bool(self._usual)
         flow = self._flow_now(now)
-        stretch = self._held * SECOND / (flow * self._usual) if flow > 0 else 1.0
+        # Half a call of doubt on either side: where one call is all that was held, the quotient is chance.
+        stretch = (self._held + 0.5) / (flow * self._usual / SECOND + 0.5)
         if not self._first_tier:
             return stretch * use.usual < ticket.until - now
         pressure = most = 0.0
