--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -1,4 +1,4 @@
-from pepperusher.terms import DONE, ERROR, FULL, OPEN, TIMED_OUT, Backend
+from pepperusher.terms import DONE, ERROR, FULL, OPEN, TIMED_OUT, Backend, Customer, Ticket
 
 from tests.scene import SECOND, Scene
 
@@ -22,6 +22,34 @@
         self.note(f"calls at the slow backend {self.backends['d1'].in_flight}")
         self.kept("passed_over")
 
+    def test_a_slow_backend_is_seen_with_few_calls(self) -> None:
+        """With less than a call at each, what is in flight at the moment shows a slow one as empty as the rest."""
+        self.open("a1", "b1", "c1", "d1")
+        slow: list[tuple[int, Ticket]] = []
+        sent = dict.fromkeys(self.backends, 0)
+        for _ in range(80):
+            while slow and slow[0][0] <= self.now:
+                self.after(slow.pop(0)[1], DONE, quiet=True)
+            ticket = self.ticket()
+            picked = self.where(ticket, quiet=True)
+            sent[picked.address] += 1
+            if picked.address == "a1":
+                slow.append((self.now + SECOND // 5, ticket))
+            else:
+                self.after(ticket, DONE, 0.05, quiet=True)
+            self.pass_time(0.1)
+        self.note(f"of 80 calls, one at a time, a1 taking four times as long: {sent}")
+        self.kept("few_calls")
+
+    def test_a_customer_saves_up_a_few_tickets_of_its_share(self) -> None:
+        """A fifth of a ticket a second for each proxy: chance alone brings several at once."""
+        customer = Customer("school", 20.0)
+        self.open("a1", group_size=100, customers=[customer])
+        for wait in (0, 0, 0, 0, 0, 5):
+            self.pass_time(wait)
+            self.note(f"within its share: {self.balancer._within_share(self.ticket(customer=customer), self.now)}")
+        self.kept("saved_share")
+
     def test_nothing_new_goes_to_a_backend_that_drains(self) -> None:
         self.open("a1", "b1")
         self.call(DONE, 0.001, times=2)
