--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -41,7 +41,7 @@
 # its load even, and not under REACH backends, which leaves a choice.
 HEARD = 10
 REACH = 4
-# Calls in flight at a backend are a mean over this part of a ticket at the least.
+# In the mean of calls in flight at a backend, the newest figure has this part at the least.
 HELD_LEAST = 1 / 16
 # Positions a golden part apart lie evenly on a ring whatever their number.
 GOLDEN = (sqrt(5) - 1) / 2
@@ -351,6 +351,10 @@
         self._backends = list(kept.values())
         self._weigh_zones()
         self._lay_ring()
+        for backend in self._backends:
+            # Between the plain mean, which crowds a small backend, and the mean for each weight, which lets
+            # a heavy one that has slowed gather calls till they time out; for the part this proxy has in it.
+            backend.room = backend.portion / sqrt(backend.weight)
         self._young = self._age(self._backends, now)
         if self._list_lost:
             self._list_lost = False
@@ -392,8 +396,8 @@
             backend.near = True
         total = sum(b.portion for b in ring)
         self._ring, self._part_weight, self._sharing = ring, total, self._group
-        even = total * total / sum(b.portion * b.portion for b in ring) if ring else 0.0
-        part = max(HEARD * self._zones / self._group, REACH / even) if ring else 1.0
+        squares = sum(b.portion * b.portion for b in ring)
+        part = max(HEARD * self._zones / self._group, REACH / (total * total / squares)) if ring else 1.0
         if part >= 1.0:
             return
         before = self._position * total
@@ -498,9 +502,6 @@
         for backend in backends:
             backend.cold = backend.born != 0 and now - backend.born < self._warm_after
             backend.share = backend.portion
-            # Between the plain mean, which crowds a small backend, and the mean for each weight, which lets
-            # a heavy one that has slowed gather calls till they time out; for the part this proxy has in it.
-            backend.room = backend.portion / sqrt(backend.weight)
             if backend.cold:
                 backend.share *= self._grown(backend, now)
         return [b for b in backends if b.cold]
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -77,9 +77,9 @@
 class Backend:
     """One backend as this proxy knows it, with its breaker. The window empties at each change of state."""
 
-    __slots__ = ("address", "zone", "cell", "weight", "born", "in_flight", "held", "turn", "share", "nearness", "portion",
-                 "near", "room", "cold", "state", "generation", "results", "failures", "run_failed", "run_done",
-                 "open_until", "trials", "trial_due", "full_until", "full_at", "allowance", "counted_at")
+    __slots__ = ("address", "zone", "cell", "weight", "born", "in_flight", "held", "turn", "share", "nearness",
+                 "portion", "near", "room", "cold", "state", "generation", "results", "failures", "run_failed",
+                 "run_done", "open_until", "trials", "trial_due", "full_until", "full_at", "allowance", "counted_at")
 
     def __init__(self, address: str) -> None:
         self.address = address
@@ -160,8 +160,8 @@
     """What a proxy is told once, at its start: the use cases, the customers and the limits it works under."""
 
     __slots__ = ("seed", "use_cases", "customers", "group_size", "ordinal", "stage", "zone", "zones",
-                 "most_transmissions", "may_call_off", "may_advise", "longest_advice", "must_ask", "ask_within", "cold_share",
-                 "warm_after", "tip_multiple", "overload_for", "passes_limit", "importance_by_work")
+                 "most_transmissions", "may_call_off", "may_advise", "longest_advice", "must_ask", "ask_within",
+                 "cold_share", "warm_after", "tip_multiple", "overload_for", "passes_limit", "importance_by_work")
 
     seed: int
     use_cases: list[UseCase]
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -165,7 +165,7 @@
         for ordinal in range(80):
             self.open(*names, group_size=80, ordinal=ordinal)
             self.call(DONE, 0.1, times=24, quiet=True)
-            asked = [name for name in names if self.backends[name].turn != 0 and self.backends[name].results]
+            asked = [name for name in names if self.backends[name].results]
             for name in asked:
                 heard[name] += len(self.backends[name].results)
             if ordinal < 3:
