SIGHUP goes over to the discovery that the new configuration names

Checked: nothing else in its log; SIGTERM and SIGINT alone had handlers (proxy.py, serve). Ruled out: a fault on reading the file, which nothing read.

SIGHUP now reads the configuration anew. The list and the old watch stay until the new one has told; of several the last counts. A bad file is one line in the log.

--- a/pepperusher/__main__.py
+++ b/pepperusher/__main__.py
@@ -29,10 +29,17 @@
 @click.option("--listen", envvar="BALANCER_LISTEN", help="Where callers connect, address:port.")
 @click.option("--discovery", envvar="BALANCER_DISCOVERY", help="Where discovery answers, address:port.")
 def serve(config: str, name: str | None, listen: str | None, discovery: str | None) -> None:
-    """Serve until SIGTERM or SIGINT, then answer what is in hand and end."""
+    """Serve until SIGTERM or SIGINT, then answer what is in hand and end.
+
+    SIGHUP reads the configuration anew and goes over to the discovery that stands in it.
+    """
     given = _read(config, name=name, listen=listen, discovery=discovery)
+
+    def again() -> told.Told:
+        return told.read(config, name=name, listen=listen, discovery=discovery, file_first=True)
+
     try:
-        run(given)
+        run(given, again)
     except OSError as error:
         raise click.ClickException(str(error)) from None
 
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -64,16 +64,34 @@
     return News(version, told.get("full") is True, entries, addresses)
 
 
+class Source:
+    """Discovery at one address. Each counts versions of its own; None is one that has told nothing yet."""
+
+    __slots__ = ("address", "version", "following")
+
+    def __init__(self, address: tuple[str, int], version: int | None) -> None:
+        self.address = address
+        self.version = version
+        self.following: asyncio.Task[None]
+
+
 class Discovery:
     def __init__(self, address: tuple[str, int], facade: Facade, backends: Backends, log: Log) -> None:
-        self._address = address
+        self._source = Source(address, 0)
+        # Whom a new configuration has replaced, each with its last watch; emptied when the new one has told, since
+        # till then an old watch is better than none.
+        self._replaced: list[Source] = []
         self._facade = facade
         self._backends = backends
         self._log = log
-        self._version = 0
 
-    def take(self, news: News) -> None:
-        self._version = news.version
+    @property
+    def version(self) -> int | None:
+        return self._source.version
+
+    def take(self, news: News, source: Source | None = None) -> None:
+        source = source or self._source
+        source.version = news.version
         for entry, address in zip(news.entries, news.addresses):
             self._backends.reached_at(entry.id, address, entry.ready)
         if news.whole:
@@ -81,32 +99,60 @@
         if news.entries or news.whole:
             self._facade.listed(news.entries, news.whole, clock.now())
 
-    async def follow(self) -> None:
+    def start(self) -> None:
+        self._source.following = asyncio.get_running_loop().create_task(self._follow(self._source, False))
+
+    def stop(self) -> None:
+        self._source.following.cancel()
+        self._let_go()
+
+    def turn_to(self, address: tuple[str, int]) -> None:
+        """A new configuration: asked there at once, while the list and the old watch stand till it has told."""
+        if address == self._source.address:
+            return
+        if self._source.version is None:
+            # Of several configurations one after another the last counts.
+            self._source.following.cancel()
+        else:
+            self._replaced.append(self._source)
+        self._source = Source(address, None)
+        self._source.following = asyncio.get_running_loop().create_task(self._follow(self._source, True))
+
+    def _let_go(self) -> None:
+        while self._replaced:
+            self._replaced.pop().following.cancel()
+
+    async def _follow(self, source: Source, at_once: bool) -> None:
         """Watches for as long as the proxy lives, asking again when the decisions say."""
-        while True:
-            wait = self._facade.tick(clock.now())
+        while source is self._source:
+            wait = 0 if at_once else self._facade.tick(clock.now())
+            at_once = False
             if wait != 0:
                 await asyncio.sleep(wait / 1e6 if wait >= 0 else 1.0)
                 continue
             try:
-                why = await self._watch()
+                why = await self._watch(source)
             except Exception as error:   # whatever discovery says or does: without a watch drains are not kept
                 why = f"{type(error).__name__} {error}".strip()
             self._log.say(f"watch ended: {why}")
-            self._facade.list_failed(clock.now())
+            # The end of one that is replaced is expected, and says nothing of the new one.
+            if source is self._source:
+                self._facade.list_failed(clock.now())
 
-    async def _watch(self) -> str:
+    async def _watch(self, source: Source) -> str:
         async with asyncio.timeout(CONNECT_WITHIN):
-            line = await reach(self._address)
+            line = await reach(source.address)
         try:
-            return await self._read(line)
+            return await self._read(line, source)
         finally:
             line.abort()
 
-    async def _read(self, line: Line) -> str:
+    async def _read(self, line: Line, source: Source) -> str:
         parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD)
-        host = f"{self._address[0]}:{self._address[1]}".encode()
-        target = f"/v1/endpoints?watch=1&after={self._version}".encode()
+        host = f"{source.address[0]}:{source.address[1]}".encode()
+        # Versions of another address mean nothing here: without one the whole list comes.
+        after = b"" if source.version is None else b"&after=%d" % source.version
+        target = b"/v1/endpoints?watch=1" + after
         line.send(framed_request(parser, Request(b"GET", target, [(b"host", host)], b"")))
         text = bytearray()
         silent = FIRST_WITHIN
@@ -128,7 +174,9 @@
                 *whole, rest = text.split(b"\n")
                 for one in whole:
                     if one.strip():
-                        self.take(self._news(one))
+                        self.take(self._news(one), source)
+                        if source is self._source:
+                            self._let_go()
                 text = rest
             else:
                 return "closed"
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -6,6 +6,7 @@
 import gc
 import resource
 import signal
+from collections.abc import Callable
 
 from pepperusher import holds
 from pepperusher.facade import BOUNCE, HOLD, SCRAP, SEND, Facade, Step
@@ -17,7 +18,7 @@
 from pepperusher.net.discovery import Discovery
 from pepperusher.net.log import Log
 from pepperusher.net.message import Answer, Request, end_to_end
-from pepperusher.net.told import Told
+from pepperusher.net.told import Told, ToldError
 
 PLAIN = (b"content-type", b"text/plain")
 READY = Answer(200, [PLAIN], b"ready\n")
@@ -68,8 +69,9 @@
 
 
 class Proxy:
-    def __init__(self, told: Told) -> None:
+    def __init__(self, told: Told, again: Callable[[], Told]) -> None:
         self._told = told
+        self._again = again
         self._log = Log(told.name)
         self._pool = Pool(64)
         self._budget = Budget(_descriptors(told.sockets))
@@ -173,8 +175,10 @@
             f"loop: {trouble.get('message')}: {trouble.get('exception')!r}"))
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop)
+        # Without a handler it ends the process, and with it every ticket in hand.
+        loop.add_signal_handler(signal.SIGHUP, self.tell_anew)
         self.port = self._callers.listen(self._told.listen)
-        follow = loop.create_task(self._discovery.follow())
+        self._discovery.start()
         sweep = loop.create_task(self._sweep())
         pace = loop.create_task(self._pace())
         # What stands now stays for good: the collector need not walk it each time. Tickets leave few cycles
@@ -185,7 +189,7 @@
         self._log.say(f"serving at {self._told.listen[0]}:{self.port}")
         await self._stopping.wait()
         await self._drain()
-        follow.cancel()
+        self._discovery.stop()
         sweep.cancel()
         pace.cancel()
         self._say_counts()
@@ -193,6 +197,16 @@
     def stop(self) -> None:
         self._stopping.set()
 
+    def tell_anew(self) -> None:
+        """The configuration may have been replaced: where discovery answers is taken from it, all else at a start."""
+        try:
+            told = self._again()
+        except ToldError as error:
+            self._log.say(f"the new configuration is not taken: {error}")
+            return
+        self._log.say(f"configuration read anew, discovery at {told.discovery[0]}:{told.discovery[1]}")
+        self._discovery.turn_to(told.discovery)
+
     async def _drain(self) -> None:
         """Accepts to the last: what the kernel takes on our behalf is ours."""
         loop = asyncio.get_running_loop()
@@ -234,5 +248,6 @@
             self._log.say(f"did not hold {count} times: {what}")
 
 
-def run(told: Told) -> None:
-    asyncio.run(Proxy(told).serve())
+def run(told: Told, again: Callable[[], Told]) -> None:
+    """`again` reads the configuration anew."""
+    asyncio.run(Proxy(told, again).serve())
--- a/pepperusher/net/told.py
+++ b/pepperusher/net/told.py
@@ -38,8 +38,12 @@
         raise ToldError(f"{name}: {error}") from None
 
 
-def read(path: str, name: str | None = None, listen: str | None = None, discovery: str | None = None) -> Told:
-    """The file at `path`; what is given beside it goes before it."""
+def read(path: str, name: str | None = None, listen: str | None = None, discovery: str | None = None,
+         file_first: bool = False) -> Told:
+    """The file at `path`; what is given beside it goes before it.
+
+    `file_first` is for a file that was replaced under way: the discovery that it names is the newer word.
+    """
     try:
         with open(path, encoding="utf-8") as file:
             of = json.load(file)
@@ -52,7 +56,7 @@
     made = Told()
     made.name = name or str(of.get("name", "proxy"))
     made.listen = _address(listen, of, "listen")
-    made.discovery = _address(discovery, of, "discovery")
+    made.discovery = _address(None if file_first and "discovery" in of else discovery, of, "discovery")
     try:
         seed = int(str(of.get("seed", "0")), 16)
     except ValueError:
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -193,20 +193,25 @@
         for toy in self.toys.values():
             await toy.open()
         self.watches: list[asyncio.StreamWriter] = []
+        self.heard: list[asyncio.StreamReader] = []
         self.server = await asyncio.start_server(self.watched, "127.0.0.1", 0)
         listed = {"version": 1, "full": True, "servers": [self.line(name) for name in names]}
         given = configuration(known=listed, **changes)
         given["discovery"] = f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
-        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
-            json.dump(given, file)
-            file.flush()
-            read = told.read(file.name)
+        self.given = json.dumps(given)
+        read = self.read_again()
         read.listen = ("127.0.0.1", 0)
-        self.proxy = Proxy(read)
+        self.proxy = Proxy(read, self.read_again)
         self.proxy._log.say = self.logged.append
         self.serving = asyncio.create_task(self.proxy.serve())
         await self.until(lambda: self.proxy.port and (self.watches or not names))
 
+    def read_again(self) -> told.Told:
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            file.write(self.given)
+            file.flush()
+            return told.read(file.name, discovery="127.0.0.1:1", file_first=True)
+
     def line(self, name: str, state: str = "ready") -> dict[str, object]:
         return {"id": name, "addr": f"127.0.0.1:{self.toys[name].port}", "zone": "here", "cell": int(name[1:]),
                 "state": state, "weight": 1.0, "started_ms": 0}
@@ -216,10 +221,11 @@
         self.lines.append(f"discovery gets {asked}")
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
         self.watches.append(writer)
+        self.heard.append(reader)
 
-    def news(self, version: int, *servers: dict[str, object], full: bool = False) -> None:
+    def news(self, version: int, *servers: dict[str, object], full: bool = False, watch: int = -1) -> None:
         text = json.dumps({"version": version, "full": full, "servers": servers}) + "\n"
-        self.watches[-1].write(f"{len(text):x}\r\n{text}\r\n".encode())
+        self.watches[watch].write(f"{len(text):x}\r\n{text}\r\n".encode())
 
     async def until(self, true: object) -> None:
         async with asyncio.timeout(10):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,6 +3,7 @@
 import io
 import json
 import os
+import signal
 import socket
 import subprocess
 import sys
@@ -308,6 +309,28 @@
         await self.ask("look 5", self.request("look", 5))
         self.kept("net_list")
 
+    async def test_sighup_goes_over_to_the_new_discovery_once_it_has_told(self) -> None:
+        """It once ended the process. The old watch stands till then, and of several new addresses the last counts."""
+        await self.open("a1", "b1")
+        others = [await asyncio.start_server(self.watched, "127.0.0.1", 0) for _ in range(2)]
+        ports = [other.sockets[0].getsockname()[1] for other in others]
+        # Read in part, refused, told nothing, told.
+        was = self.given
+        for given, watches in (("{", 1), (1, 1), (ports[0], 2), (ports[1], 3)):
+            self.given = given if given == "{" else json.dumps({**json.loads(was), "discovery": f"127.0.0.1:{given}"})
+            os.kill(os.getpid(), signal.SIGHUP)
+            await self.until(lambda: len(self.watches) == watches and "new" in self.logged[-1 - (given == 1)])
+        await asyncio.wait_for(self.heard[1].read(), 5)
+        self.news(5, self.line("a1", "draining"), watch=0)
+        await self.until(lambda: not self.proxy._backends._doors.get("a1"))
+        self.lines.append("the second is left, the old one still heard")
+        self.news(2, self.line("a1"), full=True)
+        await asyncio.wait_for(self.heard[0].read(), 5)
+        self.lines.append(f"the old one is left, version {self.proxy._discovery.version}")
+        await self.ask("look 1", self.request("look", 1))
+        self.lines.append(f"bad: {[line for line in self.logged if 'not taken' in line][0].partition('/')[0]}")
+        self.kept("net_sighup")
+
     async def test_a_watch_that_falls_silent_is_dead(self) -> None:
         """Its connection stays open as if all were well, and no drain would be heard of."""
         with mock.patch("pepperusher.net.discovery.SILENT", 0.1):
@@ -332,9 +355,9 @@
 
         async def drains_meanwhile(*given: object) -> object:
             made = await connect(*given)
-            version = self.proxy._discovery._version + 1
+            version = self.proxy._discovery.version + 1
             self.news(version, self.line("a1", "draining"), self.line("b1"))
-            await self.until(lambda: self.proxy._discovery._version == version)
+            await self.until(lambda: self.proxy._discovery.version == version)
             return made
 
         self.proxy._backends._connect = drains_meanwhile
