A message's framing is beyond doubt, and each ticket's form is checked at the door

Checked: h11 takes Content-Length beside Transfer-Encoding and goes by the latter (its _body_framing, step 2), while we passed on a body framed by length. Ruled out: pipelining, since one message is read whole before the next.

message.py, _check_framing: both lengths are refused and the connection closed, for requests and answers; a length over 64 KiB is refused at the head; an answer without framing can't be known to be whole; 1xx answers come to an end. proxy.py: two of a header that we read, a use case unlike the path's, figures that only float() reads, a method, body or missing mark that isn't the use case's are 400; an id in hand on another connection is 409, since sent on it would be a second copy. Its table empties as tickets settle.

--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -20,6 +20,9 @@
 HOW = {"done": terms.DONE, "error": terms.ERROR, "full": terms.FULL, "timed out": terms.TIMED_OUT,
        "unreached": terms.UNREACHED, "reset": terms.RESET, "called off": terms.CALLED_OFF, "moot": terms.MOOT,
        "unknown": terms.UNKNOWN}
+# Whether a ticket may run again.
+REPLAYABLE, REFERENCED, SINGLE_USE = "replayable", "referenced", "single-use"
+REPEAT = {terms.REPLAYABLE: REPLAYABLE, terms.REFERENCED: REFERENCED, terms.SINGLE_USE: SINGLE_USE}
 FINAL = {terms.BOUNCE: BOUNCE, terms.SCRAP: SCRAP}
 # A backend off the list is remembered so long with its breaker, in case it comes back under its id.
 FORGET_AFTER = 600_000_000
@@ -63,8 +66,10 @@
 
     # --- tickets ----------------------------------------------------------------------------------
 
-    def knows(self, use_case: str) -> bool:
-        return use_case in self._use_cases
+    def repeat_of(self, use_case: str) -> str | None:
+        """Whether its tickets may run again; None for a use case that is not known."""
+        use = self._use_cases.get(use_case)
+        return REPEAT[use.repeat] if use is not None else None
 
     def take(self, use_case: str, customer: str, came: int, left: int | None, cost: int) -> Ticket:
         """A ticket in hand until it is settled; `left` is what its client waits, None if it does not say."""
--- a/pepperusher/net/message.py
+++ b/pepperusher/net/message.py
@@ -6,11 +6,13 @@
 
 import h11
 
-from pepperusher.net.buffers import Body, TooLarge
+from pepperusher.net.buffers import SIZE, Body, TooLarge
 from pepperusher.net.line import Line
 
 # A message's head; more is bad input.
 HEAD = 16 * 1024
+# Answers 1xx ahead of one; more never come to an end.
+INTERIM = 16
 HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization",
                  b"te", b"trailer", b"transfer-encoding", b"upgrade", b"content-length", b"expect"))
 
@@ -45,9 +47,29 @@
     return [pair for pair in headers if pair[0] not in HOP and pair[0] not in named]
 
 
+def _check_framing(head: h11.Request | h11.Response) -> None:
+    """What h11 lets pass, and where it matters most: how long the body is has to be beyond doubt."""
+    length = coding = None
+    for name, value in head.headers:
+        if name == b"content-length":
+            length = int(value)
+        elif name == b"transfer-encoding":
+            coding = value
+    if length is not None and coding is not None:
+        # Whoever goes by the other of the two finds another request in the body.
+        raise BadMessage(400, "both Content-Length and Transfer-Encoding")
+    if length is not None and length > SIZE:
+        # Not read first: some say 3 GB and send them.
+        raise BadMessage(413, "the body is too large")
+    if isinstance(head, h11.Response) and length is None and coding is None and head.status_code not in (204, 304):
+        # It would end with the connection, and a broken one so looks like a whole one.
+        raise BadMessage(502, "neither Content-Length nor Transfer-Encoding")
+
+
 async def receive(parser: h11.Connection, line: Line, body: Body) -> h11.Request | h11.Response | None:
     """The next whole message: its head, with the body in `body`; None where the line ended before one began."""
     head: h11.Request | h11.Response | None = None
+    interim = 0
     try:
         while True:
             event = parser.next_event()
@@ -57,13 +79,18 @@
                 parser.receive_data(await line.read())
             elif isinstance(event, (h11.Request, h11.Response)):
                 head = event
+                _check_framing(head)
+            elif isinstance(event, h11.InformationalResponse):
+                interim += 1
+                if interim > INTERIM:
+                    raise BadMessage(502, "interim answers without end")
             elif isinstance(event, h11.Data):
                 body.add(event.data)
             elif isinstance(event, h11.EndOfMessage):
                 return head
             elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 return None
-    except h11.RemoteProtocolError as error:
+    except h11.ProtocolError as error:
         raise BadMessage(error.error_status_hint, str(error)) from None
     except TooLarge:
         raise BadMessage(413, "the body is too large") from None
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import gc
+import re
 import resource
 import signal
 from collections.abc import Callable
 
 from pepperusher import holds
-from pepperusher.facade import BOUNCE, HOLD, SCRAP, SEND, Facade, Step
+from pepperusher.facade import BOUNCE, HOLD, REFERENCED, REPLAYABLE, SCRAP, SEND, Facade, Step
 from pepperusher.net import clock
 from pepperusher.net.backends import Backends, Transmission
 from pepperusher.net.budget import Budget
@@ -17,7 +18,7 @@
 from pepperusher.net.callers import Call, Callers
 from pepperusher.net.discovery import Discovery
 from pepperusher.net.log import Log
-from pepperusher.net.message import Answer, Request, end_to_end
+from pepperusher.net.message import Answer, Headers, Request, end_to_end
 from pepperusher.net.told import Told, ToldError
 
 PLAIN = (b"content-type", b"text/plain")
@@ -34,19 +35,35 @@
 # Sound limits of what a caller may say; more is absurd.
 LONGEST_WAIT = 3600 * 1_000_000
 UNITS = {b"m": 1000, b"u": 1}
+NUMBER = re.compile(rb"[0-9]{1,16}(\.[0-9]{1,16})?")
+READ = frozenset((b"request-id", b"request-class", b"tenant", b"request-timeout", b"work-hint", b"idempotency-key"))
 
 
 class BadCall(Exception):
     """A request that is no ticket; it is told why."""
 
+    def __init__(self, text: str, status: int = 400) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+def _read_headers(headers: Headers) -> dict[bytes, bytes]:
+    read: dict[bytes, bytes] = {}
+    for name, value in headers:
+        if name in READ:
+            # A backend may go by the other of two.
+            if name in read:
+                raise BadCall(f"two of {name.decode()}")
+            read[name] = value
+    return read
+
 
 def _span(name: str, number: bytes, unit: int, form: str) -> int:
-    """A header's time in microseconds."""
-    try:
-        span = round(float(number) * unit)
-    except (ValueError, OverflowError):
-        raise BadCall(f"{name} is not {form}") from None
-    if not 0 <= span <= LONGEST_WAIT:
+    """A header's time in microseconds. Not by float(), which reads 1e3, 1_0 and nan."""
+    if not NUMBER.fullmatch(number):
+        raise BadCall(f"{name} is not {form}")
+    span = round(float(number) * unit)
+    if span > LONGEST_WAIT:
         raise BadCall(f"{name} is out of any range")
     return span
 
@@ -79,6 +96,7 @@
         self._backends = Backends(self._budget, self._pool, told.connect_within, told.idle_most)
         self._discovery = Discovery(told.discovery, self._facade, self._backends, self._log)
         self._callers = Callers(self._handle, self._budget, self._pool, self._log)
+        self._names: set[bytes] = set()   # of the tickets in hand; emptied as they end
         self._stopping = asyncio.Event()
         self.port = 0
         # How late timers have run of late, in microseconds.
@@ -89,18 +107,25 @@
 
     async def _handle(self, call: Call) -> Answer:
         try:
-            # The first of two under a name counts.
-            told = dict(reversed(call.request.headers))
-            if not told.get(b"request-id"):
+            told = _read_headers(call.request.headers)
+            name = told.get(b"request-id")
+            if not name:
                 if call.request.target.split(b"?")[0] == b"/ready":
                     return READY if self._backends.known else NOT_READY
                 raise BadCall("Request-Id is missing")
-            answer = await self._ticket(call, told)
+            if name in self._names:
+                # Sent on, it would be the same ticket out twice.
+                raise BadCall("a ticket with this Request-Id is in hand", 409)
+            self._names.add(name)
+            try:
+                answer = await self._ticket(call, told)
+            finally:
+                self._names.discard(name)
             holds.must_hold(answer is not None or call.left, "a ticket ends with an answer unless its client left")
             return answer or BROKEN
         except BadCall as bad:
             self._count("bad calls")
-            return Answer(400, [PLAIN], f"{bad}\n".encode())
+            return Answer(bad.status, [PLAIN], f"{bad}\n".encode())
         except Exception as error:   # ends this ticket alone, with an answer
             self._count("exceptions")
             self._log.say(f"a ticket ended by {type(error).__name__}: {error}")
@@ -108,10 +133,18 @@
 
     async def _ticket(self, call: Call, told: dict[bytes, bytes]) -> Answer | None:
         method, target, headers, body = call.request
-        use_case = (told.get(b"request-class")
-                    or target.partition(b"?")[0].lstrip(b"/").partition(b"/")[0]).decode("latin-1")
-        if not self._facade.knows(use_case):
+        named = target.partition(b"?")[0].removeprefix(b"/").partition(b"/")[0]
+        if told.get(b"request-class", named) != named:
+            raise BadCall("Request-Class is not the first part of the path")
+        use_case = named.decode("latin-1")
+        repeat = self._facade.repeat_of(use_case)
+        if repeat is None:
             raise BadCall("the use case is not known here")
+        # Backends turn the rest away, which would count as their failing.
+        if method != (b"GET" if repeat == REPLAYABLE else b"POST") or repeat == REPLAYABLE and body:
+            raise BadCall("the method or a body is not this use case's")
+        if repeat == REFERENCED and not told.get(b"idempotency-key"):
+            raise BadCall("Idempotency-Key is missing")
         wait, cost = None, 0
         if given := told.get(b"request-timeout"):
             wait = _wait_of(given)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -40,6 +40,10 @@
                 error, NOT_STARTED, NOT_STARTED.replace("503 Full", "504 Over"),
                 NOT_STARTED.replace("Not-Started: 1\r\n", ""),
                 "break", "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\nhalf", "garbage\r\n\r\n half",
+                "HTTP/1.1 200 OK\r\n\r\nno framing half", "HTTP/1.1 103 Soon\r\n\r\n" * 17 + "half",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n",
+                "HTTP/1.1 100 Yes\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n1xx",
                 "HTTP/1.1 200 OK\r\nContent-Length: 70000\r\n\r\n" + "x" * 70000)):
             self.toys["a1"].does = [does] * 3
             await self.ask(f"pay after {does[:40]!r}", self.request("pay", number))
@@ -190,8 +194,14 @@
                 ("garbage", "hello\r\n\r\n"), ("no use case", good.replace("look", "buy")),
                 ("no id", good.replace("Request-Id: 1\r\n", "")),
                 ("no host", good.replace("Host: backend.local\r\n", "")),
-                ("wait of words", good.replace("1500m", "soon")), ("wait of ages", good.replace("1500m", "1e300m")),
+                ("wait of words", good.replace("1500m", "soon")), ("wait of ages", good.replace("1500m", "9999999999m")),
                 ("wait of nan", good.replace("1500m", "nanu")), ("wait below none", good.replace("1500m", "-5m")),
+                ("wait for float()", good.replace("1500m", "1e3m")), ("digits for float()", good.replace("1500m", "1_0m")),
+                ("two waits", good.replace("Request-Id", "Request-Timeout: 9m\r\nRequest-Id")),
+                ("class unlike the path", good.replace("/look", "/pay")), ("GET with a body", good.replace(": 0", ": 1") + "x"),
+                ("no mark", self.request("book", 1).decode().replace("Idempotency-Key: k1\r\n", "")),
+                ("length and coding", good.replace(": 0", ": 0\r\nTransfer-Encoding: chunked") + "0\r\n\r\n" + good),
+                ("large body said", self.request("pay", 1).decode().replace("Length: 0", "Length: 65537")),
                 ("hint", good.replace("Request-Id", "Work-Hint: inf\r\nRequest-Id")),
                 ("two lengths", good.replace("Content-Length: 0", "Content-Length: 0\r\nContent-Length: 9")),
                 ("long head", good.replace("Host", f"X: {'x' * 40000}\r\nHost")),
@@ -207,6 +217,17 @@
         self.assertEqual([line for line in self.logged if "serving" not in line], [])
         self.kept("net_bad_input")
 
+    async def test_the_id_of_a_ticket_in_hand_is_not_taken_again(self) -> None:
+        """Sent on, it would be a second copy; once the first has ended, the name is nobody's."""
+        await self.open("a1")
+        self.toys["a1"].does = ["slow"]
+        at = await self.connect()
+        at[1].write(self.request("look", 1))
+        await self.until(lambda: "a1 gets" in self.lines[-1])
+        await self.ask("look 1 of another", self.request("look", 1))
+        self.lines.append(f"look 1 -> {await self.hear(at[0])}, names kept: {len(self.proxy._names)}")
+        self.kept("net_names")
+
     async def test_an_exception_ends_its_ticket_alone(self) -> None:
         await self.open("a1")
         sound, self.proxy._backends.transmit = self.proxy._backends.transmit, None
