A stop ends by the longest wait of the settings, with every ticket in hand answered

Guess: connections closed 0.55 s after SIGTERM left clients nowhere to go while the other proxy was away. Tried: serving on for half of the time on kept connections.

Found on the way, proxy.py _drain: 3.45 s was a figure of its own, while SIGKILL comes by the longest wait that the settings know (3 s at most) and 0.7 s; and a ticket of longer wait in hand at SIGTERM was cut off unanswered. Both mended: times follow from the settings, and what is out shortly before the end is given up, to have its answer. /ready is 503 once the proxy is told to stop.

--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -62,10 +62,14 @@
         self._backends: dict[str, Backend] = {}     # emptied by the list's news, long after they left it
         self._unlisted: dict[str, int] = {}         # since when; emptied likewise, and when they come back
         self._latest: int | None = None
-        self.in_hand = 0
+        self._tickets: set[Ticket] = set()          # in hand; emptied as they are settled
 
     # --- tickets ----------------------------------------------------------------------------------
 
+    @property
+    def in_hand(self) -> int:
+        return len(self._tickets)
+
     def repeat_of(self, use_case: str) -> str | None:
         """Whether its tickets may run again; None for a use case that is not known."""
         use = self._use_cases.get(use_case)
@@ -77,8 +81,9 @@
         until = came + (use.outer_limit if left is None else left)
         if self._latest is not None:
             until = min(until, self._latest)
-        self.in_hand += 1
-        return Ticket(use, self._customers.get(customer), came, until, cost)
+        ticket = Ticket(use, self._customers.get(customer), came, until, cost)
+        self._tickets.add(ticket)
+        return ticket
 
     def pick(self, ticket: Ticket, now: int) -> Step:
         answer = self._balancer.where(ticket, now)
@@ -126,12 +131,14 @@
             if sent.ended is None:
                 self._balancer.after(sent, terms.UNKNOWN, True, now)
         ticket.over = True
-        self.in_hand -= 1
-        must_hold(self.in_hand >= 0, "a ticket is settled once")
+        must_hold(ticket in self._tickets, "a ticket is settled once")
+        self._tickets.discard(ticket)
 
     def close_at(self, latest: int) -> None:
-        """Tickets taken from now on are to be over by `latest`: the proxy is about to stop."""
+        """Tickets in hand and those still to come are to be over by `latest`: the proxy is about to stop."""
         self._latest = latest
+        for ticket in self._tickets:
+            ticket.until = min(ticket.until, latest)
 
     # --- the list ---------------------------------------------------------------------------------
 
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -24,11 +24,15 @@
 PLAIN = (b"content-type", b"text/plain")
 READY = Answer(200, [PLAIN], b"ready\n")
 BROKEN = Answer(500, [PLAIN], b"an error in the proxy\n")
-NOT_READY = Answer(503, [PLAIN], b"no backends known yet\n")
+NOT_READY = Answer(503, [PLAIN], b"no backends known yet, or about to stop\n")
 # After SIGTERM connections go on coming for a while; idle ones are closed when that is over.
 STILL_COMING = 0.55
-# Nothing is in hand any more so long after SIGTERM: what comes after that is not waited for.
-ALL_ANSWERED = 3.45
+# SIGKILL comes no sooner after SIGTERM than the longest wait of a client, or this if that is shorter, and a moment.
+LONGEST_GRACE = 3.0
+MOMENT = 0.7
+# Before that, the last are given up, to have their answers, and so much before that it ends.
+GIVEN_UP = 0.45
+ENDED = 0.25
 SWEEP_EVERY = 1.0
 PACE = 50_000
 COUNTS_EVERY = 60
@@ -97,6 +101,7 @@
         self._discovery = Discovery(told.discovery, self._facade, self._backends, self._log)
         self._callers = Callers(self._handle, self._budget, self._pool, self._log)
         self._names: set[bytes] = set()   # of the tickets in hand; emptied as they end
+        self._out: set[Transmission] = set()   # under way; emptied as they end
         self._stopping = asyncio.Event()
         self.port = 0
         # How late timers have run of late, in microseconds.
@@ -111,7 +116,7 @@
             name = told.get(b"request-id")
             if not name:
                 if call.request.target.split(b"?")[0] == b"/ready":
-                    return READY if self._backends.known else NOT_READY
+                    return READY if self._backends.known and not self._stopping.is_set() else NOT_READY
                 raise BadCall("Request-Id is missing")
             if name in self._names:
                 # Sent on, it would be the same ticket out twice.
@@ -171,10 +176,14 @@
                     step = self._facade.pick(ticket, clock.now())
                     continue
                 out = Transmission()
+                self._out.add(out)
                 wait_on = (b"request-timeout", b"%du" % max(1, step.wait))
-                how, answer = await self._backends.transmit(
-                    step.backend, Request(method, target, [*onward, wait_on], body), out, clock.now() + step.wait,
-                    lambda: self._facade.stands(ticket, clock.now()))
+                try:
+                    how, answer = await self._backends.transmit(
+                        step.backend, Request(method, target, [*onward, wait_on], body), out, clock.now() + step.wait,
+                        lambda: self._facade.stands(ticket, clock.now()))
+                finally:
+                    self._out.discard(out)
                 self._count(how)
                 step = self._facade.report(ticket, how, clock.now())
             return self._answer(step, how, answer)
@@ -244,16 +253,22 @@
         """Accepts to the last: what the kernel takes on our behalf is ours."""
         loop = asyncio.get_running_loop()
         began = loop.time()
+        killed = min(self._told.longest_wait / 1e6, LONGEST_GRACE) + MOMENT
         self._log.say(f"stopping, {self._facade.in_hand} tickets in hand")
-        self._facade.close_at(clock.now() + round((ALL_ANSWERED - 0.2) * 1e6))
+        self._facade.close_at(clock.now() + round((killed - GIVEN_UP) * 1e6))
+        loop.call_later(killed - GIVEN_UP, self._give_up)
         self._callers.close_after_answers()
         await asyncio.sleep(STILL_COMING)
-        while loop.time() - began < ALL_ANSWERED:
+        while loop.time() - began < killed - ENDED:
             self._callers.close_idle()
             await asyncio.sleep(0.02)
             if not self._callers.open:
                 return
 
+    def _give_up(self) -> None:
+        for out in list(self._out):
+            out.give_up("timed out")
+
     async def _sweep(self) -> None:
         rounds = 0
         while True:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -311,6 +311,22 @@
         await asyncio.wait_for(self.serving, 3)
         self.kept("net_stop")
 
+    @mock.patch("pepperusher.net.proxy.LONGEST_GRACE", 1.0)
+    async def test_a_stop_answers_what_would_take_longer_than_it_has(self) -> None:
+        """SIGKILL comes by the longest wait that the settings know; what it finds unanswered is lost."""
+        long = {"name": "file", "promised-time": 9000.0, "outer-limit": 9000.0, "effect": "side_effect"}
+        await self.open("a1", settings={**SETTINGS, "use-cases": [*SETTINGS["use-cases"], long]})
+        self.toys["a1"].does = ["silent"]
+        reader, writer = await self.connect()
+        writer.write(self.request("file", 1, left=9000))
+        await self.until(lambda: "id 1" in self.lines[-1])
+        self.proxy.stop()
+        await asyncio.sleep(0.1)
+        await self.ask("ready", b"GET /ready HTTP/1.1\r\nHost: p\r\n\r\n")
+        self.lines.append(f"file 1 -> {await asyncio.wait_for(self.hear(reader), 1.4)}")
+        await asyncio.wait_for(self.serving, 1)
+        self.kept("net_stop_late")
+
     async def test_the_list_is_followed_and_asked_for_again(self) -> None:
         await self.open("a1", "b1")
         self.news(5, self.line("a1", "draining"))
