Callers' limits run from the connect or the first byte, and floods leave others their turn

Checked: `STALLED` was 30 s and was counted anew at each step (callers.py, _rest), so silent and dripping callers stayed until room ran out; a connection with hundreds of requests was read to its end before another's turn (a test shows 50 before 1). Ruled out: processor time, 0.23 of a core at most.

A new connection has 2 s for its first message, an older one 2 s from a message's first byte (408, then closed), and one that asked once ends when no client would wait that long, or after 2 s when half of the descriptors are in use. For room, a new one that has said nothing for 0.25 s goes first. What is no ticket has its answer at once and is heard again after 0.1 s; with more sent behind it, it is closed. After bad input 256 KiB at most are read, not all 60 MB.

--- a/pepperusher/net/budget.py
+++ b/pepperusher/net/budget.py
@@ -40,6 +40,9 @@
     def short(self) -> bool:
         return self.open - self._closing >= self.most * SHORT
 
+    def half(self) -> bool:
+        return 2 * (self.open - self._closing) >= self.most
+
     def give(self) -> None:
         self.open -= 1
         must_hold(self.open >= 0, "a descriptor is given back once")
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -9,31 +9,40 @@
 import h11
 
 from pepperusher.net import clock
-from pepperusher.net.buffers import Body, Pool
+from pepperusher.net.buffers import SIZE, Body, Pool
 from pepperusher.net.budget import Budget
 from pepperusher.net.line import Line, adopt
 from pepperusher.net.log import Log
 from pepperusher.net.message import HEAD, Answer, BadMessage, Request, framed_answer, receive
 
 BACKLOG = 1024
-# A message that is begun and not ended, or an answer that is not taken, for so long ends its connection.
-STALLED = 30_000_000
-# Where descriptors run out, a message begun that long ago is the first to make room.
+# So long after a new connection, or on an older one after a message's first byte, the message is whole, or the
+# connection ends. Not from the last byte: a caller that drips would keep it for good.
 BEGUN = 2_000_000
+# Where descriptors run out, a new connection that has said nothing for so long is the first to make room: whoever
+# opens one to send does so at once.
+SHY = 250_000
 # After an answer to bad input so much more is read, so that the answer is not lost in a reset.
 LINGER = 1.0
+LINGER_MOST = 4 * SIZE
+# What is no ticket costs as much as one to read. Whoever sends it is heard again after so long.
+PAUSE = 0.1
+
+
+LATE = Answer(408, [(b"content-type", b"text/plain")], b"the request did not end in time\n")
 
 
 class Call:
-    """One request from a caller. `on_leave` is told if its client leaves before the answer."""
+    """One request from a caller. `on_leave` is told if its client leaves before the answer; `bad` is no ticket."""
 
-    __slots__ = ("request", "came", "on_leave", "left")
+    __slots__ = ("request", "came", "on_leave", "left", "bad")
 
     def __init__(self, request: Request, came: int) -> None:
         self.request = request
         self.came = came
         self.on_leave: Callable[[], None] | None = None
         self.left = False
+        self.bad = False
 
     def leave(self) -> None:
         self.left = True
@@ -49,14 +58,17 @@
     def __init__(self, line: Line) -> None:
         self.line = line
         self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD)
-        self.waiting_since: int | None = None   # for the caller to send or to take; None while we answer
+        # For the caller: to ask or to ask again, to end what it began, to take an answer; None while we work for it.
+        self.waiting_since: int | None = clock.now()
         self.answered = False
 
 
 class Callers:
     def __init__(self, handle: Callable[[Call], Awaitable[Answer]], budget: Budget, pool: Pool,
-                 log: Log) -> None:
+                 log: Log, longest_wait: int) -> None:
         self._handle = handle
+        # As long as any client waits for an answer: one that takes longer to take it, or to ask again, has left.
+        self._longest_wait = longest_wait
         self._budget = budget
         self._pool = pool
         self._log = log
@@ -134,11 +146,16 @@
         Where descriptors run short it ends with the answer: unlike a close between tickets, that crosses nothing.
         """
         line, parser = caller.line, caller.parser
-        self._rest(caller, not parser.trailing_data[0])
+        ahead = bool(parser.trailing_data[0])
+        self._rest(caller, not ahead)
+        if ahead:
+            # Against hundreds sent at once, which would be read and answered while all others wait.
+            await asyncio.sleep(0)
         line.on_data = lambda: self._rest(caller, False)
         try:
             head = await receive(parser, line, body)
         except BadMessage as bad:
+            caller.waiting_since = None   # it has a limit of its own
             await self._turn_away(caller, bad)
             return False
         finally:
@@ -154,7 +171,8 @@
         line.on_end = None
         if call.left:
             return False
-        close = parser.their_state is not h11.DONE
+        # Whoever sends what is no ticket and more behind it is not read to the end.
+        close = parser.their_state is not h11.DONE or call.bad and (parser.trailing_data[0] or not line.quiet())
         if self._closing or self._budget.short():
             # What a client has sent ahead is taken as well: it is answered before the connection ends.
             close = close or line.quiet() and not parser.trailing_data[0]
@@ -163,6 +181,9 @@
         caller.waiting_since = clock.now()
         if not await line.sent() or parser.our_state is not h11.DONE or parser.their_state is not h11.DONE:
             return False
+        if call.bad:
+            await asyncio.sleep(PAUSE)
+        caller.waiting_since = clock.now()
         parser.start_next_cycle()
         return True
 
@@ -172,12 +193,13 @@
             return
         answer = Answer(bad.status, [(b"content-type", b"text/plain")], f"{bad}\n".encode())
         line.send(framed_answer(caller.parser, answer, True))
+        left = LINGER_MOST
         try:
             async with asyncio.timeout(LINGER):
                 if await line.sent() and line.transport.can_write_eof():
                     line.writer.write_eof()
-                while await line.read():
-                    pass
+                while left > 0 and (read := await line.read()):
+                    left -= len(read)
         except (TimeoutError, OSError):
             pass
 
@@ -186,36 +208,55 @@
     def _rest(self, caller: Caller, idle: bool) -> None:
         if idle == (caller in self._idle):
             return
-        caller.waiting_since = clock.now()
         if idle:
             self._idle[caller] = None
-        else:
-            del self._idle[caller]
+            return
+        del self._idle[caller]
+        if caller.answered:
+            # A message's first byte. On a new connection time runs from its start.
+            caller.waiting_since = clock.now()
 
     def _close_oldest(self) -> bool:
-        for caller in self._idle:
-            # A client sends a ticket that crosses a close once more, on a new connection: one that has had no
-            # answer yet may carry just that, and the second time the ticket is lost.
-            if caller.answered and caller.line.quiet():
-                self._rest(caller, False)
-                caller.line.abort()
-                return True
-        # Next, one that says nothing or does not go on: a ticket is not ours before its last byte. Its last byte
-        # may be in the kernel all the same, on one that stood idle just as well.
+        """Where descriptors run out. What is in the kernel, and so may be a whole ticket, is left alone."""
         now = clock.now()
-        for caller in self._callers:
-            since = caller.waiting_since
-            if since is not None and now - since >= BEGUN and caller.parser.our_state is h11.IDLE \
-                    and caller.line.quiet():
-                caller.line.abort()
+        ages = [(caller, now - caller.waiting_since) for caller in self._idle if caller.waiting_since is not None]
+        # One that has had no answer may carry a ticket that crossed a close and is sent once more: it is given time.
+        for caller, age in ages:
+            if not caller.answered and age >= SHY and self._closed(caller):
+                return True
+        for caller, _ in ages:
+            if caller.answered and self._closed(caller):
                 return True
         return False
 
+    def _closed(self, caller: Caller) -> bool:
+        if not caller.line.quiet():
+            return False
+        self._rest(caller, False)
+        caller.line.abort()
+        return True
+
     def sweep(self, now: int) -> None:
+        """Ends what its caller has no more use for: asked once and kept, begun and not ended, opened and silent."""
+        idle_most = BEGUN if self._budget.half() else max(BEGUN, self._longest_wait)
         for caller in list(self._callers):
             since = caller.waiting_since
-            if since is not None and caller not in self._idle and now - since >= STALLED:
+            if since is None or now - since < BEGUN:
+                continue
+            idle = caller in self._idle
+            taking = caller.parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+            if taking:
+                most = self._longest_wait
+            else:
+                most = idle_most if idle and caller.answered else BEGUN
+            if now - since < most or not caller.line.quiet():
+                continue
+            if idle or taking:
+                self._rest(caller, False)
                 caller.line.abort()
+            else:
+                caller.line.send(framed_answer(caller.parser, LATE, True))
+                caller.line.writer.close()
 
     # --- the end ----------------------------------------------------------------------------------
 
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -33,9 +33,9 @@
 # Before that, the last are given up, to have their answers, and so much before that it ends.
 GIVEN_UP = 0.45
 ENDED = 0.25
-SWEEP_EVERY = 1.0
+SWEEP_EVERY = 0.25
 PACE = 50_000
-COUNTS_EVERY = 60
+COUNTS_EVERY = 240
 # Sound limits of what a caller may say; more is absurd.
 LONGEST_WAIT = 3600 * 1_000_000
 UNITS = {b"m": 1000, b"u": 1}
@@ -99,7 +99,7 @@
         self._facade = Facade(told.ground, clock.now(), self._log.say)
         self._backends = Backends(self._budget, self._pool, told.connect_within, told.idle_most)
         self._discovery = Discovery(told.discovery, self._facade, self._backends, self._log)
-        self._callers = Callers(self._handle, self._budget, self._pool, self._log)
+        self._callers = Callers(self._handle, self._budget, self._pool, self._log, told.longest_wait)
         self._names: set[bytes] = set()   # of the tickets in hand; emptied as they end
         self._out: set[Transmission] = set()   # under way; emptied as they end
         self._stopping = asyncio.Event()
@@ -129,6 +129,7 @@
             holds.must_hold(answer is not None or call.left, "a ticket ends with an answer unless its client left")
             return answer or BROKEN
         except BadCall as bad:
+            call.bad = True
             self._count("bad calls")
             return Answer(bad.status, [PLAIN], f"{bad}\n".encode())
         except Exception as error:   # ends this ticket alone, with an answer
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -13,8 +13,11 @@
 
 from pepperusher.facade import Entry
 from pepperusher.net import clock
+from pepperusher.net.callers import Call
 from pepperusher.net.line import adopt
 from pepperusher.net.log import SAVED, Log
+from pepperusher.net.message import Answer
+from pepperusher.net.proxy import READY
 
 from tests.scene import SETTINGS, Kept, Street, configuration
 
@@ -237,6 +240,47 @@
         self.lines.append(f"calls in flight: {self.proxy._facade._backends['a1'].in_flight}")
         self.kept("net_exception")
 
+    async def test_limits_run_from_the_connect_or_the_first_byte(self) -> None:
+        """They once ran 30 s and from the last step, so whoever says nothing or drips could stay for good."""
+        with mock.patch.multiple("pepperusher.net.callers", BEGUN=300_000):
+            await self.open("a1")
+            self.proxy._callers._longest_wait = 600_000
+            silent, dripping, asked = [await self.connect() for _ in range(3)]
+            began = time.monotonic()
+
+            async def drip() -> None:
+                for byte in self.request("look", 1):
+                    dripping[1].write(bytes([byte]))
+                    await asyncio.sleep(0.05)
+
+            drips = asyncio.create_task(drip())
+            await self.ask("look 2", self.request("look", 2), asked)
+            for what, at, after in (("silent", silent, 0.3), ("dripping", dripping, 0.3), ("asked once", asked, 0.6)):
+                said = await asyncio.wait_for(self.hear(at[0]), 5)
+                early, late = time.monotonic() - began < after, time.monotonic() - began > after + 0.6
+                self.lines.append(f"{what} -> {said}, too early {early}, too late {late}")
+            drips.cancel()
+        self.kept("net_limits")
+
+    async def test_a_flood_on_one_connection_leaves_the_others_their_turn(self) -> None:
+        """All that was sent at once used to be read and answered before any other connection's."""
+        await self.open("a1")
+        handle, order = self.proxy._callers._handle, []
+
+        async def noted(call: Call) -> Answer:
+            order.append(dict(call.request.headers)[b"request-id"])
+            return READY
+
+        self.proxy._callers._handle = noted
+        flood, other = await self.connect(), await self.connect()
+        flood[1].write(b"".join(self.request("look", 1) for _ in range(50)))
+        other[1].write(self.request("look", 2))
+        await self.hear(other[0])
+        self.lines.append(f"look 2 came among the first five of 51: {b'2' in order[:5]}")
+        self.proxy._callers._handle = handle
+        await self.ask("no ticket, and more behind it", self.request("buy", 3) + self.request("look", 4))
+        self.kept("net_flood")
+
     async def test_words_out_of_turn_end_a_connection_to_a_backend(self) -> None:
         """Else they were taken for the answer to the next ticket; and an end not yet read is looked for."""
         await self.open("a1")
