What backends turn away is not sent again, and an answer that has begun must end soon

Ruled out: stray bytes taken for an answer, each stood behind a whole answer and ended its connection.

A 4xx but 408, 425 and 429 is now passed on and says nothing of the backend. Once an answer has begun, its rest is the network's matter and has twice the time of a new connection; an answer 1xx ahead is not its beginning. Whatever else the parser trips over is a bad message too, so no odd answer skips its report. Where descriptors run out, silent callers go first, connections to backends after all idle callers.

--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -19,7 +19,7 @@
 # How a transmission ended.
 HOW = {"done": terms.DONE, "error": terms.ERROR, "full": terms.FULL, "timed out": terms.TIMED_OUT,
        "unreached": terms.UNREACHED, "reset": terms.RESET, "called off": terms.CALLED_OFF, "moot": terms.MOOT,
-       "unknown": terms.UNKNOWN}
+       "turned away": terms.MOOT, "unknown": terms.UNKNOWN}
 # Whether a ticket may run again.
 REPLAYABLE, REFERENCED, SINGLE_USE = "replayable", "referenced", "single-use"
 REPEAT = {terms.REPLAYABLE: REPLAYABLE, terms.REFERENCED: REFERENCED, terms.SINGLE_USE: SINGLE_USE}
--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -16,6 +16,11 @@
 # No connection to a backend is opened above this part of all descriptors: the rest is for callers, who must
 # always get in, if only to be bounced.
 PART = 0.95
+# Once it has begun, the rest of an answer takes the network's time and not the work's: so many times what a new
+# connection may take. Some never end.
+REST = 2
+# Answers 4xx that speak of the moment and not of the request.
+PASSING = (408, 425, 429)
 # Turns of the loop that a connection takes to come up once the kernel has it, with some to spare.
 TURNS = 10
 
@@ -211,13 +216,18 @@
                 return out.how or "unreached", None
         loop = asyncio.get_running_loop()
         body = Body(self._pool)
-        timer = loop.call_later(max(0, until - clock.now()) / 1e6, self._overdue, out, 2)
+        timers = [loop.call_later(max(0, until - clock.now()) / 1e6, self._overdue, out, "timed out", 2)]
         out.stopped_by(link.line.abort)
+
+        def begun() -> None:
+            if len(timers) == 1:
+                timers.append(loop.call_later(REST * self._connect_within, self._overdue, out, "reset", 2))
+
         kept = False
         try:
             if not link.line.send(framed_request(link.parser, request)) and not await link.line.sent():
                 return "called off" if out.how == "called off" else "unreached", None
-            head = await receive(link.parser, link.line, body)
+            head = await receive(link.parser, link.line, body, begun)
             if head is None:
                 return out.how or "reset", None
             door.heard_at = clock.now()
@@ -230,7 +240,8 @@
         except BadMessage:
             return out.how or "reset", None
         finally:
-            timer.cancel()
+            for timer in timers:
+                timer.cancel()
             out.end()
             body.give_back()
             if kept:
@@ -240,12 +251,12 @@
                 # The loop closes it when it comes round: sent on before that, the ticket would be out twice.
                 await asyncio.sleep(0)
 
-    def _overdue(self, out: Transmission, looks: int) -> None:
+    def _overdue(self, out: Transmission, how: str, looks: int) -> None:
         """Under load timers run late, and an answer may have been read already: it has its turn first."""
         if looks:
-            asyncio.get_running_loop().call_soon(self._overdue, out, looks - 1)
+            asyncio.get_running_loop().call_soon(self._overdue, out, how, looks - 1)
         else:
-            out.give_up("timed out")
+            out.give_up(how)
 
 
 def _outcome(answer: Answer) -> str:
@@ -253,4 +264,7 @@
         return "done"
     if answer.status in (503, 504) and (b"not-started", b"1") in answer.headers:
         return "full"
+    if 400 <= answer.status < 500 and answer.status not in PASSING:
+        # The request is at fault, and as much so anywhere else.
+        return "turned away"
     return "error"
--- a/pepperusher/net/message.py
+++ b/pepperusher/net/message.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import h11
@@ -66,8 +67,12 @@
         raise BadMessage(502, "neither Content-Length nor Transfer-Encoding")
 
 
-async def receive(parser: h11.Connection, line: Line, body: Body) -> h11.Request | h11.Response | None:
-    """The next whole message: its head, with the body in `body`; None where the line ended before one began."""
+async def receive(parser: h11.Connection, line: Line, body: Body,
+                  begun: Callable[[], None] | None = None) -> h11.Request | h11.Response | None:
+    """The next whole message: its head, with the body in `body`; None where the line ended before one began.
+
+    `begun` is told while there is a part of it, which an answer 1xx ahead is not.
+    """
     head: h11.Request | h11.Response | None = None
     interim = 0
     try:
@@ -76,6 +81,8 @@
             if event is h11.NEED_DATA:
                 if parser.they_are_waiting_for_100_continue:
                     line.send(parser.send(h11.InformationalResponse(status_code=100, headers=[])))
+                if begun is not None and (head is not None or parser.trailing_data[0]):
+                    begun()
                 parser.receive_data(await line.read())
             elif isinstance(event, (h11.Request, h11.Response)):
                 head = event
@@ -90,10 +97,12 @@
                 return head
             elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 return None
-    except h11.ProtocolError as error:
-        raise BadMessage(error.error_status_hint, str(error)) from None
+    except BadMessage:
+        raise
     except TooLarge:
         raise BadMessage(413, "the body is too large") from None
+    except Exception as error:   # whatever else the parser trips over is no message either, and its sender's fault
+        raise BadMessage(getattr(error, "error_status_hint", 400), str(error)) from None
 
 
 def framed_request(parser: h11.Connection, request: Request) -> bytes:
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -97,9 +97,10 @@
         self._pool = Pool(64)
         self._budget = Budget(_descriptors(told.sockets))
         self._facade = Facade(told.ground, clock.now(), self._log.say)
+        # Callers first: where descriptors run out, it is theirs that are closed first, since they cost least.
+        self._callers = Callers(self._handle, self._budget, self._pool, self._log, told.longest_wait)
         self._backends = Backends(self._budget, self._pool, told.connect_within, told.idle_most)
         self._discovery = Discovery(told.discovery, self._facade, self._backends, self._log)
-        self._callers = Callers(self._handle, self._budget, self._pool, self._log, told.longest_wait)
         self._names: set[bytes] = set()   # of the tickets in hand; emptied as they end
         self._out: set[Transmission] = set()   # under way; emptied as they end
         self._stopping = asyncio.Event()
@@ -193,6 +194,8 @@
             self._facade.settle(ticket, clock.now())
 
     def _answer(self, step: Step, how: str, answer: Answer | None) -> Answer | None:
+        if how == "turned away" and answer is not None:
+            return Answer(answer.status, end_to_end(answer.headers), answer.body)
         if step.what == BOUNCE:
             self._count("bounces")
             advice = [(b"retry-after", f"{step.wait / 1e6:.3f}".encode())] if step.wait > 0 else []
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -174,9 +174,11 @@
                 pass
             self.said.append(f"    {self.name}'s connection is closed")
             return False
-        if what == "slow":
+        if what == "soon":
+            writer.write(b"HTTP/1.1 103 Soon\r\n\r\n")
+        if what in ("slow", "soon"):
             await asyncio.sleep(0.4)
-        if what in ("ok", "slow", "stray"):
+        if what in ("ok", "slow", "soon", "stray"):
             text = f"{self.name} {fields.get('request-id')}"
             what = f"HTTP/1.1 200 OK\r\nContent-Length: {len(text)}\r\n\r\n{text}" + "stray" * (what == "stray")
         writer.write(what.encode())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -125,6 +125,35 @@
         self.lines = said
         self.kept("net_written")
 
+    async def test_an_answer_that_has_begun_must_end_soon(self) -> None:
+        """Some never do; the patience is for the work. An answer 1xx ahead is not its beginning."""
+        await self.open("a1")
+        self.proxy._backends._connect_within = 0.1
+        self.toys["a1"].does = ["HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\nbegun", "HTTP/1.1 200 O", "soon"]
+        for number in range(3):
+            await self.ask(f"pay {number}", self.request("pay", number))
+        self.kept("net_begun")
+
+    async def test_what_a_backend_turns_away_is_not_sent_again(self) -> None:
+        """Sent to three backends, it counted as the failing of each; some other 4xx speak of the moment alone."""
+        await self.open("a1", "b1")
+        for toy in self.toys.values():
+            toy.does = [f"HTTP/1.1 {status}\r\nContent-Length: 2\r\n\r\nno" for status in ("404 None", "429 Many")]
+        for number in range(3):
+            await self.ask(f"look {number}", self.request("look", number))
+        self.lines.append(f"calls failed at a1 and b1: {[one.failures for one in self.proxy._facade._backends.values()]}")
+        self.kept("net_turned_away")
+
+    async def test_silent_connections_make_room_for_those_that_ask(self) -> None:
+        """They went after 2 s alone, and kept all others out till then."""
+        await self.open("a1", limits={"sockets": 64})
+        await self.ask("look 1", self.request("look", 1))
+        silent = [await self.connect() for _ in range(80)]
+        began = time.monotonic()
+        await self.ask("look 2", self.request("look", 2))
+        self.lines.append(f"after {len(silent)} silent ones with 46 descriptors, in under 1 s: {time.monotonic() - began < 1}")
+        self.kept("net_crowd")
+
     async def test_a_silent_backend_is_given_up_by_closing(self) -> None:
         await self.open("a1")
         await self.ask("look 1", self.request("look", 1))
