--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -8,6 +8,7 @@
 import resource
 import signal
 from collections.abc import Callable
+from itertools import count
 
 from pepperusher import holds
 from pepperusher.facade import BOUNCE, HOLD, REFERENCED, REPLAYABLE, SCRAP, SEND, Facade, Step
@@ -274,13 +275,13 @@
             out.give_up("timed out")
 
     async def _sweep(self) -> None:
-        rounds = 0
-        while True:
+        for rounds in count(1):
             await asyncio.sleep(SWEEP_EVERY)
-            now = clock.now()
-            self._backends.sweep(now)
-            self._callers.sweep(now)
-            rounds += 1
+            try:
+                self._backends.sweep(clock.now())
+                self._callers.sweep(clock.now())
+            except Exception as error:   # what it closes nobody else does: it goes on
+                self._log.say(f"a sweep ended by {type(error).__name__}: {error}")
             if rounds % COUNTS_EVERY == 0:
                 self._say_counts()
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -348,6 +348,21 @@
         await self.ask("no ticket, and more behind it", self.request("buy", 3) + self.request("look", 4))
         self.kept("net_flood")
 
+    async def test_a_sweep_that_fails_is_not_the_last(self) -> None:
+        await self.open("a1")
+        sweep, swept = self.proxy._callers.sweep, []
+
+        def fails_once(now: int) -> None:
+            swept.append(now)
+            sweep(now if len(swept) > 1 else None)
+
+        self.proxy._callers.sweep = fails_once
+        at = await self.connect()
+        await self.until(lambda: len(swept) == 3)
+        self.lines = [line.partition(":")[0] for line in self.logged if "sweep" in line]
+        at[1].close()
+        self.kept("net_sweep")
+
     async def test_words_out_of_turn_end_a_connection_to_a_backend(self) -> None:
         """Else they were taken for the answer to the next ticket; and an end not yet read is looked for."""
         await self.open("a1")
