Connection can't name a ticket's headers away, and a ticket of HTTP/1.0 needs a host

Seen by reading: end_to_end in message.py takes off what `Connection` names, so `Connection: Idempotency-Key` sent a referenced ticket on without its mark, free to take effect twice when sent again; and a ticket of HTTP/1.0 without a host could not be framed as HTTP/1.1, an exception that counted against the backend's breaker. Checked: both by a test that fails without the change. Both are 400 now; whatever else can't be framed is moot, since nothing was written. Ruled out: other headers that h11 refuses to write, since it has read them by the same rules.

--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -255,6 +255,8 @@
                 and not link.line.ended and out.how is None \
                 and not link.line.unread and not link.parser.trailing_data[0]
             return _outcome(answer), answer
+        except h11.LocalProtocolError:
+            return "moot", None   # it can't be framed, so nothing was written: no fault of the backend's
         except BadMessage:
             # At once and without a word: an answer that broke off, or work that ended in a crash, tells nothing of it.
             if stood is not None and out.how is None and link.line.heard_at < began \
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -41,7 +41,7 @@
 LONGEST_WAIT = 3600 * 1_000_000
 UNITS = {b"m": 1000, b"u": 1}
 NUMBER = re.compile(rb"[0-9]{1,16}(\.[0-9]{1,16})?")
-READ = frozenset((b"request-id", b"request-class", b"tenant", b"request-timeout", b"work-hint", b"idempotency-key"))
+READ = frozenset((b"host", b"request-id", b"request-class", b"tenant", b"request-timeout", b"work-hint", b"idempotency-key"))
 
 
 class BadCall(Exception):
@@ -60,6 +60,10 @@
             if name in read:
                 raise BadCall(f"two of {name.decode()}")
             read[name] = value
+        elif name == b"connection":
+            # Taken off for the connection's own, a mark against repeats would be gone from the tickets sent on.
+            if any(part.strip().lower() in READ for part in value.split(b",")):
+                raise BadCall("Connection names a header of the ticket")
     return read
 
 
@@ -141,6 +145,8 @@
 
     async def _ticket(self, call: Call, told: dict[bytes, bytes]) -> Answer | None:
         method, target, headers, body = call.request
+        if b"host" not in told:
+            raise BadCall("Host is missing")   # HTTP/1.0 may; what goes on is HTTP/1.1
         named = target.partition(b"?")[0].removeprefix(b"/").partition(b"/")[0]
         if told.get(b"request-class", named) != named:
             raise BadCall("Request-Class is not the first part of the path")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,11 +15,12 @@
 
 from pepperusher.facade import Entry
 from pepperusher.net import clock
+from pepperusher.net.backends import Transmission
 from pepperusher.net.buffers import Body, Pool, TooLarge
 from pepperusher.net.callers import Call
 from pepperusher.net.line import adopt
 from pepperusher.net.log import SAVED, Log
-from pepperusher.net.message import Answer
+from pepperusher.net.message import Answer, Request
 from pepperusher.net.proxy import READY
 
 from tests.scene import SETTINGS, Kept, Street, configuration
@@ -251,6 +252,8 @@
                 ("two waits", good.replace("Request-Id", "Request-Timeout: 9m\r\nRequest-Id")),
                 ("class unlike the path", good.replace("/look", "/pay")), ("GET with a body", good.replace(": 0", ": 1") + "x"),
                 ("no mark", self.request("book", 1).decode().replace("Idempotency-Key: k1\r\n", "")),
+                ("HTTP/1.0 and no host", good.replace("1.1", "1.0").replace("Host: backend.local\r\n", "")),
+                ("mark named as the connection's", self.request("book", 1, more="Connection: close, Idempotency-Key\r\n").decode()),
                 ("length and coding", good.replace(": 0", ": 0\r\nTransfer-Encoding: chunked") + "0\r\n\r\n" + good),
                 ("large body said", self.request("pay", 1).decode().replace("Length: 0", "Length: 65537")),
                 ("hint", good.replace("Request-Id", "Work-Hint: inf\r\nRequest-Id")),
@@ -279,6 +282,14 @@
         self.lines.append(f"look 1 -> {await self.hear(at[0])}, names kept: {len(self.proxy._names)}")
         self.kept("net_names")
 
+    async def test_what_cannot_be_framed_is_no_fault_of_the_backend(self) -> None:
+        """A ticket of HTTP/1.0 without a host ended by an exception, which counted against the backend's breaker."""
+        await self.open("a1")
+        sent = Request(b"GET", b"/", [], b"")
+        how, _ = await self.proxy._backends.transmit("a1", sent, Transmission(), clock.now() + 10**6, lambda: True)
+        self.lines.append(how)
+        self.kept("net_unframed")
+
     async def test_an_exception_ends_its_ticket_alone(self) -> None:
         await self.open("a1")
         sound, self.proxy._backends.transmit = self.proxy._backends.transmit, None
