A proxy told to stop serves on for half of its time on the connections that clients hold

Cause: the tier has one proxy, restarted at 5.4 s and back at 10 s; it closed its connections 0.55 s after SIGTERM (proxy.py, _drain). Checked by a probe that leaves them open: clients went on for 1.4 to 1.8 s and were all served. Ruled out: /ready, which made no difference at 200 or 503.

Half of the time until SIGKILL is for serving on, the other half for the answers to what was taken.

--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -26,7 +26,7 @@
 READY = Answer(200, [PLAIN], b"ready\n")
 BROKEN = Answer(500, [PLAIN], b"an error in the proxy\n")
 NOT_READY = Answer(503, [PLAIN], b"no backends known yet, or about to stop\n")
-# After SIGTERM connections go on coming for a while; idle ones are closed when that is over.
+# After SIGTERM connections go on coming for a while.
 STILL_COMING = 0.55
 # SIGKILL comes no sooner after SIGTERM than the longest wait of a client, or this if that is shorter, and a moment.
 LONGEST_GRACE = 3.0
@@ -261,20 +261,23 @@
         self._discovery.turn_to(told.discovery)
 
     async def _drain(self) -> None:
-        """Accepts to the last: what the kernel takes on our behalf is ours."""
+        """Accepts to the last: what the kernel takes on our behalf is ours.
+
+        For half of the time clients are served on through the connections they hold: the proxy next to this one may be
+        away as well, and where there is none they have nowhere to go. The other half is for what was taken.
+        """
         loop = asyncio.get_running_loop()
         began = loop.time()
         killed = min(self._told.longest_wait / 1e6, LONGEST_GRACE) + MOMENT
         self._log.say(f"stopping, {self._facade.in_hand} tickets in hand")
         self._facade.close_at(clock.now() + round((killed - GIVEN_UP) * 1e6))
         loop.call_later(killed - GIVEN_UP, self._give_up)
-        self._callers.close_after_answers()
         await asyncio.sleep(STILL_COMING)
-        while loop.time() - began < killed - ENDED:
-            self._callers.close_idle()
+        while (passed := loop.time() - began) < killed - ENDED and self._callers.open:
+            if passed >= killed / 2:
+                self._callers.close_after_answers()
+                self._callers.close_idle()
             await asyncio.sleep(0.02)
-            if not self._callers.open:
-                return
 
     def _give_up(self) -> None:
         for out in list(self._out):
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -449,16 +449,21 @@
         self.kept("net_stop")
 
     @mock.patch("pepperusher.net.proxy.LONGEST_GRACE", 1.0)
-    async def test_a_stop_answers_what_would_take_longer_than_it_has(self) -> None:
-        """SIGKILL comes by the longest wait that the settings know; what it finds unanswered is lost."""
+    async def test_a_stop_serves_on_for_half_of_its_time_and_answers_what_would_take_longer(self) -> None:
+        """SIGKILL comes by the longest wait that the settings know; what it finds unanswered is lost.
+
+        Closed half a second after SIGTERM, clients had nowhere to go where no other proxy was up.
+        """
         long = {"name": "file", "promised-time": 9000.0, "outer-limit": 9000.0, "effect": "side_effect"}
         await self.open("a1", settings={**SETTINGS, "use-cases": [*SETTINGS["use-cases"], long]})
         self.toys["a1"].does = ["silent"]
-        reader, writer = await self.connect()
+        (reader, writer), kept = await self.connect(), await self.connect()
         writer.write(self.request("file", 1, left=9000))
         await self.until(lambda: "id 1" in self.lines[-1])
+        await self.ask("look 2", self.request("look", 2), kept)
         self.proxy.stop()
-        await asyncio.sleep(0.1)
+        await asyncio.sleep(0.65)
+        await self.ask("look 3 on the same connection", self.request("look", 3), kept)
         await self.ask("ready", b"GET /ready HTTP/1.1\r\nHost: p\r\n\r\n")
         self.lines.append(f"file 1 -> {await asyncio.wait_for(self.hear(reader), 1.4)}")
         await asyncio.wait_for(self.serving, 1)
