--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -59,9 +59,9 @@
         self._customers = {customer.name: customer for customer in ground.customers}
         self._backends: dict[str, Backend] = {}     # emptied by the list's news, long after they left it
         self._unlisted: dict[str, int] = {}         # since when; emptied likewise, and when they come back
-        # A backend off the list may come back under its id. Its breaker tells something while it could still be open for
-        # a ticket that is in hand now; kept for longer, ids that are ever new would pile up.
-        self._remembered = OPEN_FOR + max((use.outer_limit for use in ground.use_cases), default=0)
+        # A backend off the list may come back under its id. Its breaker tells something while it could still be open
+        # for a ticket that is in hand now; kept for longer, ids that are ever new would pile up.
+        self._remembered = OPEN_FOR + ground.longest_wait
         self._latest: int | None = None
         self._tickets: set[Ticket] = set()          # in hand; emptied as they are settled
 
--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -48,7 +48,7 @@
         self.idle: list[Link] = []   # emptied by use, by age, when the other side leaves, and with the list
         self.listed = True
         self.heard_at = 0
-        self.out = 0
+        self.out: set[Transmission] = set()   # under way there; emptied as they end
 
 
 class Transmission:
@@ -116,6 +116,11 @@
         if not door.listed and not door.out:
             self._doors.pop(backend, None)
 
+    def give_up_all(self, how: str) -> None:
+        for door in self._doors.values():
+            for out in list(door.out):
+                out.give_up(how)
+
     # --- connections that stand idle --------------------------------------------------------------
 
     def _close_idle(self, door: Door) -> None:
@@ -204,12 +209,12 @@
         door = self._doors.get(backend)
         if door is None:
             return "unreached", None
-        door.out += 1
+        door.out.add(out)
         began = clock.now()
         try:
             how, answer = await self._transmit(door, request, out, until, stands)
         finally:
-            door.out -= 1
+            door.out.discard(out)
             self._forget(backend, door)
         if how == "timed out" and door.heard_at < began:
             # A silent machine's other connections are as silent; a new one that doesn't come up tells at once.
--- a/pepperusher/net/budget.py
+++ b/pepperusher/net/budget.py
@@ -12,6 +12,8 @@
 RESERVE = 16
 # From this part of all on, connections end with their answer.
 SHORT = 0.75
+# From this part on, what was asked once and kept is worth less than its descriptor.
+HALF = 0.5
 LOOK_AGAIN = 0.05
 
 
@@ -29,7 +31,7 @@
 
     def take(self, part: float = 1.0) -> bool:
         """One more, up to a part of all; makes room by closing what stands idle."""
-        if self.open - self._closing >= self.most * part:
+        if self.above(part):
             # A closed connection holds its descriptor until the loop comes round: the reserve bears that.
             if self._closing >= self._reserve // 2 or not any(maker() for maker in self._makers):
                 return False
@@ -37,11 +39,8 @@
         self.open += 1
         return True
 
-    def short(self) -> bool:
-        return self.open - self._closing >= self.most * SHORT
-
-    def half(self) -> bool:
-        return 2 * (self.open - self._closing) >= self.most
+    def above(self, part: float) -> bool:
+        return self.open - self._closing >= self.most * part
 
     def give(self) -> None:
         self.open -= 1
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -11,7 +11,7 @@
 
 from pepperusher.net import clock
 from pepperusher.net.buffers import MOST, Body, Pool
-from pepperusher.net.budget import Budget
+from pepperusher.net.budget import HALF, SHORT, Budget
 from pepperusher.net.line import Line, adopt
 from pepperusher.net.log import Log
 from pepperusher.net.message import HEAD, Answer, BadMessage, Request, framed_answer, receive
@@ -179,7 +179,7 @@
             return False
         # Whoever sends what is no ticket and more behind it is not read to the end.
         close = parser.their_state is not h11.DONE or call.bad and (parser.trailing_data[0] or not line.quiet())
-        if self._closing or self._budget.short():
+        if self._closing or self._budget.above(SHORT):
             # What a client has sent ahead is taken as well: it is answered before the connection ends.
             close = close or line.quiet() and not parser.trailing_data[0]
         line.send(framed_answer(parser, answer, close))
@@ -225,17 +225,15 @@
     def _close_oldest(self) -> bool:
         """Where descriptors run out. What is in the kernel, and so may be a whole ticket, is left alone."""
         now = clock.now()
-        ages = [(caller, now - caller.waiting_since) for caller in self._idle if caller.waiting_since is not None]
         # One that has had no answer may carry a ticket that crossed a close and is sent once more: it is given time.
-        for caller, age in ages:
-            if not caller.answered and age >= SHY and self._closed(caller):
-                return True
-        for caller, _ in ages:
-            if caller.answered and self._closed(caller):
+        for caller in self._idle:
+            since = caller.waiting_since
+            if not caller.answered and since is not None and now - since >= SHY and self._closed(caller):
                 return True
-        return False
+        return any(caller.answered and self._closed(caller) for caller in self._idle)
 
     def _closed(self, caller: Caller) -> bool:
+        """Closed, unless the kernel holds something of its."""
         if not caller.line.quiet():
             return False
         self._rest(caller, False)
@@ -244,7 +242,7 @@
 
     def sweep(self, now: int) -> None:
         """Ends what its caller has no more use for: asked once and kept, begun and not ended, opened and silent."""
-        idle_most = BEGUN if self._budget.half() else max(BEGUN, self._longest_wait)
+        idle_most = BEGUN if self._budget.above(HALF) else max(BEGUN, self._longest_wait)
         for caller in list(self._callers):
             since = caller.waiting_since
             if since is None or now - since < BEGUN:
@@ -255,12 +253,11 @@
                 most = self._longest_wait
             else:
                 most = idle_most if idle and caller.answered else BEGUN
-            if now - since < most or not caller.line.quiet():
+            if now - since < most:
                 continue
             if idle or taking:
-                self._rest(caller, False)
-                caller.line.abort()
-            else:
+                self._closed(caller)
+            elif caller.line.quiet():
                 caller.line.send(framed_answer(caller.parser, LATE, True))
                 caller.line.close()
 
@@ -271,6 +268,4 @@
 
     def close_idle(self) -> None:
         for caller in list(self._idle):
-            if caller.line.quiet():
-                self._rest(caller, False)
-                caller.line.abort()
+            self._closed(caller)
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -85,10 +85,6 @@
         self._backends = backends
         self._log = log
 
-    @property
-    def version(self) -> int | None:
-        return self._source.version
-
     def take(self, news: News, source: Source | None = None) -> None:
         source = source or self._source
         source.version = news.version
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -40,8 +40,11 @@
 # Sound limits of what a caller may say; more is absurd.
 LONGEST_WAIT = 3600 * 1_000_000
 UNITS = {b"m": 1000, b"u": 1}
+# The ends of a transmission whose answer is the ticket's.
+PASSED_ON = ("done", "turned away")
 NUMBER = re.compile(rb"[0-9]{1,16}(\.[0-9]{1,16})?")
-READ = frozenset((b"host", b"request-id", b"request-class", b"tenant", b"request-timeout", b"work-hint", b"idempotency-key"))
+READ = frozenset((b"host", b"request-id", b"request-class", b"tenant", b"request-timeout", b"work-hint",
+                  b"idempotency-key"))
 
 
 class BadCall(Exception):
@@ -103,11 +106,10 @@
         self._budget = Budget(_descriptors(told.sockets))
         self._facade = Facade(told.ground, clock.now(), self._log.say)
         # Callers first: where descriptors run out, it is theirs that are closed first, since they cost least.
-        self._callers = Callers(self._handle, self._budget, self._pool, self._log, told.longest_wait)
+        self._callers = Callers(self._handle, self._budget, self._pool, self._log, told.ground.longest_wait)
         self._backends = Backends(self._budget, self._pool, told.connect_within, told.idle_most)
         self._discovery = Discovery(told.discovery, self._facade, self._backends, self._log)
         self._names: set[bytes] = set()   # of the tickets in hand; emptied as they end
-        self._out: set[Transmission] = set()   # under way; emptied as they end
         self._stopping = asyncio.Event()
         self.port = 0
         # How late timers have run of late, in microseconds.
@@ -185,14 +187,10 @@
                     step = self._facade.pick(ticket, clock.now())
                     continue
                 out = Transmission()
-                self._out.add(out)
                 wait_on = (b"request-timeout", b"%du" % max(1, step.wait))
-                try:
-                    how, answer = await self._backends.transmit(
-                        step.backend, Request(method, target, [*onward, wait_on], body), out, clock.now() + step.wait,
-                        lambda: self._facade.stands(ticket, clock.now()))
-                finally:
-                    self._out.discard(out)
+                how, answer = await self._backends.transmit(
+                    step.backend, Request(method, target, [*onward, wait_on], body), out, clock.now() + step.wait,
+                    lambda: self._facade.stands(ticket, clock.now()))
                 self._count(how)
                 step = self._facade.report(ticket, how, clock.now())
             return self._answer(step, how, answer)
@@ -201,7 +199,7 @@
             self._facade.settle(ticket, clock.now())
 
     def _answer(self, step: Step, how: str, answer: Answer | None) -> Answer | None:
-        if how == "turned away" and answer is not None:
+        if how in PASSED_ON and answer is not None:
             return Answer(answer.status, end_to_end(answer.headers), answer.body)
         if step.what == BOUNCE:
             self._count("bounces")
@@ -210,8 +208,6 @@
         if step.what == SCRAP:
             self._count("scraps")
             return Answer(504 if how == "timed out" else 502, [PLAIN], b"scrapped\n")
-        if how == "done" and answer is not None:
-            return Answer(200, end_to_end(answer.headers), answer.body)
         return None
 
     def _count(self, what: str) -> None:
@@ -268,10 +264,10 @@
         """
         loop = asyncio.get_running_loop()
         began = loop.time()
-        killed = min(self._told.longest_wait / 1e6, LONGEST_GRACE) + MOMENT
+        killed = min(self._told.ground.longest_wait / 1e6, LONGEST_GRACE) + MOMENT
         self._log.say(f"stopping, {self._facade.in_hand} tickets in hand")
         self._facade.close_at(clock.now() + round((killed - GIVEN_UP) * 1e6))
-        loop.call_later(killed - GIVEN_UP, self._give_up)
+        loop.call_later(killed - GIVEN_UP, self._backends.give_up_all, "timed out")
         await asyncio.sleep(STILL_COMING)
         while (passed := loop.time() - began) < killed - ENDED and self._callers.open:
             if passed >= killed / 2:
@@ -279,10 +275,6 @@
                 self._callers.close_idle()
             await asyncio.sleep(0.02)
 
-    def _give_up(self) -> None:
-        for out in list(self._out):
-            out.give_up("timed out")
-
     async def _sweep(self) -> None:
         for rounds in count(1):
             await asyncio.sleep(SWEEP_EVERY)
--- a/pepperusher/net/told.py
+++ b/pepperusher/net/told.py
@@ -19,8 +19,7 @@
 
 
 class Told:
-    __slots__ = ("name", "listen", "discovery", "sockets", "known", "ground", "connect_within", "idle_most",
-                 "longest_wait")
+    __slots__ = ("name", "listen", "discovery", "sockets", "known", "ground", "connect_within", "idle_most")
 
     name: str
     listen: tuple[str, int]
@@ -30,7 +29,6 @@
     ground: Ground
     connect_within: int
     idle_most: int
-    longest_wait: int
 
 
 def _address(given: str | None, of: dict[str, Any], name: str) -> tuple[str, int]:
@@ -75,7 +73,6 @@
         if not made.ground.use_cases:
             raise ToldError("settings: use-cases: there is none")
         allowed = part(settings, "policy-limits", dict)
-        made.longest_wait = max(use.outer_limit for use in made.ground.use_cases)
         made.connect_within = span(allowed, "connect-timeout", CONNECT_WITHIN)
         made.idle_most = span(allowed, "keepalive", KEEPALIVE)
     except GroundError as error:
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -183,3 +183,8 @@
     overload_for: int
     passes_limit: bool
     importance_by_work: bool
+
+    @property
+    def longest_wait(self) -> int:
+        """As long as any client waits, whatever it asks for."""
+        return max((use.outer_limit for use in self.use_cases), default=0)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -505,7 +505,7 @@
         self.lines.append("the second is left, the old one still heard")
         self.news(2, self.line("a1"), full=True)
         await asyncio.wait_for(self.heard[0].read(), 5)
-        self.lines.append(f"the old one is left, version {self.proxy._discovery.version}")
+        self.lines.append(f"the old one is left, version {self.proxy._discovery._source.version}")
         await self.ask("look 1", self.request("look", 1))
         self.lines.append(f"bad: {[line for line in self.logged if 'not taken' in line][0].partition('/')[0]}")
         self.kept("net_sighup")
@@ -534,9 +534,9 @@
 
         async def drains_meanwhile(*given: object) -> object:
             made = await connect(*given)
-            version = self.proxy._discovery.version + 1
+            version = self.proxy._discovery._source.version + 1
             self.news(version, self.line("a1", "draining"), self.line("b1"))
-            await self.until(lambda: self.proxy._discovery.version == version)
+            await self.until(lambda: self.proxy._discovery._source.version == version)
             return made
 
         self.proxy._backends._connect = drains_meanwhile
