Callers get two thirds of the descriptors, so that silent crowds leave some to backends

Checked by reading its order of events: callers could take every descriptor (callers.py, _accept went by the whole budget), and while none of the silent ones was 0.25 s old, what was closed for the next of them was the usual clients' idle connections, then the idle ones to backends; a ticket let in at that moment found none for its transmission (moot) and was bounced.

Callers have two thirds of the descriptors at most; a third is what usual clients hold for requests, and as much is kept for their transmissions.

--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -25,6 +25,9 @@
 # Where descriptors run out, a new connection that has said nothing for so long is the first to make room: whoever
 # opens one to send does so at once.
 SHY = 250_000
+# Callers get no more than this part of all descriptors: a ticket in hand takes one of its caller's and one to a backend,
+# and a crowd that says nothing left none for the second, so that those who asked were bounced.
+PART = 2 / 3
 # After an answer to bad input so much more is read, so that the answer is not lost in a reset.
 LINGER = 1.0
 LINGER_MOST = 4 * MOST
@@ -107,7 +110,7 @@
             if number % BATCH == 0:
                 # What is accepted at once is not waited for; hundreds that come together leave others their turn.
                 await asyncio.sleep(0)
-            while not self._budget.take():
+            while self.open >= self._budget.most * PART and not self._close_oldest() or not self._budget.take():
                 await self._budget.freed()
             try:
                 taken, _ = await loop.sock_accept(self._listener)
@@ -225,12 +228,16 @@
     def _close_oldest(self) -> bool:
         """Where descriptors run out. What is in the kernel, and so may be a whole ticket, is left alone."""
         now = clock.now()
+        shy = False
         # One that has had no answer may carry a ticket that crossed a close and is sent once more: it is given time.
         for caller in self._idle:
-            since = caller.waiting_since
-            if not caller.answered and since is not None and now - since >= SHY and self._closed(caller):
-                return True
-        return any(caller.answered and self._closed(caller) for caller in self._idle)
+            if not caller.answered:
+                shy = True
+                if now - (caller.waiting_since or now) >= SHY and self._closed(caller):
+                    return True
+        # While there are such, their time is waited for: whoever asked of late asks again, and opens one for it.
+        return any(caller.answered and (not shy or now - (caller.waiting_since or now) >= BEGUN) and self._closed(caller)
+                   for caller in self._idle)
 
     def _closed(self, caller: Caller) -> bool:
         """Closed, unless the kernel holds something of its."""
