One use case failing at some servers is kept from them; lost answers are no times

Ruled out: the prediction (calls in flight there stand under its floor), the budget of further transmissions (9 to 10 of 10 left), connections.

A use case that fails twice in a row at a server of the last tier that did another in between is not sent there for OPEN_FOR, then one goes as a trial; not if it fails at more than half of the servers. A time-out more than six spreads beyond the usual time is no time, where the settings pass the limit on.

--- a/pepperusher/ground.py
+++ b/pepperusher/ground.py
@@ -64,6 +64,7 @@
     made.group_size = int(figure(told, "group-size", 1))
     made.ordinal = int(figure(told, "ordinal", 0))
     made.stage = int(figure(told, "stage", 0))
+    made.last_tier = made.stage >= len(part(told, "tiers", list)) - 1
     made.zone = str(told.get("zone", ""))
     made.zones = [str(zone) for zone in part(told, "zones", list)]
     made.most_transmissions = int(figure(limits, "most-transmissions", 1))
--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -18,9 +18,9 @@
 from random import Random
 
 from pepperusher.terms import (
-    AGAIN, BOUNCE, CALLED_OFF, CLOSED, DONE, FULL, HALF_OPEN, MOOT, NEVER_RAN, NOTHING, OPEN, REFERENCED,
-    REPLAYABLE, SCOPE_ALL, SCOPE_CELL, SCOPE_ZONE, SCRAP, SINGLE_USE, TIMED_OUT, Backend, Ground, Listing,
-    Ticket, Transmission, UseCase)
+    AGAIN, BOUNCE, CALLED_OFF, CLOSED, DONE, ERROR, FULL, HALF_OPEN, MOOT, NEVER_RAN, NOTHING, OPEN,
+    REFERENCED, REPLAYABLE, SCOPE_ALL, SCOPE_CELL, SCOPE_ZONE, SCRAP, SINGLE_USE, TIMED_OUT, Backend, Ground,
+    Listing, Ticket, Transmission, UseCase)
 
 SECOND = 1_000_000
 # The breaker's figures; docs/design.md says what was tried for each.
@@ -29,6 +29,8 @@
 CLOSE_COUNT = 3
 TRIALS = 1
 OPEN_FOR = 5 * SECOND
+# Failures in a row of one use case, at a server that does others, after which it stays away for OPEN_FOR.
+USE_RUN = 2
 # Done tickets a second are reckoned over about this long, and over so many of them at the least.
 FLOW_SPAN = SECOND // 3
 FLOW_LEAST = 8
@@ -54,11 +56,9 @@
         chance = Random(ground.seed)
         self._chance = chance.random
         self._say = say
-        self._first_tier = ground.stage == 0
-        self._by_work = ground.importance_by_work
-        self._limit_passed = ground.passes_limit
-        self._most = ground.most_transmissions
-        self._calls_off = ground.may_call_off
+        self._first_tier, self._limit_passed = ground.stage == 0, ground.passes_limit
+        self._by_work, self._last_tier = ground.importance_by_work, ground.last_tier
+        self._most, self._calls_off = ground.most_transmissions, ground.may_call_off
         self._longest_advice = ground.longest_advice if ground.may_advise else 0
         self._zone, self._zones = ground.zone, len(ground.zones)
         self._use_cases = [use for use in ground.use_cases if use.promised > 0 and use.importance > 0]
@@ -71,32 +71,29 @@
         self._must_ask = ground.must_ask
         self._ask_longest = max(SECOND, ground.ask_within // 2)
         self._ask_step, self._ask_at = 0, now
-        self._asked = not ground.must_ask
-        self._list_lost = False
+        self._asked, self._list_lost = not ground.must_ask, False
         self._backends: list[Backend] = []   # emptied by the list: holds what it names as ready
         self._ring: deque[Backend] = deque()   # the same, this proxy's part of it first
         self._part_weight, self._sharing, self._mean = 0.0, 1.0, 0.0
-        self._position = ground.ordinal * GOLDEN % 1.0
-        self._young: list[Backend] = []      # emptied by age
+        self._position, self._young = ground.ordinal * GOLDEN % 1.0, list[Backend]()   # emptied by age
         self._flow = 0.0
         self._flow_at = self._started = now
         self._flow_span = FLOW_SPAN
         self._done_at, self._gap = now, FLOW_SPAN // FLOW_LEAST
-        self._held = 0.0
-        self._spare = SPARE_MOST
+        self._held, self._spare = 0.0, SPARE_MOST
 
     # --- where to send this ticket ----------------------------------------------------------------
 
     def where(self, ticket: Ticket, now: int) -> Backend | int:
         if ticket.over or ticket.until - now <= 0 or len(ticket.transmissions) >= self._most:
             return self._no(ticket, now)
-        first = not ticket.transmissions
-        if self._young:
-            self._young = self._age(self._young, now)
+        first, use = not ticket.transmissions, ticket.use_case
+        self._young = self._young and self._age(self._young, now)
         anchor = None if first else self._anchor(ticket)
-        if anchor is not None and now - anchor.sent >= ticket.use_case.remembered > 0:
+        if anchor is not None and now - anchor.sent >= use.remembered > 0:
             return self._no(ticket, now)
         choice: list[Backend] = []
+        shut: list[Backend] = []
         in_flight = 0
         held = room = admitting = 0.0
         # Calls in flight, which with less than one at each backend are a mean over many tickets: else a
@@ -111,21 +108,25 @@
             in_flight += backend.in_flight
             if not self._has_room(backend, now):
                 continue
+            if now < backend.shut.get(use, 0):
+                shut.append(backend)
+                continue
             backend.held += (backend.in_flight - backend.held) * pace
             held += backend.held
             room += backend.room
             admitting += backend.share
             choice.append(backend)
         self._mean = held / room if room else 0.0
+        choice = choice or shut
         # Asked of further transmissions too: in a jam they are the last thing the backends need.
         if choice and not self._in_time(ticket, in_flight, len(choice), now):
             return self._no(ticket, now)
         if first:
             self._spare = min(SPARE_MOST, self._spare + SPARE_PART)
         if anchor is not None:
-            choice = [b for b in self._backends if _drops_repeats(anchor.backend, b, ticket.use_case.scope)
+            choice = [b for b in self._backends if _drops_repeats(anchor.backend, b, use.scope)
                       and (b.state == CLOSED or self._admits(b, now)) and self._has_room(b, now)]
-        if not first:
+        if not first or not room:
             tried = [sent.backend for sent in ticket.transmissions]
             choice = [b for b in choice if b not in tried] or choice
             # The mean of those it may still go to: by that of all, a busy cell would have none under it.
@@ -140,9 +141,8 @@
         return picked
 
     def _has_room(self, backend: Backend, now: int) -> bool:
-        if now < backend.full_until and backend.in_flight >= backend.full_at:
-            return False
-        return not backend.cold or self._may_warm(backend, now)
+        room = now >= backend.full_until or backend.in_flight < backend.full_at
+        return room and (not backend.cold or self._may_warm(backend, now))
 
     @staticmethod
     def _turn(choice: list[Backend], mean: float) -> Backend | None:
@@ -175,6 +175,8 @@
         sent = Transmission(ticket, backend, now, self._patience(ticket, now), trial)
         ticket.transmissions.append(sent)
         backend.in_flight += 1
+        if ticket.use_case in backend.shut:
+            backend.shut[ticket.use_case] = now + sent.patience
         if trial:
             backend.trials += 1
             backend.trial_due = now + sent.patience
@@ -205,11 +207,8 @@
         stretch = (self._held + 0.5) / (flow * self._usual / SECOND + 0.5)
         if not self._first_tier:
             return stretch * use.usual < ticket.until - now
-        pressure = most = 0.0
-        for one in self._use_cases:
-            pressure = max(pressure, (one.usual + one.spread) / one.promised)
-            if one.usual:
-                most = max(most, self._value(one))
+        pressure = max(((one.usual + one.spread) / one.promised for one in self._use_cases), default=0.0)
+        most = max((self._value(one) for one in self._use_cases if one.usual), default=1.0)
         bound = 0.8 + 0.4 * self._value(use) / most
         if not within:
             bound /= 2
@@ -224,9 +223,8 @@
         if customer is None or not self._first_tier:
             return True
         rate = customer.rate / self._group
-        gained = rate * (now - customer.counted_at) / SECOND
-        customer.allowance = min(max(rate, SHARE_LEAST), customer.allowance + gained)
-        customer.counted_at = now
+        customer.allowance += rate * (now - customer.counted_at) / SECOND
+        customer.allowance, customer.counted_at = min(max(rate, SHARE_LEAST), customer.allowance), now
         if customer.allowance < 1.0:
             return False
         customer.allowance -= 1.0
@@ -253,9 +251,8 @@
         return AGAIN
 
     def _may_repeat(self, ticket: Ticket, now: int) -> bool:
-        use = ticket.use_case
-        end = self._useful_until(ticket)
-        if end - now < use.usual // 2 or end <= now or len(ticket.transmissions) >= self._most:
+        use, left = ticket.use_case, self._useful_until(ticket) - now
+        if left < use.usual // 2 or left <= 0 or len(ticket.transmissions) >= self._most:
             return False
         return use.repeat != SINGLE_USE or self._anchor(ticket) is None
 
@@ -264,9 +261,10 @@
         use = sent.ticket.use_case
         backend.in_flight -= 1
         took = now - sent.sent
-        if how == DONE or (how == TIMED_OUT and took >= use.usual):
-            # A time-out is a time as well: without it a use case slow everywhere would keep its
-            # short patience.
+        long = use.usual + 6 * use.spread if self._limit_passed and use.usual else took
+        if how == DONE or (how == TIMED_OUT and use.usual <= took <= long):
+            # A time-out is a time as well: else a use case slow everywhere would keep its short patience.
+            # Far beyond what is done it is a lost answer: as a time it made the next ones wait out theirs.
             if use.usual:
                 use.spread += (abs(took - use.usual) - use.spread) // 16
                 use.usual += (took - use.usual) // 16
@@ -282,11 +280,19 @@
         current = sent.generation == backend.generation
         if current and sent.trial:
             backend.trials -= 1
-        if not current or how in (MOOT, CALLED_OFF):
-            return
-        if how == TIMED_OUT and took < use.usual:
-            # A caller that left less than the usual time says nothing about the server.
+        # A caller that left less than the usual time says nothing about the server.
+        if not current or how in (MOOT, CALLED_OFF) or how == TIMED_OUT and took < use.usual:
             return
+        if how == DONE:
+            backend.runs.pop(use, None)
+            backend.shut.pop(use, None)
+        elif how in (TIMED_OUT, ERROR) and self._last_tier:
+            # Against one use case that fails at some servers, whose breakers the others keep closed. Above
+            # the last tier most failures are those of a tier below.
+            run = backend.runs[use] = backend.runs.get(use, 0) + 1
+            alone = 2 * sum(use in b.runs for b in self._backends) <= len(self._backends)
+            if alone and run >= USE_RUN and run > backend.run_failed + 1:
+                backend.shut[use] = now + OPEN_FOR
         if how == FULL:
             # Not asked for more than it then held until a call of usual length has made room: against
             # hundreds of tickets turned away one after another by the same full servers.
@@ -378,9 +384,7 @@
         spare[self._zone] = 0.0
         over = sum(spare.values())
         for backend in self._backends:
-            part = here
-            if backend.zone != self._zone:
-                part = (1.0 - here) * spare[backend.zone] / over if over else 0.0
+            part = here if backend.zone == self._zone else (1.0 - here) * spare[backend.zone] / (over or 1.0)
             backend.nearness = max(0.02, part * total / zones[backend.zone])
 
     def _lay_ring(self) -> None:
@@ -469,11 +473,9 @@
 
         Against a tier below that fails, or a use case slow everywhere, opening sound servers.
         """
-        failures = results = 0
-        for other in self._backends:
-            if other is not backend and other.state == CLOSED:
-                failures += other.failures
-                results += len(other.results)
+        others = [other for other in self._backends if other is not backend and other.state == CLOSED]
+        failures = sum(other.failures for other in others)
+        results = sum(len(other.results) for other in others)
         if results < RUN:
             return False
         own = 1.0 if backend.run_failed >= RUN else backend.failures / len(backend.results)
@@ -524,7 +526,8 @@
             self._flow_at = now
         # The first moments count as short as they are: else a proxy just started takes itself for slow
         # and bounces.
-        return self._flow / (1.0 - exp((self._started - now) / self._flow_span)) if now > self._started else 0.0
+        since = self._started - now
+        return self._flow / (1.0 - exp(since / self._flow_span)) if since < 0 else 0.0
 
     # --- what a ticket still allows ---------------------------------------------------------------
 
@@ -532,10 +535,7 @@
         """The first transmission that may have run: it binds a referenced ticket to its group and time."""
         if ticket.use_case.repeat == REPLAYABLE:
             return None
-        for sent in ticket.transmissions:
-            if sent.ended not in NEVER_RAN:
-                return sent
-        return None
+        return next((sent for sent in ticket.transmissions if sent.ended not in NEVER_RAN), None)
 
     def _no(self, ticket: Ticket, now: int) -> int:
         ticket.over = True
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -79,7 +79,8 @@
 
     __slots__ = ("address", "zone", "cell", "weight", "born", "in_flight", "held", "turn", "share", "nearness",
                  "portion", "near", "room", "cold", "state", "generation", "results", "failures", "run_failed",
-                 "run_done", "open_until", "trials", "trial_due", "full_until", "full_at", "allowance", "counted_at")
+                 "run_done", "open_until", "trials", "trial_due", "full_until", "full_at", "allowance", "counted_at",
+                 "runs", "shut")
 
     def __init__(self, address: str) -> None:
         self.address = address
@@ -109,6 +110,9 @@
         self.full_at = 0
         self.allowance = 0.0
         self.counted_at = 0
+        # By use case: how often in a row it failed here, and until when it is not sent here. Emptied by what is done.
+        self.runs: dict[UseCase, int] = {}
+        self.shut: dict[UseCase, int] = {}
 
 
 class Listing:
@@ -159,7 +163,7 @@
 class Ground:
     """What a proxy is told once, at its start: the use cases, the customers and the limits it works under."""
 
-    __slots__ = ("seed", "use_cases", "customers", "group_size", "ordinal", "stage", "zone", "zones",
+    __slots__ = ("seed", "use_cases", "customers", "group_size", "ordinal", "stage", "last_tier", "zone", "zones",
                  "most_transmissions", "may_call_off", "may_advise", "longest_advice", "must_ask", "ask_within",
                  "cold_share", "warm_after", "tip_multiple", "overload_for", "passes_limit", "importance_by_work")
 
@@ -169,6 +173,7 @@
     group_size: int
     ordinal: int
     stage: int
+    last_tier: bool
     zone: str
     zones: list[str]
     most_transmissions: int
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -27,7 +27,7 @@
 def ground(**changes: object) -> Ground:
     made = Ground()
     given = {
-        "seed": 7, "customers": [], "group_size": 1, "ordinal": 0, "stage": 0, "zone": "here", "zones": ["here"],
+        "seed": 7, "customers": [], "group_size": 1, "ordinal": 0, "stage": 0, "last_tier": True, "zone": "here", "zones": ["here"],
         "most_transmissions": 3, "may_call_off": True, "may_advise": False, "longest_advice": 0, "must_ask": False,
         "ask_within": 10 * SECOND, "cold_share": 0.2, "warm_after": 10 * SECOND, "tip_multiple": 3.0,
         "overload_for": 2 * SECOND, "passes_limit": True, "importance_by_work": False,
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -1,6 +1,6 @@
 from pepperusher.terms import CALLED_OFF, CLOSED, DONE, ERROR, FULL, MOOT, RESET, TIMED_OUT, UNREACHED
 
-from tests.scene import Scene
+from tests.scene import SECOND, Scene
 
 
 class Breaker(Scene):
@@ -70,6 +70,48 @@
         self.note(f"states {[backend.state - 40 for backend in self.backends.values()]}")
         self.kept("shared_failure")
 
+    def test_one_use_case_that_fails_at_a_server_is_not_sent_there(self) -> None:
+        """The others kept its breaker closed: a ticket in two waited in vain for as long as that lasted.
+
+        Above the last tier most failures are those of a tier below, and nothing of the kind is done.
+        """
+        said = []
+        for last in (True, False):
+            self.open("a1", "b1", "c1", last_tier=last)
+            waited = []
+            for number in range(150):
+                use = "look" if number % 2 else "book"
+                ticket = self.ticket(use)
+                picked = self.where(ticket, quiet=True)
+                if use == "look" and picked.address == "a1":
+                    waited.append(f"{(self.now - 100 * SECOND) / SECOND:.1f}")
+                    self.after(ticket, TIMED_OUT, 0.5, over=True, quiet=True)
+                else:
+                    self.after(ticket, DONE, 0.05, quiet=True)
+            self.note(f"last tier {last}: look waited in vain at {', '.join(waited)}")
+            self.note(f"state {self.backends['a1'].state - 40}, shut to {len(self.backends['a1'].shut)}")
+            said += self.lines
+        self.lines = said
+        self.kept("use_shut")
+
+    def test_a_lost_answer_is_no_time(self) -> None:
+        """Counted as one, a fifth of answers lost made each wait all that its caller had left, and leave no second try.
+
+        Where the limit is not passed on, what is given up goes on below for all of it: there it counts as before.
+        """
+        said = []
+        for passes in (True, False):
+            self.open("a1", "b1", "c1", "d1", passes_limit=passes, stage=1)
+            self.call(DONE, 0.05, times=40, quiet=True)
+            for _ in range(12):
+                self.call(TIMED_OUT, 1.0, quiet=True)
+                self.call(DONE, 0.05, times=4, quiet=True)
+            self.note(f"limit passed on {passes}, so the ticket has {2 if passes else 1} s")
+            self.call(DONE)
+            said += self.lines
+        self.lines = said
+        self.kept("lost_answer")
+
     def test_a_caller_with_little_time_says_nothing_about_the_server(self) -> None:
         self.open("a1")
         self.call(DONE, 0.2, times=30, quiet=True)
