A stop serves on till the last are given up; callers without a ticket make room first

Ruled out: the answer of /ready itself, and processor time.

Callers that never sent a ticket make room first and, from half of the descriptors on, end with their answer; the usual ones are spared only while most of the idle are silent and new. A stop serves on till 0.1 s before the last are given up.

--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -39,9 +39,12 @@
 
 
 class Call:
-    """One request from a caller. `on_leave` is told if its client leaves before the answer; `bad` is no ticket."""
+    """One request from a caller. `on_leave` is told if its client leaves before the answer.
 
-    __slots__ = ("request", "came", "on_leave", "left", "bad")
+    `ticket` once it is one: neither `bad` nor about the proxy itself.
+    """
+
+    __slots__ = ("request", "came", "on_leave", "left", "bad", "ticket")
 
     def __init__(self, request: Request, came: int) -> None:
         self.request = request
@@ -49,6 +52,7 @@
         self.on_leave: Callable[[], None] | None = None
         self.left = False
         self.bad = False
+        self.ticket = False
 
     def leave(self) -> None:
         self.left = True
@@ -59,7 +63,7 @@
 class Caller:
     """One connection from a caller."""
 
-    __slots__ = ("line", "parser", "waiting_since", "answered")
+    __slots__ = ("line", "parser", "waiting_since", "answered", "useful")
 
     def __init__(self, line: Line) -> None:
         self.line = line
@@ -67,6 +71,7 @@
         # For the caller: to ask or to ask again, to end what it began, to take an answer; None while we work for it.
         self.waiting_since: int | None = clock.now()
         self.answered = False
+        self.useful = False   # it has sent a ticket, and may send more
 
 
 class Callers:
@@ -185,8 +190,11 @@
         if self._closing or self._budget.above(SHORT):
             # What a client has sent ahead is taken as well: it is answered before the connection ends.
             close = close or line.quiet() and not parser.trailing_data[0]
+        # Against hundreds that ask whether we are ready, or for what there is not, and keep a connection each.
+        close = close or not call.ticket and not caller.useful and self._budget.above(HALF)
         line.send(framed_answer(parser, answer, close))
         caller.answered = True
+        caller.useful = caller.useful or call.ticket
         caller.waiting_since = clock.now()
         if not await line.sent() or parser.our_state is not h11.DONE or parser.their_state is not h11.DONE:
             return False
@@ -228,15 +236,16 @@
     def _close_oldest(self) -> bool:
         """Where descriptors run out. What is in the kernel, and so may be a whole ticket, is left alone."""
         now = clock.now()
-        shy = False
         # One that has had no answer may carry a ticket that crossed a close and is sent once more: it is given time.
-        for caller in self._idle:
-            if not caller.answered:
-                shy = True
-                if now - (caller.waiting_since or now) >= SHY and self._closed(caller):
-                    return True
-        # While there are such, their time is waited for: whoever asked of late asks again, and opens one for it.
-        return any(caller.answered and (not shy or now - (caller.waiting_since or now) >= BEGUN) and self._closed(caller)
+        shy = [caller for caller in self._idle if not caller.answered]
+        for caller in shy:
+            if now - (caller.waiting_since or now) >= SHY and self._closed(caller):
+                return True
+        if any(caller.answered and not caller.useful and self._closed(caller) for caller in self._idle):
+            return True
+        # While most are silent, their time is waited for: whoever asked of late asks again, and opens one for it.
+        most = 2 * len(shy) > len(self._idle)
+        return any(caller.answered and (not most or now - (caller.waiting_since or now) >= BEGUN) and self._closed(caller)
                    for caller in self._idle)
 
     def _closed(self, caller: Caller) -> bool:
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -34,6 +34,8 @@
 # Before that, the last are given up, to have their answers, and so much before that it ends.
 GIVEN_UP = 0.45
 ENDED = 0.25
+# And so much before that connections end with their answers, so that those given up do.
+CLOSED_BEFORE = 0.1
 SWEEP_EVERY = 0.25
 PACE = 50_000
 COUNTS_EVERY = 240
@@ -168,6 +170,7 @@
             wait -= min(self._late, wait // 10)
         if given := told.get(b"work-hint"):
             cost = _span("Work-Hint", given, 1, "a number")
+        call.ticket = True
         ticket = self._facade.take(use_case, told.get(b"tenant", b"").decode("latin-1"), call.came, wait, cost)
         onward = [pair for pair in end_to_end(headers) if pair[0] != b"request-timeout"]
         out: Transmission | None = None
@@ -259,8 +262,8 @@
     async def _drain(self) -> None:
         """Accepts to the last: what the kernel takes on our behalf is ours.
 
-        For half of the time clients are served on through the connections they hold: the proxy next to this one may be
-        away as well, and where there is none they have nowhere to go. The other half is for what was taken.
+        Till the last are given up clients are served on through the connections they hold: the proxy next to this one
+        may be away as well, and where there is none they have nowhere to go.
         """
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -270,7 +273,7 @@
         loop.call_later(killed - GIVEN_UP, self._backends.give_up_all, "timed out")
         await asyncio.sleep(STILL_COMING)
         while (passed := loop.time() - began) < killed - ENDED and self._callers.open:
-            if passed >= killed / 2:
+            if passed >= killed - GIVEN_UP - CLOSED_BEFORE:
                 self._callers.close_after_answers()
                 self._callers.close_idle()
             await asyncio.sleep(0.02)
