Room among callers, the proxy's own answers and the stop's last moment are each said once

Read again from end to end; it acts the same. _close_oldest (callers.py) walked the idle connections three times, wrote the age out each time and asked the kernel twice about some of them: now one choice in three steps. What _accept waits for has a name in place of a condition that hangs on how and binds before or.

Left apart: facade.stands and _anchor ask alike, but the one leaves the transmission at hand out; where callers have their part and the budget is full as well, two connections make room for one, which only a change of what Budget counts would mend.

--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -5,7 +5,7 @@
 import asyncio
 import socket
 from collections.abc import Awaitable, Callable
-from itertools import count
+from itertools import chain, count
 
 import h11
 
@@ -14,7 +14,7 @@
 from pepperusher.net.budget import HALF, SHORT, Budget
 from pepperusher.net.line import Line, adopt
 from pepperusher.net.log import Log
-from pepperusher.net.message import HEAD, Answer, BadMessage, Request, framed_answer, receive
+from pepperusher.net.message import HEAD, Answer, BadMessage, Request, framed_answer, plain, receive
 
 BACKLOG = 1024
 # Connections let in one after another before others have their turn.
@@ -34,8 +34,7 @@
 # What is no ticket costs as much as one to read. Whoever sends it is heard again after so long.
 PAUSE = 0.1
 
-
-LATE = Answer(408, [(b"content-type", b"text/plain")], b"the request did not end in time\n")
+LATE = plain(408, "the request did not end in time")
 
 
 class Call:
@@ -115,7 +114,7 @@
             if number % BATCH == 0:
                 # What is accepted at once is not waited for; hundreds that come together leave others their turn.
                 await asyncio.sleep(0)
-            while self.open >= self._budget.most * PART and not self._close_oldest() or not self._budget.take():
+            while not self._may_let_in():
                 await self._budget.freed()
             try:
                 taken, _ = await loop.sock_accept(self._listener)
@@ -129,6 +128,12 @@
             self._serving.add(serving)
             serving.add_done_callback(self._serving.discard)
 
+    def _may_let_in(self) -> bool:
+        """Takes a descriptor for one more; where callers have their part, one of theirs makes room."""
+        if self.open >= self._budget.most * PART and not self._close_oldest():
+            return False
+        return self._budget.take()
+
     # --- one connection ---------------------------------------------------------------------------
 
     async def _serve(self, taken: socket.socket) -> None:
@@ -208,8 +213,7 @@
         line = caller.line
         if caller.parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        answer = Answer(bad.status, [(b"content-type", b"text/plain")], f"{bad}\n".encode())
-        line.send(framed_answer(caller.parser, answer, True))
+        line.send(framed_answer(caller.parser, plain(bad.status, str(bad)), True))
         left = LINGER_MOST
         try:
             async with asyncio.timeout(LINGER):
@@ -236,17 +240,18 @@
     def _close_oldest(self) -> bool:
         """Where descriptors run out. What is in the kernel, and so may be a whole ticket, is left alone."""
         now = clock.now()
+
+        def stood(caller: Caller, least: int) -> bool:
+            return caller.waiting_since is not None and now - caller.waiting_since >= least
+
         # One that has had no answer may carry a ticket that crossed a close and is sent once more: it is given time.
         shy = [caller for caller in self._idle if not caller.answered]
-        for caller in shy:
-            if now - (caller.waiting_since or now) >= SHY and self._closed(caller):
-                return True
-        if any(caller.answered and not caller.useful and self._closed(caller) for caller in self._idle):
-            return True
         # While most are silent, their time is waited for: whoever asked of late asks again, and opens one for it.
-        most = 2 * len(shy) > len(self._idle)
-        return any(caller.answered and (not most or now - (caller.waiting_since or now) >= BEGUN) and self._closed(caller)
-                   for caller in self._idle)
+        spared = BEGUN if 2 * len(shy) > len(self._idle) else 0
+        return any(self._closed(caller) for caller in chain(
+            (one for one in shy if stood(one, SHY)),
+            (one for one in self._idle if one.answered and not one.useful),
+            (one for one in self._idle if one.useful and stood(one, spared))))
 
     def _closed(self, caller: Caller) -> bool:
         """Closed, unless the kernel holds something of its."""
--- a/pepperusher/net/message.py
+++ b/pepperusher/net/message.py
@@ -41,6 +41,11 @@
     body: bytes
 
 
+def plain(status: int, text: str, *more: tuple[bytes, bytes]) -> Answer:
+    """An answer of the proxy's own: one line, with `more` headers."""
+    return Answer(status, [(b"content-type", b"text/plain"), *more], f"{text}\n".encode())
+
+
 def end_to_end(headers: Headers) -> Headers:
     """What a proxy passes on: neither the connection's own headers nor those it names as such."""
     named = frozenset(name.strip().lower() for key, value in headers if key == b"connection"
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -19,13 +19,12 @@
 from pepperusher.net.callers import Call, Callers
 from pepperusher.net.discovery import Discovery
 from pepperusher.net.log import Log
-from pepperusher.net.message import Answer, Headers, Request, end_to_end
+from pepperusher.net.message import Answer, Headers, Request, end_to_end, plain
 from pepperusher.net.told import Told, ToldError
 
-PLAIN = (b"content-type", b"text/plain")
-READY = Answer(200, [PLAIN], b"ready\n")
-BROKEN = Answer(500, [PLAIN], b"an error in the proxy\n")
-NOT_READY = Answer(503, [PLAIN], b"no backends known yet, or about to stop\n")
+READY = plain(200, "ready")
+BROKEN = plain(500, "an error in the proxy")
+NOT_READY = plain(503, "no backends known yet, or about to stop")
 # After SIGTERM connections go on coming for a while.
 STILL_COMING = 0.55
 # SIGKILL comes no sooner after SIGTERM than the longest wait of a client, or this if that is shorter, and a moment.
@@ -141,7 +140,7 @@
         except BadCall as bad:
             call.bad = True
             self._count("bad calls")
-            return Answer(bad.status, [PLAIN], f"{bad}\n".encode())
+            return plain(bad.status, str(bad))
         except Exception as error:   # ends this ticket alone, with an answer
             self._count("exceptions")
             self._log.say(f"a ticket ended by {type(error).__name__}: {error}")
@@ -207,10 +206,10 @@
         if step.what == BOUNCE:
             self._count("bounces")
             advice = [(b"retry-after", f"{step.wait / 1e6:.3f}".encode())] if step.wait > 0 else []
-            return Answer(503, [PLAIN, *advice], b"bounced\n")
+            return plain(503, "bounced", *advice)
         if step.what == SCRAP:
             self._count("scraps")
-            return Answer(504 if how == "timed out" else 502, [PLAIN], b"scrapped\n")
+            return plain(504 if how == "timed out" else 502, "scrapped")
         return None
 
     def _count(self, what: str) -> None:
@@ -269,11 +268,12 @@
         began = loop.time()
         killed = min(self._told.ground.longest_wait / 1e6, LONGEST_GRACE) + MOMENT
         self._log.say(f"stopping, {self._facade.in_hand} tickets in hand")
-        self._facade.close_at(clock.now() + round((killed - GIVEN_UP) * 1e6))
-        loop.call_later(killed - GIVEN_UP, self._backends.give_up_all, "timed out")
+        last = killed - GIVEN_UP
+        self._facade.close_at(clock.now() + round(last * 1e6))
+        loop.call_later(last, self._backends.give_up_all, "timed out")
         await asyncio.sleep(STILL_COMING)
         while (passed := loop.time() - began) < killed - ENDED and self._callers.open:
-            if passed >= killed - GIVEN_UP - CLOSED_BEFORE:
+            if passed >= last - CLOSED_BEFORE:
                 self._callers.close_after_answers()
                 self._callers.close_idle()
             await asyncio.sleep(0.02)
--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -71,11 +71,13 @@
         self._must_ask = ground.must_ask
         self._ask_longest = max(SECOND, ground.ask_within // 2)
         self._ask_step, self._ask_at = 0, now
-        self._asked, self._list_lost = not ground.must_ask, False
+        self._asked = not ground.must_ask
+        self._list_lost = False
         self._backends: list[Backend] = []   # emptied by the list: holds what it names as ready
         self._ring: deque[Backend] = deque()   # the same, this proxy's part of it first
         self._part_weight, self._sharing, self._mean = 0.0, 1.0, 0.0
-        self._position, self._young = ground.ordinal * GOLDEN % 1.0, list[Backend]()   # emptied by age
+        self._position = ground.ordinal * GOLDEN % 1.0
+        self._young: list[Backend] = []      # emptied by age
         self._flow = 0.0
         self._flow_at = self._started = now
         self._flow_span = FLOW_SPAN
@@ -132,11 +134,9 @@
             # The mean of those it may still go to: by that of all, a busy cell would have none under it.
             held = sum(b.held for b in choice)
             room = sum(b.room for b in choice)
-        picked = self._turn(choice, held / room if room else 0.0)
+        picked = self._turn(choice, held / room if room else 0.0) or self._last_resort(ticket, anchor, now)
         if picked is None:
-            picked = self._last_resort(ticket, anchor, now)
-            if picked is None:
-                return self._no(ticket, now)
+            return self._no(ticket, now)
         self._place(ticket, picked, now)
         return picked
 
