Rehearsals: an emulated fleet, open-loop load, books on both sides and reports

Every later subsystem has to be shown at scale and in failure with our own means; the repository had a toy server alone.

pepperusher/rehearsal plays a script: backends as a model of cores, queues, warming, tipping and overload on sockets, discovery with versions and lateness, the real serve as processes, clients whose times count from the intended send, and books that check the four rules from both sides. serve imports none of it.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+# On a fresh clone each of these works alone.
+PYTHON = .venv/bin/python
+
+.PHONY: all demo test clean
+
+all: .venv/rehearsal.txt
+
+# What serve needs comes with deploy/build, which makes .venv anew for other pins; all else on top of it.
+.venv/rehearsal.txt: requirements.txt requirements-rehearsal.txt deploy/build
+	sh deploy/build
+	$(PYTHON) -m pip -q install -r requirements-rehearsal.txt
+	cp requirements-rehearsal.txt $@
+
+demo: all
+	$(PYTHON) -m pepperusher rehearse examples/rehearsals/demo.toml --report demo.html
+
+test: all
+	$(PYTHON) -m unittest discover -s tests -t . -v
+
+clean:
+	rm -rf .venv demo.html
--- a/pepperusher/__main__.py
+++ b/pepperusher/__main__.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from importlib import import_module
 
 import click
 
@@ -11,7 +12,31 @@
 from pepperusher.net.proxy import run
 
 
-@click.group()
+# Commands that live in packages of their own, loaded when they are asked for: `serve` must not grow by them.
+LATER = {name: "pepperusher.rehearsal.commands" for name in ("emulate", "load", "rehearse", "experiment", "report")}
+EXTRA = "rehearsal"
+
+
+class Commands(click.Group):
+    """The commands here and those that are loaded later."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        return sorted([*super().list_commands(ctx), *LATER])
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        if cmd_name not in LATER:
+            return super().get_command(ctx, cmd_name)
+        try:
+            module = import_module(LATER[cmd_name])
+        except ModuleNotFoundError as error:
+            if (error.name or "").startswith("pepperusher"):
+                raise
+            raise click.ClickException(f"{cmd_name} needs {error.name}: pip install 'pepperusher[{EXTRA}]'") from None
+        command: click.Command = getattr(module, cmd_name)
+        return command
+
+
+@click.group(cls=Commands)
 def main() -> None:
     """A load balancer for services that call services."""
 
--- /dev/null
+++ b/pepperusher/rehearsal/books.py
@@ -0,0 +1,269 @@
+"""The books: the four rules checked over what both sides of the proxies wrote down; free of I/O.
+
+What a proxy is held to is what it could have known: it is not blamed for a client that left, for what it held when it
+was killed, nor for a repeat that a client sent under a new name. Each entry against it names ticket, time and backend.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from typing import NamedTuple
+
+import msgspec
+
+from pepperusher.rehearsal.fleetplan import FleetPlan, Place
+from pepperusher.rehearsal.records import (
+    BOUNCED, DONE, LEFT, LOST, WRONG, Ran, Sample, Sent, Stall, Stood, Told, Try, Turn)
+from pepperusher.rehearsal.roster import READY
+from pepperusher.rehearsal.script import Script
+from pepperusher.rehearsal.stalls import Spans
+
+LOST_TICKET, TWICE, DRAINS, COLD = "no ticket lost", "no effect twice", "drains kept", "no cold backend pushed over"
+RULES = (LOST_TICKET, TWICE, DRAINS, COLD)
+# Entries kept of one rule; all are counted.
+MOST_KEPT = 50
+# What connects within this of a process' end or start may have crossed it.
+CROSSING = 100_000
+
+
+class Entry(NamedTuple):
+    """One thing against the proxies. `backend` may be ""."""
+
+    rule: str
+    ticket: str
+    at: int
+    backend: str
+    what: str
+
+
+class Records:
+    """All records of a rehearsal, sorted by kind; `add` takes them in any order."""
+
+    def __init__(self, records: Iterable[msgspec.Struct] = ()) -> None:
+        self.tries: list[Try] = []
+        self.sent: list[Sent] = []
+        self.told: list[Told] = []
+        self.stood: list[Stood] = []
+        self.ran: list[Ran] = []
+        self.stalls: list[Stall] = []
+        self.samples: list[Sample] = []
+        self.turns: list[Turn] = []
+        self._lists = {Try: self.tries, Sent: self.sent, Told: self.told, Stood: self.stood, Ran: self.ran,
+                       Stall: self.stalls, Sample: self.samples, Turn: self.turns}
+        for record in records:
+            self.add(record)
+
+    def add(self, record: msgspec.Struct) -> None:
+        self._lists[type(record)].append(record)   # type: ignore[attr-defined]
+
+
+class RuleBook:
+    """What stands against each rule: `counts` by rule, and `entries`, MOST_KEPT of each at the most."""
+
+    def __init__(self) -> None:
+        self.counts = dict.fromkeys(RULES, 0)
+        self.entries: list[Entry] = []
+
+    def against(self, rule: str, ticket: str, at: int, backend: str, what: str) -> None:
+        self.counts[rule] += 1
+        if self.counts[rule] <= MOST_KEPT:
+            self.entries.append(Entry(rule, ticket, at, backend, what))
+
+    @property
+    def kept(self) -> bool:
+        return not any(self.counts.values())
+
+
+def check(script: Script, records: Records) -> RuleBook:
+    book = RuleBook()
+    sent_of: dict[str, list[Sent]] = defaultdict(list)
+    for sent in records.sent:
+        sent_of[sent.name].append(sent)
+    for those in sent_of.values():
+        those.sort(key=lambda one: one.first)
+    _check_lost(script, records, sent_of, book)
+    _check_twice(script, records, sent_of, book)
+    _check_drains(script, records, book)
+    _check_cold(records, book)
+    book.entries.sort(key=lambda one: (RULES.index(one.rule), one.at))
+    return book
+
+
+# --- no ticket lost --------------------------------------------------------------------------------
+
+def _check_lost(script: Script, records: Records, sent_of: dict[str, list[Sent]], book: RuleBook) -> None:
+    """A ticket written whole to a proxy that stood gets one whole answer by the time its client gives up."""
+    stays: dict[int, list[Ran]] = defaultdict(list)
+    for ran in records.ran:
+        stays[ran.proxy].append(ran)
+    silent = Spans((stall.at, stall.until) for stall in records.stalls)
+    slack = script.rules.slack
+    for one in records.tries:
+        if one.how == WRONG:
+            _wrong(one, sent_of, book)
+            continue
+        if one.how == DONE and not any(sent.effect >= 0 or sent.repeat for sent in sent_of.get(one.name, ())):
+            book.against(LOST_TICKET, one.name, one.ended, "", "served with an answer that no backend made for it")
+            continue
+        if one.how not in (LOST, LEFT) or one.written < 0 or not one.fresh and one.how == LOST and one.status == 0 \
+                and _closing(stays[one.proxy], one):
+            continue
+        if _killed(stays[one.proxy], one) or silent.touch(one.sent, one.ended):
+            continue
+        if one.how == LOST:
+            book.against(LOST_TICKET, one.name, one.ended, "", "its connection ended without a whole answer")
+        elif one.parent == "" and one.ended - one.sent >= one.limit + slack:
+            book.against(LOST_TICKET, one.name, one.ended, "",
+                         f"no answer {(one.ended - one.sent) // 1000} ms after it was sent")
+
+
+def _wrong(one: Try, sent_of: dict[str, list[Sent]], book: RuleBook) -> None:
+    book.against(LOST_TICKET, one.name, one.ended, "",
+                 f"answered {one.status} with what no backend made for it, or more than one answer")
+
+
+def _killed(stays: list[Ran], one: Try) -> bool:
+    """Whether its proxy was killed while it had it."""
+    return any(0 <= ran.killed and one.sent - CROSSING <= ran.killed <= one.ended + CROSSING for ran in stays)
+
+
+def _closing(stays: list[Ran], one: Try) -> bool:
+    """Whether its proxy, told to stop, came to its end then."""
+    return any(0 <= ran.told <= one.ended and ran.ended <= one.ended + CROSSING for ran in stays)
+
+
+# --- no effect twice -------------------------------------------------------------------------------
+
+def _check_twice(script: Script, records: Records, sent_of: dict[str, list[Sent]], book: RuleBook) -> None:
+    """Never two transmissions at once, never more than allowed, and none that may repeat an effect where the use
+    case does not let it. What never began, and what was turned away, has not run."""
+    most = script.rules.most_transmissions
+    places = FleetPlan(script, 0).places
+    bounced = {one.name: one for one in records.tries if one.how == BOUNCED}
+    for name, those in sent_of.items():
+        if len(those) > most:
+            book.against(TWICE, name, those[most].first, those[most].id, f"{len(those)} transmissions, {most} allowed")
+        for before, after in zip(those, those[1:]):
+            over = before.ended if before.gone < 0 else before.gone
+            if over < 0 or after.first < over - script.rules.slack:
+                book.against(TWICE, name, after.first, after.id,
+                             f"sent while it was still out at {before.id}, {(over - after.first) / 1000:.1f} ms early")
+        use = script.use_cases[those[0].use]
+        if use.repeat == "single-use":
+            _single(those, bounced.get(name), book)
+        elif use.repeat == "referenced":
+            _referenced(script, places, those, book)
+
+
+def _single(those: list[Sent], bounced: Try | None, book: RuleBook) -> None:
+    ran = [one for one in those if one.begun >= 0]
+    for one in ran[1:]:
+        book.against(TWICE, one.name, one.begun, one.id, f"single-use, and had begun at {ran[0].id}")
+    if bounced is not None and ran:
+        book.against(TWICE, bounced.name, bounced.ended, ran[0].id, "bounced as harmless, and had begun")
+
+
+def _referenced(script: Script, places: list[Place], those: list[Sent], book: RuleBook) -> None:
+    use = script.use_cases[those[0].use]
+
+    def group(one: Sent) -> object:
+        """Those among which a repeat is known."""
+        return one.tier if use.scope == "all" else places[one.place].zone if use.scope == "zone" else one.cell
+
+    for turn, one in enumerate(those):
+        begun = [before for before in those[:turn] if 0 <= before.begun]
+        if not begun or one.away:
+            continue
+        if group(one) != group(begun[0]):
+            book.against(TWICE, one.name, one.first, one.id,
+                         f"had begun at {begun[0].id}, whose group alone drops its repeats")
+        elif one.last - begun[0].begun > use.remembered + script.rules.slack:
+            book.against(TWICE, one.name, one.first, one.id, f"had begun at {begun[0].id}, longer ago than is known")
+    effects = [one for one in those if one.effect >= 0]
+    for one in effects[1:]:
+        book.against(TWICE, one.name, one.effect, one.id, f"took effect before at {effects[0].id}")
+
+
+# --- drains kept -----------------------------------------------------------------------------------
+
+def _check_drains(script: Script, records: Records, book: RuleBook) -> None:
+    """Nothing's first byte comes to a backend later than the grace after its sender was told that it drains."""
+    told: dict[tuple[int, str], list[Told]] = defaultdict(list)
+    for one in records.told:
+        told[one.proxy, one.id].append(one)
+    for those in told.values():
+        those.sort(key=lambda one: one.at)
+    proxy_of = {one.name: one.proxy for one in records.tries}
+    started: dict[int, list[int]] = defaultdict(list)
+    for ran in records.ran:
+        started[ran.proxy].append(ran.started)
+    grace = script.rules.drain_grace + script.rules.slack
+    for sent in records.sent:
+        proxy = proxy_of.get(sent.name)
+        if proxy is None:
+            continue
+        words = [one for one in told.get((proxy, sent.id), ()) if one.at <= sent.first]
+        if not words or words[-1].state == READY:
+            continue
+        # Told the same again, it was told with the first of them; a process knows what was told to it alone.
+        since = words[-1].at
+        for one in reversed(words):
+            if one.state == READY:
+                break
+            since = one.at
+        begun = max((at for at in started[proxy] if at <= sent.first), default=-1)
+        if since < begun:
+            later = [one.at for one in words if one.at >= begun]
+            if not later:
+                continue
+            since = later[0]
+        if sent.first - since > grace:
+            book.against(DRAINS, sent.name, sent.first, sent.id,
+                         f"sent {(sent.first - since) // 1000} ms after its proxy was told that it is {words[-1].state}")
+
+
+def _check_cold(records: Records, book: RuleBook) -> None:
+    for stood in records.stood:
+        if stood.fell >= 0:
+            book.against(COLD, "", stood.fell, stood.id, "pushed over while it was cold")
+
+
+# --- beyond the rules ------------------------------------------------------------------------------
+
+class Use(NamedTuple):
+    """How the fleet's work was used: transmissions and what became of their work (us on a core of speed 1).
+
+    `wasted` is work that no client had anything of: it was stopped, or its answer did not count. `lived_on` are, for
+    each piece of work whose sender left, how long it went on below (us). `doubled` are effects of one mark more than
+    once over all tries of a client, which no rule forbids a proxy.
+    """
+
+    tickets: int
+    transmissions: int
+    away: int
+    worked: int
+    wasted: int
+    lived_on: list[int]
+    doubled: int
+
+
+def use_of(script: Script, records: Records) -> Use:
+    served = {one.name for one in records.tries if one.how == DONE}
+    effects: dict[tuple[int, str], int] = defaultdict(int)
+    worked = wasted = away = 0
+    lived_on = []
+    for sent in records.sent:
+        worked += sent.worked
+        away += sent.away
+        if sent.name not in served:
+            wasted += sent.worked
+        if sent.gone >= 0 and sent.ended >= 0 and sent.begun >= 0:
+            lived_on.append(max(0, sent.ended - sent.gone))
+        if sent.effect >= 0 and sent.mark and script.use_cases[sent.use].repeat == "referenced":
+            effects[sent.tier, sent.mark] += 1
+    # Counted to the end of each client's wish; below the first tier as well.
+    doubled = sum(count - 1 for count in effects.values() if count > 1)
+    tickets = len({sent.name for sent in records.sent})
+    return Use(tickets, len(records.sent), away, worked, wasted, sorted(lived_on), doubled)
+
--- /dev/null
+++ b/pepperusher/rehearsal/commands.py
@@ -0,0 +1,157 @@
+"""The commands of rehearsals: emulate, load, rehearse, experiment, report."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from pathlib import Path
+
+import click
+
+from pepperusher.rehearsal import results, script as scripts, spoken
+from pepperusher.rehearsal.director import PlayError, rehearse as play
+from pepperusher.rehearsal.results import Result, ResultError
+from pepperusher.rehearsal.script import ScriptError
+
+RULE_BROKEN = 1
+FILE = click.argument("file", type=click.Path(path_type=Path))
+
+
+@contextmanager
+def one_line() -> Iterator[None]:
+    """What is wrong with a file or a play is one line, never a traceback."""
+    try:
+        yield
+    except (ScriptError, PlayError, ResultError) as error:
+        raise click.ClickException(str(error)) from None
+    except KeyboardInterrupt:
+        raise click.ClickException("stopped") from None
+
+
+@contextmanager
+def progress(title: str, span: int) -> Iterator[Callable[[int], None] | None]:
+    """A bar on a terminal; nothing else where there is none."""
+    if not sys.stderr.isatty():
+        yield None
+        return
+    with click.progressbar(length=span, label=title[:40], file=sys.stderr) as bar:
+        def played(now: int) -> None:
+            bar.update(max(0, min(span, now) - bar.pos))
+
+        yield played
+
+
+def _script(file: Path, seed: int | None, span: str | None) -> scripts.Script:
+    script = scripts.read(file)
+    if seed is not None:
+        script.seed = seed
+    if span is not None:
+        try:
+            script.span = scripts.span(span)
+        except ValueError as error:
+            raise ScriptError(f"--span: {error}") from None
+        script.faults = [fault for fault in script.faults if fault.at < script.span]
+        scripts.check(script)
+    return script
+
+
+@click.command()
+@FILE
+@click.option("--report", type=click.Path(path_type=Path), help="Write an HTML page with plots here.")
+@click.option("--out", type=click.Path(path_type=Path), help="Keep the result in this file (.rehearsal).")
+@click.option("--work", type=click.Path(path_type=Path), help="Keep logs and records in this folder.")
+@click.option("--build", type=click.Path(path_type=Path, exists=True, file_okay=False),
+              help="Play the proxy of this checkout in place of this one.")
+@click.option("--seed", type=int, help="In place of the script's.")
+@click.option("--span", help="In place of the script's, such as 10s.")
+def rehearse(file: Path, report: Path | None, out: Path | None, work: Path | None, build: Path | None,
+             seed: int | None, span: str | None) -> None:
+    """Play the rehearsal in FILE: a stand-in fleet, real proxies and open-loop load on loopback.
+
+    Prints a summary. Ends with 1 if one of the four rules was broken, naming tickets, times and backends.
+    """
+    with one_line():
+        script = _script(file, seed, span)
+        with progress(script.title, script.span) as played:
+            result = play(script, build.resolve() if build else None, work, played)
+        if out is not None:
+            results.write(out, result)
+        click.echo(spoken.summary(result))
+        if report is not None:
+            from pepperusher.rehearsal import page
+            page.write(report, [result])
+            click.echo(f"report: {report}")
+    if not result.kept:
+        sys.exit(RULE_BROKEN)
+
+
+@click.command()
+@FILE
+@click.option("--to", "targets", multiple=True, metavar="ADDRESS:PORT", required=True,
+              help="A proxy or a server to ask; several are asked in turn.")
+@click.option("--out", type=click.Path(path_type=Path), help="Keep the result in this file (.rehearsal).")
+@click.option("--seed", type=int, help="In place of the script's.")
+@click.option("--span", help="In place of the script's, such as 10s.")
+def load(file: Path, targets: tuple[str, ...], out: Path | None, seed: int | None, span: str | None) -> None:
+    """Play only the clients of the rehearsal in FILE, against servers that stand already.
+
+    Only addresses of this machine's loopback are asked.
+    """
+    from pepperusher.rehearsal import solo
+    with one_line():
+        script = _script(file, seed, span)
+        with progress(script.title, script.span) as played:
+            result = solo.load(script, [solo.loopback(one) for one in targets], played)
+        if out is not None:
+            results.write(out, result)
+        click.echo(spoken.load_summary(result))
+
+
+@click.command()
+@FILE
+@click.option("--proxies/--no-proxies", default=True, help="Whether real proxies stand before the fleet.")
+@click.option("--seed", type=int, help="In place of the script's.")
+def emulate(file: Path, proxies: bool, seed: int | None) -> None:
+    """Stand up the fleet of the rehearsal in FILE until Ctrl-C, with its troubles from the start on.
+
+    Prints the addresses of proxies, backends and discovery.
+    """
+    from pepperusher.rehearsal import solo
+    with one_line():
+        solo.emulate(_script(file, seed, None), proxies, click.echo)
+
+
+@click.command()
+@FILE
+@click.option("--out", type=click.Path(path_type=Path), default=Path("results"), show_default=True,
+              help="Keep results in this folder; those that are there already are not played again.")
+@click.option("--report", type=click.Path(path_type=Path), help="Write an HTML page with plots here.")
+def experiment(file: Path, out: Path, report: Path | None) -> None:
+    """Play the experiment in FILE: rehearsals over parameters, seeds and builds, in turn, compared pair by pair."""
+    from pepperusher.rehearsal import experiments
+    with one_line():
+        wanted = experiments.read(file)
+        played = experiments.play(wanted, out, click.echo)
+        click.echo(experiments.spoken(wanted, played))
+        if report is not None:
+            from pepperusher.rehearsal import page
+            page.write(report, [result for _, result in played], experiments.compared(wanted, played))
+            click.echo(f"report: {report}")
+    if not all(result.kept for _, result in played):
+        sys.exit(RULE_BROKEN)
+
+
+@click.command()
+@click.argument("files", type=click.Path(path_type=Path), nargs=-1, required=True)
+@click.option("--html", type=click.Path(path_type=Path), help="Write an HTML page with plots here.")
+def report(files: tuple[Path, ...], html: Path | None) -> None:
+    """Show results that were kept: a summary of each, and with --html a page of all."""
+    with one_line():
+        read: list[Result] = [results.read(file) for file in files]
+        for result in read:
+            click.echo(spoken.summary(result))
+        if html is not None:
+            from pepperusher.rehearsal import page
+            page.write(html, read)
+            click.echo(f"report: {html}")
--- /dev/null
+++ b/pepperusher/rehearsal/director.py
@@ -0,0 +1,319 @@
+"""Plays one rehearsal: starts fleet, discovery, proxies and load, strikes with what is not the fleet's own, and keeps
+the records until all is over."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import tempfile
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from datetime import datetime, timezone
+from pathlib import Path
+
+from pepperusher import __version__
+from pepperusher.rehearsal import arrivals, books, records, script as scripts, tally, traces, troubles
+from pepperusher.rehearsal.fleetplan import FleetPlan
+from pepperusher.rehearsal.listing import Listing
+from pepperusher.rehearsal.proxies import SAMPLE_EVERY, Runner
+from pepperusher.rehearsal.records import Writer
+from pepperusher.rehearsal.results import VERSION, Result
+from pepperusher.rehearsal.roster import Roster
+from pepperusher.rehearsal.script import Script
+from pepperusher.rehearsal.troubles import Strike
+from pepperusher.rehearsal.wire import Start, clock
+from pepperusher.rehearsal.worker import START_WITHIN, Worker
+
+# From all being ready to the first ticket.
+LEAD = 400_000
+# A backend's own proxy is started so long before it, and is ready when it is.
+AHEAD = 1_500_000
+# A proxy told to stop still gets new connections for so long.
+STILL_DEALT = 300_000
+LOCK_PORT = 7069
+NETS = range(16, 240)
+SETTLE = 0.3
+
+
+class PlayError(RuntimeError):
+    """A rehearsal that could not be played to its end; its text is one line."""
+
+
+@contextmanager
+def own_net() -> Iterator[int]:
+    """A second number for this rehearsal's addresses, 127.N.x.y, that no other one on the machine uses now."""
+    first = os.getpid() % len(NETS)
+    for turn in range(len(NETS)):
+        net = NETS[(first + turn) % len(NETS)]
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.{net}.0.1", LOCK_PORT))
+        except OSError:
+            lock.close()
+            continue
+        lock.listen(1)
+        try:
+            yield net
+        finally:
+            lock.close()
+        return
+    raise PlayError("no loopback addresses are left: over 200 rehearsals run on this machine")
+
+
+class Director:
+    """`progress` is told the time played (us) now and then; `build` is another checkout whose `serve` is played."""
+
+    def __init__(self, script: Script, net: int, work: Path, build: Path | None = None,
+                 progress: Callable[[int], None] | None = None) -> None:
+        self._script = script
+        self._work = work
+        self._progress = progress
+        self.plan = FleetPlan(script, net)
+        self._line = troubles.timeline(script, self.plan)
+        self._start = Start()
+        self._writer = Writer(work / "director.records")
+        self.listing = Listing(self.plan, self._line, Roster(script, self.plan, self._line), self._writer, self._start)
+        self._script_file = work / "script.json"
+        self._script_file.write_bytes(scripts.encoded(script))
+        self._runners = [Runner(script, gate, work, build, self._writer, self._start, self.listing.known,
+                                self.listing.address) for gate in self.plan.gates]
+        self._fleet: list[Worker] = []
+        self._load: list[Worker] = []
+        self._tasks: list[asyncio.Task[None]] = []
+        self._troubles: list[str] = []
+        self._admitted: set[int] = set()
+
+    def _now(self) -> int:
+        return clock() - self._start.at
+
+    # --- start ------------------------------------------------------------------------------------
+
+    async def stand(self, load: bool = True) -> None:
+        """Everything up and ready, nothing begun."""
+        await self.listing.listen()
+        for number in range(self._script.processes):
+            self._fleet.append(await Worker.start(
+                "pepperusher.rehearsal.fleet", f"fleet process {number}", self._work / f"fleet-{number}.log",
+                str(self._script_file), str(self.plan.net), str(number), str(self._work)))
+        if load:
+            await self._stand_load()
+        for worker in self._fleet:
+            await worker.said("standing", START_WITHIN)
+        await self._stand_proxies()
+        for worker in self._load:
+            await worker.said("planned", START_WITHIN)
+
+    async def _stand_load(self) -> None:
+        front = self.plan.front
+        targets = [{"number": gate.number, "zone": gate.zone, "host": gate.address[0], "port": gate.address[1]}
+                   for gate in front]
+        if not front:
+            # Without proxies clients ask the backends of the first tier themselves.
+            targets = [{"number": -1, "zone": place.zone, "host": place.address[0], "port": place.address[1]}
+                       for place in self.plan.places if place.tier == 0]
+        for number in range(self._script.load.processes):
+            self._load.append(await Worker.start(
+                "pepperusher.rehearsal.generator", f"load process {number}", self._work / f"load-{number}.log",
+                str(self._script_file), str(number), str(self._work), json.dumps(targets)))
+
+    async def _stand_proxies(self) -> None:
+        # A few at a time: hundreds at once would each be late.
+        turns = asyncio.Semaphore(max(2, (os.cpu_count() or 2) // 2))
+
+        async def one(runner: Runner) -> None:
+            async with turns:
+                await runner.run()
+
+        for turn, done in enumerate(await asyncio.gather(*map(one, self._runners), return_exceptions=True)):
+            if isinstance(done, BaseException):
+                raise PlayError(str(done)) from None
+            gate = self.plan.gates[turn]
+            if gate.tier == 0:
+                self._admitted.add(gate.number)
+        self._admit()
+
+    def _admit(self) -> None:
+        for worker in self._load:
+            worker.tell(admit=sorted(self._admitted) if self.plan.front else [-1])
+
+    # --- the play ---------------------------------------------------------------------------------
+
+    def begin(self) -> None:
+        self._start.at = clock() + LEAD
+        self.listing.begin()
+        for worker in [*self._fleet, *self._load]:
+            worker.tell(start=self._start.at)
+        loop = asyncio.get_running_loop()
+        self._tasks = [loop.create_task(self._strike(strike)) for strike in self._line.strikes
+                       if strike.what in ("proxy-kill", "proxy-term", "proxy-hup", "discovery-moved",
+                                          "pause-generator")]
+        self._tasks += [loop.create_task(self._own_proxy(life.place, life.born, life.ends))
+                        for life in self._line.lives if self.plan.places[life.place].proxy is not None]
+        self._tasks.append(loop.create_task(self._watch()))
+
+    async def play(self) -> None:
+        """To the end of the load. Raises PlayError where a process of the rehearsal's own failed."""
+        self.begin()
+        longest = max(use.outer for use in self._script.use_cases)
+        within = (self._script.span + longest) / 1e6 + START_WITHIN
+        sent = 0
+        for worker in self._load:
+            told = await worker.said("over", within)
+            sent += told["sent"]
+        await asyncio.sleep(SETTLE)
+        if self._troubles:
+            raise PlayError(self._troubles[0])
+
+    async def _until(self, at: int) -> None:
+        while (left := self._start.at + at - clock()) > 0:
+            await asyncio.sleep(left / 1e6)
+
+    async def _strike(self, strike: Strike) -> None:
+        await self._until(strike.at)
+        if strike.what == "pause-generator":
+            for worker in self._load:
+                worker.signal(signal.SIGSTOP)
+            await self._until(strike.until)
+            for worker in self._load:
+                worker.signal(signal.SIGCONT)
+            return
+        if strike.what == "discovery-moved":
+            for runner in self._runners:
+                runner.hang_up()
+            return
+        for number in strike.targets:
+            if strike.what == "proxy-hup":
+                self._runners[number].hang_up()
+            else:
+                await self._away(strike, number)
+
+    async def _away(self, strike: Strike, number: int) -> None:
+        """One proxy goes, and its place is taken again where the script has it."""
+        runner = self._runners[number]
+        if strike.what == "proxy-term":
+            ending = asyncio.get_running_loop().create_task(runner.terminate())
+            await asyncio.sleep(STILL_DEALT / 1e6)
+            self._out(number)
+            await ending
+        else:
+            await runner.kill()
+            # The front notices only after a while that one has died.
+            await asyncio.sleep(self._script.load.notice / 1e6)
+            self._out(number)
+        if strike.until < 0:
+            return
+        await self._until(strike.until)
+        await self._again(runner)
+        if runner.ready and runner.gate.tier == 0:
+            self._admitted.add(number)
+            self._admit()
+
+    def _out(self, number: int) -> None:
+        self._admitted.discard(number)
+        self._admit()
+
+    async def _again(self, runner: Runner) -> None:
+        try:
+            await runner.run()
+        except RuntimeError as error:
+            self._troubles.append(str(error))
+
+    async def _own_proxy(self, place: int, born: int, ends: int) -> None:
+        """A backend's own proxy stops and starts with it."""
+        gate = self.plan.places[place].proxy
+        assert gate is not None
+        runner = self._runners[gate.number]
+        follows = any(life.place == place and life.born == ends for life in self._line.lives if ends >= 0)
+        continues = any(life.place == place and life.ends == born for life in self._line.lives if born >= 0)
+        if born >= 0 and not continues:
+            before = max((life.ends for life in self._line.lives if life.place == place and 0 <= life.ends < born),
+                         default=0)
+            await self._until(max(before + 50_000, born - AHEAD))
+            await self._again(runner)
+        if ends >= 0 and not follows:
+            await self._until(ends)
+            await runner.kill()
+
+    async def _watch(self) -> None:
+        while True:
+            await asyncio.sleep(SAMPLE_EVERY)
+            for runner in self._runners:
+                runner.sample()
+            self._writer.flush()
+            if self._progress is not None:
+                self._progress(max(0, self._now()))
+
+    # --- the end ----------------------------------------------------------------------------------
+
+    async def end(self) -> None:
+        """All that was started is over when this returns."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for worker in [*self._load, *self._fleet]:
+            await worker.end()
+        await asyncio.gather(*(runner.kill() for runner in self._runners))
+        self.listing.close()
+        self._writer.close()
+
+    def records(self) -> books.Records:
+        kept = books.Records()
+        for path in sorted(self._work.glob("*.records")):
+            for record in records.read(path):
+                kept.add(record)
+        # What ended a process at the end of the play is not what killed it within.
+        for ran in kept.ran:
+            if ran.killed >= self._end_of(kept):
+                ran.killed = -1
+        return kept
+
+    def _end_of(self, kept: books.Records) -> int:
+        return max((one.ended for one in kept.tries), default=self._script.span)
+
+    @property
+    def line(self) -> troubles.Timeline:
+        return self._line
+
+
+def plan_digest(script: Script) -> str:
+    """The plan of arrivals in a few letters; a closed loop has none."""
+    return "closed" if script.load.users else arrivals.digest(traces.plan_of(script))
+
+
+async def _play(script: Script, net: int, work: Path, build: Path | None,
+                progress: Callable[[int], None] | None) -> tuple[books.Records, Director]:
+    director = Director(script, net, work, build, progress)
+    try:
+        await director.stand()
+        await director.play()
+    finally:
+        await director.end()
+    return director.records(), director
+
+
+def rehearse(script: Script, build: Path | None = None, work: Path | None = None,
+             progress: Callable[[int], None] | None = None) -> Result:
+    """Plays a script and returns its result. `work` keeps logs and records; without one they go when it is over.
+
+    Raises PlayError (one line), and ScriptError where a trace can't be read.
+    """
+    digest = plan_digest(script)
+    with own_net() as net, tempfile.TemporaryDirectory(prefix="rehearsal-") as spare:
+        folder = work or Path(spare)
+        folder.mkdir(parents=True, exist_ok=True)
+        for old in folder.glob("*.records"):
+            old.unlink()
+        played_at = datetime.now(timezone.utc).isoformat(timespec="seconds")
+        try:
+            kept, director = asyncio.run(_play(script, net, folder, build, progress))
+        except (RuntimeError, OSError) as error:
+            raise PlayError(str(error)) from None
+        book = books.check(script, kept)
+        names = [gate.name for gate in director.plan.gates]
+        return Result(VERSION, script.title, str(build or "here"), script.seed, played_at, __version__, int(script.span),
+                      digest, troubles.digest(director.line), book.counts, book.entries,
+                      tally.tally(script, names, kept), [place.name for place in director.plan.places], names,
+                      logs=str(work or ""))
--- /dev/null
+++ b/pepperusher/rehearsal/proxies.py
@@ -0,0 +1,209 @@
+"""The real `serve`, a process for each proxy: started, told of backends, signalled, watched and sampled."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import re
+import signal
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import h11
+
+from pepperusher.rehearsal.fleetplan import Gate
+from pepperusher.rehearsal.records import Ran, Sample, Turn, Writer
+from pepperusher.rehearsal.script import Script
+from pepperusher.rehearsal.wire import Broken, Start, clock, reach
+from pepperusher.rehearsal.worker import environment
+
+READY_WITHIN = 20.0
+LOOK_EVERY = 0.02
+SAMPLE_EVERY = 0.5
+TICK = os.sysconf("SC_CLK_TCK")
+PAGE = os.sysconf("SC_PAGE_SIZE")
+# SIGKILL follows SIGTERM by the longest wait of any client, or this if that is shorter, and a moment more.
+LONGEST_GRACE = 3_000_000
+MOMENT = 700_000
+BREAKER = re.compile(r"^[0-9.]+ [^:]+: (\S+) (open|closed): ")
+EFFECT = {"replayable": "pure", "referenced": "token", "single-use": "side_effect"}
+
+
+def settings(script: Script, gate: Gate) -> dict[str, Any]:
+    """What a proxy of this place is told, as the platform's settings object (times in ms)."""
+    rules = script.rules
+    kinds = [kind for kind in script.tiers[gate.tier].kinds]
+    cold = min((kind.cold_from for kind in kinds), default=1.0)
+    offered = _rate(script)
+    return {
+        "group-size": gate.group, "ordinal": gate.ordinal, "stage": gate.tier,
+        "tiers": [tier.name for tier in script.tiers], "zone": gate.zone,
+        "zones": sorted({zone for tier in script.tiers for zone in tier.zones}),
+        "use-cases": [
+            {"name": use.name, "effect": EFFECT[use.repeat], "key-scope": use.scope, "window": use.remembered / 1000,
+             "importance": use.importance, "overdue-importance": use.late_share, "promised-time": use.promised / 1000,
+             "outer-limit": use.outer / 1000} for use in script.use_cases],
+        "customers": [{"name": one.name, "quota-rps": one.quota or one.share * offered} for one in script.customers],
+        "policy-limits": {
+            "cancel": rules.cancel, "connect-timeout": rules.connect_within / 1000,
+            "keepalive": min(kind.idle for kind in kinds) / 1000, "most-transmissions": rules.most_transmissions,
+            "retry-after": rules.advice, "max-retry-after": rules.longest_advice / 1000},
+        "rules": {"ask-within": rules.ask_within / 1000, "cold-share": cold,
+                  "warm-after": max(kind.warm_for for kind in kinds) / 1000, "tip-multiple": rules.tip_multiple,
+                  "overload-for": rules.tip_for / 1000, "stop-sending-within": rules.drain_grace / 1000},
+        "family-info": {"passes-deadline": rules.passes_limit}, "importance-by": "work"}
+
+
+def _rate(script: Script) -> float:
+    """A customer's share of 1 in tickets a second, where the script gives no quota: the highest rate of the load."""
+    rates = [phase.rate for phase in script.load.phases] + script.load.day
+    return max(rates, default=100.0) / max(1e-9, sum(one.share for one in script.customers))
+
+
+def python_of(build: Path | None) -> str:
+    own = build / ".venv" / "bin" / "python" if build else None
+    return str(own) if own is not None and own.exists() else sys.executable
+
+
+class Runner:
+    """One proxy's place and the processes that stand there in turn."""
+
+    def __init__(self, script: Script, gate: Gate, work: Path, build: Path | None, writer: Writer, start: Start,
+                 known: Callable[[Gate], dict[str, object]], found: Callable[[Gate, int], tuple[str, int]]) -> None:
+        self.gate = gate
+        self._script = script
+        self._work = work
+        self._build = build
+        self._writer = writer
+        self._start = start
+        self._known = known
+        self._found = found
+        self._process: asyncio.subprocess.Process | None = None
+        self._reading: asyncio.Task[None] | None = None
+        self._times: dict[str, int] = {}
+        self._stays = 0
+        self.ready = False
+
+    def _now(self) -> int:
+        return clock() - self._start.at
+
+    def write_configuration(self) -> Path:
+        """The file as `serve` reads it; with a new discovery it is written anew before a SIGHUP."""
+        gate, path = self.gate, self._work / f"{self.gate.name}.json"
+        host, port = self._found(gate, self._now())
+        told = {"name": gate.name, "listen": f"{gate.address[0]}:{gate.address[1]}", "discovery": f"{host}:{port}",
+                "seed": f"{(self._script.seed * 7919 + gate.number * 31 + self._stays) & 0xffffffffffff:x}",
+                "limits": {"cores": 1.0, "memory_mb": self._script.proxies.memory_mb,
+                           "sockets": self._script.proxies.sockets},
+                "known": self._known(gate), "settings": settings(self._script, gate)}
+        fresh = path.with_suffix(".new")
+        fresh.write_text(json.dumps(told))
+        fresh.replace(path)
+        return path
+
+    async def run(self) -> None:
+        """Starts a process; returns once it is ready, or raises RuntimeError."""
+        path = self.write_configuration()
+        self._stays += 1
+        flags = ["-O"] if self._script.proxies.optimised else []
+        self._times = {"started": self._now()}
+        self._process = await asyncio.create_subprocess_exec(
+            python_of(self._build), *flags, "-m", "pepperusher", "serve", "--config", str(path),
+            stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
+            env=environment(self._build), cwd=self._work, start_new_session=True)
+        self._reading = asyncio.get_running_loop().create_task(self._read(self._process))
+        try:
+            async with asyncio.timeout(READY_WITHIN):
+                while not await self._is_ready():
+                    if self._process.returncode is not None:
+                        raise RuntimeError(f"{self.gate.name} ended at its start: {self._last_line()}")
+                    await asyncio.sleep(LOOK_EVERY)
+        except TimeoutError:
+            raise RuntimeError(f"{self.gate.name} was not ready in {READY_WITHIN:g} s") from None
+        self._times["ready"] = self._now()
+        self.ready = True
+
+    async def _is_ready(self) -> bool:
+        try:
+            peer = await reach(self.gate.address)
+        except OSError:
+            return False
+        try:
+            peer.send(h11.Request(method="GET", target="/ready", headers=[("host", "proxy"), ("connection", "close")]))
+            answer = await peer.receive()
+            return answer is not None and isinstance(answer.head, h11.Response) and answer.head.status_code == 200
+        except (Broken, OSError):
+            return False
+        finally:
+            peer.abort()
+
+    async def _read(self, process: asyncio.subprocess.Process) -> None:
+        """Its log goes to a file; what it says of breakers goes to the records."""
+        assert process.stderr is not None
+        with open(self._work / f"{self.gate.name}.log", "ab") as log:
+            async for line in process.stderr:
+                log.write(line)
+                log.flush()
+                turn = BREAKER.match(line.decode("utf-8", "replace"))
+                if turn:
+                    self._writer.add(Turn(self.gate.number, self._now(), turn[1], turn[2]))
+        status = await process.wait()
+        times, self._times = self._times, {}
+        if self._process is process:
+            self._process, self.ready = None, False
+        self._writer.add(Ran(self.gate.number, process.pid, times.get("started", -1), times.get("ready", -1),
+                             times.get("told", -1), times.get("killed", -1), self._now(), status))
+
+    def _last_line(self) -> str:
+        lines = (self._work / f"{self.gate.name}.log").read_text(errors="replace").strip().splitlines()
+        return lines[-1] if lines else "it said nothing"
+
+    def hang_up(self) -> None:
+        self.write_configuration()
+        self._signal(signal.SIGHUP)
+
+    def _signal(self, number: int) -> None:
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def kill(self) -> None:
+        if self._process is None:
+            return
+        self._times["killed"] = self._now()
+        self.ready = False
+        self._signal(signal.SIGKILL)
+        await self._gone()
+
+    async def terminate(self) -> None:
+        """As a planned restart does: SIGTERM, and SIGKILL when the platform would."""
+        if self._process is None:
+            return
+        self._times["told"] = self._now()
+        self.ready = False
+        self._signal(signal.SIGTERM)
+        longest = max(use.outer for use in self._script.use_cases)
+        try:
+            async with asyncio.timeout((min(longest, LONGEST_GRACE) + MOMENT) / 1e6):
+                await self._gone()
+        except TimeoutError:
+            await self.kill()
+
+    async def _gone(self) -> None:
+        if self._reading is not None:
+            await asyncio.shield(self._reading)
+
+    def sample(self) -> None:
+        process = self._process
+        if process is None or process.returncode is not None:
+            return
+        try:
+            stat = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+            pages = int(Path(f"/proc/{process.pid}/statm").read_text().split()[1])
+            descriptors = len(os.listdir(f"/proc/{process.pid}/fd"))
+        except (OSError, IndexError, ValueError):
+            return
+        cpu = (int(stat[11]) + int(stat[12])) * 1_000_000 // TICK
+        self._writer.add(Sample(self.gate.number, self._now(), cpu, pages * PAGE // 1024, descriptors))
