--- a/pepperusher/rehearsal/backend.py
+++ b/pepperusher/rehearsal/backend.py
@@ -370,7 +370,7 @@
         self._writer.add(Try(asked.name, asked.name, 0, asked.mark, task.record.use, -1, self.place.proxy.number,
                              task.record.name, asked.work, intended, since(asked.sent, self._start.at),
                              since(asked.written, self._start.at), self._now(), reply.how, reply.status, reply.advice,
-                             asked.fresh, asked.left))
+                             asked.fresh, asked.left, since(asked.crossed, self._start.at)))
 
     def _answer(self, task: Task) -> None:
         """Its work is whole: answers as its fate has it."""
--- a/pepperusher/rehearsal/director.py
+++ b/pepperusher/rehearsal/director.py
@@ -164,6 +164,9 @@
             told = await worker.said("over", within)
             sent += told["sent"]
         await asyncio.sleep(SETTLE)
+        for worker in self._fleet:
+            worker.tell(end=True)
+            await worker.said("ended", START_WITHIN)
         if self._troubles:
             raise PlayError(self._troubles[0])
 
--- a/pepperusher/rehearsal/experiments.py
+++ b/pepperusher/rehearsal/experiments.py
@@ -108,7 +108,7 @@
     keys = list(experiment.vary)
     for name in experiment.rehearsals:
         path = Path(experiment.folder) / name
-        raw = scripts.loaded(path)
+        raw = scripts.whole(path)
         for values in product(*(experiment.vary[key] for key in keys)):
             for seed in experiment.seeds:
                 pair = []
--- a/pepperusher/rehearsal/fleet.py
+++ b/pepperusher/rehearsal/fleet.py
@@ -117,6 +117,8 @@
     orders = await Orders.open()
     await fleet.stand()
     flushing = asyncio.get_running_loop().create_task(fleet.flush())
+    asyncio.get_running_loop().set_exception_handler(lambda _, trouble: orders.say(
+        failed=f"{trouble.get('message')}: {trouble.get('exception')!r}"))
     orders.say(standing=True)
     while (order := await orders.next()) is not None:
         if "start" in order:
--- a/pepperusher/rehearsal/manners.py
+++ b/pepperusher/rehearsal/manners.py
@@ -28,7 +28,7 @@
         self._draw(use.outer)
 
     def _draw(self, left: int) -> None:
-        self.told = max(1, min(left, round(self.use.outer * self._load.patience)))
+        self.told = int(max(1, min(left, round(self.use.outer * self._load.patience))))
         self._leaves = -1
         if self._load.leave and self._chance.random() < self._load.leave:
             self._leaves = max(1, round(self.told * self._chance.random()))
--- a/pepperusher/rehearsal/records.py
+++ b/pepperusher/rehearsal/records.py
@@ -18,8 +18,6 @@
 DONE, BOUNCED, SCRAPPED, LEFT = "done", "bounced", "scrapped", "left"
 # No whole answer: the connection ended (or a strange answer came), or never came up, or nobody was there to ask.
 LOST, WRONG, UNREACHED, NOBODY = "lost", "wrong", "unreached", "nobody"
-# It crossed the proxy's closing of a kept connection, and was sent once more.
-CROSSED = "crossed"
 
 
 class Try(msgspec.Struct, array_like=True, gc=False):
@@ -27,7 +25,8 @@
 
     `parent` is the ticket whose work made this call, "" from outside. `intended` is when it should have been sent,
     `sent` when it was (-1: never), `written` when the kernel had its last byte, `ended` when its end was known. `limit`
-    is how long its client told that it would wait (us, 0 where it did not).
+    is how long its client told that it would wait (us, 0 where it did not). `crossed` is when a kept connection ended
+    under it with nothing said, and it was sent once more on a new one; -1 is never.
     """
 
     name: str
@@ -48,6 +47,7 @@
     advice: int
     fresh: bool
     limit: int
+    crossed: int
 
 
 class Sent(msgspec.Struct, array_like=True, gc=False):
@@ -148,7 +148,7 @@
     def __init__(self, path: Path) -> None:
         self._file: BinaryIO = open(path, "ab")
         self._waiting: list[msgspec.Struct] = []   # emptied by flush
-        self._encode = msgspec.msgpack.Encoder().encode
+        self._encode = msgspec.msgpack.Encoder(enc_hook=int).encode   # spans are whole numbers
 
     def add(self, record: msgspec.Struct) -> None:
         self._waiting.append(record)
--- a/pepperusher/rehearsal/script.py
+++ b/pepperusher/rehearsal/script.py
@@ -113,7 +113,7 @@
     burst: int = 10
 
 
-class Surge(Table, kw_only=True):
+class Surge(Table, kw_only=True, frozen=True):
     """One customer or use case (or all) at `times` its rate for a while."""
 
     at: Span
@@ -337,9 +337,34 @@
         raise ScriptError(f"{path}: is not TOML: {error}") from None
 
 
+def whole(path: Path) -> dict[str, Any]:
+    """A script's file with those that it is `like` beneath it: a table takes what it does not say itself from there,
+    a list stands as a whole. Raises ScriptError."""
+    raw = loaded(path)
+    seen = {path.resolve()}
+    at = path
+    while (like := raw.pop("like", None)) is not None:
+        if not isinstance(like, str):
+            raise ScriptError(f"{at}: like: is no name of a file")
+        at = at.parent / like
+        if at.resolve() in seen:
+            raise ScriptError(f"{path}: like: comes back to {like}")
+        seen.add(at.resolve())
+        raw = _over(loaded(at), raw)
+    return raw
+
+
+def _over(beneath: dict[str, Any], raw: dict[str, Any]) -> dict[str, Any]:
+    merged = dict(beneath)
+    for key, value in raw.items():
+        below = beneath.get(key)
+        merged[key] = _over(below, value) if isinstance(value, dict) and isinstance(below, dict) else value
+    return merged
+
+
 def read(path: str | Path) -> Script:
     """The script in a file. Raises ScriptError with a line that names the file and the key."""
-    raw = loaded(path)
+    raw = whole(Path(path))
     try:
         script = made(raw)
     except ScriptError as error:
--- a/pepperusher/rehearsal/stalls.py
+++ b/pepperusher/rehearsal/stalls.py
@@ -26,6 +26,19 @@
         return None
 
 
+class Margin:
+    """How short of a time to sleep: a timer wakes late by what the machine makes of it, and the rest is gone round
+    without sleeping. Grows at once with a late waking, and shrinks by a two-hundredth with each that is not."""
+
+    def __init__(self, least: int, most: int) -> None:
+        self._least = least
+        self._most = most
+        self.now = least
+
+    def woke(self, late: int) -> None:
+        self.now = min(self._most, max(self._least, self.now - self.now // 200, late + late // 4))
+
+
 class Spans:
     """Times that are not to be trusted, joined where they touch."""
 
--- a/pepperusher/rehearsal/worker.py
+++ b/pepperusher/rehearsal/worker.py
@@ -48,7 +48,7 @@
             self._process.stdin.write(json.dumps(order).encode() + b"\n")
 
     async def said(self, what: str, within: float) -> dict[str, Any]:
-        """The next line that says `what`. Raises WorkerError if the process ends or takes longer."""
+        """The next line that says `what`. Raises WorkerError if the process fails, ends or takes longer."""
         assert self._process.stdout is not None
         try:
             async with asyncio.timeout(within):
@@ -57,6 +57,8 @@
                     if not line:
                         raise WorkerError(f"{self.name} ended: {self._last_words()}")
                     told = json.loads(line)
+                    if "failed" in told:
+                        raise WorkerError(f"{self.name} failed: {told['failed']}")
                     if what in told:
                         return told
         except TimeoutError:
