Rehearsals: commands, experiments compared pair by pair, pages for operators and developers

Tests: the commands as called, one for each thing a script can have wrong, and that serve loads none of it.

--- a/pepperusher/rehearsal/compare.py
+++ b/pepperusher/rehearsal/compare.py
@@ -25,6 +25,7 @@
     "in time": (lambda of: of.in_time / max(1, of.wishes), True),
     "p50": (lambda of: of.intended.percentiles["50"] / 1000, False),
     "p99": (lambda of: of.intended.percentiles["99"] / 1000, False),
+    "p99.9": (lambda of: of.intended.percentiles["99.9"] / 1000, False),
     "tries": (lambda of: of.tries / max(1, of.wishes), False),
     "transmissions": (lambda of: of.transmissions / max(1, of.tickets), False),
     "wasted": (lambda of: of.wasted_share, False),
--- a/pepperusher/rehearsal/engine.py
+++ b/pepperusher/rehearsal/engine.py
@@ -182,12 +182,15 @@
         self._bins[-1][0] += came
         if self._slots < self._kind.slots * self._kind.cores:
             self._enter(job)
-            return RUNS
-        if len(self._queue) >= self._kind.queue * self._kind.cores:
+            how = RUNS
+        elif len(self._queue) >= self._kind.queue * self._kind.cores:
             return FULL
-        job.waiting = True
-        self._queue.append(job)
-        return WAITS
+        else:
+            job.waiting = True
+            self._queue.append(job)
+            how = WAITS
+        self._watch_load()
+        return how
 
     def _enter(self, job: Job) -> None:
         job.waiting = False
@@ -230,6 +233,7 @@
             following = self._queue.popleft()
             self._enter(following)
             entered.append(following)
+        self._watch_load()
         return entered
 
 
--- a/pepperusher/rehearsal/experiments.py
+++ b/pepperusher/rehearsal/experiments.py
@@ -171,28 +171,40 @@
         return None
 
 
-def pairs_of(played: list[tuple[Play, Result]], base: str, other: str) -> list[tuple[Result, Result]]:
-    by: dict[str, dict[str, Result]] = {}
-    for one, result in played:
-        by.setdefault(one.pair, {})[one.arm.name] = result
-    return [(those[base], those[other]) for _, those in sorted(by.items()) if base in those and other in those]
+class Compared(NamedTuple):
+    """`other` against `base` where `where` was varied so; all seeds of it are its pairs."""
+
+    base: str
+    other: str
+    where: str
+    differences: list[Difference]
 
 
-def compared(experiment: Experiment, played: list[tuple[Play, Result]]) -> list[tuple[str, str, list[Difference]]]:
-    """(base, other, differences) for each arm after the first."""
+def compared(experiment: Experiment, played: list[tuple[Play, Result]]) -> list[Compared]:
+    """Each arm after the first, for each rehearsal and each set of varied values on its own: a difference at one rate
+    is no difference at another."""
     base = experiment.arms[0].name
+    by: dict[str, dict[str, dict[str, Result]]] = {}
+    for one, result in played:
+        where = ", ".join(f"{key} {value}" for key, value in one.parameters.items() if key != "seed")
+        by.setdefault(where, {}).setdefault(one.pair, {})[one.arm.name] = result
     made = []
-    for arm in experiment.arms[1:]:
-        pairs = [(a.figures, b.figures) for a, b in pairs_of(played, base, arm.name)]
-        made.append((base, arm.name, [compare.difference(measure, pairs) for measure in experiment.measures]))
+    for where in sorted(by):
+        for arm in experiment.arms[1:]:
+            pairs = [(those[base].figures, those[arm.name].figures) for _, those in sorted(by[where].items())
+                     if base in those and arm.name in those]
+            if pairs:
+                made.append(Compared(base, arm.name, where, [compare.difference(measure, pairs)
+                                                             for measure in experiment.measures]))
     return made
 
 
 def spoken(experiment: Experiment, played: list[tuple[Play, Result]]) -> str:
     lines = [experiment.title]
-    for base, other, differences in compared(experiment, played):
-        lines.append(f"  {other} against {base}, {differences[0].pairs if differences else 0} pairs:")
-        for one in differences:
+    for made in compared(experiment, played):
+        pairs = made.differences[0].pairs if made.differences else 0
+        lines.append(f"  {made.other} against {made.base}, {pairs} pairs, {made.where}:")
+        for one in made.differences:
             lines.append(f"    {one.measure:<16} {one.base:10.4f} {one.other:10.4f}  {one.mean:+10.4f}"
                          f"  [{one.low:+.4f}, {one.high:+.4f}]  {one.verdict}")
     broken = sum(1 for _, result in played if not result.kept)
--- a/pepperusher/rehearsal/page.py
+++ b/pepperusher/rehearsal/page.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from pepperusher.rehearsal import plots, spoken
-from pepperusher.rehearsal.compare import Difference
+from pepperusher.rehearsal.experiments import Compared
 from pepperusher.rehearsal.results import Result
 from pepperusher.rehearsal.spans import said
 from pepperusher.rehearsal.tally import Group
@@ -65,17 +65,17 @@
     return "\n".join(parts)
 
 
-def _compared(made: list[tuple[str, str, list[Difference]]]) -> str:
+def _compared(made: list[Compared]) -> str:
     parts = []
-    for base, other, differences in made:
+    for each in made:
         rows = ((one.measure, f"{one.base:.4f}", f"{one.other:.4f}", f"{one.mean:+.4f}",
-                 f"{one.low:+.4f} to {one.high:+.4f}", one.pairs, one.verdict) for one in differences)
-        parts.append(f"<h2>{escape(other)} against {escape(base)}</h2>"
-                     + _table(("measure", base, other, "difference", "95% interval", "pairs", "verdict"), rows))
+                 f"{one.low:+.4f} to {one.high:+.4f}", one.pairs, one.verdict) for one in each.differences)
+        parts.append(f"<h2>{escape(each.other)} against {escape(each.base)}</h2><p>{escape(each.where)}</p>"
+                     + _table(("measure", each.base, each.other, "difference", "95% interval", "pairs", "verdict"), rows))
     return "\n".join(parts)
 
 
-def html(results: list[Result], compared: list[tuple[str, str, list[Difference]]] | None = None) -> str:
+def html(results: list[Result], compared: list[Compared] | None = None) -> str:
     title = results[0].title if len(results) == 1 else f"{len(results)} rehearsals"
     body = [f"<h1>{escape(title)}</h1>"]
     if compared:
@@ -88,5 +88,5 @@
             f"<style>{STYLE}</style></head>\n<body>\n" + "\n".join(body) + "\n</body></html>\n")
 
 
-def write(path: Path, results: list[Result], compared: list[tuple[str, str, list[Difference]]] | None = None) -> None:
+def write(path: Path, results: list[Result], compared: list[Compared] | None = None) -> None:
     path.write_text(html(results, compared), encoding="utf-8")
--- a/pepperusher/rehearsal/proxies.py
+++ b/pepperusher/rehearsal/proxies.py
@@ -110,15 +110,16 @@
         self._stays += 1
         flags = ["-O"] if self._script.proxies.optimised else []
         self._times = {"started": self._now()}
-        self._process = await asyncio.create_subprocess_exec(
+        self._process = process = await asyncio.create_subprocess_exec(
             python_of(self._build), *flags, "-m", "pepperusher", "serve", "--config", str(path),
             stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
             env=environment(self._build), cwd=self._work, start_new_session=True)
-        self._reading = asyncio.get_running_loop().create_task(self._read(self._process))
+        self._reading = asyncio.get_running_loop().create_task(self._read(process))
         try:
             async with asyncio.timeout(READY_WITHIN):
                 while not await self._is_ready():
-                    if self._process.returncode is not None:
+                    if process.returncode is not None:
+                        await self._gone()
                         raise RuntimeError(f"{self.gate.name} ended at its start: {self._last_line()}")
                     await asyncio.sleep(LOOK_EVERY)
         except TimeoutError:
--- a/pepperusher/rehearsal/results.py
+++ b/pepperusher/rehearsal/results.py
@@ -61,10 +61,10 @@
     """Raises ResultError in one line."""
     try:
         document = msgspec.json.decode(gzip.decompress(path.read_bytes()))
+    except (EOFError, zlib.error, gzip.BadGzipFile, msgspec.DecodeError):
+        raise ResultError(f"{path}: is no result of a rehearsal") from None
     except OSError as error:
         raise ResultError(f"{path}: {error.strerror or error}") from None
-    except (EOFError, zlib.error, msgspec.DecodeError):
-        raise ResultError(f"{path}: is no result of a rehearsal") from None
     version = document.get("version") if isinstance(document, dict) else None
     if not isinstance(version, int):
         raise ResultError(f"{path}: is no result of a rehearsal")
--- a/pepperusher/rehearsal/tally.py
+++ b/pepperusher/rehearsal/tally.py
@@ -175,7 +175,7 @@
         return 1.0, 0
     whole = sum(asked.values())
     first, last = min(asked), max(asked)
-    fewest = whole * WINDOW_STEPS / (last - first + 1) / 4
+    fewest = whole * min(1.0, WINDOW_STEPS / (last - first + 1)) / 4
     worst, at = 1.0, first * step
     for begins in range(first, max(first, last - WINDOW_STEPS + 1) + 1):
         those = range(begins, begins + WINDOW_STEPS)
--- /dev/null
+++ b/tests/test_rehearsal_commands.py
@@ -0,0 +1,133 @@
+"""The commands as people call them, and that serve carries nothing of them."""
+
+from __future__ import annotations
+
+import json
+import os
+import re
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from pepperusher.__main__ import main
+from pepperusher.rehearsal import results
+
+from tests.rehearsal_scene import WRONG
+
+SCRIPT = """title = "short"
+span = "2s"
+[[use_cases]]
+name = "look"
+work = { mean = "2ms" }
+promised = "500ms"
+outer = "1s"
+[[tiers]]
+name = "desk"
+kinds = [{ name = "std", count = 2 }]
+[load]
+phases = [{ span = "2s", rate = 50 }]
+"""
+EXPERIMENT = """title = "wrong against right"
+rehearsals = ["short.toml"]
+seeds = [1, 2]
+[[arms]]
+name = "right"
+[[arms]]
+name = "wrong"
+build = "wrong"
+"""
+
+
+class Commands(unittest.TestCase):
+    def setUp(self) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.at = Path(self.folder.name)
+        (self.at / "short.toml").write_text(SCRIPT)
+        (self.at / "wrong").symlink_to(WRONG)
+
+    def call(self, *words: str, ends: int = 0, **env: str) -> str:
+        done = CliRunner().invoke(main, words, env=env)
+        self.assertEqual(done.exit_code, ends, done.output)
+        self.assertNotIn("Traceback", done.output)
+        return done.output
+
+    def test_rehearse_report_and_the_end_where_a_rule_is_broken(self) -> None:
+        script, out, page = str(self.at / "short.toml"), self.at / "r.rehearsal", self.at / "r.html"
+        said = self.call("rehearse", script, "--out", str(out), "--report", str(page))
+        self.assertRegex(said, r"no ticket lost +kept")
+        self.assertIn("<svg", page.read_text())
+        self.assertEqual(self.call("report", str(out)).splitlines()[:2], said.splitlines()[:2])
+        said = self.call("rehearse", script, "--build", str(WRONG), ends=1, WRONG="invents")
+        self.assertRegex(said, r"no ticket lost +BROKEN \d+ times\n +[\d.]+ m?s: w\d+\.0: answered 200 with what no")
+
+    def test_an_experiment_goes_on_where_it_was_stopped(self) -> None:
+        (self.at / "x.toml").write_text(EXPERIMENT)
+        out = self.at / "results"
+        said = self.call("experiment", str(self.at / "x.toml"), "--out", str(out), "--report", str(self.at / "x.html"), ends=1,
+                         WRONG="doubles")
+        self.assertEqual(len(re.findall(r"\d of 4 played", said)), 4)
+        self.assertRegex(said, r"wrong against right, 2 pairs")
+        self.assertIn("4 rehearsals, 2 with a rule broken", said)
+        self.assertIn("wrong against right", (self.at / "x.html").read_text())
+        kept = sorted(out.glob("*.rehearsal"))
+        self.assertEqual(results.read(kept[-1]).parameters["arm"], "wrong")
+        kept[0].unlink()
+        said = self.call("experiment", str(self.at / "x.toml"), "--out", str(out), ends=1, WRONG="doubles")
+        self.assertEqual((said.count(" played:"), said.count(" kept:")), (1, 3))
+
+    def test_the_load_alone_against_a_fleet_alone(self) -> None:
+        script = str(self.at / "short.toml")
+        fleet = subprocess.Popen([sys.executable, "-m", "pepperusher", "emulate", script], stdout=subprocess.PIPE, text=True,
+                                 env={**os.environ, "PYTHONUNBUFFERED": "1"})
+        assert fleet.stdout is not None
+        try:
+            lines = []
+            while "standing" not in (line := fleet.stdout.readline()):
+                self.assertTrue(line, "the fleet ended")
+                lines.append(line)
+            proxy = next(line.split()[2] for line in lines if line.startswith("proxy"))
+            said = self.call("load", script, "--to", proxy)
+            self.assertRegex(said, r"(\d+) wanted: \1 in time \(100.00%\)")
+        finally:
+            fleet.send_signal(signal.SIGINT)
+            rest, _ = fleet.communicate(timeout=20)
+        self.assertIn("ended", rest)
+        self.assertEqual(fleet.returncode, 0)
+
+    def test_what_is_wrong_is_one_line(self) -> None:
+        broken = self.at / "broken.toml"
+        broken.write_text(SCRIPT.replace("rate", "rite"))
+        for words, line in (
+                (("rehearse", str(broken)), r"broken.toml: load.phases\[0\].rite: not known here; did you mean rate\?"),
+                (("rehearse", "none.toml"), "none.toml: No such file"), (("experiment", str(broken)), "span: not known here"),
+                (("report", str(broken)), "is no result of a rehearsal"),
+                (("rehearse", str(self.at / "short.toml"), "--span", "soon"), "--span: 'soon'"),
+                (("load", str(self.at / "short.toml"), "--to", "192.0.2.1:80"), "not an address of the loopback"),
+                (("load", str(self.at / "short.toml"), "--to", "here"), "is no address:port")):
+            with self.subTest(words=words):
+                said = self.call(*words, ends=1)
+                self.assertRegex(said, rf"^Error: .*({line}).*\n$")
+
+    def test_a_fleet_that_cannot_stand_says_why(self) -> None:
+        with tempfile.TemporaryDirectory() as build:
+            (Path(build) / "pepperusher").mkdir()
+            (Path(build) / "pepperusher" / "__main__.py").write_text("raise SystemExit('no proxy today')")
+            said = self.call("rehearse", str(self.at / "short.toml"), "--build", build, ends=1)
+        self.assertIn("Error: p1 ended at its start: no proxy today", said)
+
+    def test_serve_carries_nothing_of_it(self) -> None:
+        code = ("import sys, json; import pepperusher.__main__; from pepperusher.net import proxy;"
+                "print(json.dumps(sorted(sys.modules)))")
+        modules = json.loads(subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout)
+        heavy = {"msgspec", "numpy", "hdrh", "matplotlib", "tomllib", "pepperusher.rehearsal"}
+        self.assertEqual(heavy & set(modules), set())
+
+
+if __name__ == "__main__":
+    unittest.main()
