Own file: typed tables, rules, routes, limits and changes, each decided without I/O

Use cases, time-outs and limits come from the platform's JSON alone and a change means a restart. Not yet wired into the proxy; serve imports none of it.

Gradient2's long mean was tried for the adaptive limit: under steady overload the limit went to its end, since its mean follows the waiting that it lets grow.

--- /dev/null
+++ b/pepperusher/changes/standing.py
@@ -0,0 +1,316 @@
+"""What stands now: the version in force, the gates it has, and changes to it; free of I/O.
+
+A ticket is admitted by `ask`, and told out by `over`; between them it goes by the version it began with. Gates, rates
+and retry budgets belong to a route's name and live on over versions: a change of a limit lets none go that are in.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+
+from pepperusher.changes import ledger as ledgers
+from pepperusher.changes.ledger import APPLIED, CONFIRMED, STAGED, UNDONE, Change, Ledger, LedgerError
+from pepperusher.changes.overlay import Overlay
+from pepperusher.changes.toll import Toll
+from pepperusher.facade import Entry
+from pepperusher.holds import must_hold
+from pepperusher.limits.gate import FULL, IN, LATE, WAITS, Gate, Waiting
+from pepperusher.limits.gradient import Fixed, Gradient
+from pepperusher.limits.rate import Buckets, RetryBudget
+from pepperusher.own.reading import Read
+from pepperusher.own.tables import Concurrency
+from pepperusher.routes.terms import NO_LIMIT, PLAIN, Terms, Version
+
+RATE = "rate"
+# What a customer is called that a ticket does not name.
+NOBODY = ""
+# A client is told to come back after this where nothing better is known.
+ADVICE = 200_000
+# A limit that begins to act is said once in so long.
+SAID_EVERY = 10_000_000
+
+
+class Pass:
+    """One ticket's way in. `how` is IN, WAITS, FULL, LATE or RATE; `advice` when to come back (us) where it is refused."""
+
+    __slots__ = ("version", "terms", "customer", "how", "advice", "came", "entered", "until", "waiting", "over", "inside")
+
+    def __init__(self, version: Version, terms: Terms, customer: str, came: int, until: int) -> None:
+        self.version = version
+        self.terms = terms
+        self.customer = customer
+        self.how = IN
+        self.advice = 0
+        self.came = came
+        self.entered = came
+        self.until = until
+        self.waiting: Waiting | None = None
+        self.over = False
+        self.inside = False
+
+
+class _Held:
+    """What a route's name holds over versions."""
+
+    __slots__ = ("gate", "buckets", "budget", "said_at", "refused")
+
+    def __init__(self) -> None:
+        self.gate: Gate | None = None
+        self.buckets: Buckets | None = None
+        self.budget: RetryBudget | None = None
+        self.said_at = -SAID_EVERY
+        self.refused = 0
+
+
+class Standing:
+    """`list_again` takes lines for the decisions where marks change them; `say` takes a log line with its figures."""
+
+    def __init__(self, read: Read, now: int, list_again: Callable[[list[Entry]], None],
+                 say: Callable[..., None]) -> None:
+        self._list_again = list_again
+        self._say = say
+        self._held: dict[str, _Held] = {}   # by route; emptied as routes go and their last ticket with them
+        self.overlay = Overlay()
+        self.version = Version(1, read)
+        self.versions: dict[int, Version] = {1: self.version}   # emptied as their last tickets go
+        self.confirmed = self.version
+        self.ledger = Ledger(read.own.changes.history)
+        self.toll = Toll(read.own.changes.watch)
+        self._numbers = 1
+        self._take_up(now)
+
+    # --- tickets ----------------------------------------------------------------------------------
+
+    def ask(self, method: str, target: str, host: str, headers: Mapping[str, str], use_case: str, customer: str,
+            given: int | None, usual_wait: int, now: int) -> Pass:
+        """`given` is how long its client said that it waits, `usual_wait` what its use case's clients do (us)."""
+        version = self.version
+        terms = version.terms(method, target, host, headers, use_case)
+        wait = terms.wait(given)
+        made = Pass(version, terms, customer or NOBODY, now, now + (usual_wait if wait is None else wait))
+        version.in_hand += 1
+        held = self._held.get(terms.name)
+        if held is None:
+            return made
+        if held.buckets is not None:
+            come_back = held.buckets.take(made.customer, now)
+            if come_back:
+                return self._refused(made, held, RATE, come_back if come_back > 0 else ADVICE, now)
+        if held.gate is not None:
+            made.how, made.waiting = held.gate.enter(made.customer, terms.priority, now, made.until)
+            made.inside = made.how == IN
+            if made.how in (FULL, LATE):
+                return self._refused(made, held, made.how, max(ADVICE, held.gate.usual), now)
+        return made
+
+    def _refused(self, made: Pass, held: _Held, how: str, advice: int, now: int) -> Pass:
+        made.how, made.advice = how, advice
+        held.refused += 1
+        if now - held.said_at >= SAID_EVERY:
+            gate = held.gate
+            self._say("limit acts", route=made.terms.name, why=how, refused=held.refused,
+                      inside=gate.inside if gate else 0, waiting=gate.waiting if gate else 0,
+                      limit=gate.limit if gate else 0)
+            held.said_at = now
+        return made
+
+    def told(self, made: Pass, how: str, now: int) -> None:
+        """One that waited is IN, or FULL or LATE."""
+        made.how = how
+        made.inside = how == IN
+        made.entered = now
+        if how != IN:
+            held = self._held.get(made.terms.name)
+            if held is not None:
+                gate = held.gate
+                self._refused(made, held, how, max(ADVICE, gate.usual if gate else 0), now)
+
+    def withdraw(self, made: Pass) -> None:
+        """Its client left while it waited."""
+        held = self._held.get(made.terms.name)
+        if made.how == WAITS and held is not None and held.gate is not None and made.waiting is not None:
+            held.gate.withdraw(made.waiting)
+
+    def first(self, made: Pass, now: int) -> None:
+        """It goes out for the first time."""
+        held = self._held.get(made.terms.name)
+        if held is not None and held.budget is not None:
+            held.budget.first(now)
+
+    def again(self, made: Pass, how: str, now: int) -> bool:
+        """Whether it may go out once more after a transmission that ended so."""
+        if how == "done" or not made.terms.again(how):
+            return False
+        held = self._held.get(made.terms.name)
+        if held is None or held.budget is None or held.budget.further(now):
+            return True
+        held.refused += 1
+        if now - held.said_at >= SAID_EVERY:
+            self._say("limit acts", route=made.terms.name, why="retry budget", refused=held.refused)
+            held.said_at = now
+        return False
+
+    def over(self, made: Pass, end: str, worked: bool, now: int) -> None:
+        """The last word on a ticket: `end` is done, bounced, scrapped, or left (which tells nothing); `worked` where its time
+        tells of the servers."""
+        must_hold(not made.over, "a ticket passes its gate once")
+        if made.over:
+            return
+        made.over = True
+        self.withdraw(made)
+        held = self._held.get(made.terms.name)
+        if made.inside and held is not None and held.gate is not None:
+            held.gate.leave(made.customer, now - made.entered, worked, now)
+        if end != "left":
+            self.toll.add(made.version.number, end, now - made.came, now)
+        version = made.version
+        version.in_hand -= 1
+        must_hold(version.in_hand >= 0, "a version's tickets are never under none")
+        if not version.in_hand and version not in (self.version, self.confirmed):
+            self.versions.pop(version.number, None)
+
+    # --- what is in force -------------------------------------------------------------------------
+
+    def _take_up(self, now: int) -> None:
+        """The present version's limits and marks, at one instant."""
+        own = self.version.read.own
+        names = set()
+        for route in own.routes:
+            names.add(route.name)
+            held = self._held.setdefault(route.name, _Held())
+            if route.concurrency is None:
+                # Those inside still leave it; nobody new enters.
+                if held.gate is not None:
+                    held.gate.change(Fixed(1 << 30), 1 << 30, own.weights, now)
+            elif held.gate is None:
+                held.gate = Gate(_limit(route.concurrency, None), route.concurrency.queue, own.weights)
+            else:
+                held.gate.change(_limit(route.concurrency, held.gate), route.concurrency.queue, own.weights, now)
+            if route.rate is None:
+                held.buckets = None
+            elif held.buckets is None:
+                held.buckets = Buckets(route.rate.per_customer, route.rate.burst)
+            else:
+                held.buckets.change(route.rate.per_customer, route.rate.burst)
+            budget = route.retry_budget
+            if budget is None:
+                held.budget = None
+            elif held.budget is None:
+                held.budget = RetryBudget(budget.share, budget.floor, budget.span, now)
+            else:
+                held.budget.change(budget.share, budget.floor)
+        for name, held in list(self._held.items()):
+            if name not in names:
+                if held.gate is not None and (held.gate.inside or held.gate.waiting):
+                    held.gate.change(Fixed(1 << 30), 1 << 30, own.weights, now)
+                    held.buckets = held.budget = None
+                else:
+                    del self._held[name]
+        changed = self.overlay.turn(self.version.marks)
+        if changed:
+            self._list_again(changed)
+
+    def _enter(self, read: Read, now: int) -> Version:
+        self._numbers += 1
+        self.version = Version(self._numbers, read)
+        self.versions[self._numbers] = self.version
+        self._take_up(now)
+        return self.version
+
+    # --- changes ----------------------------------------------------------------------------------
+
+    def propose(self, read: Read, who: str, why: str, now: int) -> Change:
+        """Checked already; raises LedgerError where it can't be now, or changes nothing."""
+        if read.digest == self.version.read.digest:
+            raise LedgerError(f"{read.digest} is what stands already")
+        change = self.ledger.propose(read.digest, read, who, why, self.version.read.own.changes.wait, now)
+        self._said(change)
+        return change
+
+    def stage(self, change: Change, now: int) -> None:
+        """Whatever is needed ahead has been done, and it may be applied."""
+        self._move(change, STAGED, "the proxy", "checked", now)
+
+    def apply(self, change: Change, now: int) -> None:
+        """At one instant: tickets that come from now on go by it."""
+        self._move(change, APPLIED, "the proxy", "staged", now)
+        version = self._enter(change.what, now)
+        own = version.read.own
+        self.ledger.keep(own.changes.history)
+        self.toll.begin(version.number, own.changes.watch, now)
+        for name in self.overlay.unknown(version.marks):
+            self._say("a mark on a backend that is not listed", id=name)
+
+    def confirm(self, change: Change, who: str, why: str, now: int) -> None:
+        self._move(change, CONFIRMED, who, why, now)
+        self.toll.end()
+        before, self.confirmed = self.confirmed, self.version
+        if not before.in_hand and before is not self.version:
+            self.versions.pop(before.number, None)
+
+    def undo(self, change: Change, who: str, why: str, now: int) -> None:
+        """Before it was applied, it is given up. After, what was confirmed last stands again, as a version of its own: tickets
+        of the one undone go on to their end under it, and nothing is sent again."""
+        was_applied = change.state == APPLIED
+        self._move(change, UNDONE, who, why, now)
+        if not was_applied:
+            return
+        self.toll.end()
+        undone = self.version
+        self.confirmed = self._enter(self.confirmed.read, now)
+        for version in list(self.versions.values()):
+            if version is not self.version and not version.in_hand:
+                del self.versions[version.number]
+        must_hold(undone is not self.version, "an undo makes a version of its own")
+
+    def _move(self, change: Change, state: str, who: str, why: str, now: int) -> None:
+        self.ledger.move(change, state, who, why, now)
+        self._said(change)
+
+    def _said(self, change: Change) -> None:
+        step = change.steps[-1]
+        self._say("change", number=change.number, name=change.name, state=step.state, who=step.who, why=step.why)
+
+    def due(self, now: int) -> tuple[str, str] | None:
+        """What is to become of the open change now, and why; None while it is watched or none is open."""
+        change = self.ledger.open
+        if change is None:
+            return None
+        terms = change.what.own.changes
+        # Judged by what stood before it: a change can't loosen the watch that it is under.
+        held = self.confirmed.read.own.changes
+        harm = self.toll.harm(min(held.least, terms.least), min(held.errors, terms.errors),
+                              min(held.bounces, terms.bounces), min(held.latency, terms.latency))
+        by_itself = terms.confirm == "by itself" and held.confirm == "by itself"
+        return ledgers.verdict(change, by_itself, max(held.watch, terms.watch), harm, now)
+
+    def sweep(self, now: int) -> None:
+        for name, held in list(self._held.items()):
+            if held.gate is not None:
+                held.gate.sweep(now)
+            if held.buckets is not None:
+                held.buckets.sweep(now)
+            if held.gate is not None and not held.gate.inside and not held.gate.waiting \
+                    and all(route.name != name for route in self.version.read.own.routes):
+                del self._held[name]
+
+    def gates(self) -> list[dict[str, object]]:
+        """By route, for those who ask."""
+        return [{"route": name, "inside": held.gate.inside if held.gate else 0,
+                 "waiting": held.gate.waiting if held.gate else 0, "limit": held.gate.limit if held.gate else None,
+                 "customers": len(held.buckets) if held.buckets else 0, "refused": held.refused}
+                for name, held in self._held.items()]
+
+
+def _limit(of: Concurrency, gate: Gate | None) -> Gradient | Fixed:
+    """A limit of these terms; an adaptive one that stood goes on from where it was."""
+    if not of.adaptive:
+        return Fixed(of.most)
+    before = gate.adaptive if gate is not None else None
+    if before is not None:
+        before.change(of.least, of.most, of.tolerance)
+        return before
+    return Gradient(of.least, of.most, of.start, of.tolerance)
+
+
+__all__ = ["FULL", "IN", "LATE", "NO_LIMIT", "PLAIN", "Pass", "RATE", "Standing", "WAITS"]
--- /dev/null
+++ b/pepperusher/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits before the breakers: how many tickets at once and how often, and who waits; none chooses a server."""
--- /dev/null
+++ b/pepperusher/own/__init__.py
@@ -0,0 +1,1 @@
+"""The proxy's own file: typed, checked against the rules, each value with where it came from."""
--- /dev/null
+++ b/pepperusher/own/rules.py
@@ -0,0 +1,199 @@
+"""The rules that the proxy's own file is held to, each with a name; what breaks one is said with its key.
+
+Some are the brief's, some follow from the platform's settings, some are of form. None is ever relaxed for a file: terms
+narrow what the decisions may do, and a term that would widen it is refused.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from pepperusher.own.tables import Own, Route
+from pepperusher.routes import match
+from pepperusher.routes.match import Pattern, TemplateError
+from pepperusher.terms import REPLAYABLE, SINGLE_USE, Ground, UseCase
+
+MOST_TRANSMISSIONS = 3
+LONGEST_HISTORY = 10_000
+# What no answer can be in: the network alone takes more.
+SHORTEST_TIME_OUT = 1_000
+
+RULES = {
+    "form": "the file is TOML, and each value has its key's form",
+    "known key": "no key stands in it that is not known",
+    "known use case": "a use case that it names is one of the platform's settings",
+    "three transmissions": "a ticket goes out three times at the most, and never more often than the settings allow",
+    "one at a time": "no ticket has two transmissions out at once",
+    "single-use once": "a single-use ticket that may have run is not sent again",
+    "within memory": "a referenced ticket is sent again only while its group knows the repeat",
+    "within the client's wait": "a transmission ends before its client gives up",
+    "within the settings": "a term narrows what the settings allow, and never widens it",
+    "no conflict": "of two routes that could match the same ticket one is the more exact",
+    "sound limits": "a limit lets something through, and its figures agree",
+    "sound watch": "a change is watched long enough to be judged, and not for ever",
+    "one of a name": "a name stands once",
+}
+
+
+class Broken(NamedTuple):
+    """One thing wrong: the key's path, the rule's name, and what is wrong."""
+
+    key: str
+    rule: str
+    what: str
+
+
+Tell = Callable[[str, str, str], None]
+
+
+def check(own: Own, ground: Ground | None) -> list[Broken]:
+    """All that is wrong, in the file's order. Without a `ground` what hangs on the platform's settings is not looked at."""
+    found: list[Broken] = []
+
+    def tell(key: str, rule: str, what: str) -> None:
+        assert rule in RULES, rule
+        found.append(Broken(key, rule, what))
+
+    uses = {use.name: use for use in ground.use_cases} if ground is not None else None
+    patterns: list[Pattern | None] = []
+    for number, route in enumerate(own.routes):
+        at = f"routes[{number}]"
+        patterns.append(_pattern(route, at, tell))
+        use = None
+        if route.use_case is not None and uses is not None:
+            use = uses.get(route.use_case)
+            if use is None:
+                tell(f"{at}.use_case", "known use case", f"the settings have no {route.use_case}")
+        _transmissions(route, at, use, ground, tell)
+        _times(route, at, use, uses, tell)
+        _limits(route, at, tell)
+        if not 0 <= route.priority <= 9:
+            tell(f"{at}.priority", "sound limits", f"{route.priority} is not from 0 to 9")
+    _names([route.name for route in own.routes], "routes", "name", tell)
+    _names([mark.id for mark in own.backends], "backends", "id", tell)
+    _conflicts(own, patterns, tell)
+    _rest(own, tell)
+    return found
+
+
+def _pattern(route: Route, at: str, tell: Tell) -> Pattern | None:
+    try:
+        return match.pattern(route.match.method, route.match.path, route.match.host, route.match.headers)
+    except TemplateError as error:
+        tell(f"{at}.match", "form", str(error))
+        return None
+
+
+def _conflicts(own: Own, patterns: list[Pattern | None], tell: Tell) -> None:
+    sound = [number for number, one in enumerate(patterns) if one is not None]
+    for later, earlier in match.conflicts([one for one in patterns if one is not None]):
+        a, b = sound[later], sound[earlier]
+        tell(f"routes[{a}].match", "no conflict",
+             f"{own.routes[a].name} and {own.routes[b].name} could match the same ticket, and neither is more exact")
+
+
+def _names(names: list[str], table: str, key: str, tell: Tell) -> None:
+    seen: set[str] = set()
+    for number, name in enumerate(names):
+        if not name or len(name) > 100 or not name.isprintable():
+            tell(f"{table}[{number}].{key}", "form", f"{name!r} is no name")
+        elif name in seen:
+            tell(f"{table}[{number}].{key}", "one of a name", f"{name} stands twice")
+        seen.add(name)
+
+
+def _transmissions(route: Route, at: str, use: UseCase | None, ground: Ground | None, tell: Tell) -> None:
+    wanted = route.transmissions
+    if route.second_copy:
+        tell(f"{at}.second_copy", "one at a time", "the rules allow no second copy while a first is out")
+    if wanted is not None:
+        if not 1 <= wanted <= MOST_TRANSMISSIONS:
+            tell(f"{at}.transmissions", "three transmissions", f"{wanted} is not from 1 to {MOST_TRANSMISSIONS}")
+        elif ground is not None and wanted > ground.most_transmissions:
+            tell(f"{at}.transmissions", "within the settings",
+                 f"{wanted} is over the settings' most-transmissions, {ground.most_transmissions}")
+        if use is not None and use.repeat == SINGLE_USE and wanted > 1 and (
+                route.retry_on is None or set(route.retry_on) - {"unreached", "full"}):
+            tell(f"{at}.transmissions", "single-use once",
+                 f"{use.name} is single-use: with {wanted} transmissions retry_on may hold unreached and full alone")
+    if use is not None and use.repeat == SINGLE_USE and wanted is None and route.retry_on is not None \
+            and set(route.retry_on) - {"unreached", "full"}:
+        tell(f"{at}.retry_on", "single-use once", f"{use.name} is single-use, and after these it may have run")
+    budget = route.retry_budget
+    if budget is not None:
+        if not 0 <= budget.share <= 2 or not 0 <= budget.floor <= 10_000:
+            tell(f"{at}.retry_budget", "sound limits", "share is not from 0 to 2, or floor not from 0 to 10000")
+        if not 1_000_000 <= budget.span <= 600_000_000:
+            tell(f"{at}.retry_budget.span", "sound limits", "is not from 1s to 10m")
+
+
+def _times(route: Route, at: str, use: UseCase | None, uses: dict[str, UseCase] | None, tell: Tell) -> None:
+    limits = [use.outer_limit] if use is not None else [one.outer_limit for one in uses.values()] if uses else []
+    client = min(limits, default=None)
+    whose = use.name if use is not None else "some use case it could match"
+    for key in ("time_out", "outer", "patience"):
+        value = getattr(route, key)
+        if value is not None and value < SHORTEST_TIME_OUT:
+            tell(f"{at}.{key}", "sound limits", "is under 1ms: nothing could be in time")
+    if route.outer is not None and client is not None and route.outer > client:
+        tell(f"{at}.outer", "within the settings", f"is longer than a client of {whose} waits, {client // 1000}ms")
+    if route.time_out is not None:
+        wait = min((one for one in (route.outer, route.patience, client) if one is not None), default=None)
+        if wait is not None and route.time_out >= wait:
+            tell(f"{at}.time_out", "within the client's wait",
+                 f"a transmission could outlive its client, who waits {wait // 1000}ms at the most for {whose}")
+    if route.patience is not None and route.outer is not None and route.patience < route.outer:
+        tell(f"{at}.patience", "within the client's wait", "is under outer: a client that says nothing would wait for longer")
+    if use is not None and use.repeat not in (REPLAYABLE, SINGLE_USE) and (route.transmissions or MOST_TRANSMISSIONS) > 1 \
+            and route.time_out is not None and use.remembered and route.time_out >= use.remembered \
+            and (route.retry_on is None or "timed out" in route.retry_on):
+        tell(f"{at}.time_out", "within memory",
+             f"after it the group of {use.name} has forgotten the first, known for {use.remembered // 1000}ms")
+
+
+def _limits(route: Route, at: str, tell: Tell) -> None:
+    held = route.concurrency
+    if held is not None:
+        key = f"{at}.concurrency"
+        if not 1 <= held.most <= 100_000:
+            tell(f"{key}.most", "sound limits", f"{held.most} is not from 1 to 100000")
+        if not 0 <= held.queue <= 100_000:
+            tell(f"{key}.queue", "sound limits", f"{held.queue} is not from 0 to 100000")
+        if held.adaptive and not 1 <= held.least <= held.start <= held.most:
+            tell(f"{key}.start", "sound limits", "least, start and most do not stand in this order")
+        if held.adaptive and not 1.0 <= held.tolerance <= 10.0:
+            tell(f"{key}.tolerance", "sound limits", f"{held.tolerance:g} is not from 1 to 10")
+    rate = route.rate
+    if rate is not None:
+        if not 0 < rate.per_customer <= 1e6:
+            tell(f"{at}.rate.per_customer", "sound limits", f"{rate.per_customer:g} is not over 0 and up to 1000000")
+        if not 1 <= rate.burst <= 1e6:
+            tell(f"{at}.rate.burst", "sound limits", f"{rate.burst:g} is not from 1 to 1000000: not one ticket would pass")
+
+
+def _rest(own: Own, tell: Tell) -> None:
+    for number, mark in enumerate(own.backends):
+        if mark.weight is not None and not 0 < mark.weight <= 100:
+            tell(f"backends[{number}].weight", "sound limits", f"{mark.weight:g} is not over 0 and up to 100; drain it instead")
+    for name, weight in own.weights.items():
+        if not 0 < weight <= 1e6:
+            tell(f"weights.{name}", "sound limits", f"{weight:g} is not over 0 and up to 1000000")
+    changes = own.changes
+    if not 1_000_000 <= changes.watch <= 3_600_000_000:
+        tell("changes.watch", "sound watch", "is not from 1s to 1h")
+    if not 1 <= changes.least <= 1_000_000:
+        tell("changes.least", "sound watch", f"{changes.least} is not from 1 to 1000000")
+    for key in ("errors", "bounces"):
+        if not 0 < getattr(changes, key) <= 1:
+            tell(f"changes.{key}", "sound watch", f"{getattr(changes, key):g} is not over 0 and up to 1")
+    if not 1 < changes.latency <= 100:
+        tell("changes.latency", "sound watch", f"{changes.latency:g} is not over 1 and up to 100")
+    if not 1 <= changes.history <= LONGEST_HISTORY:
+        tell("changes.history", "sound limits", f"{changes.history} is not from 1 to {LONGEST_HISTORY}")
+    if not 1 <= own.control.connections <= 64:
+        tell("control.connections", "sound limits", f"{own.control.connections} is not from 1 to 64")
+    if not 100_000 <= own.control.within <= 60_000_000:
+        tell("control.within", "sound limits", "is not from 100ms to 1m")
+    if own.control.socket is not None and not 0 < len(own.control.socket.encode()) <= 107:
+        tell("control.socket", "sound limits", "is not a path of 1 to 107 bytes, as a Unix socket's is")
