--- a/pepperusher/__main__.py
+++ b/pepperusher/__main__.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import sys
+from functools import partial
 from importlib import import_module
+from pathlib import Path
+from types import ModuleType
 
 import click
 
@@ -13,8 +16,20 @@
 
 
 # Commands that live in packages of their own, loaded when they are asked for: `serve` must not grow by them.
-LATER = {name: "pepperusher.rehearsal.commands" for name in ("emulate", "load", "rehearse", "experiment", "report")}
-EXTRA = "rehearsal"
+LATER = {**{name: ("pepperusher.rehearsal.commands", "rehearsal")
+            for name in ("emulate", "load", "rehearse", "experiment", "report")},
+         **{name: ("pepperusher.own.commands", "own") for name in ("explain", "schema")},
+         "ctl": ("pepperusher.control.commands", "own")}
+
+
+def later(module: str, extra: str) -> ModuleType:
+    """A module with libraries that `serve` does without on the platform."""
+    try:
+        return import_module(module)
+    except ModuleNotFoundError as error:
+        if (error.name or "").startswith("pepperusher"):
+            raise
+        raise click.ClickException(f"this needs {error.name}: pip install 'pepperusher[{extra}]'") from None
 
 
 class Commands(click.Group):
@@ -26,13 +41,7 @@
     def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
         if cmd_name not in LATER:
             return super().get_command(ctx, cmd_name)
-        try:
-            module = import_module(LATER[cmd_name])
-        except ModuleNotFoundError as error:
-            if (error.name or "").startswith("pepperusher"):
-                raise
-            raise click.ClickException(f"{cmd_name} needs {error.name}: pip install 'pepperusher[{EXTRA}]'") from None
-        command: click.Command = getattr(module, cmd_name)
+        command: click.Command = getattr(later(*LATER[cmd_name]), cmd_name)
         return command
 
 
@@ -53,31 +62,51 @@
 @click.option("--name", envvar="BALANCER_NAME", help="This proxy's name, in place of the configuration's.")
 @click.option("--listen", envvar="BALANCER_LISTEN", help="Where callers connect, address:port.")
 @click.option("--discovery", envvar="BALANCER_DISCOVERY", help="Where discovery answers, address:port.")
-def serve(config: str, name: str | None, listen: str | None, discovery: str | None) -> None:
+@click.option("--own", envvar="PEPPERUSHER_OWN", help="The proxy's own file, TOML: routes, limits, changes, control.")
+@click.option("--set", "given", multiple=True, metavar="KEY=VALUE", help="A value in place of the own file's.")
+def serve(config: str, name: str | None, listen: str | None, discovery: str | None, own: str | None,
+          given: tuple[str, ...]) -> None:
     """Serve until SIGTERM or SIGINT, then answer what is in hand and end.
 
-    SIGHUP reads the configuration anew and goes over to the discovery that stands in it.
+    SIGHUP reads the configuration anew, goes over to the discovery that stands in it, and proposes the own file as it
+    stands then.
     """
-    given = _read(config, name=name, listen=listen, discovery=discovery)
+    read = _read(config, name=name, listen=listen, discovery=discovery)
+    house = None
+    if own is not None:
+        module = later("pepperusher.net.house", "own")
+        house = partial(module.House, Path(own), module.given_of(given))
+    elif given:
+        raise click.ClickException("--set: there is no --own file whose values it could replace")
 
     def again() -> told.Told:
         return told.read(config, name=name, listen=listen, discovery=discovery, file_first=True)
 
     try:
-        run(given, again)
+        run(read, again, house)
     except OSError as error:
         raise click.ClickException(str(error)) from None
+    except ValueError as error:
+        # The own file's faults, one a line; a ValueError of any other kind is ours.
+        faults = getattr(error, "faults", None)
+        if faults is None:
+            raise
+        raise click.ClickException("\n".join(map(str, faults))) from None
 
 
 @main.command()
 @click.argument("config")
-def check(config: str) -> None:
+@click.option("--own", envvar="PEPPERUSHER_OWN", help="The proxy's own file: all in force and where it came from, or all that is wrong.")
+@click.option("--set", "values", multiple=True, metavar="KEY=VALUE", help="A value in place of the own file's.")
+def check(config: str, own: str | None, values: tuple[str, ...]) -> None:
     """Read a configuration as serve would, and say what it holds."""
     given = _read(config)
     ground = given.ground
     click.echo(f"{given.name} listens at {given.listen[0]}:{given.listen[1]}, tier {ground.stage + 1},"
                f" {ground.ordinal + 1} of {ground.group_size}; {len(ground.use_cases)} use cases,"
                f" {len(ground.customers)} customers, {len(given.known.entries) if given.known else 0} backends known")
+    if own is not None:
+        later("pepperusher.own.commands", "own").checked(own, ground, values)
 
 
 @main.command()
--- a/pepperusher/changes/overlay.py
+++ b/pepperusher/changes/overlay.py
@@ -44,6 +44,10 @@
         self._marks = marks
         return [after for name, entry in self._told.items() if (after := self._marked(entry)) != before[name]]
 
+    def ready(self) -> list[Entry]:
+        """Those that discovery has as ready."""
+        return list(self._told.values())
+
     def unknown(self, marks: Mapping[str, Mark]) -> list[str]:
         """Marks on backends that the list does not have as ready now."""
         return sorted(name for name in marks if name not in self._told)
--- a/pepperusher/changes/standing.py
+++ b/pepperusher/changes/standing.py
@@ -77,6 +77,7 @@
         self.ledger = Ledger(read.own.changes.history)
         self.toll = Toll(read.own.changes.watch)
         self._numbers = 1
+        self._latest: int | None = None
         self._take_up(now)
 
     # --- tickets ----------------------------------------------------------------------------------
@@ -87,7 +88,10 @@
         version = self.version
         terms = version.terms(method, target, host, headers, use_case)
         wait = terms.wait(given)
-        made = Pass(version, terms, customer or NOBODY, now, now + (usual_wait if wait is None else wait))
+        until = now + (usual_wait if wait is None else wait)
+        if self._latest is not None:
+            until = min(until, self._latest)
+        made = Pass(version, terms, customer or NOBODY, now, until)
         version.in_hand += 1
         held = self._held.get(terms.name)
         if held is None:
@@ -150,6 +154,19 @@
             held.said_at = now
         return False
 
+    def unspent(self, made: Pass, how: str, now: int) -> None:
+        """`again` allowed one more, and the decisions did not make it."""
+        held = self._held.get(made.terms.name)
+        if held is not None and held.budget is not None and how != "done":
+            held.budget.unspent(now)
+
+    def close_at(self, latest: int) -> None:
+        """The proxy stops: who waits or comes is to be over by then."""
+        self._latest = latest
+        for held in self._held.values():
+            if held.gate is not None:
+                held.gate.close_at(latest)
+
     def over(self, made: Pass, end: str, worked: bool, now: int) -> None:
         """The last word on a ticket: `end` is done, bounced, scrapped, or left (which tells nothing); `worked` where its time
         tells of the servers."""
--- a/pepperusher/control/client.py
+++ b/pepperusher/control/client.py
@@ -41,7 +41,7 @@
     if "ok" not in whole:
         raise Refused(f"{path}: no answer")
     if not whole["ok"]:
-        raise Refused(str(whole.get("why", "refused")))
+        raise Refused("\n".join([str(whole.get("why", "refused")), *map(str, whole.get("faults", []))]))
     whole.pop("more", None)
     return whole
 
--- /dev/null
+++ b/pepperusher/control/commands.py
@@ -0,0 +1,133 @@
+"""The command ctl: asks a running proxy over its control socket."""
+
+from __future__ import annotations
+
+import getpass
+import json
+from datetime import datetime
+from pathlib import Path
+from typing import Any
+
+import click
+
+from pepperusher.control import client
+from pepperusher.control.client import Refused
+
+
+@click.group()
+@click.option("--socket", "path", envvar="PEPPERUSHER_CONTROL", required=True, help="The proxy's control socket.")
+@click.option("--json", "as_json", is_flag=True, help="Answers as JSON.")
+@click.pass_context
+def ctl(context: click.Context, path: str, as_json: bool) -> None:
+    """Ask a running proxy, or change it, over its control socket."""
+    context.obj = (path, as_json)
+
+
+def _ask(context: click.Context, do: str, **said: Any) -> tuple[dict[str, Any], bool]:
+    path, as_json = context.obj
+    try:
+        answer = client.ask(path, do, **said)
+    except Refused as error:
+        raise click.ClickException(str(error)) from None
+    if as_json:
+        click.echo(json.dumps(answer))
+    return answer, as_json
+
+
+def _time(us: int) -> str:
+    return datetime.fromtimestamp(us / 1e6).isoformat(timespec="milliseconds")
+
+
+def _said_change(change: dict[str, Any]) -> str:
+    lines = [f"change {change['number']} ({change['name']}): {change['state']}"]
+    lines += [f"  {_time(when)} {state} by {who}: {why}" for state, when, who, why in change["steps"]]
+    return "\n".join(lines)
+
+
+@ctl.command()
+@click.pass_context
+def status(context: click.Context) -> None:
+    """What stands: version, tickets in hand, limits, the open change."""
+    answer, as_json = _ask(context, "status")
+    if as_json:
+        return
+    click.echo(f"version {answer['version']} ({answer['digest']}), program {answer['program']}, {answer['in_hand']} tickets"
+               f" in hand{', stopping' if answer['stopping'] else ''}; versions with tickets {answer['versions']}")
+    if answer["open_change"]:
+        since = answer["since_change"]
+        click.echo(_said_change(answer["open_change"]))
+        click.echo(f"  since: {since['done']} done, {since['bounced']} bounced, {since['scrapped']} scrapped")
+    click.echo(client.table(answer["limits"]))
+
+
+def _listing(name: str, key: str, words: str) -> None:
+    @ctl.command(name, help=words)
+    @click.pass_context
+    def listing(context: click.Context) -> None:
+        answer, as_json = _ask(context, name)
+        if not as_json:
+            click.echo(client.table(answer[key]))
+
+
+_listing("backends", "backends", "Every backend known, with its breaker.")
+_listing("breakers", "breakers", "The breakers alone.")
+_listing("tickets", "tickets", "Tickets in hand, the oldest first.")
+
+
+@ctl.command()
+@click.pass_context
+def history(context: click.Context) -> None:
+    """Changes, each with who, when and why."""
+    answer, as_json = _ask(context, "history")
+    if not as_json:
+        click.echo("\n".join(map(_said_change, answer["changes"])) or "none")
+
+
+def _changed(context: click.Context, do: str, **said: Any) -> None:
+    answer, as_json = _ask(context, do, who=getpass.getuser(), **said)
+    if not as_json:
+        click.echo(_said_change(answer["change"]))
+
+
+WHY = click.option("--why", default=None, help="Kept in the history.")
+
+
+@ctl.command()
+@click.argument("file", required=False, type=click.Path(path_type=Path))
+@WHY
+@click.pass_context
+def propose(context: click.Context, file: Path | None, why: str | None) -> None:
+    """Propose FILE, or the proxy's own file as it stands now."""
+    try:
+        text = None if file is None else file.read_text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise click.ClickException(f"{file}: {getattr(error, 'strerror', None) or error}") from None
+    _changed(context, "propose", text=text, why=why)
+
+
+@ctl.command()
+@click.argument("number", required=False, type=int)
+@WHY
+@click.pass_context
+def confirm(context: click.Context, number: int | None, why: str | None) -> None:
+    """Confirm the open change, or the one of that NUMBER."""
+    _changed(context, "confirm", number=number, why=why)
+
+
+@ctl.command()
+@click.argument("number", required=False, type=int)
+@WHY
+@click.pass_context
+def undo(context: click.Context, number: int | None, why: str | None) -> None:
+    """Undo the open change, or give up the one of that NUMBER that waits."""
+    _changed(context, "undo", number=number, why=why)
+
+
+@ctl.command()
+@click.argument("id")
+@click.option("--lift", is_flag=True, help="Take the mark off again.")
+@WHY
+@click.pass_context
+def drain(context: click.Context, id: str, lift: bool, why: str | None) -> None:
+    """Send nothing new to the backend ID, as a change like any other."""
+    _changed(context, "drain", id=id, undo=lift, why=why)
--- a/pepperusher/control/socket.py
+++ b/pepperusher/control/socket.py
@@ -12,6 +12,9 @@
 from pepperusher.control import words
 from pepperusher.control.words import BadQuestion
 
+# Between questions of one connection: a flood of them has its turn among tickets, and no more.
+PACE = 0.02
+
 Answers = Callable[[str, dict[str, Any]], AsyncIterator[dict[str, Any]]]
 
 
@@ -109,6 +112,7 @@
                 await self._tell(writer, words.line(**part))
                 # Tickets have their turn between the parts of a long answer.
                 await asyncio.sleep(0)
+            await asyncio.sleep(PACE)
 
     async def _tell(self, writer: asyncio.StreamWriter, data: bytes) -> None:
         """One that asks and does not read is not waited for longer than one that does not ask."""
--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -23,6 +23,7 @@
 # Whether a ticket may run again.
 REPLAYABLE, REFERENCED, SINGLE_USE = "replayable", "referenced", "single-use"
 REPEAT = {terms.REPLAYABLE: REPLAYABLE, terms.REFERENCED: REFERENCED, terms.SINGLE_USE: SINGLE_USE}
+STATES = {terms.CLOSED: "closed", terms.OPEN: "open", terms.HALF_OPEN: "half-open"}
 FINAL = {terms.BOUNCE: BOUNCE, terms.SCRAP: SCRAP}
 
 
@@ -76,6 +77,10 @@
         use = self._use_cases.get(use_case)
         return REPEAT[use.repeat] if use is not None else None
 
+    def outer_of(self, use_case: str) -> int:
+        """How long a client of it waits that does not say."""
+        return self._use_cases[use_case].outer_limit
+
     def take(self, use_case: str, customer: str, came: int, left: int | None, cost: int) -> Ticket:
         """A ticket in hand until it is settled; `left` is what its client waits, None if it does not say."""
         use = self._use_cases[use_case]
@@ -105,12 +110,18 @@
         use = ticket.use_case
         return not ran or use.repeat == terms.REPLAYABLE or not 0 < use.remembered <= now - ran[0]
 
-    def report(self, ticket: Ticket, how: str, now: int) -> Step:
-        """The transmission that was out has ended; tells what to do next."""
+    def narrow(self, ticket: Ticket, most: int) -> None:
+        """It goes out `most` times at the most, if the settings do not say less."""
+        ticket.most = max(1, min(ticket.most, most))
+
+    def report(self, ticket: Ticket, how: str, now: int, again: bool = True) -> Step:
+        """The transmission that was out has ended; tells what to do next. Not `again`: whatever it was, it was the last."""
         sent = ticket.transmissions[-1]
         must_hold(sent.ended is None, "a transmission ends once")
         if sent.ended is not None:
             return OVER
+        if not again:
+            ticket.most = min(ticket.most, len(ticket.transmissions))
         answer = self._balancer.after(sent, HOW[how], how == "done", now)
         must_hold(sent.backend.in_flight >= 0, "calls in flight are never under none")
         if answer == terms.AGAIN:
@@ -168,6 +179,21 @@
                 del self._unlisted[name], self._backends[name]
         self._balancer.listed(lines, whole, now)
 
+    def backends(self) -> list[dict[str, object]]:
+        """Each known one as it stands, for those who ask; the words are plain."""
+        return [{"id": name, "state": STATES[one.state], "ready": name not in self._unlisted, "weight": one.weight,
+                 "zone": one.zone, "cell": one.cell, "in_flight": one.in_flight, "failed": one.failures,
+                 "of": len(one.results), "run_failed": one.run_failed, "open_until": one.open_until}
+                for name, one in self._backends.items()]
+
+    def tickets(self, now: int) -> list[dict[str, object]]:
+        """Each in hand, the oldest first."""
+        return [{"use_case": one.use_case.name, "customer": one.customer.name if one.customer else "",
+                 "age_ms": (now - one.came) // 1000, "left_ms": (one.until - now) // 1000,
+                 "transmissions": len(one.transmissions),
+                 "at": next((sent.backend.address for sent in one.transmissions if sent.ended is None), "")}
+                for one in sorted(self._tickets, key=lambda one: one.came)]
+
     def list_failed(self, now: int) -> None:
         self._balancer.list_failed(now)
 
--- a/pepperusher/limits/gate.py
+++ b/pepperusher/limits/gate.py
@@ -176,6 +176,12 @@
         if one.tell is not None:
             one.tell(how)
 
+    def close_at(self, latest: int) -> None:
+        """Who waits is to be in and over by then, or is late."""
+        for share in self._shares.values():
+            for one in share.queue:
+                one.until = min(one.until, latest)
+
     def sweep(self, now: int) -> int:
         """Drops those that can no longer be in time; how many."""
         late = [one for share in self._shares.values() for one in share.queue if now + self._usual >= one.until]
--- a/pepperusher/limits/rate.py
+++ b/pepperusher/limits/rate.py
@@ -113,3 +113,9 @@
             return False
         self._furthers[place] += 1
         return True
+
+    def unspent(self, now: int) -> None:
+        """One that was counted did not go."""
+        place = self._turn(now)
+        if self._furthers[place]:
+            self._furthers[place] -= 1
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import h11
@@ -76,7 +77,10 @@
 
 
 class Discovery:
-    def __init__(self, address: tuple[str, int], facade: Facade, backends: Backends, log: Log) -> None:
+    def __init__(self, address: tuple[str, int], facade: Facade, backends: Backends, log: Log,
+                 narrow: Callable[[list[Entry], bool], list[Entry]] | None = None) -> None:
+        # Our own file's marks on what the list says; None where there is no such file.
+        self._narrow = narrow
         self._source = Source(address, 0)
         # Whom a new configuration has replaced, each with its last watch; emptied when the new one has told, since
         # till then an old watch is better than none.
@@ -93,7 +97,8 @@
         if news.whole:
             self._backends.only({entry.id for entry in news.entries})
         if news.entries or news.whole:
-            self._facade.listed(news.entries, news.whole, clock.now())
+            entries = news.entries if self._narrow is None else self._narrow(news.entries, news.whole)
+            self._facade.listed(entries, news.whole, clock.now())
 
     def start(self) -> None:
         self._source.following = asyncio.get_running_loop().create_task(self._follow(self._source, False))
--- a/pepperusher/net/house.py
+++ b/pepperusher/net/house.py
@@ -6,30 +6,50 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from pepperusher.changes.kept import Kept
 from pepperusher.changes.ledger import APPLIED, CONFIRMED, Change, LedgerError
 from pepperusher.changes.standing import FULL, IN, LATE, RATE, WAITS, Pass, Standing
-from pepperusher.facade import Entry
+from pepperusher.facade import Entry, Facade
 from pepperusher.net import clock
+from pepperusher.net.callers import Call
+from pepperusher.net.log import Log
+from pepperusher.net.message import Answer, Request, plain
 from pepperusher.own import reading
 from pepperusher.own.reading import OwnError, Read
-from pepperusher.terms import Ground
+from pepperusher.terms import Ground, Ticket
+
+if TYPE_CHECKING:
+    from pepperusher.control.socket import Control
 
 LOOK_EVERY = 0.1
+LONGEST_ADVICE = 10_000_000
 # 429 tells a client that it is its own doing, 503 that it is not; both are bounces.
 STATUS = {RATE: 429, FULL: 503, LATE: 503}
+# A drain by hand is put behind the file's text.
+DRAIN = "\n[[backends]]\nid = {id}\ndrain = true\n"
 WHY = {RATE: "over its rate", FULL: "too many at once", LATE: "could not be in time"}
 
 
+def given_of(words: tuple[str, ...]) -> dict[str, Any]:
+    """What the command line sets. Raises OwnError."""
+    return reading.from_command_line(words)
+
+
 class House:
-    """`path` is the file, `given` the command line's values; `say` takes a log line with its figures."""
+    """`path` is the file, `given` the command line's values."""
 
-    def __init__(self, path: Path, given: Mapping[str, Any], ground: Ground, say: Callable[..., None]) -> None:
+    def __init__(self, path: Path, given: Mapping[str, Any], ground: Ground, log: Log) -> None:
+        say = log.tell
+        self._control: Control | None = None
+        self._hanging: asyncio.Task[None] | None = None
+        self.kept_out: dict[str, int] = {}   # by the words of STATUS, so it grows with the code alone
+        self._longest_advice = ground.longest_advice or LONGEST_ADVICE
         self._path = path
         self._given = dict(given)
         self._environment = reading.from_environment(os.environ)
@@ -42,6 +62,13 @@
         self._turn = asyncio.Lock()
         self._instead = ""
         self.standing = Standing(self._begin(), clock.now(), self._list_again, say)
+        form = self.standing.version.read.own.said.form
+        if form != "plain":
+            from pepperusher.net.formed import form_of
+            log.take_form(form_of(form))
+
+    def _count(self, what: str) -> None:
+        self.kept_out[what] = self.kept_out.get(what, 0) + 1
 
     def _begin(self) -> Read:
         """What to start with. Raises OwnError, or OSError of the folder that is to last."""
@@ -71,21 +98,64 @@
     def _list_again(self, lines: list[Entry]) -> None:
         self._lines(lines)
 
-    def start(self, lines: Callable[[list[Entry]], None]) -> None:
-        """`lines` takes changed lines of the list."""
-        self._lines = lines
+    async def start(self, facade: Facade, stopping: asyncio.Event) -> None:
+        """Raises ControlError where the control socket can't be opened."""
+        self._lines = lambda lines: facade.listed(lines, False, clock.now())
         if self._instead:
             self._say("started with the last confirmed file", why=self._instead)
+        said = self.standing.version.read.own.control
+        if said.socket is not None:
+            from pepperusher.control.socket import Control
+            from pepperusher.net.answers import Answers
+            answers = Answers(self, facade, stopping)
+            self._control = Control(said.socket, said.connections, said.within / 1e6, answers.to, self._say)
+            await self._control.listen()
         self._watching = asyncio.get_running_loop().create_task(self._watch())
 
     def stop(self) -> None:
         if self._watching is not None:
             self._watching.cancel()
+        if self._control is not None:
+            self._control.close()
+
+    def hang_up(self) -> None:
+        """SIGHUP is one way to propose the file as it stands now."""
+        self._hanging = asyncio.get_running_loop().create_task(self._hung_up())
+
+    async def _hung_up(self) -> None:
+        try:
+            await self.propose_file("SIGHUP", "the file was read anew")
+        except OwnError as error:
+            for fault in error.faults:
+                self._say("the file is not taken", why=str(fault))
+        except LedgerError as error:
+            self._say("no change", why=str(error))
 
     # --- tickets ----------------------------------------------------------------------------------
 
-    async def admit(self, made: Pass, on_leave: Callable[[Callable[[], None] | None], None]) -> bool:
-        """Whether it may go in, waited for where it must be. `on_leave` takes what to do if the client leaves."""
+    def ask(self, request: Request, use_case: str, customer: str, given: int | None, usual: int) -> Pass:
+        version = self.standing.version
+        headers: dict[str, str] = {}
+        host = b""
+        for name, value in request.headers:
+            if name == b"host":
+                host = value
+            elif version.by_header:
+                headers[name.decode("latin-1")] = value.decode("latin-1")
+        return self.standing.ask(request.method.decode("latin-1"), request.target.decode("latin-1"),
+                                 host.rpartition(b":")[0].decode("latin-1").lower() if b":" in host
+                                 else host.decode("latin-1").lower(), headers, use_case, customer, given, usual, clock.now())
+
+    async def admit(self, made: Pass, call: Call) -> bool:
+        """Whether it may go in, waited for where it must be. One that may not is over with it."""
+        if not await self._admitted(made, call):
+            self.standing.over(made, "left" if call.left else "bounced", False, clock.now())
+            return False
+        return True
+
+    async def _admitted(self, made: Pass, call: Call) -> bool:
+        if call.left:
+            return False
         if made.how != WAITS or made.waiting is None:
             return made.how == IN
         told: asyncio.Future[str] = asyncio.get_running_loop().create_future()
@@ -103,11 +173,42 @@
                     told.set_result("left")
 
         made.waiting.tell = tell
-        on_leave(leave)
+        call.on_leave = leave
         try:
-            return await told == IN
+            return await told == IN and not call.left
         finally:
-            on_leave(None)
+            call.on_leave = None
+
+    def refusal(self, made: Pass) -> Answer | None:
+        """What one that may not go in is told; None where its client left."""
+        if made.how not in STATUS:
+            return None
+        self._count(f"kept out {made.how}")
+        advice = [(b"retry-after", f"{min(made.advice, self._longest_advice) / 1e6:.3f}".encode())] \
+            if self._ground.may_advise else []
+        return self.named(made, plain(STATUS[made.how], WHY[made.how], *advice))
+
+    def goes(self, made: Pass, ticket: Ticket, wait: int) -> int:
+        """It goes out now; for how long at the most."""
+        if len(ticket.transmissions) == 1:
+            self.standing.first(made, clock.now())
+        return made.terms.patient(wait)
+
+    def again(self, made: Pass, how: str) -> bool:
+        return self.standing.again(made, how, clock.now())
+
+    def unspent(self, made: Pass, how: str) -> None:
+        """It might have gone out once more and did not."""
+        self.standing.unspent(made, how, clock.now())
+
+    def over(self, made: Pass, end: str, worked: bool) -> None:
+        self.standing.over(made, end, worked, clock.now())
+
+    def named(self, made: Pass, answer: Answer | None) -> Answer | None:
+        """An answer that names the version of its terms, where the file has it so."""
+        if answer is None or not made.version.read.own.said.version:
+            return answer
+        return Answer(answer.status, [*answer.headers, (b"terms-version", b"%d" % made.version.number)], answer.body)
 
     # --- changes ----------------------------------------------------------------------------------
 
@@ -119,6 +220,21 @@
         """Raises OwnError, LedgerError."""
         return await self._propose(await asyncio.to_thread(self._parse, text, "what is proposed"), who, why)
 
+    async def drain(self, id: str, lift: bool, who: str, why: str) -> Change:
+        """A mark by hand, as a change like any other; `lift` takes one off again that was put on so. Raises OwnError,
+        LedgerError."""
+        text = self.standing.version.read.text
+        block = DRAIN.format(id=json.dumps(id))
+        if lift:
+            if block not in text:
+                raise LedgerError(f"{id} was not drained by hand")
+            return await self.propose_text(text.replace(block, "", 1), who, why)
+        if not any(one.id == id for one in self.standing.overlay.ready()):
+            raise LedgerError(f"{id} is no backend that is listed as ready")
+        if id in self.standing.version.marks:
+            raise LedgerError(f"{id} has a mark already")
+        return await self.propose_text(text + block, who, why)
+
     async def _propose(self, read: Read, who: str, why: str) -> Change:
         change = self.standing.propose(read, who, why, clock.now())
         if change is self.standing.ledger.open:
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -9,6 +9,7 @@
 import signal
 from collections.abc import Callable
 from itertools import count
+from typing import TYPE_CHECKING
 
 from pepperusher import holds
 from pepperusher.facade import BOUNCE, HOLD, REFERENCED, REPLAYABLE, SCRAP, SEND, Facade, Step
@@ -21,6 +22,11 @@
 from pepperusher.net.log import Log
 from pepperusher.net.message import Answer, Headers, Request, end_to_end, plain
 from pepperusher.net.told import Told, ToldError
+from pepperusher.terms import Ground
+
+if TYPE_CHECKING:
+    # Loaded only where there is a file of our own: it brings libraries that a small proxy has no room for.
+    from pepperusher.net.house import House
 
 READY = plain(200, "ready")
 BROKEN = plain(500, "an error in the proxy")
@@ -41,6 +47,9 @@
 # Sound limits of what a caller may say; more is absurd.
 LONGEST_WAIT = 3600 * 1_000_000
 UNITS = {b"m": 1000, b"u": 1}
+# The ends of a transmission that tell of the time that work takes.
+WORKED = ("done", "error", "timed out", "reset")
+ENDS = {BOUNCE: "bounced", SCRAP: "scrapped"}
 # The ends of a transmission whose answer is the ticket's.
 PASSED_ON = ("done", "turned away")
 NUMBER = re.compile(rb"[0-9]{1,16}(\.[0-9]{1,16})?")
@@ -99,17 +108,19 @@
 
 
 class Proxy:
-    def __init__(self, told: Told, again: Callable[[], Told]) -> None:
+    def __init__(self, told: Told, again: Callable[[], Told], own: Callable[[Ground, Log], House] | None = None) -> None:
         self._told = told
         self._again = again
         self._log = Log(told.name)
+        self._house = own(told.ground, self._log) if own is not None else None
         self._pool = Pool(256)
         self._budget = Budget(_descriptors(told.sockets))
         self._facade = Facade(told.ground, clock.now(), self._log.say)
         # Callers first: where descriptors run out, it is theirs that are closed first, since they cost least.
         self._callers = Callers(self._handle, self._budget, self._pool, self._log, told.ground.longest_wait)
         self._backends = Backends(self._budget, self._pool, told.connect_within, told.idle_most)
-        self._discovery = Discovery(told.discovery, self._facade, self._backends, self._log)
+        self._discovery = Discovery(told.discovery, self._facade, self._backends, self._log,
+                                    self._house.standing.overlay.lines if self._house is not None else None)
         self._names: set[bytes] = set()   # of the tickets in hand; emptied as they end
         self._stopping = asyncio.Event()
         self.port = 0
@@ -170,7 +181,16 @@
         if given := told.get(b"work-hint"):
             cost = _span("Work-Hint", given, 1, "a number")
         call.ticket = True
-        ticket = self._facade.take(use_case, told.get(b"tenant", b"").decode("latin-1"), call.came, wait, cost)
+        customer = told.get(b"tenant", b"").decode("latin-1")
+        passed = None
+        if self._house is not None:
+            passed = self._house.ask(call.request, use_case, customer, wait, self._facade.outer_of(use_case))
+            if not await self._house.admit(passed, call):
+                return self._house.refusal(passed)
+            wait = passed.terms.wait(wait)
+        ticket = self._facade.take(use_case, customer, call.came, wait, cost)
+        if passed is not None:
+            self._facade.narrow(ticket, passed.terms.most)
         onward = [pair for pair in end_to_end(headers) if pair[0] != b"request-timeout"]
         out: Transmission | None = None
 
@@ -179,7 +199,7 @@
                 out.give_up("called off")
 
         call.on_leave = leave
-        how, answer = "", None
+        how, answer, end = "", None, "left"
         try:
             step = self._facade.pick(ticket, clock.now())
             while step.what in (SEND, HOLD):
@@ -189,16 +209,26 @@
                     step = self._facade.pick(ticket, clock.now())
                     continue
                 out = Transmission()
-                wait_on = (b"request-timeout", b"%du" % max(1, step.wait))
+                patience = step.wait
+                if passed is not None and self._house is not None:
+                    patience = self._house.goes(passed, ticket, step.wait)
+                wait_on = (b"request-timeout", b"%du" % max(1, patience))
                 how, answer = await self._backends.transmit(
-                    step.backend, Request(method, target, [*onward, wait_on], body), out, clock.now() + step.wait,
+                    step.backend, Request(method, target, [*onward, wait_on], body), out, clock.now() + patience,
                     lambda: self._facade.stands(ticket, clock.now()))
                 self._count(how)
-                step = self._facade.report(ticket, how, clock.now())
-            return self._answer(step, how, answer)
+                again = passed is None or self._house is None or self._house.again(passed, how)
+                step = self._facade.report(ticket, how, clock.now(), again)
+                if passed is not None and self._house is not None and again and step.what != SEND:
+                    self._house.unspent(passed, how)
+            end = "done" if how == "done" else ENDS.get(step.what, "left")
+            answered = self._answer(step, how, answer)
+            return answered if passed is None or self._house is None else self._house.named(passed, answered)
         finally:
             call.on_leave = None
             self._facade.settle(ticket, clock.now())
+            if passed is not None and self._house is not None:
+                self._house.over(passed, end, how in WORKED)
 
     def _answer(self, step: Step, how: str, answer: Answer | None) -> Answer | None:
         if how in PASSED_ON and answer is not None:
@@ -229,6 +259,8 @@
         # Without a handler it ends the process, and with it every ticket in hand.
         loop.add_signal_handler(signal.SIGHUP, self.tell_anew)
         self.port = self._callers.listen(self._told.listen)
+        if self._house is not None:
+            await self._house.start(self._facade, self._stopping)
         self._discovery.start()
         sweep = loop.create_task(self._sweep())
         pace = loop.create_task(self._pace())
@@ -240,6 +272,8 @@
         self._log.say(f"serving at {self._told.listen[0]}:{self.port}")
         await self._stopping.wait()
         await self._drain()
+        if self._house is not None:
+            self._house.stop()
         self._discovery.stop()
         sweep.cancel()
         pace.cancel()
@@ -257,6 +291,8 @@
             return
         self._log.say(f"configuration read anew, discovery at {told.discovery[0]}:{told.discovery[1]}")
         self._discovery.turn_to(told.discovery)
+        if self._house is not None:
+            self._house.hang_up()
 
     async def _drain(self) -> None:
         """Accepts to the last: what the kernel takes on our behalf is ours.
@@ -270,6 +306,8 @@
         self._log.say(f"stopping, {self._facade.in_hand} tickets in hand")
         last = killed - GIVEN_UP
         self._facade.close_at(clock.now() + round(last * 1e6))
+        if self._house is not None:
+            self._house.standing.close_at(clock.now() + round(last * 1e6))
         loop.call_later(last, self._backends.give_up_all, "timed out")
         await asyncio.sleep(STILL_COMING)
         while (passed := loop.time() - began) < killed - ENDED and self._callers.open:
@@ -305,6 +343,6 @@
             self._log.say(f"did not hold {count} times: {what}")
 
 
-def run(told: Told, again: Callable[[], Told]) -> None:
-    """`again` reads the configuration anew."""
-    asyncio.run(Proxy(told, again).serve())
+def run(told: Told, again: Callable[[], Told], own: Callable[[Ground, Log], House] | None = None) -> None:
+    """`again` reads the configuration anew; `own` makes what our own file has the proxy do, where there is one."""
+    asyncio.run(Proxy(told, again, own).serve())
--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -87,7 +87,7 @@
     # --- where to send this ticket ----------------------------------------------------------------
 
     def where(self, ticket: Ticket, now: int) -> Backend | int:
-        if ticket.over or ticket.until - now <= 0 or len(ticket.transmissions) >= self._most:
+        if ticket.over or ticket.until - now <= 0 or len(ticket.transmissions) >= min(self._most, ticket.most):
             return self._no(ticket, now)
         first, use = not ticket.transmissions, ticket.use_case
         self._young = self._young and self._age(self._young, now)
@@ -252,7 +252,7 @@
 
     def _may_repeat(self, ticket: Ticket, now: int) -> bool:
         use, left = ticket.use_case, self._useful_until(ticket) - now
-        if left < use.usual // 2 or left <= 0 or len(ticket.transmissions) >= self._most:
+        if left < use.usual // 2 or left <= 0 or len(ticket.transmissions) >= min(self._most, ticket.most):
             return False
         return use.repeat != SINGLE_USE or self._anchor(ticket) is None
 
@@ -315,7 +315,7 @@
     def _patience(self, ticket: Ticket, now: int) -> int:
         use = ticket.use_case
         left = max(1, self._useful_until(ticket) - now)
-        if len(ticket.transmissions) + 1 >= self._most or use.repeat == SINGLE_USE:
+        if len(ticket.transmissions) + 1 >= min(self._most, ticket.most) or use.repeat == SINGLE_USE:
             return left
         # Never under half of what is left: a call carries what its caller allows, so a short patience here
         # becomes time-outs and errors at every tier below, and where nothing stops the work it is
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -34,6 +34,9 @@
 SCOPE_ZONE = 31
 SCOPE_CELL = 32
 
+# Over what any ground allows; a ticket's own figure narrows it.
+MOST = 1 << 20
+
 # A breaker's states.
 CLOSED = 40
 OPEN = 41
@@ -145,9 +148,12 @@
 
 
 class Ticket:
-    """One ticket in hand. `until` is its outer limit; `over` once it has had its final answer or its client left."""
+    """One ticket in hand. `until` is its outer limit; `over` once it has had its final answer or its client left.
+
+    `most` is how often it may go out, where that is less than the ground allows.
+    """
 
-    __slots__ = ("use_case", "customer", "came", "until", "cost", "transmissions", "over", "pause")
+    __slots__ = ("use_case", "customer", "came", "until", "cost", "transmissions", "over", "pause", "most")
 
     def __init__(self, use_case: UseCase, customer: Customer | None, came: int, until: int, cost: float = 0.0) -> None:
         self.use_case = use_case
@@ -158,6 +164,7 @@
         self.transmissions: list[Transmission] = []
         self.over = False
         self.pause = 0
+        self.most = MOST
 
 
 class Ground:
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import difflib
+import functools
 import json
 import os
 import tempfile
@@ -188,7 +189,8 @@
 class Street(Kept, unittest.IsolatedAsyncioTestCase):
     """A whole proxy on loopback between a toy client, toy backends and a toy discovery."""
 
-    async def open(self, *names: str, **changes: object) -> None:
+    async def open(self, *names: str, own: str | None = None, **changes: object) -> None:
+        """`own` is the text of the proxy's own file, at `own_file`."""
         self.lines = []
         self.logged: list[str] = []
         self.toys = {name: Toy(name, self.lines) for name in names}
@@ -203,8 +205,16 @@
         self.given = json.dumps(given)
         read = self.read_again()
         read.listen = ("127.0.0.1", 0)
-        self.proxy = Proxy(read, self.read_again)
-        self.proxy._log.say = self.logged.append
+        house = None
+        if own is not None:
+            from pepperusher.net.house import House
+            folder = tempfile.TemporaryDirectory()
+            self.addCleanup(folder.cleanup)
+            self.own_file = Path(folder.name) / "own.toml"
+            self.own_file.write_text(own.replace("HERE", folder.name))
+            house = functools.partial(House, self.own_file, {})
+        self.proxy = Proxy(read, self.read_again, house)
+        self.proxy._log.say = lambda line, figures=None: self.logged.append(f"{line} {figures}" if figures else line)
         self.serving = asyncio.create_task(self.proxy.serve())
         await self.until(lambda: self.proxy.port and (self.watches or not names))
 
--- /dev/null
+++ b/tests/test_house.py
@@ -0,0 +1,421 @@
+"""The proxy under its own file, whole and on loopback: limits, changes and the control socket, with their failures."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import json
+import os
+import signal
+import socket
+import stat
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from pepperusher.__main__ import main
+from pepperusher.changes.ledger import LedgerError
+from pepperusher.control import client
+from pepperusher.own.reading import OwnError
+
+from tests.scene import Street, configuration
+
+WATCH = '[changes]\nwatch = "2s"\nleast = 20\n[said]\nversion = true\n'
+UNWATCHED = WATCH.replace('"2s"', '"1m"').replace("least = 20", "least = 100000")
+SLOW = WATCH + '[[routes]]\nname = "all"\ntime_out = "300ms"\n'
+CONTROL = '[control]\nsocket = "HERE/control"\nwithin = "400ms"\nconnections = 3\n'
+
+
+class Counting:
+    """A backend that answers after a while, and notes of each ticket how often it came and with which wait."""
+
+    def __init__(self, after: float) -> None:
+        self.after = after
+        self.came: dict[str, list[tuple[float, int]]] = {}
+
+    async def open(self) -> None:
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0, backlog=2000)
+        self.port = self.server.sockets[0].getsockname()[1]
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+                fields = dict(line.split(": ", 1) for line in head.strip().split("\r\n")[1:])
+                await reader.readexactly(int(fields.get("content-length", 0)))
+                self.came.setdefault(fields["request-id"], []).append((time.monotonic(), int(fields["request-timeout"][:-1])))
+                await asyncio.sleep(self.after)
+                writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        except (asyncio.IncompleteReadError, OSError):
+            writer.close()
+
+
+class House(Street):
+    async def stand(self, own: str, after: float = 0.02, *names: str) -> None:
+        asyncio.get_running_loop().set_debug(False)   # three times as slow, and it is the time that these turn on
+        await self.open(own=own, limits={"sockets": 8000})
+        self.backends = {name: Counting(after) for name in names or ("a1", "b1")}
+        for one in self.backends.values():
+            await one.open()
+        self.toys = self.backends   # type: ignore[assignment]
+        await self.until(lambda: self.watches)
+        self.news(2, *(self.line(name) for name in self.backends), full=True)
+        await self.until(lambda: len(self.proxy._facade.backends()) == len(self.backends))
+        assert self.proxy._house is not None
+        self.house = self.proxy._house
+        self.number = 0
+
+    async def one(self, use: str = "look", more: str = "", left: int = 1500) -> tuple[str, str, str]:
+        """A ticket on a connection of its own: its id, its status and the version that its answer names."""
+        self.number += 1
+        name = str(self.number)
+        reader, writer = await self.connect()
+        writer.write(self.request(use, int(name), left=left, more=more))
+        head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+        writer.close()
+        fields = dict(line.split(": ", 1) for line in head.strip().split("\r\n")[1:])
+        return name, head.split()[1], fields.get("terms-version", "")
+
+    async def traffic(self, ends: list[tuple[float, str]], every: float = 0.02) -> None:
+        async def one() -> None:
+            _, status, _ = await self.one()
+            ends.append((time.monotonic(), status))
+
+        async with asyncio.TaskGroup() as tasks:
+            while True:
+                tasks.create_task(one())
+                await asyncio.sleep(every)
+
+    def came(self, name: str) -> list[tuple[float, int]]:
+        return [one for backend in self.backends.values() for one in backend.came.get(name, ())]
+
+    async def test_a_bad_change_is_undone_within_5_s_and_sends_nothing_again(self) -> None:
+        await self.stand(WATCH, 0.05)
+        ends: list[tuple[float, str]] = []
+        going = asyncio.create_task(self.traffic(ends))
+        await asyncio.sleep(1.0)
+        began = time.monotonic()
+        change = await self.house.propose_text(WATCH + '[[routes]]\nname = "all"\ntime_out = "5ms"\ntransmissions = 1\n', "ops", "faster")
+        self.assertEqual(change.state, "applied")
+        async with asyncio.timeout(5):
+            while change.state != "undone":
+                await asyncio.sleep(0.01)
+        took = time.monotonic() - began
+        self.assertLess(took, 5.0)
+        self.assertRegex(change.steps[-1].why, "(scrapped|bounced) went from 0.0% to")
+        sent = {name: len(self.came(name)) for name in map(str, range(1, self.number + 1))}
+        await asyncio.sleep(1.5)
+        going.cancel()
+        await asyncio.gather(going, return_exceptions=True)
+        self.assertEqual({status for at, status in ends if at < began}, {"200"})
+        self.assertIn("503", {status for at, status in ends if began < at < began + took})
+        # Breakers that the bad change opened may still be so; what was answered by then never went out again.
+        answered = [name for name, count in sent.items() if count]
+        self.assertEqual([name for name in answered if len(self.came(name)) > max(1, sent[name])], [])
+        self.assertTrue(any("undone" in line for line in self.logged))
+
+    async def test_a_thousand_in_flight_over_an_apply_and_an_undo_show_no_mixture(self) -> None:
+        # Forty at a time go out; the rest are in hand at the gate, each under the terms that it came with.
+        held = '[[routes]]\nname = "all"\nconcurrency = { most = 40, queue = 2000 }\n'
+        await self.stand(UNWATCHED + held, 0.1, *(f"{letter}1" for letter in "abcdefgh"))
+        most = 0
+
+        async def burst(count: int) -> list[asyncio.Task[tuple[str, str, str]]]:
+            nonlocal most
+            made = [asyncio.create_task(self.one(left=9000)) for _ in range(count)]
+            gate = self.house.standing.gates()[0]
+            while gate["inside"] + gate["waiting"] < most + count * 0.6:
+                await asyncio.sleep(0.01)
+                gate = self.house.standing.gates()[0]
+            most = gate["inside"] + gate["waiting"]
+            return made
+
+        tasks = await burst(400)
+        change = await self.house.propose_text(UNWATCHED + held + 'time_out = "300ms"\n', "ops", "shorter")
+        tasks += await burst(300)
+        await self.house.undo(change.number, "ops", "and back")
+        tasks += await burst(300)
+        ends = await asyncio.gather(*tasks)
+        self.assertGreater(most, 500)
+        # Some that waited long are bounced by the decisions, as they can't be in time: answered all the same.
+        self.assertLessEqual({status for _, status, _ in ends}, {"200", "503"})
+        self.assertGreater(sum(status == "200" for _, status, _ in ends), 400)
+        self.assertEqual(collections.Counter(version for _, _, version in ends), {"1": 400, "2": 300, "3": 300})
+        waits: dict[str, set[int]] = {"1": set(), "2": set(), "3": set()}
+        for name, _, version in ends:
+            waits[version] |= {wait for _, wait in self.came(name)}
+        # The second's time-out, to the microsecond, is seen under it and under no other.
+        self.assertLessEqual(max(waits["2"]), 300_000)
+        self.assertIn(300_000, waits["2"])
+        self.assertNotIn(300_000, waits["1"] | waits["3"])
+        self.assertGreater(max(waits["1"]), 300_000)
+        await self.until(lambda: self.proxy._facade.in_hand == 0)
+        self.assertEqual(list(self.house.standing.versions), [3])
+
+    async def test_a_drain_told_just_before_an_apply_holds_through_it_and_its_undo(self) -> None:
+        await self.stand(WATCH)
+        ends: list[tuple[float, str]] = []
+        going = asyncio.create_task(self.traffic(ends, 0.005))
+        await asyncio.sleep(0.3)
+        self.news(3, self.line("a1", "draining"))
+        told = time.monotonic()
+        await asyncio.sleep(0.01)
+        change = await self.house.propose_text(WATCH + '[[backends]]\nid = "a1"\nweight = 5.0\n', "ops", "more to a1")
+        await asyncio.sleep(0.3)
+        await self.house.undo(change.number, "ops", "no")
+        await asyncio.sleep(0.5)
+        going.cancel()
+        await asyncio.gather(going, return_exceptions=True)
+        latest = max(at for times in self.backends["a1"].came.values() for at, _ in times)
+        self.assertLess(latest - told, 0.5)
+        self.assertGreater(sum(at > told + 0.5 for at, status in ends if status == "200"), 20)
+
+    async def test_a_mark_drains_and_its_end_lifts_it(self) -> None:
+        await self.stand(WATCH)
+        change = await self.house.drain("a1", False, "ops", "a look at it")
+        await asyncio.gather(*(self.one() for _ in range(20)))
+        self.assertEqual(self.backends["a1"].came, {})
+        with self.assertRaisesRegex(LedgerError, "confirm or undo it first"):
+            await self.house.drain("b1", False, "ops", "")
+        await self.house.confirm(change.number, "ops", "fine")
+        with self.assertRaisesRegex(LedgerError, "no backend that is listed"):
+            await self.house.drain("z9", False, "ops", "")
+        await self.house.drain("a1", True, "ops", "well again")
+        await asyncio.gather(*(self.one() for _ in range(20)))
+        self.assertGreater(len(self.backends["a1"].came), 5)
+
+    async def test_limits_turn_away_at_once_and_say_when_to_come_back(self) -> None:
+        await self.stand(WATCH + '[[routes]]\nname = "all"\nconcurrency = { most = 2, queue = 2 }\n'
+                         '[[routes]]\nname = "book"\nmatch = { path = "/book/{x*}" }\nrate = { per_customer = 1.0, burst = 2.0 }\n', 0.3)
+        began = time.monotonic()
+        ends = await asyncio.gather(*(self.one() for _ in range(8)))
+        self.assertEqual(sorted(status for _, status, _ in ends), ["200"] * 4 + ["503"] * 4)
+        self.assertLess(time.monotonic() - began, 1.2)
+        ends = await asyncio.gather(*(self.one("book", "Tenant: t\r\n") for _ in range(4)))
+        self.assertEqual(sorted(status for _, status, _ in ends), ["200", "200", "429", "429"])
+        # One that waits and whose client leaves is no longer there.
+        inside = [asyncio.create_task(self.one()) for _ in range(2)]
+        gates = self.house.standing.gates
+        await self.until(lambda: gates()[0]["inside"] == 2)
+        reader, writer = await self.connect()
+        writer.write(self.request("look", 999))
+        await self.until(lambda: gates()[0]["waiting"] == 1)
+        writer.close()
+        await self.until(lambda: gates()[0]["waiting"] == 0)
+        await asyncio.gather(*inside)
+        self.assertNotIn("999", self.backends["a1"].came | self.backends["b1"].came)
+        self.assertEqual((gates()[0]["inside"], self.proxy._facade.in_hand), (0, 0))
+
+    async def test_a_stop_answers_those_that_wait(self) -> None:
+        await self.stand(WATCH + '[[routes]]\nname = "all"\nconcurrency = { most = 1, queue = 50 }\n', 1.0)
+        tasks = [asyncio.create_task(self.one(left=9000)) for _ in range(10)]
+        await self.until(lambda: self.house.standing.gates()[0]["waiting"] == 9)
+        self.proxy.stop()
+        ends = await asyncio.gather(*tasks)
+        self.assertEqual({status for _, status, _ in ends} - {"200", "503"}, set())
+
+    async def test_sighup_proposes_the_file_and_a_bad_one_is_not_taken(self) -> None:
+        await self.stand(WATCH)
+        self.own_file.write_text(WATCH + "[[routes]]\nname = 'r'\ntransmissions = 5\nsecond_copy = true\n")
+        self.proxy.tell_anew()
+        await self.until(lambda: sum("not taken" in line for line in self.logged) >= 2)
+        self.own_file.write_text(SLOW)
+        self.proxy.tell_anew()
+        await self.until(lambda: self.house.standing.version.number == 2)
+        self.assertEqual(self.house.standing.ledger.open.steps[0].who, "SIGHUP")
+        with self.assertRaises(OwnError):
+            await self.house.propose_text("a = ", "ops", "")
+        with self.assertRaisesRegex(LedgerError, r"change 1 \(\w+\) of SIGHUP is applied"):
+            await self.house.propose_text(WATCH + "[weights]\na = 2\n", "ops", "")
+
+    async def test_a_change_that_waited_is_checked_anew_and_follows(self) -> None:
+        await self.stand(WATCH.replace("least = 20", "least = 20\nwait = true"))
+        text = self.house.standing.version.read.text
+        first = await self.house.propose_text(text + "[weights]\na = 2\n", "one", "")
+        second = await self.house.propose_text(text + "[weights]\na = 3\n", "two", "")
+        third = await self.house.propose_text(text + "[weights]\na = 3\n# the same\n", "three", "")
+        self.assertEqual((first.state, second.state), ("applied", "proposed"))
+        await self.house.undo(first.number, "one", "")
+        self.assertEqual(second.state, "applied")
+        await self.house.confirm(second.number, "two", "")
+        self.assertEqual((third.state, third.steps[-1].why), ("undone", "it is what stands already"))
+
+    # --- the control socket -----------------------------------------------------------------------
+
+    async def told(self, path: str, *lines: bytes) -> list[bytes]:
+        reader, writer = await asyncio.open_unix_connection(path)
+        writer.write(b"".join(lines))
+        async with asyncio.timeout(5):
+            got = (await reader.read()).splitlines()
+        writer.close()
+        return got
+
+    async def test_clients_that_hang_flood_or_send_noise_cost_their_own_connection_alone(self) -> None:
+        await self.stand(WATCH + CONTROL)
+        path = str(self.own_file.parent / "control")
+        self.assertEqual(stat.S_IMODE(os.stat(path).st_mode), 0o600)
+        for noise, answer in ((b"\xff\xfe\x00noise\n", "is not JSON"), (b"[" * 100_000 + b"\n", "is not JSON"), (b"3\n", "is no"),
+                              (b'{"do": "explode"}\n', "none of status"), (b'{"do": "undo", "number": "x"}\n', "wrong form"),
+                              (b'{"do": "undo", "number": true}\n', "wrong form"), (b'{"do": "status", "x": 1}\n', "no word of status"),
+                              (b'{"do": "undo"}\n{"do": "none"}\n', "no change is open"), (b'{"do": "drain"}\n', "no backend that is listed"),
+                              (b"x" * (1 << 20) + b"x\n", "a line of over")):
+            with self.subTest(noise=noise[:40]):
+                got = json.loads((await self.told(path, noise))[0])
+                self.assertFalse(got["ok"])
+                self.assertIn(answer, got["why"])
+        hanging = [await asyncio.open_unix_connection(path) for _ in range(3)]
+        await asyncio.sleep(0.05)
+        self.assertIn("3 are connected already", (await self.told(path, b""))[0].decode())
+        # One that asks and never reads, one that says half a line: both are ended, and tickets do not notice.
+        hanging[0][1].write(b'{"do": "backends"}\n' * 20_000)
+        hanging[1][1].write(b'{"do": ')
+        began = time.monotonic()
+        ends = [await self.one() for _ in range(20)]
+        self.assertEqual({status for _, status, _ in ends}, {"200"})
+        self.assertLess(time.monotonic() - began, 20 * 0.1)
+        await asyncio.sleep(0.6)
+        for _, writer in hanging:
+            writer.close()
+        await asyncio.sleep(0.5)
+        self.assertTrue(json.loads((await self.told(path, b'{"do": "status"}\n'))[0])["ok"])
+
+    async def test_the_socket_is_not_taken_from_another_proxy(self) -> None:
+        await self.stand(WATCH + CONTROL)
+        from pepperusher.control.socket import Control, ControlError
+        path = str(self.own_file.parent / "control")
+        with self.assertRaisesRegex(ControlError, "another proxy answers there"):
+            await Control(path, 1, 1.0, None, lambda *_, **__: None).listen()   # type: ignore[arg-type]
+        plain = str(self.own_file)
+        with self.assertRaisesRegex(ControlError, "something else stands there"):
+            await Control(plain, 1, 1.0, None, lambda *_, **__: None).listen()   # type: ignore[arg-type]
+
+
+class Processes(unittest.TestCase):
+    """`serve` as a process, with ctl: killed in each state of a change."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.at = Path(folder.name)
+        self.own = self.at / "own.toml"
+        self.socket = str(self.at / "control")
+        self.first = f'[control]\nsocket = "{self.socket}"\n[changes]\nstate = "{self.at}/state"\nconfirm = "by hand"\nwatch = "1h"\n'
+        self.own.write_text(self.first)
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            port = free.getsockname()[1]
+        (self.at / "p.json").write_text(json.dumps(configuration(listen=f"127.0.0.1:{port}")))
+        self.process: subprocess.Popen[str] | None = None
+        self.addCleanup(self.kill)
+
+    def start(self, *more: str) -> None:
+        self.process = subprocess.Popen([sys.executable, "-m", "pepperusher", "serve", "--config", str(self.at / "p.json"),
+                                         "--own", str(self.own), *more], stderr=subprocess.PIPE, text=True)
+        until = time.monotonic() + 10
+        while True:
+            try:
+                client.ask(self.socket, "status")
+                return
+            except client.Refused:
+                self.assertLess(time.monotonic(), until)
+                self.assertIsNone(self.process.poll())
+                time.sleep(0.02)
+
+    def kill(self) -> str:
+        if self.process is None:
+            return ""
+        self.process.send_signal(signal.SIGKILL)
+        _, said = self.process.communicate()
+        self.process = None
+        return said
+
+    def ctl(self, *words: str, ends: int = 0) -> str:
+        done = CliRunner().invoke(main, ["ctl", "--socket", self.socket, *words])
+        self.assertEqual(done.exit_code, ends, done.output)
+        return done.output
+
+    def test_killed_in_each_state_it_starts_with_the_last_confirmed(self) -> None:
+        self.start()
+        digest = client.ask(self.socket, "status")["digest"]
+        second = self.first + "[weights]\na = 2.0\n"
+        self.own.write_text(second)
+        self.assertIn(": applied", self.ctl("propose", "--why", "to try"))
+        changed = client.ask(self.socket, "status")["digest"]
+        self.assertNotEqual(changed, digest)
+        self.kill()   # applied, and not confirmed
+        self.start()
+        self.assertEqual(client.ask(self.socket, "status")["digest"], digest)
+        self.assertIn(": applied", self.ctl("propose"))
+        self.assertIn(": undone", self.ctl("undo"))
+        self.kill()   # undone
+        self.start()
+        self.assertEqual(client.ask(self.socket, "status")["digest"], digest)
+        self.ctl("propose")
+        self.assertIn(": confirmed", self.ctl("confirm", "--why", "looks well"))
+        self.kill()   # confirmed
+        self.start()
+        self.assertEqual(client.ask(self.socket, "status")["digest"], changed)
+        # A mark that was written and not yet applied: staged.
+        from pepperusher.changes.kept import Kept as OnDisk
+        third = self.first + "[weights]\na = 3.0\n"
+        self.kill()
+        self.own.write_text(third)
+        OnDisk(self.at / "state").open(9, third)
+        self.start()
+        self.assertEqual(client.ask(self.socket, "status")["digest"], changed)
+        self.assertIn("started with the last confirmed file", self.kill())
+
+    def test_ctl_speaks_to_people_and_to_programs(self) -> None:
+        self.start("--set", "said.form=json")
+        self.assertRegex(self.ctl("status"), r"^version 1 \(\w{12}\), program \S+, 0 tickets in hand")
+        self.assertEqual(json.loads(self.ctl("--json", "breakers")), {"ok": True, "breakers": []})
+        for listing in ("backends", "tickets", "history"):
+            self.assertEqual(self.ctl(listing), "none\n")
+        bad = self.at / "bad.toml"
+        bad.write_text("[[routes]]\nname = 'r'\ntransmissions = 9\nsecond_copy = true\n")
+        said = self.ctl("propose", str(bad), ends=1)
+        self.assertIn("what is proposed:3: routes[0].transmissions: 9 is not from 1 to 3 [three transmissions]", said)
+        self.assertIn("what is proposed:4: routes[0].second_copy", said)
+        self.assertIn("none.toml: No such file", self.ctl("propose", "none.toml", ends=1))
+        self.assertIn("no change is open", self.ctl("undo", ends=1))
+        good = self.at / "good.toml"
+        good.write_text(self.first + "[weights]\na = 2.0\n")
+        self.ctl("propose", str(good), "--why", "a try")
+        self.assertRegex(self.ctl("history"), r"change 1 \(\w+\): applied\n.*proposed by \w+: a try\n.*staged by the proxy")
+        self.assertIn("since: 0 done", self.ctl("status"))
+        lines = [json.loads(line) for line in self.kill().splitlines()]
+        self.assertIn({"event": "change", "state": "applied", "number": 1}.items(),
+                      [{key: line.get(key) for key in ("event", "state", "number")}.items() for line in lines])
+
+    def test_a_file_that_is_not_taken_ends_a_start_with_all_that_is_wrong(self) -> None:
+        self.own.write_text("[chnages]\n[[routes]]\nname = 'r'\ntime_out = '9s'\n")
+        done = subprocess.run([sys.executable, "-m", "pepperusher", "serve", "--config", str(self.at / "p.json"), "--own", str(self.own)],
+                              capture_output=True, text=True, timeout=20)
+        self.assertEqual(done.returncode, 1)
+        self.assertIn("own.toml:1: chnages: not known here; did you mean changes? [known key]", done.stderr)
+        self.assertNotIn("Traceback", done.stderr)
+
+    def test_check_explain_and_schema(self) -> None:
+        call = CliRunner().invoke
+        done = call(main, ["check", str(self.at / "p.json"), "--own", str(self.own), "--set", "changes.least=7"])
+        self.assertEqual(done.exit_code, 0, done.output)
+        self.assertRegex(done.output, r"changes.watch +\"1h\"  \[file\]")
+        self.assertRegex(done.output, r"changes.least +7  \[command line\]")
+        self.own.write_text("[[routes]]\nname = 'r'\nuse_case = 'loock'\nsecond_copy = true\n")
+        done = call(main, ["check", str(self.at / "p.json"), "--own", str(self.own)])
+        self.assertEqual(done.exit_code, 1)
+        self.assertIn("own.toml:3: routes[0].use_case: the settings have no loock [known use case]", done.output)
+        self.assertIn("2 wrong", done.output)
+        self.assertIn("a whole number; default none", call(main, ["explain", "routes.transmissions"]).output)
+        self.assertIn("did you mean routes.rate", call(main, ["explain", "routes.rat"]).output)
+        self.assertIn('rule "one at a time"', call(main, ["explain"]).output)
+        self.assertEqual(json.loads(call(main, ["schema"]).output)["title"], "pepperusher's own file")
+
+
+if __name__ == "__main__":
+    unittest.main()
