--- a/pepperusher/__main__.py
+++ b/pepperusher/__main__.py
@@ -5,7 +5,6 @@
 import sys
 from functools import partial
 from importlib import import_module
-from pathlib import Path
 from types import ModuleType
 
 import click
@@ -68,14 +67,14 @@
           given: tuple[str, ...]) -> None:
     """Serve until SIGTERM or SIGINT, then answer what is in hand and end.
 
-    SIGHUP reads the configuration anew, goes over to the discovery that stands in it, and proposes the own file as it
-    stands then.
+    SIGHUP reads the configuration anew, goes over to the discovery that stands in it, and proposes the own
+    file as it stands then.
     """
     read = _read(config, name=name, listen=listen, discovery=discovery)
     house = None
     if own is not None:
         module = later("pepperusher.net.house", "own")
-        house = partial(module.House, Path(own), module.given_of(given))
+        house = partial(module.House, own, module.given_of(given))
     elif given:
         raise click.ClickException("--set: there is no --own file whose values it could replace")
 
--- a/pepperusher/changes/kept.py
+++ b/pepperusher/changes/kept.py
@@ -1,7 +1,8 @@
 """The last confirmed file on disk, and the mark of a change that is not; each replaced at once, and synced.
 
-At a start: while the mark of an open change stands and the file is still the one it proposed, the last confirmed counts, since the proxy
-ended before that was confirmed. A file that was written since is the operators' newer word, and counts.
+At a start: while the mark of an open change stands and the file is still the one it proposed, the last
+confirmed counts, since the proxy ended before that was confirmed. A file that was written since is the
+operators' newer word, and counts.
 """
 
 from __future__ import annotations
@@ -75,6 +76,7 @@
         _replace(self._folder / OPEN, json.dumps({"number": "undone", "text": text}).encode())
 
     def restore(self, text: str) -> None:
-        """What is confirmed, as it was: a confirming that was overtaken by an undo may have written the other."""
+        """What is confirmed, as it was: a confirming that was overtaken by an undo may have written the
+        other."""
         if not (self._folder / CONFIRMED).exists() or (self._folder / CONFIRMED).read_text() != text:
             _replace(self._folder / CONFIRMED, text.encode())
--- a/pepperusher/changes/ledger.py
+++ b/pepperusher/changes/ledger.py
@@ -1,8 +1,8 @@
 """The life of a change: proposed, staged, applied, confirmed or undone; one at a time; free of I/O.
 
-Whoever calls does what an answer says (write the state, apply the terms) and tells the ledger when it is done. What is
-proposed while another is open is refused by that one's name, or waits for it where the file says so; it is never merged, and one
-that waited is checked anew against what stands when its turn comes.
+Whoever calls does what an answer says (write the state, apply the terms) and tells the ledger when it is
+done. What is proposed while another is open is refused by that one's name, or waits for it where the file
+says so; it is never merged, and one that waited is checked anew against what stands when its turn comes.
 """
 
 from __future__ import annotations
@@ -30,7 +30,8 @@
 
 
 class Change:
-    """`what` is whatever the caller proposed; the ledger never looks into it. `name` is what it is called by."""
+    """`what` is whatever the caller proposed; the ledger never looks into it. `name` is what it is called
+    by."""
 
     __slots__ = ("number", "name", "what", "steps")
 
--- a/pepperusher/changes/overlay.py
+++ b/pepperusher/changes/overlay.py
@@ -1,7 +1,7 @@
 """The list of backends as discovery tells it, narrowed by the marks of our own file; free of I/O.
 
-A mark can drain a backend or change its weight. It never lifts what discovery told: a backend is ready where both say so,
-and every word of discovery's goes through at once, whatever change is open.
+A mark can drain a backend or change its weight. It never lifts what discovery told: a backend is ready where
+both say so, and every word of discovery's goes through at once, whatever change is open.
 """
 
 from __future__ import annotations
@@ -39,7 +39,8 @@
         return made
 
     def turn(self, marks: Mapping[str, Mark]) -> list[Entry]:
-        """Other marks from now on; the lines that change by it, of backends that discovery has as ready alone."""
+        """Other marks from now on; the lines that change by it, of backends that discovery has as ready
+        alone."""
         before = {name: self._marked(entry) for name, entry in self._told.items()}
         self._marks = marks
         return [after for name, entry in self._told.items() if (after := self._marked(entry)) != before[name]]
--- a/pepperusher/changes/standing.py
+++ b/pepperusher/changes/standing.py
@@ -1,7 +1,8 @@
 """What stands now: the version in force, the gates it has, and changes to it; free of I/O.
 
-A ticket is admitted by `ask`, and told out by `over`; between them it goes by the version it began with. Gates, rates
-and retry budgets belong to a route's name and live on over versions: a change of a limit lets none go that are in.
+A ticket is admitted by `ask`, and told out by `over`; between them it goes by the version it began with.
+Gates, rates and retry budgets belong to a route's name and live on over versions: a change of a limit lets
+none go that are in.
 """
 
 from __future__ import annotations
@@ -31,7 +32,8 @@
 
 
 class Pass:
-    """One ticket's way in. `how` is IN, WAITS, FULL, LATE or RATE; `advice` when to come back (us) where it is refused."""
+    """One ticket's way in. `how` is IN, WAITS, FULL, LATE or RATE; `advice` when to come back (us) where it
+    is refused."""
 
     __slots__ = ("version", "terms", "customer", "how", "advice", "came", "entered", "until", "waiting", "over", "inside")
 
@@ -63,7 +65,8 @@
 
 
 class Standing:
-    """`list_again` takes lines for the decisions where marks change them; `say` takes a log line with its figures."""
+    """`list_again` takes lines for the decisions where marks change them; `say` takes a log line with its
+    figures."""
 
     def __init__(self, read: Read, now: int, list_again: Callable[[list[Entry]], None],
                  say: Callable[..., None]) -> None:
@@ -84,7 +87,8 @@
 
     def ask(self, method: str, target: str, host: str, headers: Mapping[str, str], use_case: str, customer: str,
             given: int | None, usual_wait: int, now: int) -> Pass:
-        """`given` is how long its client said that it waits, `usual_wait` what its use case's clients do (us)."""
+        """`given` is how long its client said that it waits, `usual_wait` what its use case's clients do
+        (us)."""
         version = self.version
         terms = version.terms(method, target, host, headers, use_case)
         wait = terms.wait(given)
@@ -168,8 +172,8 @@
                 held.gate.close_at(latest)
 
     def over(self, made: Pass, end: str, worked: bool, now: int) -> None:
-        """The last word on a ticket: `end` is done, bounced, scrapped, or left (which tells nothing); `worked` where its time
-        tells of the servers."""
+        """The last word on a ticket: `end` is done, bounced, scrapped, or left (which tells nothing);
+        `worked` where its time tells of the servers."""
         must_hold(not made.over, "a ticket passes its gate once")
         if made.over:
             return
@@ -266,8 +270,8 @@
             self.versions.pop(before.number, None)
 
     def undo(self, change: Change, who: str, why: str, now: int) -> None:
-        """Before it was applied, it is given up. After, what was confirmed last stands again, as a version of its own: tickets
-        of the one undone go on to their end under it, and nothing is sent again."""
+        """Before it was applied, it is given up. After, what was confirmed last stands again, as a version of
+        its own: tickets of the one undone go on to their end under it, and nothing is sent again."""
         was_applied = change.state == APPLIED
         self._move(change, UNDONE, who, why, now)
         if not was_applied:
--- a/pepperusher/changes/toll.py
+++ b/pepperusher/changes/toll.py
@@ -1,8 +1,8 @@
 """What became of tickets before a change and since, and whether the change did harm; free of I/O.
 
-Since counts only tickets that began under the changed terms, before only those that ended in the time of the watch before
-it: what was in hand when it came belongs to neither. Times are counted in bins that grow by an eighth, so a percentile
-is right to some 6%.
+Since counts only tickets that began under the changed terms, before only those that ended in the time of the
+watch before it: what was in hand when it came belongs to neither. Times are counted in bins that grow by an
+eighth, so a percentile is right to some 6%.
 """
 
 from __future__ import annotations
@@ -73,7 +73,8 @@
 
 
 class Toll:
-    """Counts by second of the last `span`, and since a change by itself. Holds as many seconds as the longest watch."""
+    """Counts by second of the last `span`, and since a change by itself. Holds as many seconds as the longest
+    watch."""
 
     def __init__(self, span: int) -> None:
         self._span = span
@@ -114,7 +115,8 @@
         return self._since or Counts()
 
     def harm(self, least: int, errors: float, bounces: float, latency: float) -> Harm | None:
-        """What rose by more than it may, once `least` tickets have ended; None while all is well or too few."""
+        """What rose by more than it may, once `least` tickets have ended; None while all is well or too
+        few."""
         before, since = self._before, self._since
         if before is None or since is None or since.all < least:
             return None
--- a/pepperusher/control/socket.py
+++ b/pepperusher/control/socket.py
@@ -23,7 +23,8 @@
 
 
 class Control:
-    """`answers` gives the parts of an answer. What a client says or leaves unsaid costs its own connection alone."""
+    """`answers` gives the parts of an answer. What a client says or leaves unsaid costs its own connection
+    alone."""
 
     def __init__(self, path: str, most: int, within: float, answers: Answers, say: Callable[..., None]) -> None:
         self._path = path
@@ -36,7 +37,8 @@
         self._inode = 0
 
     async def listen(self) -> None:
-        """Raises ControlError. A socket that a proxy before this one left is replaced; one that answers is not."""
+        """Raises ControlError. A socket that a proxy before this one left is replaced; one that answers is
+        not."""
         self._clear()
         taken = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
         before = os.umask(0o177)
--- a/pepperusher/control/words.py
+++ b/pepperusher/control/words.py
@@ -1,7 +1,7 @@
 """What is said over the control socket: one line of JSON each way; free of I/O.
 
-A question is {"do": NAME, ...}; an answer {"ok": true, ...} or {"ok": false, "why": one line}. Long answers come as
-several lines, each with "more": true but the last, so that no reading command holds the proxy up.
+A question is {"do": NAME, ...}; an answer {"ok": true, ...} or {"ok": false, "why": one line}. Long answers
+come as several lines, each with "more": true but the last, so that no reading command holds the proxy up.
 """
 
 from __future__ import annotations
--- a/pepperusher/limits/__init__.py
+++ b/pepperusher/limits/__init__.py
@@ -1,1 +1,2 @@
-"""Limits before the breakers: how many tickets at once and how often, and who waits; none chooses a server."""
+"""Limits before the breakers: how many tickets at once and how often, and who waits; none chooses a
+server."""
--- a/pepperusher/limits/gate.py
+++ b/pepperusher/limits/gate.py
@@ -1,9 +1,10 @@
 """Who is let in: so many at once, a bounded queue beyond that, shared fairly among customers; free of I/O.
 
-While there is room a ticket goes in. Else it waits, if it can still be in time, and gives way to nobody but by share:
-the next to go in is of the customer who has least in hand for its weight (max-min fairness), the first of that
-customer's by priority and then by coming. A full queue drops the last of whoever has most waiting for its weight, be
-it the newcomer. What can no longer be in time is dropped as soon as that is known, not when its time is up.
+While there is room a ticket goes in. Else it waits, if it can still be in time, and gives way to nobody but
+by share: the next to go in is of the customer who has least in hand for its weight (max-min fairness), the
+first of that customer's by priority and then by coming. A full queue drops the last of whoever has most
+waiting for its weight, be it the newcomer. What can no longer be in time is dropped as soon as that is known,
+not when its time is up.
 """
 
 from __future__ import annotations
@@ -15,7 +16,8 @@
 
 # Times taken by those let in, for what can be in time: a mean that follows the last some dozen.
 USUAL = 32
-# Customers with nothing in hand and nothing waiting are forgotten at once; others are as many as tickets in hand.
+# Customers with nothing in hand and nothing waiting are forgotten at once; others are as many as tickets in
+# hand.
 IN, WAITS, FULL, LATE = "in", "waits", "full", "late"
 
 
@@ -45,7 +47,8 @@
 
 
 class Gate:
-    """One route's gate. `weights` by customer, 1 for others. A change of terms keeps who is inside and who waits."""
+    """One route's gate. `weights` by customer, 1 for others. A change of terms keeps who is inside and who
+    waits."""
 
     def __init__(self, limit: Gradient | Fixed, queue: int, weights: dict[str, float]) -> None:
         self._limit = limit
@@ -114,8 +117,8 @@
         return WAITS, one
 
     def _wait_of(self, customer: str) -> float:
-        """How long one more of this customer's would wait, if all inside took as long as lately: its share of the
-        places comes free in turn."""
+        """How long one more of this customer's would wait, if all inside took as long as lately: its share of
+        the places comes free in turn."""
         share = self._shares.get(customer)
         if share is None or not share.queue:
             ahead = 0
@@ -130,7 +133,8 @@
         self.inside += 1
 
     def leave(self, customer: str, took: int, worked: bool, now: int) -> None:
-        """One that was in is over. `worked` where its time tells of the servers: done, failed or timed out."""
+        """One that was in is over. `worked` where its time tells of the servers: done, failed or timed
+        out."""
         share = self._shares[customer]
         share.inside -= 1
         if worked:
--- a/pepperusher/limits/gradient.py
+++ b/pepperusher/limits/gradient.py
@@ -1,18 +1,20 @@
 """How many at once: a limit that follows the times of what it lets through.
 
-The method is the gradient of Netflix's concurrency limits (Gradient, 2018): the time without waiting over the time now
-tells how much of a time is waiting. While times stand as without waiting the limit grows by the square root of itself,
-which probes for room; where they grow by more than `tolerance` it shrinks in proportion, by half at the most. Chosen
-over additive increase with halving on errors (TCP's), which needs errors to learn, and over Vegas, whose least time ever
-seen stays wrong for good after a release made all slower.
-
-The later Gradient2 takes a long mean for the time without waiting, and was tried: under steady overload its mean follows the
-waiting that the limit itself lets grow, and the limit went to its end (tests/test_limits.py). Here the time without
-waiting is the least short mean of the last two spells, and each spell begins with a dip to half the limit, in which waiting
-goes and the least is seen again, as the first Gradient's probes do.
-
-Departures: what is answered without being worked on (turned away, refused) is no time; and a limit of which less than
-half is used is no test of it, and does not grow.
+The method is the gradient of Netflix's concurrency limits (Gradient, 2018): the time without waiting over the
+time now tells how much of a time is waiting. While times stand as without waiting the limit grows by the
+square root of itself, which probes for room; where they grow by more than `tolerance` it shrinks in
+proportion, by half at the most. Chosen over additive increase with halving on errors (TCP's), which needs
+errors to learn, and over Vegas, whose least time ever seen stays wrong for good after a release made all
+slower.
+
+The later Gradient2 takes a long mean for the time without waiting, and was tried: under steady overload its
+mean follows the waiting that the limit itself lets grow, and the limit went to its end
+(tests/test_limits.py). Here the time without waiting is the least short mean of the last two spells, and each
+spell begins with a dip to half the limit, in which waiting goes and the least is seen again, as the first
+Gradient's probes do.
+
+Departures: what is answered without being worked on (turned away, refused) is no time; and a limit of which
+less than half is used is no test of it, and does not grow.
 """
 
 from __future__ import annotations
--- a/pepperusher/limits/rate.py
+++ b/pepperusher/limits/rate.py
@@ -38,8 +38,9 @@
 
 
 class Buckets:
-    """One bucket a customer, made as they come. Those that stand full are forgotten, and if `most` stand in use, those
-    who are new share one: customers are outsiders' words, and a flood of names must not be a flood of memory."""
+    """One bucket a customer, made as they come. Those that stand full are forgotten, and if `most` stand in
+    use, those who are new share one: customers are outsiders' words, and a flood of names must not be a flood
+    of memory."""
 
     def __init__(self, rate: float, burst: float, most: int = 1000) -> None:
         self._rate = rate
@@ -78,8 +79,8 @@
 class RetryBudget:
     """Further transmissions are held to `share` of first ones, and `floor` a second in any case.
 
-    As Finagle's RetryBudget has it: each first transmission puts in `share`, each further one takes out 1, and what is
-    put in is gone after `span`. Kept by tenths of the span, so it holds ten figures.
+    As Finagle's RetryBudget has it: each first transmission puts in `share`, each further one takes out 1,
+    and what is put in is gone after `span`. Kept by tenths of the span, so it holds ten figures.
     """
 
     __slots__ = ("_share", "_floor", "_tenth", "_firsts", "_furthers", "_at")
--- a/pepperusher/net/formed.py
+++ b/pepperusher/net/formed.py
@@ -1,4 +1,5 @@
-"""Log lines in another form than plain, by structlog; still printed to standard error under the one rate limit."""
+"""Log lines in another form than plain, by structlog; still printed to standard error under the one rate
+limit."""
 
 from __future__ import annotations
 
--- a/pepperusher/net/house.py
+++ b/pepperusher/net/house.py
@@ -1,4 +1,5 @@
-"""The proxy under its own file: admits tickets by their route, carries changes out, watches them, keeps the confirmed.
+"""The proxy under its own file: admits tickets by their route, carries changes out, watches them, keeps the
+confirmed.
 
 Loaded only where there is such a file. It decides nothing: `changes.standing` does.
 """
@@ -44,13 +45,13 @@
 class House:
     """`path` is the file, `given` the command line's values."""
 
-    def __init__(self, path: Path, given: Mapping[str, Any], ground: Ground, log: Log) -> None:
+    def __init__(self, path: str | Path, given: Mapping[str, Any], ground: Ground, log: Log) -> None:
         say = log.tell
         self._control: Control | None = None
         self._hanging: asyncio.Task[None] | None = None
         self.kept_out: dict[str, int] = {}   # by the words of STATUS, so it grows with the code alone
         self._longest_advice = ground.longest_advice or LONGEST_ADVICE
-        self._path = path
+        self._path = Path(path)
         self._given = dict(given)
         self._environment = reading.from_environment(os.environ)
         self._ground = ground
@@ -221,8 +222,8 @@
         return await self._propose(await asyncio.to_thread(self._parse, text, "what is proposed"), who, why)
 
     async def drain(self, id: str, lift: bool, who: str, why: str) -> Change:
-        """A mark by hand, as a change like any other; `lift` takes one off again that was put on so. Raises OwnError,
-        LedgerError."""
+        """A mark by hand, as a change like any other; `lift` takes one off again that was put on so. Raises
+        OwnError, LedgerError."""
         text = self.standing.version.read.text
         block = DRAIN.format(id=json.dumps(id))
         if lift:
--- a/pepperusher/own/commands.py
+++ b/pepperusher/own/commands.py
@@ -30,7 +30,8 @@
 @click.command()
 @click.argument("key", required=False)
 def explain(key: str | None) -> None:
-    """Say what KEY of the proxy's own file means, its form and its default; without one, all keys and rules."""
+    """Say what KEY of the proxy's own file means, its form and its default; without one, all keys and
+    rules."""
     if key is None:
         for one in reading.keys():
             click.echo(one)
--- a/pepperusher/own/lines.py
+++ b/pepperusher/own/lines.py
@@ -1,7 +1,8 @@
 """In which line of a TOML text a key stands; the standard library's parser does not tell.
 
-Reads what people write: headers, keys, dotted keys, lists of inline tables over several lines. A key inside an inline
-table has the line in which it begins. For a text that the parser takes, a key not found has its nearest parent's line.
+Reads what people write: headers, keys, dotted keys, lists of inline tables over several lines. A key inside
+an inline table has the line in which it begins. For a text that the parser takes, a key not found has its
+nearest parent's line.
 """
 
 from __future__ import annotations
@@ -19,7 +20,8 @@
 
 
 class Lines:
-    """`at` gives the line (from 1) of a key path such as "routes[2].match.path"; 0 where nothing is known of it."""
+    """`at` gives the line (from 1) of a key path such as "routes[2].match.path"; 0 where nothing is known of
+    it."""
 
     def __init__(self, text: str) -> None:
         self._lines: dict[str, int] = {}   # as many as the text has keys
--- a/pepperusher/own/reading.py
+++ b/pepperusher/own/reading.py
@@ -1,7 +1,7 @@
 """The proxy's own file read: layers put together, typed, checked, all that is wrong said at once.
 
-Of several layers the later wins, key by key: defaults, the file, the environment (PEPPERUSHER_CHANGES__WATCH for
-changes.watch), the command line (--set changes.watch=20s). Lists stand as a whole.
+Of several layers the later wins, key by key: defaults, the file, the environment (PEPPERUSHER_CHANGES__WATCH
+for changes.watch), the command line (--set changes.watch=20s). Lists stand as a whole.
 """
 
 from __future__ import annotations
@@ -26,7 +26,8 @@
 
 
 class Fault(NamedTuple):
-    """One thing wrong, as it is said: where it stands (`line` 0 where it has none), its key, the rule that it breaks."""
+    """One thing wrong, as it is said: where it stands (`line` 0 where it has none), its key, the rule that it
+    breaks."""
 
     source: str
     line: int
@@ -49,7 +50,8 @@
 
 
 class Read(NamedTuple):
-    """What was read: the typed file, its text, a digest of all layers, and where each value that was given came from."""
+    """What was read: the typed file, its text, a digest of all layers, and where each value that was given
+    came from."""
 
     own: Own
     text: str
--- a/pepperusher/own/rules.py
+++ b/pepperusher/own/rules.py
@@ -1,7 +1,7 @@
 """The rules that the proxy's own file is held to, each with a name; what breaks one is said with its key.
 
-Some are the brief's, some follow from the platform's settings, some are of form. None is ever relaxed for a file: terms
-narrow what the decisions may do, and a term that would widen it is refused.
+Some are the brief's, some follow from the platform's settings, some are of form. None is ever relaxed for a
+file: terms narrow what the decisions may do, and a term that would widen it is refused.
 """
 
 from __future__ import annotations
@@ -48,7 +48,8 @@
 
 
 def check(own: Own, ground: Ground | None) -> list[Broken]:
-    """All that is wrong, in the file's order. Without a `ground` what hangs on the platform's settings is not looked at."""
+    """All that is wrong, in the file's order. Without a `ground` what hangs on the platform's settings is not
+    looked at."""
     found: list[Broken] = []
 
     def tell(key: str, rule: str, what: str) -> None:
--- a/pepperusher/own/tables.py
+++ b/pepperusher/own/tables.py
@@ -1,4 +1,5 @@
-"""The tables of the proxy's own file, typed; what each key means is said here once, for `explain`, schema and pages.
+"""The tables of the proxy's own file, typed; what each key means is said here once, for `explain`, schema and
+pages.
 
 Every later subsystem adds its table here. Spans are whole microseconds, written with a unit.
 """
--- a/pepperusher/rehearsal/arrivals.py
+++ b/pepperusher/rehearsal/arrivals.py
@@ -1,8 +1,9 @@
-"""When which ticket is due: a plan worked out ahead from the script and its seed, free of I/O and of any clock.
+"""When which ticket is due: a plan worked out ahead from the script and its seed, free of I/O and of any
+clock.
 
-The same script gives the same plan to the byte, in every process. Between two changes of rate the rate is a straight
-line, so each next arrival is found by solving for it and not by thinning: even arrivals and Poisson ones differ only
-in how far apart they are in the integral of the rate (Lewis and Shedler 1979, inversion).
+The same script gives the same plan to the byte, in every process. Between two changes of rate the rate is a
+straight line, so each next arrival is found by solving for it and not by thinning: even arrivals and Poisson
+ones differ only in how far apart they are in the integral of the rate (Lewis and Shedler 1979, inversion).
 """
 
 from __future__ import annotations
@@ -16,12 +17,12 @@
 from typing import NamedTuple
 
 from pepperusher.rehearsal.script import Phase, Script, Surge, Use
-from pepperusher.rehearsal.spans import Span
+from pepperusher.spans import Span
 
 
 class Arrival(NamedTuple):
-    """One first try: due `at` us after the start; `use` and `customer` are places in the script's lists (customer -1
-    is none), `work` the work drawn in us on a core of speed 1, `order` its place in the plan."""
+    """One first try: due `at` us after the start; `use` and `customer` are places in the script's lists
+    (customer -1 is none), `work` the work drawn in us on a core of speed 1, `order` its place in the plan."""
 
     at: int
     use: int
@@ -109,7 +110,8 @@
 
 
 def _times(stretch: _Stretch, times: float, owed: float, chance: Random) -> Iterator[tuple[int, float]]:
-    """Instants within the stretch; `owed` is what the integral still has to gain to the next one. The last pair has
+    """Instants within the stretch; `owed` is what the integral still has to gain to the next one. The last
+    pair has
     -1 and what is owed after the stretch."""
     size = stretch.burst if stretch.arrivals == "bursts" else 1
     seconds = (stretch.ends - stretch.begins) / 1e6
--- a/pepperusher/rehearsal/backend.py
+++ b/pepperusher/rehearsal/backend.py
@@ -1,4 +1,5 @@
-"""A stand-in backend on a socket: reads tickets, has the engine work on them, calls the next tier, and misbehaves."""
+"""A stand-in backend on a socket: reads tickets, has the engine work on them, calls the next tier, and
+misbehaves."""
 
 from __future__ import annotations
 
@@ -375,7 +376,6 @@
     def _answer(self, task: Task) -> None:
         """Its work is whole: answers as its fate has it."""
         record, peer = task.record, task.peer
-        use = self._script.use_cases[record.use]
         fate = record.fate
         if fate == weathers.ERROR:
             self._plain(peer, 500, b"an error\n")
--- a/pepperusher/rehearsal/books.py
+++ b/pepperusher/rehearsal/books.py
@@ -1,7 +1,8 @@
 """The books: the four rules checked over what both sides of the proxies wrote down; free of I/O.
 
-What a proxy is held to is what it could have known: it is not blamed for a client that left, for what it held when it
-was killed, nor for a repeat that a client sent under a new name. Each entry against it names ticket, time and backend.
+What a proxy is held to is what it could have known: it is not blamed for a client that left, for what it held
+when it was killed, nor for a repeat that a client sent under a new name. Each entry against it names ticket,
+time and backend.
 """
 
 from __future__ import annotations
@@ -136,8 +137,8 @@
 # --- no effect twice -------------------------------------------------------------------------------
 
 def _check_twice(script: Script, records: Records, sent_of: dict[str, list[Sent]], book: RuleBook) -> None:
-    """Never two transmissions at once, never more than allowed, and none that may repeat an effect where the use
-    case does not let it. What never began, and what was turned away, has not run."""
+    """Never two transmissions at once, never more than allowed, and none that may repeat an effect where the
+    use case does not let it. What never began, and what was turned away, has not run."""
     most = script.rules.most_transmissions
     places = FleetPlan(script, 0).places
     bounced = {one.name: one for one in records.tries if one.how == BOUNCED}
@@ -158,8 +159,8 @@
 
 
 def _asked(those: list[Sent], crossed: int) -> list[list[Sent]]:
-    """Transmissions by each time that the client asked: one that sent a ticket once more on a new connection asked for
-    what comes after that itself."""
+    """Transmissions by each time that the client asked: one that sent a ticket once more on a new connection
+    asked for what comes after that itself."""
     parts = [[one for one in those if one.first < crossed], [one for one in those if one.first >= crossed]]
     return [part for part in parts if part]
 
@@ -196,7 +197,8 @@
 # --- drains kept -----------------------------------------------------------------------------------
 
 def _check_drains(script: Script, records: Records, book: RuleBook) -> None:
-    """Nothing's first byte comes to a backend later than the grace after its sender was told that it drains."""
+    """Nothing's first byte comes to a backend later than the grace after its sender was told that it
+    drains."""
     told: dict[tuple[int, str], list[Told]] = defaultdict(list)
     for one in records.told:
         told[one.proxy, one.id].append(one)
@@ -242,9 +244,9 @@
 class Use(NamedTuple):
     """How the fleet's work was used: transmissions and what became of their work (us on a core of speed 1).
 
-    `wasted` is work that no client had anything of: it was stopped, or its answer did not count. `lived_on` are, for
-    each piece of work in whatever tier, how long it went on after its client outside had left or had its answer (us),
-    where it did. `doubled` are effects of one mark more than
+    `wasted` is work that no client had anything of: it was stopped, or its answer did not count. `lived_on`
+    are, for each piece of work in whatever tier, how long it went on after its client outside had left or had
+    its answer (us), where it did. `doubled` are effects of one mark more than
     once over all tries of a client, which no rule forbids a proxy.
     """
 
--- a/pepperusher/rehearsal/caller.py
+++ b/pepperusher/rehearsal/caller.py
@@ -1,4 +1,5 @@
-"""One caller of a proxy, as clients and the backends of a tier before are: asks, waits as long as it will, leaves."""
+"""One caller of a proxy, as clients and the backends of a tier before are: asks, waits as long as it will,
+leaves."""
 
 from __future__ import annotations
 
@@ -13,16 +14,16 @@
 
 # A connection that does not come up in this is none; a proxy accepts at once or is away.
 CONNECT_WITHIN = 1.0
-# A kept connection that ends this soon after it was written to crossed its proxy's close: sent once more on a new one.
-# One that ends later was read, and what it carried is lost.
+# A kept connection that ends this soon after it was written to crossed its proxy's close: sent once more on a
+# new one. One that ends later was read, and what it carried is lost.
 CROSSING = 100_000
 CROSSED = "crossed"
 ADVICE = re.compile(rb"[0-9]{1,6}(\.[0-9]{1,6})?")
 
 
 class Asked:
-    """One ticket to ask. `work` is the whole of it and `hint` what is told of it (us; -1 none), `left` what is said of
-    the client's patience (us, 0 nothing). `sent`, `written`, `crossed` are set as it goes
+    """One ticket to ask. `work` is the whole of it and `hint` what is told of it (us; -1 none), `left` what
+    is said of the client's patience (us, 0 nothing). `sent`, `written`, `crossed` are set as it goes
     (clock)."""
 
     __slots__ = ("name", "use", "customer", "work", "left", "mark", "body", "hint", "again", "sent", "written", "fresh", "crossed")
@@ -87,7 +88,8 @@
 
 
 class Client:
-    """Connections to one proxy, kept and used again, one ticket at a time on each; as many as are busy at once."""
+    """Connections to one proxy, kept and used again, one ticket at a time on each; as many as are busy at
+    once."""
 
     def __init__(self, address: tuple[str, int], proxy: int, kept: bool = True) -> None:
         self._address = address
--- a/pepperusher/rehearsal/commands.py
+++ b/pepperusher/rehearsal/commands.py
@@ -13,6 +13,7 @@
 from pepperusher.rehearsal.director import PlayError, rehearse as play
 from pepperusher.rehearsal.results import Result, ResultError
 from pepperusher.rehearsal.script import ScriptError
+from pepperusher.spans import span as span_of
 
 RULE_BROKEN = 1
 FILE = click.argument("file", type=click.Path(path_type=Path))
@@ -48,7 +49,7 @@
         script.seed = seed
     if span is not None:
         try:
-            script.span = scripts.span(span)
+            script.span = span_of(span)
         except ValueError as error:
             raise ScriptError(f"--span: {error}") from None
         script.faults = [fault for fault in script.faults if fault.at < script.span]
@@ -128,7 +129,8 @@
               help="Keep results in this folder; those that are there already are not played again.")
 @click.option("--report", type=click.Path(path_type=Path), help="Write an HTML page with plots here.")
 def experiment(file: Path, out: Path, report: Path | None) -> None:
-    """Play the experiment in FILE: rehearsals over parameters, seeds and builds, in turn, compared pair by pair."""
+    """Play the experiment in FILE: rehearsals over parameters, seeds and builds, in turn, compared pair by
+    pair."""
     from pepperusher.rehearsal import experiments
     with one_line():
         wanted = experiments.read(file)
--- a/pepperusher/rehearsal/compare.py
+++ b/pepperusher/rehearsal/compare.py
@@ -1,8 +1,9 @@
-"""Builds or settings compared pair by pair: the difference of paired rehearsals with an interval by bootstrap.
+"""Builds or settings compared pair by pair: the difference of paired rehearsals with an interval by
+bootstrap.
 
-Free of I/O. Two rehearsals are a pair when they were asked the same: the same script, parameters and seed. The
-interval is the percentile bootstrap of the mean difference (Efron and Tibshirani 1993, ch. 13); one that holds 0 is
-noise, and so is any from too few pairs to tell.
+Free of I/O. Two rehearsals are a pair when they were asked the same: the same script, parameters and seed.
+The interval is the percentile bootstrap of the mean difference (Efron and Tibshirani 1993, ch. 13); one that
+holds 0 is noise, and so is any from too few pairs to tell.
 """
 
 from __future__ import annotations
@@ -40,8 +41,8 @@
 
 
 class Difference(NamedTuple):
-    """`other` less `base` by one measure: means, the mean difference with its interval, and the verdict in a word:
-    "better", "worse", "noise", or "too few" pairs to tell."""
+    """`other` less `base` by one measure: means, the mean difference with its interval, and the verdict in a
+    word: "better", "worse", "noise", or "too few" pairs to tell."""
 
     measure: str
     base: float
--- a/pepperusher/rehearsal/director.py
+++ b/pepperusher/rehearsal/director.py
@@ -1,5 +1,5 @@
-"""Plays one rehearsal: starts fleet, discovery, proxies and load, strikes with what is not the fleet's own, and keeps
-the records until all is over."""
+"""Plays one rehearsal: starts fleet, discovery, proxies and load, strikes with what is not the fleet's own,
+and keeps the records until all is over."""
 
 from __future__ import annotations
 
@@ -44,7 +44,8 @@
 
 @contextmanager
 def own_net() -> Iterator[int]:
-    """A second number for this rehearsal's addresses, 127.N.x.y, that no other one on the machine uses now."""
+    """A second number for this rehearsal's addresses, 127.N.x.y, that no other one on the machine uses
+    now."""
     first = os.getpid() % len(NETS)
     for turn in range(len(NETS)):
         net = NETS[(first + turn) % len(NETS)]
@@ -64,7 +65,8 @@
 
 
 class Director:
-    """`progress` is told the time played (us) now and then; `build` is another checkout whose `serve` is played."""
+    """`progress` is told the time played (us) now and then; `build` is another checkout whose `serve` is
+    played."""
 
     def __init__(self, script: Script, net: int, work: Path, build: Path | None = None,
                  progress: Callable[[int], None] | None = None) -> None:
@@ -299,7 +301,8 @@
 
 def rehearse(script: Script, build: Path | None = None, work: Path | None = None,
              progress: Callable[[int], None] | None = None) -> Result:
-    """Plays a script and returns its result. `work` keeps logs and records; without one they go when it is over.
+    """Plays a script and returns its result. `work` keeps logs and records; without one they go when it is
+    over.
 
     Raises PlayError (one line), and ScriptError where a trace can't be read.
     """
--- a/pepperusher/rehearsal/engine.py
+++ b/pepperusher/rehearsal/engine.py
@@ -1,9 +1,10 @@
-"""One backend's work as a model in real time, free of I/O: cores, slots, a queue, warming, overload and tipping.
+"""One backend's work as a model in real time, free of I/O: cores, slots, a queue, warming, overload and
+tipping.
 
-Work is in us on a core of speed 1. Tickets that run share the cores evenly (processor sharing), so one is over when
-the share that each has had since the start, `_share`, reaches what it stood at when the work began plus the work. A
-ticket that waits for a call to the next tier keeps its slot and leaves the cores. Whoever holds the sockets says what
-time it is with each call, and asks `due` when to come again.
+Work is in us on a core of speed 1. Tickets that run share the cores evenly (processor sharing), so one is
+over when the share that each has had since the start, `_share`, reaches what it stood at when the work began
+plus the work. A ticket that waits for a call to the next tier keeps its slot and leaves the cores. Whoever
+holds the sockets says what time it is with each call, and asks `due` when to come again.
 """
 
 from __future__ import annotations
@@ -14,7 +15,8 @@
 
 from pepperusher.rehearsal.script import Kind
 
-# While a backend warms its speed goes up by steps of this, and so does what it is known to have been able to do.
+# While a backend warms its speed goes up by steps of this, and so does what it is known to have been able to
+# do.
 STEP = 10_000
 # What came and what could be done is counted by so much for the rule on cold backends.
 BIN = 100_000
@@ -42,10 +44,11 @@
 
 
 class Engine:
-    """`born` is when it started (us, any clock that only advances); one that is warm from the start is born long ago.
+    """`born` is when it started (us, any clock that only advances); one that is warm from the start is born
+    long ago.
 
-    `fell` is when it was pushed over, -1 while it stands: the most sent over `tip_for` was more than `tip_multiple`
-    times what it could do in that time while it was cold.
+    `fell` is when it was pushed over, -1 while it stands: the most sent over `tip_for` was more than
+    `tip_multiple` times what it could do in that time while it was cold.
     """
 
     def __init__(self, kind: Kind, born: int, now: int, tip_multiple: float, tip_for: int) -> None:
@@ -100,7 +103,8 @@
     # --- time -------------------------------------------------------------------------------------
 
     def advance(self, now: int) -> list[Job]:
-        """Brings the work up to `now`; the jobs whose part ended, in order. Each keeps its slot until `leave`."""
+        """Brings the work up to `now`; the jobs whose part ended, in order. Each keeps its slot until
+        `leave`."""
         ended: list[Job] = []
         while self._at < now:
             self._surface()
@@ -178,7 +182,8 @@
     # --- tickets ----------------------------------------------------------------------------------
 
     def offer(self, job: Job, came: int) -> str:
-        """A ticket whose last byte is here; `came` is the work it brings, as the rule on cold backends counts it."""
+        """A ticket whose last byte is here; `came` is the work it brings, as the rule on cold backends counts
+        it."""
         self._bins[-1][0] += came
         if self._slots < self._kind.slots * self._kind.cores:
             self._enter(job)
@@ -244,10 +249,11 @@
 
 
 class Memory:
-    """What one cell knows of marks against repeats: which work is under way and which has been done, for so long.
+    """What one cell knows of marks against repeats: which work is under way and which has been done, for so
+    long.
 
-    `_since` is in the order of its times, so what is over is dropped from its front with every question; it holds no
-    more than the marks of the longest time.
+    `_since` is in the order of its times, so what is over is dropped from its front with every question; it
+    holds no more than the marks of the longest time.
     """
 
     def __init__(self) -> None:
--- a/pepperusher/rehearsal/experiments.py
+++ b/pepperusher/rehearsal/experiments.py
@@ -1,4 +1,5 @@
-"""Experiments: a file names rehearsals over parameters, seeds and builds; they are played in turn and compared."""
+"""Experiments: a file names rehearsals over parameters, seeds and builds; they are played in turn and
+compared."""
 
 from __future__ import annotations
 
@@ -102,8 +103,9 @@
 
 
 def planned(experiment: Experiment) -> list[Play]:
-    """Every play, interleaved: pairs in an order drawn from the seed, the arms of each one after another, and which
-    comes first drawn too, so that a machine that slows over time strikes all arms alike. Raises ScriptError."""
+    """Every play, interleaved: pairs in an order drawn from the seed, the arms of each one after another, and
+    which comes first drawn too, so that a machine that slows over time strikes all arms alike. Raises
+    ScriptError."""
     plays: list[list[Play]] = []
     keys = list(experiment.vary)
     for name in experiment.rehearsals:
@@ -143,7 +145,8 @@
 
 
 def play(experiment: Experiment, out: Path, say: Callable[[str], None]) -> list[tuple[Play, Result]]:
-    """Plays what `out` does not hold yet, so one that was stopped goes on. Raises ScriptError and PlayError."""
+    """Plays what `out` does not hold yet, so one that was stopped goes on. Raises ScriptError and
+    PlayError."""
     plays = planned(experiment)
     out.mkdir(parents=True, exist_ok=True)
     played = []
@@ -181,8 +184,8 @@
 
 
 def compared(experiment: Experiment, played: list[tuple[Play, Result]]) -> list[Compared]:
-    """Each arm after the first, for each rehearsal and each set of varied values on its own: a difference at one rate
-    is no difference at another."""
+    """Each arm after the first, for each rehearsal and each set of varied values on its own: a difference at
+    one rate is no difference at another."""
     base = experiment.arms[0].name
     by: dict[str, dict[str, dict[str, Result]]] = {}
     for one, result in played:
--- a/pepperusher/rehearsal/fleetplan.py
+++ b/pepperusher/rehearsal/fleetplan.py
@@ -57,7 +57,8 @@
 
 
 class FleetPlan:
-    """`places` and `gates` in the script's order. `net` is the second number of all addresses, 127.net.x.y."""
+    """`places` and `gates` in the script's order. `net` is the second number of all addresses,
+    127.net.x.y."""
 
     def __init__(self, script: Script, net: int) -> None:
         self.net = net
@@ -91,7 +92,8 @@
                     of.proxy = gate
 
     def process_of(self, place: Place, processes: int) -> int:
-        """Which process of the fleet holds it: those of one cell stand together, since they share a memory."""
+        """Which process of the fleet holds it: those of one cell stand together, since they share a
+        memory."""
         return zlib.crc32(b"%d" % place.cell) % processes if processes > 1 else 0
 
     @property
--- a/pepperusher/rehearsal/generator.py
+++ b/pepperusher/rehearsal/generator.py
@@ -1,7 +1,8 @@
-"""The process that plays clients: `python -m pepperusher.rehearsal.generator SCRIPT.json PROCESS WORK TARGETS`.
+"""The process that plays clients: `python -m pepperusher.rehearsal.generator SCRIPT.json PROCESS WORK
+TARGETS`.
 
-Open loop: each first try goes out at its intended time whatever became of those before. It works out the plan for
-itself and plays each `processes`-th ticket of it. TARGETS is JSON, each with number, zone and address.
+Open loop: each first try goes out at its intended time whatever became of those before. It works out the plan
+for itself and plays each `processes`-th ticket of it. TARGETS is JSON, each with number, zone and address.
 """
 
 from __future__ import annotations
@@ -26,15 +27,16 @@
 
 BEAT = 5_000
 FLUSH_EVERY = 0.25
-# Timers of the loop are whole milliseconds of the kernel's, rounded up, and a busy machine wakes later still: it sleeps
-# to between these short of a time, and goes round without sleeping for the rest.
+# Timers of the loop are whole milliseconds of the kernel's, rounded up, and a busy machine wakes later still:
+# it sleeps to between these short of a time, and goes round without sleeping for the rest.
 COARSE, COARSEST = 1_300, 8_000
 # After the last ticket was due, the longest that anything is waited for beyond the longest outer limit.
 BEYOND = 1_000_000
 
 
 class Front:
-    """Deals tickets out among the proxies of a client's zone that are in, in turn; those kept open go first."""
+    """Deals tickets out among the proxies of a client's zone that are in, in turn; those kept open go
+    first."""
 
     def __init__(self, clients: list[tuple[str, Client]]) -> None:
         self._clients = clients
@@ -79,8 +81,8 @@
         loop = asyncio.get_running_loop()
         gc.collect()
         gc.freeze()
-        # A collection among tens of thousands of live objects stops all clients for longer than a send may be late; none
-        # at all, and a script whose clients open a connection a ticket grows without end.
+        # A collection among tens of thousands of live objects stops all clients for longer than a send may be
+        # late; none at all, and a script whose clients open a connection a ticket grows without end.
         gc.set_threshold(20_000, 50, 1_000)
         if self._script.load.users:
             await self._users()
@@ -138,8 +140,8 @@
         return wish.after(reply.how, reply.advice, ended)
 
     async def _users(self) -> None:
-        """Closed loop: so many users, each asking again when it has its answer. For comparison, since it hides a
-        stall: while it lasts nobody asks."""
+        """Closed loop: so many users, each asking again when it has its answer. For comparison, since it
+        hides a stall: while it lasts nobody asks."""
         ends = self._start.at + self._script.span
         mix = Mix(self._script)
         orders = iter(range(self._process, 1 << 60, self._script.load.processes))
--- a/pepperusher/rehearsal/listing.py
+++ b/pepperusher/rehearsal/listing.py
@@ -1,4 +1,5 @@
-"""Discovery on a socket: list and watch, one listener for each proxy, so that it is known who was told what when."""
+"""Discovery on a socket: list and watch, one listener for each proxy, so that it is known who was told what
+when."""
 
 from __future__ import annotations
 
@@ -21,7 +22,8 @@
 
 
 class Listing:
-    """Discovery for all gates. Its `moves` are the times at which it goes to another port, one after another."""
+    """Discovery for all gates. Its `moves` are the times at which it goes to another port, one after
+    another."""
 
     def __init__(self, plan: FleetPlan, line: Timeline, roster: Roster, writer: Writer, start: Start) -> None:
         self._plan = plan
--- a/pepperusher/rehearsal/manners.py
+++ b/pepperusher/rehearsal/manners.py
@@ -14,8 +14,8 @@
 
 
 class Wish:
-    """What one client wants once, over all its tries. All chance is its own, from the script's seed and its place in
-    the plan, so that what one client does never changes another's draws."""
+    """What one client wants once, over all its tries. All chance is its own, from the script's seed and its
+    place in the plan, so that what one client does never changes another's draws."""
 
     __slots__ = ("use", "_load", "_chance", "_intended", "nth", "told", "_leaves")
 
@@ -34,8 +34,8 @@
             self._leaves = max(1, round(self.told * self._chance.random()))
 
     def stays(self, slack: int) -> int:
-        """How long it waits on the socket: what it told and the rules' slack, so that an answer that comes just in
-        time is seen; or less, where it is one that leaves before."""
+        """How long it waits on the socket: what it told and the rules' slack, so that an answer that comes
+        just in time is seen; or less, where it is one that leaves before."""
         return self._leaves if self._leaves >= 0 else self.told + slack
 
     @property
@@ -44,7 +44,8 @@
         return self._intended + self.use.outer
 
     def after(self, how: str, advice: int, now: int) -> int | None:
-        """When to ask again after a try that ended `how`, with what was advised (us, 0 nothing); None for never."""
+        """When to ask again after a try that ended `how`, with what was advised (us, 0 nothing); None for
+        never."""
         if how == DONE or self.nth >= self._load.retries:
             return None
         if self.use.repeat == "single-use" and how not in NEVER_RAN:
--- a/pepperusher/rehearsal/page.py
+++ b/pepperusher/rehearsal/page.py
@@ -9,12 +9,12 @@
 from pepperusher.rehearsal import plots, spoken
 from pepperusher.rehearsal.experiments import Compared
 from pepperusher.rehearsal.results import Result
-from pepperusher.rehearsal.spans import said
+from pepperusher.spans import said
 from pepperusher.rehearsal.tally import Group
 
 STYLE = """body{font:14px/1.45 system-ui,sans-serif;max-width:62em;margin:2em auto;padding:0 1em;color:#222}
-table{border-collapse:collapse;margin:.6em 0}td,th{padding:.15em .7em;text-align:right;border-bottom:1px solid #ddd}
-td:first-child,th:first-child{text-align:left}pre{background:#f6f6f6;padding:.8em;overflow-x:auto}
+table{border-collapse:collapse;margin:.6em 0}td,th{padding:.15em .7em;text-align:right;border-bottom:1px solid
+#ddd} td:first-child,th:first-child{text-align:left}pre{background:#f6f6f6;padding:.8em;overflow-x:auto}
 svg{max-width:100%;height:auto}.broken{color:#a61c00;font-weight:bold}.kept{color:#38761d}"""
 COMPARED = 12
 
--- a/pepperusher/rehearsal/proxies.py
+++ b/pepperusher/rehearsal/proxies.py
@@ -58,7 +58,8 @@
 
 
 def _rate(script: Script) -> float:
-    """A customer's share of 1 in tickets a second, where the script gives no quota: the highest rate of the load."""
+    """A customer's share of 1 in tickets a second, where the script gives no quota: the highest rate of the
+    load."""
     rates = [phase.rate for phase in script.load.phases] + script.load.day
     return max(rates, default=100.0) / max(1e-9, sum(one.share for one in script.customers))
 
@@ -109,9 +110,11 @@
         path = self.write_configuration()
         self._stays += 1
         flags = ["-O"] if self._script.proxies.optimised else []
+        own = self._script.proxies.own
+        more = ["--own", str(Path(self._script.folder) / own)] if own and self.gate.tier == 0 else []
         self._times = {"started": self._now()}
         self._process = process = await asyncio.create_subprocess_exec(
-            python_of(self._build), *flags, "-m", "pepperusher", "serve", "--config", str(path),
+            python_of(self._build), *flags, "-m", "pepperusher", "serve", "--config", str(path), *more,
             stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
             env=environment(self._build), cwd=self._work, start_new_session=True)
         self._reading = asyncio.get_running_loop().create_task(self._read(process))
--- a/pepperusher/rehearsal/records.py
+++ b/pepperusher/rehearsal/records.py
@@ -1,7 +1,7 @@
 """The records that the books are kept in: one for each try of a ticket, one for each transmission that came.
 
-Times are us after the start of the rehearsal. Records go to files as MessagePack, each behind its length, so that what
-a killed process had written is read to its last whole record.
+Times are us after the start of the rehearsal. Records go to files as MessagePack, each behind its length, so
+that what a killed process had written is read to its last whole record.
 """
 
 from __future__ import annotations
@@ -16,17 +16,19 @@
 LENGTH = struct.Struct(">I")
 # How a try ended for its client.
 DONE, BOUNCED, SCRAPPED, LEFT = "done", "bounced", "scrapped", "left"
-# No whole answer: the connection ended (or a strange answer came), or never came up, or nobody was there to ask.
+# No whole answer: the connection ended (or a strange answer came), or never came up, or nobody was there to
+# ask.
 LOST, WRONG, UNREACHED, NOBODY = "lost", "wrong", "unreached", "nobody"
 
 
 class Try(msgspec.Struct, array_like=True, gc=False):
     """One ticket as a proxy sees it. Tries of one client's wish share `wish`; `nth` counts from 0.
 
-    `parent` is the ticket whose work made this call, "" from outside. `intended` is when it should have been sent,
-    `sent` when it was (-1: never), `written` when the kernel had its last byte, `ended` when its end was known. `limit`
-    is how long its client told that it would wait (us, 0 where it did not). `crossed` is when a kept connection ended
-    under it with nothing said, and it was sent once more on a new one; -1 is never.
+    `parent` is the ticket whose work made this call, "" from outside. `intended` is when it should have been
+    sent, `sent` when it was (-1: never), `written` when the kernel had its last byte, `ended` when its end
+    was known. `limit` is how long its client told that it would wait (us, 0 where it did not). `crossed` is
+    when a kept connection ended under it with nothing said, and it was sent once more on a new one; -1 is
+    never.
     """
 
     name: str
@@ -53,9 +55,10 @@
 class Sent(msgspec.Struct, array_like=True, gc=False):
     """One transmission as its backend saw it; -1 stands for never.
 
-    `first` and `last` are when its first and its last byte came, `begun` when its work began, `ended` when it was over
-    here, `gone` when its sender closed before that. `effect` is when the work had been done whole. `repeat` where the
-    mark was known, `away` where it was turned away as never started, `worked` the work put in.
+    `first` and `last` are when its first and its last byte came, `begun` when its work began, `ended` when it
+    was over here, `gone` when its sender closed before that. `effect` is when the work had been done whole.
+    `repeat` where the mark was known, `away` where it was turned away as never started, `worked` the work put
+    in.
     """
 
     name: str
@@ -98,7 +101,8 @@
 
 
 class Ran(msgspec.Struct, array_like=True, gc=False):
-    """A proxy's process: when it was started, ready, told to stop (SIGTERM) and killed or ended; -1 for never."""
+    """A proxy's process: when it was started, ready, told to stop (SIGTERM) and killed or ended; -1 for
+    never."""
 
     proxy: int
     pid: int
--- a/pepperusher/rehearsal/results.py
+++ b/pepperusher/rehearsal/results.py
@@ -1,4 +1,5 @@
-"""Results as files: one gzipped JSON document a rehearsal, with a version, so that a later program reads them."""
+"""Results as files: one gzipped JSON document a rehearsal, with a version, so that a later program reads
+them."""
 
 from __future__ import annotations
 
@@ -22,7 +23,8 @@
 
 
 class Result(msgspec.Struct):
-    """One rehearsal that was played. `plan` and `troubles` are digests: two of the same were asked the same."""
+    """One rehearsal that was played. `plan` and `troubles` are digests: two of the same were asked the
+    same."""
 
     version: int
     title: str
--- a/pepperusher/rehearsal/roster.py
+++ b/pepperusher/rehearsal/roster.py
@@ -1,7 +1,8 @@
-"""The list of backends as discovery tells it: versions, lateness, outages, and a list that goes back; free of I/O.
+"""The list of backends as discovery tells it: versions, lateness, outages, and a list that goes back; free of
+I/O.
 
-Each change is told some time after it is true. Whoever watches is told of changes after the version it names; one
-that names a version from a later time than the list is at gets the whole list.
+Each change is told some time after it is true. Whoever watches is told of changes after the version it names;
+one that names a version from a later time than the list is at gets the whole list.
 """
 
 from __future__ import annotations
@@ -18,8 +19,8 @@
 
 
 class Change(NamedTuple):
-    """From `told` on (us after the start, under 0 before it) the list has `id` at `place` in `state`; `born` as in
-    Life."""
+    """From `told` on (us after the start, under 0 before it) the list has `id` at `place` in `state`; `born`
+    as in Life."""
 
     told: int
     place: int
@@ -83,7 +84,8 @@
         return min(edges, default=None)
 
     def entries(self, tier: int, version: int, after: int | None) -> tuple[bool, list[Change]]:
-        """What to tell one that has `after` (None: nothing) of a tier: whether it is the whole list, and its lines.
+        """What to tell one that has `after` (None: nothing) of a tier: whether it is the whole list, and its
+        lines.
 
         The whole list leaves out what is gone; changes bring the last word of each.
         """
@@ -97,7 +99,8 @@
         return False, list(last.values())
 
     def line(self, tier: int, version: int, after: int | None, began_ms: float) -> dict[str, Any]:
-        """One message of discovery's, ready to be put as JSON; `began_ms` is the start in Unix milliseconds."""
+        """One message of discovery's, ready to be put as JSON; `began_ms` is the start in Unix
+        milliseconds."""
         whole, lines = self.entries(tier, version, after)
         servers = []
         for one in lines:
--- a/pepperusher/rehearsal/script.py
+++ b/pepperusher/rehearsal/script.py
@@ -1,12 +1,11 @@
 """The script of a rehearsal: a TOML file read into typed values and checked whole, before anything starts.
 
-Every value is in its file's words; spans become whole microseconds. What is wrong is said in one line that names the
-key (`ScriptError`), never by a traceback.
+Every value is in its file's words; spans become whole microseconds. What is wrong is said in one line that
+names the key (`ScriptError`), never by a traceback.
 """
 
 from __future__ import annotations
 
-import difflib
 import re
 import tomllib
 from pathlib import Path
@@ -14,7 +13,8 @@
 
 import msgspec
 
-from pepperusher.rehearsal.spans import Span, span
+from pepperusher import typed
+from pepperusher.spans import Span
 
 Share = float
 MOST_BACKENDS = 2000
@@ -61,8 +61,8 @@
 
 
 class Overload(Table, kw_only=True):
-    """Beyond `at` tickets a core for `after`, the backend turns `slower` times slower until it has had no more than
-    `below` a core for `rest`, or for `most`."""
+    """Beyond `at` tickets a core for `after`, the backend turns `slower` times slower until it has had no
+    more than `below` a core for `rest`, or for `most`."""
 
     at: float
     after: Span
@@ -92,7 +92,8 @@
 
 
 class Tier(Table, kw_only=True):
-    """One service. `work` is its part of a ticket's work, `calls` the mean number of calls to the next tier."""
+    """One service. `work` is its part of a ticket's work, `calls` the mean number of calls to the next
+    tier."""
 
     name: str
     work: Share = 1.0
@@ -133,7 +134,8 @@
 
 
 class Load(Table, kw_only=True):
-    """What clients do. `users` of 0 is open loop; else so many users, each asking again once it has its answer."""
+    """What clients do. `users` of 0 is open loop; else so many users, each asking again once it has its
+    answer."""
 
     phases: list[Phase] = []
     surges: list[Surge] = []
@@ -177,12 +179,12 @@
 
 
 class Proxies(Table, kw_only=True):
-    """How the real `serve` processes are run."""
+    """How the real `serve` processes are run. `own` is an own file for those of the first tier, beside the script."""
 
     sockets: int = 1024
     memory_mb: int = 192
-    build: str | None = None
     optimised: bool = True
+    own: str | None = None
 
 
 WHAT = Literal["freeze", "silent", "slow", "errors", "reset", "garble", "lost", "refuse", "half-answer", "idle-drop",
@@ -194,10 +196,11 @@
 
 
 class Fault(Table, kw_only=True):
-    """One trouble. It strikes backends that `tier`, `zone`, `kind` and `names` leave, `count` of them or a `part`.
+    """One trouble. It strikes backends that `tier`, `zone`, `kind` and `names` leave, `count` of them or a
+    `part`.
 
-    `flap` turns it on and off in turn, each for so long. `every` repeats it. `by` is how many times slower, or of
-    how many answers it strikes (1.0 is all), or how late.
+    `flap` turns it on and off in turn, each for so long. `every` repeats it. `by` is how many times slower,
+    or of how many answers it strikes (1.0 is all), or how late.
     """
 
     what: WHAT
@@ -250,80 +253,21 @@
     folder: str = "."
 
 
-def _unhook(kind: type, given: Any) -> Any:
-    if kind is Span:
-        return span(given)
-    raise NotImplementedError(kind)
-
-
-def _hook(value: Any) -> Any:
-    if isinstance(value, int):
-        return f"{int(value)}us"
-    raise NotImplementedError(type(value))
-
-
 def encoded(value: Any) -> bytes:
     """A table as JSON that `decoded` reads; the same value gives the same bytes."""
-    return msgspec.json.encode(value, enc_hook=_hook, order="deterministic")
+    return msgspec.json.encode(value, enc_hook=typed.hook, order="deterministic")
 
 
 def decoded(data: bytes, kind: type = Script) -> Any:
-    return msgspec.json.decode(data, type=kind, dec_hook=_unhook)
-
-
-PLACE = re.compile(r" - at `\$?\.?(.*?)`$")
-UNKNOWN = re.compile(r"Object contains unknown field `(.*)`")
-
-
-def _place(error: msgspec.ValidationError) -> tuple[str, str]:
-    text = str(error)
-    found = PLACE.search(text)
-    return (text[:found.start()], found[1]) if found else (text, "")
-
-
-def _tables(kind: type) -> dict[str, type]:
-    """Every table of a script by the keys that lead to it, list places as []."""
-    found: dict[str, type] = {"": kind}
-
-    def walk(of: type, at: str) -> None:
-        for field in msgspec.structs.fields(of):
-            for one in _structs(field.type):
-                listed = "[...]" if "list[" in str(field.type) else ""
-                name = f"{at}.{field.encode_name}{listed}".lstrip(".")
-                found[name] = one
-                walk(one, name)
-
-    walk(kind, "")
-    return found
-
-
-def _structs(kind: Any) -> list[type]:
-    if isinstance(kind, type) and issubclass(kind, msgspec.Struct):
-        return [kind]
-    return [one for part in getattr(kind, "__args__", ()) for one in _structs(part)]
-
-
-def _nearest(unknown: str, place: str, kind: type) -> str:
-    table = _tables(kind).get(re.sub(r"\[\d*\]", "[...]", place))
-    names = [field.encode_name for field in msgspec.structs.fields(table)] if table else []
-    near = difflib.get_close_matches(unknown, names, 1, 0.5)
-    return f"; did you mean {near[0]}?" if near else ""
+    return msgspec.json.decode(data, type=kind, dec_hook=typed.unhook)
 
 
 def converted(raw: Any, kind: type) -> Any:
-    """A table from what a TOML file holds. Raises ScriptError naming the key."""
-    try:
-        return msgspec.convert(raw, kind, dec_hook=_unhook)
-    except msgspec.ValidationError as error:
-        text, place = _place(error)
-        unknown = UNKNOWN.fullmatch(text)
-        if unknown:
-            key = f"{place}.{unknown[1]}".lstrip(".")
-            raise ScriptError(f"{key}: not known here{_nearest(unknown[1], place, kind)}") from None
-        missing = re.fullmatch(r"Object missing required field `(.*)`", text)
-        if missing:
-            raise ScriptError(f"{f'{place}.{missing[1]}'.lstrip('.')}: missing") from None
-        raise ScriptError(f"{place or 'the file'}: {text[:1].lower() + text[1:]}") from None
+    """A table from what a TOML file holds. Raises ScriptError naming the first key that is wrong."""
+    made, wrong = typed.converted(raw, kind)
+    if wrong:
+        raise ScriptError(f"{wrong[0].key or 'the file'}: {wrong[0].what}")
+    return made
 
 
 def loaded(path: str | Path) -> dict[str, Any]:
@@ -338,8 +282,8 @@
 
 
 def whole(path: Path) -> dict[str, Any]:
-    """A script's file with those that it is `like` beneath it: a table takes what it does not say itself from there,
-    a list stands as a whole. Raises ScriptError."""
+    """A script's file with those that it is `like` beneath it: a table takes what it does not say itself from
+    there, a list stands as a whole. Raises ScriptError."""
     raw = loaded(path)
     seen = {path.resolve()}
     at = path
@@ -477,8 +421,7 @@
 
 def _known(name: str | None, names: list[str], key: str) -> None:
     if name is not None and name not in names:
-        near = difflib.get_close_matches(name, names, 1, 0.5)
-        raise ScriptError(f"{key}: there is no {name}" + (f"; did you mean {near[0]}?" if near else ""))
+        raise ScriptError(f"{key}: there is no {name}{typed.nearest(name, names)}")
 
 
 def _check_faults(script: Script) -> None:
--- a/pepperusher/rehearsal/stalls.py
+++ b/pepperusher/rehearsal/stalls.py
@@ -1,7 +1,8 @@
-"""How a generator knows that it was not running: a heart that beats evenly and notes each beat that came late.
+"""How a generator knows that it was not running: a heart that beats evenly and notes each beat that came
+late.
 
-Free of I/O. A stall spans from when a beat was due to when it came; what was intended, sent or heard within one was
-timed by a clock nobody looked at, so figures of that time are marked and can be left out.
+Free of I/O. A stall spans from when a beat was due to when it came; what was intended, sent or heard within
+one was timed by a clock nobody looked at, so figures of that time are marked and can be left out.
 """
 
 from __future__ import annotations
@@ -27,8 +28,9 @@
 
 
 class Margin:
-    """How short of a time to sleep: a timer wakes late by what the machine makes of it, and the rest is gone round
-    without sleeping. Grows at once with a late waking, and shrinks by a two-hundredth with each that is not."""
+    """How short of a time to sleep: a timer wakes late by what the machine makes of it, and the rest is gone
+    round without sleeping. Grows at once with a late waking, and shrinks by a two-hundredth with each that is
+    not."""
 
     def __init__(self, least: int, most: int) -> None:
         self._least = least
--- a/pepperusher/rehearsal/tally.py
+++ b/pepperusher/rehearsal/tally.py
@@ -1,8 +1,9 @@
 """The figures of a rehearsal, worked out from its records; free of I/O.
 
-A client's tries count as one wish, under its first. Times of wishes run from when the first try was *intended*, so a
-proxy or a generator that stands still cannot hide it; times from the real send are kept beside them. All are HDR
-histograms in us, three figures exact, never averages. Marked are wishes that a stall of the generator touched.
+A client's tries count as one wish, under its first. Times of wishes run from when the first try was
+*intended*, so a proxy or a generator that stands still cannot hide it; times from the real send are kept
+beside them. All are HDR histograms in us, three figures exact, never averages. Marked are wishes that a stall
+of the generator touched.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 from pepperusher.rehearsal.books import Records
 from pepperusher.rehearsal.records import DONE, Sample, Try
 from pepperusher.rehearsal.script import Script
-from pepperusher.rehearsal.spans import Span
+from pepperusher.spans import Span
 from pepperusher.rehearsal.stalls import Spans
 
 LOWEST, HIGHEST, FIGURES = 1, 3_600_000_000, 3
@@ -164,7 +165,8 @@
 
 
 def _worst(wishes: list[Wish], window: Span) -> tuple[float, int]:
-    """The least goodput of any stretch of `window`, and when it began; windows with little in them do not count."""
+    """The least goodput of any stretch of `window`, and when it began; windows with little in them do not
+    count."""
     step = max(1, window // WINDOW_STEPS)
     asked: dict[int, float] = defaultdict(float)
     earned: dict[int, float] = defaultdict(float)
@@ -201,7 +203,8 @@
 
 
 def costs_of(names: list[str], records: Records, warm_up: int) -> list[Cost]:
-    """By proxy, over the time between its samples after the warm-up; a process that follows another counts anew."""
+    """By proxy, over the time between its samples after the warm-up; a process that follows another counts
+    anew."""
     samples: dict[int, list[Sample]] = defaultdict(list)
     for sample in sorted(records.samples, key=lambda one: one.at):
         if sample.at >= warm_up:
--- a/pepperusher/rehearsal/traces.py
+++ b/pepperusher/rehearsal/traces.py
@@ -1,7 +1,9 @@
-"""Recorded tickets, imported: JSON lines, CSV and the common access log; the plan keeps every ticket and their order.
+"""Recorded tickets, imported: JSON lines, CSV and the common access log; the plan keeps every ticket and
+their order.
 
-A record tells when it came; use case, customer and work where it has them. What a record does not tell is drawn
-from the script's seed. Bursts denser than the trace's clock share one instant and keep the order they stand in.
+A record tells when it came; use case, customer and work where it has them. What a record does not tell is
+drawn from the script's seed. Bursts denser than the trace's clock share one instant and keep the order they
+stand in.
 """
 
 from __future__ import annotations
@@ -19,8 +21,8 @@
 from pepperusher.rehearsal.arrivals import Arrival, Mix, work_of
 from pepperusher.rehearsal.script import Script, ScriptError
 
-# Host, identity, user, time, request line, status, size: the Common Log Format of the NCSA server; the combined one
-# has more behind it.
+# Host, identity, user, time, request line, status, size: the Common Log Format of the NCSA server; the
+# combined one has more behind it.
 ACCESS = re.compile(r'(\S+) (\S+) (\S+) \[([^\]]+)\] "((?:[^"\\]|\\.)*)" (\d{3}) (\S+)')
 DAY = "%d/%b/%Y:%H:%M:%S %z"
 COLUMNS = {"time": "time", "use_case": "use_case", "customer": "customer", "work": "work"}
@@ -137,9 +139,9 @@
 def planned(script: Script, records: list[Recorded]) -> list[Arrival]:
     """The trace's tickets up to the script's span, from the first on, `speed` times as fast.
 
-    Sorted by time alone, and a sort that keeps the order of equals: a burst denser than the clock stays as recorded.
-    Use cases that the script does not have are an error, since the fleet has no terms for them; customers that it
-    does not have are none.
+    Sorted by time alone, and a sort that keeps the order of equals: a burst denser than the clock stays as
+    recorded. Use cases that the script does not have are an error, since the fleet has no terms for them;
+    customers that it does not have are none.
     """
     assert script.load.trace is not None
     speed = script.load.trace.speed
--- a/pepperusher/rehearsal/troubles.py
+++ b/pepperusher/rehearsal/troubles.py
@@ -1,7 +1,7 @@
 """What goes wrong when: the script's faults and those left to chance, as one line of time, free of I/O.
 
-Worked out ahead from the script and its seed alone, so that every process of a rehearsal knows it, and the same
-seed strikes the same backends at the same instants.
+Worked out ahead from the script and its seed alone, so that every process of a rehearsal knows it, and the
+same seed strikes the same backends at the same instants.
 """
 
 from __future__ import annotations
@@ -13,10 +13,10 @@
 
 from pepperusher.rehearsal.fleetplan import FleetPlan, Gate, Place
 from pepperusher.rehearsal.script import OF_BACKENDS, OF_PROXIES, Chance, Fault, Script
-from pepperusher.rehearsal.spans import Span
+from pepperusher.spans import Span
 
-# A restart: so long after the drain the process goes, and so long after that the next one is up, unless the script
-# says so itself.
+# A restart: so long after the drain the process goes, and so long after that the next one is up, unless the
+# script says so itself.
 DRAINED_FOR = 2_000_000
 AWAY_FOR = 1_500_000
 BY = {"slow": 3.0}
@@ -25,7 +25,8 @@
 class Strike(NamedTuple):
     """One trouble at one time: `at` until `until` (us after the start; the same where it is an instant).
 
-    `targets` are numbers of places or of gates, as `what` has it; `by` its strength, `use_case` the one it is held to.
+    `targets` are numbers of places or of gates, as `what` has it; `by` its strength, `use_case` the one it is
+    held to.
     """
 
     at: int
@@ -37,9 +38,9 @@
 
 
 class Life(NamedTuple):
-    """One stay of a backend at a place: from `born` (-1: since long before the start) until `ends` (-1: to the end),
-    under `id`. `drains` is when it began to drain and `again` when it was ready again, -1 for never; `planned` where
-    its end was."""
+    """One stay of a backend at a place: from `born` (-1: since long before the start) until `ends` (-1: to
+    the end), under `id`. `drains` is when it began to drain and `again` when it was ready again, -1 for
+    never; `planned` where its end was."""
 
     place: int
     id: str
@@ -146,7 +147,8 @@
 
 
 def _lives(strikes: list[Strike], plan: FleetPlan) -> list[Life]:
-    """Who stands at each place from when to when. What strikes a place where nobody stands changes nothing."""
+    """Who stands at each place from when to when. What strikes a place where nobody stands changes
+    nothing."""
     lives: list[Life] = []
     for place in plan.places:
         generation, born, drains, again, away = 0, -1, -1, -1, -1
--- a/pepperusher/rehearsal/weather.py
+++ b/pepperusher/rehearsal/weather.py
@@ -14,7 +14,8 @@
 
 
 class Weather(NamedTuple):
-    """`idle_most` is for how long a kept connection lives (us, 0 for ever); `spoils` are (what, share, use case)."""
+    """`idle_most` is for how long a kept connection lives (us, 0 for ever); `spoils` are (what, share, use
+    case)."""
 
     frozen: bool = False
     silent: bool = False
--- a/pepperusher/rehearsal/wire.py
+++ b/pepperusher/rehearsal/wire.py
@@ -1,4 +1,5 @@
-"""HTTP/1.1 as the stand-ins speak it: h11 on asyncio streams, apart from the proxy's own code, which it is to test."""
+"""HTTP/1.1 as the stand-ins speak it: h11 on asyncio streams, apart from the proxy's own code, which it is to
+test."""
 
 from __future__ import annotations
 
@@ -22,7 +23,8 @@
 
 
 class Start:
-    """When the rehearsal starts, on the clock; told once the fleet stands, and till then the time of its making."""
+    """When the rehearsal starts, on the clock; told once the fleet stands, and till then the time of its
+    making."""
 
     __slots__ = ("at",)
 
--- a/pepperusher/rehearsal/worker.py
+++ b/pepperusher/rehearsal/worker.py
@@ -1,5 +1,5 @@
-"""A process of a rehearsal: told what to do by lines of JSON on its standard input, it says what it has done on its
-standard output. The director's side of it is `Worker`, the process's own is `Orders`."""
+"""A process of a rehearsal: told what to do by lines of JSON on its standard input, it says what it has done
+on its standard output. The director's side of it is `Worker`, the process's own is `Orders`."""
 
 from __future__ import annotations
 
@@ -88,7 +88,8 @@
 
 
 def environment(build: Path | None = None) -> dict[str, str]:
-    """What a process started by a rehearsal sees: this program's modules, or those of `build`, whatever the folder."""
+    """What a process started by a rehearsal sees: this program's modules, or those of `build`, whatever the
+    folder."""
     root = str(build or Path(__file__).resolve().parents[2])
     kept = {name: value for name, value in os.environ.items() if not name.startswith("BALANCER_")}
     return {**kept, "PYTHONPATH": root}
--- a/pepperusher/routes/match.py
+++ b/pepperusher/routes/match.py
@@ -1,8 +1,9 @@
 """Which route a ticket is of: method, path template, host and headers, the most exact first; free of I/O.
 
-A route is more exact than another if all that it matches the other matches too. Two that could match the same ticket
-with neither more exact are a conflict, said at load, so at run time at most one answer is right. Exactness is counted
-in points so that a subset always has more of them: sorting by points is an order that the subsets agree with.
+A route is more exact than another if all that it matches the other matches too. Two that could match the same
+ticket with neither more exact are a conflict, said at load, so at run time at most one answer is right.
+Exactness is counted in points so that a subset always has more of them: sorting by points is an order that
+the subsets agree with.
 """
 
 from __future__ import annotations
@@ -139,9 +140,11 @@
 
 
 def conflicts(patterns: list[Pattern]) -> list[tuple[int, int]]:
-    """Pairs (by place, the later first) that could match the same ticket with neither more exact, or both the same.
+    """Pairs (by place, the later first) that could match the same ticket with neither more exact, or both the
+    same.
 
-    Only patterns whose first segments may be the same are compared, since a thousand routes are a million pairs.
+    Only patterns whose first segments may be the same are compared, since a thousand routes are a million
+    pairs.
     """
     found = []
     groups: dict[str, list[int]] = {}
@@ -164,7 +167,8 @@
 # --- matching --------------------------------------------------------------------------------------
 
 class _Node:
-    """One step down a path. `ends` match where the path ends here, `rests` whatever follows; both by points."""
+    """One step down a path. `ends` match where the path ends here, `rests` whatever follows; both by
+    points."""
 
     __slots__ = ("literal", "any", "ends", "rests")
 
--- a/pepperusher/routes/terms.py
+++ b/pepperusher/routes/terms.py
@@ -1,8 +1,8 @@
 """The terms of a route as a ticket goes by them, and versions of all of them; free of I/O.
 
-A ticket has one `Version` from its first look to its end, whatever is applied meanwhile. Terms narrow: less time, fewer
-transmissions, fewer ends after which one more may go. They never choose a server and never allow what the decisions
-would not.
+A ticket has one `Version` from its first look to its end, whatever is applied meanwhile. Terms narrow: less
+time, fewer transmissions, fewer ends after which one more may go. They never choose a server and never allow
+what the decisions would not.
 """
 
 from __future__ import annotations
@@ -19,7 +19,8 @@
 
 
 class Terms(NamedTuple):
-    """One route's, derived; spans in us. `most` is how often a ticket may go out, `ends` after which it may again."""
+    """One route's, derived; spans in us. `most` is how often a ticket may go out, `ends` after which it may
+    again."""
 
     name: str
     use_case: str | None
@@ -32,7 +33,8 @@
     route: Route | None
 
     def wait(self, given: int | None) -> int | None:
-        """What a client waits under these terms: `given` is what it said, None if nothing; None is the use case's."""
+        """What a client waits under these terms: `given` is what it said, None if nothing; None is the use
+        case's."""
         if given is None:
             return self.outer if self.outer < NO_LIMIT else None
         return min(given, self.patience)
@@ -57,7 +59,8 @@
 
 
 class Version:
-    """All that a file says, as one thing that never changes. `in_hand` are its tickets: it goes with the last."""
+    """All that a file says, as one thing that never changes. `in_hand` are its tickets: it goes with the
+    last."""
 
     __slots__ = ("number", "read", "marks", "in_hand", "_routes", "_terms")
 
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -1,4 +1,5 @@
-"""Changes as transactions, without I/O and on disk: one at a time, watched, confirmed or undone, and what a start takes."""
+"""Changes as transactions, without I/O and on disk: one at a time, watched, confirmed or undone, and what a
+start takes."""
 
 from __future__ import annotations
 
@@ -91,7 +92,8 @@
                                ([("done", 90 * MS)] * 30, "None"), ([("done", 150 * MS)] * 30, "the 90th percentile went from")):
             with self.subTest(since=since[-1], count=len(since)):
                 self.assertTrue(self.judged(good, since).startswith(verdict), self.judged(good, since))
-        # Errors that were there before are not the change's doing, and a fast service may become slower by a little.
+        # Errors that were there before are not the change's doing, and a fast service may become slower by a
+        # little.
         self.assertEqual(self.judged([("scrapped", 1)] * 30 + good, [("scrapped", 1)] * 8 + good[:30]), "None")
         self.assertEqual(self.judged([("done", 1 * MS)] * 50, [("done", 9 * MS)] * 50), "None")
 
@@ -115,7 +117,8 @@
         marked = {mark.id: mark for mark in marks}
         self.assertEqual(overlay.lines([entry("a"), entry("b", weight=2.0), entry("c")], True), [entry("a"), entry("b", weight=2.0), entry("c")])
         self.assertEqual(overlay.turn(marked), [entry("a", ready=False), entry("b", weight=1.0)])
-        # Discovery drains b while the marks act; the marks' end lifts their own drain of a, and not discovery's of b.
+        # Discovery drains b while the marks act; the marks' end lifts their own drain of a, and not
+        # discovery's of b.
         self.assertEqual(overlay.lines([entry("b", ready=False)], False), [entry("b", ready=False, weight=0.5)])
         self.assertEqual(overlay.turn({}), [entry("a")])
         self.assertEqual(overlay.unknown(marked), ["b"])
@@ -251,7 +254,8 @@
             self.assertEqual(kept.begin("two"), ("two", ""))
 
     def test_every_torn_mark_leaves_a_start(self) -> None:
-        """The mark is replaced whole; a file system that tears it all the same must not keep a proxy from starting."""
+        """The mark is replaced whole; a file system that tears it all the same must not keep a proxy from
+        starting."""
         with tempfile.TemporaryDirectory() as folder:
             kept, mark = OnDisk(Path(folder)), Path(folder) / "open.json"
             kept.confirm("one")
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -1,4 +1,5 @@
-"""The proxy under its own file, whole and on loopback: limits, changes and the control socket, with their failures."""
+"""The proxy under its own file, whole and on loopback: limits, changes and the control socket, with their
+failures."""
 
 from __future__ import annotations
 
@@ -32,7 +33,8 @@
 
 
 class Counting:
-    """A backend that answers after a while, and notes of each ticket how often it came and with which wait."""
+    """A backend that answers after a while, and notes of each ticket how often it came and with which
+    wait."""
 
     def __init__(self, after: float) -> None:
         self.after = after
--- a/tests/test_own.py
+++ b/tests/test_own.py
@@ -1,4 +1,5 @@
-"""The proxy's own file: what it reads as, and each thing that it can have wrong, with line, key and the rule broken."""
+"""The proxy's own file: what it reads as, and each thing that it can have wrong, with line, key and the rule
+broken."""
 
 from __future__ import annotations
 
@@ -22,7 +23,8 @@
 
 
 class Files(Kept):
-    """Use cases of the settings here: look is replayable and waits 2 s, book referenced, 4 s and known for 1 s, pay single-use."""
+    """Use cases of the settings here: look is replayable and waits 2 s, book referenced, 4 s and known for 1
+    s, pay single-use."""
 
     # (the rule broken, the file); the trace that is kept tells line, key and words of each.
     BROKEN = (
--- a/tests/test_rehearsal_parts.py
+++ b/tests/test_rehearsal_parts.py
@@ -1,4 +1,5 @@
-"""The parts of a rehearsal that decide without I/O: a backend's work, clients' manners, stalls, books, comparisons."""
+"""The parts of a rehearsal that decide without I/O: a backend's work, clients' manners, stalls, books,
+comparisons."""
 
 from __future__ import annotations
 
@@ -30,7 +31,8 @@
         return [(now, job) for now in range(step, until + step, step) for job in engine.advance(now)]
 
     def test_tickets_share_the_cores(self) -> None:
-        """Two of 10 ms on one core end at 20 ms; a third of 5 ms that comes at 10 ms ends when it had 5 ms of a third."""
+        """Two of 10 ms on one core end at 20 ms; a third of 5 ms that comes at 10 ms ends when it had 5 ms of
+        a third."""
         engine = self.engine()
         first, second, third = (Job([part]) for part in (10 * MS, 10 * MS, 5 * MS))
         self.assertEqual((engine.offer(first, 0), engine.offer(second, 0)), (RUNS, RUNS))
@@ -83,7 +85,8 @@
         self.assertEqual([job for _, job in self.ended(engine, 14 * MS)], [third])
 
     def test_a_cold_one_warms_and_is_pushed_over_by_a_multiple_for_long_enough(self) -> None:
-        """It can do 0.1 to 1 of a second's work in a second: over three times that for a second and it falls."""
+        """It can do 0.1 to 1 of a second's work in a second: over three times that for a second and it
+        falls."""
         for times, falls in ((2.8, False), (3.2, True)):
             engine = Engine(Kind(name="k", count=1, cold_from=0.1, warm_for=10_000_000, slots=9999), 0, 0, 3.0, 1_000_000)
             self.assertAlmostEqual(engine.warmth(5_000_000), 0.55)
@@ -282,7 +285,8 @@
         self.assertAlmostEqual(figures.intended.percentiles["100"], 1_200_000, delta=1200)
         self.assertEqual(figures.ends, {"bounced": 1, "done": 401, "left": 1})
         self.assertEqual(figures.untrusted_seconds, [2])
-        # Due within the 30 ms; of the quick and of the late ones before, those still out; the one of three tries.
+        # Due within the 30 ms; of the quick and of the late ones before, those still out; the one of three
+        # tries.
         self.assertEqual(figures.marked, 4 + 2 + 15 + 1)
 
     def test_a_worst_window_is_found(self) -> None:
--- a/tests/test_rehearsal_play.py
+++ b/tests/test_rehearsal_play.py
@@ -10,7 +10,8 @@
 
 
 class Stalls(unittest.TestCase):
-    """A stand-in that pauses for exactly 1 s under even load: times from the intended send are known beforehand."""
+    """A stand-in that pauses for exactly 1 s under even load: times from the intended send are known
+    beforehand."""
 
     PAUSE = {"faults": [{"what": "freeze", "at": "4s", "span": "1s"}], "span": "10s",
              "use_cases": [{"name": "look", "work": {"mean": 0}, "promised": "500ms", "outer": "2s"}],
@@ -38,7 +39,8 @@
         self.assertTrue({2, 3} <= set(figures.untrusted_seconds))
         self.assertGreaterEqual(figures.marked, 60)
         self.assertEqual(figures.wishes, 300)
-        # What it measured meanwhile says more of itself than of the proxies, and is not in the trusted figures.
+        # What it measured meanwhile says more of itself than of the proxies, and is not in the trusted
+        # figures.
         self.assertGreater(figures.intended.percentiles["100"], 900_000)
         self.assertLess(figures.trusted.percentiles["99"], 500_000)
 
--- a/tests/wrong/pepperusher/__main__.py
+++ b/tests/wrong/pepperusher/__main__.py
@@ -1,5 +1,5 @@
-"""`serve --config FILE`, wrong as the environment's WRONG says: "loses", "invents", "doubles", "twice", "drains",
-"cold", "silent"; "" is a plain proxy that keeps the rules on a quiet day."""
+"""`serve --config FILE`, wrong as the environment's WRONG says: "loses", "invents", "doubles", "twice",
+"drains", "cold", "silent"; "" is a plain proxy that keeps the rules on a quiet day."""
 
 from __future__ import annotations
 
