A ticket at the gate is answered before its time is up; nothing of a rehearsal outlives it

One that waited was dropped with the next look at all, up to 0.1 s later, when its client may have left: seen on a retry storm with the adaptive limit, two tickets with no answer in time. Each has a timer of its own now.

A director that was killed left its proxies behind, seen after an experiment was ended: processes end with the one that started them (prctl), and SIGTERM ends a rehearsal as Ctrl-C does.

--- a/pepperusher/changes/standing.py
+++ b/pepperusher/changes/standing.py
@@ -139,6 +139,11 @@
         if made.how == WAITS and held is not None and held.gate is not None and made.waiting is not None:
             held.gate.withdraw(made.waiting)
 
+    def usual(self, made: Pass) -> int:
+        """How long those take that its gate lets in (us); 0 where there is none."""
+        held = self._held.get(made.terms.name)
+        return held.gate.usual if held is not None and held.gate is not None else 0
+
     def first(self, made: Pass, now: int) -> None:
         """It goes out for the first time."""
         held = self._held.get(made.terms.name)
--- a/pepperusher/net/house.py
+++ b/pepperusher/net/house.py
@@ -30,6 +30,8 @@
 
 LOOK_EVERY = 0.1
 LONGEST_ADVICE = 10_000_000
+# With less than this left a ticket is let in to no purpose, however quick answers are.
+LEAST_LEFT = 30_000
 # 429 tells a client that it is its own doing, 503 that it is not; both are bounces.
 STATUS = {RATE: 429, FULL: 503, LATE: 503}
 # A drain by hand is put behind the file's text.
@@ -173,11 +175,20 @@
                 if not told.done():
                     told.set_result("left")
 
+        def late() -> None:
+            if made.how == WAITS:
+                self.standing.withdraw(made)
+                tell(LATE)
+
         made.waiting.tell = tell
         call.on_leave = leave
+        # Of its own, and not with the next look at all: that is up to LOOK_EVERY later, and its client has left by then.
+        left = made.until - clock.now() - max(LEAST_LEFT, self.standing.usual(made))
+        timer = asyncio.get_running_loop().call_later(max(0, left) / 1e6, late)
         try:
             return await told == IN and not call.left
         finally:
+            timer.cancel()
             call.on_leave = None
 
     def refusal(self, made: Pass) -> Answer | None:
--- a/pepperusher/rehearsal/commands.py
+++ b/pepperusher/rehearsal/commands.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
@@ -21,7 +22,11 @@
 
 @contextmanager
 def one_line() -> Iterator[None]:
-    """What is wrong with a file or a play is one line, never a traceback."""
+    """What is wrong with a file or a play is one line, never a traceback. SIGTERM ends it as Ctrl-C does, with all that it
+    started; so does SIGINT where a shell that put it into the background has it ignored."""
+    signal.signal(signal.SIGINT, signal.default_int_handler)
+    # Not the same handler: asyncio turns SIGINT into a cancellation, and all that was started is ended in order.
+    signal.signal(signal.SIGTERM, lambda *_: signal.raise_signal(signal.SIGINT))
     try:
         yield
     except (ScriptError, PlayError, ResultError) as error:
--- a/pepperusher/rehearsal/director.py
+++ b/pepperusher/rehearsal/director.py
@@ -260,6 +260,8 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         for worker in [*self._load, *self._fleet]:
             await worker.end()
+        # What was being started when this came has to be over too, or its pipes outlive the loop.
+        await asyncio.sleep(0)
         await asyncio.gather(*(runner.kill() for runner in self._runners))
         self.listing.close()
         self._writer.close()
--- a/pepperusher/rehearsal/proxies.py
+++ b/pepperusher/rehearsal/proxies.py
@@ -18,7 +18,7 @@
 from pepperusher.rehearsal.records import Ran, Sample, Turn, Writer
 from pepperusher.rehearsal.script import Script
 from pepperusher.rehearsal.wire import Broken, Start, clock, reach
-from pepperusher.rehearsal.worker import environment
+from pepperusher.rehearsal.worker import environment, with_parent
 
 READY_WITHIN = 20.0
 LOOK_EVERY = 0.02
@@ -116,7 +116,8 @@
         self._process = process = await asyncio.create_subprocess_exec(
             python_of(self._build), *flags, "-m", "pepperusher", "serve", "--config", str(path), *more,
             stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
-            env=environment(self._build), cwd=self._work, start_new_session=True)
+            env=environment(self._build), cwd=self._work, start_new_session=True,
+            preexec_fn=with_parent)
         self._reading = asyncio.get_running_loop().create_task(self._read(process))
         try:
             async with asyncio.timeout(READY_WITHIN):
--- a/pepperusher/rehearsal/worker.py
+++ b/pepperusher/rehearsal/worker.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import ctypes
 import json
 import os
 import signal
@@ -32,7 +33,7 @@
         with open(log, "ab") as errors:
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", module, *arguments, stdin=asyncio.subprocess.PIPE,
-                stdout=asyncio.subprocess.PIPE, stderr=errors, env=environment(), start_new_session=True)
+                stdout=asyncio.subprocess.PIPE, stderr=errors, env=environment(), start_new_session=True, preexec_fn=with_parent)
         if cpus:
             os.sched_setaffinity(process.pid, cpus)
         worker = cls(process, name, log)
@@ -87,6 +88,18 @@
             await self._process.wait()
 
 
+PR_SET_PDEATHSIG = 1
+
+
+def with_parent() -> None:
+    """In a new process, before its program: it ends when the one that started it does, however that ended. Else a director
+    that is killed would leave a fleet behind (prctl(2); elsewhere than on Linux it does nothing)."""
+    try:
+        ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+    except (OSError, AttributeError):
+        pass
+
+
 def environment(build: Path | None = None) -> dict[str, str]:
     """What a process started by a rehearsal sees: this program's modules, or those of `build`, whatever the
     folder."""
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -215,6 +215,26 @@
         self.assertNotIn("999", self.backends["a1"].came | self.backends["b1"].came)
         self.assertEqual((gates()[0]["inside"], self.proxy._facade.in_hand), (0, 0))
 
+    async def test_one_that_waits_has_its_answer_before_its_time_is_up(self) -> None:
+        """Answers have been quick, so nobody is late by the usual time until just before the end; then one holds the place."""
+        await self.stand(WATCH + '[[routes]]\nname = "all"\nconcurrency = { most = 1, queue = 50 }\n', 0.001)
+        for _ in range(5):
+            await self.one()
+        for backend in self.backends.values():
+            backend.after = 0.4
+        holds = asyncio.create_task(self.one("pay", left=2000))
+        await self.until(lambda: self.house.standing.gates()[0]["inside"] == 1)
+        for left in (150, 190, 230, 270):
+            began = time.monotonic()
+            _, status, _ = await self.one(left=left)
+            took = time.monotonic() - began
+            if holds.done():
+                break
+            self.assertEqual(status, "503")
+            self.assertLess(took, left / 1000)
+        self.assertGreater(left, 150)
+        await holds
+
     async def test_a_stop_answers_those_that_wait(self) -> None:
         await self.stand(WATCH + '[[routes]]\nname = "all"\nconcurrency = { most = 1, queue = 50 }\n', 1.0)
         tasks = [asyncio.create_task(self.one(left=9000)) for _ in range(10)]
--- a/tests/test_rehearsal_commands.py
+++ b/tests/test_rehearsal_commands.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
 
@@ -100,6 +101,38 @@
         self.assertIn("ended", rest)
         self.assertEqual(fleet.returncode, 0)
 
+    def test_whatever_ends_a_rehearsal_nothing_of_it_is_left(self) -> None:
+        for number, code in ((signal.SIGTERM, 1), (signal.SIGKILL, -signal.SIGKILL)):
+            work = self.at / f"work-{number}"
+            playing = subprocess.Popen([sys.executable, "-m", "pepperusher", "rehearse", str(self.at / "short.toml"), "--work",
+                                        str(work), "--span", "30s"], stderr=subprocess.PIPE, text=True)
+            until = time.monotonic() + 20
+            while not (work / "load-0.records").exists() or not (work / "p1.log").exists():
+                self.assertLess(time.monotonic(), until)
+                time.sleep(0.05)
+            self.assertGreaterEqual(len(self.processes(str(work))), 3)
+            playing.send_signal(number)
+            _, said = playing.communicate(timeout=20)
+            self.assertEqual(playing.returncode, code, said)
+            self.assertNotIn("Traceback", said)
+            until = time.monotonic() + 5
+            while self.processes(str(work)):
+                self.assertLess(time.monotonic(), until, self.processes(str(work)))
+                time.sleep(0.05)
+
+    @staticmethod
+    def processes(words: str) -> list[str]:
+        """Those whose command line holds these words."""
+        found = []
+        for path in Path("/proc").glob("[0-9]*/cmdline"):
+            try:
+                line = path.read_bytes().replace(b"\0", b" ").decode(errors="replace")
+            except OSError:
+                continue
+            if words in line and "rehearse" not in line.split(words)[0].split():
+                found.append(line)
+        return found
+
     def test_what_is_wrong_is_one_line(self) -> None:
         broken = self.at / "broken.toml"
         broken.write_text(SCRIPT.replace("rate", "rite"))
