--- a/pepperusher/store/tables.py
+++ b/pepperusher/store/tables.py
@@ -6,8 +6,8 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Iterator
+from heapq import heappop, heappush
 from typing import NamedTuple
 
 import msgspec
@@ -35,7 +35,7 @@
         self._most = most
         self._held: dict[tuple[str, str], list[Past]] = {}   # emptied by `sweep`, most at the most
         self._until: dict[tuple[str, str], int] = {}         # likewise
-        self._ends: deque[tuple[int, tuple[str, str]]] = deque()   # an entry a transmission; emptied by `sweep`
+        self._ends: list[tuple[int, tuple[str, str]]] = []   # a heap, an entry a transmission; emptied by `sweep`
 
     def __len__(self) -> int:
         return len(self._held)
@@ -66,12 +66,14 @@
         if kind == SENT:
             use_case, mark, backend, cell, at, until = DECODE(body)
             key = (use_case, mark)
+            # As it was then: what had been forgotten by this time is not taken up again from the log.
+            self.sweep(at)
             held = self._held.setdefault(key, [])
             # Twice where a snapshot was taken between its writing and its place in the log.
             if not any(one.sent == at and one.backend == backend for one in held):
                 held.append(Past(backend, cell, at, True))
             self._until[key] = max(until, self._until.get(key, 0))
-            self._ends.append((until, key))
+            heappush(self._ends, (until, key))
         else:
             use_case, mark, at = DECODE(body)
             held = self._held.get((use_case, mark), [])
@@ -80,9 +82,9 @@
                     held[place] = one._replace(ran=False)
 
     def sweep(self, now: int) -> None:
-        """Forgets what its group has forgotten. Ends stand nearly in order: one that is late waits for those before it."""
+        """Forgets what its group has forgotten."""
         while self._ends and self._ends[0][0] <= now:
-            _, key = self._ends.popleft()
+            _, key = heappop(self._ends)
             if self._until.get(key, now + 1) <= now:
                 self._held.pop(key, None)
                 self._until.pop(key, None)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
 import os
 import tempfile
+import time
 import unittest
 from pathlib import Path
 from random import Random
 
 from pepperusher.store import frames, recovery
 from pepperusher.store.disk import Disk, Taken
+from pepperusher.store.keeper import KEPT, LATE, OFF, Keeper
 from pepperusher.store.log import Log, replay
 from pepperusher.store.recovery import Manifest, RefusedError
+from pepperusher.store.tables import BREAKER, LISTED, NEVER_RAN, SENT, Breakers, Listed, Marks, Seen, Tables
 
 SECTOR = 64
 SMALL = 700   # bytes a segment: a few groups
@@ -292,6 +296,158 @@
             self.assertEqual(history.holds(kept), "", f"failing from call {fail_at}")
 
 
+class Held(unittest.TestCase):
+    """The tables, against what was told them, through a snapshot and the log behind it."""
+
+    def test_marks_count_until_they_are_forgotten_and_no_mark_is_forgotten_for_another(self) -> None:
+        marks = Marks(2)
+        for at in (10, 20, 30):
+            marks.sent("release", "m", f"b{at}", 4, at, at + 100)
+        marks.never_ran("release", "m", 20)
+        self.assertEqual([(one.backend, one.ran) for one in marks.past("release", "m", 40)],
+                         [("b10", True), ("b20", False), ("b30", True)])
+        self.assertEqual(marks.past("submit", "m", 40), [])
+        self.assertTrue(marks.room("submit", "n", 40))
+        marks.sent("submit", "n", "b", 1, 50, 90)
+        self.assertEqual([marks.room("submit", "o", 89), marks.room("submit", "n", 89), marks.room("submit", "o", 91)],
+                         [False, True, True])
+        # Known until its last transmission is forgotten, not its first.
+        self.assertEqual(len(marks.past("release", "m", 129)), 3)
+        self.assertEqual(marks.past("release", "m", 130), [])
+        self.assertEqual((len(marks), len(marks._ends), len(marks._until)), (0, 0, 0))
+
+    def test_the_list_leaves_out_what_drains_and_forgets_what_is_oldest(self) -> None:
+        listed = Listed(2)
+        for id, confirmed in (("a", 5), ("b", 9), ("c", 7)):
+            listed.seen(Seen(id, f"{id}:1", "z", 1, 1.0, 0, confirmed))
+        self.assertEqual([one.id for one in listed.all()], ["b", "c"])
+        listed.gone("b")
+        self.assertEqual([one.id for one in listed.all()], ["c"])
+
+    def test_breakers_are_known_while_they_tell_something(self) -> None:
+        breakers = Breakers(100)
+        breakers.turned("a", 10, 50)
+        breakers.turned("b", 10, 50)
+        breakers.turned("b", 0, 0)
+        self.assertEqual(breakers.open(149), {"a": (10, 50)})
+        self.assertEqual(breakers.open(150), {})
+
+    def test_records_and_snapshots_build_the_same_tables(self) -> None:
+        """A snapshot may hold more than the log had when it was begun, and the log then says that again."""
+        for seed in range(20):
+            chance, tables = Random(seed), Tables(1000, 50, 1000)
+            records: list[tuple[int, bytes]] = []
+            snapshot: list[tuple[int, bytes]] = []
+            begun = 0
+            for now in range(1, 400):
+                turn = chance.random()
+                mark = f"m{chance.randrange(30)}"
+                if turn < 0.5:
+                    records.append((SENT, tables.marks.sent("u", mark, "b", chance.randrange(3), now, now + 150)))
+                elif turn < 0.6 and (past := tables.marks.past("u", mark, now)):
+                    records.append((NEVER_RAN, tables.marks.never_ran("u", mark, past[-1].sent)))
+                elif turn < 0.8:
+                    records.append((LISTED, tables.listed.seen(Seen(f"s{chance.randrange(60)}", "a:1", "z", 1, 1.0, 0, now))))
+                elif turn < 0.9:
+                    records.append((BREAKER, tables.breakers.turned(f"s{chance.randrange(9)}", now, chance.choice((0, now + 50)))))
+                if now == 180:
+                    begun = len(records)
+                if now == 200:
+                    snapshot = tables.state(now)
+            again = Tables(1000, 50, 1000)
+            for kind, body in [*snapshot, *records[begun:]]:
+                again.take(kind, body)
+            again.take(99, b"of a later program")
+            self.assertEqual(again.unknown, 1)
+            for number in range(30):
+                self.assertEqual(again.marks.past("u", f"m{number}", 400), tables.marks.past("u", f"m{number}", 400))
+            self.assertEqual(sorted(again.listed.all()), sorted(tables.listed.all()))
+            self.assertEqual(again.breakers.open(400), tables.breakers.open(400))
+
+
+class Keeping(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.at = Path(folder.name) / "store"
+        self.said: list[str] = []
+
+    def keeper(self, disk: object, state: object = list, compact_at: int = 1 << 40) -> Keeper:
+        log = Log(disk)   # type: ignore[arg-type]
+        log.open()
+        return Keeper(log, state, compact_at, lambda what, **why: self.said.append(f"{what} {why}"))   # type: ignore[arg-type]
+
+    async def test_what_it_says_is_kept_is_there(self) -> None:
+        keeper = self.keeper(Disk(self.at))
+        ends = await asyncio.gather(*(keeper.put(1, b"%d" % number, 5.0) for number in range(2000)))
+        self.assertEqual(set(ends), {KEPT})
+        # Gathered: far fewer groups than records.
+        self.assertLess(keeper.groups, 500)
+        await keeper.close()
+        self.assertEqual([body for _, body in replay(Log(Disk(self.at)).open())], [b"%d" % number for number in range(2000)])
+
+    async def test_it_compacts_under_way_and_stays_small(self) -> None:
+        kept: dict[bytes, bytes] = {}
+        keeper = self.keeper(Disk(self.at), lambda: [(1, body) for body in kept.values()], 40_000)
+        for number in range(4000):
+            body = b"%d:%d" % (number % 50, number) + b"x" * 40
+            kept[body.split(b":")[0]] = body
+            keeper.note(1, body)
+            if number % 50 == 0:
+                self.assertEqual(await keeper.put(1, body, 5.0), KEPT)
+        await keeper.close()
+        self.assertEqual(self.said, [])
+        self.assertLess(sum(one.stat().st_size for one in self.at.iterdir()), 150_000)
+        last = {body.split(b":")[0]: body for _, body in replay(Log(Disk(self.at)).open())}
+        self.assertEqual(last, kept)
+
+    async def test_a_slow_disk_is_late_and_holds_nobody_up(self) -> None:
+        class Slow(Disk):
+            def sync(self, name: str) -> None:
+                time.sleep(0.15)
+                super().sync(name)
+
+        keeper = self.keeper(Slow(self.at))
+        longest, going = 0.0, True
+
+        async def turns() -> None:
+            nonlocal longest
+            while going:
+                began = time.monotonic()
+                await asyncio.sleep(0)
+                longest = max(longest, time.monotonic() - began)
+
+        turning = asyncio.create_task(turns())
+        self.assertEqual(await keeper.put(1, b"a", 0.03), LATE)
+        self.assertEqual(await keeper.put(1, b"b", 5.0), KEPT)
+        going = False
+        await turning
+        self.assertLess(longest, 0.1)
+        await keeper.close()
+        self.assertEqual([body for _, body in replay(Log(Disk(self.at)).open())], [b"a", b"b"])
+
+    async def test_a_disk_that_fails_turns_it_off_with_one_line_and_tells_all_who_wait(self) -> None:
+        class Full(Disk):
+            full = False
+
+            def write(self, name: str, at: int, data: bytes) -> None:
+                if self.full:
+                    raise OSError(28, "No space left on device")
+                super().write(name, at, data)
+
+        disk = Full(self.at)
+        keeper = self.keeper(disk)
+        self.assertEqual(await keeper.put(1, b"a", 5.0), KEPT)
+        disk.full = True
+        ends = await asyncio.gather(*(keeper.put(1, b"b", 5.0) for _ in range(10)))
+        self.assertEqual(set(ends), {OFF})
+        self.assertTrue(keeper.off)
+        self.assertEqual(len(self.said), 1)
+        self.assertIn("No space left", self.said[0])
+        self.assertEqual(await keeper.put(1, b"c", 5.0), OFF)
+        await keeper.close()
+
+
 class OnDisk(unittest.TestCase):
     def test_a_real_folder_one_writer_and_compaction(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
