--- a/pepperusher/__main__.py
+++ b/pepperusher/__main__.py
@@ -18,7 +18,7 @@
 LATER = {**{name: ("pepperusher.rehearsal.commands", "rehearsal")
             for name in ("emulate", "load", "rehearse", "experiment", "report")},
          **{name: ("pepperusher.own.commands", "own") for name in ("explain", "schema")},
-         "ctl": ("pepperusher.control.commands", "own")}
+         "ctl": ("pepperusher.control.commands", "own"), "store": ("pepperusher.store.commands", "store")}
 
 
 def later(module: str, extra: str) -> ModuleType:
--- a/pepperusher/changes/ledger.py
+++ b/pepperusher/changes/ledger.py
@@ -12,7 +12,13 @@
 
 PROPOSED, STAGED, APPLIED, CONFIRMED, UNDONE = "proposed", "staged", "applied", "confirmed", "undone"
 # What may follow what. Undone before it was applied is a change that was given up.
-FOLLOWS = {PROPOSED: (STAGED, UNDONE), STAGED: (APPLIED, UNDONE), APPLIED: (CONFIRMED, UNDONE), CONFIRMED: (), UNDONE: ()}
+FOLLOWS = {
+    PROPOSED: (STAGED, UNDONE),
+    STAGED: (APPLIED, UNDONE),
+    APPLIED: (CONFIRMED, UNDONE),
+    CONFIRMED: (),
+    UNDONE: (),
+}
 MOST_WAITING = 8
 
 
@@ -39,7 +45,7 @@
         self.number = number
         self.name = name
         self.what = what
-        self.steps = [step]   # five at the most
+        self.steps = [step]  # five at the most
 
     @property
     def state(self) -> str:
@@ -56,8 +62,8 @@
 
 class Ledger:
     def __init__(self, history: int) -> None:
-        self._history: deque[Change] = deque(maxlen=history)   # those over, the last `history`
-        self._waiting: deque[Change] = deque()                 # emptied as their turn comes, MOST_WAITING at the most
+        self._history: deque[Change] = deque(maxlen=history)  # those over, the last `history`
+        self._waiting: deque[Change] = deque()  # emptied as their turn comes, MOST_WAITING at the most
         self._number = 0
         self.open: Change | None = None
 
@@ -85,8 +91,10 @@
         """The change, open if none was, else waiting. Raises LedgerError, naming the one that is open."""
         if self.open is not None:
             if not waits:
-                raise LedgerError(f"change {self.open.number} ({self.open.name}) of {self.open.steps[0].who} is"
-                                  f" {self.open.state}; confirm or undo it first")
+                raise LedgerError(
+                    f"change {self.open.number} ({self.open.name}) of {self.open.steps[0].who} is"
+                    f" {self.open.state}; confirm or undo it first"
+                )
             if len(self._waiting) >= MOST_WAITING:
                 raise LedgerError(f"{MOST_WAITING} changes wait already")
         self._number += 1
@@ -102,7 +110,9 @@
         if state not in FOLLOWS[change.state]:
             raise LedgerError(f"change {change.number} is {change.state} and can't become {state}")
         if change is not self.open and state != UNDONE:
-            raise LedgerError(f"change {change.number} waits for change {self.open.number if self.open else 0}")
+            raise LedgerError(
+                f"change {change.number} waits for change {self.open.number if self.open else 0}"
+            )
         change.steps.append(Step(state, now, who, why))
         if not change.over:
             return
@@ -120,7 +130,9 @@
         return None
 
 
-def verdict(change: Change, by_itself: bool, watch: int, harm: object | None, now: int) -> tuple[str, str] | None:
+def verdict(
+    change: Change, by_itself: bool, watch: int, harm: object | None, now: int
+) -> tuple[str, str] | None:
     """What becomes of an applied change now: (CONFIRMED or UNDONE, why), or None while it is watched."""
     if change.state != APPLIED:
         return None
--- a/pepperusher/changes/overlay.py
+++ b/pepperusher/changes/overlay.py
@@ -14,7 +14,9 @@
 
 class Overlay:
     def __init__(self) -> None:
-        self._told: dict[str, Entry] = {}   # discovery's last word of each that is ready; emptied with the list
+        self._told: dict[
+            str, Entry
+        ] = {}  # discovery's last word of each that is ready; emptied with the list
         self._marks: Mapping[str, Mark] = {}
 
     def _marked(self, entry: Entry) -> Entry:
--- a/pepperusher/changes/standing.py
+++ b/pepperusher/changes/standing.py
@@ -35,7 +35,19 @@
     """One ticket's way in. `how` is IN, WAITS, FULL, LATE or RATE; `advice` when to come back (us) where it
     is refused."""
 
-    __slots__ = ("version", "terms", "customer", "how", "advice", "came", "entered", "until", "waiting", "over", "inside")
+    __slots__ = (
+        "version",
+        "terms",
+        "customer",
+        "how",
+        "advice",
+        "came",
+        "entered",
+        "until",
+        "waiting",
+        "over",
+        "inside",
+    )
 
     def __init__(self, version: Version, terms: Terms, customer: str, came: int, until: int) -> None:
         self.version = version
@@ -68,14 +80,15 @@
     """`list_again` takes lines for the decisions where marks change them; `say` takes a log line with its
     figures."""
 
-    def __init__(self, read: Read, now: int, list_again: Callable[[list[Entry]], None],
-                 say: Callable[..., None]) -> None:
+    def __init__(
+        self, read: Read, now: int, list_again: Callable[[list[Entry]], None], say: Callable[..., None]
+    ) -> None:
         self._list_again = list_again
         self._say = say
-        self._held: dict[str, _Held] = {}   # by route; emptied as routes go and their last ticket with them
+        self._held: dict[str, _Held] = {}  # by route; emptied as routes go and their last ticket with them
         self.overlay = Overlay()
         self.version = Version(1, read)
-        self.versions: dict[int, Version] = {1: self.version}   # emptied as their last tickets go
+        self.versions: dict[int, Version] = {1: self.version}  # emptied as their last tickets go
         self.confirmed = self.version
         self.ledger = Ledger(read.own.changes.history)
         self.toll = Toll(read.own.changes.watch)
@@ -85,8 +98,18 @@
 
     # --- tickets ----------------------------------------------------------------------------------
 
-    def ask(self, method: str, target: str, host: str, headers: Mapping[str, str], use_case: str, customer: str,
-            given: int | None, usual_wait: int, now: int) -> Pass:
+    def ask(
+        self,
+        method: str,
+        target: str,
+        host: str,
+        headers: Mapping[str, str],
+        use_case: str,
+        customer: str,
+        given: int | None,
+        usual_wait: int,
+        now: int,
+    ) -> Pass:
         """`given` is how long its client said that it waits, `usual_wait` what its use case's clients do
         (us)."""
         version = self.version
@@ -116,9 +139,15 @@
         held.refused += 1
         if now - held.said_at >= SAID_EVERY:
             gate = held.gate
-            self._say("limit acts", route=made.terms.name, why=how, refused=held.refused,
-                      inside=gate.inside if gate else 0, waiting=gate.waiting if gate else 0,
-                      limit=gate.limit if gate else 0)
+            self._say(
+                "limit acts",
+                route=made.terms.name,
+                why=how,
+                refused=held.refused,
+                inside=gate.inside if gate else 0,
+                waiting=gate.waiting if gate else 0,
+                limit=gate.limit if gate else 0,
+            )
             held.said_at = now
         return made
 
@@ -211,7 +240,9 @@
             elif held.gate is None:
                 held.gate = Gate(_limit(route.concurrency, None), route.concurrency.queue, own.weights)
             else:
-                held.gate.change(_limit(route.concurrency, held.gate), route.concurrency.queue, own.weights, now)
+                held.gate.change(
+                    _limit(route.concurrency, held.gate), route.concurrency.queue, own.weights, now
+                )
             if route.rate is None:
                 held.buckets = None
             elif held.buckets is None:
@@ -295,7 +326,9 @@
 
     def _said(self, change: Change) -> None:
         step = change.steps[-1]
-        self._say("change", number=change.number, name=change.name, state=step.state, who=step.who, why=step.why)
+        self._say(
+            "change", number=change.number, name=change.name, state=step.state, who=step.who, why=step.why
+        )
 
     def due(self, now: int) -> tuple[str, str] | None:
         """What is to become of the open change now, and why; None while it is watched or none is open."""
@@ -305,8 +338,12 @@
         terms = change.what.own.changes
         # Judged by what stood before it: a change can't loosen the watch that it is under.
         held = self.confirmed.read.own.changes
-        harm = self.toll.harm(min(held.least, terms.least), min(held.errors, terms.errors),
-                              min(held.bounces, terms.bounces), min(held.latency, terms.latency))
+        harm = self.toll.harm(
+            min(held.least, terms.least),
+            min(held.errors, terms.errors),
+            min(held.bounces, terms.bounces),
+            min(held.latency, terms.latency),
+        )
         by_itself = terms.confirm == "by itself" and held.confirm == "by itself"
         return ledgers.verdict(change, by_itself, max(held.watch, terms.watch), harm, now)
 
@@ -316,16 +353,27 @@
                 held.gate.sweep(now)
             if held.buckets is not None:
                 held.buckets.sweep(now)
-            if held.gate is not None and not held.gate.inside and not held.gate.waiting \
-                    and all(route.name != name for route in self.version.read.own.routes):
+            if (
+                held.gate is not None
+                and not held.gate.inside
+                and not held.gate.waiting
+                and all(route.name != name for route in self.version.read.own.routes)
+            ):
                 del self._held[name]
 
     def gates(self) -> list[dict[str, object]]:
         """By route, for those who ask."""
-        return [{"route": name, "inside": held.gate.inside if held.gate else 0,
-                 "waiting": held.gate.waiting if held.gate else 0, "limit": held.gate.limit if held.gate else None,
-                 "customers": len(held.buckets) if held.buckets else 0, "refused": held.refused}
-                for name, held in self._held.items()]
+        return [
+            {
+                "route": name,
+                "inside": held.gate.inside if held.gate else 0,
+                "waiting": held.gate.waiting if held.gate else 0,
+                "limit": held.gate.limit if held.gate else None,
+                "customers": len(held.buckets) if held.buckets else 0,
+                "refused": held.refused,
+            }
+            for name, held in self._held.items()
+        ]
 
 
 def _limit(of: Concurrency, gate: Gate | None) -> Gradient | Fixed:
--- a/pepperusher/changes/toll.py
+++ b/pepperusher/changes/toll.py
@@ -78,7 +78,7 @@
 
     def __init__(self, span: int) -> None:
         self._span = span
-        self._seconds: dict[int, Counts] = {}   # emptied as they pass out of the span
+        self._seconds: dict[int, Counts] = {}  # emptied as they pass out of the span
         self._before: Counts | None = None
         self._since: Counts | None = None
         self._version = -1
@@ -121,8 +121,9 @@
         if before is None or since is None or since.all < least:
             return None
         for what, rise, was, now in (
-                ("scrapped", errors, before.share(before.scrapped), since.share(since.scrapped)),
-                ("bounced", bounces, before.share(before.bounced), since.share(since.bounced))):
+            ("scrapped", errors, before.share(before.scrapped), since.share(since.scrapped)),
+            ("bounced", bounces, before.share(before.bounced), since.share(since.bounced)),
+        ):
             if now - was > rise:
                 return Harm(what, was, now)
         if before.done >= least and since.done >= least:
--- a/pepperusher/control/commands.py
+++ b/pepperusher/control/commands.py
@@ -15,7 +15,9 @@
 
 
 @click.group()
-@click.option("--socket", "path", envvar="PEPPERUSHER_CONTROL", required=True, help="The proxy's control socket.")
+@click.option(
+    "--socket", "path", envvar="PEPPERUSHER_CONTROL", required=True, help="The proxy's control socket."
+)
 @click.option("--json", "as_json", is_flag=True, help="Answers as JSON.")
 @click.pass_context
 def ctl(context: click.Context, path: str, as_json: bool) -> None:
@@ -51,8 +53,10 @@
     answer, as_json = _ask(context, "status")
     if as_json:
         return
-    click.echo(f"version {answer['version']} ({answer['digest']}), program {answer['program']}, {answer['in_hand']} tickets"
-               f" in hand{', stopping' if answer['stopping'] else ''}; versions with tickets {answer['versions']}")
+    click.echo(
+        f"version {answer['version']} ({answer['digest']}), program {answer['program']}, {answer['in_hand']} tickets"
+        f" in hand{', stopping' if answer['stopping'] else ''}; versions with tickets {answer['versions']}"
+    )
     if answer["open_change"]:
         since = answer["since_change"]
         click.echo(_said_change(answer["open_change"]))
--- a/pepperusher/control/socket.py
+++ b/pepperusher/control/socket.py
@@ -26,14 +26,16 @@
     """`answers` gives the parts of an answer. What a client says or leaves unsaid costs its own connection
     alone."""
 
-    def __init__(self, path: str, most: int, within: float, answers: Answers, say: Callable[..., None]) -> None:
+    def __init__(
+        self, path: str, most: int, within: float, answers: Answers, say: Callable[..., None]
+    ) -> None:
         self._path = path
         self._most = most
         self._within = within
         self._answers = answers
         self._say = say
         self._server: asyncio.Server | None = None
-        self._serving: set[asyncio.Task[None]] = set()   # emptied as connections end, `most` at the most
+        self._serving: set[asyncio.Task[None]] = set()  # emptied as connections end, `most` at the most
         self._inode = 0
 
     async def listen(self) -> None:
@@ -85,7 +87,7 @@
         try:
             await self._serve(reader, writer)
         except (OSError, TimeoutError, asyncio.CancelledError):
-            pass   # its client's trouble, or the proxy's end
+            pass  # its client's trouble, or the proxy's end
         except Exception as error:
             self._say("a control connection ended", why=f"{type(error).__name__}: {error}")
         finally:
--- a/pepperusher/control/words.py
+++ b/pepperusher/control/words.py
@@ -13,9 +13,16 @@
 # Rows in one line of an answer.
 ROWS = 100
 COMMANDS = {
-    "status": (), "history": (), "backends": (), "breakers": (), "tickets": (),
-    "propose": ("text", "why", "who"), "confirm": ("number", "why", "who"), "undo": ("number", "why", "who"),
-    "drain": ("id", "undo", "why", "who")}
+    "status": (),
+    "history": (),
+    "backends": (),
+    "breakers": (),
+    "tickets": (),
+    "propose": ("text", "why", "who"),
+    "confirm": ("number", "why", "who"),
+    "undo": ("number", "why", "who"),
+    "drain": ("id", "undo", "why", "who"),
+}
 FORMS = {"text": str, "why": str, "who": str, "number": int, "id": str, "undo": bool}
 
 
@@ -37,7 +44,9 @@
     for key, value in asked.items():
         if key not in COMMANDS[command]:
             raise BadQuestion(f"{key[:40]!r} is no word of {command}")
-        if value is not None and (not isinstance(value, FORMS[key]) or isinstance(value, bool) != (FORMS[key] is bool)):
+        if value is not None and (
+            not isinstance(value, FORMS[key]) or isinstance(value, bool) != (FORMS[key] is bool)
+        ):
             raise BadQuestion(f"{key} has the wrong form")
     return command, asked
 
--- a/pepperusher/limits/gate.py
+++ b/pepperusher/limits/gate.py
@@ -43,7 +43,7 @@
     def __init__(self, weight: float) -> None:
         self.weight = weight
         self.inside = 0
-        self.queue: list[Waiting] = []   # by priority, then coming; emptied as they go in or are dropped
+        self.queue: list[Waiting] = []  # by priority, then coming; emptied as they go in or are dropped
 
 
 class Gate:
@@ -54,7 +54,7 @@
         self._limit = limit
         self._most_waiting = queue
         self._weights = weights
-        self._shares: dict[str, _Share] = {}   # emptied as customers have nothing here
+        self._shares: dict[str, _Share] = {}  # emptied as customers have nothing here
         self._order = 0
         self._usual = 0.0
         self.inside = 0
@@ -154,8 +154,10 @@
 
     def _let_in(self, now: int) -> None:
         while self.waiting and self.inside < self.limit:
-            name, share = min(((name, share) for name, share in self._shares.items() if share.queue),
-                              key=lambda pair: (pair[1].inside / pair[1].weight, pair[1].queue[0].order))
+            name, share = min(
+                ((name, share) for name, share in self._shares.items() if share.queue),
+                key=lambda pair: (pair[1].inside / pair[1].weight, pair[1].queue[0].order),
+            )
             one = share.queue.pop(0)
             self.waiting -= 1
             if now + self._usual >= one.until:
@@ -167,8 +169,10 @@
 
     def _drop_last(self, why: str) -> Waiting:
         """Of whoever has most waiting for its weight, the last."""
-        name, share = max(((name, share) for name, share in self._shares.items() if share.queue),
-                          key=lambda pair: (len(pair[1].queue) / pair[1].weight, pair[1].queue[-1].order))
+        name, share = max(
+            ((name, share) for name, share in self._shares.items() if share.queue),
+            key=lambda pair: (len(pair[1].queue) / pair[1].weight, pair[1].queue[-1].order),
+        )
         one = share.queue.pop()
         self.waiting -= 1
         self._tidy(name)
@@ -188,7 +192,9 @@
 
     def sweep(self, now: int) -> int:
         """Drops those that can no longer be in time; how many."""
-        late = [one for share in self._shares.values() for one in share.queue if now + self._usual >= one.until]
+        late = [
+            one for share in self._shares.values() for one in share.queue if now + self._usual >= one.until
+        ]
         for one in late:
             self.withdraw(one)
             self._told(one, LATE)
--- a/pepperusher/limits/rate.py
+++ b/pepperusher/limits/rate.py
@@ -46,7 +46,7 @@
         self._rate = rate
         self._burst = burst
         self._most = most
-        self._held: dict[str, Bucket] = {}   # emptied when full, MOST at the most
+        self._held: dict[str, Bucket] = {}  # emptied when full, MOST at the most
         self._others: Bucket | None = None
 
     def change(self, rate: float, burst: float) -> None:
--- a/pepperusher/net/answers.py
+++ b/pepperusher/net/answers.py
@@ -19,8 +19,14 @@
 
 
 def _change(change: Change) -> dict[str, Any]:
-    return {"number": change.number, "name": change.name, "state": change.state, "who": change.steps[0].who,
-            "why": change.steps[0].why, "steps": [[step.state, step.when, step.who, step.why] for step in change.steps]}
+    return {
+        "number": change.number,
+        "name": change.name,
+        "state": change.state,
+        "who": change.steps[0].who,
+        "why": change.steps[0].why,
+        "steps": [[step.state, step.when, step.who, step.why] for step in change.steps],
+    }
 
 
 def _rows(key: str, rows: Iterable[dict[str, Any]]) -> Iterable[dict[str, Any]]:
@@ -45,7 +51,11 @@
                 yield {"ok": True, "change": _change(await self._change(command, said))}
                 return
         except OwnError as error:
-            yield {"ok": False, "why": "the file is not taken", "faults": [str(fault) for fault in error.faults]}
+            yield {
+                "ok": False,
+                "why": "the file is not taken",
+                "faults": [str(fault) for fault in error.faults],
+            }
             return
         except LedgerError as error:
             yield {"ok": False, "why": str(error)}
@@ -61,7 +71,9 @@
             return await house.undo(said.get("number"), who, why)
         if command == "propose":
             text = said.get("text")
-            return await (house.propose_file(who, why) if text is None else house.propose_text(text, who, why))
+            return await (
+                house.propose_file(who, why) if text is None else house.propose_text(text, who, why)
+            )
         return await house.drain(said.get("id") or "", bool(said.get("undo")), who, why)
 
     def _read(self, command: str) -> Iterable[dict[str, Any]]:
@@ -69,13 +81,23 @@
         if command == "status":
             standing = house.standing
             change = standing.ledger.open
-            yield {"ok": True, "program": __version__, "version": standing.version.number,
-                   "digest": standing.version.read.digest, "versions": sorted(standing.versions),
-                   "in_hand": facade.in_hand, "stopping": self._stopping.is_set(),
-                   "open_change": None if change is None else _change(change), "kept_out": dict(house.kept_out),
-                   "limits": standing.gates(), "since_change": {
-                       "done": standing.toll.since.done, "bounced": standing.toll.since.bounced,
-                       "scrapped": standing.toll.since.scrapped}}
+            yield {
+                "ok": True,
+                "program": __version__,
+                "version": standing.version.number,
+                "digest": standing.version.read.digest,
+                "versions": sorted(standing.versions),
+                "in_hand": facade.in_hand,
+                "stopping": self._stopping.is_set(),
+                "open_change": None if change is None else _change(change),
+                "kept_out": dict(house.kept_out),
+                "limits": standing.gates(),
+                "since_change": {
+                    "done": standing.toll.since.done,
+                    "bounced": standing.toll.since.bounced,
+                    "scrapped": standing.toll.since.scrapped,
+                },
+            }
         elif command == "history":
             yield from _rows("changes", map(_change, house.standing.ledger.history))
         elif command == "tickets":
@@ -83,5 +105,10 @@
         elif command == "backends":
             yield from _rows("backends", facade.backends())
         else:
-            yield from _rows("breakers", ({key: one[key] for key in ("id", "state", "failed", "of", "run_failed")}
-                                          for one in facade.backends()))
+            yield from _rows(
+                "breakers",
+                (
+                    {key: one[key] for key in ("id", "state", "failed", "of", "run_failed")}
+                    for one in facade.backends()
+                ),
+            )
--- a/pepperusher/net/house.py
+++ b/pepperusher/net/house.py
@@ -51,7 +51,7 @@
         say = log.tell
         self._control: Control | None = None
         self._hanging: asyncio.Task[None] | None = None
-        self.kept_out: dict[str, int] = {}   # by the words of STATUS, so it grows with the code alone
+        self.kept_out: dict[str, int] = {}  # by the words of STATUS, so it grows with the code alone
         self._longest_advice = ground.longest_advice or LONGEST_ADVICE
         self._path = Path(path)
         self._given = dict(given)
@@ -68,6 +68,7 @@
         form = self.standing.version.read.own.said.form
         if form != "plain":
             from pepperusher.net.formed import form_of
+
             log.take_form(form_of(form))
 
     def _count(self, what: str) -> None:
@@ -88,7 +89,11 @@
             self._kept.confirm(read.text)
         except OSError as error:
             # A disk that fails must not keep a proxy from serving; a restart then goes by the file.
-            self._say("the folder for what is confirmed can't be used", folder=folder, why=error.strerror or str(error))
+            self._say(
+                "the folder for what is confirmed can't be used",
+                folder=folder,
+                why=error.strerror or str(error),
+            )
             self._kept = None
         return read
 
@@ -110,6 +115,7 @@
         if said.socket is not None:
             from pepperusher.control.socket import Control
             from pepperusher.net.answers import Answers
+
             answers = Answers(self, facade, stopping)
             self._control = Control(said.socket, said.connections, said.within / 1e6, answers.to, self._say)
             await self._control.listen()
@@ -145,9 +151,19 @@
                 host = value
             elif version.by_header:
                 headers[name.decode("latin-1")] = value.decode("latin-1")
-        return self.standing.ask(request.method.decode("latin-1"), request.target.decode("latin-1"),
-                                 host.rpartition(b":")[0].decode("latin-1").lower() if b":" in host
-                                 else host.decode("latin-1").lower(), headers, use_case, customer, given, usual, clock.now())
+        return self.standing.ask(
+            request.method.decode("latin-1"),
+            request.target.decode("latin-1"),
+            host.rpartition(b":")[0].decode("latin-1").lower()
+            if b":" in host
+            else host.decode("latin-1").lower(),
+            headers,
+            use_case,
+            customer,
+            given,
+            usual,
+            clock.now(),
+        )
 
     async def admit(self, made: Pass, call: Call) -> bool:
         """Whether it may go in, waited for where it must be. One that may not is over with it."""
@@ -196,8 +212,11 @@
         if made.how not in STATUS:
             return None
         self._count(f"kept out {made.how}")
-        advice = [(b"retry-after", f"{min(made.advice, self._longest_advice) / 1e6:.3f}".encode())] \
-            if self._ground.may_advise else []
+        advice = (
+            [(b"retry-after", f"{min(made.advice, self._longest_advice) / 1e6:.3f}".encode())]
+            if self._ground.may_advise
+            else []
+        )
         return self.named(made, plain(STATUS[made.how], WHY[made.how], *advice))
 
     def goes(self, made: Pass, ticket: Ticket, wait: int) -> int:
@@ -220,7 +239,9 @@
         """An answer that names the version of its terms, where the file has it so."""
         if answer is None or not made.version.read.own.said.version:
             return answer
-        return Answer(answer.status, [*answer.headers, (b"terms-version", b"%d" % made.version.number)], answer.body)
+        return Answer(
+            answer.status, [*answer.headers, (b"terms-version", b"%d" % made.version.number)], answer.body
+        )
 
     # --- changes ----------------------------------------------------------------------------------
 
@@ -262,7 +283,12 @@
                 try:
                     await asyncio.to_thread(self._kept.open, change.number, change.what.text)
                 except OSError as error:
-                    self.standing.undo(change, "the proxy", f"its mark can't be written: {error.strerror or error}", clock.now())
+                    self.standing.undo(
+                        change,
+                        "the proxy",
+                        f"its mark can't be written: {error.strerror or error}",
+                        clock.now(),
+                    )
                     return
             if change.over:
                 # Undone by hand while its mark was written.
@@ -276,7 +302,9 @@
         change = self.standing.ledger.find(number)
         async with self._turn:
             if change.state != APPLIED:
-                raise LedgerError(f"change {change.number} is {change.state}, and only an applied one can be confirmed")
+                raise LedgerError(
+                    f"change {change.number} is {change.state}, and only an applied one can be confirmed"
+                )
             if self._kept is not None:
                 try:
                     await asyncio.to_thread(self._kept.confirm, change.what.text)
@@ -334,5 +362,5 @@
                         await self.undo(change.number, "the proxy", due[1])
             except LedgerError as error:
                 self._say("a change goes on", why=str(error))
-            except Exception as error:   # without the watch a bad change would stand
+            except Exception as error:  # without the watch a bad change would stand
                 self._say("the watch on changes met an error", why=f"{type(error).__name__}: {error}")
--- a/pepperusher/own/lines.py
+++ b/pepperusher/own/lines.py
@@ -10,9 +10,13 @@
 import re
 
 HEADER = re.compile(r"\s*(\[\[?)\s*([^\]#]+?)\s*\]\]?\s*(#.*)?$")
-KEY = re.compile(r"\s*((?:[A-Za-z0-9_-]+|\"[^\"]*\"|'[^']*')(?:\s*\.\s*(?:[A-Za-z0-9_-]+|\"[^\"]*\"|'[^']*'))*)\s*=")
+KEY = re.compile(
+    r"\s*((?:[A-Za-z0-9_-]+|\"[^\"]*\"|'[^']*')(?:\s*\.\s*(?:[A-Za-z0-9_-]+|\"[^\"]*\"|'[^']*'))*)\s*="
+)
 PART = re.compile(r"[A-Za-z0-9_-]+|\"[^\"]*\"|'[^']*'")
-TOKEN = re.compile(r"\"\"\".*?\"\"\"|'''.*?'''|\"(?:[^\"\\]|\\.)*\"|'[^']*'|#[^\n]*|[\[\]{},=\n]|[^\s\[\]{},=#\"']+", re.S)
+TOKEN = re.compile(
+    r"\"\"\".*?\"\"\"|'''.*?'''|\"(?:[^\"\\]|\\.)*\"|'[^']*'|#[^\n]*|[\[\]{},=\n]|[^\s\[\]{},=#\"']+", re.S
+)
 
 
 def _parts(dotted: str) -> list[str]:
@@ -24,7 +28,7 @@
     it."""
 
     def __init__(self, text: str) -> None:
-        self._lines: dict[str, int] = {}   # as many as the text has keys
+        self._lines: dict[str, int] = {}  # as many as the text has keys
         self._counts: dict[str, int] = {}
         self._read(text)
 
@@ -32,7 +36,7 @@
         while path:
             if path in self._lines:
                 return self._lines[path]
-            path = path[:max(path.rfind("."), path.rfind("["), 0)]
+            path = path[: max(path.rfind("."), path.rfind("["), 0)]
         return 0
 
     def _note(self, path: str, line: int) -> None:
@@ -70,12 +74,12 @@
             for part in _parts(key[1]):
                 path = f"{path}.{part}".lstrip(".")
                 self._note(path, number + 1)
-            rest = "\n".join(lines[number:])[key.end():]
+            rest = "\n".join(lines[number:])[key.end() :]
             number += 1 + self._value(rest, path, number + 1)
 
     def _value(self, text: str, path: str, line: int) -> int:
         """Walks one value, noting the keys of inline tables; how many line ends it holds."""
-        stack: list[tuple[str, str, int]] = []   # (kind, path, place in a list)
+        stack: list[tuple[str, str, int]] = []  # (kind, path, place in a list)
         ends = 0
         name: str | None = None
         for found in TOKEN.finditer(text):
@@ -88,7 +92,13 @@
             if token.startswith("#"):
                 continue
             within = stack[-1] if stack else ("", path, 0)
-            here = f"{within[1]}[{within[2]}]" if within[0] == "[" else f"{within[1]}.{name}" if within[0] == "{" else path
+            here = (
+                f"{within[1]}[{within[2]}]"
+                if within[0] == "["
+                else f"{within[1]}.{name}"
+                if within[0] == "{"
+                else path
+            )
             if token in "[{":
                 self._note(here, line + ends)
                 stack.append((token, here, 0))
--- a/pepperusher/own/reading.py
+++ b/pepperusher/own/reading.py
@@ -69,12 +69,15 @@
 
 def from_environment(environment: Mapping[str, str]) -> dict[str, Any]:
     """PEPPERUSHER_A__B=v as {"a.b": v}."""
-    return {name[len(PREFIX):].lower().replace("__", "."): _scalar(value)
-            for name, value in sorted(environment.items()) if name.startswith(PREFIX)}
+    return {
+        name[len(PREFIX) :].lower().replace("__", "."): _scalar(value)
+        for name, value in sorted(environment.items())
+        if name.startswith(PREFIX)
+    }
 
 
 def from_command_line(words: Iterable[str]) -> dict[str, Any]:
-    """"a.b=v" as {"a.b": v}. Raises OwnError."""
+    """ "a.b=v" as {"a.b": v}. Raises OwnError."""
     given = {}
     for word in words:
         key, equals, value = word.partition("=")
@@ -107,8 +110,13 @@
         yield at
 
 
-def parse(text: str, source: str = "the file", ground: Ground | None = None,
-          environment: Mapping[str, Any] | None = None, command_line: Mapping[str, Any] | None = None) -> Read:
+def parse(
+    text: str,
+    source: str = "the file",
+    ground: Ground | None = None,
+    environment: Mapping[str, Any] | None = None,
+    command_line: Mapping[str, Any] | None = None,
+) -> Read:
     """Raises OwnError with all that is wrong. `environment` and `command_line` are {"a.b": value}."""
     try:
         raw = tomllib.loads(text)
@@ -128,9 +136,14 @@
                 origins[key] = origin
 
     def fault(key: str, rule: str, what: str) -> Fault:
-        origin = next((origins[near] for near in _ups(key) if near in origins), None) \
-            or next((origin for below, origin in origins.items() if below.startswith((f"{key}.", f"{key}["))), FILE)
-        return Fault(source, lines.at(key), key, rule, what) if origin == FILE else Fault(origin, 0, key, rule, what)
+        origin = next((origins[near] for near in _ups(key) if near in origins), None) or next(
+            (origin for below, origin in origins.items() if below.startswith((f"{key}.", f"{key}["))), FILE
+        )
+        return (
+            Fault(source, lines.at(key), key, rule, what)
+            if origin == FILE
+            else Fault(origin, 0, key, rule, what)
+        )
 
     own, wrong_values = typed.converted(raw, Own)
     faults += [fault(one.key, "known key" if one.unknown else "form", one.what) for one in wrong_values]
@@ -139,14 +152,16 @@
     if faults:
         raise OwnError(sorted(faults, key=lambda one: (one.source != source, one.line, one.key)))
     assert own is not None
-    digest = hashlib.sha256(msgspec.json.encode(own, enc_hook=typed.hook, order="deterministic")).hexdigest()[:12]
+    digest = hashlib.sha256(msgspec.json.encode(own, enc_hook=typed.hook, order="deterministic")).hexdigest()[
+        :12
+    ]
     return Read(own, text, digest, origins)
 
 
 def _ups(key: str) -> Iterable[str]:
     while key:
         yield key
-        key = key[:max(key.rfind("."), key.rfind("["), 0)]
+        key = key[: max(key.rfind("."), key.rfind("["), 0)]
 
 
 def _line_of(error: tomllib.TOMLDecodeError) -> int:
@@ -155,8 +170,12 @@
     return int(digits) if digits.isdecimal() else 0
 
 
-def read(path: str | Path, ground: Ground | None = None, environment: Mapping[str, Any] | None = None,
-         command_line: Mapping[str, Any] | None = None) -> Read:
+def read(
+    path: str | Path,
+    ground: Ground | None = None,
+    environment: Mapping[str, Any] | None = None,
+    command_line: Mapping[str, Any] | None = None,
+) -> Read:
     """Raises OwnError."""
     try:
         with open(path, "rb") as file:
@@ -173,6 +192,7 @@
 
 # --- what there is to say of it --------------------------------------------------------------------
 
+
 def effective(read: Read) -> list[tuple[str, str, str]]:
     """(key, value, where it came from) of everything in force, defaults included."""
     rows: list[tuple[str, str, str]] = []
@@ -199,7 +219,11 @@
     for step in key.replace("[", ".[").split("."):
         if step.startswith("[") or step.isdecimal():
             continue
-        field = next((one for one in msgspec.structs.fields(table) if one.encode_name == step), None) if table else None
+        field = (
+            next((one for one in msgspec.structs.fields(table) if one.encode_name == step), None)
+            if table
+            else None
+        )
         if field is None:
             return None
         found = (field.type, field)
@@ -229,8 +253,11 @@
     if found is None:
         raise KeyError(f"{key}: not known{typed.nearest(key, keys())}")
     kind, field = found
-    words = next((one.description for one in get_args(kind) if isinstance(one, msgspec.Meta)), "") \
-        if get_origin(kind) is Annotated else ""
+    words = (
+        next((one.description for one in get_args(kind) if isinstance(one, msgspec.Meta)), "")
+        if get_origin(kind) is Annotated
+        else ""
+    )
     inner, listed = typed.table_of(kind)
     if inner is not None:
         names = ", ".join(one.encode_name for one in msgspec.structs.fields(inner))
@@ -253,8 +280,14 @@
         return "one of " + ", ".join(str(one) for one in schema["enum"] if one is not None)
     if "pattern" in schema:
         return 'a span such as "250ms"'
-    return {"boolean": "true or false", "integer": "a whole number", "number": "a number", "string": "a text",
-            "array": "a list", "object": "a table"}.get(schema.get("type", ""), "a value")
+    return {
+        "boolean": "true or false",
+        "integer": "a whole number",
+        "number": "a number",
+        "string": "a text",
+        "array": "a list",
+        "object": "a table",
+    }.get(schema.get("type", ""), "a value")
 
 
 def _default(field: Any) -> str:
--- a/pepperusher/own/rules.py
+++ b/pepperusher/own/rules.py
@@ -90,8 +90,11 @@
     sound = [number for number, one in enumerate(patterns) if one is not None]
     for later, earlier in match.conflicts([one for one in patterns if one is not None]):
         a, b = sound[later], sound[earlier]
-        tell(f"routes[{a}].match", "no conflict",
-             f"{own.routes[a].name} and {own.routes[b].name} could match the same ticket, and neither is more exact")
+        tell(
+            f"routes[{a}].match",
+            "no conflict",
+            f"{own.routes[a].name} and {own.routes[b].name} could match the same ticket, and neither is more exact",
+        )
 
 
 def _names(names: list[str], table: str, key: str, tell: Tell) -> None:
@@ -110,27 +113,52 @@
         tell(f"{at}.second_copy", "one at a time", "the rules allow no second copy while a first is out")
     if wanted is not None:
         if not 1 <= wanted <= MOST_TRANSMISSIONS:
-            tell(f"{at}.transmissions", "three transmissions", f"{wanted} is not from 1 to {MOST_TRANSMISSIONS}")
+            tell(
+                f"{at}.transmissions",
+                "three transmissions",
+                f"{wanted} is not from 1 to {MOST_TRANSMISSIONS}",
+            )
         elif ground is not None and wanted > ground.most_transmissions:
-            tell(f"{at}.transmissions", "within the settings",
-                 f"{wanted} is over the settings' most-transmissions, {ground.most_transmissions}")
-        if use is not None and use.repeat == SINGLE_USE and wanted > 1 and (
-                route.retry_on is None or set(route.retry_on) - {"unreached", "full"}):
-            tell(f"{at}.transmissions", "single-use once",
-                 f"{use.name} is single-use: with {wanted} transmissions retry_on may hold unreached and full alone")
-    if use is not None and use.repeat == SINGLE_USE and wanted is None and route.retry_on is not None \
-            and set(route.retry_on) - {"unreached", "full"}:
-        tell(f"{at}.retry_on", "single-use once", f"{use.name} is single-use, and after these it may have run")
+            tell(
+                f"{at}.transmissions",
+                "within the settings",
+                f"{wanted} is over the settings' most-transmissions, {ground.most_transmissions}",
+            )
+        if (
+            use is not None
+            and use.repeat == SINGLE_USE
+            and wanted > 1
+            and (route.retry_on is None or set(route.retry_on) - {"unreached", "full"})
+        ):
+            tell(
+                f"{at}.transmissions",
+                "single-use once",
+                f"{use.name} is single-use: with {wanted} transmissions retry_on may hold unreached and full alone",
+            )
+    if (
+        use is not None
+        and use.repeat == SINGLE_USE
+        and wanted is None
+        and route.retry_on is not None
+        and set(route.retry_on) - {"unreached", "full"}
+    ):
+        tell(
+            f"{at}.retry_on", "single-use once", f"{use.name} is single-use, and after these it may have run"
+        )
     budget = route.retry_budget
     if budget is not None:
         if not 0 <= budget.share <= 2 or not 0 <= budget.floor <= 10_000:
-            tell(f"{at}.retry_budget", "sound limits", "share is not from 0 to 2, or floor not from 0 to 10000")
+            tell(
+                f"{at}.retry_budget", "sound limits", "share is not from 0 to 2, or floor not from 0 to 10000"
+            )
         if not 1_000_000 <= budget.span <= 600_000_000:
             tell(f"{at}.retry_budget.span", "sound limits", "is not from 1s to 10m")
 
 
 def _times(route: Route, at: str, use: UseCase | None, uses: dict[str, UseCase] | None, tell: Tell) -> None:
-    limits = [use.outer_limit] if use is not None else [one.outer_limit for one in uses.values()] if uses else []
+    limits = (
+        [use.outer_limit] if use is not None else [one.outer_limit for one in uses.values()] if uses else []
+    )
     client = min(limits, default=None)
     whose = use.name if use is not None else "some use case it could match"
     for key in ("time_out", "outer", "patience"):
@@ -138,19 +166,39 @@
         if value is not None and value < SHORTEST_TIME_OUT:
             tell(f"{at}.{key}", "sound limits", "is under 1ms: nothing could be in time")
     if route.outer is not None and client is not None and route.outer > client:
-        tell(f"{at}.outer", "within the settings", f"is longer than a client of {whose} waits, {client // 1000}ms")
+        tell(
+            f"{at}.outer",
+            "within the settings",
+            f"is longer than a client of {whose} waits, {client // 1000}ms",
+        )
     if route.time_out is not None:
         wait = min((one for one in (route.outer, route.patience, client) if one is not None), default=None)
         if wait is not None and route.time_out >= wait:
-            tell(f"{at}.time_out", "within the client's wait",
-                 f"a transmission could outlive its client, who waits {wait // 1000}ms at the most for {whose}")
+            tell(
+                f"{at}.time_out",
+                "within the client's wait",
+                f"a transmission could outlive its client, who waits {wait // 1000}ms at the most for {whose}",
+            )
     if route.patience is not None and route.outer is not None and route.patience < route.outer:
-        tell(f"{at}.patience", "within the client's wait", "is under outer: a client that says nothing would wait for longer")
-    if use is not None and use.repeat not in (REPLAYABLE, SINGLE_USE) and (route.transmissions or MOST_TRANSMISSIONS) > 1 \
-            and route.time_out is not None and use.remembered and route.time_out >= use.remembered \
-            and (route.retry_on is None or "timed out" in route.retry_on):
-        tell(f"{at}.time_out", "within memory",
-             f"after it the group of {use.name} has forgotten the first, known for {use.remembered // 1000}ms")
+        tell(
+            f"{at}.patience",
+            "within the client's wait",
+            "is under outer: a client that says nothing would wait for longer",
+        )
+    if (
+        use is not None
+        and use.repeat not in (REPLAYABLE, SINGLE_USE)
+        and (route.transmissions or MOST_TRANSMISSIONS) > 1
+        and route.time_out is not None
+        and use.remembered
+        and route.time_out >= use.remembered
+        and (route.retry_on is None or "timed out" in route.retry_on)
+    ):
+        tell(
+            f"{at}.time_out",
+            "within memory",
+            f"after it the group of {use.name} has forgotten the first, known for {use.remembered // 1000}ms",
+        )
 
 
 def _limits(route: Route, at: str, tell: Tell) -> None:
@@ -168,15 +216,27 @@
     rate = route.rate
     if rate is not None:
         if not 0 < rate.per_customer <= 1e6:
-            tell(f"{at}.rate.per_customer", "sound limits", f"{rate.per_customer:g} is not over 0 and up to 1000000")
+            tell(
+                f"{at}.rate.per_customer",
+                "sound limits",
+                f"{rate.per_customer:g} is not over 0 and up to 1000000",
+            )
         if not 1 <= rate.burst <= 1e6:
-            tell(f"{at}.rate.burst", "sound limits", f"{rate.burst:g} is not from 1 to 1000000: not one ticket would pass")
+            tell(
+                f"{at}.rate.burst",
+                "sound limits",
+                f"{rate.burst:g} is not from 1 to 1000000: not one ticket would pass",
+            )
 
 
 def _rest(own: Own, tell: Tell) -> None:
     for number, mark in enumerate(own.backends):
         if mark.weight is not None and not 0 < mark.weight <= 100:
-            tell(f"backends[{number}].weight", "sound limits", f"{mark.weight:g} is not over 0 and up to 100; drain it instead")
+            tell(
+                f"backends[{number}].weight",
+                "sound limits",
+                f"{mark.weight:g} is not over 0 and up to 100; drain it instead",
+            )
     for name, weight in own.weights.items():
         if not 0 < weight <= 1e6:
             tell(f"weights.{name}", "sound limits", f"{weight:g} is not over 0 and up to 1000000")
--- a/pepperusher/own/tables.py
+++ b/pepperusher/own/tables.py
@@ -31,14 +31,19 @@
 class Match(Table, kw_only=True, frozen=True):
     method: Annotated[str, _said("GET, POST and so on; any if left out")] = ""
     path: Annotated[str, _said("a template: /orders/{id}, or /files/{path*} for all below")] = "/{any*}"
-    host: Annotated[str, _said("in small letters, without a port; *.local for all below; any if left out")] = ""
-    headers: Annotated[dict[str, str], _said("headers, names in small letters, that must have just these values")] = \
-        msgspec.field(default_factory=dict)
+    host: Annotated[
+        str, _said("in small letters, without a port; *.local for all below; any if left out")
+    ] = ""
+    headers: Annotated[
+        dict[str, str], _said("headers, names in small letters, that must have just these values")
+    ] = msgspec.field(default_factory=dict)
 
 
 class Concurrency(Table, kw_only=True, frozen=True):
     most: Annotated[int, _said("how many tickets at once at the most")]
-    adaptive: Annotated[bool, _said("whether the limit follows the times of answers, from least to most")] = False
+    adaptive: Annotated[bool, _said("whether the limit follows the times of answers, from least to most")] = (
+        False
+    )
     least: Annotated[int, _said("where the adaptive limit ends downwards")] = 1
     start: Annotated[int, _said("where the adaptive limit starts")] = 20
     tolerance: Annotated[float, _said("by how much times may grow before the adaptive limit shrinks")] = 1.5
@@ -63,16 +68,24 @@
     name: Annotated[str, _said("what logs, answers and ctl call it")]
     match: Annotated[Match, _said("which tickets it is for")] = msgspec.field(default_factory=Match)
     use_case: Annotated[str | None, _said("the use case it is for; needed for terms that hang on one")] = None
-    time_out: Annotated[Span | None, _said("after this a transmission is given up, if the decisions have not before")] = None
+    time_out: Annotated[
+        Span | None, _said("after this a transmission is given up, if the decisions have not before")
+    ] = None
     transmissions: Annotated[int | None, _said("how often a ticket may go out, 1 to 3")] = None
-    retry_on: Annotated[list[ENDS] | None, _said("after which ends a ticket may go out again; all if left out")] = None
+    retry_on: Annotated[
+        list[ENDS] | None, _said("after which ends a ticket may go out again; all if left out")
+    ] = None
     retry_budget: Annotated[Budget | None, _said("how many further transmissions the route may make")] = None
-    second_copy: Annotated[bool, _said("a second transmission while the first is out; the rules forbid it")] = False
+    second_copy: Annotated[
+        bool, _said("a second transmission while the first is out; the rules forbid it")
+    ] = False
     concurrency: Annotated[Concurrency | None, _said("how many tickets at once")] = None
     rate: Annotated[Rate | None, _said("how often")] = None
     priority: Annotated[int, _said("who of a customer's goes first in a queue, the greater; 0 to 9")] = 5
     outer: Annotated[Span | None, _said("the ticket's outer limit, where its client does not say")] = None
-    patience: Annotated[Span | None, _said("however long a client says that it waits, it is held to this")] = None
+    patience: Annotated[
+        Span | None, _said("however long a client says that it waits, it is held to this")
+    ] = None
 
 
 class Mark(Table, kw_only=True, frozen=True):
@@ -82,35 +95,53 @@
 
 
 class Changes(Table, kw_only=True, frozen=True):
-    confirm: Annotated[Literal["by itself", "by hand"], _said("whether a change that did no harm is confirmed by itself")] = "by itself"
-    watch: Annotated[Span, _said("for how long a change is watched; by hand, after this unconfirmed it is undone")] = _span(10_000_000)
+    confirm: Annotated[
+        Literal["by itself", "by hand"], _said("whether a change that did no harm is confirmed by itself")
+    ] = "by itself"
+    watch: Annotated[
+        Span, _said("for how long a change is watched; by hand, after this unconfirmed it is undone")
+    ] = _span(10_000_000)
     least: Annotated[int, _said("tickets before anything is judged")] = 30
     errors: Annotated[float, _said("by how much the share of scrapped tickets may rise")] = 0.05
     bounces: Annotated[float, _said("by how much the share of bounced tickets may rise")] = 0.10
     latency: Annotated[float, _said("how many times as long the 90th percentile may become")] = 2.0
-    wait: Annotated[bool, _said("whether a change proposed within another waits for it, or is refused")] = False
-    state: Annotated[str | None, _said("a folder that lasts, for the last confirmed; without one the file counts at a start")] = None
+    wait: Annotated[bool, _said("whether a change proposed within another waits for it, or is refused")] = (
+        False
+    )
+    state: Annotated[
+        str | None,
+        _said("a folder that lasts, for the last confirmed; without one the file counts at a start"),
+    ] = None
     history: Annotated[int, _said("how many changes ctl history knows")] = 50
 
 
 class Control(Table, kw_only=True, frozen=True):
     socket: Annotated[str | None, _said("where the control socket is; none if left out")] = None
     connections: Annotated[int, _said("how many may be connected at once")] = 8
-    within: Annotated[Span, _said("a command that is not whole by then ends its connection")] = _span(5_000_000)
+    within: Annotated[Span, _said("a command that is not whole by then ends its connection")] = _span(
+        5_000_000
+    )
 
 
 class Said(Table, kw_only=True, frozen=True):
     form: Annotated[Literal["plain", "text", "json"], _said("lines as ever, or key=value, or JSON")] = "plain"
-    version: Annotated[bool, _said("whether answers name the version of the terms that they were made under")] = False
+    version: Annotated[
+        bool, _said("whether answers name the version of the terms that they were made under")
+    ] = False
 
 
 class Own(Table, kw_only=True, frozen=True):
     """The proxy's own file as a whole."""
 
     routes: Annotated[list[Route], _said("terms by route")] = msgspec.field(default_factory=list)
-    backends: Annotated[list[Mark], _said("marks on backends, beside what the list says")] = msgspec.field(default_factory=list)
-    weights: Annotated[dict[str, float], _said("customers' shares where tickets wait; 1 if left out")] = \
+    backends: Annotated[list[Mark], _said("marks on backends, beside what the list says")] = msgspec.field(
+        default_factory=list
+    )
+    weights: Annotated[dict[str, float], _said("customers' shares where tickets wait; 1 if left out")] = (
         msgspec.field(default_factory=dict)
-    changes: Annotated[Changes, _said("how changes are watched, confirmed and undone")] = msgspec.field(default_factory=Changes)
+    )
+    changes: Annotated[Changes, _said("how changes are watched, confirmed and undone")] = msgspec.field(
+        default_factory=Changes
+    )
     control: Annotated[Control, _said("the control socket")] = msgspec.field(default_factory=Control)
     said: Annotated[Said, _said("the log, and what answers tell")] = msgspec.field(default_factory=Said)
--- a/pepperusher/rehearsal/arrivals.py
+++ b/pepperusher/rehearsal/arrivals.py
@@ -68,8 +68,15 @@
             acting = tuple(one for one in surges if one.at <= begins < one.at + one.span)
             slope = (to - phase.rate) / phase.span
             last = min(ends, script.span)
-            yield _Stretch(begins, last, phase.rate + slope * (begins - began), phase.rate + slope * (last - began),
-                           phase.arrivals, phase.burst, acting)
+            yield _Stretch(
+                begins,
+                last,
+                phase.rate + slope * (begins - began),
+                phase.rate + slope * (last - began),
+                phase.arrivals,
+                phase.burst,
+                acting,
+            )
         began = ended
 
 
@@ -86,7 +93,8 @@
                 weight = use.share * (customers[c].share if c >= 0 else 1.0)
                 for surge in surges:
                     if surge.use_case in (None, use.name) and (
-                            surge.customer is None or c >= 0 and surge.customer == customers[c].name):
+                        surge.customer is None or c >= 0 and surge.customer == customers[c].name
+                    ):
                         weight *= surge.times
                 self._pairs.append((u, c))
                 weights.append(weight)
@@ -105,7 +113,7 @@
         return int(mean)
     if use.work.spread == "exponential":
         return max(1, round(chance.expovariate(1.0) * mean))
-    spread = sqrt(log(1.0 + use.work.cv ** 2))
+    spread = sqrt(log(1.0 + use.work.cv**2))
     return max(1, round(mean * chance.lognormvariate(-spread * spread / 2, spread)))
 
 
@@ -134,7 +142,7 @@
     """Every first try of an open-loop script, in order. A trace is planned by `traces.planned` instead."""
     chance = Random(f"{script.seed}:arrivals")
     plan: list[Arrival] = []
-    mixes: dict[tuple[Surge, ...], Mix] = {}   # one for each set of surges in the script
+    mixes: dict[tuple[Surge, ...], Mix] = {}  # one for each set of surges in the script
     owed: float | None = None
     for stretch in _stretches(script):
         mix = mixes.get(key := stretch.surges)
--- a/pepperusher/rehearsal/backend.py
+++ b/pepperusher/rehearsal/backend.py
@@ -30,20 +30,34 @@
 class Task:
     """One ticket at work at `at`."""
 
-    __slots__ = ("at", "peer", "record", "job", "calls", "info", "limit", "over", "child", "settled", "waited_for")
-
-    def __init__(self, at: Backend, peer: Peer, record: Sent, job: Job, calls: int, info: int, limit: int) -> None:
+    __slots__ = (
+        "at",
+        "peer",
+        "record",
+        "job",
+        "calls",
+        "info",
+        "limit",
+        "over",
+        "child",
+        "settled",
+        "waited_for",
+    )
+
+    def __init__(
+        self, at: Backend, peer: Peer, record: Sent, job: Job, calls: int, info: int, limit: int
+    ) -> None:
         self.at = at
         self.peer = peer
         self.record = record
         self.job = job
         self.calls = calls
-        self.info = info          # the whole ticket's work, as drawn
-        self.limit = limit        # when its sender gives up (clock), 0 if it did not say
+        self.info = info  # the whole ticket's work, as drawn
+        self.limit = limit  # when its sender gives up (clock), 0 if it did not say
         self.over = False
         self.child: asyncio.Task[None] | None = None
-        self.settled: asyncio.Future[None] | None = None   # what its connection waits for
-        self.waited_for: list[Task] = []   # by repeats of it; emptied when it is over
+        self.settled: asyncio.Future[None] | None = None  # what its connection waits for
+        self.waited_for: list[Task] = []  # by repeats of it; emptied when it is over
 
     def settle(self) -> None:
         if self.settled is not None and not self.settled.done():
@@ -53,8 +67,9 @@
 class Backend:
     """One stay of a backend at its place."""
 
-    def __init__(self, script: Script, place: Place, id: str, born: int, memory: Memory, writer: Writer,
-                 start: Start) -> None:
+    def __init__(
+        self, script: Script, place: Place, id: str, born: int, memory: Memory, writer: Writer, start: Start
+    ) -> None:
         now = clock()
         kind = place.kind
         self.place = place
@@ -71,8 +86,8 @@
         self._weather = Weather()
         self._thawed = asyncio.Event()
         self._thawed.set()
-        self._peers: dict[Peer, Task | None] = {}          # emptied as connections end
-        self._tasks: dict[Job, Task] = {}                  # emptied as tickets end
+        self._peers: dict[Peer, Task | None] = {}  # emptied as connections end
+        self._tasks: dict[Job, Task] = {}  # emptied as tickets end
         self._timer: asyncio.TimerHandle | None = None
         self._server: asyncio.Server | None = None
         self._listening = asyncio.Lock()
@@ -84,7 +99,7 @@
             self._client = Client(place.proxy.address, place.proxy.number)
         tier = script.tiers[place.tier]
         portion = tier.work
-        for above in script.tiers[:place.tier]:
+        for above in script.tiers[: place.tier]:
             portion /= above.calls
         self._portion = portion
         self._mean_calls = tier.calls if place.proxy is not None else 0.0
@@ -164,10 +179,15 @@
                 if not await self._take(peer, message):
                     break
         except Broken as broken:
-            if broken.begun and self._peers.get(peer) is None and not self._ended and not writer.transport.is_closing():
+            if (
+                broken.begun
+                and self._peers.get(peer) is None
+                and not self._ended
+                and not writer.transport.is_closing()
+            ):
                 writer.write(b"HTTP/1.1 400 Bad\r\ncontent-length: 0\r\nconnection: close\r\n\r\n")
         except asyncio.CancelledError:
-            pass   # the process ends
+            pass  # the process ends
         finally:
             task = self._peers.pop(peer, None)
             if task is not None and not task.over:
@@ -197,9 +217,26 @@
             self._plain(peer, 404, b"no such use case, or no Request-Id\n")
             return peer.again()
         mark = message.headers.get(b"idempotency-key", b"").decode("latin-1")
-        record = Sent(name, mark, use, self.place.number, self.id, self.place.tier, self.place.cell,
-                      since(message.first, self._start.at), since(message.last, self._start.at), -1, -1, -1, -1, False, False, False,
-                      "", 0)
+        record = Sent(
+            name,
+            mark,
+            use,
+            self.place.number,
+            self.id,
+            self.place.tier,
+            self.place.cell,
+            since(message.first, self._start.at),
+            since(message.last, self._start.at),
+            -1,
+            -1,
+            -1,
+            -1,
+            False,
+            False,
+            False,
+            "",
+            0,
+        )
         # A machine that is frozen or silent has it in its kernel at the most.
         if not self._thawed.is_set() and not await self._thaws(peer):
             record.ended = record.gone = self._now()
@@ -358,8 +395,17 @@
         tiers = self._script.tiers
         if not self._script.load.hints:
             return -1
-        return round(info * self._portion / tiers[self.place.tier].work * tiers[self.place.tier + 1].work
-                     / tiers[self.place.tier].calls) if tiers[self.place.tier].work else -1
+        return (
+            round(
+                info
+                * self._portion
+                / tiers[self.place.tier].work
+                * tiers[self.place.tier + 1].work
+                / tiers[self.place.tier].calls
+            )
+            if tiers[self.place.tier].work
+            else -1
+        )
 
     def _patience(self, task: Task, outer: int) -> int:
         """How long it waits for a call: as its own sender does, or as any client of the use case."""
@@ -368,10 +414,29 @@
     def _note(self, task: Task, asked: Asked, intended: int, reply: Reply) -> None:
         """A call's own record, as a client's try has."""
         assert self.place.proxy is not None
-        self._writer.add(Try(asked.name, asked.name, 0, asked.mark, task.record.use, -1, self.place.proxy.number,
-                             task.record.name, asked.work, intended, since(asked.sent, self._start.at),
-                             since(asked.written, self._start.at), self._now(), reply.how, reply.status, reply.advice,
-                             asked.fresh, asked.left, since(asked.crossed, self._start.at)))
+        self._writer.add(
+            Try(
+                asked.name,
+                asked.name,
+                0,
+                asked.mark,
+                task.record.use,
+                -1,
+                self.place.proxy.number,
+                task.record.name,
+                asked.work,
+                intended,
+                since(asked.sent, self._start.at),
+                since(asked.written, self._start.at),
+                self._now(),
+                reply.how,
+                reply.status,
+                reply.advice,
+                asked.fresh,
+                asked.left,
+                since(asked.crossed, self._start.at),
+            )
+        )
 
     def _answer(self, task: Task) -> None:
         """Its work is whole: answers as its fate has it."""
@@ -386,7 +451,9 @@
         elif fate == weathers.LOST:
             pass
         elif fate == weathers.HALF:
-            peer.writer.write(b"HTTP/1.1 200 OK\r\ncontent-length: 64\r\n\r\n" + answer_body(record.name)[:HALF_AT])
+            peer.writer.write(
+                b"HTTP/1.1 200 OK\r\ncontent-length: 64\r\n\r\n" + answer_body(record.name)[:HALF_AT]
+            )
         else:
             self._plain(peer, 200, answer_body(record.name))
             record.answered = not peer.writer.transport.is_closing()
@@ -430,8 +497,9 @@
         if not done:
             waiting.record.repeat = False
             use = self._script.use_cases[waiting.record.use]
-            known, holder = self._memory.ask(waiting.record.use, waiting.record.mark, use.remembered, waiting.job,
-                                             clock())
+            known, holder = self._memory.ask(
+                waiting.record.use, waiting.record.mark, use.remembered, waiting.job, clock()
+            )
             if known == "under way" and holder is not None:
                 # Of several that waited the first one does it.
                 waiting.record.repeat = True
--- a/pepperusher/rehearsal/books.py
+++ b/pepperusher/rehearsal/books.py
@@ -15,12 +15,30 @@
 
 from pepperusher.rehearsal.fleetplan import FleetPlan, Place
 from pepperusher.rehearsal.records import (
-    BOUNCED, DONE, LEFT, LOST, WRONG, Ran, Sample, Sent, Stall, Stood, Told, Try, Turn)
+    BOUNCED,
+    DONE,
+    LEFT,
+    LOST,
+    WRONG,
+    Ran,
+    Sample,
+    Sent,
+    Stall,
+    Stood,
+    Told,
+    Try,
+    Turn,
+)
 from pepperusher.rehearsal.roster import READY
 from pepperusher.rehearsal.script import Script
 from pepperusher.rehearsal.stalls import Spans
 
-LOST_TICKET, TWICE, DRAINS, COLD = "no ticket lost", "no effect twice", "drains kept", "no cold backend pushed over"
+LOST_TICKET, TWICE, DRAINS, COLD = (
+    "no ticket lost",
+    "no effect twice",
+    "drains kept",
+    "no cold backend pushed over",
+)
 RULES = (LOST_TICKET, TWICE, DRAINS, COLD)
 # Entries kept of one rule; all are counted.
 MOST_KEPT = 50
@@ -51,13 +69,21 @@
         self.stalls: list[Stall] = []
         self.samples: list[Sample] = []
         self.turns: list[Turn] = []
-        self._lists = {Try: self.tries, Sent: self.sent, Told: self.told, Stood: self.stood, Ran: self.ran,
-                       Stall: self.stalls, Sample: self.samples, Turn: self.turns}
+        self._lists = {
+            Try: self.tries,
+            Sent: self.sent,
+            Told: self.told,
+            Stood: self.stood,
+            Ran: self.ran,
+            Stall: self.stalls,
+            Sample: self.samples,
+            Turn: self.turns,
+        }
         for record in records:
             self.add(record)
 
     def add(self, record: msgspec.Struct) -> None:
-        self._lists[type(record)].append(record)   # type: ignore[attr-defined]
+        self._lists[type(record)].append(record)  # type: ignore[attr-defined]
 
 
 class RuleBook:
@@ -94,6 +120,7 @@
 
 # --- no ticket lost --------------------------------------------------------------------------------
 
+
 def _check_lost(script: Script, records: Records, sent_of: dict[str, list[Sent]], book: RuleBook) -> None:
     """A ticket written whole to a proxy that stood gets one whole answer by the time its client gives up."""
     stays: dict[int, list[Ran]] = defaultdict(list)
@@ -106,12 +133,16 @@
             _wrong(one, sent_of, book)
             continue
         if one.how == DONE and not any(sent.effect >= 0 or sent.repeat for sent in sent_of.get(one.name, ())):
-            book.against(LOST_TICKET, one.name, one.ended, "", "served with an answer that no backend made for it")
+            book.against(
+                LOST_TICKET, one.name, one.ended, "", "served with an answer that no backend made for it"
+            )
             continue
         if one.crossed >= 0 and any(0 <= sent.first < one.crossed for sent in sent_of.get(one.name, ())):
             # It had been read: its proxy sent it on, and ended its connection with no answer.
             if not _killed(stays[one.proxy], one):
-                book.against(LOST_TICKET, one.name, one.crossed, "", "its connection ended without an answer, sent on")
+                book.against(
+                    LOST_TICKET, one.name, one.crossed, "", "its connection ended without an answer, sent on"
+                )
             continue
         if one.how not in (LOST, LEFT) or one.written < 0:
             continue
@@ -120,13 +151,23 @@
         if one.how == LOST:
             book.against(LOST_TICKET, one.name, one.ended, "", "its connection ended without a whole answer")
         elif one.parent == "" and one.ended - one.sent >= one.limit + slack:
-            book.against(LOST_TICKET, one.name, one.ended, "",
-                         f"no answer {(one.ended - one.sent) // 1000} ms after it was sent")
+            book.against(
+                LOST_TICKET,
+                one.name,
+                one.ended,
+                "",
+                f"no answer {(one.ended - one.sent) // 1000} ms after it was sent",
+            )
 
 
 def _wrong(one: Try, sent_of: dict[str, list[Sent]], book: RuleBook) -> None:
-    book.against(LOST_TICKET, one.name, one.ended, "",
-                 f"answered {one.status} with what no backend made for it, or more than one answer")
+    book.against(
+        LOST_TICKET,
+        one.name,
+        one.ended,
+        "",
+        f"answered {one.status} with what no backend made for it, or more than one answer",
+    )
 
 
 def _killed(stays: list[Ran], one: Try) -> bool:
@@ -136,6 +177,7 @@
 
 # --- no effect twice -------------------------------------------------------------------------------
 
+
 def _check_twice(script: Script, records: Records, sent_of: dict[str, list[Sent]], book: RuleBook) -> None:
     """Never two transmissions at once, never more than allowed, and none that may repeat an effect where the
     use case does not let it. What never began, and what was turned away, has not run."""
@@ -143,14 +185,23 @@
     places = FleetPlan(script, 0).places
     bounced = {one.name: one for one in records.tries if one.how == BOUNCED}
     crossed = {one.name: one.crossed for one in records.tries if one.crossed >= 0}
-    for name, those in ((name, part) for name, those in sent_of.items() for part in _asked(those, crossed.get(name, -1))):
+    for name, those in (
+        (name, part) for name, those in sent_of.items() for part in _asked(those, crossed.get(name, -1))
+    ):
         if len(those) > most:
-            book.against(TWICE, name, those[most].first, those[most].id, f"{len(those)} transmissions, {most} allowed")
+            book.against(
+                TWICE, name, those[most].first, those[most].id, f"{len(those)} transmissions, {most} allowed"
+            )
         for before, after in zip(those, those[1:]):
             over = before.ended if before.gone < 0 else before.gone
             if over < 0 or after.first < over - script.rules.slack:
-                book.against(TWICE, name, after.first, after.id,
-                             f"sent while it was still out at {before.id}, {(over - after.first) / 1000:.1f} ms early")
+                book.against(
+                    TWICE,
+                    name,
+                    after.first,
+                    after.id,
+                    f"sent while it was still out at {before.id}, {(over - after.first) / 1000:.1f} ms early",
+                )
         use = script.use_cases[those[0].use]
         if use.repeat == "single-use":
             _single(those, bounced.get(name), book)
@@ -185,10 +236,17 @@
         if not begun or one.away:
             continue
         if group(one) != group(begun[0]):
-            book.against(TWICE, one.name, one.first, one.id,
-                         f"had begun at {begun[0].id}, whose group alone drops its repeats")
+            book.against(
+                TWICE,
+                one.name,
+                one.first,
+                one.id,
+                f"had begun at {begun[0].id}, whose group alone drops its repeats",
+            )
         elif one.last - begun[0].begun > use.remembered + script.rules.slack:
-            book.against(TWICE, one.name, one.first, one.id, f"had begun at {begun[0].id}, longer ago than is known")
+            book.against(
+                TWICE, one.name, one.first, one.id, f"had begun at {begun[0].id}, longer ago than is known"
+            )
     effects = [one for one in those if one.effect >= 0]
     for one in effects[1:]:
         book.against(TWICE, one.name, one.effect, one.id, f"took effect before at {effects[0].id}")
@@ -196,6 +254,7 @@
 
 # --- drains kept -----------------------------------------------------------------------------------
 
+
 def _check_drains(script: Script, records: Records, book: RuleBook) -> None:
     """Nothing's first byte comes to a backend later than the grace after its sender was told that it
     drains."""
@@ -229,8 +288,13 @@
                 continue
             since = later[0]
         if sent.first - since > grace:
-            book.against(DRAINS, sent.name, sent.first, sent.id,
-                         f"sent {(sent.first - since) // 1000} ms after its proxy was told that it is {words[-1].state}")
+            book.against(
+                DRAINS,
+                sent.name,
+                sent.first,
+                sent.id,
+                f"sent {(sent.first - since) // 1000} ms after its proxy was told that it is {words[-1].state}",
+            )
 
 
 def _check_cold(records: Records, book: RuleBook) -> None:
@@ -241,6 +305,7 @@
 
 # --- beyond the rules ------------------------------------------------------------------------------
 
+
 class Use(NamedTuple):
     """How the fleet's work was used: transmissions and what became of their work (us on a core of speed 1).
 
--- a/pepperusher/rehearsal/caller.py
+++ b/pepperusher/rehearsal/caller.py
@@ -26,10 +26,34 @@
     is said of the client's patience (us, 0 nothing). `sent`, `written`, `crossed` are set as it goes
     (clock)."""
 
-    __slots__ = ("name", "use", "customer", "work", "left", "mark", "body", "hint", "again", "sent", "written", "fresh", "crossed")
-
-    def __init__(self, name: str, use: Use, customer: str, work: int, left: int, mark: str, body: bytes, hint: int,
-                 again: bool = False) -> None:
+    __slots__ = (
+        "name",
+        "use",
+        "customer",
+        "work",
+        "left",
+        "mark",
+        "body",
+        "hint",
+        "again",
+        "sent",
+        "written",
+        "fresh",
+        "crossed",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        use: Use,
+        customer: str,
+        work: int,
+        left: int,
+        mark: str,
+        body: bytes,
+        hint: int,
+        again: bool = False,
+    ) -> None:
         self.name = name
         self.use = use
         self.customer = customer
@@ -46,8 +70,12 @@
 
     def head(self, host: bytes) -> h11.Request:
         name = self.use.name.encode()
-        headers = [(b"host", host), (b"request-id", self.name.encode()), (b"request-class", name),
-                   (b"request-info", b"work=%d" % self.work)]
+        headers = [
+            (b"host", host),
+            (b"request-id", self.name.encode()),
+            (b"request-class", name),
+            (b"request-info", b"work=%d" % self.work),
+        ]
         if self.customer:
             headers.append((b"tenant", self.customer.encode()))
         if self.left:
@@ -96,7 +124,7 @@
         self._host = f"{address[0]}:{address[1]}".encode()
         self.proxy = proxy
         self._kept = kept
-        self._idle: list[Peer] = []   # emptied by use, and by `close`
+        self._idle: list[Peer] = []  # emptied by use, and by `close`
         self.opened = 0
 
     async def ask(self, asked: Asked, patience: int) -> Reply:
--- a/pepperusher/rehearsal/commands.py
+++ b/pepperusher/rehearsal/commands.py
@@ -42,6 +42,7 @@
         yield None
         return
     with click.progressbar(length=span, label=title[:40], file=sys.stderr) as bar:
+
         def played(now: int) -> None:
             bar.update(max(0, min(span, now) - bar.pos))
 
@@ -67,12 +68,22 @@
 @click.option("--report", type=click.Path(path_type=Path), help="Write an HTML page with plots here.")
 @click.option("--out", type=click.Path(path_type=Path), help="Keep the result in this file (.rehearsal).")
 @click.option("--work", type=click.Path(path_type=Path), help="Keep logs and records in this folder.")
-@click.option("--build", type=click.Path(path_type=Path, exists=True, file_okay=False),
-              help="Play the proxy of this checkout in place of this one.")
+@click.option(
+    "--build",
+    type=click.Path(path_type=Path, exists=True, file_okay=False),
+    help="Play the proxy of this checkout in place of this one.",
+)
 @click.option("--seed", type=int, help="In place of the script's.")
 @click.option("--span", help="In place of the script's, such as 10s.")
-def rehearse(file: Path, report: Path | None, out: Path | None, work: Path | None, build: Path | None,
-             seed: int | None, span: str | None) -> None:
+def rehearse(
+    file: Path,
+    report: Path | None,
+    out: Path | None,
+    work: Path | None,
+    build: Path | None,
+    seed: int | None,
+    span: str | None,
+) -> None:
     """Play the rehearsal in FILE: a stand-in fleet, real proxies and open-loop load on loopback.
 
     Prints a summary. Ends with 1 if one of the four rules was broken, naming tickets, times and backends.
@@ -86,6 +97,7 @@
         click.echo(spoken.summary(result))
         if report is not None:
             from pepperusher.rehearsal import page
+
             page.write(report, [result])
             click.echo(f"report: {report}")
     if not result.kept:
@@ -94,8 +106,14 @@
 
 @click.command()
 @FILE
-@click.option("--to", "targets", multiple=True, metavar="ADDRESS:PORT", required=True,
-              help="A proxy or a server to ask; several are asked in turn.")
+@click.option(
+    "--to",
+    "targets",
+    multiple=True,
+    metavar="ADDRESS:PORT",
+    required=True,
+    help="A proxy or a server to ask; several are asked in turn.",
+)
 @click.option("--out", type=click.Path(path_type=Path), help="Keep the result in this file (.rehearsal).")
 @click.option("--seed", type=int, help="In place of the script's.")
 @click.option("--span", help="In place of the script's, such as 10s.")
@@ -105,6 +123,7 @@
     Only addresses of this machine's loopback are asked.
     """
     from pepperusher.rehearsal import solo
+
     with one_line():
         script = _script(file, seed, span)
         with progress(script.title, script.span) as played:
@@ -124,25 +143,33 @@
     Prints the addresses of proxies, backends and discovery.
     """
     from pepperusher.rehearsal import solo
+
     with one_line():
         solo.emulate(_script(file, seed, None), proxies, click.echo)
 
 
 @click.command()
 @FILE
-@click.option("--out", type=click.Path(path_type=Path), default=Path("results"), show_default=True,
-              help="Keep results in this folder; those that are there already are not played again.")
+@click.option(
+    "--out",
+    type=click.Path(path_type=Path),
+    default=Path("results"),
+    show_default=True,
+    help="Keep results in this folder; those that are there already are not played again.",
+)
 @click.option("--report", type=click.Path(path_type=Path), help="Write an HTML page with plots here.")
 def experiment(file: Path, out: Path, report: Path | None) -> None:
     """Play the experiment in FILE: rehearsals over parameters, seeds and builds, in turn, compared pair by
     pair."""
     from pepperusher.rehearsal import experiments
+
     with one_line():
         wanted = experiments.read(file)
         played = experiments.play(wanted, out, click.echo)
         click.echo(experiments.spoken(wanted, played))
         if report is not None:
             from pepperusher.rehearsal import page
+
             page.write(report, [result for _, result in played], experiments.compared(wanted, played))
             click.echo(f"report: {report}")
     if not all(result.kept for _, result in played):
@@ -160,5 +187,6 @@
             click.echo(spoken.summary(result))
         if html is not None:
             from pepperusher.rehearsal import page
+
             page.write(html, read)
             click.echo(f"report: {html}")
--- a/pepperusher/rehearsal/compare.py
+++ b/pepperusher/rehearsal/compare.py
@@ -30,7 +30,10 @@
     "tries": (lambda of: of.tries / max(1, of.wishes), False),
     "transmissions": (lambda of: of.transmissions / max(1, of.tickets), False),
     "wasted": (lambda of: of.wasted_share, False),
-    "worst customer": (lambda of: min((one.goodput for one in of.customers if one.wishes), default=1.0), True),
+    "worst customer": (
+        lambda of: min((one.goodput for one in of.customers if one.wishes), default=1.0),
+        True,
+    ),
     "CPU a ticket": (lambda of: _cpu(of), False),
 }
 
@@ -78,4 +81,6 @@
             verdict = "noise"
         else:
             verdict = "better" if (mean > 0) == more_is_better else "worse"
-    return Difference(measure, sum(base) / len(base), sum(other) / len(other), mean, low, high, len(pairs), verdict)
+    return Difference(
+        measure, sum(base) / len(base), sum(other) / len(other), mean, low, high, len(pairs), verdict
+    )
--- a/pepperusher/rehearsal/director.py
+++ b/pepperusher/rehearsal/director.py
@@ -68,8 +68,14 @@
     """`progress` is told the time played (us) now and then; `build` is another checkout whose `serve` is
     played."""
 
-    def __init__(self, script: Script, net: int, work: Path, build: Path | None = None,
-                 progress: Callable[[int], None] | None = None) -> None:
+    def __init__(
+        self,
+        script: Script,
+        net: int,
+        work: Path,
+        build: Path | None = None,
+        progress: Callable[[int], None] | None = None,
+    ) -> None:
         self._script = script
         self._work = work
         self._progress = progress
@@ -77,11 +83,17 @@
         self._line = troubles.timeline(script, self.plan)
         self._start = Start()
         self._writer = Writer(work / "director.records")
-        self.listing = Listing(self.plan, self._line, Roster(script, self.plan, self._line), self._writer, self._start)
+        self.listing = Listing(
+            self.plan, self._line, Roster(script, self.plan, self._line), self._writer, self._start
+        )
         self._script_file = work / "script.json"
         self._script_file.write_bytes(scripts.encoded(script))
-        self._runners = [Runner(script, gate, work, build, self._writer, self._start, self.listing.known,
-                                self.listing.address) for gate in self.plan.gates]
+        self._runners = [
+            Runner(
+                script, gate, work, build, self._writer, self._start, self.listing.known, self.listing.address
+            )
+            for gate in self.plan.gates
+        ]
         self._fleet: list[Worker] = []
         self._load: list[Worker] = []
         self._tasks: list[asyncio.Task[None]] = []
@@ -97,9 +109,17 @@
         """Everything up and ready, nothing begun."""
         await self.listing.listen()
         for number in range(self._script.processes):
-            self._fleet.append(await Worker.start(
-                "pepperusher.rehearsal.fleet", f"fleet process {number}", self._work / f"fleet-{number}.log",
-                str(self._script_file), str(self.plan.net), str(number), str(self._work)))
+            self._fleet.append(
+                await Worker.start(
+                    "pepperusher.rehearsal.fleet",
+                    f"fleet process {number}",
+                    self._work / f"fleet-{number}.log",
+                    str(self._script_file),
+                    str(self.plan.net),
+                    str(number),
+                    str(self._work),
+                )
+            )
         if load:
             await self._stand_load()
         for worker in self._fleet:
@@ -110,16 +130,29 @@
 
     async def _stand_load(self) -> None:
         front = self.plan.front
-        targets = [{"number": gate.number, "zone": gate.zone, "host": gate.address[0], "port": gate.address[1]}
-                   for gate in front]
+        targets = [
+            {"number": gate.number, "zone": gate.zone, "host": gate.address[0], "port": gate.address[1]}
+            for gate in front
+        ]
         if not front:
             # Without proxies clients ask the backends of the first tier themselves.
-            targets = [{"number": -1, "zone": place.zone, "host": place.address[0], "port": place.address[1]}
-                       for place in self.plan.places if place.tier == 0]
+            targets = [
+                {"number": -1, "zone": place.zone, "host": place.address[0], "port": place.address[1]}
+                for place in self.plan.places
+                if place.tier == 0
+            ]
         for number in range(self._script.load.processes):
-            self._load.append(await Worker.start(
-                "pepperusher.rehearsal.generator", f"load process {number}", self._work / f"load-{number}.log",
-                str(self._script_file), str(number), str(self._work), json.dumps(targets)))
+            self._load.append(
+                await Worker.start(
+                    "pepperusher.rehearsal.generator",
+                    f"load process {number}",
+                    self._work / f"load-{number}.log",
+                    str(self._script_file),
+                    str(number),
+                    str(self._work),
+                    json.dumps(targets),
+                )
+            )
 
     async def _stand_proxies(self) -> None:
         # A few at a time: hundreds at once would each be late.
@@ -149,11 +182,16 @@
         for worker in [*self._fleet, *self._load]:
             worker.tell(start=self._start.at)
         loop = asyncio.get_running_loop()
-        self._tasks = [loop.create_task(self._strike(strike)) for strike in self._line.strikes
-                       if strike.what in ("proxy-kill", "proxy-term", "proxy-hup", "discovery-moved",
-                                          "pause-generator")]
-        self._tasks += [loop.create_task(self._own_proxy(life.place, life.born, life.ends))
-                        for life in self._line.lives if self.plan.places[life.place].proxy is not None]
+        self._tasks = [
+            loop.create_task(self._strike(strike))
+            for strike in self._line.strikes
+            if strike.what in ("proxy-kill", "proxy-term", "proxy-hup", "discovery-moved", "pause-generator")
+        ]
+        self._tasks += [
+            loop.create_task(self._own_proxy(life.place, life.born, life.ends))
+            for life in self._line.lives
+            if self.plan.places[life.place].proxy is not None
+        ]
         self._tasks.append(loop.create_task(self._watch()))
 
     async def play(self) -> None:
@@ -234,8 +272,10 @@
         follows = any(life.place == place and life.born == ends for life in self._line.lives if ends >= 0)
         continues = any(life.place == place and life.ends == born for life in self._line.lives if born >= 0)
         if born >= 0 and not continues:
-            before = max((life.ends for life in self._line.lives if life.place == place and 0 <= life.ends < born),
-                         default=0)
+            before = max(
+                (life.ends for life in self._line.lives if life.place == place and 0 <= life.ends < born),
+                default=0,
+            )
             await self._until(max(before + 50_000, born - AHEAD))
             await self._again(runner)
         if ends >= 0 and not follows:
@@ -290,8 +330,9 @@
     return "closed" if script.load.users else arrivals.digest(traces.plan_of(script))
 
 
-async def _play(script: Script, net: int, work: Path, build: Path | None,
-                progress: Callable[[int], None] | None) -> tuple[books.Records, Director]:
+async def _play(
+    script: Script, net: int, work: Path, build: Path | None, progress: Callable[[int], None] | None
+) -> tuple[books.Records, Director]:
     director = Director(script, net, work, build, progress)
     try:
         await director.stand()
@@ -301,8 +342,12 @@
     return director.records(), director
 
 
-def rehearse(script: Script, build: Path | None = None, work: Path | None = None,
-             progress: Callable[[int], None] | None = None) -> Result:
+def rehearse(
+    script: Script,
+    build: Path | None = None,
+    work: Path | None = None,
+    progress: Callable[[int], None] | None = None,
+) -> Result:
     """Plays a script and returns its result. `work` keeps logs and records; without one they go when it is
     over.
 
@@ -321,7 +366,20 @@
             raise PlayError(str(error)) from None
         book = books.check(script, kept)
         names = [gate.name for gate in director.plan.gates]
-        return Result(VERSION, script.title, str(build or "here"), script.seed, played_at, __version__, int(script.span),
-                      digest, troubles.digest(director.line), book.counts, book.entries,
-                      tally.tally(script, names, kept), [place.name for place in director.plan.places], names,
-                      logs=str(work or ""))
+        return Result(
+            VERSION,
+            script.title,
+            str(build or "here"),
+            script.seed,
+            played_at,
+            __version__,
+            int(script.span),
+            digest,
+            troubles.digest(director.line),
+            book.counts,
+            book.entries,
+            tally.tally(script, names, kept),
+            [place.name for place in director.plan.places],
+            names,
+            logs=str(work or ""),
+        )
--- a/pepperusher/rehearsal/engine.py
+++ b/pepperusher/rehearsal/engine.py
@@ -27,12 +27,22 @@
 class Job:
     """One ticket's work here: the rest of it in `parts`, between which it calls the next tier."""
 
-    __slots__ = ("parts", "need", "on_core", "in_slot", "waiting", "over", "began_at", "done_work", "since",
-                 "owner")
+    __slots__ = (
+        "parts",
+        "need",
+        "on_core",
+        "in_slot",
+        "waiting",
+        "over",
+        "began_at",
+        "done_work",
+        "since",
+        "owner",
+    )
 
     def __init__(self, parts: list[int], owner: Any = None) -> None:
         self.parts = parts
-        self.owner = owner   # whoever answers for it; the model never looks at it
+        self.owner = owner  # whoever answers for it; the model never looks at it
         self.need = 0.0
         self.on_core = False
         self.in_slot = False
@@ -58,12 +68,14 @@
         self._tip_bins = max(1, tip_for // BIN)
         self._at = now
         self._share = 0.0
-        self._on_core: list[tuple[float, int, Job]] = []   # a heap; emptied as parts end, stopped ones as they surface
+        self._on_core: list[
+            tuple[float, int, Job]
+        ] = []  # a heap; emptied as parts end, stopped ones as they surface
         self._running = 0
         self._slots = 0
-        self._queue: deque[Job] = deque()                  # emptied as slots come free
+        self._queue: deque[Job] = deque()  # emptied as slots come free
         self._order = 0
-        self._bins: deque[list[float]] = deque()           # [came, could] by BIN, _tip_bins at the most
+        self._bins: deque[list[float]] = deque()  # [came, could] by BIN, _tip_bins at the most
         self._bin_ends = now + BIN
         self._bins.append([0.0, 0.0])
         self._heavy_since = self._light_since = self._slowed_at = -1
@@ -120,7 +132,9 @@
             self._share += rate * passed
             self.worked += rate * passed * self._running
             # Frozen or not: a freeze is not what pushes it over, and neither is having had nothing to do.
-            self._bins[-1][1] += self._kind.speed * self.warmth(self._at) / self.slower * self._kind.cores * passed
+            self._bins[-1][1] += (
+                self._kind.speed * self.warmth(self._at) / self.slower * self._kind.cores * passed
+            )
             self._at = step
             while self._on_core and self._on_core[0][0] <= self._share + 1e-6:
                 job = heappop(self._on_core)[2]
@@ -175,8 +189,11 @@
             self._light_since = -1
         elif self._light_since < 0:
             self._light_since = self._at
-        if self._at - self._slowed_at >= terms.most \
-                or self._light_since >= 0 and self._at - self._light_since >= terms.rest:
+        if (
+            self._at - self._slowed_at >= terms.most
+            or self._light_since >= 0
+            and self._at - self._light_since >= terms.rest
+        ):
             self._slowed_at = self._heavy_since = -1
 
     # --- tickets ----------------------------------------------------------------------------------
@@ -261,7 +278,7 @@
         self._since: deque[tuple[int, tuple[int, str]]] = deque()
 
     def ask(self, use: int, mark: str, remembered: int, job: Job, now: int) -> tuple[str, Job | None]:
-        """"new" (and from now on known), "done", or "under way" with the job that does it."""
+        """ "new" (and from now on known), "done", or "under way" with the job that does it."""
         while self._since and self._since[0][0] <= now:
             until, key = self._since.popleft()
             if key in self._known and self._known[key][0] == until:
--- a/pepperusher/rehearsal/experiments.py
+++ b/pepperusher/rehearsal/experiments.py
@@ -39,7 +39,9 @@
     seeds: list[int]
     arms: list[Arm]
     vary: dict[str, list[Any]] = {}
-    measures: list[str] = msgspec.field(default_factory=lambda: ["goodput", "worst window", "p50", "p99", "tries"])
+    measures: list[str] = msgspec.field(
+        default_factory=lambda: ["goodput", "worst window", "p50", "p99", "tries"]
+    )
     order_seed: int = 1
     folder: str = "."
 
@@ -66,7 +68,11 @@
 
 
 def _check(experiment: Experiment) -> None:
-    for key, given in (("rehearsals", experiment.rehearsals), ("seeds", experiment.seeds), ("arms", experiment.arms)):
+    for key, given in (
+        ("rehearsals", experiment.rehearsals),
+        ("seeds", experiment.seeds),
+        ("arms", experiment.arms),
+    ):
         if not given:
             raise ScriptError(f"{key}: there is none")
     names = [arm.name for arm in experiment.arms]
@@ -74,7 +80,9 @@
         if names.count(arm.name) > 1:
             raise ScriptError(f"arms[{number}].name: {arm.name} stands twice")
         if arm.build is not None and not (Path(experiment.folder) / arm.build / "pepperusher").is_dir():
-            raise ScriptError(f"arms[{number}].build: {arm.build} is no checkout: it has no folder pepperusher")
+            raise ScriptError(
+                f"arms[{number}].build: {arm.build} is no checkout: it has no folder pepperusher"
+            )
     for key in experiment.vary:
         if not experiment.vary[key]:
             raise ScriptError(f"vary.{key}: has no values")
@@ -162,7 +170,9 @@
             results.write(path, result)
             word = "played"
         rules = "" if result.kept else ", A RULE BROKEN"
-        say(f"{number} of {len(plays)} {word}: {one.arm.name}, {one.pair}: goodput {result.figures.goodput:.4f}{rules}")
+        say(
+            f"{number} of {len(plays)} {word}: {one.arm.name}, {one.pair}: goodput {result.figures.goodput:.4f}{rules}"
+        )
         played.append((one, result))
     return played
 
@@ -194,11 +204,20 @@
     made = []
     for where in sorted(by):
         for arm in experiment.arms[1:]:
-            pairs = [(those[base].figures, those[arm.name].figures) for _, those in sorted(by[where].items())
-                     if base in those and arm.name in those]
+            pairs = [
+                (those[base].figures, those[arm.name].figures)
+                for _, those in sorted(by[where].items())
+                if base in those and arm.name in those
+            ]
             if pairs:
-                made.append(Compared(base, arm.name, where, [compare.difference(measure, pairs)
-                                                             for measure in experiment.measures]))
+                made.append(
+                    Compared(
+                        base,
+                        arm.name,
+                        where,
+                        [compare.difference(measure, pairs) for measure in experiment.measures],
+                    )
+                )
     return made
 
 
@@ -208,9 +227,13 @@
         pairs = made.differences[0].pairs if made.differences else 0
         lines.append(f"  {made.other} against {made.base}, {pairs} pairs, {made.where}:")
         for one in made.differences:
-            lines.append(f"    {one.measure:<16} {one.base:10.4f} {one.other:10.4f}  {one.mean:+10.4f}"
-                         f"  [{one.low:+.4f}, {one.high:+.4f}]  {one.verdict}")
+            lines.append(
+                f"    {one.measure:<16} {one.base:10.4f} {one.other:10.4f}  {one.mean:+10.4f}"
+                f"  [{one.low:+.4f}, {one.high:+.4f}]  {one.verdict}"
+            )
     broken = sum(1 for _, result in played if not result.kept)
     marked = sum(1 for _, result in played if result.figures.marked)
-    lines.append(f"  {len(played)} rehearsals, {broken} with a rule broken, {marked} in which the generator stood still")
+    lines.append(
+        f"  {len(played)} rehearsals, {broken} with a rule broken, {marked} in which the generator stood still"
+    )
     return "\n".join(lines)
--- a/pepperusher/rehearsal/fleet.py
+++ b/pepperusher/rehearsal/fleet.py
@@ -33,8 +33,10 @@
         self._writer = writer
         self._start = Start()
         self._mine = [place for place in plan.places if plan.process_of(place, script.processes) == process]
-        self._memories: dict[object, Memory] = {}    # one for each group that shares one, so as many as the script has
-        self._standing: dict[int, Backend] = {}      # by place; emptied as stays end
+        self._memories: dict[
+            object, Memory
+        ] = {}  # one for each group that shares one, so as many as the script has
+        self._standing: dict[int, Backend] = {}  # by place; emptied as stays end
         self._tasks: list[asyncio.Task[None]] = []
 
     def _memory(self, place: Place) -> Memory:
@@ -53,7 +55,9 @@
                 await self._arrive(life, place)
 
     async def _arrive(self, life: Life, place: Place) -> None:
-        backend = Backend(self._script, place, life.id, life.born, self._memory(place), self._writer, self._start)
+        backend = Backend(
+            self._script, place, life.id, life.born, self._memory(place), self._writer, self._start
+        )
         self._standing[place.number] = backend
         await backend.listen()
 
@@ -117,8 +121,9 @@
     orders = await Orders.open()
     await fleet.stand()
     flushing = asyncio.get_running_loop().create_task(fleet.flush())
-    asyncio.get_running_loop().set_exception_handler(lambda _, trouble: orders.say(
-        failed=f"{trouble.get('message')}: {trouble.get('exception')!r}"))
+    asyncio.get_running_loop().set_exception_handler(
+        lambda _, trouble: orders.say(failed=f"{trouble.get('message')}: {trouble.get('exception')!r}")
+    )
     orders.say(standing=True)
     while (order := await orders.next()) is not None:
         if "start" in order:
--- a/pepperusher/rehearsal/fleetplan.py
+++ b/pepperusher/rehearsal/fleetplan.py
@@ -23,8 +23,9 @@
 
     __slots__ = ("number", "name", "tier", "kind", "zone", "cell", "address", "proxy")
 
-    def __init__(self, number: int, name: str, tier: int, kind: Kind, zone: str, cell: int,
-                 address: tuple[str, int]) -> None:
+    def __init__(
+        self, number: int, name: str, tier: int, kind: Kind, zone: str, cell: int, address: tuple[str, int]
+    ) -> None:
         self.number = number
         self.name = name
         self.tier = tier
@@ -32,7 +33,7 @@
         self.zone = zone
         self.cell = cell
         self.address = address
-        self.proxy: Gate | None = None   # its own, to the next tier
+        self.proxy: Gate | None = None  # its own, to the next tier
 
     def id_at(self, generation: int) -> str:
         return f"{self.name}.{generation}" if generation else self.name
@@ -43,8 +44,18 @@
 
     __slots__ = ("number", "name", "tier", "zone", "ordinal", "group", "address", "discovery", "of")
 
-    def __init__(self, number: int, name: str, tier: int, zone: str, ordinal: int, group: int,
-                 address: tuple[str, int], discovery: tuple[str, int], of: Place | None) -> None:
+    def __init__(
+        self,
+        number: int,
+        name: str,
+        tier: int,
+        zone: str,
+        ordinal: int,
+        group: int,
+        address: tuple[str, int],
+        discovery: tuple[str, int],
+        of: Place | None,
+    ) -> None:
         self.number = number
         self.name = name
         self.tier = tier
@@ -71,8 +82,15 @@
                 for _ in range(kind.count):
                     number = len(self.places)
                     zone = tier.zones[at % len(tier.zones)]
-                    place = Place(number, f"{tier.name}-{at + 1}", level, kind, zone,
-                                  1000 * level + at // tier.cell, (_host(net, 20, number), BACKEND_PORT))
+                    place = Place(
+                        number,
+                        f"{tier.name}-{at + 1}",
+                        level,
+                        kind,
+                        zone,
+                        1000 * level + at // tier.cell,
+                        (_host(net, 20, number), BACKEND_PORT),
+                    )
                     self.places.append(place)
                     self.by_name[place.name] = place
                     at += 1
@@ -85,8 +103,17 @@
                 number = len(self.gates)
                 zone = of.zone if of else tier.zones[ordinal % len(tier.zones)]
                 name = f"p-{of.name}" if of else f"p{ordinal + 1}"
-                gate = Gate(number, name, level, zone, ordinal, len(callers), (_host(net, 2, number), PROXY_PORT),
-                            (_host(net, 2, number), DISCOVERY_PORT), of)
+                gate = Gate(
+                    number,
+                    name,
+                    level,
+                    zone,
+                    ordinal,
+                    len(callers),
+                    (_host(net, 2, number), PROXY_PORT),
+                    (_host(net, 2, number), DISCOVERY_PORT),
+                    of,
+                )
                 self.gates.append(gate)
                 if of is not None:
                     of.proxy = gate
--- a/pepperusher/rehearsal/generator.py
+++ b/pepperusher/rehearsal/generator.py
@@ -67,14 +67,14 @@
         self._zones = zones
         self._writer = writer
         self._start = Start()
-        self._open: set[asyncio.Task[None]] = set()   # emptied as wishes end
+        self._open: set[asyncio.Task[None]] = set()  # emptied as wishes end
         self._margin = Margin(COARSE, COARSEST)
         self.sent = 0
 
     def plan(self) -> list[Arrival]:
         if self._script.load.users:
             return []
-        return traces.plan_of(self._script)[self._process::self._script.load.processes]
+        return traces.plan_of(self._script)[self._process :: self._script.load.processes]
 
     async def play(self, start: int, plan: list[Arrival]) -> None:
         self._start.at = start
@@ -127,16 +127,46 @@
         name = f"w{arrival.order}.{nth}"
         mark = f"m{arrival.order}" if use.repeat == "referenced" else ""
         hint = round(arrival.work * self._portion()) if self._script.load.hints else -1
-        asked = Asked(name, use, customers[arrival.customer].name if arrival.customer >= 0 else "", arrival.work,
-                      wish.told, mark, b"x" * use.body, hint, nth > 0)
+        asked = Asked(
+            name,
+            use,
+            customers[arrival.customer].name if arrival.customer >= 0 else "",
+            arrival.work,
+            wish.told,
+            mark,
+            b"x" * use.body,
+            hint,
+            nth > 0,
+        )
         client = self._front.next(zone)
-        reply = Reply(NOBODY) if client is None else await client.ask(asked, wish.stays(self._script.rules.slack))
+        reply = (
+            Reply(NOBODY) if client is None else await client.ask(asked, wish.stays(self._script.rules.slack))
+        )
         ended = clock()
         start = self._start.at
-        self._writer.add(Try(name, f"w{arrival.order}", nth, mark, arrival.use, arrival.customer,
-                             client.proxy if client else -1, "", arrival.work, intended - start,
-                             since(asked.sent, start), since(asked.written, start), ended - start, reply.how,
-                             reply.status, reply.advice, asked.fresh, wish.told, since(asked.crossed, start)))
+        self._writer.add(
+            Try(
+                name,
+                f"w{arrival.order}",
+                nth,
+                mark,
+                arrival.use,
+                arrival.customer,
+                client.proxy if client else -1,
+                "",
+                arrival.work,
+                intended - start,
+                since(asked.sent, start),
+                since(asked.written, start),
+                ended - start,
+                reply.how,
+                reply.status,
+                reply.advice,
+                asked.fresh,
+                wish.told,
+                since(asked.crossed, start),
+            )
+        )
         return wish.after(reply.how, reply.advice, ended)
 
     async def _users(self) -> None:
@@ -153,12 +183,21 @@
             while clock() < ends:
                 use, customer = mix.draw(chance)
                 due = clock()
-                arrival = Arrival(due - self._start.at, use, customer, work_of(self._script.use_cases[use], chance),
-                                  next(orders))
+                arrival = Arrival(
+                    due - self._start.at,
+                    use,
+                    customer,
+                    work_of(self._script.use_cases[use], chance),
+                    next(orders),
+                )
                 await self._wish(arrival, due)
 
-        await asyncio.gather(*(user(number) for number in range(self._process, self._script.load.users,
-                                                                self._script.load.processes)))
+        await asyncio.gather(
+            *(
+                user(number)
+                for number in range(self._process, self._script.load.users, self._script.load.processes)
+            )
+        )
 
     async def beat(self) -> None:
         heart = Heart(BEAT, self._script.load.stall)
@@ -176,8 +215,10 @@
 
 async def run(script: Script, process: int, work: Path, targets: list[dict[str, object]]) -> None:
     kept = script.load.connections == "kept"
-    clients = [(str(one["zone"]), Client((str(one["host"]), int(str(one["port"]))), int(str(one["number"])), kept))
-               for one in targets]
+    clients = [
+        (str(one["zone"]), Client((str(one["host"]), int(str(one["port"]))), int(str(one["number"])), kept))
+        for one in targets
+    ]
     front = Front(clients)
     writer = Writer(work / f"load-{process}.records")
     zones = sorted({zone for zone, _ in clients}) or [""]
--- a/pepperusher/rehearsal/listing.py
+++ b/pepperusher/rehearsal/listing.py
@@ -32,18 +32,26 @@
         self._start = start
         self.moves = [one.at for one in line.strikes if one.what == "discovery-moved"]
         self._servers: list[asyncio.Server] = []
-        self._serving: set[asyncio.Task[None]] = set()   # emptied as connections end
+        self._serving: set[asyncio.Task[None]] = set()  # emptied as connections end
         self._begun = False
 
     async def listen(self) -> None:
         for gate in self._plan.gates:
             for turn in range(len(self.moves) + 1):
-                async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, gate: Gate = gate,
-                                turn: int = turn) -> None:
+
+                async def serve(
+                    reader: asyncio.StreamReader,
+                    writer: asyncio.StreamWriter,
+                    gate: Gate = gate,
+                    turn: int = turn,
+                ) -> None:
                     await self._serve(Peer(reader, writer, h11.SERVER), gate, turn)
 
-                self._servers.append(await asyncio.start_server(serve, gate.discovery[0], gate.discovery[1] + turn,
-                                                                reuse_address=True))
+                self._servers.append(
+                    await asyncio.start_server(
+                        serve, gate.discovery[0], gate.discovery[1] + turn, reuse_address=True
+                    )
+                )
 
     def begin(self) -> None:
         """The rehearsal starts: before it the list stands still."""
@@ -88,11 +96,13 @@
                     break
                 else:
                     body = self._line(gate, self._roster.version(self._now()), None)
-                    peer.send(h11.Response(status_code=200, headers=[(b"content-length", b"%d" % len(body))]), body)
+                    peer.send(
+                        h11.Response(status_code=200, headers=[(b"content-length", b"%d" % len(body))]), body
+                    )
                 if not peer.again():
                     break
         except (Broken, OSError, asyncio.CancelledError):
-            pass   # the other side's end, or the rehearsal's
+            pass  # the other side's end, or the rehearsal's
         finally:
             self._serving.discard(task)
             peer.abort()
@@ -124,8 +134,12 @@
                     data = b"\n"
                     break
                 change = self._roster.next_change(now) if self._begun else None
-                wait = min(empty_at - clock(), 100_000 if change is None or turn < len(self.moves) or not self._begun
-                           else max(0, change - now) + 500)
+                wait = min(
+                    empty_at - clock(),
+                    100_000
+                    if change is None or turn < len(self.moves) or not self._begun
+                    else max(0, change - now) + 500,
+                )
                 await asyncio.sleep(max(0, wait) / 1e6)
 
     def close(self) -> None:
--- a/pepperusher/rehearsal/page.py
+++ b/pepperusher/rehearsal/page.py
@@ -21,15 +21,31 @@
 
 def _table(head: Iterable[str], rows: Iterable[Iterable[object]]) -> str:
     top = "".join(f"<th>{escape(one)}</th>" for one in head)
-    body = "".join("<tr>" + "".join(f"<td>{escape(str(one))}</td>" for one in row) + "</tr>\n" for row in rows)
+    body = "".join(
+        "<tr>" + "".join(f"<td>{escape(str(one))}</td>" for one in row) + "</tr>\n" for row in rows
+    )
     return f"<table><tr>{top}</tr>\n{body}</table>\n"
 
 
 def _groups(title: str, those: list[Group]) -> str:
-    rows = ((one.name, one.wishes, one.in_time, one.late, one.wishes - one.in_time - one.late, f"{one.goodput:.4f}",
-             said(one.p50), said(one.p99)) for one in those)
-    return f"<h3>{title}</h3>" + _table((title, "wishes", "in time", "late", "failed", "goodput", "p50", "p99"), rows) \
+    rows = (
+        (
+            one.name,
+            one.wishes,
+            one.in_time,
+            one.late,
+            one.wishes - one.in_time - one.late,
+            f"{one.goodput:.4f}",
+            said(one.p50),
+            said(one.p99),
+        )
+        for one in those
+    )
+    return (
+        f"<h3>{title}</h3>"
+        + _table((title, "wishes", "in time", "late", "failed", "goodput", "p50", "p99"), rows)
         + plots.groups(f"Goodput by {title.lower()}", those)
+    )
 
 
 def _rules(result: Result) -> str:
@@ -37,7 +53,9 @@
         return "<p>No books were kept on the other side.</p>"
     lines = []
     for rule, count in result.rules.items():
-        word = f'<span class="broken">broken {count} times</span>' if count else '<span class="kept">kept</span>'
+        word = (
+            f'<span class="broken">broken {count} times</span>' if count else '<span class="kept">kept</span>'
+        )
         lines.append(f"<li>{escape(rule)}: {word}</li>")
     rows = [(one.rule, one.ticket, said(one.at), one.backend, one.what) for one in result.entries]
     table = _table(("rule", "ticket", "at", "backend", "what"), rows) if rows else ""
@@ -46,14 +64,21 @@
 
 def _result(result: Result) -> str:
     figures = result.figures
-    costs = [(one.name, one.tickets, f"{one.cpu / 1000:.2f} ms", f"{one.memory / 1024:.1f} MB", one.descriptors)
-             for one in figures.costs if one.tickets]
+    costs = [
+        (one.name, one.tickets, f"{one.cpu / 1000:.2f} ms", f"{one.memory / 1024:.1f} MB", one.descriptors)
+        for one in figures.costs
+        if one.tickets
+    ]
     parts = [
         f"<h2>{escape(result.title)}</h2>",
         f"<p>Seed {result.seed}, {said(result.span)}, build {escape(result.build)}, played {escape(result.played_at)} by"
         f" version {escape(result.program)}; plan {escape(result.plan)}, troubles {escape(result.troubles)}.</p>",
-        f"<pre>{escape(spoken.summary(result))}</pre>", "<h3>Rule book</h3>", _rules(result),
-        plots.outcomes(result), plots.over_time(result)]
+        f"<pre>{escape(spoken.summary(result))}</pre>",
+        "<h3>Rule book</h3>",
+        _rules(result),
+        plots.outcomes(result),
+        plots.over_time(result),
+    ]
     if figures.use_cases:
         parts.append(_groups("Use case", figures.use_cases))
     if figures.customers:
@@ -61,17 +86,34 @@
     if figures.turns:
         parts += ["<h3>Breakers</h3>", plots.breakers(result)]
     if costs:
-        parts += ["<h3>Proxies</h3>", _table(("proxy", "tickets", "CPU a ticket", "memory", "descriptors"), costs)]
+        parts += [
+            "<h3>Proxies</h3>",
+            _table(("proxy", "tickets", "CPU a ticket", "memory", "descriptors"), costs),
+        ]
     return "\n".join(parts)
 
 
 def _compared(made: list[Compared]) -> str:
     parts = []
     for each in made:
-        rows = ((one.measure, f"{one.base:.4f}", f"{one.other:.4f}", f"{one.mean:+.4f}",
-                 f"{one.low:+.4f} to {one.high:+.4f}", one.pairs, one.verdict) for one in each.differences)
-        parts.append(f"<h2>{escape(each.other)} against {escape(each.base)}</h2><p>{escape(each.where)}</p>"
-                     + _table(("measure", each.base, each.other, "difference", "95% interval", "pairs", "verdict"), rows))
+        rows = (
+            (
+                one.measure,
+                f"{one.base:.4f}",
+                f"{one.other:.4f}",
+                f"{one.mean:+.4f}",
+                f"{one.low:+.4f} to {one.high:+.4f}",
+                one.pairs,
+                one.verdict,
+            )
+            for one in each.differences
+        )
+        parts.append(
+            f"<h2>{escape(each.other)} against {escape(each.base)}</h2><p>{escape(each.where)}</p>"
+            + _table(
+                ("measure", each.base, each.other, "difference", "95% interval", "pairs", "verdict"), rows
+            )
+        )
     return "\n".join(parts)
 
 
@@ -84,8 +126,10 @@
     body += map(_result, results[:COMPARED])
     if len(results) > COMPARED:
         body.append(f"<p>{len(results) - COMPARED} more are left out here; each is kept as a file.</p>")
-    return (f"<!DOCTYPE html>\n<html lang=\"en\"><head><meta charset=\"utf-8\"><title>{escape(title)}</title>"
-            f"<style>{STYLE}</style></head>\n<body>\n" + "\n".join(body) + "\n</body></html>\n")
+    return (
+        f'<!DOCTYPE html>\n<html lang="en"><head><meta charset="utf-8"><title>{escape(title)}</title>'
+        f"<style>{STYLE}</style></head>\n<body>\n" + "\n".join(body) + "\n</body></html>\n"
+    )
 
 
 def write(path: Path, results: list[Result], compared: list[Compared] | None = None) -> None:
--- a/pepperusher/rehearsal/plots.py
+++ b/pepperusher/rehearsal/plots.py
@@ -9,10 +9,10 @@
 
 matplotlib.use("svg")
 
-from matplotlib.figure import Figure   # noqa: E402
+from matplotlib.figure import Figure  # noqa: E402
 
-from pepperusher.rehearsal.results import Result   # noqa: E402
-from pepperusher.rehearsal.tally import Group, histogram_of   # noqa: E402
+from pepperusher.rehearsal.results import Result  # noqa: E402
+from pepperusher.rehearsal.tally import Group, histogram_of  # noqa: E402
 
 WIDE = (8.0, 2.8)
 COLOURS = {"closed": "#d9ead3", "open": "#cc4125"}
@@ -25,7 +25,7 @@
     with matplotlib.rc_context({"svg.hashsalt": "rehearsal"}):
         figure.savefig(out, format="svg", metadata={"Date": None}, bbox_inches="tight")
     text = out.getvalue()
-    return text[text.index("<svg"):]
+    return text[text.index("<svg") :]
 
 
 def _axes(title: str, x: str, y: str, size: tuple[float, float] = WIDE) -> tuple[Figure, object]:
@@ -47,9 +47,11 @@
         if not times.get_total_count():
             continue
         parts = [1 - 10 ** (-step / 20) for step in range(0, 81)]
-        axes.plot([1 / (1 - part) for part in parts],
-                  [times.get_value_at_percentile(100 * part) / 1000 for part in parts],
-                  label=f"{result.title}, {result.build}, seed {result.seed}"[:60])
+        axes.plot(
+            [1 / (1 - part) for part in parts],
+            [times.get_value_at_percentile(100 * part) / 1000 for part in parts],
+            label=f"{result.title}, {result.build}, seed {result.seed}"[:60],
+        )
     axes.set_xscale("log")
     axes.set_xticks([1, 10, 100, 1000, 10_000], ["0", "90", "99", "99.9", "99.99"])
     axes.set_yscale("log")
@@ -75,9 +77,14 @@
     seconds = result.figures.seconds
     figure, axes = _axes("What became of the wishes, by second", "s", "wishes")
     at = [one.at for one in seconds]
-    axes.stackplot(at, [one.in_time for one in seconds], [one.late for one in seconds],
-                   [one.wishes - one.in_time - one.late for one in seconds],
-                   labels=["in time", "late", "failed"], colors=["#93c47d", "#ffd966", "#cc4125"])
+    axes.stackplot(
+        at,
+        [one.in_time for one in seconds],
+        [one.late for one in seconds],
+        [one.wishes - one.in_time - one.late for one in seconds],
+        labels=["in time", "late", "failed"],
+        colors=["#93c47d", "#ffd966", "#cc4125"],
+    )
     axes.plot(at, [one.tries for one in seconds], color="black", linewidth=0.8, label="tries")
     axes.legend(fontsize=7)
     return _svg(figure)
@@ -105,8 +112,12 @@
     for (_, id), began in opened.items():
         spans[id].append((began / 1e6, max(0, result.span - began) / 1e6))
     rows = sorted(spans, key=lambda id: -sum(length for _, length in spans[id]))[:MOST_ROWS]
-    figure, axes = _axes(f"Breakers open, darker where at more proxies ({len(spans)} backends had one)", "s", "",
-                         (8.0, 0.8 + 0.2 * max(1, len(rows))))
+    figure, axes = _axes(
+        f"Breakers open, darker where at more proxies ({len(spans)} backends had one)",
+        "s",
+        "",
+        (8.0, 0.8 + 0.2 * max(1, len(rows))),
+    )
     for row, id in enumerate(rows):
         axes.broken_barh(spans[id], (row - 0.4, 0.8), color=COLOURS["open"], alpha=0.3, linewidth=0)
     axes.set_yticks(range(len(rows)), rows, fontsize=7)
--- a/pepperusher/rehearsal/proxies.py
+++ b/pepperusher/rehearsal/proxies.py
@@ -39,22 +39,47 @@
     cold = min((kind.cold_from for kind in kinds), default=1.0)
     offered = _rate(script)
     return {
-        "group-size": gate.group, "ordinal": gate.ordinal, "stage": gate.tier,
-        "tiers": [tier.name for tier in script.tiers], "zone": gate.zone,
+        "group-size": gate.group,
+        "ordinal": gate.ordinal,
+        "stage": gate.tier,
+        "tiers": [tier.name for tier in script.tiers],
+        "zone": gate.zone,
         "zones": sorted({zone for tier in script.tiers for zone in tier.zones}),
         "use-cases": [
-            {"name": use.name, "effect": EFFECT[use.repeat], "key-scope": use.scope, "window": use.remembered / 1000,
-             "importance": use.importance, "overdue-importance": use.late_share, "promised-time": use.promised / 1000,
-             "outer-limit": use.outer / 1000} for use in script.use_cases],
-        "customers": [{"name": one.name, "quota-rps": one.quota or one.share * offered} for one in script.customers],
+            {
+                "name": use.name,
+                "effect": EFFECT[use.repeat],
+                "key-scope": use.scope,
+                "window": use.remembered / 1000,
+                "importance": use.importance,
+                "overdue-importance": use.late_share,
+                "promised-time": use.promised / 1000,
+                "outer-limit": use.outer / 1000,
+            }
+            for use in script.use_cases
+        ],
+        "customers": [
+            {"name": one.name, "quota-rps": one.quota or one.share * offered} for one in script.customers
+        ],
         "policy-limits": {
-            "cancel": rules.cancel, "connect-timeout": rules.connect_within / 1000,
-            "keepalive": min(kind.idle for kind in kinds) / 1000, "most-transmissions": rules.most_transmissions,
-            "retry-after": rules.advice, "max-retry-after": rules.longest_advice / 1000},
-        "rules": {"ask-within": rules.ask_within / 1000, "cold-share": cold,
-                  "warm-after": max(kind.warm_for for kind in kinds) / 1000, "tip-multiple": rules.tip_multiple,
-                  "overload-for": rules.tip_for / 1000, "stop-sending-within": rules.drain_grace / 1000},
-        "family-info": {"passes-deadline": rules.passes_limit}, "importance-by": "work"}
+            "cancel": rules.cancel,
+            "connect-timeout": rules.connect_within / 1000,
+            "keepalive": min(kind.idle for kind in kinds) / 1000,
+            "most-transmissions": rules.most_transmissions,
+            "retry-after": rules.advice,
+            "max-retry-after": rules.longest_advice / 1000,
+        },
+        "rules": {
+            "ask-within": rules.ask_within / 1000,
+            "cold-share": cold,
+            "warm-after": max(kind.warm_for for kind in kinds) / 1000,
+            "tip-multiple": rules.tip_multiple,
+            "overload-for": rules.tip_for / 1000,
+            "stop-sending-within": rules.drain_grace / 1000,
+        },
+        "family-info": {"passes-deadline": rules.passes_limit},
+        "importance-by": "work",
+    }
 
 
 def _rate(script: Script) -> float:
@@ -72,8 +97,17 @@
 class Runner:
     """One proxy's place and the processes that stand there in turn."""
 
-    def __init__(self, script: Script, gate: Gate, work: Path, build: Path | None, writer: Writer, start: Start,
-                 known: Callable[[Gate], dict[str, object]], found: Callable[[Gate, int], tuple[str, int]]) -> None:
+    def __init__(
+        self,
+        script: Script,
+        gate: Gate,
+        work: Path,
+        build: Path | None,
+        writer: Writer,
+        start: Start,
+        known: Callable[[Gate], dict[str, object]],
+        found: Callable[[Gate, int], tuple[str, int]],
+    ) -> None:
         self.gate = gate
         self._script = script
         self._work = work
@@ -95,11 +129,19 @@
         """The file as `serve` reads it; with a new discovery it is written anew before a SIGHUP."""
         gate, path = self.gate, self._work / f"{self.gate.name}.json"
         host, port = self._found(gate, self._now())
-        told = {"name": gate.name, "listen": f"{gate.address[0]}:{gate.address[1]}", "discovery": f"{host}:{port}",
-                "seed": f"{(self._script.seed * 7919 + gate.number * 31 + self._stays) & 0xffffffffffff:x}",
-                "limits": {"cores": 1.0, "memory_mb": self._script.proxies.memory_mb,
-                           "sockets": self._script.proxies.sockets},
-                "known": self._known(gate), "settings": settings(self._script, gate)}
+        told = {
+            "name": gate.name,
+            "listen": f"{gate.address[0]}:{gate.address[1]}",
+            "discovery": f"{host}:{port}",
+            "seed": f"{(self._script.seed * 7919 + gate.number * 31 + self._stays) & 0xFFFFFFFFFFFF:x}",
+            "limits": {
+                "cores": 1.0,
+                "memory_mb": self._script.proxies.memory_mb,
+                "sockets": self._script.proxies.sockets,
+            },
+            "known": self._known(gate),
+            "settings": settings(self._script, gate),
+        }
         fresh = path.with_suffix(".new")
         fresh.write_text(json.dumps(told))
         fresh.replace(path)
@@ -114,10 +156,22 @@
         more = ["--own", str(Path(self._script.folder) / own)] if own and self.gate.tier == 0 else []
         self._times = {"started": self._now()}
         self._process = process = await asyncio.create_subprocess_exec(
-            python_of(self._build), *flags, "-m", "pepperusher", "serve", "--config", str(path), *more,
-            stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
-            env=environment(self._build), cwd=self._work, start_new_session=True,
-            preexec_fn=with_parent)
+            python_of(self._build),
+            *flags,
+            "-m",
+            "pepperusher",
+            "serve",
+            "--config",
+            str(path),
+            *more,
+            stdin=asyncio.subprocess.DEVNULL,
+            stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.PIPE,
+            env=environment(self._build),
+            cwd=self._work,
+            start_new_session=True,
+            preexec_fn=with_parent,
+        )
         self._reading = asyncio.get_running_loop().create_task(self._read(process))
         try:
             async with asyncio.timeout(READY_WITHIN):
@@ -137,9 +191,17 @@
         except OSError:
             return False
         try:
-            peer.send(h11.Request(method="GET", target="/ready", headers=[("host", "proxy"), ("connection", "close")]))
+            peer.send(
+                h11.Request(
+                    method="GET", target="/ready", headers=[("host", "proxy"), ("connection", "close")]
+                )
+            )
             answer = await peer.receive()
-            return answer is not None and isinstance(answer.head, h11.Response) and answer.head.status_code == 200
+            return (
+                answer is not None
+                and isinstance(answer.head, h11.Response)
+                and answer.head.status_code == 200
+            )
         except (Broken, OSError):
             return False
         finally:
@@ -159,8 +221,18 @@
         times, self._times = self._times, {}
         if self._process is process:
             self._process, self.ready = None, False
-        self._writer.add(Ran(self.gate.number, process.pid, times.get("started", -1), times.get("ready", -1),
-                             times.get("told", -1), times.get("killed", -1), self._now(), status))
+        self._writer.add(
+            Ran(
+                self.gate.number,
+                process.pid,
+                times.get("started", -1),
+                times.get("ready", -1),
+                times.get("told", -1),
+                times.get("killed", -1),
+                self._now(),
+                status,
+            )
+        )
 
     def _last_line(self) -> str:
         lines = (self._work / f"{self.gate.name}.log").read_text(errors="replace").strip().splitlines()
--- a/pepperusher/rehearsal/records.py
+++ b/pepperusher/rehearsal/records.py
@@ -151,8 +151,8 @@
 
     def __init__(self, path: Path) -> None:
         self._file: BinaryIO = open(path, "ab")
-        self._waiting: list[msgspec.Struct] = []   # emptied by flush
-        self._encode = msgspec.msgpack.Encoder(enc_hook=int).encode   # spans are whole numbers
+        self._waiting: list[msgspec.Struct] = []  # emptied by flush
+        self._encode = msgspec.msgpack.Encoder(enc_hook=int).encode  # spans are whole numbers
 
     def add(self, record: msgspec.Struct) -> None:
         self._waiting.append(record)
@@ -177,9 +177,9 @@
     data = path.read_bytes()
     at = 0
     while at + LENGTH.size < len(data):
-        length, = LENGTH.unpack_from(data, at)
+        (length,) = LENGTH.unpack_from(data, at)
         at += LENGTH.size
         if at + length > len(data):
             return
-        yield DECODERS[data[at]].decode(memoryview(data)[at + 1:at + length])
+        yield DECODERS[data[at]].decode(memoryview(data)[at + 1 : at + length])
         at += length
--- a/pepperusher/rehearsal/roster.py
+++ b/pepperusher/rehearsal/roster.py
@@ -105,8 +105,16 @@
         servers = []
         for one in lines:
             place = self._places[one.place]
-            servers.append({
-                "id": one.id, "addr": f"{place.address[0]}:{place.address[1]}", "zone": place.zone,
-                "kind": place.kind.name, "cell": place.cell, "state": one.state, "weight": 1.0,
-                "started_ms": round(began_ms + one.born / 1000) if one.born >= 0 else 0})
+            servers.append(
+                {
+                    "id": one.id,
+                    "addr": f"{place.address[0]}:{place.address[1]}",
+                    "zone": place.zone,
+                    "kind": place.kind.name,
+                    "cell": place.cell,
+                    "state": one.state,
+                    "weight": 1.0,
+                    "started_ms": round(began_ms + one.born / 1000) if one.born >= 0 else 0,
+                }
+            )
         return {"version": version, "full": whole, "servers": servers}
--- a/pepperusher/rehearsal/script.py
+++ b/pepperusher/rehearsal/script.py
@@ -187,11 +187,48 @@
     own: str | None = None
 
 
-WHAT = Literal["freeze", "silent", "slow", "errors", "reset", "garble", "lost", "refuse", "half-answer", "idle-drop",
-               "drain", "kill", "restart", "proxy-term", "proxy-kill", "proxy-hup", "discovery-down", "discovery-late",
-               "discovery-moved", "discovery-back", "new-ids", "pause-generator"]
-OF_BACKENDS = frozenset(("freeze", "silent", "slow", "errors", "reset", "garble", "lost", "refuse", "half-answer",
-                         "idle-drop", "drain", "kill", "restart", "new-ids"))
+WHAT = Literal[
+    "freeze",
+    "silent",
+    "slow",
+    "errors",
+    "reset",
+    "garble",
+    "lost",
+    "refuse",
+    "half-answer",
+    "idle-drop",
+    "drain",
+    "kill",
+    "restart",
+    "proxy-term",
+    "proxy-kill",
+    "proxy-hup",
+    "discovery-down",
+    "discovery-late",
+    "discovery-moved",
+    "discovery-back",
+    "new-ids",
+    "pause-generator",
+]
+OF_BACKENDS = frozenset(
+    (
+        "freeze",
+        "silent",
+        "slow",
+        "errors",
+        "reset",
+        "garble",
+        "lost",
+        "refuse",
+        "half-answer",
+        "idle-drop",
+        "drain",
+        "kill",
+        "restart",
+        "new-ids",
+    )
+)
 OF_PROXIES = frozenset(("proxy-term", "proxy-kill", "proxy-hup"))
 
 
@@ -330,8 +367,11 @@
 
 def _distinct(names: list[str], key: str) -> None:
     for name in names:
-        _need(bool(re.fullmatch(r"[A-Za-z0-9][A-Za-z0-9._-]*", name)), key,
-              f"{name!r} is no name: letters, digits, and . _ - after the first")
+        _need(
+            bool(re.fullmatch(r"[A-Za-z0-9][A-Za-z0-9._-]*", name)),
+            key,
+            f"{name!r} is no name: letters, digits, and . _ - after the first",
+        )
         _need(names.count(name) == 1, key, f"{name} stands twice")
 
 
@@ -347,22 +387,35 @@
         key = f"use_cases[{number}]"
         _need(use.share > 0, f"{key}.share", "is not over 0")
         _need(0 < use.promised <= use.outer, f"{key}.promised", "is not over 0 and within outer")
-        _need(use.repeat != "referenced" or use.remembered > 0, f"{key}.remembered",
-              "missing: a referenced use case needs how long a repeat is known")
+        _need(
+            use.repeat != "referenced" or use.remembered > 0,
+            f"{key}.remembered",
+            "missing: a referenced use case needs how long a repeat is known",
+        )
         _need(0 <= use.body <= 65536, f"{key}.body", "is not from 0 to 65536 bytes")
-        _need(not use.body or use.repeat != "replayable", f"{key}.body", "a replayable use case is a GET without one")
+        _need(
+            not use.body or use.repeat != "replayable",
+            f"{key}.body",
+            "a replayable use case is a GET without one",
+        )
         _need(0 <= use.late_share <= 1, f"{key}.late_share", "is not from 0 to 1")
         _need(use.work.cv > 0, f"{key}.work.cv", "is not over 0")
-        _need(use.repeat != "referenced" or use.scope == "cell" or script.processes == 1, f"{key}.scope",
-              f"{use.scope} needs processes = 1: a group that knows a repeat stands in one process")
+        _need(
+            use.repeat != "referenced" or use.scope == "cell" or script.processes == 1,
+            f"{key}.scope",
+            f"{use.scope} needs processes = 1: a group that knows a repeat stands in one process",
+        )
     _distinct([one.name for one in script.customers], "customers")
     for number, one in enumerate(script.customers):
         _need(one.share > 0, f"customers[{number}].share", "is not over 0")
     _check_tiers(script)
     _check_load(script)
     _check_faults(script)
-    _need(1 <= script.rules.most_transmissions <= MOST_TRANSMISSIONS, "rules.most_transmissions",
-          f"is not from 1 to {MOST_TRANSMISSIONS}: the brief allows no more")
+    _need(
+        1 <= script.rules.most_transmissions <= MOST_TRANSMISSIONS,
+        "rules.most_transmissions",
+        f"is not from 1 to {MOST_TRANSMISSIONS}: the brief allows no more",
+    )
     _need(64 <= script.proxies.sockets <= 1_000_000, "proxies.sockets", "is not from 64 to 1000000")
 
 
@@ -379,7 +432,9 @@
         last = number == len(script.tiers) - 1
         _need(tier.calls >= 0, f"{key}.calls", "is under 0")
         _need(not last or tier.calls == 0, f"{key}.calls", "the last tier has none to call")
-        _need(last or tier.calls > 0, f"{key}.calls", "missing: without calls the next tier has nothing to do")
+        _need(
+            last or tier.calls > 0, f"{key}.calls", "missing: without calls the next tier has nothing to do"
+        )
         _need(0 <= tier.proxies <= MOST_PROXIES, f"{key}.proxies", f"is not from 0 to {MOST_PROXIES}")
         for place, kind in enumerate(tier.kinds):
             at = f"{key}.kinds[{place}]"
@@ -388,7 +443,11 @@
             _need(kind.speed > 0, f"{at}.speed", "is not over 0")
             _need(kind.slots >= 1 and kind.queue >= 0, f"{at}.slots", "no room for a ticket")
             _need(0 < kind.cold_from <= 1, f"{at}.cold_from", "is not over 0 and up to 1")
-            _need(kind.cold_from == 1 or kind.warm_for > 0, f"{at}.warm_for", "missing: a cold backend warms in a time")
+            _need(
+                kind.cold_from == 1 or kind.warm_for > 0,
+                f"{at}.warm_for",
+                "missing: a cold backend warms in a time",
+            )
             _need(kind.overload is None or kind.overload.slower >= 1, f"{at}.overload.slower", "is under 1")
     backends = sum(kind.count for tier in script.tiers for kind in tier.kinds)
     _need(backends <= MOST_BACKENDS, "tiers", f"{backends} backends are over {MOST_BACKENDS}")
@@ -398,11 +457,18 @@
 
 def _check_load(script: Script) -> None:
     load = script.load
-    _need(bool(load.phases) + bool(load.day) + (load.trace is not None) + bool(load.users) == 1, "load",
-          "needs exactly one of phases, day, trace and users")
+    _need(
+        bool(load.phases) + bool(load.day) + (load.trace is not None) + bool(load.users) == 1,
+        "load",
+        "needs exactly one of phases, day, trace and users",
+    )
     for number, phase in enumerate(load.phases):
         _need(phase.span > 0, f"load.phases[{number}].span", "is 0")
-        _need(phase.rate >= 0 and (phase.to is None or phase.to >= 0), f"load.phases[{number}].rate", "is under 0")
+        _need(
+            phase.rate >= 0 and (phase.to is None or phase.to >= 0),
+            f"load.phases[{number}].rate",
+            "is under 0",
+        )
         _need(phase.burst >= 1, f"load.phases[{number}].burst", "is not 1 or more")
     _need(all(rate >= 0 for rate in load.day), "load.day", "a rate is under 0")
     for number, surge in enumerate(load.surges):
@@ -441,8 +507,13 @@
         _need(fault.part is None or 0 < fault.part <= 1, f"{key}.part", "is not over 0 and up to 1")
         _need(1 <= fault.times <= 1000, f"{key}.times", "is not from 1 to 1000")
         _need(fault.times == 1 or fault.every > 0, f"{key}.every", "missing beside times")
-        _need(fault.what not in ("errors", "reset", "garble", "lost", "half-answer")
-              or fault.by is None or 0 < fault.by <= 1, f"{key}.by", "is not over 0 and up to 1")
+        _need(
+            fault.what not in ("errors", "reset", "garble", "lost", "half-answer")
+            or fault.by is None
+            or 0 < fault.by <= 1,
+            f"{key}.by",
+            "is not over 0 and up to 1",
+        )
         _need(fault.what != "slow" or (fault.by or 2) >= 1, f"{key}.by", "is under 1, which is no slowing")
         lasts = OF_BACKENDS - {"kill", "restart", "drain", "new-ids"} | {"discovery-down", "discovery-late"}
         _need(fault.what not in lasts or fault.span > 0, f"{key}.span", "missing: it lasts for a while")
@@ -453,4 +524,6 @@
         _need(chance.every > 0, f"{key}.every", "is 0")
         _need(bool(chance.of), f"{key}.of", "names none")
         _need(0 < chance.part <= 1, f"{key}.part", "is not over 0 and up to 1")
-        _need("pause-generator" not in chance.of, f"{key}.of", "a pause of the generator is not left to chance")
+        _need(
+            "pause-generator" not in chance.of, f"{key}.of", "a pause of the generator is not left to chance"
+        )
--- a/pepperusher/rehearsal/solo.py
+++ b/pepperusher/rehearsal/solo.py
@@ -32,14 +32,27 @@
     return host, port
 
 
-async def _load(script: Script, targets: list[tuple[str, int]], work: Path,
-                progress: Callable[[int], None] | None) -> None:
+async def _load(
+    script: Script, targets: list[tuple[str, int]], work: Path, progress: Callable[[int], None] | None
+) -> None:
     file = work / "script.json"
     file.write_bytes(scripts.encoded(script))
-    told = [{"number": number, "zone": "", "host": host, "port": port} for number, (host, port) in enumerate(targets)]
-    workers = [await Worker.start("pepperusher.rehearsal.generator", f"load process {number}",
-                                  work / f"load-{number}.log", str(file), str(number), str(work), json.dumps(told))
-               for number in range(script.load.processes)]
+    told = [
+        {"number": number, "zone": "", "host": host, "port": port}
+        for number, (host, port) in enumerate(targets)
+    ]
+    workers = [
+        await Worker.start(
+            "pepperusher.rehearsal.generator",
+            f"load process {number}",
+            work / f"load-{number}.log",
+            str(file),
+            str(number),
+            str(work),
+            json.dumps(told),
+        )
+        for number in range(script.load.processes)
+    ]
 
     async def tell(start: int) -> None:
         while progress is not None:
@@ -65,7 +78,9 @@
             await worker.end()
 
 
-def load(script: Script, targets: list[tuple[str, int]], progress: Callable[[int], None] | None = None) -> Result:
+def load(
+    script: Script, targets: list[tuple[str, int]], progress: Callable[[int], None] | None = None
+) -> Result:
     """Raises PlayError."""
     digest = plan_digest(script)
     with tempfile.TemporaryDirectory(prefix="load-") as spare:
@@ -75,10 +90,26 @@
             asyncio.run(_load(script, targets, work, progress))
         except (RuntimeError, OSError) as error:
             raise PlayError(str(error)) from None
-        kept = books.Records(record for path in sorted(work.glob("*.records")) for record in records.read(path))
+        kept = books.Records(
+            record for path in sorted(work.glob("*.records")) for record in records.read(path)
+        )
     names = [f"{host}:{port}" for host, port in targets]
-    return Result(VERSION, script.title, "load alone", script.seed, played_at, __version__, int(script.span), digest, "",
-                  {}, [], tally.tally(script, names, kept), [], names)
+    return Result(
+        VERSION,
+        script.title,
+        "load alone",
+        script.seed,
+        played_at,
+        __version__,
+        int(script.span),
+        digest,
+        "",
+        {},
+        [],
+        tally.tally(script, names, kept),
+        [],
+        names,
+    )
 
 
 async def _emulate(script: Script, net: int, work: Path, say: Callable[[str], None]) -> None:
@@ -86,10 +117,14 @@
     try:
         await director.stand(load=False)
         for place in director.plan.places:
-            say(f"backend {place.name:<20} {place.address[0]}:{place.address[1]}  zone {place.zone}, cell {place.cell}")
+            say(
+                f"backend {place.name:<20} {place.address[0]}:{place.address[1]}  zone {place.zone}, cell {place.cell}"
+            )
         for gate in director.plan.gates:
-            say(f"proxy   {gate.name:<20} {gate.address[0]}:{gate.address[1]}  tier {script.tiers[gate.tier].name},"
-                f" discovery {gate.discovery[0]}:{gate.discovery[1]}")
+            say(
+                f"proxy   {gate.name:<20} {gate.address[0]}:{gate.address[1]}  tier {script.tiers[gate.tier].name},"
+                f" discovery {gate.discovery[0]}:{gate.discovery[1]}"
+            )
         say("standing; Ctrl-C ends it")
         director.begin()
         await asyncio.Event().wait()
--- a/pepperusher/rehearsal/spoken.py
+++ b/pepperusher/rehearsal/spoken.py
@@ -15,7 +15,9 @@
 
 
 def _head(result: Result) -> list[str]:
-    return [f"{result.title}  (seed {result.seed}, {said(result.span)}, build {result.build}, plan {result.plan})"]
+    return [
+        f"{result.title}  (seed {result.seed}, {said(result.span)}, build {result.build}, plan {result.plan})"
+    ]
 
 
 def _wishes(figures: Figures) -> list[str]:
@@ -27,34 +29,45 @@
         f" {said(figures.worst_window_at)} on",
         "  tries ended: " + ", ".join(f"{how} {count}" for how, count in figures.ends.items()),
         _times("from intended time", figures.intended),
-        _times("from the real send", figures.from_send)]
+        _times("from the real send", figures.from_send),
+    ]
     if figures.marked:
         lines.append(_times("without stalls", figures.trusted))
     return lines
 
 
 def _trust(figures: Figures) -> list[str]:
-    lines = [f"  the generator sent {100 * figures.late_share:.2f}% late (p99 {said(figures.sent_late.percentiles['99'])},"
-             f" most {said(figures.sent_late.percentiles['100'])})"]
+    lines = [
+        f"  the generator sent {100 * figures.late_share:.2f}% late (p99 {said(figures.sent_late.percentiles['99'])},"
+        f" most {said(figures.sent_late.percentiles['100'])})"
+    ]
     if figures.stalls:
         spans = ", ".join(f"{said(until - at)} from {said(at)}" for at, until in figures.stalls[:5])
-        lines.append(f"  THE GENERATOR STOOD STILL: {spans}; {figures.marked} figures of that time are marked; seconds"
-                     f" not to be trusted: {', '.join(map(str, figures.untrusted_seconds))}")
+        lines.append(
+            f"  THE GENERATOR STOOD STILL: {spans}; {figures.marked} figures of that time are marked; seconds"
+            f" not to be trusted: {', '.join(map(str, figures.untrusted_seconds))}"
+        )
     return lines
 
 
 def _fleet(figures: Figures) -> list[str]:
-    lines = [f"  {figures.transmissions / max(1, figures.tickets):.3f} transmissions a ticket,"
-             f" {figures.turned_away} turned away; {100 * figures.wasted_share:.2f}% of the work wasted;"
-             f" work lived on after its sender left: most {said(figures.lived_on.percentiles['100'])}"]
+    lines = [
+        f"  {figures.transmissions / max(1, figures.tickets):.3f} transmissions a ticket,"
+        f" {figures.turned_away} turned away; {100 * figures.wasted_share:.2f}% of the work wasted;"
+        f" work lived on after its sender left: most {said(figures.lived_on.percentiles['100'])}"
+    ]
     front = [cost for cost in figures.costs if cost.tickets]
     if front:
         tickets = sum(cost.tickets for cost in front)
-        lines.append(f"  proxies: {sum(cost.cpu * cost.tickets for cost in front) / tickets / 1000:.2f} ms CPU a ticket,"
-                     f" at most {max(cost.memory for cost in front) / 1024:.1f} MB and"
-                     f" {max(cost.descriptors for cost in front)} descriptors")
+        lines.append(
+            f"  proxies: {sum(cost.cpu * cost.tickets for cost in front) / tickets / 1000:.2f} ms CPU a ticket,"
+            f" at most {max(cost.memory for cost in front) / 1024:.1f} MB and"
+            f" {max(cost.descriptors for cost in front)} descriptors"
+        )
     if figures.doubled:
-        lines.append(f"  {figures.doubled} effects of one mark more than once over a client's tries (no rule forbids it)")
+        lines.append(
+            f"  {figures.doubled} effects of one mark more than once over a client's tries (no rule forbids it)"
+        )
     return lines
 
 
--- a/pepperusher/rehearsal/stalls.py
+++ b/pepperusher/rehearsal/stalls.py
@@ -60,5 +60,10 @@
 
     def seconds(self) -> list[int]:
         """The whole seconds (from 0) that hold a part of one."""
-        return sorted({second for at, until in self.joined
-                       for second in range(max(0, at) // 1_000_000, until // 1_000_000 + 1)})
+        return sorted(
+            {
+                second
+                for at, until in self.joined
+                for second in range(max(0, at) // 1_000_000, until // 1_000_000 + 1)
+            }
+        )
--- a/pepperusher/rehearsal/tally.py
+++ b/pepperusher/rehearsal/tally.py
@@ -106,8 +106,11 @@
 
 def times_of(made: HdrHistogram) -> Times:
     count = made.get_total_count()
-    return Times(count, {f"{one:g}": int(made.get_value_at_percentile(one)) if count else 0 for one in PERCENTILES},
-                 made.encode().decode())
+    return Times(
+        count,
+        {f"{one:g}": int(made.get_value_at_percentile(one)) if count else 0 for one in PERCENTILES},
+        made.encode().decode(),
+    )
 
 
 def histogram_of(times: Times) -> HdrHistogram:
@@ -154,14 +157,23 @@
         if not one.parent:
             together[one.wish].append(one)
     made = [Wish(those, script) for those in together.values()]
-    return sorted((one for one in made if one.first.intended >= script.warm_up), key=lambda one: one.first.intended)
+    return sorted(
+        (one for one in made if one.first.intended >= script.warm_up), key=lambda one: one.first.intended
+    )
 
 
 def _group(name: str, wishes: list[Wish]) -> Group:
     took = [one.took for one in wishes if one.took >= 0]
     asked = sum(one.asked for one in wishes)
-    return Group(name, len(wishes), sum(one.in_time for one in wishes), len(took) - sum(one.in_time for one in wishes),
-                 sum(one.earned for one in wishes) / asked if asked else 1.0, percentile(took, 50), percentile(took, 99))
+    return Group(
+        name,
+        len(wishes),
+        sum(one.in_time for one in wishes),
+        len(took) - sum(one.in_time for one in wishes),
+        sum(one.earned for one in wishes) / asked if asked else 1.0,
+        percentile(took, 50),
+        percentile(took, 99),
+    )
 
 
 def _worst(wishes: list[Wish], window: Span) -> tuple[float, int]:
@@ -197,8 +209,18 @@
         those = by.get(at, [])
         took = [one.took for one in those if one.took >= 0]
         in_time = sum(one.in_time for one in those)
-        made.append(Second(at, len(those), in_time, len(took) - in_time, sum(one.tries for one in those),
-                           percentile(took, 50), percentile(took, 99), at not in untrusted))
+        made.append(
+            Second(
+                at,
+                len(those),
+                in_time,
+                len(took) - in_time,
+                sum(one.tries for one in those),
+                percentile(took, 50),
+                percentile(took, 99),
+                at not in untrusted,
+            )
+        )
     return made
 
 
@@ -217,8 +239,15 @@
     for proxy, those in sorted(samples.items()):
         cpu = sum(max(0, after.cpu - before.cpu) for before, after in zip(those, those[1:]))
         count = tickets.get(proxy, 0)
-        made.append(Cost(names[proxy], count, cpu / count if count else 0.0, max(one.memory for one in those),
-                         max(one.descriptors for one in those)))
+        made.append(
+            Cost(
+                names[proxy],
+                count,
+                cpu / count if count else 0.0,
+                max(one.memory for one in those),
+                max(one.descriptors for one in those),
+            )
+        )
     return made
 
 
@@ -244,19 +273,34 @@
         by_use[one.first.use].append(one)
         by_customer[one.first.customer].append(one)
     return Figures(
-        wishes=len(wishes), in_time=in_time, late=len(took) - in_time, failed=len(wishes) - len(took),
-        tries=sum(one.tries for one in wishes), ends=dict(sorted(ends.items())),
-        goodput=sum(one.earned for one in wishes) / asked if asked else 1.0, worst_window=worst,
-        worst_window_at=worst_at, intended=times_of(_times(took)),
+        wishes=len(wishes),
+        in_time=in_time,
+        late=len(took) - in_time,
+        failed=len(wishes) - len(took),
+        tries=sum(one.tries for one in wishes),
+        ends=dict(sorted(ends.items())),
+        goodput=sum(one.earned for one in wishes) / asked if asked else 1.0,
+        worst_window=worst,
+        worst_window_at=worst_at,
+        intended=times_of(_times(took)),
         trusted=times_of(_times([one.took for one in trusted if one.took >= 0])),
         from_send=times_of(_times([one.ended - one.sent for one in outside if one.how == DONE])),
         sent_late=times_of(_times(late)),
         late_share=sum(1 for one in late if one > script.load.late) / len(late) if late else 0.0,
-        marked=len(wishes) - len(trusted), stalls=stalls.joined, untrusted_seconds=sorted(untrusted),
+        marked=len(wishes) - len(trusted),
+        stalls=stalls.joined,
+        untrusted_seconds=sorted(untrusted),
         seconds=_seconds(wishes, untrusted),
         use_cases=[_group(use.name, by_use.get(number, [])) for number, use in enumerate(script.use_cases)],
-        customers=[_group(one.name, by_customer.get(number, [])) for number, one in enumerate(script.customers)],
-        tickets=used.tickets, transmissions=used.transmissions, turned_away=used.away,
-        wasted_share=used.wasted / used.worked if used.worked else 0.0, lived_on=times_of(_times(used.lived_on)),
-        doubled=used.doubled, costs=costs_of(names, records, script.warm_up),
-        turns=sorted((one.at, one.proxy, one.id, one.state) for one in records.turns))
+        customers=[
+            _group(one.name, by_customer.get(number, [])) for number, one in enumerate(script.customers)
+        ],
+        tickets=used.tickets,
+        transmissions=used.transmissions,
+        turned_away=used.away,
+        wasted_share=used.wasted / used.worked if used.worked else 0.0,
+        lived_on=times_of(_times(used.lived_on)),
+        doubled=used.doubled,
+        costs=costs_of(names, records, script.warm_up),
+        turns=sorted((one.at, one.proxy, one.id, one.state) for one in records.turns),
+    )
--- a/pepperusher/rehearsal/troubles.py
+++ b/pepperusher/rehearsal/troubles.py
@@ -63,13 +63,21 @@
     if fault.what in OF_PROXIES:
         level = tiers.index(fault.tier) if fault.tier else 0
         left: list[Place] | list[Gate] = [
-            gate for gate in plan.gates if (gate.tier == level or fault.names) and fault.zone in (None, gate.zone)
-            and (not fault.names or gate.name in fault.names)]
+            gate
+            for gate in plan.gates
+            if (gate.tier == level or fault.names)
+            and fault.zone in (None, gate.zone)
+            and (not fault.names or gate.name in fault.names)
+        ]
     elif fault.what in OF_BACKENDS:
-        left = [place for place in plan.places
-                if (fault.tier is None or place.tier == tiers.index(fault.tier))
-                and fault.zone in (None, place.zone) and fault.kind in (None, place.kind.name)
-                and (not fault.names or place.name in fault.names)]
+        left = [
+            place
+            for place in plan.places
+            if (fault.tier is None or place.tier == tiers.index(fault.tier))
+            and fault.zone in (None, place.zone)
+            and fault.kind in (None, place.kind.name)
+            and (not fault.names or place.name in fault.names)
+        ]
     else:
         return ()
     numbers = [one.number for one in left]
@@ -103,8 +111,13 @@
             continue
         # On for as long as off, from on.
         for begins in range(at, at + fault.span, 2 * fault.flap):
-            yield Fault(**{**_fields(fault), "at": Span(begins),
-                           "span": Span(min(fault.flap, at + fault.span - begins))})
+            yield Fault(
+                **{
+                    **_fields(fault),
+                    "at": Span(begins),
+                    "span": Span(min(fault.flap, at + fault.span - begins)),
+                }
+            )
 
 
 def _fields(fault: Fault) -> dict[str, object]:
@@ -121,7 +134,9 @@
             strikes.extend(_struck(one, targets))
     for number, chance in enumerate(script.chances):
         for place, fault in enumerate(_drawn(chance, number, script)):
-            strikes.extend(_struck(fault, _of(script, plan, fault, Random(f"{script.seed}:whom:{number}:{place}"))))
+            strikes.extend(
+                _struck(fault, _of(script, plan, fault, Random(f"{script.seed}:whom:{number}:{place}")))
+            )
     strikes.sort(key=lambda one: (one.at, one.until, one.what, one.targets))
     strikes = [one for one in strikes if one.at < script.span]
     return Timeline(strikes, _lives(strikes, plan))
@@ -161,14 +176,26 @@
                 if drains < 0:
                     drains, again = strike.at, strike.until
                 continue
-            lives.append(Life(place.number, place.id_at(generation), generation, born, drains,
-                              again if again < strike.at else -1, strike.at, strike.what == "stop"))
+            lives.append(
+                Life(
+                    place.number,
+                    place.id_at(generation),
+                    generation,
+                    born,
+                    drains,
+                    again if again < strike.at else -1,
+                    strike.at,
+                    strike.what == "stop",
+                )
+            )
             generation, drains, again = generation + 1, -1, -1
             born = away = strike.at if strike.what == "new-ids" else strike.until
             if strike.what != "new-ids" and strike.until < 0:
                 away = -2
         if away != -2:
-            lives.append(Life(place.number, place.id_at(generation), generation, born, drains, again, -1, False))
+            lives.append(
+                Life(place.number, place.id_at(generation), generation, born, drains, again, -1, False)
+            )
     return sorted(lives, key=lambda one: (one.born, one.place))
 
 
--- a/pepperusher/rehearsal/wire.py
+++ b/pepperusher/rehearsal/wire.py
@@ -66,7 +66,7 @@
         self.parser = h11.Connection(role, max_incomplete_event_size=HEAD)
         self.used = 0
         self.idle_since = clock()
-        self.first = -1   # when a message's first byte came, -1 between messages
+        self.first = -1  # when a message's first byte came, -1 between messages
 
     async def receive(self) -> Message | None:
         """The next whole message, None where the other side ended between two. Raises Broken."""
@@ -125,7 +125,9 @@
 
     @property
     def ended(self) -> bool:
-        return self.reader.at_eof() or self.reader.exception() is not None or self.writer.transport.is_closing()
+        return (
+            self.reader.at_eof() or self.reader.exception() is not None or self.writer.transport.is_closing()
+        )
 
 
 async def reach(address: tuple[str, int]) -> Peer:
--- a/pepperusher/rehearsal/worker.py
+++ b/pepperusher/rehearsal/worker.py
@@ -29,11 +29,22 @@
         self.name = name
 
     @classmethod
-    async def start(cls, module: str, name: str, log: Path, *arguments: str, cpus: set[int] | None = None) -> Worker:
+    async def start(
+        cls, module: str, name: str, log: Path, *arguments: str, cpus: set[int] | None = None
+    ) -> Worker:
         with open(log, "ab") as errors:
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", module, *arguments, stdin=asyncio.subprocess.PIPE,
-                stdout=asyncio.subprocess.PIPE, stderr=errors, env=environment(), start_new_session=True, preexec_fn=with_parent)
+                sys.executable,
+                "-m",
+                module,
+                *arguments,
+                stdin=asyncio.subprocess.PIPE,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=errors,
+                env=environment(),
+                start_new_session=True,
+                preexec_fn=with_parent,
+            )
         if cpus:
             os.sched_setaffinity(process.pid, cpus)
         worker = cls(process, name, log)
@@ -63,7 +74,9 @@
                     if what in told:
                         return told
         except TimeoutError:
-            raise WorkerError(f"{self.name} did not say {what} within {within:g} s: {self._last_words()}") from None
+            raise WorkerError(
+                f"{self.name} did not say {what} within {within:g} s: {self._last_words()}"
+            ) from None
 
     def _last_words(self) -> str:
         lines = self._log.read_text(errors="replace").strip().splitlines()
@@ -117,7 +130,9 @@
     @classmethod
     async def open(cls) -> Orders:
         reader = asyncio.StreamReader()
-        await asyncio.get_running_loop().connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+        await asyncio.get_running_loop().connect_read_pipe(
+            lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+        )
         return cls(reader)
 
     async def next(self) -> dict[str, Any] | None:
--- a/pepperusher/routes/match.py
+++ b/pepperusher/routes/match.py
@@ -98,6 +98,7 @@
 
 # --- how two patterns lie to each other ------------------------------------------------------------
 
+
 def _paths_meet(a: Template, b: Template) -> bool:
     for one, other in zip(a.segments, b.segments):
         if one and other and one != other:
@@ -109,14 +110,20 @@
 def _path_within(a: Template, b: Template) -> bool:
     """Whether all that `a` matches `b` matches."""
     if len(a.segments) < len(b.segments) or any(
-            other and one != other for one, other in zip(a.segments, b.segments)):
+        other and one != other for one, other in zip(a.segments, b.segments)
+    ):
         return False
     return b.rest or not a.rest and len(a.segments) == len(b.segments)
 
 
 def _host_fits(host: str, pattern: str) -> bool:
-    return not pattern or host == pattern or pattern.startswith("*.") and host.endswith(pattern[1:]) \
+    return (
+        not pattern
+        or host == pattern
+        or pattern.startswith("*.")
+        and host.endswith(pattern[1:])
         and len(host) > len(pattern) - 1
+    )
 
 
 def _hosts_meet(a: str, b: str) -> bool:
@@ -135,8 +142,12 @@
 
 def within(a: Pattern, b: Pattern) -> bool:
     """Whether all that `a` matches `b` matches."""
-    return (not b.method or a.method == b.method) and (not b.host or a.host != "" and _host_fits(a.host, b.host)) \
-        and set(b.headers) <= set(a.headers) and _path_within(a.path, b.path)
+    return (
+        (not b.method or a.method == b.method)
+        and (not b.host or a.host != "" and _host_fits(a.host, b.host))
+        and set(b.headers) <= set(a.headers)
+        and _path_within(a.path, b.path)
+    )
 
 
 def conflicts(patterns: list[Pattern]) -> list[tuple[int, int]]:
@@ -166,6 +177,7 @@
 
 # --- matching --------------------------------------------------------------------------------------
 
+
 class _Node:
     """One step down a path. `ends` match where the path ends here, `rests` whatever follows; both by
     points."""
@@ -223,5 +235,8 @@
 
 
 def _fits(one: Pattern, method: str, host: str, headers: Mapping[str, str]) -> bool:
-    return (not one.method or one.method == method) and (not one.host or _host_fits(host, one.host)) \
+    return (
+        (not one.method or one.method == method)
+        and (not one.host or _host_fits(host, one.host))
         and all(headers.get(name) == value for name, value in one.headers)
+    )
--- a/pepperusher/routes/terms.py
+++ b/pepperusher/routes/terms.py
@@ -53,9 +53,17 @@
 
 
 def terms_of(route: Route) -> Terms:
-    return Terms(route.name, route.use_case, route.time_out or NO_LIMIT, route.transmissions or MOST,
-                 None if route.retry_on is None else frozenset(route.retry_on), route.outer or NO_LIMIT,
-                 route.patience or NO_LIMIT, route.priority, route)
+    return Terms(
+        route.name,
+        route.use_case,
+        route.time_out or NO_LIMIT,
+        route.transmissions or MOST,
+        None if route.retry_on is None else frozenset(route.retry_on),
+        route.outer or NO_LIMIT,
+        route.patience or NO_LIMIT,
+        route.priority,
+        route,
+    )
 
 
 class Version:
@@ -70,8 +78,10 @@
         self.in_hand = 0
         self.marks: dict[str, Mark] = {mark.id: mark for mark in read.own.backends}
         self._terms = [terms_of(route) for route in read.own.routes]
-        self._routes = Routes(match.pattern(route.match.method, route.match.path, route.match.host, route.match.headers)
-                              for route in read.own.routes)
+        self._routes = Routes(
+            match.pattern(route.match.method, route.match.path, route.match.host, route.match.headers)
+            for route in read.own.routes
+        )
 
     def terms(self, method: str, target: str, host: str, headers: Mapping[str, str], use_case: str) -> Terms:
         """Of the most exact route; one that is for another use case is none."""
--- a/pepperusher/spans.py
+++ b/pepperusher/spans.py
@@ -20,7 +20,7 @@
         return Span(0)
     read = FORM.fullmatch(text) if isinstance(text, str) else None
     if read is None:
-        raise ValueError(f"{text!r} is no span of time such as \"250ms\", \"1.5s\" or \"2m\"")
+        raise ValueError(f'{text!r} is no span of time such as "250ms", "1.5s" or "2m"')
     made = round(float(read[1]) * UNITS[read[2]])
     if made > LONGEST:
         raise ValueError(f"{text!r} is longer than a day")
--- a/pepperusher/store/disk.py
+++ b/pepperusher/store/disk.py
@@ -18,7 +18,7 @@
 
     def __init__(self, folder: Path) -> None:
         self._folder = folder
-        self._open: dict[str, int] = {}   # as many as are written to; emptied by `close`
+        self._open: dict[str, int] = {}  # as many as are written to; emptied by `close`
         self._lock = -1
 
     def lock(self) -> None:
@@ -41,7 +41,9 @@
     def _file(self, name: str) -> int:
         number = self._open.get(name)
         if number is None:
-            number = self._open[name] = os.open(self._folder / name, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+            number = self._open[name] = os.open(
+                self._folder / name, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600
+            )
         return number
 
     def write(self, name: str, at: int, data: bytes) -> None:
--- a/pepperusher/store/frames.py
+++ b/pepperusher/store/frames.py
@@ -18,11 +18,11 @@
 
 VERSION = 1
 MAGIC = b"PPST"
-HEADER = struct.Struct("<4sHHQI")       # magic, version, 0, number, crc32c of what is before it
-FRAME = struct.Struct("<II")            # length of what follows the two, crc32c of length and what follows
-LEAD = struct.Struct("<QB")             # sequence number, kind
-RECORD = struct.Struct("<IB")           # length of the body, kind
-SLOT = struct.Struct("<QI4x")           # sequence number, crc32c of it
+HEADER = struct.Struct("<4sHHQI")  # magic, version, 0, number, crc32c of what is before it
+FRAME = struct.Struct("<II")  # length of what follows the two, crc32c of length and what follows
+LEAD = struct.Struct("<QB")  # sequence number, kind
+RECORD = struct.Struct("<IB")  # length of the body, kind
+SLOT = struct.Struct("<QI4x")  # sequence number, crc32c of it
 SLOTS = 2
 LONGEST = 1 << 20
 # A frame's kinds: the end of a snapshot, and a group of records.
@@ -50,7 +50,7 @@
     if len(data) < HEADER.size:
         raise FrameError("ends within its header")
     magic, version, _, number, check = HEADER.unpack_from(data)
-    if magic != MAGIC or crc32c(data[:HEADER.size - 4]) != check:
+    if magic != MAGIC or crc32c(data[: HEADER.size - 4]) != check:
         raise FrameError("has a header that can't be read")
     if version > VERSION:
         raise FrameError(f"is of version {version}; this program reads up to {VERSION}")
@@ -76,7 +76,7 @@
     while at < len(body):
         length, kind = RECORD.unpack_from(body, at)
         at += RECORD.size
-        yield kind, body[at:at + length]
+        yield kind, body[at : at + length]
         at += length
 
 
@@ -98,11 +98,11 @@
     begin = at + FRAME.size
     if not LEAD.size <= length <= LONGEST or begin + length > len(data):
         return None
-    whole = data[begin:begin + length]
-    if crc32c(data[at:at + 4] + whole) != check:
+    whole = data[begin : begin + length]
+    if crc32c(data[at : at + 4] + whole) != check:
         return None
     sequence, kind = LEAD.unpack_from(whole)
-    return begin + length, Frame(sequence, kind, whole[LEAD.size:])
+    return begin + length, Frame(sequence, kind, whole[LEAD.size :])
 
 
 def sound_after(data: bytes, at: int) -> int | None:
@@ -123,7 +123,7 @@
     """The last sequence number known as acknowledged; 0 where no slot can be read."""
     known = 0
     for place in range(SLOTS):
-        part = data[place * SLOT.size:(place + 1) * SLOT.size]
+        part = data[place * SLOT.size : (place + 1) * SLOT.size]
         if len(part) == SLOT.size:
             sequence, check = SLOT.unpack(part)
             if crc32c(part[:8]) == check:
--- a/pepperusher/store/keeper.py
+++ b/pepperusher/store/keeper.py
@@ -1,7 +1,8 @@
-"""The log behind a thread, so that a slow disk holds no ticket's loop: groups gathered while the one before is written.
+"""The log behind a thread, so that a slow disk holds no ticket's loop: groups gathered while the one before
+is written.
 
-`put` says when what it took is on disk. What is not within `bound` is late for whoever waits, and is written all the same. A
-disk that fails ends the store with one line; all who wait are told so at once.
+`put` says when what it took is on disk. What is not within `bound` is late for whoever waits, and is written
+all the same. A disk that fails ends the store with one line; all who wait are told so at once.
 """
 
 from __future__ import annotations
@@ -21,8 +22,13 @@
 class Keeper:
     """`state` gives the records of all tables, called on the loop; `say` a log line with its figures."""
 
-    def __init__(self, log: Log, state: Callable[[], list[tuple[int, bytes]]], compact_at: int,
-                 say: Callable[..., None]) -> None:
+    def __init__(
+        self,
+        log: Log,
+        state: Callable[[], list[tuple[int, bytes]]],
+        compact_at: int,
+        say: Callable[..., None],
+    ) -> None:
         self._log = log
         self._state = state
         self._compact_at = compact_at
@@ -39,7 +45,7 @@
         self.off = False
         self.groups = 0
         self.records = 0
-        self.longest = 0.0   # a group's writing, in seconds
+        self.longest = 0.0  # a group's writing, in seconds
         self._thread = threading.Thread(target=self._run, name="store", daemon=True)
         self._thread.start()
 
@@ -48,7 +54,8 @@
         self._add(kind, body, None)
 
     async def put(self, kind: int, body: bytes, bound: float) -> str:
-        """KEPT once it is on disk, LATE if that took over `bound` seconds, OFF if there is no store any more."""
+        """KEPT once it is on disk, LATE if that took over `bound` seconds, OFF if there is no store any
+        more."""
         if self.off:
             return OFF
         told: asyncio.Future[bool] = self._loop.create_future()
@@ -92,10 +99,13 @@
                 self.groups += 1
                 self.records += len(group)
                 self._writing = []
-                self._loop.call_soon_threadsafe(self._told, [told for _, _, told in group if told is not None])
+                self._loop.call_soon_threadsafe(
+                    self._told, [told for _, _, told in group if told is not None]
+                )
                 if self._log.bytes_since >= self._compact_at and not self._compacting:
                     self._compacting = True
-                    # The state is taken on the loop, where tables change; all before it is in segments before this one.
+                    # The state is taken on the loop, where tables change; all before it is in segments before
+                    # this one.
                     sequence, first = self._log.rotate(), self._log.number
                     self._loop.call_soon_threadsafe(self._take_state, sequence, first)
                 with self._wake:
@@ -105,7 +115,7 @@
                     self._log.take_snapshot(self._log.write_snapshot(sequence, state), sequence, first)
                     self._compacting = False
             self._log.close()
-        except Exception as error:   # the disk's trouble is not the tickets'
+        except Exception as error:  # the disk's trouble is not the tickets'
             self._call(self._end, error)
         except BaseException as error:
             self._call(self._end, error)
@@ -115,7 +125,7 @@
         try:
             self._loop.call_soon_threadsafe(what, *given)
         except RuntimeError:
-            pass   # the loop has ended, and nobody is left to tell
+            pass  # the loop has ended, and nobody is left to tell
 
     # --- the loop ---------------------------------------------------------------------------------
 
@@ -126,7 +136,8 @@
                 told.set_result(True)
 
     def _take_state(self, sequence: int, first: int) -> None:
-        """Tables hold more than `sequence` by now; the log after it says that again, which each table bears."""
+        """Tables hold more than `sequence` by now; the log after it says that again, which each table
+        bears."""
         state = self._state()
         with self._wake:
             self._snapshot = (sequence, first, state)
--- a/pepperusher/store/log.py
+++ b/pepperusher/store/log.py
@@ -12,7 +12,15 @@
 from pepperusher.store import frames, recovery
 from pepperusher.store.disk import Disk
 from pepperusher.store.frames import HEADER, SLOT, SLOTS
-from pepperusher.store.recovery import MANIFEST, TAIL, Manifest, Recovered, RefusedError, segment_name, snapshot_name
+from pepperusher.store.recovery import (
+    MANIFEST,
+    TAIL,
+    Manifest,
+    Recovered,
+    RefusedError,
+    segment_name,
+    snapshot_name,
+)
 
 SEGMENT_MOST = 8 * 1024 * 1024
 # Of a snapshot, as one frame.
--- a/pepperusher/store/tables.py
+++ b/pepperusher/store/tables.py
@@ -1,7 +1,8 @@
 """What a proxy keeps in its store, as tables in memory that records build up again; free of I/O.
 
-Each table says what empties it and how large it may become. Times are us of Unix time, since they outlive the process: a clock
-that goes back keeps a mark for longer, which is safe; one that goes forward forgets it sooner by as much.
+Each table says what empties it and how large it may become. Times are us of Unix time, since they outlive the
+process: a clock that goes back keeps a mark for longer, which is safe; one that goes forward forgets it
+sooner by as much.
 """
 
 from __future__ import annotations
@@ -19,7 +20,8 @@
 
 
 class Past(NamedTuple):
-    """One transmission of a mark: to whom, of which cell, when; `ran` is false once it is known never to have run."""
+    """One transmission of a mark: to whom, of which cell, when; `ran` is false once it is known never to have
+    run."""
 
     backend: str
     cell: int
@@ -28,14 +30,17 @@
 
 
 class Marks:
-    """The transmissions made for each referenced ticket, by use case and mark, until its group's memory has passed since
-    the last. `most` marks at once; one more is turned away, for to forget one is to let it go out a fourth time."""
+    """The transmissions made for each referenced ticket, by use case and mark, until its group's memory has
+    passed since the last. `most` marks at once; one more is turned away, for to forget one is to let it go
+    out a fourth time."""
 
     def __init__(self, most: int) -> None:
         self._most = most
-        self._held: dict[tuple[str, str], list[Past]] = {}   # emptied by `sweep`, most at the most
-        self._until: dict[tuple[str, str], int] = {}         # likewise
-        self._ends: list[tuple[int, tuple[str, str]]] = []   # a heap, an entry a transmission; emptied by `sweep`
+        self._held: dict[tuple[str, str], list[Past]] = {}  # emptied by `sweep`, most at the most
+        self._until: dict[tuple[str, str], int] = {}  # likewise
+        self._ends: list[
+            tuple[int, tuple[str, str]]
+        ] = []  # a heap, an entry a transmission; emptied by `sweep`
 
     def __len__(self) -> int:
         return len(self._held)
@@ -114,8 +119,8 @@
 
 
 class Listed:
-    """The list of backends that are ready. One that drains or is gone leaves it at once; `most` at the most, the longest
-    unconfirmed leaving first, since it is worth least at a start."""
+    """The list of backends that are ready. One that drains or is gone leaves it at once; `most` at the most,
+    the longest unconfirmed leaving first, since it is worth least at a start."""
 
     def __init__(self, most: int) -> None:
         self._most = most
@@ -150,12 +155,12 @@
 
 
 class Breakers:
-    """Since when and till when a breaker is open, by backend. One that closed leaves it; one that has been past its end for
-    `kept` tells nothing any more."""
+    """Since when and till when a breaker is open, by backend. One that closed leaves it; one that has been
+    past its end for `kept` tells nothing any more."""
 
     def __init__(self, kept: int) -> None:
         self._kept = kept
-        self._held: dict[str, tuple[int, int]] = {}   # emptied as they close, and by `sweep`
+        self._held: dict[str, tuple[int, int]] = {}  # emptied as they close, and by `sweep`
 
     def turned(self, id: str, opened: int, until: int) -> bytes:
         """Open from `opened` to `until`; both 0 where it closed."""
@@ -189,7 +194,7 @@
         self.marks = Marks(most_marks)
         self.listed = Listed(most_listed)
         self.breakers = Breakers(breakers_kept)
-        self.unknown = 0   # records of kinds that a later program wrote
+        self.unknown = 0  # records of kinds that a later program wrote
 
     def take(self, kind: int, body: bytes) -> None:
         if kind in (SENT, NEVER_RAN):
--- a/pepperusher/typed.py
+++ b/pepperusher/typed.py
@@ -70,7 +70,7 @@
     text = str(error)
     found = re.search(r" - at `\$(.*?)`$", text)
     where = found[1] if found else ""
-    text = text[:found.start()] if found else text
+    text = text[: found.start()] if found else text
     return text[:1].lower() + text[1:], "" if where.startswith("key") else where
 
 
--- a/tests/rehearsal_scene.py
+++ b/tests/rehearsal_scene.py
@@ -14,17 +14,40 @@
 
 WRONG = Path(__file__).parent / "wrong"
 SMALL: dict[str, Any] = {
-    "title": "small", "seed": 5, "span": "4s", "window": "1s",
+    "title": "small",
+    "seed": 5,
+    "span": "4s",
+    "window": "1s",
     "use_cases": [
-        {"name": "look", "share": 2, "work": {"mean": "5ms", "spread": "fixed"}, "promised": "500ms", "outer": "2s"},
-        {"name": "book", "repeat": "referenced", "remembered": "5s", "work": {"mean": "5ms", "spread": "fixed"},
-         "promised": "500ms", "outer": "2s", "body": 20},
-        {"name": "pay", "repeat": "single-use", "work": {"mean": "5ms", "spread": "fixed"}, "promised": "500ms",
-         "outer": "2s"}],
+        {
+            "name": "look",
+            "share": 2,
+            "work": {"mean": "5ms", "spread": "fixed"},
+            "promised": "500ms",
+            "outer": "2s",
+        },
+        {
+            "name": "book",
+            "repeat": "referenced",
+            "remembered": "5s",
+            "work": {"mean": "5ms", "spread": "fixed"},
+            "promised": "500ms",
+            "outer": "2s",
+            "body": 20,
+        },
+        {
+            "name": "pay",
+            "repeat": "single-use",
+            "work": {"mean": "5ms", "spread": "fixed"},
+            "promised": "500ms",
+            "outer": "2s",
+        },
+    ],
     "customers": [{"name": "north"}, {"name": "south"}],
     "tiers": [{"name": "desk", "cell": 2, "kinds": [{"name": "std", "count": 4}]}],
     "discovery": {"notice": "100ms"},
-    "load": {"phases": [{"span": "4s", "rate": 60, "arrivals": "even"}]}}
+    "load": {"phases": [{"span": "4s", "rate": 60, "arrivals": "even"}]},
+}
 
 
 def raw(**changes: Any) -> dict[str, Any]:
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -32,7 +32,12 @@
 
 class Ledgers(unittest.TestCase):
     def test_only_lawful_moves(self) -> None:
-        for way in (("staged", "applied", "confirmed"), ("staged", "applied", "undone"), ("staged", "undone"), ("undone",)):
+        for way in (
+            ("staged", "applied", "confirmed"),
+            ("staged", "applied", "undone"),
+            ("staged", "undone"),
+            ("undone",),
+        ):
             ledger = Ledger(5)
             change = ledger.propose("a", None, "who", "why", False, 0)
             for now, state in enumerate(way, 1):
@@ -80,21 +85,30 @@
             toll.add(1, how, took, SECOND)
         toll.begin(2, 10 * SECOND, 2 * SECOND)
         for how, took in since:
-            toll.add(1, "scrapped", 1, 3 * SECOND)   # of the version before: belongs to neither
+            toll.add(1, "scrapped", 1, 3 * SECOND)  # of the version before: belongs to neither
             toll.add(2, how, took, 3 * SECOND)
         return str(toll.harm(20, 0.05, 0.10, 2.0))
 
     def test_what_rose_and_what_did_not(self) -> None:
         good = [("done", 50 * MS)] * 100
-        for since, verdict in ((good, "None"), ([("scrapped", 1)] * 19, "None"), ([("scrapped", 1)] * 20, "scrapped went from 0.0% to 100.0%"),
-                               (good + [("scrapped", 1)] * 4, "None"), (good + [("scrapped", 1)] * 8, "scrapped went from 0.0% to 7.4%"),
-                               (good + [("bounced", 1)] * 9, "None"), (good + [("bounced", 1)] * 20, "bounced went from 0.0% to 16.7%"),
-                               ([("done", 90 * MS)] * 30, "None"), ([("done", 150 * MS)] * 30, "the 90th percentile went from")):
+        for since, verdict in (
+            (good, "None"),
+            ([("scrapped", 1)] * 19, "None"),
+            ([("scrapped", 1)] * 20, "scrapped went from 0.0% to 100.0%"),
+            (good + [("scrapped", 1)] * 4, "None"),
+            (good + [("scrapped", 1)] * 8, "scrapped went from 0.0% to 7.4%"),
+            (good + [("bounced", 1)] * 9, "None"),
+            (good + [("bounced", 1)] * 20, "bounced went from 0.0% to 16.7%"),
+            ([("done", 90 * MS)] * 30, "None"),
+            ([("done", 150 * MS)] * 30, "the 90th percentile went from"),
+        ):
             with self.subTest(since=since[-1], count=len(since)):
                 self.assertTrue(self.judged(good, since).startswith(verdict), self.judged(good, since))
         # Errors that were there before are not the change's doing, and a fast service may become slower by a
         # little.
-        self.assertEqual(self.judged([("scrapped", 1)] * 30 + good, [("scrapped", 1)] * 8 + good[:30]), "None")
+        self.assertEqual(
+            self.judged([("scrapped", 1)] * 30 + good, [("scrapped", 1)] * 8 + good[:30]), "None"
+        )
         self.assertEqual(self.judged([("done", 1 * MS)] * 50, [("done", 9 * MS)] * 50), "None")
 
     def test_percentiles_are_right_to_their_bins_and_seconds_pass(self) -> None:
@@ -113,13 +127,20 @@
 class Overlays(unittest.TestCase):
     def test_marks_narrow_the_list_and_never_lift_what_discovery_told(self) -> None:
         overlay = Overlay()
-        marks = of('[[backends]]\nid = "a"\ndrain = true\n[[backends]]\nid = "b"\nweight = 0.5\n').own.backends
+        marks = of(
+            '[[backends]]\nid = "a"\ndrain = true\n[[backends]]\nid = "b"\nweight = 0.5\n'
+        ).own.backends
         marked = {mark.id: mark for mark in marks}
-        self.assertEqual(overlay.lines([entry("a"), entry("b", weight=2.0), entry("c")], True), [entry("a"), entry("b", weight=2.0), entry("c")])
+        self.assertEqual(
+            overlay.lines([entry("a"), entry("b", weight=2.0), entry("c")], True),
+            [entry("a"), entry("b", weight=2.0), entry("c")],
+        )
         self.assertEqual(overlay.turn(marked), [entry("a", ready=False), entry("b", weight=1.0)])
         # Discovery drains b while the marks act; the marks' end lifts their own drain of a, and not
         # discovery's of b.
-        self.assertEqual(overlay.lines([entry("b", ready=False)], False), [entry("b", ready=False, weight=0.5)])
+        self.assertEqual(
+            overlay.lines([entry("b", ready=False)], False), [entry("b", ready=False, weight=0.5)]
+        )
         self.assertEqual(overlay.turn({}), [entry("a")])
         self.assertEqual(overlay.unknown(marked), ["b"])
         # Both drain a: neither alone makes it ready.
@@ -136,11 +157,21 @@
 
     def standing(self, text: str) -> Standing:
         def say(what: str, **figures: object) -> None:
-            self.lines.append(f"{what} " + " ".join(f"{key}={value}" for key, value in figures.items() if key not in ("name",)))
+            self.lines.append(
+                f"{what} "
+                + " ".join(f"{key}={value}" for key, value in figures.items() if key not in ("name",))
+            )
 
         return Standing(of(text), 0, self.listed.extend, say)
 
-    def ask(self, standing: Standing, now: int, path: str = "/look/1", customer: str = "a", given: int | None = None) -> object:
+    def ask(
+        self,
+        standing: Standing,
+        now: int,
+        path: str = "/look/1",
+        customer: str = "a",
+        given: int | None = None,
+    ) -> object:
         return standing.ask("GET", path, "h", {}, path.split("/")[1], customer, given, 2 * SECOND, now)
 
     def applied(self, standing: Standing, text: str, now: int) -> object:
@@ -152,12 +183,16 @@
     def test_a_ticket_keeps_the_terms_it_began_with(self) -> None:
         standing = self.standing(WATCH + '[[routes]]\nname = "r"\ntime_out = "400ms"\n')
         old = self.ask(standing, 0)
-        change = self.applied(standing, WATCH + '[[routes]]\nname = "r"\ntime_out = "200ms"\ntransmissions = 1\n', SECOND)
+        change = self.applied(
+            standing, WATCH + '[[routes]]\nname = "r"\ntime_out = "200ms"\ntransmissions = 1\n', SECOND
+        )
         new = self.ask(standing, SECOND)
         standing.undo(change, "ops", "no", 2 * SECOND)
         after = self.ask(standing, 2 * SECOND)
-        self.assertEqual([(one.version.number, one.terms.patient(SECOND), one.terms.most) for one in (old, new, after)],
-                         [(1, 400 * MS, 3), (2, 200 * MS, 1), (3, 400 * MS, 3)])
+        self.assertEqual(
+            [(one.version.number, one.terms.patient(SECOND), one.terms.most) for one in (old, new, after)],
+            [(1, 400 * MS, 3), (2, 200 * MS, 1), (3, 400 * MS, 3)],
+        )
         self.assertEqual(sorted(standing.versions), [1, 2, 3])
         for one in (old, new, after):
             standing.over(one, "done", True, 3 * SECOND)
@@ -189,7 +224,10 @@
         self.assertEqual(by_hand.due(2 * SECOND), (UNDONE, "not confirmed by hand in time"))
 
     def test_limits_are_told_from_one_another_and_live_on_over_versions(self) -> None:
-        text = WATCH + '[[routes]]\nname = "r"\nconcurrency = {{ most = {}, queue = 1 }}\nrate = {{ per_customer = 1, burst = {} }}\n'
+        text = (
+            WATCH
+            + '[[routes]]\nname = "r"\nconcurrency = {{ most = {}, queue = 1 }}\nrate = {{ per_customer = 1, burst = {} }}\n'
+        )
         standing = self.standing(text.format(1, 4))
         first, second, third = (self.ask(standing, 0) for _ in range(3))
         self.assertEqual([one.how for one in (first, second, third)], [IN, WAITS, FULL])
@@ -225,12 +263,16 @@
         self.assertEqual(standing.gates(), [])
 
     def test_retries_are_narrowed_by_ends_and_by_budget(self) -> None:
-        standing = self.standing('[[routes]]\nname = "r"\nretry_on = ["full", "error"]\nretry_budget = { share = 0.5, floor = 0.0 }\n')
+        standing = self.standing(
+            '[[routes]]\nname = "r"\nretry_on = ["full", "error"]\nretry_budget = { share = 0.5, floor = 0.0 }\n'
+        )
         one = self.ask(standing, 0)
         for _ in range(4):
             standing.first(one, 0)
-        self.assertEqual([standing.again(one, how, 0) for how in ("timed out", "done", "full", "error", "error")],
-                         [False, False, True, True, False])
+        self.assertEqual(
+            [standing.again(one, how, 0) for how in ("timed out", "done", "full", "error", "error")],
+            [False, False, True, True, False],
+        )
         plain = self.standing("")
         self.assertTrue(plain.again(self.ask(plain, 0), "reset", 0))
 
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -50,7 +50,9 @@
                 head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
                 fields = dict(line.split(": ", 1) for line in head.strip().split("\r\n")[1:])
                 await reader.readexactly(int(fields.get("content-length", 0)))
-                self.came.setdefault(fields["request-id"], []).append((time.monotonic(), int(fields["request-timeout"][:-1])))
+                self.came.setdefault(fields["request-id"], []).append(
+                    (time.monotonic(), int(fields["request-timeout"][:-1]))
+                )
                 await asyncio.sleep(self.after)
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
         except (asyncio.IncompleteReadError, OSError):
@@ -59,12 +61,14 @@
 
 class House(Street):
     async def stand(self, own: str, after: float = 0.02, *names: str) -> None:
-        asyncio.get_running_loop().set_debug(False)   # three times as slow, and it is the time that these turn on
+        asyncio.get_running_loop().set_debug(
+            False
+        )  # three times as slow, and it is the time that these turn on
         await self.open(own=own, limits={"sockets": 8000})
         self.backends = {name: Counting(after) for name in names or ("a1", "b1")}
         for one in self.backends.values():
             await one.open()
-        self.toys = self.backends   # type: ignore[assignment]
+        self.toys = self.backends  # type: ignore[assignment]
         await self.until(lambda: self.watches)
         self.news(2, *(self.line(name) for name in self.backends), full=True)
         await self.until(lambda: len(self.proxy._facade.backends()) == len(self.backends))
@@ -102,7 +106,9 @@
         going = asyncio.create_task(self.traffic(ends))
         await asyncio.sleep(1.0)
         began = time.monotonic()
-        change = await self.house.propose_text(WATCH + '[[routes]]\nname = "all"\ntime_out = "5ms"\ntransmissions = 1\n', "ops", "faster")
+        change = await self.house.propose_text(
+            WATCH + '[[routes]]\nname = "all"\ntime_out = "5ms"\ntransmissions = 1\n', "ops", "faster"
+        )
         self.assertEqual(change.state, "applied")
         async with asyncio.timeout(5):
             while change.state != "undone":
@@ -169,7 +175,9 @@
         self.news(3, self.line("a1", "draining"))
         told = time.monotonic()
         await asyncio.sleep(0.01)
-        change = await self.house.propose_text(WATCH + '[[backends]]\nid = "a1"\nweight = 5.0\n', "ops", "more to a1")
+        change = await self.house.propose_text(
+            WATCH + '[[backends]]\nid = "a1"\nweight = 5.0\n', "ops", "more to a1"
+        )
         await asyncio.sleep(0.3)
         await self.house.undo(change.number, "ops", "no")
         await asyncio.sleep(0.5)
@@ -194,8 +202,11 @@
         self.assertGreater(len(self.backends["a1"].came), 5)
 
     async def test_limits_turn_away_at_once_and_say_when_to_come_back(self) -> None:
-        await self.stand(WATCH + '[[routes]]\nname = "all"\nconcurrency = { most = 2, queue = 2 }\n'
-                         '[[routes]]\nname = "book"\nmatch = { path = "/book/{x*}" }\nrate = { per_customer = 1.0, burst = 2.0 }\n', 0.3)
+        await self.stand(
+            WATCH + '[[routes]]\nname = "all"\nconcurrency = { most = 2, queue = 2 }\n'
+            '[[routes]]\nname = "book"\nmatch = { path = "/book/{x*}" }\nrate = { per_customer = 1.0, burst = 2.0 }\n',
+            0.3,
+        )
         began = time.monotonic()
         ends = await asyncio.gather(*(self.one() for _ in range(8)))
         self.assertEqual(sorted(status for _, status, _ in ends), ["200"] * 4 + ["503"] * 4)
@@ -283,11 +294,18 @@
         await self.stand(WATCH + CONTROL)
         path = str(self.own_file.parent / "control")
         self.assertEqual(stat.S_IMODE(os.stat(path).st_mode), 0o600)
-        for noise, answer in ((b"\xff\xfe\x00noise\n", "is not JSON"), (b"[" * 100_000 + b"\n", "is not JSON"), (b"3\n", "is no"),
-                              (b'{"do": "explode"}\n', "none of status"), (b'{"do": "undo", "number": "x"}\n', "wrong form"),
-                              (b'{"do": "undo", "number": true}\n', "wrong form"), (b'{"do": "status", "x": 1}\n', "no word of status"),
-                              (b'{"do": "undo"}\n{"do": "none"}\n', "no change is open"), (b'{"do": "drain"}\n', "no backend that is listed"),
-                              (b"x" * (1 << 20) + b"x\n", "a line of over")):
+        for noise, answer in (
+            (b"\xff\xfe\x00noise\n", "is not JSON"),
+            (b"[" * 100_000 + b"\n", "is not JSON"),
+            (b"3\n", "is no"),
+            (b'{"do": "explode"}\n', "none of status"),
+            (b'{"do": "undo", "number": "x"}\n', "wrong form"),
+            (b'{"do": "undo", "number": true}\n', "wrong form"),
+            (b'{"do": "status", "x": 1}\n', "no word of status"),
+            (b'{"do": "undo"}\n{"do": "none"}\n', "no change is open"),
+            (b'{"do": "drain"}\n', "no backend that is listed"),
+            (b"x" * (1 << 20) + b"x\n", "a line of over"),
+        ):
             with self.subTest(noise=noise[:40]):
                 got = json.loads((await self.told(path, noise))[0])
                 self.assertFalse(got["ok"])
@@ -311,12 +329,13 @@
     async def test_the_socket_is_not_taken_from_another_proxy(self) -> None:
         await self.stand(WATCH + CONTROL)
         from pepperusher.control.socket import Control, ControlError
+
         path = str(self.own_file.parent / "control")
         with self.assertRaisesRegex(ControlError, "another proxy answers there"):
-            await Control(path, 1, 1.0, None, lambda *_, **__: None).listen()   # type: ignore[arg-type]
+            await Control(path, 1, 1.0, None, lambda *_, **__: None).listen()  # type: ignore[arg-type]
         plain = str(self.own_file)
         with self.assertRaisesRegex(ControlError, "something else stands there"):
-            await Control(plain, 1, 1.0, None, lambda *_, **__: None).listen()   # type: ignore[arg-type]
+            await Control(plain, 1, 1.0, None, lambda *_, **__: None).listen()  # type: ignore[arg-type]
 
 
 class Processes(unittest.TestCase):
@@ -338,8 +357,21 @@
         self.addCleanup(self.kill)
 
     def start(self, *more: str) -> None:
-        self.process = subprocess.Popen([sys.executable, "-m", "pepperusher", "serve", "--config", str(self.at / "p.json"),
-                                         "--own", str(self.own), *more], stderr=subprocess.PIPE, text=True)
+        self.process = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "pepperusher",
+                "serve",
+                "--config",
+                str(self.at / "p.json"),
+                "--own",
+                str(self.own),
+                *more,
+            ],
+            stderr=subprocess.PIPE,
+            text=True,
+        )
         until = time.monotonic() + 10
         while True:
             try:
@@ -371,21 +403,22 @@
         self.assertIn(": applied", self.ctl("propose", "--why", "to try"))
         changed = client.ask(self.socket, "status")["digest"]
         self.assertNotEqual(changed, digest)
-        self.kill()   # applied, and not confirmed
+        self.kill()  # applied, and not confirmed
         self.start()
         self.assertEqual(client.ask(self.socket, "status")["digest"], digest)
         self.assertIn(": applied", self.ctl("propose"))
         self.assertIn(": undone", self.ctl("undo"))
-        self.kill()   # undone
+        self.kill()  # undone
         self.start()
         self.assertEqual(client.ask(self.socket, "status")["digest"], digest)
         self.ctl("propose")
         self.assertIn(": confirmed", self.ctl("confirm", "--why", "looks well"))
-        self.kill()   # confirmed
+        self.kill()  # confirmed
         self.start()
         self.assertEqual(client.ask(self.socket, "status")["digest"], changed)
         # A mark that was written and not yet applied: staged.
         from pepperusher.changes.kept import Kept as OnDisk
+
         third = self.first + "[weights]\na = 3.0\n"
         self.kill()
         self.own.write_text(third)
@@ -403,37 +436,60 @@
         bad = self.at / "bad.toml"
         bad.write_text("[[routes]]\nname = 'r'\ntransmissions = 9\nsecond_copy = true\n")
         said = self.ctl("propose", str(bad), ends=1)
-        self.assertIn("what is proposed:3: routes[0].transmissions: 9 is not from 1 to 3 [three transmissions]", said)
+        self.assertIn(
+            "what is proposed:3: routes[0].transmissions: 9 is not from 1 to 3 [three transmissions]", said
+        )
         self.assertIn("what is proposed:4: routes[0].second_copy", said)
         self.assertIn("none.toml: No such file", self.ctl("propose", "none.toml", ends=1))
         self.assertIn("no change is open", self.ctl("undo", ends=1))
         good = self.at / "good.toml"
         good.write_text(self.first + "[weights]\na = 2.0\n")
         self.ctl("propose", str(good), "--why", "a try")
-        self.assertRegex(self.ctl("history"), r"change 1 \(\w+\): applied\n.*proposed by \w+: a try\n.*staged by the proxy")
+        self.assertRegex(
+            self.ctl("history"), r"change 1 \(\w+\): applied\n.*proposed by \w+: a try\n.*staged by the proxy"
+        )
         self.assertIn("since: 0 done", self.ctl("status"))
         lines = [json.loads(line) for line in self.kill().splitlines()]
-        self.assertIn({"event": "change", "state": "applied", "number": 1}.items(),
-                      [{key: line.get(key) for key in ("event", "state", "number")}.items() for line in lines])
+        self.assertIn(
+            {"event": "change", "state": "applied", "number": 1}.items(),
+            [{key: line.get(key) for key in ("event", "state", "number")}.items() for line in lines],
+        )
 
     def test_a_file_that_is_not_taken_ends_a_start_with_all_that_is_wrong(self) -> None:
         self.own.write_text("[chnages]\n[[routes]]\nname = 'r'\ntime_out = '9s'\n")
-        done = subprocess.run([sys.executable, "-m", "pepperusher", "serve", "--config", str(self.at / "p.json"), "--own", str(self.own)],
-                              capture_output=True, text=True, timeout=20)
+        done = subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "pepperusher",
+                "serve",
+                "--config",
+                str(self.at / "p.json"),
+                "--own",
+                str(self.own),
+            ],
+            capture_output=True,
+            text=True,
+            timeout=20,
+        )
         self.assertEqual(done.returncode, 1)
         self.assertIn("own.toml:1: chnages: not known here; did you mean changes? [known key]", done.stderr)
         self.assertNotIn("Traceback", done.stderr)
 
     def test_check_explain_and_schema(self) -> None:
         call = CliRunner().invoke
-        done = call(main, ["check", str(self.at / "p.json"), "--own", str(self.own), "--set", "changes.least=7"])
+        done = call(
+            main, ["check", str(self.at / "p.json"), "--own", str(self.own), "--set", "changes.least=7"]
+        )
         self.assertEqual(done.exit_code, 0, done.output)
         self.assertRegex(done.output, r"changes.watch +\"1h\"  \[file\]")
         self.assertRegex(done.output, r"changes.least +7  \[command line\]")
         self.own.write_text("[[routes]]\nname = 'r'\nuse_case = 'loock'\nsecond_copy = true\n")
         done = call(main, ["check", str(self.at / "p.json"), "--own", str(self.own)])
         self.assertEqual(done.exit_code, 1)
-        self.assertIn("own.toml:3: routes[0].use_case: the settings have no loock [known use case]", done.output)
+        self.assertIn(
+            "own.toml:3: routes[0].use_case: the settings have no loock [known use case]", done.output
+        )
         self.assertIn("2 wrong", done.output)
         self.assertIn("a whole number; default none", call(main, ["explain", "routes.transmissions"]).output)
         self.assertIn("did you mean routes.rate", call(main, ["explain", "routes.rat"]).output)
