The store in the proxy: a mark's transmissions are on disk before they go out, and count over a restart

A proxy forgot at a restart how often a referenced ticket had gone out, so that a client's retry could be a fourth transmission or one outside the group that knows the repeat. With store.folder in the own file each is written first, and what was sent before is handed to the decisions as transmissions of the ticket: their own rules then hold for the mark. Off on the platform, which has no disk that lasts.

--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -110,6 +110,27 @@
         use = ticket.use_case
         return not ran or use.repeat == terms.REPLAYABLE or not 0 < use.remembered <= now - ran[0]
 
+    def remember(self, ticket: Ticket, backend: str, cell: int, sent: int, ran: bool) -> None:
+        """One that went out under the same mark before this ticket was taken, and may have run, or is known never to
+        have: the rules on further transmissions then hold for the mark. Before the first `pick`."""
+        known = self._backends.get(backend)
+        if known is None:
+            # Off the list, and its group may stand: that alone is known of it.
+            known = Backend(backend)
+            known.cell = cell
+        before = terms.Transmission(ticket, known, sent, 0, False)
+        before.ended = terms.UNKNOWN if ran else terms.FULL
+        ticket.transmissions.append(before)
+
+    def cell_of(self, backend: str) -> int:
+        known = self._backends.get(backend)
+        return known.cell if known is not None else 0
+
+    def remembered(self, use_case: str) -> int:
+        """For how long its group knows a repeat; at least as long as a client of it waits."""
+        use = self._use_cases[use_case]
+        return max(use.remembered, use.outer_limit)
+
     def narrow(self, ticket: Ticket, most: int) -> None:
         """It goes out `most` times at the most, if the settings do not say less."""
         ticket.most = max(1, min(ticket.most, most))
--- a/pepperusher/net/house.py
+++ b/pepperusher/net/house.py
@@ -27,6 +27,7 @@
 
 if TYPE_CHECKING:
     from pepperusher.control.socket import Control
+    from pepperusher.net.shelf import Shelf
 
 LOOK_EVERY = 0.1
 LONGEST_ADVICE = 10_000_000
@@ -65,6 +66,11 @@
         self._turn = asyncio.Lock()
         self._instead = ""
         self.standing = Standing(self._begin(), clock.now(), self._list_again, say)
+        self.shelf: Shelf | None = None
+        if self.standing.version.read.own.store.folder is not None:
+            from pepperusher.net.shelf import Shelf
+
+            self.shelf = Shelf(self.standing.version.read.own.store, say)
         form = self.standing.version.read.own.said.form
         if form != "plain":
             from pepperusher.net.formed import form_of
@@ -111,6 +117,8 @@
         self._lines = lambda lines: facade.listed(lines, False, clock.now())
         if self._instead:
             self._say("started with the last confirmed file", why=self._instead)
+        if self.shelf is not None:
+            self.shelf.start()
         said = self.standing.version.read.own.control
         if said.socket is not None:
             from pepperusher.control.socket import Control
@@ -121,7 +129,9 @@
             await self._control.listen()
         self._watching = asyncio.get_running_loop().create_task(self._watch())
 
-    def stop(self) -> None:
+    async def stop(self) -> None:
+        if self.shelf is not None:
+            await self.shelf.stop()
         if self._watching is not None:
             self._watching.cancel()
         if self._control is not None:
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -191,6 +191,15 @@
         ticket = self._facade.take(use_case, customer, call.came, wait, cost)
         if passed is not None:
             self._facade.narrow(ticket, passed.terms.most)
+        # What was sent under a mark counts over tickets and restarts, where it is kept.
+        mark = told.get(b"idempotency-key", b"").decode("latin-1") if repeat == REFERENCED else ""
+        shelf = self._house.shelf if self._house is not None and mark else None
+        if shelf is not None and shelf.on:
+            for one in shelf.past(use_case, mark):
+                self._facade.remember(ticket, one.backend, one.cell, one.sent, one.ran)
+        elif shelf is not None and any(name == b"client-retry" for name, _ in headers):
+            # Nobody knows any more how often it went out.
+            self._facade.narrow(ticket, 1)
         onward = [pair for pair in end_to_end(headers) if pair[0] != b"request-timeout"]
         out: Transmission | None = None
 
@@ -208,6 +217,16 @@
                     await asyncio.sleep(step.wait / 1e6)
                     step = self._facade.pick(ticket, clock.now())
                     continue
+                kept = None
+                if shelf is not None and shelf.on:
+                    kept = await shelf.sending(use_case, mark, step.backend, self._facade.cell_of(step.backend),
+                                               self._facade.remembered(use_case))
+                    if kept is None or not self._facade.stands(ticket, clock.now()):
+                        how = "moot"
+                        if kept is not None:
+                            shelf.ended(use_case, mark, kept, how)
+                        step = self._facade.report(ticket, how, clock.now(), False)
+                        continue
                 out = Transmission()
                 patience = step.wait
                 if passed is not None and self._house is not None:
@@ -217,6 +236,8 @@
                     step.backend, Request(method, target, [*onward, wait_on], body), out, clock.now() + patience,
                     lambda: self._facade.stands(ticket, clock.now()))
                 self._count(how)
+                if shelf is not None and kept is not None:
+                    shelf.ended(use_case, mark, kept, how)
                 again = passed is None or self._house is None or self._house.again(passed, how)
                 step = self._facade.report(ticket, how, clock.now(), again)
                 if passed is not None and self._house is not None and again and step.what != SEND:
@@ -273,7 +294,7 @@
         await self._stopping.wait()
         await self._drain()
         if self._house is not None:
-            self._house.stop()
+            await self._house.stop()
         self._discovery.stop()
         sweep.cancel()
         pace.cancel()
--- a/pepperusher/own/rules.py
+++ b/pepperusher/own/rules.py
@@ -252,6 +252,14 @@
         tell("changes.latency", "sound watch", f"{changes.latency:g} is not over 1 and up to 100")
     if not 1 <= changes.history <= LONGEST_HISTORY:
         tell("changes.history", "sound limits", f"{changes.history} is not from 1 to {LONGEST_HISTORY}")
+    if not 1_000 <= own.store.wait <= 10_000_000:
+        tell("store.wait", "sound limits", "is not from 1ms to 10s")
+    if not 1 <= own.store.marks <= 10_000_000:
+        tell("store.marks", "sound limits", f"{own.store.marks} is not from 1 to 10000000")
+    if not 1 <= own.store.compact_at <= 65_536:
+        tell("store.compact_at", "sound limits", f"{own.store.compact_at} is not from 1 to 65536")
+    if own.store.folder is not None and own.store.folder == own.changes.state:
+        tell("store.folder", "one of a name", "is the folder of changes.state; each needs its own")
     if not 1 <= own.control.connections <= 64:
         tell("control.connections", "sound limits", f"{own.control.connections} is not from 1 to 64")
     if not 100_000 <= own.control.within <= 60_000_000:
--- a/pepperusher/own/tables.py
+++ b/pepperusher/own/tables.py
@@ -130,6 +130,14 @@
     ] = False
 
 
+class Store(Table, kw_only=True, frozen=True):
+    folder: Annotated[str | None, _said("a folder that lasts, for the store; none if left out")] = None
+    sync: Annotated[bool, _said("whether what is kept outlives the machine, and not the process alone")] = True
+    wait: Annotated[Span, _said("for how long a referenced ticket waits to be on disk before it goes out")] = _span(50_000)
+    marks: Annotated[int, _said("marks of referenced tickets at once; one more is bounced")] = 100_000
+    compact_at: Annotated[int, _said("MB of log at which what it holds is put into a snapshot")] = 32
+
+
 class Own(Table, kw_only=True, frozen=True):
     """The proxy's own file as a whole."""
 
@@ -144,4 +152,5 @@
         default_factory=Changes
     )
     control: Annotated[Control, _said("the control socket")] = msgspec.field(default_factory=Control)
+    store: Annotated[Store, _said("what is kept over a restart; read at a start alone")] = msgspec.field(default_factory=Store)
     said: Annotated[Said, _said("the log, and what answers tell")] = msgspec.field(default_factory=Said)
