--- a/pepperusher/changes/standing.py
+++ b/pepperusher/changes/standing.py
@@ -33,7 +33,7 @@
 
 class Pass:
     """One ticket's way in. `how` is IN, WAITS, FULL, LATE or RATE; `advice` when to come back (us) where it
-    is refused."""
+    is kept out."""
 
     __slots__ = (
         "version",
@@ -66,14 +66,14 @@
 class _Held:
     """What a route's name holds over versions."""
 
-    __slots__ = ("gate", "buckets", "budget", "said_at", "refused")
+    __slots__ = ("gate", "buckets", "budget", "said_at", "kept_out")
 
     def __init__(self) -> None:
         self.gate: Gate | None = None
         self.buckets: Buckets | None = None
         self.budget: RetryBudget | None = None
         self.said_at = -SAID_EVERY
-        self.refused = 0
+        self.kept_out = 0
 
 
 class Standing:
@@ -136,14 +136,14 @@
 
     def _refused(self, made: Pass, held: _Held, how: str, advice: int, now: int) -> Pass:
         made.how, made.advice = how, advice
-        held.refused += 1
+        held.kept_out += 1
         if now - held.said_at >= SAID_EVERY:
             gate = held.gate
             self._say(
                 "limit acts",
                 route=made.terms.name,
                 why=how,
-                refused=held.refused,
+                kept_out=held.kept_out,
                 inside=gate.inside if gate else 0,
                 waiting=gate.waiting if gate else 0,
                 limit=gate.limit if gate else 0,
@@ -186,9 +186,9 @@
         held = self._held.get(made.terms.name)
         if held is None or held.budget is None or held.budget.further(now):
             return True
-        held.refused += 1
+        held.kept_out += 1
         if now - held.said_at >= SAID_EVERY:
-            self._say("limit acts", route=made.terms.name, why="retry budget", refused=held.refused)
+            self._say("limit acts", route=made.terms.name, why="retry budget", kept_out=held.kept_out)
             held.said_at = now
         return False
 
@@ -370,7 +370,7 @@
                 "waiting": held.gate.waiting if held.gate else 0,
                 "limit": held.gate.limit if held.gate else None,
                 "customers": len(held.buckets) if held.buckets else 0,
-                "refused": held.refused,
+                "kept_out": held.kept_out,
             }
             for name, held in self._held.items()
         ]
--- a/pepperusher/limits/gradient.py
+++ b/pepperusher/limits/gradient.py
@@ -13,7 +13,7 @@
 spell begins with a dip to half the limit, in which waiting goes and the least is seen again, as the first
 Gradient's probes do.
 
-Departures: what is answered without being worked on (turned away, refused) is no time; and a limit of which
+Departures: what is answered without being worked on (turned away, bounced) is no time; and a limit of which
 less than half is used is no test of it, and does not grow.
 """
 
--- a/pepperusher/rehearsal/books.py
+++ b/pepperusher/rehearsal/books.py
@@ -134,7 +134,7 @@
             continue
         if one.how == DONE and not any(sent.effect >= 0 or sent.repeat for sent in sent_of.get(one.name, ())):
             book.against(
-                LOST_TICKET, one.name, one.ended, "", "served with an answer that no backend made for it"
+                LOST_TICKET, one.name, one.ended, "", "done with an answer that no backend made for it"
             )
             continue
         if one.crossed >= 0 and any(0 <= sent.first < one.crossed for sent in sent_of.get(one.name, ())):
@@ -325,7 +325,7 @@
 
 
 def use_of(script: Script, records: Records) -> Use:
-    served = {one.name for one in records.tries if one.how == DONE}
+    done = {one.name for one in records.tries if one.how == DONE}
     ended = _ends_outside(records)
     effects: dict[tuple[int, str], int] = defaultdict(int)
     worked = wasted = away = 0
@@ -333,7 +333,7 @@
     for sent in records.sent:
         worked += sent.worked
         away += sent.away
-        if sent.name not in served:
+        if sent.name not in done:
             wasted += sent.worked
         if sent.begun >= 0 and sent.ended > ended.get(sent.name, sent.ended):
             lived_on.append(sent.ended - ended[sent.name])
--- a/pepperusher/rehearsal/wire.py
+++ b/pepperusher/rehearsal/wire.py
@@ -38,7 +38,7 @@
 
 
 class Message(NamedTuple):
-    """A request or an answer. `first` and `last` are when its first and its last byte were read (clock)."""
+    """A ticket or an answer. `first` and `last` are when its first and its last byte were read (clock)."""
 
     head: h11.Request | h11.Response
     headers: dict[bytes, bytes]
