--- a/pepperusher/changes/standing.py
+++ b/pepperusher/changes/standing.py
@@ -47,6 +47,7 @@
         "waiting",
         "over",
         "inside",
+        "out",
     )
 
     def __init__(self, version: Version, terms: Terms, customer: str, came: int, until: int) -> None:
@@ -61,6 +62,7 @@
         self.waiting: Waiting | None = None
         self.over = False
         self.inside = False
+        self.out = False
 
 
 class _Held:
@@ -174,7 +176,11 @@
         return held.gate.usual if held is not None and held.gate is not None else 0
 
     def first(self, made: Pass, now: int) -> None:
-        """It goes out for the first time."""
+        """It goes out; the first time counts for the retry budget. Not told from the ticket's transmissions: those that a
+        store remembers stand among them."""
+        if made.out:
+            return
+        made.out = True
         held = self._held.get(made.terms.name)
         if held is not None and held.budget is not None:
             held.budget.first(now)
--- a/pepperusher/net/house.py
+++ b/pepperusher/net/house.py
@@ -23,7 +23,7 @@
 from pepperusher.net.message import Answer, Request, plain
 from pepperusher.own import reading
 from pepperusher.own.reading import OwnError, Read
-from pepperusher.terms import Ground, Ticket
+from pepperusher.terms import Ground
 
 if TYPE_CHECKING:
     from pepperusher.control.socket import Control
@@ -229,10 +229,9 @@
         )
         return self.named(made, plain(STATUS[made.how], WHY[made.how], *advice))
 
-    def goes(self, made: Pass, ticket: Ticket, wait: int) -> int:
+    def goes(self, made: Pass, wait: int) -> int:
         """It goes out now; for how long at the most."""
-        if len(ticket.transmissions) == 1:
-            self.standing.first(made, clock.now())
+        self.standing.first(made, clock.now())
         return made.terms.patient(wait)
 
     def again(self, made: Pass, how: str) -> bool:
@@ -323,6 +322,8 @@
             if change.state != APPLIED:
                 raise LedgerError(f"change {change.number} was undone meanwhile")
             self.standing.confirm(change, who, why, clock.now())
+            # The history tells of it; a file's text for each of its changes would be memory for nothing.
+            change.what = None
         await self._next()
         return change
 
@@ -332,11 +333,12 @@
         self.standing.undo(change, who, why, clock.now())
         async with self._turn:
             await self._mark_undone(change)
+            change.what = None
         await self._next()
         return change
 
     async def _mark_undone(self, change: Change) -> None:
-        if self._kept is not None:
+        if self._kept is not None and change.what is not None:
             try:
                 await asyncio.to_thread(self._kept.undo, change.what.text)
                 await asyncio.to_thread(self._kept.restore, self.standing.confirmed.read.text)
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -192,8 +192,8 @@
         if passed is not None:
             self._facade.narrow(ticket, passed.terms.most)
         # What was sent under a mark counts over tickets and restarts, where it is kept.
-        mark = told.get(b"idempotency-key", b"").decode("latin-1") if repeat == REFERENCED else ""
-        shelf = self._house.shelf if self._house is not None and mark else None
+        shelf = self._house.shelf if self._house is not None and repeat == REFERENCED else None
+        mark = told[b"idempotency-key"].decode("latin-1") if shelf is not None else ""
         if shelf is not None and shelf.on:
             for one in shelf.past(use_case, mark):
                 self._facade.remember(ticket, one.backend, one.cell, one.sent, one.ran)
@@ -230,7 +230,7 @@
                 out = Transmission()
                 patience = step.wait
                 if passed is not None and self._house is not None:
-                    patience = self._house.goes(passed, ticket, step.wait)
+                    patience = self._house.goes(passed, step.wait)
                 wait_on = (b"request-timeout", b"%du" % max(1, patience))
                 how, answer = await self._backends.transmit(
                     step.backend, Request(method, target, [*onward, wait_on], body), out, clock.now() + patience,
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -268,7 +268,11 @@
         )
         one = self.ask(standing, 0)
         for _ in range(4):
-            standing.first(one, 0)
+            standing.first(self.ask(standing, 0), 0)
+        # Once a ticket, however often it goes out.
+        first = self.ask(standing, 0)
+        for _ in range(9):
+            standing.first(first, 0)
         self.assertEqual(
             [standing.again(one, how, 0) for how in ("timed out", "done", "full", "error", "error")],
             [False, False, True, True, False],
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -279,6 +279,8 @@
         self.assertEqual(second.state, "applied")
         await self.house.confirm(second.number, "two", "")
         self.assertEqual((third.state, third.steps[-1].why), ("undone", "it is what stands already"))
+        # What is over is told of and holds no file's text any more.
+        self.assertEqual([one.what for one in (first, second)], [None, None])
 
     # --- the control socket -----------------------------------------------------------------------
 
--- a/tests/test_rehearsal_play.py
+++ b/tests/test_rehearsal_play.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import json
+import tempfile
 import unittest
+from pathlib import Path
 
-from pepperusher.rehearsal import books
+from pepperusher.rehearsal import books, director
 
-from tests.rehearsal_scene import played
+from tests.rehearsal_scene import played, small
 
 
 class Stalls(unittest.TestCase):
@@ -140,6 +143,20 @@
         self.assertEqual([one.backend for one in result.entries if one.rule == books.COLD], ["desk-1.1"])
 
 
+class Traces(unittest.TestCase):
+    def test_a_recorded_burst_is_played_whole_by_two_generators(self) -> None:
+        """200 tickets of one instant and one a second later: all go out, each once, the last at its own time."""
+        with tempfile.TemporaryDirectory() as folder:
+            lines = [json.dumps({"time": 5, "use_case": "look", "work": 1})] * 200
+            (Path(folder) / "trace").write_text("\n".join([*lines, json.dumps({"time": 7, "use_case": "look"})]))
+            of = small(span="2s", load={"phases": [], "processes": 2, "trace": {"file": "trace", "speed": 2.0}})
+            of.folder = folder
+            result = director.rehearse(of)
+        self.assertTrue(result.kept, result.entries)
+        self.assertEqual((result.figures.wishes, result.figures.tries), (201, 201))
+        self.assertEqual([one.wishes for one in result.figures.seconds], [200, 1])
+
+
 class Faults(unittest.TestCase):
     def test_a_proxy_killed_loses_what_rules_allow_and_no_more(self) -> None:
         result = played(
