Fresh backends are asked beside warm ones that jam; what is held counts by its time out

At fault: _may_warm divides the flow by the part's whole weight, with the fresh at full weight, and the flow is that of the moment, which falls as the warm ones choke; and _in_time bounces by what all hold, also where a fresh one has some of its budget left.

Changed: the cold budget goes by weight by age, and by the mean over warm-after if that is more than now; a ticket that the prediction refuses still goes to a fresh backend under the mean with budget left; in passing over what is held counts up to twice by how long it is out.

--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -75,12 +75,13 @@
         self._list_lost = False
         self._backends: list[Backend] = []   # emptied by the list: holds what it names as ready
         self._ring: deque[Backend] = deque()   # the same, this proxy's part of it first
-        self._part_weight, self._sharing, self._mean = 0.0, 1.0, 0.0
+        self._part_weight, self._part_grown, self._sharing, self._mean = 0.0, 1.0, 1.0, 0.0
         self._position = ground.ordinal * GOLDEN % 1.0
         self._young: list[Backend] = []      # emptied by age
         self._flow = 0.0
         self._flow_at = self._started = now
         self._flow_span = FLOW_SPAN
+        self._took, self._took_at = 0.0, now   # a second, by one of weight 1
         self._done_at, self._gap = now, FLOW_SPAN // FLOW_LEAST
         self._held, self._spare = 0.0, SPARE_MOST
 
@@ -113,7 +114,12 @@
             if now < backend.shut.get(use, 0):
                 shut.append(backend)
                 continue
-            backend.held += (backend.in_flight - backend.held) * pace
+            # Each by how long it is out: one that has slowed or stopped shows it before the first time-out, which a
+            # proxy that meets it seldom would learn of late, and is let go of until it is as quick as the others.
+            holds = backend.in_flight
+            if holds and self._usual:
+                holds *= 1 + min(1.0, 0.5 * (now - backend.sent_sum / holds) / self._usual)
+            backend.held += (holds - backend.held) * pace
             held += backend.held
             room += backend.room
             admitting += backend.share
@@ -121,8 +127,13 @@
         self._mean = held / room if room else 0.0
         choice = choice or shut
         # Asked of further transmissions too: in a jam they are the last thing the backends need.
-        if choice and not self._in_time(ticket, in_flight, len(choice), now):
-            return self._no(ticket, now)
+        within = not first or self._within_share(ticket, now)
+        if choice and not self._in_time(ticket, within, in_flight, len(choice), now):
+            # The prediction is that of the many: a fresh one that holds less and has some of its budget left is asked
+            # all the same. Else the few warm ones' jam kept tickets from it, and it stood idle beside bounces.
+            choice = [b for b in choice if within and b.cold and b.held < self._mean * b.room]
+            if not choice:
+                return self._no(ticket, now)
         if first:
             self._spare = min(SPARE_MOST, self._spare + SPARE_PART)
         if anchor is not None:
@@ -175,6 +186,7 @@
         sent = Transmission(ticket, backend, now, self._patience(ticket, now), trial)
         ticket.transmissions.append(sent)
         backend.in_flight += 1
+        backend.sent_sum += now
         if ticket.use_case in backend.shut:
             backend.shut[ticket.use_case] = now + sent.patience
         if trial:
@@ -183,7 +195,7 @@
         if backend.cold:
             backend.allowance -= 1.0
 
-    def _in_time(self, ticket: Ticket, in_flight: int, admitting: int, now: int) -> bool:
+    def _in_time(self, ticket: Ticket, within: bool, in_flight: int, admitting: int, now: int) -> bool:
         """The operators' carry-over: a ticket is taken only if predicted in time.
 
         Calls in flight over tickets done a second is the time a ticket now takes on average; each use case
@@ -191,7 +203,6 @@
         of least importance for its time goes first, so a short promised time does not shut a use case out.
         """
         use = ticket.use_case
-        within = bool(ticket.transmissions) or self._within_share(ticket, now)
         # The mean over a few tickets: with one or two in flight at a time a single figure is chance.
         self._held += (in_flight - self._held) / FLOW_LEAST
         # Never refused while a few calls a server are in flight, over all proxies that share it: a stale
@@ -260,6 +271,7 @@
         backend = sent.backend
         use = sent.ticket.use_case
         backend.in_flight -= 1
+        backend.sent_sum -= sent.sent
         took = now - sent.sent
         long = use.usual + 6 * use.spread if use.usual and not self._first_tier else took
         if how == DONE or (how == TIMED_OUT and use.usual <= took <= long):
@@ -276,6 +288,9 @@
             self._done_at = now
             self._flow_span = max(FLOW_SPAN, FLOW_LEAST * self._gap)
             self._flow += SECOND / self._flow_span
+            self._took *= exp((self._took_at - now) / self._warm_after)
+            self._took += SECOND / self._warm_after / self._part_grown
+            self._took_at = now
             self._usual += (took - self._usual) // 16 if self._usual else took
         current = sent.generation == backend.generation
         if current and sent.trial:
@@ -506,6 +521,7 @@
             backend.share = backend.portion
             if backend.cold:
                 backend.share *= self._grown(backend, now)
+        self._part_grown = sum(b.share for b in self._backends if b.near) or 1.0
         return [b for b in backends if b.cold]
 
     def _may_warm(self, backend: Backend, now: int) -> bool:
@@ -513,7 +529,10 @@
         if not backend.near:
             return False
         size = backend.portion * self._grown(backend, now)
-        rate = self._flow_now(now) / self._part_weight * size * self._cold_rate
+        # By what one took over as long as a backend is cold, if that is more than now: while most were fresh the few
+        # warm ones choked, and by what they then took the fresh stood idle beside bounced tickets.
+        took = max(self._flow_now(now) / self._part_grown, self._took * exp((self._took_at - now) / self._warm_after))
+        rate = took * size * self._cold_rate
         rate = max(rate, self._cold_least / self._group)
         gained = rate * (now - backend.counted_at) / SECOND
         backend.allowance = min(max(1.0, rate / 4), backend.allowance + gained)
