--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -114,12 +114,7 @@
             if now < backend.shut.get(use, 0):
                 shut.append(backend)
                 continue
-            # Each by how long it is out: one that has slowed or stopped shows it before the first time-out, which a
-            # proxy that meets it seldom would learn of late, and is let go of until it is as quick as the others.
-            holds = backend.in_flight
-            if holds and self._usual:
-                holds *= 1 + min(1.0, 0.5 * (now - backend.sent_sum / holds) / self._usual)
-            backend.held += (holds - backend.held) * pace
+            backend.held += (backend.in_flight - backend.held) * pace
             held += backend.held
             room += backend.room
             admitting += backend.share
@@ -129,8 +124,8 @@
         # Asked of further transmissions too: in a jam they are the last thing the backends need.
         within = not first or self._within_share(ticket, now)
         if choice and not self._in_time(ticket, within, in_flight, len(choice), now):
-            # The prediction is that of the many: a fresh one that holds less and has some of its budget left is asked
-            # all the same. Else the few warm ones' jam kept tickets from it, and it stood idle beside bounces.
+            # The prediction is that of the many: a fresh one that holds less and has some of its budget left is
+            # asked all the same. Else the warm ones' jam kept tickets from it, and it stood idle beside bounces.
             choice = [b for b in choice if within and b.cold and b.held < self._mean * b.room]
             if not choice:
                 return self._no(ticket, now)
@@ -186,7 +181,6 @@
         sent = Transmission(ticket, backend, now, self._patience(ticket, now), trial)
         ticket.transmissions.append(sent)
         backend.in_flight += 1
-        backend.sent_sum += now
         if ticket.use_case in backend.shut:
             backend.shut[ticket.use_case] = now + sent.patience
         if trial:
@@ -271,7 +265,6 @@
         backend = sent.backend
         use = sent.ticket.use_case
         backend.in_flight -= 1
-        backend.sent_sum -= sent.sent
         took = now - sent.sent
         long = use.usual + 6 * use.spread if use.usual and not self._first_tier else took
         if how == DONE or (how == TIMED_OUT and use.usual <= took <= long):
@@ -529,10 +522,10 @@
         if not backend.near:
             return False
         size = backend.portion * self._grown(backend, now)
-        # By what one took over as long as a backend is cold, if that is more than now: while most were fresh the few
-        # warm ones choked, and by what they then took the fresh stood idle beside bounced tickets.
-        took = max(self._flow_now(now) / self._part_grown, self._took * exp((self._took_at - now) / self._warm_after))
-        rate = took * size * self._cold_rate
+        # By what one took over as long as a backend is cold, if that is more than now: while most were fresh the
+        # few warm ones choked, and by what they then took the fresh stood idle beside bounced tickets.
+        before = self._took * exp((self._took_at - now) / self._warm_after)
+        rate = max(self._flow_now(now) / self._part_grown, before) * size * self._cold_rate
         rate = max(rate, self._cold_least / self._group)
         gained = rate * (now - backend.counted_at) / SECOND
         backend.allowance = min(max(1.0, rate / 4), backend.allowance + gained)
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -80,7 +80,7 @@
 class Backend:
     """One backend as this proxy knows it, with its breaker. The window empties at each change of state."""
 
-    __slots__ = ("address", "zone", "cell", "weight", "born", "in_flight", "sent_sum", "held", "turn", "share", "nearness",
+    __slots__ = ("address", "zone", "cell", "weight", "born", "in_flight", "held", "turn", "share", "nearness",
                  "portion", "near", "room", "cold", "state", "generation", "results", "failures", "run_failed",
                  "run_done", "open_until", "trials", "trial_due", "full_until", "full_at", "allowance", "counted_at",
                  "runs", "shut")
@@ -92,7 +92,6 @@
         self.weight = 1.0
         self.born = 0
         self.in_flight = 0
-        self.sent_sum = 0   # of the times at which they were sent
         self.held = 0.0
         self.turn = 0.0
         self.share = 1.0
