What may have run has no way past the prediction by a fresh backend of another group

Seen in reading the change again: where the prediction refuses, `where` kept the fresh backends with budget left as the choice, and for a referenced ticket that may have run the next lines put all backends of its group in their place. So with any fresh one listed, a further transmission that had been refused went to the jammed ones of its own cell. The test does just that: it went to a1 without the fix and is scrapped with it. Only first transmissions go past the prediction now.

Two more of that reading: a customer's share is again not counted where there is no choice, as before the change; and while a backend is fresh the weight by age is summed over the near ones alone with each ticket, not over the whole list.

--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -13,6 +13,7 @@
 
 from collections import deque
 from collections.abc import Callable, Iterable
+from itertools import takewhile
 from math import exp, sqrt
 from operator import attrgetter
 from random import Random
@@ -122,11 +123,12 @@
         self._mean = held / room if room else 0.0
         choice = choice or shut
         # Asked of further transmissions too: in a jam they are the last thing the backends need.
-        within = not first or self._within_share(ticket, now)
+        within = not first or not choice or self._within_share(ticket, now)
         if choice and not self._in_time(ticket, within, in_flight, len(choice), now):
             # The prediction is that of the many: a fresh one that holds less and has some of its budget left is
             # asked all the same. Else the warm ones' jam kept tickets from it, and it stood idle beside bounces.
-            choice = [b for b in choice if within and b.cold and b.held < self._mean * b.room]
+            # First transmissions alone: what may have run is bound to its group, which need not hold a fresh one.
+            choice = [b for b in choice if first and within and b.cold and b.held < self._mean * b.room]
             if not choice:
                 return self._no(ticket, now)
         if first:
@@ -514,7 +516,8 @@
             backend.share = backend.portion
             if backend.cold:
                 backend.share *= self._grown(backend, now)
-        self._part_grown = sum(b.share for b in self._backends if b.near) or 1.0
+        # Asked with each ticket while one is fresh: no further than the near ones, with which the ring begins.
+        self._part_grown = sum(b.share for b in takewhile(attrgetter("near"), self._ring)) or 1.0
         return [b for b in backends if b.cold]
 
     def _may_warm(self, backend: Backend, now: int) -> bool:
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -1,7 +1,9 @@
 """What each proxy does that is harmless alone: forty of them, or as many as share a tier, and one tally over all."""
 
+from pepperusher.terms import DONE, ERROR
+
 from tests.crowd import Crowd
-from tests.scene import SECOND, Kept
+from tests.scene import SECOND, Kept, Scene
 
 
 class Fleet(Kept):
@@ -25,3 +27,21 @@
                       f" timed out {now['timed out']}",
                       f"most to a fresh one in any 3 s {most}; the least of it the rule allows 3 x 0.4 x 3 / 0.06 = 60"]
         self.kept("fleet_fresh")
+
+
+class Refused(Scene):
+    def test_a_fresh_backend_is_no_way_past_the_prediction_for_what_may_have_run(self) -> None:
+        """The prediction refused it, a fresh one of another cell had budget, and it went to the jammed ones of its own."""
+        self.open("a1", "b1")
+        for use in ("look", "book"):
+            self.call(DONE, 0.1, use=use, times=40, quiet=True)
+        ticket = self.ticket("book", left=4.0)
+        self.where(ticket)
+        self.list("c2", born=self.now)
+        for name in ("a1", "b1"):
+            self.backends[name].in_flight += 40
+        self.after(ticket, ERROR, 0.9)
+        self.backends["c2"].allowance = 1.0
+        self.where(ticket)
+        self.where(self.ticket())
+        self.kept("fresh_no_way_past")
