A console for operators: backends out and back, clients sent away and let come

Now the drain turns /ready to no, each answer ends its connection, what stands idle is closed 0.6 s later; a banned backend's lines say that it drains, and its kept connections go. An overlay's drain closes them too now.

The overlay's telling of lines is shared in narrowed.py, not written twice.

--- a/pepperusher/__main__.py
+++ b/pepperusher/__main__.py
@@ -61,17 +61,20 @@
 @click.option("--name", envvar="BALANCER_NAME", help="This proxy's name, in place of the configuration's.")
 @click.option("--listen", envvar="BALANCER_LISTEN", help="Where callers connect, address:port.")
 @click.option("--discovery", envvar="BALANCER_DISCOVERY", help="Where discovery answers, address:port.")
+@click.option("--console", envvar="BALANCER_CONSOLE", help="Where operators connect, address:port.")
 @click.option("--own", envvar="PEPPERUSHER_OWN", help="The proxy's own file, TOML: routes, limits, changes, control.")
 @click.option("--set", "given", multiple=True, metavar="KEY=VALUE", help="A value in place of the own file's.")
-def serve(config: str, name: str | None, listen: str | None, discovery: str | None, own: str | None,
-          given: tuple[str, ...]) -> None:
+def serve(config: str, name: str | None, listen: str | None, discovery: str | None, console: str | None,
+          own: str | None, given: tuple[str, ...]) -> None:
     """Serve until SIGTERM or SIGINT, then answer what is in hand and end.
 
     SIGHUP reads the configuration anew, goes over to the discovery that stands in it, and proposes the own
     file as it stands then.
     """
-    read = _read(config, name=name, listen=listen, discovery=discovery)
-    house = None
+    read = _read(config, name=name, listen=listen, discovery=discovery, console=console)
+    house = desk = None
+    if read.console is not None:
+        desk = import_module("pepperusher.console.desk").Desk
     if own is not None:
         module = later("pepperusher.net.house", "own")
         house = partial(module.House, own, module.given_of(given))
@@ -79,10 +82,10 @@
         raise click.ClickException("--set: there is no --own file whose values it could replace")
 
     def again() -> told.Told:
-        return told.read(config, name=name, listen=listen, discovery=discovery, file_first=True)
+        return told.read(config, name=name, listen=listen, discovery=discovery, console=console, file_first=True)
 
     try:
-        run(read, again, house)
+        run(read, again, house, desk)
     except OSError as error:
         raise click.ClickException(str(error)) from None
     except ValueError as error:
--- a/pepperusher/changes/overlay.py
+++ b/pepperusher/changes/overlay.py
@@ -1,23 +1,23 @@
-"""The list of backends as discovery tells it, narrowed by the marks of our own file; free of I/O.
+"""The marks of our own file on the list of backends; free of I/O.
 
-A mark can drain a backend or change its weight. It never lifts what discovery told: a backend is ready where
-both say so, and every word of discovery's goes through at once, whatever change is open.
+A mark can drain a backend or change its weight. A backend is ready where discovery and the mark both say so.
 """
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 from pepperusher.facade import Entry
+from pepperusher.narrowed import Narrowed
 from pepperusher.own.tables import Mark
 
 
 class Overlay:
     def __init__(self) -> None:
-        self._told: dict[
-            str, Entry
-        ] = {}  # discovery's last word of each that is ready; emptied with the list
         self._marks: Mapping[str, Mark] = {}
+        self._narrowed = Narrowed(self._marked)
+        self.lines = self._narrowed.lines
+        self.ready = self._narrowed.ready
 
     def _marked(self, entry: Entry) -> Entry:
         mark = self._marks.get(entry.id)
@@ -26,31 +26,13 @@
         weight = entry.weight * mark.weight if mark.weight is not None else entry.weight
         return entry._replace(weight=weight, ready=entry.ready and not mark.drain)
 
-    def lines(self, entries: Iterable[Entry], whole: bool) -> list[Entry]:
-        """News of discovery's, as the decisions are to have it."""
-        if whole:
-            self._told.clear()
-        made = []
-        for entry in entries:
-            if entry.ready:
-                self._told[entry.id] = entry
-            else:
-                # Draining or gone: no mark has anything to say of it, and no undo brings it back.
-                self._told.pop(entry.id, None)
-            made.append(self._marked(entry))
-        return made
-
     def turn(self, marks: Mapping[str, Mark]) -> list[Entry]:
-        """Other marks from now on; the lines that change by it, of backends that discovery has as ready
-        alone."""
-        before = {name: self._marked(entry) for name, entry in self._told.items()}
-        self._marks = marks
-        return [after for name, entry in self._told.items() if (after := self._marked(entry)) != before[name]]
+        """Other marks from now on; the lines that change by it."""
+        def turn() -> None:
+            self._marks = marks
 
-    def ready(self) -> list[Entry]:
-        """Those that discovery has as ready."""
-        return list(self._told.values())
+        return self._narrowed.turned(turn)
 
     def unknown(self, marks: Mapping[str, Mark]) -> list[str]:
         """Marks on backends that the list does not have as ready now."""
-        return sorted(name for name in marks if name not in self._told)
+        return sorted(name for name in marks if name not in self._narrowed)
--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -200,6 +200,10 @@
                 del self._unlisted[name], self._backends[name]
         self._balancer.listed(lines, whole, now)
 
+    def knows(self, backend: str) -> bool:
+        """Whether the list has it, or had it a short time ago."""
+        return backend in self._backends
+
     def backends(self) -> list[dict[str, object]]:
         """Each known one as it stands, for those who ask; the words are plain."""
         return [{"id": name, "state": STATES[one.state], "ready": name not in self._unlisted, "weight": one.weight,
--- /dev/null
+++ b/pepperusher/narrowed.py
@@ -0,0 +1,44 @@
+"""The list of backends as discovery tells it, narrowed by a mark on each line; free of I/O.
+
+A mark never lifts what discovery told: every word of discovery's goes through at once, whatever the marks are.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from pepperusher.facade import Entry
+
+
+class Narrowed:
+    def __init__(self, mark: Callable[[Entry], Entry]) -> None:
+        self._mark = mark
+        # Discovery's last word of each that is ready; emptied with the list.
+        self._told: dict[str, Entry] = {}
+
+    def lines(self, entries: Iterable[Entry], whole: bool) -> list[Entry]:
+        """News of discovery's, as the decisions are to have it: a line for each, in the same order."""
+        if whole:
+            self._told.clear()
+        made = []
+        for entry in entries:
+            if entry.ready:
+                self._told[entry.id] = entry
+            else:
+                # Draining or gone: no mark has anything to say of it, and no undo brings it back.
+                self._told.pop(entry.id, None)
+            made.append(self._mark(entry))
+        return made
+
+    def turned(self, turn: Callable[[], None]) -> list[Entry]:
+        """Other marks from now on, by `turn`; the lines that change by it, of backends that discovery has as ready alone."""
+        before = {name: self._mark(entry) for name, entry in self._told.items()}
+        turn()
+        return [after for name, entry in self._told.items() if (after := self._mark(entry)) != before[name]]
+
+    def ready(self) -> list[Entry]:
+        """Those that discovery has as ready."""
+        return list(self._told.values())
+
+    def __contains__(self, name: str) -> bool:
+        return name in self._told
--- a/pepperusher/net/budget.py
+++ b/pepperusher/net/budget.py
@@ -18,9 +18,10 @@
 
 
 class Budget:
-    def __init__(self, sockets: int) -> None:
+    def __init__(self, sockets: int, kept_back: int = 0) -> None:
         self._reserve = RESERVE + sockets // 32
-        self.most = sockets - self._reserve
+        # What is kept back for another purpose, as for operators, is not callers' nor backends'.
+        self.most = sockets - self._reserve - kept_back
         self.open = 0
         self._closing = 0
         self._makers: list[Callable[[], bool]] = []   # one for each side, as the proxy is put together
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -284,9 +284,12 @@
 
     # --- the end ----------------------------------------------------------------------------------
 
-    def close_after_answers(self) -> None:
-        self._closing = True
+    def close_after_answers(self, on: bool = True) -> None:
+        self._closing = on
 
-    def close_idle(self) -> None:
+    def close_idle(self, least: int = 0) -> None:
+        """Those that have stood idle for so long. One that has sent something ends with the answer to it."""
+        now = clock.now()
         for caller in list(self._idle):
-            self._closed(caller)
+            if caller.waiting_since is None or now - caller.waiting_since >= least:
+                self._closed(caller)
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -23,6 +23,10 @@
 SILENT = 4.5
 # One line of a watch; more is no list.
 LONGEST = 8 * 1024 * 1024
+# The address of a backend that is gone.
+GONE = ("", 0)
+
+Narrow = Callable[[list[Entry], bool], list[Entry]]
 
 
 class BadList(ValueError):
@@ -56,7 +60,7 @@
             if isinstance(value, bool) or not isinstance(value, kind) or not abs(value) < 1e15:
                 raise BadList(f"{name}: {value!r} is not a number")
         gone = one.get("state") == "gone"
-        addresses.append(("", 0) if gone and "addr" not in one else address_of(one.get("addr")))
+        addresses.append(GONE if gone else address_of(one.get("addr")))
         entries.append(Entry(name, str(one.get("zone", "")), cell, weight if weight > 0 else 1.0,
                              round(started * 1000), one.get("state") == "ready"))
     version = told.get("version", 0)
@@ -78,9 +82,11 @@
 
 class Discovery:
     def __init__(self, address: tuple[str, int], facade: Facade, backends: Backends, log: Log,
-                 narrow: Callable[[list[Entry], bool], list[Entry]] | None = None) -> None:
-        # Our own file's marks on what the list says; None where there is no such file.
-        self._narrow = narrow
+                 marks: Narrow | None = None, orders: Narrow | None = None) -> None:
+        # Our own file's marks on what the list says, and behind them the operators' bans; None where there are none.
+        self._marks = marks
+        self._orders = orders
+        self._at: dict[str, tuple[str, int]] = {}   # where each listed one is reached; emptied with the list
         self._source = Source(address, 0)
         # Whom a new configuration has replaced, each with its last watch; emptied when the new one has told, since
         # till then an old watch is better than none.
@@ -92,13 +98,28 @@
     def take(self, news: News, source: Source | None = None) -> None:
         source = source or self._source
         source.version = news.version
-        for entry, address in zip(news.entries, news.addresses):
-            self._backends.reached_at(entry.id, address, entry.ready)
         if news.whole:
-            self._backends.only({entry.id for entry in news.entries})
+            self._at.clear()
+        for entry, address in zip(news.entries, news.addresses):
+            self._at[entry.id] = address
         if news.entries or news.whole:
-            entries = news.entries if self._narrow is None else self._narrow(news.entries, news.whole)
-            self._facade.listed(entries, news.whole, clock.now())
+            self.marked(news.entries if self._marks is None else self._marks(news.entries, news.whole), news.whole)
+        for entry, address in zip(news.entries, news.addresses):
+            if address == GONE:
+                self._at.pop(entry.id, None)
+
+    def marked(self, entries: list[Entry], whole: bool = False) -> None:
+        """Lines as our own file's marks have them: the operators' orders have the last word."""
+        self.put(entries if self._orders is None else self._orders(entries, whole), whole)
+
+    def put(self, entries: list[Entry], whole: bool = False) -> None:
+        """Lines as they are to be acted on. What is drained by a mark or an order has no connection kept either."""
+        for entry in entries:
+            self._backends.reached_at(entry.id, self._at.get(entry.id, GONE), entry.ready)
+        if whole:
+            self._backends.only({entry.id for entry in entries})
+        if entries or whole:
+            self._facade.listed(entries, whole, clock.now())
 
     def start(self) -> None:
         self._source.following = asyncio.get_running_loop().create_task(self._follow(self._source, False))
--- a/pepperusher/net/house.py
+++ b/pepperusher/net/house.py
@@ -112,9 +112,9 @@
     def _list_again(self, lines: list[Entry]) -> None:
         self._lines(lines)
 
-    async def start(self, facade: Facade, stopping: asyncio.Event) -> None:
-        """Raises ControlError where the control socket can't be opened."""
-        self._lines = lambda lines: facade.listed(lines, False, clock.now())
+    async def start(self, facade: Facade, stopping: asyncio.Event, lines: Callable[[list[Entry]], None]) -> None:
+        """`lines` takes those that change by a mark. Raises ControlError where the control socket can't be opened."""
+        self._lines = lines
         if self._instead:
             self._say("started with the last confirmed file", why=self._instead)
         if self.shelf is not None:
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -12,12 +12,12 @@
 from typing import TYPE_CHECKING
 
 from pepperusher import holds
-from pepperusher.facade import BOUNCE, HOLD, REFERENCED, REPLAYABLE, SCRAP, SEND, Facade, Step
+from pepperusher.facade import BOUNCE, HOLD, REFERENCED, REPLAYABLE, SCRAP, SEND, Entry, Facade, Step
 from pepperusher.net import clock
 from pepperusher.net.backends import Backends, Transmission
 from pepperusher.net.budget import Budget
 from pepperusher.net.buffers import Pool
-from pepperusher.net.callers import Call, Callers
+from pepperusher.net.callers import SHY, Call, Callers
 from pepperusher.net.discovery import Discovery
 from pepperusher.net.log import Log
 from pepperusher.net.message import Answer, Headers, Request, end_to_end, plain
@@ -27,6 +27,8 @@
 if TYPE_CHECKING:
     # Loaded only where there is a file of our own: it brings libraries that a small proxy has no room for.
     from pepperusher.net.house import House
+    # Likewise where operators have an address of their own.
+    from pepperusher.console.desk import Desk
 
 READY = plain(200, "ready")
 BROKEN = plain(500, "an error in the proxy")
@@ -42,6 +44,8 @@
 # And so much before that connections end with their answers, so that those given up do.
 CLOSED_BEFORE = 0.1
 SWEEP_EVERY = 0.25
+# After operators sent clients away, fronts notice within this; connections that stand idle then are closed.
+SENT_AWAY = 600_000
 PACE = 50_000
 COUNTS_EVERY = 240
 # Sound limits of what a caller may say; more is absurd.
@@ -108,21 +112,26 @@
 
 
 class Proxy:
-    def __init__(self, told: Told, again: Callable[[], Told], own: Callable[[Ground, Log], House] | None = None) -> None:
+    def __init__(self, told: Told, again: Callable[[], Told], own: Callable[[Ground, Log], House] | None = None,
+                 desk: Callable[[tuple[str, int], Ground, Log], Desk] | None = None) -> None:
         self._told = told
         self._again = again
         self._log = Log(told.name)
         self._house = own(told.ground, self._log) if own is not None else None
         self._pool = Pool(256)
-        self._budget = Budget(_descriptors(told.sockets))
+        self._desk = desk(told.console, told.ground, self._log) if desk is not None and told.console is not None else None
+        self._budget = Budget(_descriptors(told.sockets), self._desk.descriptors if self._desk is not None else 0)
         self._facade = Facade(told.ground, clock.now(), self._log.say)
         # Callers first: where descriptors run out, it is theirs that are closed first, since they cost least.
         self._callers = Callers(self._handle, self._budget, self._pool, self._log, told.ground.longest_wait)
         self._backends = Backends(self._budget, self._pool, told.connect_within, told.idle_most)
         self._discovery = Discovery(told.discovery, self._facade, self._backends, self._log,
-                                    self._house.standing.overlay.lines if self._house is not None else None)
+                                    self._house.standing.overlay.lines if self._house is not None else None,
+                                    self._desk.orders.lines if self._desk is not None else None)
         self._names: set[bytes] = set()   # of the tickets in hand; emptied as they end
         self._stopping = asyncio.Event()
+        self._sent_away_at: int | None = None   # since when the operators have clients sent away
+        self._served = False                    # whether backends have been known
         self.port = 0
         # How late timers have run of late, in microseconds.
         self._late = 0
@@ -136,7 +145,7 @@
             name = told.get(b"request-id")
             if not name:
                 if call.request.target.split(b"?")[0] == b"/ready":
-                    return READY if self._backends.known and not self._stopping.is_set() else NOT_READY
+                    return READY if self._takes_clients else NOT_READY
                 raise BadCall("Request-Id is missing")
             if name in self._names:
                 # Sent on, it would be the same ticket out twice.
@@ -266,6 +275,37 @@
     def _count(self, what: str) -> None:
         self._counts[what] = self._counts.get(what, 0) + 1
 
+    # --- what operators ask for ---------------------------------------------------------------------
+
+    @property
+    def can_serve(self) -> bool:
+        """Whether this process can, whoever is sent to it."""
+        self._served = self._served or self._backends.known
+        return self._served and not self._stopping.is_set()
+
+    @property
+    def _takes_clients(self) -> bool:
+        return self._backends.known and not self._stopping.is_set() and self._sent_away_at is None
+
+    def knows(self, backend: str) -> bool:
+        return self._facade.knows(backend)
+
+    def put(self, lines: list[Entry]) -> None:
+        """Lines of the list as the operators' orders have them now."""
+        self._discovery.put(lines)
+
+    def send_away(self, on: bool) -> None:
+        """Clients go elsewhere: no new ones, and those here with the answer to what they ask next, or when they ask nothing.
+
+        Stopping, the proxy sends them away by itself, and no word brings them back.
+        """
+        if on == (self._sent_away_at is not None):
+            return
+        self._sent_away_at = clock.now() if on else None
+        self._log.say("clients are sent away" if on else "clients may come again")
+        if not self._stopping.is_set():
+            self._callers.close_after_answers(on)
+
     # --- start and end ----------------------------------------------------------------------------
 
     async def serve(self) -> None:
@@ -281,7 +321,9 @@
         loop.add_signal_handler(signal.SIGHUP, self.tell_anew)
         self.port = self._callers.listen(self._told.listen)
         if self._house is not None:
-            await self._house.start(self._facade, self._stopping)
+            await self._house.start(self._facade, self._stopping, self._discovery.marked)
+        if self._desk is not None:
+            await self._desk.start(self)
         self._discovery.start()
         sweep = loop.create_task(self._sweep())
         pace = loop.create_task(self._pace())
@@ -295,6 +337,8 @@
         await self._drain()
         if self._house is not None:
             await self._house.stop()
+        if self._desk is not None:
+            self._desk.stop()
         self._discovery.stop()
         sweep.cancel()
         pace.cancel()
@@ -343,6 +387,11 @@
             try:
                 self._backends.sweep(clock.now())
                 self._callers.sweep(clock.now())
+                # Not at once: those whose connections close would open new ones, and the front still sends those here.
+                if self._sent_away_at is not None and clock.now() - self._sent_away_at >= SENT_AWAY:
+                    self._callers.close_idle(SHY)
+                if self._desk is not None:
+                    self._desk.sweep()
             except Exception as error:   # what it closes nobody else does: it goes on
                 self._log.say(f"a sweep ended by {type(error).__name__}: {error}")
             if rounds % COUNTS_EVERY == 0:
@@ -364,6 +413,8 @@
             self._log.say(f"did not hold {count} times: {what}")
 
 
-def run(told: Told, again: Callable[[], Told], own: Callable[[Ground, Log], House] | None = None) -> None:
-    """`again` reads the configuration anew; `own` makes what our own file has the proxy do, where there is one."""
-    asyncio.run(Proxy(told, again, own).serve())
+def run(told: Told, again: Callable[[], Told], own: Callable[[Ground, Log], House] | None = None,
+        desk: Callable[[tuple[str, int], Ground, Log], Desk] | None = None) -> None:
+    """`again` reads the configuration anew; `own` makes what our own file has the proxy do, where there is one, and
+    `desk` what operators can call, where they have an address."""
+    asyncio.run(Proxy(told, again, own, desk).serve())
--- a/pepperusher/net/told.py
+++ b/pepperusher/net/told.py
@@ -19,7 +19,8 @@
 
 
 class Told:
-    __slots__ = ("name", "listen", "discovery", "sockets", "known", "ground", "connect_within", "idle_most")
+    __slots__ = ("name", "listen", "discovery", "sockets", "known", "ground", "connect_within", "idle_most",
+                 "console")
 
     name: str
     listen: tuple[str, int]
@@ -29,6 +30,7 @@
     ground: Ground
     connect_within: int
     idle_most: int
+    console: tuple[str, int] | None   # None where operators have no address of their own
 
 
 def _address(given: str | None, of: dict[str, Any], name: str) -> tuple[str, int]:
@@ -39,7 +41,7 @@
 
 
 def read(path: str, name: str | None = None, listen: str | None = None, discovery: str | None = None,
-         file_first: bool = False) -> Told:
+         console: str | None = None, file_first: bool = False) -> Told:
     """The file at `path`; what is given beside it goes before it.
 
     `file_first` is for a file that was replaced under way: the discovery that it names is the newer word.
@@ -57,6 +59,7 @@
     made.name = name or str(of.get("name", "proxy"))
     made.listen = _address(listen, of, "listen")
     made.discovery = _address(None if file_first and "discovery" in of else discovery, of, "discovery")
+    made.console = _address(console, of, "console") if console or of.get("console") is not None else None
     try:
         seed = int(str(of.get("seed", "0")), 16)
     except ValueError:
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 
 from pepperusher import terms
+from pepperusher.console.desk import Desk
 from pepperusher.net import told
 from pepperusher.net.proxy import Proxy
 from pepperusher.policy import Balancer
@@ -205,6 +206,9 @@
         self.given = json.dumps(given)
         read = self.read_again()
         read.listen = ("127.0.0.1", 0)
+        desk = Desk if read.console is not None else None
+        if read.console is not None:
+            read.console = ("127.0.0.1", 0)
         house = None
         if own is not None:
             from pepperusher.net.house import House
@@ -213,7 +217,7 @@
             self.own_file = Path(folder.name) / "own.toml"
             self.own_file.write_text(own.replace("HERE", folder.name))
             house = functools.partial(House, self.own_file, {})
-        self.proxy = Proxy(read, self.read_again, house)
+        self.proxy = Proxy(read, self.read_again, house, desk)
         self.proxy._log.say = lambda line, figures=None: self.logged.append(f"{line} {figures}" if figures else line)
         self.serving = asyncio.create_task(self.proxy.serve())
         await self.until(lambda: self.proxy.port and (self.watches or not names))
--- /dev/null
+++ b/tests/test_console.py
@@ -0,0 +1,153 @@
+"""The operators' door: what each call is answered, and what is in force once it is."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+
+from pepperusher.console.door import PLACES
+from pepperusher.console.orders import NEVER, Order, Orders
+from pepperusher.facade import Entry
+
+from tests.scene import SECOND, Kept, Street
+
+READY = b"GET /ready HTTP/1.1\r\nHost: p\r\n\r\n"
+
+
+class Ordered(Kept):
+    """Orders beside the list, without a proxy."""
+
+    def test_a_ban_stands_whatever_the_list_says(self) -> None:
+        self.lines = []
+        orders = Orders(60 * SECOND)
+
+        def entry(name: str, ready: bool = True, born: int = 0) -> Entry:
+            return Entry(name, "", 0, 1.0, born, ready)
+
+        def say(what: str, lines: list[Entry]) -> None:
+            told = ", ".join(f"{one.id} {'ready' if one.ready else 'drained'} born {one.born // SECOND}" for one in lines)
+            self.lines.append(f"{what}: {told or 'nothing'}")
+
+        say("listed", orders.lines([entry("a"), entry("b")], True))
+        say("a banned", orders.ban("a", True, 10 * SECOND))
+        say("banned again", orders.ban("a", True, 11 * SECOND))
+        say("listed again, restarted", orders.lines([entry("a", born=12 * SECOND)], False))
+        say("gone", orders.lines([entry("a", False)], False))
+        say("a put back while off the list", orders.ban("a", False, 20 * SECOND))
+        say("banned off the list", orders.ban("a", True, 21 * SECOND))
+        say("a whole list", orders.lines([entry("a", born=12 * SECOND), entry("b")], True))
+        say("one call puts it back, cold from then on", orders.ban("a", False, 30 * SECOND))
+        say("a whole list", orders.lines([entry("a", born=12 * SECOND), entry("b")], True))
+        orders.forget(90 * SECOND)
+        say("forgotten once it is warm", orders.lines([entry("a", born=12 * SECOND)], False))
+        say("a later order of another's", orders.merge({"a": Order(True, 21 * SECOND)}, NEVER))
+        self.kept("console_orders")
+
+    def test_without_a_console_nothing_of_it_is_loaded(self) -> None:
+        said = subprocess.run([sys.executable, "-c", "import sys, pepperusher.__main__ as m;"
+                               "print([n for n in sys.modules if n.startswith('pepperusher.console') or 'own' in n.split('.')])"],
+                              capture_output=True, text=True, check=True)
+        self.assertEqual("[]\n", said.stdout)
+
+
+class Console(Street):
+    async def call(self, what: str, path: str, method: str = "POST", more: str = "") -> str:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.proxy._desk.port)
+        writer.write(f"{method} {path} HTTP/1.1\r\nHost: c\r\n{more}\r\n".encode())
+        said = await self.hear(reader)
+        writer.close()
+        if what:
+            self.lines.append(f"{what} -> {said}")
+        return said
+
+    async def test_each_call_and_each_that_is_none(self) -> None:
+        await self.open("a1", console="127.0.0.1:1")
+        await self.call("ready", "/-/ready", "GET")
+        await self.call("disable", "/-/backends/a1/disable")
+        await self.call("disable again", "/-/backends/a1/disable")
+        await self.call("enable", "/-/backends/a1/enable")
+        await self.call("enable again", "/-/backends/a1/enable")
+        await self.call("drain", "/-/drain")
+        await self.call("drain again", "/-/drain")
+        await self.call("ready for the console", "/-/ready", "GET")
+        await self.call("resume", "/-/resume")
+        await self.call("resume unasked", "/-/resume", more="Content-Length: 0\r\n")
+        await self.call("nobody's id", "/-/backends/zz/disable")
+        await self.call("nobody's id put back", "/-/backends/zz/enable")
+        await self.call("an id that is no text", "/-/backends/%ff/disable")
+        await self.call("no such call", "/-/backends/a1/drop")
+        await self.call("a ticket", "/look/page")
+        await self.call("by another method", "/-/drain", "GET")
+        await self.call("framed in two ways", "/-/drain", more="Content-Length: 3\r\nTransfer-Encoding: chunked\r\n")
+        await self.call("not even a head", "/-/drain", more="what is this\r\n")
+        await self.call("a head without end", "/-/drain", more=f"X: {'x' * 60_000}\r\n")
+        await self.ask("ready for clients", READY)
+        self.kept("console_calls")
+
+    async def test_nothing_goes_to_a_banned_backend(self) -> None:
+        """Not on a connection that was kept either, nor when the list has it anew; what was written may end."""
+        await self.open("a1", "b1", console="127.0.0.1:1")
+        at = await self.connect()
+        for number in range(4):
+            await self.ask(f"look {number}", self.request("look", number), at)
+        before = self.toys["a1"].connections
+        self.toys["a1"].does = self.toys["b1"].does = ["slow"]
+        under_way = asyncio.create_task(self.ask("look 4", self.request("look", 4)))
+        await self.until(lambda: self.lines[-1].startswith("    "))
+        del self.lines[:]
+        out_at = "a1" if not self.toys["a1"].does else "b1"
+        other = "b1" if out_at == "a1" else "a1"
+        await self.call("out, while it has a ticket", f"/-/backends/{out_at}/disable")
+        await under_way
+        self.toys[other].does = []
+        self.news(2, self.line("a1"), self.line("b1"), full=True)
+        self.news(3, dict(self.line(out_at), started_ms=1))
+        await asyncio.sleep(0.05)
+        for number in range(5, 11):
+            await self.ask("look", self.request("look", number), at)
+        self.lines = [line for line in self.lines if "..." not in line]
+        self.assertFalse([line for line in self.lines if f"    {out_at} gets" in line])
+        await self.call("the other out as well", f"/-/backends/{other}/disable")
+        await self.ask("look nowhere", self.request("look", 11))
+        self.assertIn("503", self.lines[-1])
+        await self.call("back", f"/-/backends/{out_at}/enable")
+        # Cold, it is used again within its budget: not for each ticket, and not never.
+        number = 12
+        async with asyncio.timeout(5):
+            while f"200 '{out_at} {number}'" not in self.lines[-1]:
+                number += 1
+                await self.ask("look", self.request("look", number), at)
+                await asyncio.sleep(0.02)
+        self.assertGreater(self.toys["a1"].connections + self.toys["b1"].connections, before)
+
+    async def test_clients_are_sent_away_and_may_come_again(self) -> None:
+        await self.open("a1", console="127.0.0.1:1")
+        used, idle, silent = [await self.connect() for _ in range(3)]
+        for number, at in enumerate((used, idle)):
+            await self.ask(f"look {number}", self.request("look", number), at)
+        await self.call("drain", "/-/drain")
+        await self.ask("ready", READY)
+        await self.ask("asked once more", self.request("look", 2), used)
+        self.lines.append(f"then: {await self.hear(used[0])}")
+        async with asyncio.timeout(2):
+            for what, at in (("idle", idle), ("silent", silent)):
+                self.lines.append(f"{what}: {await self.hear(at[0])}")
+        await self.ask("come all the same", self.request("look", 3))
+        await self.call("resume", "/-/resume")
+        await self.ask("ready", READY)
+        again = await self.connect()
+        await self.ask("kept again", self.request("look", 4), again)
+        await self.ask("kept again", self.request("look", 5), again)
+        self.kept("console_drain")
+
+    async def test_callers_that_say_nothing_keep_nobody_out(self) -> None:
+        """Each place taken by silence or half a call: whoever asks has an answer all the same, at once."""
+        await self.open("a1", console="127.0.0.1:1")
+        held = [await asyncio.open_connection("127.0.0.1", self.proxy._desk.port) for _ in range(3 * PLACES)]
+        for _, writer in held[::2]:
+            writer.write(b"GET /-/rea")
+        async with asyncio.timeout(1):
+            for _ in range(2 * PLACES):
+                self.assertIn("200", await self.call("", "/-/ready", "GET"))
+        self.assertLessEqual(len(self.proxy._desk._door._open), 2 * PLACES)
