One process takes another's place: no ticket lost, bans, drains and what was learned pass over

Seen on the untouched program: 'node n0 crashed (while it ran twice): exited with 1', the address was taken. Both listen by SO_REUSEPORT where there is a console; the old one empties its queue before it closes, ends connections with answers, and says yes to fronts meanwhile. Accepting no longer waits within sock_accept: called off there, a connection that was just taken would be dropped.

--- a/pepperusher/console/desk.py
+++ b/pepperusher/console/desk.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
+import os
 from typing import TYPE_CHECKING
 
 from pepperusher.console import words
 from pepperusher.console.door import PLACES, Door
-from pepperusher.console.orders import Orders
+from pepperusher.console.orders import NEVER, Orders
+from pepperusher.console.place import Seat, seats
+from pepperusher.console.state import BadState, State
 from pepperusher.net import clock
 from pepperusher.net.log import Log
 from pepperusher.net.message import Answer, plain
@@ -15,13 +19,21 @@
 if TYPE_CHECKING:
     from pepperusher.net.proxy import Proxy
 
+NOT_KEPT = plain(500, "in force, but not kept for the next process: see the log")
 # A lifted ban is remembered for so long at the least.
 KEPT = 60_000_000
 
 
+# How often the other process is looked at, and for how long the one before is waited for.
+LOOK_EVERY = 0.05
+SEEN_WITHIN = 1.0
+# The part of the descriptors that each of two processes keeps to.
+HALF = 0.5
+
+
 class Desk:
-    # Its listener, and a connection that just lost its place beside each one.
-    descriptors = 1 + 2 * PLACES
+    # Its listener, two locks, and room for connections that just lost their place.
+    descriptors = 5 + PLACES
 
     def __init__(self, address: tuple[str, int], ground: Ground, log: Log) -> None:
         self._address = address
@@ -30,18 +42,164 @@
         self._door = Door(self.answer, log)
         self._proxy: Proxy
         self.port = 0
+        # The first is whose holder reigns, the second whose holder is next; None without a folder for them.
+        self._first: Seat | None = None
+        self._next: Seat | None = None
+        self._token = f"{os.getpid()}-{clock.now()}"
+        self._serves = False
+        self._seen = ""          # the next process, once it has been noticed
+        self._next_serves = False
+        self._sits = False       # whether this process reigns
+        self._looking: asyncio.Task[None] | None = None
+
+    # --- the places ---------------------------------------------------------------------------------
 
-    async def start(self, proxy: Proxy) -> None:
+    async def enter(self, proxy: Proxy) -> None:
+        """Before anything is served: takes the first place, or the next one and what the process before has to pass on."""
         self._proxy = proxy
+        folder = os.environ.get("TMPDIR")
+        if not folder:
+            self._log.say("no $TMPDIR: bans end with this process, and none can take its place")
+            return
+        try:
+            self._first, self._next = seats(folder, proxy.name)
+        except OSError as error:
+            self._log.say(f"{folder}: {error.strerror or error}: bans end with this process, and none can take its place")
+            return
+        self._sits = self._first.take()
+        if self._sits:
+            # A drain ends with its process: whoever starts a stopped proxy wants it to serve.
+            if (left := self._read(self._first)) is not None:
+                self._merge(left._replace(drain=NEVER))
+            return
+        proxy.keep_to(HALF)
+        self._tell()
+        left = await self._told()
+        if left is not None:
+            self._merge(left)
+            self._proxy.follow(left)
+        self._log.say("taking the place of a process that serves" + ("" if left is not None else ", which tells nothing"))
+
+    async def _told(self) -> State | None:
+        """What the process before tells once it has noticed this one; what it told last where it does not."""
+        loop = asyncio.get_running_loop()
+        until, left = loop.time() + SEEN_WITHIN, None
+        while True:
+            assert self._first is not None
+            left = self._read(self._first) or left
+            if left is not None and left.seen == self._token or loop.time() >= until:
+                return left
+            if self._next is not None and not self._next.held:
+                self._tell()   # another may be ending in that place
+            await asyncio.sleep(LOOK_EVERY / 5)
+
+    def _read(self, seat: Seat) -> State | None:
+        try:
+            return seat.read()
+        except BadState as error:
+            self._log.say(f"what another process left is not taken: {error}")
+            return None
+
+    def _merge(self, other: State) -> None:
+        drained = self.orders.drain
+        self._proxy.put(self.orders.merge(other.bans, other.drain))
+        if self.orders.drain != drained:
+            self._proxy.send_away(self.orders.drain.on)
+
+    def _state(self) -> State:
+        return State(self.orders.bans, self.orders.drain, self._seen if self._sits else self._token, self._serves,
+                     *(self._proxy.passed_on() if self._sits and self._seen else ()))
+
+    def _tell(self) -> None:
+        """Raises OSError where it can't be kept."""
+        seat = self._first if self._sits else self._next
+        if seat is not None and seat.take():
+            seat.write(self._state())
+
+    def look(self) -> None:
+        """At the other process, where there is one."""
+        if self._first is None or self._next is None:
+            return
+        if not self._sits and self._first.take():
+            self._sits = True
+            if (left := self._read(self._first)) is not None:
+                self._merge(left)
+            self._tell()
+            self._next.give_up()
+            self._proxy.keep_to(1.0)
+            self._log.say("the process before has ended")
+            return
+        if not self._sits:
+            if not self._next.held:
+                self._tell()
+            if (other := self._read(self._first)) is not None:
+                self._merge(other)
+            return
+        if not self._next.taken():
+            if self._seen:
+                self._seen, self._next_serves = "", False
+                self._proxy.keep_to(1.0)
+                self._tell()
+                self._log.say("the process that was to take this one's place has ended")
+            return
+        if (other := self._read(self._next)) is not None:
+            self._merge(other)
+            self._next_serves = other.serves
+            if other.seen != self._seen:
+                self._seen = other.seen
+                self._proxy.keep_to(HALF)
+                self._tell()
+
+    async def _look(self) -> None:
+        while True:
+            await asyncio.sleep(LOOK_EVERY)
+            try:
+                self.look()
+            except Exception as error:   # what it sees nobody else does: it goes on
+                self._log.say(f"a look at the other process ended by {type(error).__name__}: {error}")
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether another process takes the clients from here on."""
+        try:
+            self.look()
+        except OSError as error:
+            self._log.say(f"a look at the other process failed: {error}")
+        return self._sits and bool(self._seen) and self._next_serves
+
+    # --- start and end ------------------------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Once clients can come."""
+        self._serves = True
+        try:
+            self._tell()
+        except OSError as error:
+            self._log.say(f"the state is not kept: {error.strerror or error}")
+        self._looking = asyncio.get_running_loop().create_task(self._look())
         self.port = await self._door.listen(self._address)
         self._log.say(f"console at {self._address[0]}:{self.port}")
 
     def stop(self) -> None:
         self._door.close()
+        if self._looking is not None:
+            self._looking.cancel()
+        for seat in (self._first, self._next):
+            if seat is not None:
+                seat.close()
 
     def sweep(self) -> None:
         self.orders.forget(clock.now())
 
+    def _kept(self) -> bool:
+        """Whether what is in force now is also known to whoever takes this process's place."""
+        try:
+            self._tell()
+        except OSError as error:
+            self._log.say(f"an order is not kept: {error.strerror or error}")
+            return False
+        return True
+
     def answer(self, method: bytes, target: bytes) -> Answer:
         try:
             word = words.word_of(method, target)
@@ -53,6 +211,8 @@
             on = word.what == words.DRAIN
             self.orders.send_away(on, clock.now())
             self._proxy.send_away(on)
+            if not self._kept():
+                return NOT_KEPT
             return plain(200, "clients are sent away" if on else "clients may come")
         on, backend = word.what == words.BAN, word.backend
         if not self._proxy.knows(backend) and not self.orders.banned(backend):
@@ -60,4 +220,6 @@
         if self.orders.banned(backend) != on:
             self._log.say(f"{backend} {'banned' if on else 'put back'} at the console")
         self._proxy.put(self.orders.ban(backend, on, clock.now()))
+        if not self._kept():
+            return NOT_KEPT
         return plain(200, "banned" if on else "in use")
--- a/pepperusher/console/door.py
+++ b/pepperusher/console/door.py
@@ -14,7 +14,7 @@
 from pepperusher.net.message import HEAD, Answer, BadMessage, framed_answer, plain, receive
 
 # Connections at once. A further one takes the place of whoever has said least for longest.
-PLACES = 16
+PLACES = 6
 # A call is whole so long after its connect.
 WITHIN = 3.0
 # After its answer so much time to take it and close, so that what it still writes does not reset the answer away.
@@ -43,10 +43,12 @@
 
     def _taken(self) -> Line:
         line = Line()
-        if len(self._open) >= PLACES and self._asking:
-            oldest = next(iter(self._asking))
-            del self._asking[oldest]
-            oldest.abort()
+        if len(self._open) >= PLACES:
+            # Not one whose call is in the kernel.
+            oldest = next((one for one in self._asking if one.quiet()), None)
+            if oldest is not None:
+                del self._asking[oldest]
+                oldest.abort()
         self._asking[line] = None
         serving = asyncio.get_running_loop().create_task(self._serve(line))
         self._open.add(serving)
--- /dev/null
+++ b/pepperusher/console/state.py
@@ -0,0 +1,65 @@
+"""What passes from one process to the next, as one JSON text; free of I/O.
+
+Read as if a stranger had written it: the release before this one may have, or a process that died meanwhile.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any, NamedTuple
+
+from pepperusher.console.orders import NEVER, Order
+
+FORM = 1
+LONGEST = 16 * 1024 * 1024
+# Times beyond this are none: the year 2200 in microseconds.
+LATEST = 7_258_118_400_000_000
+
+
+class BadState(ValueError):
+    """Nothing to take over; the text says why."""
+
+
+class State(NamedTuple):
+    """`seen` names the next process that its writer knows of, `serves` whether its writer takes clients."""
+
+    bans: dict[str, Order]
+    drain: Order
+    seen: str = ""
+    serves: bool = False
+    source: str = ""                     # where discovery answers its writer
+    listed: dict[str, Any] | None = None   # in discovery's own form, and read as such
+    learned: dict[str, Any] | None = None   # the facade's, and read there
+
+
+def text_of(state: State) -> str:
+    return json.dumps({"form": FORM, **state._asdict()}, separators=(",", ":"))
+
+
+def _order(told: Any, of: str) -> Order:
+    if (not isinstance(told, list) or len(told) != 2 or not isinstance(told[0], bool) or isinstance(told[1], bool)
+            or not isinstance(told[1], int) or not 0 <= told[1] <= LATEST):
+        raise BadState(f"{of} is no order")
+    return Order(told[0], told[1])
+
+
+def state_of(text: str | bytes) -> State:
+    try:
+        told = json.loads(text)
+    except (ValueError, RecursionError):
+        raise BadState("is not JSON") from None
+    if not isinstance(told, dict) or told.get("form") != FORM:
+        raise BadState(f"is not of form {FORM}")
+    bans = told.get("bans")
+    if not isinstance(bans, dict):
+        raise BadState("bans: missing")
+    made = {name: _order(one, f"bans: {name}") for name, one in bans.items()}
+    words = [told.get(name, "") for name in ("seen", "source")]
+    if not all(isinstance(word, str) for word in words):
+        raise BadState("seen or source is no text")
+    listed, learned = told.get("listed"), told.get("learned")
+    for part in (listed, learned):
+        if part is not None and not isinstance(part, dict):
+            raise BadState("listed or learned is no object")
+    return State(made, _order(told.get("drain", list(NEVER)), "drain"), words[0], told.get("serves") is True,
+                 words[1], listed, learned)
--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from typing import NamedTuple
 
 from pepperusher import terms
@@ -200,6 +200,34 @@
                 del self._unlisted[name], self._backends[name]
         self._balancer.listed(lines, whole, now)
 
+    def learned(self, now: int) -> dict[str, object]:
+        """What another process of the same proxy can go on from, in plain values: `taught` reads it there."""
+        open_for = {name: max(0, one.open_until - now) if one.state == terms.OPEN else 0
+                    for name, one in self._backends.items() if one.state != terms.CLOSED}
+        times = {name: [use.usual, use.spread] for name, use in self._use_cases.items() if use.usual}
+        return {"open_for": open_for, "times": times, "flow": list(self._balancer.learned(now))}
+
+    def taught(self, told: Mapping[str, object], now: int) -> None:
+        """Raises ValueError where that is not what `learned` gives; nothing of it is taken then."""
+        def whole(value: object) -> int:
+            if isinstance(value, bool) or not isinstance(value, (int, float)) or not 0 <= value < 1e12:
+                raise ValueError(f"{value!r} is no figure")
+            return round(value)
+
+        try:
+            open_for = {name: min(whole(left), OPEN_FOR) for name, left in dict(told["open_for"]).items()}
+            times = {name: (whole(usual), whole(spread)) for name, (usual, spread) in dict(told["times"]).items()}
+            usual, flow, took = map(whole, told["flow"])
+        except (KeyError, TypeError, AttributeError) as error:
+            raise ValueError(f"{type(error).__name__}: {error}") from None
+        for name, left in open_for.items():
+            if (backend := self._backends.get(name)) is not None:
+                backend.state, backend.open_until = terms.OPEN, now + left
+        for name, (known, spread) in times.items():
+            if (use := self._use_cases.get(name)) is not None:
+                use.usual, use.spread = known, spread
+        self._balancer.taught(usual, flow, took, now)
+
     def knows(self, backend: str) -> bool:
         """Whether the list has it, or had it a short time ago."""
         return backend in self._backends
--- a/pepperusher/net/budget.py
+++ b/pepperusher/net/budget.py
@@ -10,6 +10,8 @@
 # Left free: the listener, discovery, the loop's own, files that the interpreter opens, and connections that
 # are closed but not yet let go by the loop.
 RESERVE = 16
+# However little is left beside that, tickets go on.
+LEAST = 16
 # From this part of all on, connections end with their answer.
 SHORT = 0.75
 # From this part on, what was asked once and kept is worth less than its descriptor.
@@ -21,12 +23,22 @@
     def __init__(self, sockets: int, kept_back: int = 0) -> None:
         self._reserve = RESERVE + sockets // 32
         # What is kept back for another purpose, as for operators, is not callers' nor backends'.
-        self.most = sockets - self._reserve - kept_back
+        self._sockets, self._kept_back = sockets, kept_back
+        self.share(1.0)
         self.open = 0
         self._closing = 0
         self._makers: list[Callable[[], bool]] = []   # one for each side, as the proxy is put together
         self._freed = Event()
 
+    def share(self, part: float) -> None:
+        """So much of all descriptors is this process's: another one of the same proxy may hold the rest."""
+        self.most = max(LEAST, int(self._sockets * part) - self._reserve - self._kept_back)
+
+    def trim(self) -> None:
+        """After its part has become less: closes what stands idle above it."""
+        while self.above(1.0) and self._closing < self._reserve // 2 and any(maker() for maker in self._makers):
+            self._closing += 1
+
     def may_close_idle(self, closes_one: Callable[[], bool]) -> None:
         self._makers.append(closes_one)
 
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -13,10 +13,10 @@
 from pepperusher.net.buffers import MOST, Body, Pool
 from pepperusher.net.budget import HALF, SHORT, Budget
 from pepperusher.net.line import Line, adopt
+from pepperusher.net.listening import give_way, listener
 from pepperusher.net.log import Log
 from pepperusher.net.message import HEAD, Answer, BadMessage, Request, framed_answer, plain, receive
 
-BACKLOG = 1024
 # Connections let in one after another before others have their turn.
 BATCH = 16
 # So long after a new connection, or on an older one after a message's first byte, the message is whole, or the
@@ -34,9 +34,32 @@
 # What is no ticket costs as much as one to read. Whoever sends it is heard again after so long.
 PAUSE = 0.1
 
+# Over all that the budget holds, where nothing else would do.
+FOR_ONCE = 2.0
+
 LATE = plain(408, "the request did not end in time")
 
 
+def _accepted(listener: socket.socket) -> socket.socket | None:
+    """The next from the kernel's queue, None where it is empty. At once: a wait that is called off could lose one."""
+    try:
+        taken, _ = listener.accept()
+    except (BlockingIOError, InterruptedError):
+        return None
+    taken.setblocking(False)
+    return taken
+
+
+async def _readable(listener: socket.socket) -> None:
+    loop = asyncio.get_running_loop()
+    ready = loop.create_future()
+    loop.add_reader(listener, lambda: ready.done() or ready.set_result(None))
+    try:
+        await ready
+    finally:
+        loop.remove_reader(listener)
+
+
 class Call:
     """One request from a caller. `on_leave` is told if its client leaves before the answer.
 
@@ -87,7 +110,7 @@
         # Standing between tickets, the longest first; emptied by a ticket's first byte and as connections end.
         self._idle: dict[Caller, None] = {}
         self._closing = False
-        self._listener: socket.socket
+        self._listener: socket.socket | None = None
         self._accepting: asyncio.Task[None]
         budget.may_close_idle(self._close_oldest)
 
@@ -95,21 +118,28 @@
     def open(self) -> int:
         return len(self._serving)
 
-    def listen(self, address: tuple[str, int]) -> int:
+    def listen(self, address: tuple[str, int], shared: bool = False) -> int:
         """The port it listens at."""
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        self._listener = socket.socket(family, socket.SOCK_STREAM)
-        # A proxy starts again under its address while connections of the one before it still time out.
-        self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self._listener.bind(address)
-        self._listener.listen(BACKLOG)
-        self._listener.setblocking(False)
-        self._accepting = asyncio.get_running_loop().create_task(self._accept())
-        return self._listener.getsockname()[1]
-
-    async def _accept(self) -> None:
-        """Never stops: what the kernel has accepted may hold a ticket, which is then ours."""
-        loop = asyncio.get_running_loop()
+        self._listener = listener(address, shared)
+        self._accepting = asyncio.get_running_loop().create_task(self._accept(self._listener))
+        port: int = self._listener.getsockname()[1]
+        return port
+
+    def give_way(self) -> None:
+        """New connections are another process's from now on; what the kernel has queued here is ours still."""
+        assert self._listener is not None
+        give_way(self._listener)
+        # It stands between two accepts, and none is lost by its end.
+        self._accepting.cancel()
+        while (taken := _accepted(self._listener)) is not None:
+            # Beyond its part, but once: left in the queue it would be reset.
+            self._budget.take(FOR_ONCE)
+            self._let_in(taken)
+        self._listener.close()
+        self._listener = None
+
+    async def _accept(self, listener: socket.socket) -> None:
+        """Stops for another process alone: what the kernel has accepted may hold a ticket, which is then ours."""
         for number in count(1):
             if number % BATCH == 0:
                 # What is accepted at once is not waited for; hundreds that come together leave others their turn.
@@ -117,16 +147,20 @@
             while not self._may_let_in():
                 await self._budget.freed()
             try:
-                taken, _ = await loop.sock_accept(self._listener)
+                while (taken := _accepted(listener)) is None:
+                    await _readable(listener)
             except OSError as error:
                 self._budget.give()
                 self._log.say(f"accept failed: {error}")
                 await asyncio.sleep(0.01)
                 continue
-            # Not waited for: in a crowd each turn of the loop is long, and would let in one.
-            serving = loop.create_task(self._serve(taken))
-            self._serving.add(serving)
-            serving.add_done_callback(self._serving.discard)
+            self._let_in(taken)
+
+    def _let_in(self, taken: socket.socket) -> None:
+        # Not waited for: in a crowd each turn of the loop is long, and would let in one.
+        serving = asyncio.get_running_loop().create_task(self._serve(taken))
+        self._serving.add(serving)
+        serving.add_done_callback(self._serving.discard)
 
     def _may_let_in(self) -> bool:
         """Takes a descriptor for one more; where callers have their part, one of theirs makes room."""
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -47,6 +47,10 @@
     return host.strip("[]"), int(port)
 
 
+def text_of_address(address: tuple[str, int]) -> str:
+    return f"[{address[0]}]:{address[1]}" if ":" in address[0] else f"{address[0]}:{address[1]}"
+
+
 def news_of(told: Any) -> News:
     if not isinstance(told, dict) or not isinstance(told.get("servers"), list):
         raise BadList("is not an object with servers")
@@ -86,7 +90,8 @@
         # Our own file's marks on what the list says, and behind them the operators' bans; None where there are none.
         self._marks = marks
         self._orders = orders
-        self._at: dict[str, tuple[str, int]] = {}   # where each listed one is reached; emptied with the list
+        # What the list says of each, and where it is reached; emptied with the list.
+        self._told: dict[str, tuple[Entry, tuple[str, int]]] = {}
         self._source = Source(address, 0)
         # Whom a new configuration has replaced, each with its last watch; emptied when the new one has told, since
         # till then an old watch is better than none.
@@ -99,14 +104,14 @@
         source = source or self._source
         source.version = news.version
         if news.whole:
-            self._at.clear()
+            self._told.clear()
         for entry, address in zip(news.entries, news.addresses):
-            self._at[entry.id] = address
+            self._told[entry.id] = entry, address
         if news.entries or news.whole:
             self.marked(news.entries if self._marks is None else self._marks(news.entries, news.whole), news.whole)
         for entry, address in zip(news.entries, news.addresses):
             if address == GONE:
-                self._at.pop(entry.id, None)
+                self._told.pop(entry.id, None)
 
     def marked(self, entries: list[Entry], whole: bool = False) -> None:
         """Lines as our own file's marks have them: the operators' orders have the last word."""
@@ -115,12 +120,26 @@
     def put(self, entries: list[Entry], whole: bool = False) -> None:
         """Lines as they are to be acted on. What is drained by a mark or an order has no connection kept either."""
         for entry in entries:
-            self._backends.reached_at(entry.id, self._at.get(entry.id, GONE), entry.ready)
+            _, address = self._told.get(entry.id, (None, GONE))
+            self._backends.reached_at(entry.id, address, entry.ready)
         if whole:
             self._backends.only({entry.id for entry in entries})
         if entries or whole:
             self._facade.listed(entries, whole, clock.now())
 
+    @property
+    def source(self) -> str:
+        return text_of_address(self._source.address)
+
+    def listed(self) -> dict[str, Any] | None:
+        """The list as it stands, in discovery's own form; None before its source has told anything."""
+        if self._source.version is None:
+            return None
+        return {"version": self._source.version, "full": True, "servers": [
+            {"id": entry.id, "addr": text_of_address(address), "zone": entry.zone, "cell": entry.cell, "weight": entry.weight,
+             "state": "ready" if entry.ready else "draining", "started_ms": entry.born / 1000}
+            for entry, address in self._told.values()]}
+
     def start(self) -> None:
         self._source.following = asyncio.get_running_loop().create_task(self._follow(self._source, False))
 
@@ -128,6 +147,11 @@
         self._source.following.cancel()
         self._let_go()
 
+    def go_on(self, address: tuple[str, int], news: News) -> None:
+        """Before its start: from another process's list, told at that address."""
+        self._source = Source(address, 0)
+        self.take(news)
+
     def turn_to(self, address: tuple[str, int]) -> None:
         """A new configuration: asked there at once, while the list and the old watch stand till it has told."""
         if address == self._source.address:
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -9,7 +9,7 @@
 import signal
 from collections.abc import Callable
 from itertools import count
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from pepperusher import holds
 from pepperusher.facade import BOUNCE, HOLD, REFERENCED, REPLAYABLE, SCRAP, SEND, Entry, Facade, Step
@@ -18,7 +18,7 @@
 from pepperusher.net.budget import Budget
 from pepperusher.net.buffers import Pool
 from pepperusher.net.callers import SHY, Call, Callers
-from pepperusher.net.discovery import Discovery
+from pepperusher.net.discovery import Discovery, address_of, news_of, text_of_address
 from pepperusher.net.log import Log
 from pepperusher.net.message import Answer, Headers, Request, end_to_end, plain
 from pepperusher.net.told import Told, ToldError
@@ -29,6 +29,7 @@
     from pepperusher.net.house import House
     # Likewise where operators have an address of their own.
     from pepperusher.console.desk import Desk
+    from pepperusher.console.state import State
 
 READY = plain(200, "ready")
 BROKEN = plain(500, "an error in the proxy")
@@ -131,6 +132,7 @@
         self._names: set[bytes] = set()   # of the tickets in hand; emptied as they end
         self._stopping = asyncio.Event()
         self._sent_away_at: int | None = None   # since when the operators have clients sent away
+        self._succeeded = False                 # at its end: whether another process serves on
         self._served = False                    # whether backends have been known
         self.port = 0
         # How late timers have run of late, in microseconds.
@@ -285,7 +287,39 @@
 
     @property
     def _takes_clients(self) -> bool:
-        return self._backends.known and not self._stopping.is_set() and self._sent_away_at is None
+        """Or another process of this proxy does, which answers at the same address."""
+        return (self._backends.known and self._sent_away_at is None
+                and (not self._stopping.is_set() or self._succeeded))
+
+    @property
+    def name(self) -> str:
+        return self._told.name
+
+    def keep_to(self, part: float) -> None:
+        """So much of the descriptors: two processes of one proxy share them."""
+        self._budget.share(part)
+        self._log.say(f"keeps to {self._budget.most} connections")
+
+    def passed_on(self) -> tuple[str, dict[str, Any] | None, dict[str, Any]]:
+        """For the next process: where discovery answers, the list, and what was learned."""
+        return self._discovery.source, self._discovery.listed(), self._facade.learned(clock.now())
+
+    def follow(self, left: State) -> None:
+        """Goes on from what the process before passed on, as far as it can be read."""
+        try:
+            if left.listed is not None and left.source in (self._discovery.source, self._newest_discovery()):
+                self._discovery.go_on(address_of(left.source), news_of(left.listed))
+            if left.learned is not None:
+                self._facade.taught(left.learned, clock.now())
+        except ValueError as error:
+            self._log.say(f"what the process before passed on is not taken: {error}")
+
+    def _newest_discovery(self) -> str:
+        """The file's: it may have been replaced since the environment was set."""
+        try:
+            return text_of_address(self._again().discovery)
+        except ToldError:
+            return ""
 
     def knows(self, backend: str) -> bool:
         return self._facade.knows(backend)
@@ -319,11 +353,13 @@
             loop.add_signal_handler(number, self.stop)
         # Without a handler it ends the process, and with it every ticket in hand.
         loop.add_signal_handler(signal.SIGHUP, self.tell_anew)
-        self.port = self._callers.listen(self._told.listen)
+        if self._desk is not None:
+            await self._desk.enter(self)
+        self.port = self._callers.listen(self._told.listen, self._desk is not None)
         if self._house is not None:
             await self._house.start(self._facade, self._stopping, self._discovery.marked)
         if self._desk is not None:
-            await self._desk.start(self)
+            await self._desk.start()
         self._discovery.start()
         sweep = loop.create_task(self._sweep())
         pace = loop.create_task(self._pace())
@@ -345,6 +381,8 @@
         self._say_counts()
 
     def stop(self) -> None:
+        if not self._stopping.is_set():
+            self._succeeded = self._desk is not None and self._desk.succeeded
         self._stopping.set()
 
     def tell_anew(self) -> None:
@@ -368,13 +406,19 @@
         loop = asyncio.get_running_loop()
         began = loop.time()
         killed = min(self._told.ground.longest_wait / 1e6, LONGEST_GRACE) + MOMENT
-        self._log.say(f"stopping, {self._facade.in_hand} tickets in hand")
+        self._log.say(f"stopping, {self._facade.in_hand} tickets in hand"
+                      + (", another process serves on" if self._succeeded else ""))
         last = killed - GIVEN_UP
         self._facade.close_at(clock.now() + round(last * 1e6))
         if self._house is not None:
             self._house.standing.close_at(clock.now() + round(last * 1e6))
         loop.call_later(last, self._backends.give_up_all, "timed out")
-        await asyncio.sleep(STILL_COMING)
+        if self._succeeded:
+            # New ones are the next process's, and those here end as they are answered.
+            self._callers.give_way()
+            self._callers.close_after_answers()
+        else:
+            await asyncio.sleep(STILL_COMING)
         while (passed := loop.time() - began) < killed - ENDED and self._callers.open:
             if passed >= last - CLOSED_BEFORE:
                 self._callers.close_after_answers()
@@ -390,6 +434,7 @@
                 # Not at once: those whose connections close would open new ones, and the front still sends those here.
                 if self._sent_away_at is not None and clock.now() - self._sent_away_at >= SENT_AWAY:
                     self._callers.close_idle(SHY)
+                self._budget.trim()
                 if self._desk is not None:
                     self._desk.sweep()
             except Exception as error:   # what it closes nobody else does: it goes on
--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -445,6 +445,15 @@
         ticket.over = True
         ticket.pause = 0 if self._calls_off else -1
 
+    def learned(self, now: int) -> tuple[int, float, float]:
+        """What another process of the same proxy is `taught`: else it takes itself for new, and the jam for its doing."""
+        return self._usual, self._flow_now(now), self._took * exp((self._took_at - now) / self._warm_after)
+
+    def taught(self, usual: int, flow: float, took: float, now: int) -> None:
+        self._usual, self._flow, self._took = usual, flow, took
+        self._flow_at = self._took_at = self._done_at = now
+        self._started = min(self._started, now - 9 * self._flow_span)
+
     # --- the breaker ------------------------------------------------------------------------------
 
     def _admits(self, backend: Backend, now: int) -> bool:
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -13,6 +13,7 @@
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from pepperusher import terms
 from pepperusher.console.desk import Desk
@@ -190,8 +191,15 @@
 class Street(Kept, unittest.IsolatedAsyncioTestCase):
     """A whole proxy on loopback between a toy client, toy backends and a toy discovery."""
 
-    async def open(self, *names: str, own: str | None = None, **changes: object) -> None:
-        """`own` is the text of the proxy's own file, at `own_file`."""
+    async def open(self, *names: str, own: str | None = None, passed: str | None = None, **changes: object) -> None:
+        """`own` is the text of the proxy's own file, at `own_file`; `passed` the folder for what processes pass on."""
+        if passed is None and "console" in changes:
+            kept = tempfile.TemporaryDirectory()
+            self.addCleanup(kept.cleanup)
+            passed = kept.name
+        environment = mock.patch.dict(os.environ, {"TMPDIR": passed or ""})
+        environment.start()
+        self.addCleanup(environment.stop)
         self.lines = []
         self.logged: list[str] = []
         self.toys = {name: Toy(name, self.lines) for name in names}
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,245 @@
+"""One process in place of another: whole processes on loopback, and the state that passes between them."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from pathlib import Path
+
+from pepperusher.console.orders import NEVER, Order
+from pepperusher.console.place import seats
+from pepperusher.console.state import BadState, State, state_of, text_of
+from pepperusher.facade import Entry, Facade
+from pepperusher.ground import ground
+
+from tests.scene import SECOND, SETTINGS, Kept, Street
+
+
+class Passed(Kept):
+    def test_what_another_left_is_read_as_a_stranger_s(self) -> None:
+        self.lines = []
+        good = State({"a": Order(True, 5), "b": Order(False, 9)}, Order(True, 7), "next", True, "127.0.0.1:1",
+                     {"version": 4, "full": True, "servers": []}, {"times": {}})
+        self.assertEqual(good, state_of(text_of(good)))
+        told = json.loads(text_of(good))
+        for what, text in (("nothing", ""), ("half", text_of(good)[:70]), ("deep", "[" * 100_000), ("a list", "[]"),
+                           ("another release's", json.dumps({**told, "form": 2})),
+                           ("no bans", json.dumps({**told, "bans": None})),
+                           ("a ban without a time", json.dumps({**told, "bans": {"a": [True]}})),
+                           ("a ban that is no order", json.dumps({**told, "bans": {"a": [1, 5]}})),
+                           ("a time of no sort", json.dumps({**told, "bans": {"a": [True, 1e300]}})),
+                           ("a drain that is none", json.dumps({**told, "drain": "yes"})),
+                           ("a list that is none", json.dumps({**told, "listed": 3})),
+                           ("a name that is none", json.dumps({**told, "seen": {}}))):
+            try:
+                self.lines.append(f"{what}: {state_of(text)}")
+            except BadState as error:
+                self.lines.append(f"{what}: {error}")
+        self.kept("handover_state")
+
+    def test_what_was_learned_goes_on_elsewhere(self) -> None:
+        """A breaker that is open stays so for the rest of its period; words that are no figures change nothing."""
+        facades = [Facade(ground(SETTINGS, 5), 100 * SECOND, lambda _: None) for _ in range(2)]
+        for facade in facades:
+            facade.listed([Entry("a", "here", 1, 1.0, 0, True), Entry("b", "here", 1, 1.0, 0, True)], True, 100 * SECOND)
+        first, second = facades
+        for number in range(40):
+            now = (100 + number // 10) * SECOND
+            ticket = first.take("look", "", now, SECOND, 0)
+            step = first.pick(ticket, now)
+            while step.what == "send":
+                step = first.report(ticket, "done" if step.backend == "a" else "reset", now + 20_000)
+            first.settle(ticket, now + 20_000)
+        now = 104 * SECOND
+        learned = json.loads(json.dumps(first.learned(now)))
+        for bad in ({}, {**learned, "open_for": {"a": "soon"}}, {**learned, "flow": [1]}, {**learned, "times": {"look": [-1, 0]}}):
+            self.assertRaises(ValueError, second.taught, bad, now)
+        self.assertEqual({"open_for": {}, "times": {}, "flow": [0, 0.0, 0.0]}, second.learned(now))
+        second.taught(learned, now)
+        self.assertEqual(list(learned["open_for"]), ["b"])
+        self.assertEqual(first.backends()[1]["open_until"], second.backends()[1]["open_until"])
+        self.assertEqual(learned["times"], second.learned(now)["times"])
+
+    def test_who_sits_where(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            first, following = seats(folder, "p/1")
+            again, _ = seats(folder, "p/1")
+            self.assertTrue(first.take())
+            self.assertEqual((False, True, False), (again.take(), again.taken(), first.taken()))
+            first.write(State({}, NEVER, "x"))
+            self.assertEqual("x", again.read().seen)
+            self.assertIsNone(again.read())   # nothing new
+            first.close()
+            self.assertTrue(again.take())
+            Path(folder, "pepperusher.p%2f1.state").write_bytes(b'{"form":1,"bans"')
+            self.assertRaises(BadState, again.read)
+            following.close()
+            again.close()
+
+
+class Process:
+    """`serve` as the platform starts it."""
+
+    def __init__(self, street: Replaced, console: str) -> None:
+        self.street, self.console = street, console
+
+    async def start(self) -> Process:
+        self.log = tempfile.TemporaryFile("w+")
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "pepperusher", "serve", "--config", str(self.street.file), "--console", self.console,
+            env={**os.environ, "TMPDIR": self.street.folder}, stderr=self.log)
+        return self
+
+    async def ready(self) -> None:
+        async with asyncio.timeout(10):
+            while "200" not in await self.call("GET", "/-/ready"):
+                await asyncio.sleep(0.02)
+
+    async def call(self, method: str, path: str) -> str:
+        host, port = self.console.split(":")
+        try:
+            reader, writer = await asyncio.open_connection(host, int(port))
+        except OSError:
+            return "nobody"
+        writer.write(f"{method} {path} HTTP/1.1\r\nHost: c\r\n\r\n".encode())
+        said = (await reader.read()).decode().split("\r\n")[0]
+        writer.close()
+        return said
+
+    async def end(self, how: int = signal.SIGTERM) -> int:
+        if self.process.returncode is None:
+            self.process.send_signal(how)
+        async with asyncio.timeout(10):
+            return await self.process.wait()
+
+
+def free_port() -> int:
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        port: int = taken.getsockname()[1]
+        return port
+
+
+class Replaced(Street):
+    """Clients, backends and discovery are the test's, the proxy is as many processes as it takes."""
+
+    async def stand(self, *names: str) -> None:
+        await self.open(*names)   # a proxy in this process, for its toys alone
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = folder.name
+        self.port = free_port()
+        given = {**json.loads(self.given), "listen": f"127.0.0.1:{self.port}"}
+        self.file = Path(self.folder, "config.json")
+        self.file.write_text(json.dumps(given))
+        self.processes: list[Process] = []
+        self.ends: dict[str, int] = {}
+        self.number = 1000
+
+    async def process(self) -> Process:
+        made = await Process(self, f"127.0.0.1:{free_port()}").start()
+        self.processes.append(made)
+        await made.ready()
+        return made
+
+    async def client(self, kept: bool, stop: asyncio.Event) -> None:
+        """Asks one ticket after another; a connection that was closed between two is no fault, a ticket cut off is one."""
+        at = None
+        while not stop.is_set():
+            self.number += 1
+            number = self.number
+            try:
+                if at is None:
+                    at = await asyncio.open_connection("127.0.0.1", self.port)
+                at[1].write(self.request("look", number))
+                async with asyncio.timeout(3):
+                    said = await self.hear(at[0])
+            except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+                said, at = type(error).__name__, None
+            word = said.split()[0] if said[0].isdigit() else said
+            self.ends[word] = self.ends.get(word, 0) + 1
+            if at is not None and (not kept or "closing" in said or said[0] == "t"):
+                at[1].close()
+                at = None
+            await asyncio.sleep(0.005)
+
+    async def asyncTearDown(self) -> None:
+        for one in self.processes:
+            if one.process.returncode is None:
+                one.process.kill()
+                await one.process.wait()
+            one.log.close()
+        await super().asyncTearDown()
+
+    async def test_a_process_is_replaced_under_load_with_a_ban_and_a_drain_in_force(self) -> None:
+        await self.stand("a1", "b1")
+        first = await self.process()
+        stop = asyncio.Event()
+        clients = [asyncio.create_task(self.client(number % 2 == 0, stop)) for number in range(8)]
+        self.assertIn("200", await first.call("POST", "/-/backends/a1/disable"))
+        await asyncio.sleep(0.1)
+        del self.lines[:]
+        for _ in range(2):
+            second = await self.process()
+            self.assertIsNone(first.process.returncode)
+            ending = asyncio.create_task(first.end())
+            # Called at either while both live, an order holds at both, and for whoever comes next.
+            self.assertIn("200", await second.call("POST", "/-/drain"))
+            self.assertEqual(0, await ending)
+            self.assertIn("200", await second.call("POST", "/-/resume"))
+            await asyncio.sleep(0.2)
+            first = second
+        stop.set()
+        await asyncio.gather(*clients)
+        self.assertEqual([], [line for line in self.lines if "    a1 gets" in line])
+        self.assertGreater(len(self.lines), 100)
+        # Kept connections close between tickets; nothing was refused, reset, bounced, or ended without an answer.
+        self.assertEqual({"200"}, set(self.ends) - {"the"}, self.ends)
+        self.assertLessEqual(self.ends.get("the", 0), 2)
+        del self.lines[:]
+        self.assertIn("200", await first.call("POST", "/-/backends/a1/enable"))
+        async with asyncio.timeout(8):
+            while not any("    a1 gets" in line for line in self.lines):
+                await self.ask("look", self.request("look", self.number), await asyncio.open_connection("127.0.0.1", self.port))
+                self.number += 1
+
+    async def test_a_next_process_that_dies_leaves_the_first_whole_and_a_killed_one_is_followed(self) -> None:
+        await self.stand("a1", "b1")
+        first = await self.process()
+        second = await self.process()
+        self.assertEqual(-signal.SIGKILL, await second.end(signal.SIGKILL))
+        self.assertIn("200", await first.call("POST", "/-/backends/b1/disable"))
+        self.assertIn("200", await first.call("POST", "/-/drain"))
+        for name in ("pepperusher.p1.next.state", "pepperusher.p1.next.state.new"):
+            Path(self.folder, name).write_text('{"form":1,"bans":{"a1":[tr')
+        third = await self.process()
+        del self.lines[:]
+        await first.end(signal.SIGKILL)
+        at = await asyncio.open_connection("127.0.0.1", self.port)
+        at[1].write(b"GET /ready HTTP/1.1\r\nHost: p\r\n\r\n")
+        self.assertIn("503", await self.hear(at[0]))   # the drain that it was told of stays in force
+        self.assertIn("200", await third.call("POST", "/-/resume"))
+        for number in range(4):
+            at = await asyncio.open_connection("127.0.0.1", self.port)
+            await self.ask("look", self.request("look", number), at)
+        self.assertEqual(4, sum("    a1 gets" in line for line in self.lines))
+        # Alone after all of them, over what the day before left: the ban stands, a drain does not.
+        self.assertIn("200", await third.call("POST", "/-/drain"))
+        await third.end(signal.SIGKILL)
+        fourth = await self.process()
+        at = await asyncio.open_connection("127.0.0.1", self.port)
+        at[1].write(b"GET /ready HTTP/1.1\r\nHost: p\r\n\r\n")
+        self.assertIn("200", await self.hear(at[0]))
+        self.assertIn("200", await fourth.call("POST", "/-/backends/b1/enable"))
+
+    async def test_a_folder_that_can_t_be_written_is_said_and_the_proxy_serves(self) -> None:
+        await self.open("a1", console="127.0.0.1:1", passed="/nowhere")
+        self.assertTrue(any("/nowhere: No such file or directory" in line for line in self.logged), self.logged)
+        self.processes = []
+        await self.ask("look", self.request("look", 1))
+        self.assertIn("200", self.lines[-1])
