New settings at SIGHUP are in force at once, and a broken file is turned down whole

Seen: 'use case is not known here' for all tickets of the new use cases, since SIGHUP took discovery alone; of a file with 0 transmissions the discovery was taken. Now a file is held against the keys of the one in force and its figures checked, then the facade hands it to the module in one call, which derives its figures again (policy.py: __init__'s part for them is _tune, listed()'s is _lay).

--- a/pepperusher/__main__.py
+++ b/pepperusher/__main__.py
@@ -81,8 +81,8 @@
     elif given:
         raise click.ClickException("--set: there is no --own file whose values it could replace")
 
-    def again() -> told.Told:
-        return told.read(config, name=name, listen=listen, discovery=discovery, console=console, file_first=True)
+    def again(before: told.Told) -> told.Told:
+        return told.read(config, name=name, listen=listen, discovery=discovery, console=console, before=before)
 
     try:
         run(read, again, house, desk)
--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -56,15 +56,40 @@
         # On sockets nobody pushes the list: a watch has to be asked for, whatever the settings call it.
         ground.must_ask = True
         self._balancer = Balancer(ground, now, say)
-        self._use_cases = {use.name: use for use in ground.use_cases}
-        self._customers = {customer.name: customer for customer in ground.customers}
+        self._take_up(ground)
         self._backends: dict[str, Backend] = {}     # emptied by the list's news, long after they left it
         self._unlisted: dict[str, int] = {}         # since when; emptied likewise, and when they come back
+        self._latest: int | None = None
+        self._tickets: set[Ticket] = set()          # in hand; emptied as they are settled
+
+    def _take_up(self, ground: Ground) -> None:
+        self._use_cases = {use.name: use for use in ground.use_cases}
+        self._customers = {customer.name: customer for customer in ground.customers}
+        self._most = ground.most_transmissions
         # A backend off the list may come back under its id. Its breaker tells something while it could still be open
         # for a ticket that is in hand now; kept for longer, ids that are ever new would pile up.
         self._remembered = OPEN_FOR + ground.longest_wait
-        self._latest: int | None = None
-        self._tickets: set[Ticket] = set()          # in hand; emptied as they are settled
+
+    def retuned(self, ground: Ground, now: int) -> None:
+        """Other settings from now on, all of them at once.
+
+        A ticket in hand keeps the use case that it was taken under, and goes out no more often than either ground allows:
+        the module asks its own figure too. What is known of use cases and customers that stay is kept.
+        """
+        ground.must_ask = True
+        for ticket in self._tickets:
+            ticket.most = min(ticket.most, self._most)
+        for at, use in enumerate(ground.use_cases):
+            was = self._use_cases.get(use.name)
+            if was is not None:
+                use.usual, use.spread = was.usual, was.spread
+                if use.same_terms(was):
+                    ground.use_cases[at] = was
+        for customer in ground.customers:
+            if (known := self._customers.get(customer.name)) is not None:
+                customer.allowance, customer.counted_at = known.allowance, known.counted_at
+        self._balancer.retuned(ground, now)
+        self._take_up(ground)
 
     # --- tickets ----------------------------------------------------------------------------------
 
--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -86,6 +86,10 @@
         self._doors: dict[str, Door] = {}   # emptied by the list, once nothing is out there
         budget.may_close_idle(self._close_oldest)
 
+    def retuned(self, connect_within: int, idle_most: int) -> None:
+        self._connect_within, self._idle_most = connect_within / 1e6, idle_most // 2
+        self._kept_most = min(self._kept_most, self._idle_most)
+
     @property
     def known(self) -> bool:
         return any(door.listed for door in self._doors.values())
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -114,6 +114,9 @@
         self._accepting: asyncio.Task[None]
         budget.may_close_idle(self._close_oldest)
 
+    def retuned(self, longest_wait: int) -> None:
+        self._longest_wait = longest_wait
+
     @property
     def open(self) -> int:
         return len(self._serving)
--- a/pepperusher/net/house.py
+++ b/pepperusher/net/house.py
@@ -109,6 +109,11 @@
     def _parse(self, text: str, source: str) -> Read:
         return reading.parse(text, source, self._ground, self._environment, self._given)
 
+    def retuned(self, ground: Ground) -> None:
+        """The operators' settings as they are now; the own file is read against them from here on."""
+        self._ground = ground
+        self._longest_advice = ground.longest_advice or LONGEST_ADVICE
+
     def _list_again(self, lines: list[Entry]) -> None:
         self._lines(lines)
 
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -52,6 +52,8 @@
 # Sound limits of what a caller may say; more is absurd.
 LONGEST_WAIT = 3600 * 1_000_000
 UNITS = {b"m": 1000, b"u": 1}
+# What a new configuration can't change in a process that serves.
+AT_A_START = ("name", "listen", "sockets", "console")
 # The ends of a transmission that tell of the time that work takes.
 WORKED = ("done", "error", "timed out", "reset")
 ENDS = {BOUNCE: "bounced", SCRAP: "scrapped"}
@@ -113,7 +115,8 @@
 
 
 class Proxy:
-    def __init__(self, told: Told, again: Callable[[], Told], own: Callable[[Ground, Log], House] | None = None,
+    def __init__(self, told: Told, again: Callable[[Told], Told],
+                 own: Callable[[Ground, Log], House] | None = None,
                  desk: Callable[[tuple[str, int], Ground, Log], Desk] | None = None) -> None:
         self._told = told
         self._again = again
@@ -317,7 +320,7 @@
     def _newest_discovery(self) -> str:
         """The file's: it may have been replaced since the environment was set."""
         try:
-            return text_of_address(self._again().discovery)
+            return text_of_address(self._again(self._told).discovery)
         except ToldError:
             return ""
 
@@ -386,15 +389,24 @@
         self._stopping.set()
 
     def tell_anew(self) -> None:
-        """The configuration may have been replaced: where discovery answers is taken from it, all else at a start."""
+        """The configuration may have been replaced: settings and where discovery answers are taken from it, all else at a start."""
         try:
-            told = self._again()
+            told = self._again(self._told)
         except ToldError as error:
             self._log.say(f"the new configuration is not taken: {error}")
             return
-        self._log.say(f"configuration read anew, discovery at {told.discovery[0]}:{told.discovery[1]}")
+        before = self._told
+        self._log.say(f"configuration read anew, discovery at {text_of_address(told.discovery)},"
+                      f" use cases {', '.join(use.name for use in told.ground.use_cases)}")
+        if stays := [name for name in AT_A_START if getattr(told, name) != getattr(before, name)]:
+            self._log.say(f"not before the next start: {', '.join(stays)}")
+        self._told = told
+        self._facade.retuned(told.ground, clock.now())
+        self._backends.retuned(told.connect_within, told.idle_most)
+        self._callers.retuned(told.ground.longest_wait)
         self._discovery.turn_to(told.discovery)
         if self._house is not None:
+            self._house.retuned(told.ground)
             self._house.hang_up()
 
     async def _drain(self) -> None:
@@ -458,8 +470,8 @@
             self._log.say(f"did not hold {count} times: {what}")
 
 
-def run(told: Told, again: Callable[[], Told], own: Callable[[Ground, Log], House] | None = None,
+def run(told: Told, again: Callable[[Told], Told], own: Callable[[Ground, Log], House] | None = None,
         desk: Callable[[tuple[str, int], Ground, Log], Desk] | None = None) -> None:
-    """`again` reads the configuration anew; `own` makes what our own file has the proxy do, where there is one, and
+    """`again` reads the configuration anew, beside the one in force; `own` makes what our own file has the proxy do, where there is one, and
     `desk` what operators can call, where they have an address."""
     asyncio.run(Proxy(told, again, own, desk).serve())
--- a/pepperusher/net/told.py
+++ b/pepperusher/net/told.py
@@ -14,13 +14,18 @@
 KEEPALIVE = 10_000.0
 
 
+# Objects of the file whose keys are fixed, and lists whose entries' keys are.
+FIXED = ((), ("limits",), ("settings",), ("settings", "policy-limits"), ("settings", "rules"), ("settings", "family-info"))
+EACH = (("settings", "use-cases"), ("settings", "customers"))
+
+
 class ToldError(ValueError):
     """A configuration that cannot be served from; its text is one clear line."""
 
 
 class Told:
     __slots__ = ("name", "listen", "discovery", "sockets", "known", "ground", "connect_within", "idle_most",
-                 "console")
+                 "console", "keys")
 
     name: str
     listen: tuple[str, int]
@@ -31,6 +36,7 @@
     connect_within: int
     idle_most: int
     console: tuple[str, int] | None   # None where operators have no address of their own
+    keys: dict[str, frozenset[str]]   # which each object of the file has, for the next file to be held against
 
 
 def _address(given: str | None, of: dict[str, Any], name: str) -> tuple[str, int]:
@@ -40,11 +46,44 @@
         raise ToldError(f"{name}: {error}") from None
 
 
+def _at(of: Any, where: tuple[str, ...]) -> Any:
+    for name in where:
+        of = of.get(name) if isinstance(of, dict) else None
+    return of
+
+
+def _keys(of: dict[str, Any]) -> dict[str, frozenset[str]]:
+    made = {}
+    for where in FIXED:
+        if isinstance(one := _at(of, where), dict):
+            made[": ".join(where)] = frozenset(one)
+    for where in EACH:
+        if isinstance(several := _at(of, where), list) and several and all(isinstance(one, dict) for one in several):
+            made[": ".join(where)] = frozenset.intersection(*map(frozenset, several))
+    return made
+
+
+def _check(made: Told, settings: dict[str, Any]) -> None:
+    """What can't be worked by, though each figure can be read."""
+    names = [use.name for use in made.ground.use_cases]
+    for use in made.ground.use_cases:
+        if use.outer_limit <= 0:
+            raise ToldError(f"settings: use-cases: {use.name}: outer-limit is no number above 0")
+        if use.promised < 0:
+            raise ToldError(f"settings: use-cases: {use.name}: promised-time is under 0")
+        if names.count(use.name) > 1:
+            raise ToldError(f"settings: use-cases: {use.name} stands there twice")
+    most = part(settings, "policy-limits", dict).get("most-transmissions", 1)
+    if not most >= 1 or most != int(most):
+        raise ToldError(f"settings: policy-limits: most-transmissions: {most!r} is no whole number above 0")
+
+
 def read(path: str, name: str | None = None, listen: str | None = None, discovery: str | None = None,
-         console: str | None = None, file_first: bool = False) -> Told:
+         console: str | None = None, before: Told | None = None) -> Told:
     """The file at `path`; what is given beside it goes before it.
 
-    `file_first` is for a file that was replaced under way: the discovery that it names is the newer word.
+    `before` is what a file that was replaced under way had told: the discovery that the new one names is the newer word, and
+    each key that the old one has must be there, since a default would stand for what was cut off by mistake.
     """
     try:
         with open(path, encoding="utf-8") as file:
@@ -56,9 +95,13 @@
     if not isinstance(of, dict):
         raise ToldError(f"{path}: is not an object")
     made = Told()
+    made.keys = _keys(of)
+    for where, keys in (before.keys if before is not None else {}).items():
+        if missing := sorted(keys - made.keys.get(where, frozenset())):
+            raise ToldError(f"{where}: {missing[0]}: missing" if where else f"{missing[0]}: missing")
     made.name = name or str(of.get("name", "proxy"))
     made.listen = _address(listen, of, "listen")
-    made.discovery = _address(None if file_first and "discovery" in of else discovery, of, "discovery")
+    made.discovery = _address(None if before is not None and "discovery" in of else discovery, of, "discovery")
     made.console = _address(console, of, "console") if console or of.get("console") is not None else None
     try:
         seed = int(str(of.get("seed", "0")), 16)
@@ -75,6 +118,7 @@
         made.ground = ground(settings, seed)
         if not made.ground.use_cases:
             raise ToldError("settings: use-cases: there is none")
+        _check(made, settings)
         allowed = part(settings, "policy-limits", dict)
         made.connect_within = span(allowed, "connect-timeout", CONNECT_WITHIN)
         made.idle_most = span(allowed, "keepalive", KEEPALIVE)
--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -57,27 +57,15 @@
         chance = Random(ground.seed)
         self._chance = chance.random
         self._say = say
-        self._first_tier, self._limit_passed = ground.stage == 0, ground.passes_limit
-        self._by_work, self._last_tier = ground.importance_by_work, ground.last_tier
-        self._most, self._calls_off = ground.most_transmissions, ground.may_call_off
-        self._longest_advice = ground.longest_advice if ground.may_advise else 0
-        self._zone, self._zones = ground.zone, len(ground.zones)
-        self._use_cases = [use for use in ground.use_cases if use.promised > 0 and use.importance > 0]
+        self._tune(ground)
         self._usual = 0
-        self._group = max(1, ground.group_size)
-        self._cold_share, self._warm_after = ground.cold_share, max(1, ground.warm_after)
-        # Half the rule's multiple: the other half is for what other proxies and chance add.
-        self._cold_rate = ground.tip_multiple / 2
-        self._cold_least = SECOND / max(1, ground.overload_for)
         self._must_ask = ground.must_ask
-        self._ask_longest = max(SECOND, ground.ask_within // 2)
         self._ask_step, self._ask_at = 0, now
         self._asked = not ground.must_ask
         self._list_lost = False
         self._backends: list[Backend] = []   # emptied by the list: holds what it names as ready
         self._ring: deque[Backend] = deque()   # the same, this proxy's part of it first
         self._part_weight, self._part_grown, self._sharing, self._mean = 0.0, 1.0, 1.0, 0.0
-        self._position = ground.ordinal * GOLDEN % 1.0
         self._young: list[Backend] = []      # emptied by age
         self._flow = 0.0
         self._flow_at = self._started = now
@@ -86,6 +74,31 @@
         self._done_at, self._gap = now, FLOW_SPAN // FLOW_LEAST
         self._held, self._spare = 0.0, SPARE_MOST
 
+    def _tune(self, ground: Ground) -> None:
+        """The figures that are derived from the ground alone."""
+        self._first_tier, self._limit_passed = ground.stage == 0, ground.passes_limit
+        self._by_work, self._last_tier = ground.importance_by_work, ground.last_tier
+        self._most, self._calls_off = ground.most_transmissions, ground.may_call_off
+        self._longest_advice = ground.longest_advice if ground.may_advise else 0
+        self._zone, self._zones = ground.zone, len(ground.zones)
+        self._use_cases = [use for use in ground.use_cases if use.promised > 0 and use.importance > 0]
+        self._group = max(1, ground.group_size)
+        self._cold_share, self._warm_after = ground.cold_share, max(1, ground.warm_after)
+        # Half the rule's multiple: the other half is for what other proxies and chance add.
+        self._cold_rate = ground.tip_multiple / 2
+        self._cold_least = SECOND / max(1, ground.overload_for)
+        self._ask_longest = max(SECOND, ground.ask_within // 2)
+        self._position = ground.ordinal * GOLDEN % 1.0
+
+    def retuned(self, ground: Ground, now: int) -> None:
+        """Other settings from now on. Use cases that stay are the same objects, and so what is known of them stays."""
+        self._tune(ground)
+        for backend in self._backends:
+            for table in (backend.runs, backend.shut):
+                for use in [use for use in table if use not in ground.use_cases]:
+                    del table[use]
+        self._lay(now)
+
     # --- where to send this ticket ----------------------------------------------------------------
 
     def where(self, ticket: Ticket, now: int) -> Backend | int:
@@ -365,6 +378,14 @@
             backend.weight, backend.born = line.weight, line.born
             kept[id(backend)] = backend
         self._backends = list(kept.values())
+        self._lay(now)
+        if self._list_lost:
+            self._list_lost = False
+            self._ask_step = 0
+            self._say(f"list regained, {len(self._backends)} backends ready")
+
+    def _lay(self, now: int) -> None:
+        """What each backend counts for, by the list and the ground."""
         self._weigh_zones()
         self._lay_ring()
         for backend in self._backends:
@@ -372,10 +393,6 @@
             # a heavy one that has slowed gather calls till they time out; for the part this proxy has in it.
             backend.room = backend.portion / sqrt(backend.weight)
         self._young = self._age(self._backends, now)
-        if self._list_lost:
-            self._list_lost = False
-            self._ask_step = 0
-            self._say(f"list regained, {len(self._backends)} backends ready")
 
     def _weigh_zones(self) -> None:
         """Calls stay in this zone as far as its part of the weights carries an even part of the traffic.
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -43,6 +43,10 @@
 HALF_OPEN = 42
 
 
+# What is learned of a use case, beside its terms.
+LEARNED = ("usual", "spread")
+
+
 class UseCase:
     """One use case: its terms, and what this balancer has learned of its times (two figures)."""
 
@@ -64,6 +68,9 @@
         self.usual = 0
         self.spread = 0
 
+    def same_terms(self, other: UseCase) -> bool:
+        return all(getattr(self, name) == getattr(other, name) for name in self.__slots__ if name not in LEARNED)
+
 
 class Customer:
     """One customer: its share in tickets a second over all proxies, and this proxy's allowance of it."""
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -230,11 +230,11 @@
         self.serving = asyncio.create_task(self.proxy.serve())
         await self.until(lambda: self.proxy.port and (self.watches or not names))
 
-    def read_again(self) -> told.Told:
+    def read_again(self, before: told.Told | None = None) -> told.Told:
         with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
             file.write(self.given)
             file.flush()
-            return told.read(file.name, discovery="127.0.0.1:1", file_first=True)
+            return told.read(file.name, discovery=None if "discovery" in self.given else "127.0.0.1:1", before=before)
 
     def line(self, name: str, state: str = "ready") -> dict[str, object]:
         return {"id": name, "addr": f"127.0.0.1:{self.toys[name].port}", "zone": "here", "cell": int(name[1:]),
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -535,8 +535,9 @@
         was = self.given
         for given, watches in (("{", 1), (1, 1), (ports[0], 2), (ports[1], 3)):
             self.given = given if given == "{" else json.dumps({**json.loads(was), "discovery": f"127.0.0.1:{given}"})
+            said = len(self.logged)
             os.kill(os.getpid(), signal.SIGHUP)
-            await self.until(lambda: len(self.watches) == watches and "new" in self.logged[-1 - (given == 1)])
+            await self.until(lambda: len(self.watches) == watches and any("new" in line for line in self.logged[said:]))
         await asyncio.wait_for(self.heard[1].read(), 5)
         self.news(5, self.line("a1", "draining"), watch=0)
         await self.until(lambda: not self.proxy._backends._doors.get("a1"))
