Bodies and answers up to 32 MB flow through; who is slow or gone is decided anew

Ruled out: processor time (0.24 of a second at the most), descriptors. The earlier refusals of 64 KiB are out, as are those of an answer without a length, which ends with its connection.

--- a/pepperusher/console/door.py
+++ b/pepperusher/console/door.py
@@ -11,7 +11,7 @@
 from pepperusher.net.buffers import Body, Pool
 from pepperusher.net.line import Line
 from pepperusher.net.log import Log
-from pepperusher.net.message import HEAD, Answer, BadMessage, framed_answer, plain, receive
+from pepperusher.net.message import HEAD, Answer, BadMessage, framed_answer, plain, read_head, read_held
 
 # Connections at once. A further one takes the place of whoever has said least for longest.
 PLACES = 6
@@ -62,9 +62,12 @@
             answer = plain(408, "the call did not end in time")
             try:
                 async with asyncio.timeout(WITHIN):
-                    head = await receive(parser, line, body)
+                    head = await read_head(parser, line)
                     if head is None:
                         return
+                    if not await read_held(parser, line, body):
+                        raise BadMessage(413, "a call has no body")
+                    assert isinstance(head, h11.Request)
                     answer = self._answer(head.method, head.target)
             except BadMessage as bad:
                 answer = plain(bad.status, str(bad))
--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -20,6 +20,8 @@
 HOW = {"done": terms.DONE, "error": terms.ERROR, "full": terms.FULL, "timed out": terms.TIMED_OUT,
        "unreached": terms.UNREACHED, "reset": terms.RESET, "called off": terms.CALLED_OFF, "moot": terms.MOOT,
        "turned away": terms.MOOT, "unknown": terms.UNKNOWN}
+# While a trial is set aside it is not overdue.
+FOR_NOW = 3600 * 1_000_000
 # Whether a ticket may run again.
 REPLAYABLE, REFERENCED, SINGLE_USE = "replayable", "referenced", "single-use"
 REPEAT = {terms.REPLAYABLE: REPLAYABLE, terms.REFERENCED: REFERENCED, terms.SINGLE_USE: SINGLE_USE}
@@ -160,12 +162,45 @@
         """It goes out `most` times at the most, if the settings do not say less."""
         ticket.most = max(1, min(ticket.most, most))
 
+    def aside(self, ticket: Ticket, now: int) -> None:
+        """Its body still comes, or its answer is passed on: a slow client, of which the backend's calls in flight, its time
+        and its breaker must tell nothing. Until `back`, or the report."""
+        sent = ticket.transmissions[-1]
+        if sent.aside is None and sent.ended is None:
+            sent.aside = now
+            sent.backend.in_flight -= 1
+            if sent.trial and sent.generation == sent.backend.generation:
+                sent.backend.trial_due = now + FOR_NOW
+
+    def back(self, ticket: Ticket, now: int) -> None:
+        """Its last byte is written: the ticket's time and the transmission's run from here."""
+        self._back(ticket.transmissions[-1], now)
+
+    @staticmethod
+    def _back(sent: terms.Transmission, now: int) -> None:
+        if sent.aside is None:
+            return
+        ticket, stood = sent.ticket, now - sent.aside
+        sent.aside = None
+        sent.backend.in_flight += 1
+        sent.sent += stood
+        ticket.came += stood
+        ticket.until += stood
+        if sent.trial and sent.generation == sent.backend.generation:
+            sent.backend.trial_due = sent.sent + sent.patience
+
+    def begun(self, ticket: Ticket, now: int) -> None:
+        """Its answer is passed on from here: no other can be its answer any more."""
+        self._balancer.begun(ticket.transmissions[-1])
+        self.aside(ticket, now)
+
     def report(self, ticket: Ticket, how: str, now: int, again: bool = True) -> Step:
         """The transmission that was out has ended; tells what to do next. Not `again`: whatever it was, it was the last."""
         sent = ticket.transmissions[-1]
         must_hold(sent.ended is None, "a transmission ends once")
         if sent.ended is not None:
             return OVER
+        self._back(sent, now)
         if not again:
             ticket.most = min(ticket.most, len(ticket.transmissions))
         answer = self._balancer.after(sent, HOW[how], how == "done", now)
@@ -187,6 +222,7 @@
         """The last word on a ticket, whatever became of it: nothing of it may stay in flight."""
         for sent in ticket.transmissions:
             if sent.ended is None:
+                self._back(sent, now)
                 self._balancer.after(sent, terms.UNKNOWN, True, now)
         ticket.over = True
         # Each points to its ticket: they would stay until a collection.
--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -3,24 +3,20 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
 
 import h11
 
 from pepperusher.net import clock
-from pepperusher.net.buffers import Body, Pool
+from pepperusher.net.buffers import Pool
 from pepperusher.net.budget import Budget
+from pepperusher.net.exchange import Exchange, Placed, Transmission
+from pepperusher.net.flows import Onward
 from pepperusher.net.line import Line, reach
-from pepperusher.net.message import HEAD, Answer, BadMessage, Request, framed_request, receive
+from pepperusher.net.message import HEAD, Answer, Request
 
 # No connection to a backend is opened above this part of all descriptors: the rest is for callers, who must
 # always get in, if only to be bounced.
 PART = 0.95
-# Once it has begun, the rest of an answer takes the network's time and not the work's: so many times what a new
-# connection may take. Some never end.
-REST = 2
-# Answers 4xx that speak of the moment and not of the request.
-PASSING = (408, 425, 429)
 # Under so much a kept connection is used again whatever happened to others.
 KEPT_LEAST = 10_000
 # Turns of the loop that a connection takes to come up once the kernel has it, with some to spare.
@@ -51,29 +47,6 @@
         self.out: set[Transmission] = set()   # under way there; emptied as they end
 
 
-class Transmission:
-    """One sending of a ticket to one backend. `how` is set once it is given up from outside."""
-
-    def __init__(self) -> None:
-        self.how: str | None = None
-        self._stop: Callable[[], object] | None = None
-
-    def give_up(self, how: str) -> None:
-        if self.how is None:
-            self.how = how
-            if self._stop is not None:
-                self._stop()
-
-    def end(self) -> None:
-        """Its connection may be another's from now on."""
-        self._stop = None
-
-    def stopped_by(self, stop: Callable[[], object]) -> None:
-        self._stop = stop
-        if self.how is not None:
-            stop()
-
-
 class Backends:
     def __init__(self, budget: Budget, pool: Pool, connect_within: int, idle_most: int) -> None:
         self._budget = budget
@@ -207,16 +180,16 @@
 
     # --- one transmission -------------------------------------------------------------------------
 
-    async def transmit(self, backend: str, request: Request, out: Transmission, until: int,
-                       stands: Callable[[], bool]) -> tuple[str, Answer | None]:
-        """How it ended, and the answer if a whole one came. Never sends a second time."""
+    async def transmit(self, backend: str, request: Request, out: Transmission, patience: int, placed: Placed,
+                       onward: Onward | None = None) -> tuple[str, Answer | None]:
+        """How it ended, and the answer if a whole one came and was not passed on. Never sends a second time."""
         door = self._doors.get(backend)
         if door is None:
             return "unreached", None
         door.out.add(out)
         began = clock.now()
         try:
-            how, answer = await self._transmit(door, request, out, until, stands)
+            how, answer = await self._transmit(door, request, out, patience, placed, onward)
         finally:
             door.out.discard(out)
             self._forget(backend, door)
@@ -225,79 +198,39 @@
             self._close_idle(door)
         return how, answer
 
-    async def _transmit(self, door: Door, request: Request, out: Transmission, until: int,
-                        stands: Callable[[], bool]) -> tuple[str, Answer | None]:
+    async def _transmit(self, door: Door, request: Request, out: Transmission, patience: int, placed: Placed,
+                        onward: Onward | None) -> tuple[str, Answer | None]:
+        until = clock.now() + patience
         link = self._latest(door)
         stood = None if link is None else clock.now() - link.idle_since
         if link is None:
-            made = await self._connect(door, out, min(self._connect_within, (until - clock.now()) / 1e6))
+            made = await self._connect(door, out, min(self._connect_within, patience / 1e6))
             if isinstance(made, str):
                 return out.how if out.how == "called off" else made, None
             link = made
-            if out.how is not None or not stands():
+            if out.how is not None or not placed.stands():
                 # Never written to: it may serve the next.
                 self._rest(door, link) if door.listed else link.line.abort()
                 return out.how or "unreached", None
-        loop = asyncio.get_running_loop()
-        body = Body(self._pool)
         began = clock.now()
-        timers = [loop.call_later(max(0, until - clock.now()) / 1e6, self._overdue, out, "timed out", 2)]
-        out.stopped_by(link.line.abort)
-
-        def begun() -> None:
-            if len(timers) == 1:
-                timers.append(loop.call_later(REST * self._connect_within, self._overdue, out, "reset", 2))
-
+        exchange = Exchange(link.line, link.parser, self._pool, out, max(0, until - began), self._connect_within)
         kept = False
         try:
-            if not link.line.send(framed_request(link.parser, request)) and not await link.line.sent():
-                return "called off" if out.how == "called off" else "unreached", None
-            head = await receive(link.parser, link.line, body, begun)
-            if head is None:
-                return out.how or "reset", None
-            door.heard_at = clock.now()
-            if stood is not None:
-                self._learn(stood, True)
-            answer = Answer(head.status_code, list(head.headers), bytes(body.whole()))
-            # What came after the answer would be taken for the answer to the next ticket.
-            kept = door.listed and link.parser.our_state is h11.DONE and link.parser.their_state is h11.DONE \
-                and not link.line.ended and out.how is None \
-                and not link.line.unread and not link.parser.trailing_data[0]
-            return _outcome(answer), answer
-        except h11.LocalProtocolError:
-            return "moot", None   # it can't be framed, so nothing was written: no fault of the backend's
-        except BadMessage:
-            # At once and without a word: an answer that broke off, or work that ended in a crash, tells nothing of it.
-            if stood is not None and out.how is None and link.line.heard_at < began \
+            how, answer = await exchange.run(request, placed, onward)
+            if exchange.heard:
+                door.heard_at = clock.now()
+                if stood is not None:
+                    self._learn(stood, True)
+            elif stood is not None and how == "reset" and out.how is None and link.line.heard_at < began \
                     and clock.now() - began < self._connect_within * 1e6:
+                # At once and without a word: an answer that broke off, or work that ended in a crash, tells nothing of it.
                 self._learn(stood, False)
-            return out.how or "reset", None
+            kept = door.listed and exchange.clean
+            return how, answer
         finally:
-            for timer in timers:
-                timer.cancel()
-            out.end()
-            body.give_back()
             if kept:
                 self._rest(door, link)
             else:
                 link.line.abort()
                 # The loop closes it when it comes round: sent on before that, the ticket would be out twice.
                 await asyncio.sleep(0)
-
-    def _overdue(self, out: Transmission, how: str, looks: int) -> None:
-        """Under load timers run late, and an answer may have been read already: it has its turn first."""
-        if looks:
-            asyncio.get_running_loop().call_soon(self._overdue, out, how, looks - 1)
-        else:
-            out.give_up(how)
-
-
-def _outcome(answer: Answer) -> str:
-    if answer.status == 200:
-        return "done"
-    if answer.status in (503, 504) and (b"not-started", b"1") in answer.headers:
-        return "full"
-    if 400 <= answer.status < 500 and answer.status not in PASSING:
-        # The request is at fault, and as much so anywhere else.
-        return "turned away"
-    return "error"
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -10,18 +10,23 @@
 import h11
 
 from pepperusher.net import clock
-from pepperusher.net.buffers import MOST, Body, Pool
+from pepperusher.net.buffers import HELD, Body, Pool
 from pepperusher.net.budget import HALF, SHORT, Budget
 from pepperusher.net.line import Line, adopt
 from pepperusher.net.listening import give_way, listener
 from pepperusher.net.log import Log
-from pepperusher.net.message import HEAD, Answer, BadMessage, Request, framed_answer, plain, receive
+from pepperusher.net.flows import Inflow, Onward
+from pepperusher.net.message import (
+    HEAD, MOST, Answer, BadMessage, Request, framed_answer, length_of, plain, read_head, read_held)
 
 # Connections let in one after another before others have their turn.
 BATCH = 16
-# So long after a new connection, or on an older one after a message's first byte, the message is whole, or the
-# connection ends. Not from the last byte: a caller that drips would keep it for good.
+# So long after its connect a caller has begun, or the connection ends.
 BEGUN = 2_000_000
+# So long after its first byte a message is whole, and a second more for each so many bytes that came. Not from the last
+# byte: a caller that drips would keep its connection for good. Honest ones take 2 s for a head and send 64 kB a second.
+WHOLE = 2_400_000
+SLOWEST = 32_000
 # Where descriptors run out, a new connection that has said nothing for so long is the first to make room: whoever
 # opens one to send does so at once.
 SHY = 250_000
@@ -30,7 +35,9 @@
 PART = 2 / 3
 # After an answer to bad input so much more is read, so that the answer is not lost in a reset.
 LINGER = 1.0
-LINGER_MOST = 4 * MOST
+LINGER_MOST = 4 * HELD
+# An honest one whose body was not read to its end has longer to notice.
+NOTICED = 3.0
 # What is no ticket costs as much as one to read. Whoever sends it is heard again after so long.
 PAUSE = 0.1
 
@@ -66,16 +73,22 @@
     `ticket` once it is one: neither `bad` nor about the proxy itself.
     """
 
-    __slots__ = ("request", "came", "on_leave", "left", "bad", "ticket")
+    __slots__ = ("request", "came", "onward", "on_leave", "left", "bad", "ticket")
 
-    def __init__(self, request: Request, came: int) -> None:
+    def __init__(self, request: Request, came: int, onward: Onward | None = None) -> None:
         self.request = request
         self.came = came
+        self.onward = onward
         self.on_leave: Callable[[], None] | None = None
         self.left = False
         self.bad = False
         self.ticket = False
 
+    @property
+    def begun(self) -> bool:
+        """Whether its answer is passed on already."""
+        return self.onward is not None and self.onward.begun
+
     def leave(self) -> None:
         self.left = True
         if self.on_leave is not None:
@@ -85,7 +98,7 @@
 class Caller:
     """One connection from a caller."""
 
-    __slots__ = ("line", "parser", "waiting_since", "answered", "useful")
+    __slots__ = ("line", "parser", "waiting_since", "answered", "useful", "before", "spent")
 
     def __init__(self, line: Line) -> None:
         self.line = line
@@ -94,6 +107,24 @@
         self.waiting_since: int | None = clock.now()
         self.answered = False
         self.useful = False   # it has sent a ticket, and may send more
+        self.before = 0       # what it had sent when this message began
+        self.spent = 0        # how long this message was waited for before it was sent on
+
+    def waits(self, on: bool) -> None:
+        """Whether it is the caller's turn, within a message that is under way."""
+        now = clock.now()
+        if on:
+            self.waiting_since = now - self.spent
+        elif self.waiting_since is not None:
+            self.spent, self.waiting_since = now - self.waiting_since, None
+
+    def takes(self, on: bool) -> None:
+        """Whether it has to take a part of its answer."""
+        self.waiting_since = clock.now() if on else None
+
+    @property
+    def whole_within(self) -> int:
+        return WHOLE + 1_000_000 * (self.line.received - self.before) // SLOWEST
 
 
 class Callers:
@@ -207,9 +238,13 @@
         if ahead:
             # Against hundreds sent at once, which would be read and answered while all others wait.
             await asyncio.sleep(0)
+        caller.before = line.received - line.unread - len(parser.trailing_data[0])
         line.on_data = lambda: self._rest(caller, False)
+        whole = False
         try:
-            head = await receive(parser, line, body)
+            head = await read_head(parser, line)
+            if head is not None:
+                whole = await read_held(parser, line, body)
         except BadMessage as bad:
             caller.waiting_since = None   # it has a limit of its own
             await self._turn_away(caller, bad)
@@ -220,25 +255,37 @@
         # A client that has left already is told nothing, and its ticket need not be taken.
         if head is None or line.ended:
             return False
-        caller.waiting_since = None
-        call = Call(Request(head.method, head.target, list(head.headers), body.whole()), line.came_at())
+        assert isinstance(head, h11.Request)
+        caller.waits(False)
+        request = Request(head.method, head.target, list(head.headers), body.whole())
+        came = line.came_at()
+        if not whole:
+            request = request._replace(rest=Inflow(parser, line, body.length, caller.waits), length=length_of(head))
+            came = clock.now()
+        onward = Onward(parser, line, caller.takes, lambda: self._closes(caller, call))
+        call = Call(request, came, onward)
         line.on_end = call.leave
         answer = await self._handle(call)
         line.on_end = None
-        if call.left:
+        onward.over()
+        caller.waiting_since, caller.spent = None, 0
+        if onward.begun and not onward.ended:
+            line.reset()   # broken off: it must not look like an end
+        if call.left or onward.begun and not onward.ended:
             return False
-        # Whoever sends what is no ticket and more behind it is not read to the end.
-        close = parser.their_state is not h11.DONE or call.bad and (parser.trailing_data[0] or not line.quiet())
-        if self._closing or self._budget.above(SHORT):
-            # What a client has sent ahead is taken as well: it is answered before the connection ends.
-            close = close or line.quiet() and not parser.trailing_data[0]
-        # Against hundreds that ask whether we are ready, or for what there is not, and keep a connection each.
-        close = close or not call.ticket and not caller.useful and self._budget.above(HALF)
-        line.send(framed_answer(parser, answer, close))
+        if not onward.begun:
+            if parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+                return False   # its time was up, and it has been told
+            line.send(framed_answer(parser, answer, self._closes(caller, call)))
         caller.answered = True
         caller.useful = caller.useful or call.ticket
         caller.waiting_since = clock.now()
-        if not await line.sent() or parser.our_state is not h11.DONE or parser.their_state is not h11.DONE:
+        if not await line.sent():
+            return False
+        if parser.their_state is h11.SEND_BODY:
+            caller.waiting_since = None
+            await self._linger(line, *((NOTICED, MOST) if call.ticket else (LINGER, LINGER_MOST)))
+        if parser.our_state is not h11.DONE or parser.their_state is not h11.DONE:
             return False
         if call.bad:
             await asyncio.sleep(PAUSE)
@@ -246,14 +293,29 @@
         parser.start_next_cycle()
         return True
 
+    def _closes(self, caller: Caller, call: Call) -> bool:
+        """Whether the connection ends with this answer."""
+        line, parser = caller.line, caller.parser
+        # Whoever sends what is no ticket and more behind it is not read to the end.
+        close = parser.their_state is not h11.DONE or call.bad and bool(parser.trailing_data[0] or not line.quiet())
+        if self._closing or self._budget.above(SHORT):
+            # What a client has sent ahead is taken as well: it is answered before the connection ends.
+            close = close or line.quiet() and not parser.trailing_data[0]
+        # Against hundreds that ask whether we are ready, or for what there is not, and keep a connection each.
+        return close or not call.ticket and not caller.useful and self._budget.above(HALF)
+
     async def _turn_away(self, caller: Caller, bad: BadMessage) -> None:
         line = caller.line
         if caller.parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         line.send(framed_answer(caller.parser, plain(bad.status, str(bad)), True))
-        left = LINGER_MOST
+        await self._linger(line, LINGER, LINGER_MOST)
+
+    @staticmethod
+    async def _linger(line: Line, within: float, left: int) -> None:
+        """Reads on for a while, so that the answer is not lost in a reset."""
         try:
-            async with asyncio.timeout(LINGER):
+            async with asyncio.timeout(within):
                 if await line.sent():
                     line.send_end()
                 while left > 0 and (read := await line.read()):
@@ -270,9 +332,8 @@
             self._idle[caller] = None
             return
         del self._idle[caller]
-        if caller.answered:
-            # A message's first byte. On a new connection time runs from its start.
-            caller.waiting_since = clock.now()
+        # A message's first byte.
+        caller.waiting_since, caller.spent = clock.now(), 0
 
     def _close_oldest(self) -> bool:
         """Where descriptors run out. What is in the kernel, and so may be a whole ticket, is left alone."""
@@ -309,8 +370,10 @@
             taking = caller.parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
             if taking:
                 most = self._longest_wait
+            elif idle:
+                most = idle_most if caller.answered else BEGUN
             else:
-                most = idle_most if idle and caller.answered else BEGUN
+                most = caller.whole_within
             if now - since < most:
                 continue
             if idle or taking:
--- /dev/null
+++ b/pepperusher/net/exchange.py
@@ -0,0 +1,222 @@
+"""One transmission on one connection to a backend: what is sent, how it ended, and the answer, held or passed on."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import h11
+
+from pepperusher.net import clock
+from pepperusher.net.buffers import HELD, Body, Pool
+from pepperusher.net.flows import Onward
+from pepperusher.net.line import Line
+from pepperusher.net.message import Answer, BadMessage, Request, framed_request, length_of, read_data, read_head
+
+# Once it has begun, an answer takes the network's time and not the work's: silent for so many times what a new connection may
+# take, or this if that is more, it is broken. Some never end.
+REST = 2
+QUIET = 0.5
+# An answer that is not whole so long after its head is passed on as it comes: held back further it might miss its client.
+HOLD = 1.0
+# Once its answer is passed on, or while its body flows, a backend that neither gives nor takes for so long is gone.
+STALLED = 5.0
+# The answers that tell of work done.
+DONE = frozenset((200, 201, 202, 203, 204, 206, 304))
+# Answers 4xx that speak of the moment and not of the request.
+PASSING = (408, 425, 429)
+# The outcomes whose answer is the ticket's.
+PASSED_ON = ("done", "turned away")
+
+
+class Transmission:
+    """One sending of a ticket to one backend. `how` is set once it is given up from outside."""
+
+    def __init__(self) -> None:
+        self.how: str | None = None
+        self._stop: Callable[[], object] | None = None
+
+    def give_up(self, how: str) -> None:
+        if self.how is None:
+            self.how = how
+            if self._stop is not None:
+                self._stop()
+
+    def end(self) -> None:
+        """Its connection may be another's from now on."""
+        self._stop = None
+
+    def stopped_by(self, stop: Callable[[], object]) -> None:
+        self._stop = stop
+        if self.how is not None:
+            stop()
+
+
+class Placed:
+    """What the decisions are told of a transmission under way: set aside while its body comes, and back in its place."""
+
+    __slots__ = ("stands", "aside", "back")
+
+    def __init__(self, stands: Callable[[], bool], aside: Callable[[], None], back: Callable[[], None]) -> None:
+        self.stands = stands
+        self.aside = aside
+        self.back = back
+
+
+class Exchange:
+    """`patience` starts with it, or with the body's last byte where that is still to come."""
+
+    def __init__(self, line: Line, parser: h11.Connection, pool: Pool, out: Transmission, patience: int, connect_within: float) -> None:
+        self._line = line
+        self._parser = parser
+        self._body = Body(pool)
+        self._out = out
+        self._patience = patience
+        self._quiet = max(REST * connect_within, QUIET)
+        self._overdue: asyncio.TimerHandle | None = None
+        self._silent: asyncio.TimerHandle | None = None
+        self.heard = False
+        self._written = False
+
+    async def run(self, request: Request, placed: Placed, onward: Onward | None) -> tuple[str, Answer | None]:
+        """How it ended, and the answer if a whole one came and was not passed on yet."""
+        out = self._out
+        out.stopped_by(self._line.abort)
+        try:
+            if request.rest is None:
+                self._due()
+            how = await self._send(request, placed)
+            if how is not None:
+                return how, None
+            how, answer = await self._receive(onward)
+            # Whatever it answered before its last byte was written, it has not run it.
+            return (how, answer) if self._written or how in (*PASSED_ON, "full", "called off") else ("unreached", None)
+        except h11.LocalProtocolError:
+            return "moot", None   # it can't be framed, so nothing was written: no fault of the backend's
+        except BadMessage:
+            return out.how or ("reset" if self._written else "unreached"), None
+        except TimeoutError:
+            return out.how or ("reset" if self._written else "unreached"), None
+        finally:
+            for timer in (self._overdue, self._silent):
+                if timer is not None:
+                    timer.cancel()
+            out.end()
+            self._body.give_back()
+
+    @property
+    def clean(self) -> bool:
+        """Whether the connection may serve the next. What came after the answer would be taken for the answer to that."""
+        return (self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE and not self._line.ended
+                and self._out.how is None and not self._line.unread and not self._parser.trailing_data[0])
+
+    # --- the request ------------------------------------------------------------------------------
+
+    async def _send(self, request: Request, placed: Placed) -> str | None:
+        """None once it is with the kernel, or the backend has spoken before that; else how it ended."""
+        line, rest = self._line, request.rest
+        sent = line.send(framed_request(self._parser, request)) or await line.sent()
+        if not sent:
+            return "called off" if self._out.how == "called off" else "unreached"
+        if rest is not None:
+            placed.aside()
+            while True:
+                try:
+                    data = await rest.read()
+                except BadMessage:
+                    return "called off" if self._out.how == "called off" else "moot"   # no fault of the backend's
+                if line.ended or line.unread:
+                    return None
+                event = h11.Data(data=data) if data else h11.EndOfMessage()
+                if not line.send(self._parser.send(event) or b""):
+                    async with asyncio.timeout(STALLED):
+                        sent = await line.sent()
+                    if not sent:
+                        return "called off" if self._out.how == "called off" else "unreached"
+                if not data:
+                    break
+            placed.back()
+            self._due()
+        self._written = True
+        return None
+
+    # --- the answer -------------------------------------------------------------------------------
+
+    async def _receive(self, onward: Onward | None) -> tuple[str, Answer | None]:
+        head = await read_head(self._parser, self._line, self._listen)
+        if head is None:
+            return self._out.how or ("reset" if self._written else "unreached"), None
+        assert isinstance(head, h11.Response)
+        self.heard = True
+        # The work is done: from here on it is silence that ends it, and not its patience.
+        if self._overdue is not None:
+            self._overdue.cancel()
+        length = length_of(head)
+        how = _outcome(head)
+        whole = False
+        if length is None or length <= HELD or how not in PASSED_ON:
+            try:
+                async with asyncio.timeout(HOLD):
+                    whole = await self._hold()
+            except TimeoutError:
+                pass
+        answer = Answer(head.status_code, list(head.headers), bytes(self._body.whole()))
+        if whole:
+            return how, answer
+        if how not in PASSED_ON or onward is None:
+            return how, None
+        return await self._pass_on(how, answer, length, onward)
+
+    async def _hold(self) -> bool:
+        """Whether it is whole, once as much is held as is to be."""
+        while not self._body.full:
+            self._listen()
+            data = await read_data(self._parser, self._line)
+            if not data:
+                return True
+            self._body.add(data)
+        return False
+
+    async def _pass_on(self, how: str, answer: Answer, length: int | None, onward: Onward) -> tuple[str, Answer | None]:
+        for timer in (self._overdue, self._silent):
+            if timer is not None:
+                timer.cancel()
+        taken = await onward.begin(answer, length)
+        self._body.give_back()
+        while taken:
+            async with asyncio.timeout(STALLED):
+                data = await read_data(self._parser, self._line)
+            if not data:
+                taken = await onward.end()
+                return how if taken else "called off", None
+            taken = await onward.write(data)
+        return "called off", None
+
+    # --- time -------------------------------------------------------------------------------------
+
+    def _due(self) -> None:
+        self._overdue = asyncio.get_running_loop().call_later(self._patience / 1e6, self._late, "timed out", 2)
+
+    def _listen(self) -> None:
+        """There is a part of an answer, which an answer 1xx ahead is not: the next is to follow."""
+        if self._silent is not None:
+            self._silent.cancel()
+        self._silent = asyncio.get_running_loop().call_later(self._quiet, self._late, "reset", 2)
+
+    def _late(self, how: str, looks: int) -> None:
+        """Under load timers run late, and an answer may have been read already: it has its turn first."""
+        if looks:
+            asyncio.get_running_loop().call_soon(self._late, how, looks - 1)
+        else:
+            self._out.give_up(how)
+
+
+def _outcome(head: h11.Response) -> str:
+    if head.status_code in DONE:
+        return "done"
+    if head.status_code in (503, 504) and (b"not-started", b"1") in list(head.headers):
+        return "full"
+    if 400 <= head.status_code < 500 and head.status_code not in PASSING:
+        # The request is at fault, and as much so anywhere else.
+        return "turned away"
+    return "error"
--- a/pepperusher/net/house.py
+++ b/pepperusher/net/house.py
@@ -253,9 +253,7 @@
         """An answer that names the version of its terms, where the file has it so."""
         if answer is None or not made.version.read.own.said.version:
             return answer
-        return Answer(
-            answer.status, [*answer.headers, (b"terms-version", b"%d" % made.version.number)], answer.body
-        )
+        return answer._replace(headers=[*answer.headers, (b"terms-version", b"%d" % made.version.number)])
 
     # --- changes ----------------------------------------------------------------------------------
 
--- a/pepperusher/net/line.py
+++ b/pepperusher/net/line.py
@@ -27,6 +27,8 @@
         self.writer: asyncio.StreamWriter
         self.heard_at = 0
         self.ended = False
+        self.ended_in_order = False   # by the other side's end, not by a reset or by us
+        self.received = 0
         self.on_end: Callable[[], None] | None = None
         self.on_data: Callable[[], None] | None = None
         # The base class has a name _closed of its own.
@@ -54,12 +56,14 @@
     def data_received(self, data: bytes) -> None:
         self.heard_at = clock.now()
         self.unread += len(data)
+        self.received += len(data)
         super().data_received(data)
         if self.on_data is not None:
             self.on_data()
 
     def eof_received(self) -> bool | None:
         stays = super().eof_received()
+        self.ended_in_order = True
         self._end()
         return stays
 
@@ -143,6 +147,12 @@
     def abort(self) -> None:
         self.transport.abort()
 
+    def reset(self) -> None:
+        """At once, and so that it is not taken for an end in order."""
+        if not self.transport.is_closing():
+            self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.transport.abort()
+
 
 async def reach(address: tuple[str, int]) -> Line:
     _, line = await asyncio.get_running_loop().create_connection(Line, *address)
--- a/pepperusher/net/message.py
+++ b/pepperusher/net/message.py
@@ -2,18 +2,25 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from typing import NamedTuple
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
+from typing import TYPE_CHECKING, NamedTuple
 
 import h11
 
-from pepperusher.net.buffers import MOST, Body, TooLarge
+from pepperusher.net.buffers import Body
 from pepperusher.net.line import Line
 
+if TYPE_CHECKING:
+    from pepperusher.net.flows import Inflow
+
+# A body at the most, whether it is held or flows.
+MOST = 32 * 1024 * 1024
 # A message's head; more is bad input.
 HEAD = 16 * 1024
 # Answers 1xx ahead of one; more never come to an end.
 INTERIM = 16
+BODILESS = (204, 304)
 HOP = frozenset((b"connection", b"keep-alive", b"proxy-connection", b"proxy-authenticate", b"proxy-authorization",
                  b"te", b"trailer", b"transfer-encoding", b"upgrade", b"content-length", b"expect"))
 
@@ -32,13 +39,16 @@
     method: bytes
     target: bytes
     headers: Headers
-    body: memoryview | bytes
+    body: memoryview | bytes        # as far as it is held
+    rest: Inflow | None = None      # what comes behind that
+    length: int | None = None       # of all of it, where there is a rest and its head says so
 
 
 class Answer(NamedTuple):
     status: int
     headers: Headers
     body: bytes
+    length: int | None = None   # where it has a length and no body, as the answer to HEAD
 
 
 def plain(status: int, text: str, *more: tuple[bytes, bytes]) -> Answer:
@@ -67,66 +77,104 @@
     if length is not None and length > MOST:
         # Not read first: some say 3 GB and send them.
         raise BadMessage(413, "the body is too large")
-    if isinstance(head, h11.Response) and length is None and coding is None and head.status_code not in (204, 304):
-        # It would end with the connection, and a broken one so looks like a whole one.
-        raise BadMessage(502, "neither Content-Length nor Transfer-Encoding")
-
 
-async def receive(parser: h11.Connection, line: Line, body: Body,
-                  begun: Callable[[], None] | None = None) -> h11.Request | h11.Response | None:
-    """The next whole message: its head, with the body in `body`; None where the line ended before one began.
 
-    `begun` is told while there is a part of it, which an answer 1xx ahead is not.
-    """
-    head: h11.Request | h11.Response | None = None
+async def read_head(parser: h11.Connection, line: Line,
+                    came: Callable[[], None] | None = None) -> h11.Request | h11.Response | None:
+    """The next message's head; None where the line ended before one began. `came` is told when a part of it has."""
     interim = 0
-    try:
+    with _bad_messages():
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
-                if parser.they_are_waiting_for_100_continue:
-                    line.send(parser.send(h11.InformationalResponse(status_code=100, headers=[])))
-                if begun is not None and (head is not None or parser.trailing_data[0]):
-                    begun()
+                if came is not None and parser.trailing_data[0]:
+                    came()
                 parser.receive_data(await line.read())
             elif isinstance(event, (h11.Request, h11.Response)):
-                head = event
-                _check_framing(head)
+                _check_framing(event)
+                return event
             elif isinstance(event, h11.InformationalResponse):
                 interim += 1
                 if interim > INTERIM:
                     raise BadMessage(502, "interim answers without end")
-            elif isinstance(event, h11.Data):
-                body.add(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                return head
             elif isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
                 return None
-    except BadMessage:
+
+
+async def read_data(parser: h11.Connection, line: Line) -> bytes:
+    """The next part of the body behind a head that was read; nothing at its end."""
+    with _bad_messages():
+        while True:
+            event = parser.next_event()
+            if event is h11.NEED_DATA:
+                if parser.they_are_waiting_for_100_continue:
+                    line.send(parser.send(h11.InformationalResponse(status_code=100, headers=[])))
+                read = await line.read()
+                if not read and not line.ended_in_order:
+                    # Where the end of the connection is the end of the body, a broken one must not look like it.
+                    raise BadMessage(400, "the connection broke")
+                parser.receive_data(read)
+            elif isinstance(event, h11.Data):
+                if event.data:
+                    return bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return b""
+            else:
+                raise BadMessage(400, "the message broke off")
+
+
+async def read_held(parser: h11.Connection, line: Line, body: Body) -> bool:
+    """Reads a body into `body`, as far as that holds it; whether it is whole."""
+    while not body.full:
+        data = await read_data(parser, line)
+        if not data:
+            return True
+        body.add(data)
+    return False
+
+
+@contextmanager
+def _bad_messages() -> Iterator[None]:
+    """Whatever else the parser trips over is no message either, and its sender's fault."""
+    try:
+        yield
+    except (BadMessage, TimeoutError):
         raise
-    except TooLarge:
-        raise BadMessage(413, "the body is too large") from None
-    except Exception as error:   # whatever else the parser trips over is no message either, and its sender's fault
+    except Exception as error:
         raise BadMessage(getattr(error, "error_status_hint", 400), str(error)) from None
 
 
+def length_of(head: h11.Request | h11.Response) -> int | None:
+    """The body's length by the head's own word."""
+    return next((int(value) for name, value in head.headers if name == b"content-length"), None)
+
+
 def framed_request(parser: h11.Connection, request: Request) -> bytes:
+    """The whole of it, or as much as is held: the rest flows."""
     headers = request.headers
-    if request.body or request.method not in (b"GET", b"HEAD"):
+    if request.rest is not None:
+        by = (b"transfer-encoding", b"chunked") if request.length is None else (b"content-length", b"%d" % request.length)
+        headers = [*headers, by]
+    elif request.body or request.method not in (b"GET", b"HEAD"):
         headers = [*headers, (b"content-length", b"%d" % len(request.body))]
-    return _framed(parser, h11.Request(method=request.method, target=request.target, headers=headers), request.body)
+    head = h11.Request(method=request.method, target=request.target, headers=headers)
+    return _framed(parser, head, request.body, request.rest is None)
 
 
 def framed_answer(parser: h11.Connection, answer: Answer, close: bool) -> bytes:
-    headers = [*answer.headers, (b"content-length", b"%d" % len(answer.body))]
+    headers = list(answer.headers)
+    # Some have no body by their status, and a length is not theirs to tell.
+    if answer.status not in BODILESS:
+        headers.append((b"content-length", b"%d" % (len(answer.body) if answer.length is None else answer.length)))
     if close:
         headers.append((b"connection", b"close"))
     return _framed(parser, h11.Response(status_code=answer.status, headers=headers), answer.body)
 
 
-def _framed(parser: h11.Connection, head: h11.Request | h11.Response, body: memoryview | bytes) -> bytes:
+def _framed(parser: h11.Connection, head: h11.Request | h11.Response, body: memoryview | bytes, whole: bool = True) -> bytes:
     parts = [parser.send(head)]
     if body:
         parts.append(parser.send(h11.Data(data=body)))
-    parts.append(parser.send(h11.EndOfMessage()))
+    if whole:
+        parts.append(parser.send(h11.EndOfMessage()))
     return b"".join(part for part in parts if part)
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -14,11 +14,12 @@
 from pepperusher import holds
 from pepperusher.facade import BOUNCE, HOLD, REFERENCED, REPLAYABLE, SCRAP, SEND, Entry, Facade, Step
 from pepperusher.net import clock
-from pepperusher.net.backends import Backends, Transmission
+from pepperusher.net.backends import Backends
 from pepperusher.net.budget import Budget
 from pepperusher.net.buffers import Pool
 from pepperusher.net.callers import SHY, Call, Callers
 from pepperusher.net.discovery import Discovery, address_of, news_of, text_of_address
+from pepperusher.net.exchange import PASSED_ON, Placed, Transmission
 from pepperusher.net.log import Log
 from pepperusher.net.message import Answer, Headers, Request, end_to_end, plain
 from pepperusher.net.told import Told, ToldError
@@ -52,13 +53,14 @@
 # Sound limits of what a caller may say; more is absurd.
 LONGEST_WAIT = 3600 * 1_000_000
 UNITS = {b"m": 1000, b"u": 1}
+# Of the memory that the process may take, so much is held of bodies at the most: the first part is the program's own, and
+# each connection has buffers beside that.
+HELD_PART = 8
 # What a new configuration can't change in a process that serves.
-AT_A_START = ("name", "listen", "sockets", "console")
+AT_A_START = ("name", "listen", "sockets", "memory", "console")
 # The ends of a transmission that tell of the time that work takes.
 WORKED = ("done", "error", "timed out", "reset")
 ENDS = {BOUNCE: "bounced", SCRAP: "scrapped"}
-# The ends of a transmission whose answer is the ticket's.
-PASSED_ON = ("done", "turned away")
 NUMBER = re.compile(rb"[0-9]{1,16}(\.[0-9]{1,16})?")
 READ = frozenset((b"host", b"request-id", b"request-class", b"tenant", b"request-timeout", b"work-hint",
                   b"idempotency-key"))
@@ -122,7 +124,7 @@
         self._again = again
         self._log = Log(told.name)
         self._house = own(told.ground, self._log) if own is not None else None
-        self._pool = Pool(256)
+        self._pool = Pool(256, told.memory // HELD_PART)
         self._desk = desk(told.console, told.ground, self._log) if desk is not None and told.console is not None else None
         self._budget = Budget(_descriptors(told.sockets), self._desk.descriptors if self._desk is not None else 0)
         self._facade = Facade(told.ground, clock.now(), self._log.say)
@@ -160,7 +162,7 @@
                 answer = await self._ticket(call, told)
             finally:
                 self._names.discard(name)
-            holds.must_hold(answer is not None or call.left, "a ticket ends with an answer unless its client left")
+            holds.must_hold(answer is not None or call.left or call.begun, "a ticket ends with an answer unless its client left")
             return answer or BROKEN
         except BadCall as bad:
             call.bad = True
@@ -172,9 +174,10 @@
             return BROKEN
 
     async def _ticket(self, call: Call, told: dict[bytes, bytes]) -> Answer | None:
-        method, target, headers, body = call.request
+        method, target, headers, body, rest, length = call.request
         if b"host" not in told:
-            raise BadCall("Host is missing")   # HTTP/1.0 may; what goes on is HTTP/1.1
+            # HTTP/1.0 may do without; what goes on is HTTP/1.1.
+            headers = [(b"host", text_of_address(self._told.listen).encode()), *headers]
         named = target.partition(b"?")[0].removeprefix(b"/").partition(b"/")[0]
         if told.get(b"request-class", named) != named:
             raise BadCall("Request-Class is not the first part of the path")
@@ -183,7 +186,8 @@
         if repeat is None:
             raise BadCall("the use case is not known here")
         # Backends turn the rest away, which would count as their failing.
-        if method != (b"GET" if repeat == REPLAYABLE else b"POST") or repeat == REPLAYABLE and body:
+        if method not in ((b"GET", b"HEAD") if repeat == REPLAYABLE else (b"POST",)) \
+                or repeat == REPLAYABLE and (body or rest is not None):
             raise BadCall("the method or a body is not this use case's")
         if repeat == REFERENCED and not told.get(b"idempotency-key"):
             raise BadCall("Idempotency-Key is missing")
@@ -218,10 +222,20 @@
         out: Transmission | None = None
 
         def leave() -> None:
-            if self._facade.gone(ticket, clock.now()) and out is not None:
+            if (self._facade.gone(ticket, clock.now()) or call.begun) and out is not None:
                 out.give_up("called off")
 
         call.on_leave = leave
+        def dress(head: Answer) -> Answer:
+            """The head of an answer that is passed on as it comes: from here on it is this ticket's."""
+            self._facade.begun(ticket, clock.now())
+            made = Answer(head.status, end_to_end(head.headers), head.body)
+            return made if passed is None or self._house is None else self._house.named(passed, made) or made
+
+        if call.onward is not None:
+            call.onward.dress = dress
+        placed = Placed(lambda: self._facade.stands(ticket, clock.now()), lambda: self._facade.aside(ticket, clock.now()),
+                        lambda: self._facade.back(ticket, clock.now()))
         how, answer, end = "", None, "left"
         try:
             step = self._facade.pick(ticket, clock.now())
@@ -247,15 +261,19 @@
                     patience = self._house.goes(passed, step.wait)
                 wait_on = (b"request-timeout", b"%du" % max(1, patience))
                 how, answer = await self._backends.transmit(
-                    step.backend, Request(method, target, [*onward, wait_on], body), out, clock.now() + patience,
-                    lambda: self._facade.stands(ticket, clock.now()))
+                    step.backend, Request(method, target, [*onward, wait_on], body, rest, length), out, patience, placed,
+                    call.onward)
                 self._count(how)
                 if shelf is not None and kept is not None:
                     shelf.ended(use_case, mark, kept, how)
                 again = passed is None or self._house is None or self._house.again(passed, how)
+                # What was read of its rest is gone, and a second copy would be without it.
+                again = again and (rest is None or not rest.touched)
                 step = self._facade.report(ticket, how, clock.now(), again)
                 if passed is not None and self._house is not None and again and step.what != SEND:
                     self._house.unspent(passed, how)
+            if rest is not None and rest.bad is not None:
+                raise BadCall(*rest.bad)
             end = "done" if how == "done" else ENDS.get(step.what, "left")
             answered = self._answer(step, how, answer)
             return answered if passed is None or self._house is None else self._house.named(passed, answered)
@@ -267,7 +285,9 @@
 
     def _answer(self, step: Step, how: str, answer: Answer | None) -> Answer | None:
         if how in PASSED_ON and answer is not None:
-            return Answer(answer.status, end_to_end(answer.headers), answer.body)
+            # The answer to HEAD tells a length and has no body.
+            length = next((int(value) for name, value in answer.headers if name == b"content-length"), None)
+            return Answer(answer.status, end_to_end(answer.headers), answer.body, None if answer.body else length)
         if step.what == BOUNCE:
             self._count("bounces")
             advice = [(b"retry-after", f"{step.wait / 1e6:.3f}".encode())] if step.wait > 0 else []
--- a/pepperusher/net/told.py
+++ b/pepperusher/net/told.py
@@ -10,6 +10,7 @@
 from pepperusher.terms import Ground
 
 SOCKETS = 1024
+MEMORY_MB = 512
 CONNECT_WITHIN = 1000.0
 KEEPALIVE = 10_000.0
 
@@ -25,7 +26,7 @@
 
 class Told:
     __slots__ = ("name", "listen", "discovery", "sockets", "known", "ground", "connect_within", "idle_most",
-                 "console", "keys")
+                 "console", "keys", "memory")
 
     name: str
     listen: tuple[str, int]
@@ -36,6 +37,7 @@
     connect_within: int
     idle_most: int
     console: tuple[str, int] | None   # None where operators have no address of their own
+    memory: int   # bytes that the process may take
     keys: dict[str, frozenset[str]]   # which each object of the file has, for the next file to be held against
 
 
@@ -115,6 +117,10 @@
         if not isinstance(sockets, (int, float)) or not 64 <= sockets <= 1_000_000:
             raise ToldError(f"limits: sockets: {sockets!r} is not a number from 64 up")
         made.sockets = int(sockets)
+        memory = limits.get("memory_mb", MEMORY_MB)
+        if isinstance(memory, bool) or not isinstance(memory, (int, float)) or not 16 <= memory <= 1_000_000:
+            raise ToldError(f"limits: memory_mb: {memory!r} is not a number from 16 up")
+        made.memory = int(memory * 1024 * 1024)
         made.ground = ground(settings, seed)
         if not made.ground.use_cases:
             raise ToldError("settings: use-cases: there is none")
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -142,7 +142,7 @@
 class Transmission:
     """One sending of a ticket to a backend. `ended` is None while it is out."""
 
-    __slots__ = ("ticket", "backend", "sent", "patience", "generation", "trial", "ended")
+    __slots__ = ("ticket", "backend", "sent", "patience", "generation", "trial", "ended", "aside")
 
     def __init__(self, ticket: Ticket, backend: Backend, sent: int, patience: int, trial: bool) -> None:
         self.ticket = ticket
@@ -152,6 +152,8 @@
         self.generation = backend.generation
         self.trial = trial
         self.ended: int | None = None
+        # Since when it holds no place at its backend, while its body still comes or its answer is passed on.
+        self.aside: int | None = None
 
 
 class Ticket:
