Placement is kept at every transmission, from settings that adapter and proxy read alike

One question, asked wherever backends are chosen: the ring, a further transmission's group, the last resort. What is bound looks beyond this proxy's arc, since its backends may lie there; the prediction stays that of all tickets. A use case that no listed backend may run is bounced at once.

--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -38,7 +38,7 @@
 
 
 class Entry(NamedTuple):
-    """One line of the list of backends. `born` 0 is long ago; not `ready` means it drains or is gone."""
+    """One line of the list of backends. `born` 0 is long ago; not `ready` means it drains, or is `gone`."""
 
     id: str
     zone: str
@@ -46,6 +46,8 @@
     weight: float
     born: int
     ready: bool
+    kind: str = ""
+    gone: bool = False
 
 
 OVER = Step(NOTHING, "", 0)
@@ -250,7 +252,7 @@
                 self._unlisted.pop(entry.id, None)
             else:
                 self._unlisted.setdefault(entry.id, now)
-            lines.append(Listing(backend, entry.zone, entry.cell, entry.weight, entry.born, entry.ready))
+            lines.append(Listing(backend, entry.zone, entry.cell, entry.weight, entry.born, entry.ready, entry.kind, entry.gone))
         if whole:
             for name in self._backends:
                 if name not in seen:
--- a/pepperusher/ground.py
+++ b/pepperusher/ground.py
@@ -40,6 +40,27 @@
     return value
 
 
+def _only(of: dict[str, Any], name: str, known: list[str] | None = None) -> frozenset[str] | None:
+    """The only places or kinds; None where the settings name none. An empty set lets nothing run, and is a mistake."""
+    told = of.get(name)
+    if told is None:
+        return None
+    if not isinstance(told, list) or not all(isinstance(one, str) for one in told):
+        raise GroundError(f"use-cases: {of['name']}: {name} is not a list of names")
+    if not told:
+        raise GroundError(f"use-cases: {of['name']}: {name} names none, so it could run nowhere")
+    if known is not None and (unknown := sorted(set(told) - set(known))):
+        raise GroundError(f"use-cases: {of['name']}: {name}: {unknown[0]} is not one of the zones")
+    return frozenset(told)
+
+
+def truth(of: dict[str, Any], name: str) -> bool:
+    told = of.get(name, False)
+    if not isinstance(told, bool):
+        raise GroundError(f"{name} is neither true nor false")
+    return told
+
+
 def _named(of: Any, within: str) -> str:
     if not isinstance(of, dict) or not isinstance(of.get("name"), str):
         raise GroundError(f"{within} has an entry without a name")
@@ -52,12 +73,14 @@
     limits, rules = part(told, "policy-limits", dict), part(told, "rules", dict)
     made = Ground()
     made.seed = seed
+    made.zones = [str(zone) for zone in part(told, "zones", list)]
     made.use_cases = [
         UseCase(_named(use, "use-cases"), span(use, "promised-time"), span(use, "outer-limit"),
                 figure(use, "importance", 1.0), figure(use, "overdue-importance", 0.0),
                 # A kind that is not known is held to the strictest.
                 REPEAT.get(use.get("effect"), terms.SINGLE_USE), SCOPE.get(use.get("key-scope"), terms.SCOPE_CELL),
-                span(use, "window", 0.0), figure(use, "aim-stretch", 0.0))
+                span(use, "window", 0.0), figure(use, "aim-stretch", 0.0),
+                _only(use, "zones-allowed", made.zones), _only(use, "runs-on"))
         for use in part(told, "use-cases", list)]
     made.customers = [Customer(_named(one, "customers"), figure(one, "quota-rps", 0.0))
                       for one in part(told, "customers", list)]
@@ -66,7 +89,6 @@
     made.stage = int(figure(told, "stage", 0))
     made.last_tier = made.stage >= len(part(told, "tiers", list)) - 1
     made.zone = str(told.get("zone", ""))
-    made.zones = [str(zone) for zone in part(told, "zones", list)]
     made.most_transmissions = int(figure(limits, "most-transmissions", 1))
     made.may_call_off = bool(limits.get("cancel", False))
     made.may_advise = bool(limits.get("retry-after", False))
@@ -78,5 +100,6 @@
     made.tip_multiple = figure(rules, "tip-multiple", 1.0)
     made.overload_for = span(rules, "overload-for", 1000.0)
     made.passes_limit = bool(part(told, "family-info", dict).get("passes-deadline", False))
+    made.drain_binds_alone = truth(rules, "drain-binds-alone")
     made.importance_by_work = told.get("importance-by") == "work"
     return made
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -66,7 +66,7 @@
         gone = one.get("state") == "gone"
         addresses.append(GONE if gone else address_of(one.get("addr")))
         entries.append(Entry(name, str(one.get("zone", "")), cell, weight if weight > 0 else 1.0,
-                             round(started * 1000), one.get("state") == "ready"))
+                             round(started * 1000), one.get("state") == "ready", str(one.get("kind", "")), gone))
     version = told.get("version", 0)
     if not isinstance(version, int):
         raise BadList("has a version that is not a number")
@@ -137,7 +137,7 @@
             return None
         return {"version": self._source.version, "full": True, "servers": [
             {"id": entry.id, "addr": text_of_address(address), "zone": entry.zone, "cell": entry.cell, "weight": entry.weight,
-             "state": "ready" if entry.ready else "draining", "started_ms": entry.born / 1000}
+             "kind": entry.kind, "state": "ready" if entry.ready else "draining", "started_ms": entry.born / 1000}
             for entry, address in self._told.values()]}
 
     def start(self) -> None:
--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -111,33 +111,42 @@
             return self._no(ticket, now)
         choice: list[Backend] = []
         shut: list[Backend] = []
-        in_flight = 0
+        bound = use.zones is not None or use.kinds is not None
+        in_flight = counted = 0
         held = room = admitting = 0.0
         # Calls in flight, which with less than one at each backend are a mean over many tickets: else a
         # proxy with few calls sees a slow backend as empty as the others.
         pace = min(1.0, max(HELD_LEAST, self._mean))
         for backend in self._ring:
-            # Widened while less than half of this proxy's part admits.
-            if not backend.near and 2 * admitting >= self._part_weight:
+            # Widened while less than half of this proxy's part admits, and for those that may not run there.
+            far = not backend.near and 2 * admitting >= self._part_weight
+            if far and not bound:
                 break
             if backend.state != CLOSED and not self._admits(backend, now):
                 continue
-            in_flight += backend.in_flight
+            in_flight += 0 if far else backend.in_flight
             if not self._has_room(backend, now):
                 continue
-            if now < backend.shut.get(use, 0):
+            may_run = not bound or _may_run(use, backend)
+            if may_run and now < backend.shut.get(use, 0):
                 shut.append(backend)
                 continue
+            if not far:
+                # The prediction is that of all: what is bound is a part of the tickets, and the flow is everybody's.
+                counted += 1
+                admitting += backend.share
+            if not may_run:
+                continue
             backend.held += (backend.in_flight - backend.held) * pace
             held += backend.held
             room += backend.room
-            admitting += backend.share
             choice.append(backend)
-        self._mean = held / room if room else 0.0
+        if not bound:
+            self._mean = held / room if room else 0.0
         choice = choice or shut
         # Asked of further transmissions too: in a jam they are the last thing the backends need.
         within = not first or not choice or self._within_share(ticket, now)
-        if choice and not self._in_time(ticket, within, in_flight, len(choice), now):
+        if choice and not self._in_time(ticket, within, in_flight, counted, now):
             # The prediction is that of the many: a fresh one that holds less and has some of its budget left is
             # asked all the same. Else the warm ones' jam kept tickets from it, and it stood idle beside bounces.
             # First transmissions alone: what may have run is bound to its group, which need not hold a fresh one.
@@ -147,7 +156,7 @@
         if first:
             self._spare = min(SPARE_MOST, self._spare + SPARE_PART)
         if anchor is not None:
-            choice = [b for b in self._backends if _drops_repeats(anchor.backend, b, use.scope)
+            choice = [b for b in self._backends if _drops_repeats(anchor.backend, b, use.scope) and _may_run(use, b)
                       and (b.state == CLOSED or self._admits(b, now)) and self._has_room(b, now)]
         if not first or not room:
             tried = [sent.backend for sent in ticket.transmissions]
@@ -183,9 +192,9 @@
 
     def _last_resort(self, ticket: Ticket, anchor: Transmission | None, now: int) -> Backend | None:
         """No breaker admits: a trial to the server whose open period ends first, as the design has it."""
-        scope = ticket.use_case.scope
-        shut = [b for b in self._backends if b.state == OPEN and self._has_room(b, now)
-                and (anchor is None or _drops_repeats(anchor.backend, b, scope))]
+        use = ticket.use_case
+        shut = [b for b in self._backends if b.state == OPEN and self._has_room(b, now) and _may_run(use, b)
+                and (anchor is None or _drops_repeats(anchor.backend, b, use.scope))]
         best = min(shut, key=attrgetter("open_until"), default=None)
         if best is not None:
             self._change(best, HALF_OPEN, now)
@@ -374,7 +383,7 @@
                 backend.allowance, backend.counted_at = self._chance(), now
             if id(backend) not in was or line.born > backend.born:
                 backend.turn = -self._chance() * line.weight
-            backend.zone, backend.cell = line.zone, line.cell
+            backend.zone, backend.kind, backend.cell = line.zone, line.kind, line.cell
             backend.weight, backend.born = line.weight, line.born
             kept[id(backend)] = backend
         self._backends = list(kept.values())
@@ -591,3 +600,8 @@
     if scope == SCOPE_CELL:
         return ran.cell == other.cell
     return scope != SCOPE_ZONE or ran.zone == other.zone
+
+
+def _may_run(use: UseCase, backend: Backend) -> bool:
+    """Placement: kept at each transmission, a trial's and a last resort's too."""
+    return (use.zones is None or backend.zone in use.zones) and (use.kinds is None or backend.kind in use.kinds)
--- a/pepperusher/simhost/host.py
+++ b/pepperusher/simhost/host.py
@@ -10,8 +10,8 @@
 from pepperusher.terms import AGAIN, BOUNCE, NOT_YET, SCRAP, UNKNOWN, Backend, Listing, Ticket
 
 LIST_TIMER = 0
-# One line of an inventory: address, zone, cell, weight, born, ready.
-Line = tuple[str, str, int, float, int, bool]
+# One line of an inventory: address, zone, cell, weight, born, ready, kind, gone.
+Line = tuple[str, str, int, float, int, bool, str, bool]
 
 
 class Instance:
@@ -119,11 +119,11 @@
         self._ask_for_list(now)
 
     def _listing(self, line: Line) -> Listing:
-        address, zone, cell, weight, born, ready = line
+        address, *rest = line
         backend = self.backends.get(address)
         if backend is None:
             backend = self.backends[address] = Backend(address)
-        return Listing(backend, zone, cell, weight, born, ready)
+        return Listing(backend, *rest)
 
     def _ask_for_list(self, now: int) -> None:
         pause = self.balancer.wait(None, now)
@@ -218,7 +218,8 @@
                 raise WireError(f"m: heft is not a number: {entry['heft']!r}") from None
             entries.append((text("m", entry, "backend"), entry.get("area", ""),
                             whole("m", entry, "group") if "group" in entry else 0, weight if weight > 0 else 1.0,
-                            micros("m", entry, "born") if "born" in entry else 0, text("m", entry, "phase") == "IN"))
+                            micros("m", entry, "born") if "born" in entry else 0, text("m", entry, "phase") == "IN",
+                            entry.get("type", ""), entry.get("phase") == "OUT"))
         return entries
 
     def _sync(self, fields: dict[str, str], current: Instance | None, now: int) -> None:
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -48,14 +48,17 @@
 
 
 class UseCase:
-    """One use case: its terms, and what this balancer has learned of its times (two figures)."""
+    """One use case: its terms, and what this balancer has learned of its times (two figures).
+
+    `zones` and `kinds` are the only ones where it may run; None for any.
+    """
 
     __slots__ = ("name", "promised", "outer_limit", "importance", "late_share", "stretch", "repeat", "scope",
-                 "remembered", "usual", "spread")
+                 "remembered", "zones", "kinds", "usual", "spread")
 
     def __init__(self, name: str, promised: int, outer_limit: int, importance: float, late_share: float = 0.0,
-                 repeat: int = REPLAYABLE, scope: int = SCOPE_ALL, remembered: int = 0,
-                 stretch: float = 0.0) -> None:
+                 repeat: int = REPLAYABLE, scope: int = SCOPE_ALL, remembered: int = 0, stretch: float = 0.0,
+                 zones: frozenset[str] | None = None, kinds: frozenset[str] | None = None) -> None:
         self.name = name
         self.promised = promised
         self.outer_limit = outer_limit
@@ -65,6 +68,8 @@
         self.scope = scope
         self.remembered = remembered
         self.stretch = stretch
+        self.zones = zones
+        self.kinds = kinds
         self.usual = 0
         self.spread = 0
 
@@ -87,7 +92,7 @@
 class Backend:
     """One backend as this proxy knows it, with its breaker. The window empties at each change of state."""
 
-    __slots__ = ("address", "zone", "cell", "weight", "born", "in_flight", "held", "turn", "share", "nearness",
+    __slots__ = ("address", "zone", "kind", "cell", "weight", "born", "in_flight", "held", "turn", "share", "nearness",
                  "portion", "near", "room", "cold", "state", "generation", "results", "failures", "run_failed",
                  "run_done", "open_until", "trials", "trial_due", "full_until", "full_at", "allowance", "counted_at",
                  "runs", "shut")
@@ -95,6 +100,7 @@
     def __init__(self, address: str) -> None:
         self.address = address
         self.zone = ""
+        self.kind = ""
         self.cell = 0
         self.weight = 1.0
         self.born = 0
@@ -126,12 +132,18 @@
 
 
 class Listing:
-    """One line of the list of backends. `born` 0 is long ago; `ready` is false while it drains or once gone."""
+    """One line of the list of backends. `born` 0 is long ago; `ready` is false while it drains or once gone.
+
+    `gone` tells the second from the first, where that makes a difference.
+    """
 
-    __slots__ = ("backend", "zone", "cell", "weight", "born", "ready")
+    __slots__ = ("backend", "zone", "cell", "weight", "born", "ready", "kind", "gone")
 
-    def __init__(self, backend: Backend, zone: str, cell: int, weight: float, born: int, ready: bool) -> None:
+    def __init__(self, backend: Backend, zone: str, cell: int, weight: float, born: int, ready: bool, kind: str = "",
+                 gone: bool = False) -> None:
         self.backend = backend
+        self.kind = kind
+        self.gone = gone
         self.zone = zone
         self.cell = cell
         self.weight = weight
@@ -181,7 +193,8 @@
 
     __slots__ = ("seed", "use_cases", "customers", "group_size", "ordinal", "stage", "last_tier", "zone", "zones",
                  "most_transmissions", "may_call_off", "may_advise", "longest_advice", "must_ask", "ask_within",
-                 "cold_share", "warm_after", "tip_multiple", "overload_for", "passes_limit", "importance_by_work")
+                 "cold_share", "warm_after", "tip_multiple", "overload_for", "passes_limit", "importance_by_work",
+                 "drain_binds_alone")
 
     seed: int
     use_cases: list[UseCase]
@@ -204,6 +217,7 @@
     overload_for: int
     passes_limit: bool
     importance_by_work: bool
+    drain_binds_alone: bool   # one that is gone or left out of the list may still be sent to
 
     @property
     def longest_wait(self) -> int:
