A use case that is slow by itself does not shut the others out

Lines of the log from where they are refused: "menu 0.79 s and 0.30, box 0.15 and 0.03, slot 0.26 and 0.05", all refusals by the prediction, no breaker open, no server full. So menu-read's time was the pressure for all (_in_time), and its calls in flight, which time out and are in no flow, the others' jam. Ruled out: full servers (0 of 16), breakers (0 or 1 open), lower tiers (one refusal in 223 lines). Told from a jam by the next use case's time.

--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -30,6 +30,8 @@
 CLOSE_COUNT = 3
 TRIALS = 1
 OPEN_FOR = 5 * SECOND
+# A use case whose time, for its promised time, is so many times the next one's is slow by itself.
+ALONE = 2.5
 # Failures in a row of one use case, at a server that does others, after which it stays away for OPEN_FOR.
 USE_RUN = 2
 # Done tickets a second are reckoned over about this long, and over so many of them at the least.
@@ -205,6 +207,7 @@
         sent = Transmission(ticket, backend, now, self._patience(ticket, now), trial)
         ticket.transmissions.append(sent)
         backend.in_flight += 1
+        ticket.use_case.out += 1
         if ticket.use_case in backend.shut:
             backend.shut[ticket.use_case] = now + sent.patience
         if trial:
@@ -221,6 +224,9 @@
         of least importance for its time goes first, so a short promised time does not shut a use case out.
         """
         use = ticket.use_case
+        pressure, alone = self._tightest(use)
+        if alone is not None and alone is not use:
+            in_flight = max(0, in_flight - alone.out)
         # The mean over a few tickets: with one or two in flight at a time a single figure is chance.
         self._held += (in_flight - self._held) / FLOW_LEAST
         # Never refused while a few calls a server are in flight, over all proxies that share it: a stale
@@ -236,13 +242,30 @@
         stretch = (self._held + 0.5) / (flow * self._usual / SECOND + 0.5)
         if not self._first_tier:
             return stretch * use.usual < ticket.until - now
-        pressure = max(((one.usual + one.spread) / one.promised for one in self._use_cases), default=0.0)
         most = max((self._value(one) for one in self._use_cases if one.usual), default=1.0)
         bound = 0.8 + 0.4 * self._value(use) / most
         if not within:
             bound /= 2
         return pressure * stretch < bound and stretch * use.usual < ticket.until - now
 
+    def _tightest(self, use: UseCase) -> tuple[float, UseCase | None]:
+        """The pressure that the tightest use case sets, and one that is slow by itself.
+
+        What waits beside others that don't tells of no jam: it sets no pressure for them and its calls in flight,
+        which end by time-outs that no flow counts, are no sign for them. In a jam all are slow alike.
+        """
+        most = next_most = 0.0
+        slow = None
+        for one in self._use_cases:
+            tight = (one.usual + one.spread) / one.promised
+            if tight > most:
+                most, next_most, slow = tight, most, one
+            elif tight > next_most:
+                next_most = tight
+        if most <= 0.5 or most <= ALONE * next_most or not next_most:
+            return most, None
+        return most if use is slow else next_most, slow
+
     def _value(self, use: UseCase) -> float:
         """Importance for the time a ticket takes; where it is counted by work, that time is in it already."""
         return use.importance if self._by_work else use.importance / use.usual
@@ -289,6 +312,7 @@
         backend = sent.backend
         use = sent.ticket.use_case
         backend.in_flight -= 1
+        use.out -= 1
         took = now - sent.sent
         long = use.usual + 6 * use.spread if use.usual and not self._first_tier else took
         if how == DONE or (how == TIMED_OUT and use.usual <= took <= long):
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -44,7 +44,7 @@
 
 
 # What is learned of a use case, beside its terms.
-LEARNED = ("usual", "spread")
+LEARNED = ("usual", "spread", "out")
 
 
 class UseCase:
@@ -54,7 +54,7 @@
     """
 
     __slots__ = ("name", "promised", "outer_limit", "importance", "late_share", "stretch", "repeat", "scope",
-                 "remembered", "zones", "kinds", "usual", "spread")
+                 "remembered", "zones", "kinds", "usual", "spread", "out")
 
     def __init__(self, name: str, promised: int, outer_limit: int, importance: float, late_share: float = 0.0,
                  repeat: int = REPLAYABLE, scope: int = SCOPE_ALL, remembered: int = 0, stretch: float = 0.0,
@@ -72,6 +72,7 @@
         self.kinds = kinds
         self.usual = 0
         self.spread = 0
+        self.out = 0   # transmissions in flight
 
     def same_terms(self, other: UseCase) -> bool:
         return all(getattr(self, name) == getattr(other, name) for name in self.__slots__ if name not in LEARNED)
