A discovery that is spoilt, late or hardly there: no drain lifted, no loop held, each asked again

Found by them: within a watch an older line or list lifted a drain that a newer one had told (versions reversed), as take() went by arrival; a discovery that drips a byte now and then kept a watch alive for good, as the limit ran from each read; hundreds of lines at once laid the ring anew one by one. Found sound: lists that are no list, cut or endless leave the last good one with one line of the log each; 503, resets and silence are asked again later each time, with chance; a good line before a bad one counts. Each has a test that fails without its fix, but for the last two, which hold what held.

--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Iterator
 from typing import Any, NamedTuple
 
 import h11
@@ -21,6 +21,8 @@
 FIRST_WITHIN = 5.0
 # An empty line comes every 2 s: a watch that is silent for longer is dead, whatever its connection says.
 SILENT = 4.5
+# So long after its first byte a line is whole: discovery may drip, and each byte alone is in time.
+LINE_WITHIN = 10.0
 # One line of a watch; more is no list.
 LONGEST = 8 * 1024 * 1024
 # The address of a backend that is gone.
@@ -73,6 +75,26 @@
     return News(version, told.get("full") is True, entries, addresses)
 
 
+def _together(lines: Iterable[News]) -> Iterator[News]:
+    """Changes that came at once, as one: each alone would lay the ring anew. A whole list stands by itself."""
+    held: News | None = None
+    try:
+        for news in lines:
+            if held is not None and not news.whole and news.version >= held.version:
+                held = News(news.version, held.whole, [*held.entries, *news.entries], [*held.addresses, *news.addresses])
+                continue
+            if held is not None:
+                yield held
+            held = news
+    except BadList:
+        # What came whole before it counts.
+        if held is not None:
+            yield held
+        raise
+    if held is not None:
+        yield held
+
+
 class Source:
     """Discovery at one address. Each counts versions of its own; None is one that has told nothing yet."""
 
@@ -201,29 +223,36 @@
         target = b"/v1/endpoints?watch=1" + after
         line.send(framed_request(parser, Request(b"GET", target, [(b"host", host)], b"")))
         text = bytearray()
-        silent = FIRST_WITHIN
+        first = True
+        loop = asyncio.get_running_loop()
+        until = loop.time() + FIRST_WITHIN
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
-                async with asyncio.timeout(silent):
+                async with asyncio.timeout_at(until):
                     parser.receive_data(await line.read())
             elif isinstance(event, h11.Response):
                 if event.status_code != 200:
                     return f"answered {event.status_code}"
             elif isinstance(event, h11.Data):
-                silent = SILENT
+                if not text:
+                    until = loop.time() + LINE_WITHIN
                 text += event.data
                 if len(text) > LONGEST:
                     raise BadList("a line is too long")
                 if b"\n" not in event.data:
                     continue
                 *whole, rest = text.split(b"\n")
-                for one in whole:
-                    if one.strip():
-                        self.take(self._news(one), source)
-                        if source is self._source:
-                            self._let_go()
+                for news in _together(self._news(one) for one in whole if one.strip()):
+                    # Within a watch versions only rise: what is older came late, and would lift a drain. With its first word
+                    # a discovery that has started again may well be behind.
+                    if first or source.version is None or news.version >= source.version:
+                        self.take(news, source)
+                    first = False
+                    if source is self._source:
+                        self._let_go()
                 text = rest
+                until = loop.time() + (LINE_WITHIN if text else SILENT)
             else:
                 return "closed"
 
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,134 @@
+"""What discovery may do to a proxy: lists that are none, late, doubled or endless, and a discovery that is hardly there."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from unittest import mock
+
+
+from tests.scene import Street
+
+
+class Lists(Street):
+    def listed(self) -> str:
+        return ", ".join(sorted(one["id"] for one in self.proxy._facade.backends() if one["ready"])) or "nobody"
+
+    def line_of(self, version: int, *servers: dict[str, object], full: bool = False) -> bytes:
+        return json.dumps({"version": version, "full": full, "servers": servers}).encode() + b"\n"
+
+    def tell(self, text: bytes) -> None:
+        self.watches[-1].write(b"%x\r\n%s\r\n" % (len(text), text))
+
+    async def settle(self) -> None:
+        """Until all that was told has been read."""
+        last = None
+        while last != (last := (self.listed(), len(self.logged), len(self.watches), self.proxy._discovery._source.version)):
+            await asyncio.sleep(0.05)
+
+    async def test_a_list_that_is_none_leaves_the_last_good_one_and_its_drains(self) -> None:
+        await self.open("a1", "b1", "c1")
+        a, b, c = (self.line(name) for name in self.toys)
+        self.tell(self.line_of(2, self.line("b1", "draining")))
+        await self.settle()
+        said = [f"b1 drains: {self.listed()}"]
+        with mock.patch("pepperusher.net.discovery.LONGEST", 20_000):
+            for what, text in (("no JSON", b"{servers\n"), ("cut short", self.line_of(3, a, b)[:-30] + b"\n"),
+                               ("no addresses", self.line_of(3, {"id": "b1", "state": "ready"})),
+                               ("a good line before a bad one", self.line_of(4, self.line("c1", "draining")) + b"[]\n"),
+                               ("without end", b"x" * 21_000)):
+                watches, logged = len(self.watches), len(self.logged)
+                self.tell(text)
+                await self.until(lambda: len(self.watches) > watches and not self.proxy._discovery._source.following.done())
+                await self.settle()
+                told = [line.split(" line ")[0][:60] for line in self.logged[logged:] if "watch" in line]
+                said.append(f"{what}: {self.listed()}, log {told}")
+        await self.ask("look 1", self.request("look", 1))
+        said.append(self.lines[-1])
+        self.lines = said
+        self.kept("discovery_bad")
+
+    async def test_within_a_watch_what_is_older_lifts_no_drain(self) -> None:
+        """Versions reversed and doubled: the drain once went with the late line."""
+        await self.open("a1", "b1")
+        said = []
+        for what, version, state, full in (("b1 drains", 9, "draining", False), ("the same again", 9, "draining", False),
+                                           ("an older line", 8, "ready", False), ("an older whole list", 7, "ready", True),
+                                           ("a newer one", 10, "ready", False)):
+            servers = (self.line("a1"), self.line("b1", state)) if full else (self.line("b1", state),)
+            self.tell(self.line_of(version, *servers, full=full))
+            await self.settle()
+            said.append(f"{what}: {self.listed()}, version {self.proxy._discovery._source.version}")
+        self.watches[-1].close()   # and one that has started again counts from the start
+        await self.until(lambda: len(self.watches) == 2)
+        self.tell(self.line_of(1, self.line("a1"), full=True))
+        await self.settle()
+        said.append(f"its first word after a new start: {self.listed()}, version {self.proxy._discovery._source.version}")
+        self.lines = said
+        self.kept("discovery_order")
+
+    async def test_hundreds_of_lines_at_once_are_one_to_the_decisions(self) -> None:
+        """Each laid the ring anew: of 500 lines with 60 backends a loop was held for a quarter of a second."""
+        await self.open("a1", "b1")
+        asked = []
+        listed = self.proxy._facade.listed
+        self.proxy._facade.listed = lambda entries, *rest: (asked.append(len(entries)), listed(entries, *rest))
+        text = b"".join(self.line_of(number, self.line("b1", "draining" if number % 2 else "ready")) for number in range(2, 502))
+        self.tell(text)
+        await self.until(lambda: self.proxy._discovery._source.version == 501)
+        self.assertEqual(500, sum(asked))
+        self.assertLess(len(asked), 12)   # as many as the reads that they came in
+        self.assertEqual("a1", self.listed())
+
+    async def test_a_discovery_that_is_hardly_there_is_asked_again(self) -> None:
+        """Silent, dripping, answering 503, resetting: each is left within its time, asked again later each time, and
+        tickets go on by the list that there is."""
+        await self.open("a1")
+        asked: list[float] = []
+        what = ""
+        loop = asyncio.get_running_loop()
+
+        async def hardly(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            asked.append(loop.time())
+            await reader.readuntil(b"\r\n\r\n")
+            if what == "resets":
+                writer.transport.abort()
+            elif what == "503":
+                writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+            elif what == "drips":
+                try:
+                    for byte in b"HTTP/1.1 200 OK\r\nX-Long: " + b"x" * 1000:
+                        writer.write(bytes((byte,)))
+                        await writer.drain()
+                        await asyncio.sleep(0.05)
+                except ConnectionError:
+                    pass
+            elif what == "drips a line":
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                try:
+                    while True:
+                        writer.write(b"1\r\n{\r\n")
+                        await writer.drain()
+                        await asyncio.sleep(0.05)
+                except ConnectionError:
+                    pass
+
+        self.server.close()
+        port = self.server.sockets[0].getsockname()[1] if self.server.sockets else int(json.loads(self.given)["discovery"].split(":")[1])
+        server = await asyncio.start_server(hardly, "127.0.0.1", port)
+        with mock.patch.multiple("pepperusher.net.discovery", FIRST_WITHIN=0.3, LINE_WITHIN=0.4, SILENT=0.3):
+            for what in ("says nothing", "drips", "drips a line", "503", "resets"):
+                before = len(asked)
+                for writer in self.watches:
+                    writer.close()
+                self.proxy._discovery._facade._balancer._ask_step = 0
+                async with asyncio.timeout(8):
+                    while len(asked) < before + 3:
+                        await asyncio.sleep(0.01)
+                first, second, third = asked[before:before + 3]
+                self.assertLess(second - first, 2.5, what)
+                self.assertGreater(third - first, 0.5, what)
+                await self.ask("look", self.request("look", len(self.lines)))
+                self.assertIn("200", self.lines[-1], what)
+        server.close()
+        self.assertLessEqual(sum("list lost" in line for line in self.logged), 1)
