What /ready says in a drain names the drain

Found by following docs/operating.md as a newcomer: a drained proxy said 'no backends known yet, or about to stop'.

--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -34,7 +34,7 @@
 
 READY = plain(200, "ready")
 BROKEN = plain(500, "an error in the proxy")
-NOT_READY = plain(503, "no backends known yet, or about to stop")
+NOT_READY = plain(503, "no backends known, clients sent away, or about to stop")
 # After SIGTERM connections go on coming for a while.
 STILL_COMING = 0.55
 # SIGKILL comes no sooner after SIGTERM than the longest wait of a client, or this if that is shorter, and a moment.
