A full disk costs the keeping of orders, never the start of a process beside another

Found on reading again: Desk.enter told the process before of itself unguarded, so that with a full $TMPDIR the new one ended with a traceback. The orders called hold all the same, and the answer says 500, in force but not kept. The test fails without it.

--- a/pepperusher/console/desk.py
+++ b/pepperusher/console/desk.py
@@ -73,7 +73,7 @@
                 self._merge(left._replace(drain=NEVER))
             return
         proxy.keep_to(HALF)
-        self._tell()
+        self._kept()
         left = await self._told()
         if left is not None:
             self._merge(left)
@@ -90,7 +90,7 @@
             if left is not None and left.seen == self._token or loop.time() >= until:
                 return left
             if self._next is not None and not self._next.held:
-                self._tell()   # another may be ending in that place
+                self._kept()   # another may be ending in that place
             await asyncio.sleep(LOOK_EVERY / 5)
 
     def _read(self, seat: Seat) -> State | None:
@@ -172,10 +172,7 @@
     async def start(self) -> None:
         """Once clients can come."""
         self._serves = True
-        try:
-            self._tell()
-        except OSError as error:
-            self._log.say(f"the state is not kept: {error.strerror or error}")
+        self._kept()
         self._looking = asyncio.get_running_loop().create_task(self._look())
         self.port = await self._door.listen(self._address)
         self._log.say(f"console at {self._address[0]}:{self.port}")
@@ -196,7 +193,7 @@
         try:
             self._tell()
         except OSError as error:
-            self._log.say(f"an order is not kept: {error.strerror or error}")
+            self._log.say(f"the state is not kept: {error.strerror or error}")
             return False
         return True
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 from pathlib import Path
+from unittest import mock
 
 from pepperusher.console.orders import NEVER, Order
 from pepperusher.console.place import seats
@@ -237,6 +238,23 @@
         self.assertIn("200", await self.hear(at[0]))
         self.assertIn("200", await fourth.call("POST", "/-/backends/b1/enable"))
 
+    async def test_a_full_disk_costs_the_keeping_and_not_the_start(self) -> None:
+        """Each writes with its start; a process that comes beside another one once ended by it."""
+        self.processes = []
+        with tempfile.TemporaryDirectory() as folder, \
+                mock.patch("pepperusher.console.place.Seat.write", side_effect=OSError(28, "No space left on device")):
+            first, _ = seats(folder, "p1")
+            first.take()   # another one reigns, and says nothing
+            await self.open("a1", console="127.0.0.1:1", passed=folder)
+            await self.ask("look", self.request("look", 1))
+            self.assertIn("200", self.lines[-1])
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.proxy._desk.port)
+            writer.write(b"POST /-/backends/a1/disable HTTP/1.1\r\nHost: c\r\n\r\n")
+            self.assertIn("500 'in force, but not kept", await self.hear(reader))
+            writer.close()
+            first.close()
+        self.assertTrue(any("the state is not kept: No space left" in line for line in self.logged), self.logged)
+
     async def test_a_folder_that_can_t_be_written_is_said_and_the_proxy_serves(self) -> None:
         await self.open("a1", console="127.0.0.1:1", passed="/nowhere")
         self.assertTrue(any("/nowhere: No such file or directory" in line for line in self.logged), self.logged)
