--- a/pepperusher/console/desk.py
+++ b/pepperusher/console/desk.py
@@ -1,4 +1,5 @@
-"""Joins the console with the proxy: what operators call is put in force here, and what is in force is kept."""
+"""Joins the console with the proxy: what operators call is put in force here, and what is in force is
+kept."""
 
 from __future__ import annotations
 
@@ -55,7 +56,8 @@
     # --- the places ---------------------------------------------------------------------------------
 
     async def enter(self, proxy: Proxy) -> None:
-        """Before anything is served: takes the first place, or the next one and what the process before has to pass on."""
+        """Before anything is served: takes the first place, or the next one and what the process before has
+        to pass on."""
         self._proxy = proxy
         folder = os.environ.get("TMPDIR")
         if not folder:
--- a/pepperusher/console/door.py
+++ b/pepperusher/console/door.py
@@ -1,4 +1,5 @@
-"""The console's listener: one call to a connection, each answered at once, whoever else holds one open and says nothing."""
+"""The console's listener: one call to a connection, each answered at once, whoever else holds one open and
+says nothing."""
 
 from __future__ import annotations
 
@@ -17,7 +18,8 @@
 PLACES = 6
 # A call is whole so long after its connect.
 WITHIN = 3.0
-# After its answer so much time to take it and close, so that what it still writes does not reset the answer away.
+# After its answer so much time to take it and close, so that what it still writes does not reset the answer
+# away.
 LINGER = 0.5
 BROKEN = plain(500, "an error in the console")
 
--- a/pepperusher/console/place.py
+++ b/pepperusher/console/place.py
@@ -49,7 +49,8 @@
         return False
 
     def write(self, state: State) -> None:
-        """For its holder alone. Renamed into place: whoever reads finds the old or the new whole. Raises OSError."""
+        """For its holder alone. Renamed into place: whoever reads finds the old or the new whole. Raises
+        OSError."""
         with open(self._beside, "w", encoding="utf-8") as file:
             file.write(text_of(state))
         os.replace(self._beside, self._path)
--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -30,7 +30,8 @@
 
 
 class Step(NamedTuple):
-    """What to do: send to `backend` for `wait` at most, hold for `wait`, or answer (`wait`: the advice, 0 none)."""
+    """What to do: send to `backend` for `wait` at most, hold for `wait`, or answer (`wait`: the advice, 0
+    none)."""
 
     what: str
     backend: str
@@ -70,7 +71,8 @@
         self._use_cases = {use.name: use for use in ground.use_cases}
         self._customers = {customer.name: customer for customer in ground.customers}
         self._most = ground.most_transmissions
-        # A backend off the list may come back under its id. Its breaker tells something while it could still be open
+        # A backend off the list may come back under its id. Its breaker tells something while it could still
+        # be open
         # for a ticket that is in hand now; kept for longer, ids that are ever new would pile up.
         self._remembered = OPEN_FOR + ground.longest_wait
 
@@ -130,7 +132,8 @@
         return Step(FINAL[answer], "", wait)
 
     def stands(self, ticket: Ticket, now: int) -> bool:
-        """Whether the transmission just picked may still be sent: a list or a client may have changed meanwhile."""
+        """Whether the transmission just picked may still be sent: a list or a client may have changed
+        meanwhile."""
         sent = ticket.transmissions[-1]
         if ticket.over or sent.backend.address in self._unlisted or now - sent.sent >= sent.patience:
             return False
@@ -140,7 +143,8 @@
         return not ran or use.repeat == terms.REPLAYABLE or not 0 < use.remembered <= now - ran[0]
 
     def remember(self, ticket: Ticket, backend: str, cell: int, sent: int, ran: bool) -> None:
-        """One that went out under the same mark before this ticket was taken, and may have run, or is known never to
+        """One that went out under the same mark before this ticket was taken, and may have run, or is known
+        never to
         have: the rules on further transmissions then hold for the mark. Before the first `pick`."""
         known = self._backends.get(backend)
         if known is None:
@@ -165,7 +169,8 @@
         ticket.most = max(1, min(ticket.most, most))
 
     def aside(self, ticket: Ticket, now: int) -> None:
-        """Its body still comes, or its answer is passed on: a slow client, of which the backend's calls in flight, its time
+        """Its body still comes, or its answer is passed on: a slow client, of which the backend's calls in
+        flight, its time
         and its breaker must tell nothing. Until `back`, or the report."""
         sent = ticket.transmissions[-1]
         if sent.aside is None and sent.ended is None:
@@ -197,7 +202,8 @@
         self.aside(ticket, now)
 
     def report(self, ticket: Ticket, how: str, now: int, again: bool = True) -> Step:
-        """The transmission that was out has ended; tells what to do next. Not `again`: whatever it was, it was the last."""
+        """The transmission that was out has ended; tells what to do next. Not `again`: whatever it was, it
+        was the last."""
         sent = ticket.transmissions[-1]
         must_hold(sent.ended is None, "a transmission ends once")
         if sent.ended is not None:
@@ -252,7 +258,8 @@
                 self._unlisted.pop(entry.id, None)
             else:
                 self._unlisted.setdefault(entry.id, now)
-            lines.append(Listing(backend, entry.zone, entry.cell, entry.weight, entry.born, entry.ready, entry.kind, entry.gone))
+            lines.append(Listing(backend, entry.zone, entry.cell, entry.weight, entry.born, entry.ready, entry.kind,
+                                 entry.gone))
         if whole:
             for name in self._backends:
                 if name not in seen:
--- a/pepperusher/ground.py
+++ b/pepperusher/ground.py
@@ -41,7 +41,8 @@
 
 
 def _only(of: dict[str, Any], name: str, known: list[str] | None = None) -> frozenset[str] | None:
-    """The only places or kinds; None where the settings name none. An empty set lets nothing run, and is a mistake."""
+    """The only places or kinds; None where the settings name none. An empty set lets nothing run, and is a
+    mistake."""
     told = of.get(name)
     if told is None:
         return None
--- a/pepperusher/narrowed.py
+++ b/pepperusher/narrowed.py
@@ -31,7 +31,8 @@
         return made
 
     def turned(self, turn: Callable[[], None]) -> list[Entry]:
-        """Other marks from now on, by `turn`; the lines that change by it, of backends that discovery has as ready alone."""
+        """Other marks from now on, by `turn`; the lines that change by it, of backends that discovery has as
+        ready alone."""
         before = {name: self._mark(entry) for name, entry in self._told.items()}
         turn()
         return [after for name, entry in self._told.items() if (after := self._mark(entry)) != before[name]]
--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -54,7 +54,8 @@
         self._connect_within = connect_within / 1e6
         # Well before the backend's own limit: a request that crosses its close may have run.
         self._idle_most = idle_most // 2
-        # What stands between may drop a connection long before that, and tells it with a reset of the next ticket.
+        # What stands between may drop a connection long before that, and tells it with a reset of the next
+        # ticket.
         self._kept_most = self._idle_most
         self._doors: dict[str, Door] = {}   # emptied by the list, once nothing is out there
         budget.may_close_idle(self._close_oldest)
@@ -144,7 +145,8 @@
         return None
 
     def _learn(self, stood: int, answered: bool) -> None:
-        """From a connection that was used again after it `stood` idle: half of what broke, and slowly more again.
+        """From a connection that was used again after it `stood` idle: half of what broke, and slowly more
+        again.
 
         One network lies between this proxy and all backends, and a few resets at each would be as many tickets lost.
         """
@@ -182,7 +184,8 @@
 
     async def transmit(self, backend: str, request: Request, out: Transmission, patience: int, placed: Placed,
                        onward: Onward | None = None) -> tuple[str, Answer | None]:
-        """How it ended, and the answer if a whole one came and was not passed on. Never sends a second time."""
+        """How it ended, and the answer if a whole one came and was not passed on. Never sends a second
+        time."""
         door = self._doors.get(backend)
         if door is None:
             return "unreached", None
@@ -194,7 +197,8 @@
             door.out.discard(out)
             self._forget(backend, door)
         if how == "timed out" and door.heard_at < began:
-            # A silent machine's other connections are as silent; a new one that doesn't come up tells at once.
+            # A silent machine's other connections are as silent; a new one that doesn't come up tells at
+            # once.
             self._close_idle(door)
         return how, answer
 
@@ -223,7 +227,8 @@
                     self._learn(stood, True)
             elif stood is not None and how == "reset" and out.how is None and link.line.heard_at < began \
                     and clock.now() - began < self._connect_within * 1e6:
-                # At once and without a word: an answer that broke off, or work that ended in a crash, tells nothing of it.
+                # At once and without a word: an answer that broke off, or work that ended in a crash, tells
+                # nothing of it.
                 self._learn(stood, False)
             kept = door.listed and exchange.clean
             return how, answer
--- a/pepperusher/net/buffers.py
+++ b/pepperusher/net/buffers.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
-# Of a body so much is held, and one buffer. Most bodies take one; at 64 KiB each, those of a few hundred callers that
+# Of a body so much is held, and one buffer. Most bodies take one; at 64 KiB each, those of a few hundred
+# callers that
 # send no more than a part were half of a small proxy's memory.
 HELD = 64 * 1024
 SIZE = 4 * 1024
 
 
 class Body:
-    """One body as it comes in. It takes buffers as it grows, none before its first byte: most tickets have none."""
+    """One body as it comes in. It takes buffers as it grows, none before its first byte: most tickets have
+    none."""
 
     __slots__ = ("_pool", "_buffers", "_joined", "length")
 
@@ -21,7 +23,8 @@
 
     @property
     def full(self) -> bool:
-        """Whether no more is to be held, or hardly more where all that is held together comes to its bound."""
+        """Whether no more is to be held, or hardly more where all that is held together comes to its
+        bound."""
         return self.length > HELD or self.length > SIZE and self._pool.short
 
     def add(self, data: bytes) -> None:
@@ -35,7 +38,8 @@
             data = data[len(part):]
 
     def whole(self) -> memoryview | bytes:
-        """Once all of it has come. Copied only where it is in several, in place of them: many tickets may be in hand. Good
+        """Once all of it has come. Copied only where it is in several, in place of them: many tickets may be
+        in hand. Good
         until it is given back."""
         if len(self._buffers) == 1:
             return memoryview(self._buffers[0])[:self.length]
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -23,14 +23,18 @@
 BATCH = 16
 # So long after its connect a caller has begun, or the connection ends.
 BEGUN = 2_000_000
-# So long after its first byte a message is whole, and a second more for each so many bytes that came. Not from the last
-# byte: a caller that drips would keep its connection for good. Honest ones take 2 s for a head and send 64 kB a second.
+# So long after its first byte a message is whole, and a second more for each so many bytes that came. Not
+# from the last
+# byte: a caller that drips would keep its connection for good. Honest ones take 2 s for a head and send 64 kB
+# a second.
 WHOLE = 2_400_000
 SLOWEST = 32_000
-# Where descriptors run out, a new connection that has said nothing for so long is the first to make room: whoever
+# Where descriptors run out, a new connection that has said nothing for so long is the first to make room:
+# whoever
 # opens one to send does so at once.
 SHY = 250_000
-# Callers get no more than this part of all descriptors: a ticket in hand takes one of its caller's and one to a backend,
+# Callers get no more than this part of all descriptors: a ticket in hand takes one of its caller's and one to
+# a backend,
 # and a crowd that says nothing left none for the second, so that those who asked were bounced.
 PART = 2 / 3
 # After an answer to bad input so much more is read, so that the answer is not lost in a reset.
@@ -48,7 +52,8 @@
 
 
 def _accepted(listener: socket.socket) -> socket.socket | None:
-    """The next from the kernel's queue, None where it is empty. At once: a wait that is called off could lose one."""
+    """The next from the kernel's queue, None where it is empty. At once: a wait that is called off could lose
+    one."""
     try:
         taken, _ = listener.accept()
     except (BlockingIOError, InterruptedError):
@@ -103,7 +108,8 @@
     def __init__(self, line: Line) -> None:
         self.line = line
         self.parser = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD)
-        # For the caller: to ask or to ask again, to end what it began, to take an answer; None while we work for it.
+        # For the caller: to ask or to ask again, to end what it began, to take an answer; None while we work
+        # for it.
         self.waiting_since: int | None = clock.now()
         self.answered = False
         self.useful = False   # it has sent a ticket, and may send more
@@ -131,14 +137,16 @@
     def __init__(self, handle: Callable[[Call], Awaitable[Answer]], budget: Budget, pool: Pool,
                  log: Log, longest_wait: int) -> None:
         self._handle = handle
-        # As long as any client waits for an answer: one that takes longer to take it, or to ask again, has left.
+        # As long as any client waits for an answer: one that takes longer to take it, or to ask again, has
+        # left.
         self._longest_wait = longest_wait
         self._budget = budget
         self._pool = pool
         self._log = log
         self._serving: set[asyncio.Task[None]] = set()   # emptied as connections end
         self._callers: dict[Caller, None] = {}           # likewise; in the order in which they came
-        # Standing between tickets, the longest first; emptied by a ticket's first byte and as connections end.
+        # Standing between tickets, the longest first; emptied by a ticket's first byte and as connections
+        # end.
         self._idle: dict[Caller, None] = {}
         self._closing = False
         self._listener: socket.socket | None = None
@@ -160,7 +168,8 @@
         return port
 
     def give_way(self) -> None:
-        """New connections are another process's from now on; what the kernel has queued here is ours still."""
+        """New connections are another process's from now on; what the kernel has queued here is ours
+        still."""
         assert self._listener is not None
         give_way(self._listener)
         # It stands between two accepts, and none is lost by its end.
@@ -173,10 +182,12 @@
         self._listener = None
 
     async def _accept(self, listener: socket.socket) -> None:
-        """Stops for another process alone: what the kernel has accepted may hold a ticket, which is then ours."""
+        """Stops for another process alone: what the kernel has accepted may hold a ticket, which is then
+        ours."""
         for number in count(1):
             if number % BATCH == 0:
-                # What is accepted at once is not waited for; hundreds that come together leave others their turn.
+                # What is accepted at once is not waited for; hundreds that come together leave others their
+                # turn.
                 await asyncio.sleep(0)
             while not self._may_let_in():
                 await self._budget.freed()
@@ -301,7 +312,8 @@
         if self._closing or self._budget.above(SHORT):
             # What a client has sent ahead is taken as well: it is answered before the connection ends.
             close = close or line.quiet() and not parser.trailing_data[0]
-        # Against hundreds that ask whether we are ready, or for what there is not, and keep a connection each.
+        # Against hundreds that ask whether we are ready, or for what there is not, and keep a connection
+        # each.
         return close or not call.ticket and not caller.useful and self._budget.above(HALF)
 
     async def _turn_away(self, caller: Caller, bad: BadMessage) -> None:
@@ -342,9 +354,11 @@
         def stood(caller: Caller, least: int) -> bool:
             return caller.waiting_since is not None and now - caller.waiting_since >= least
 
-        # One that has had no answer may carry a ticket that crossed a close and is sent once more: it is given time.
+        # One that has had no answer may carry a ticket that crossed a close and is sent once more: it is
+        # given time.
         shy = [caller for caller in self._idle if not caller.answered]
-        # While most are silent, their time is waited for: whoever asked of late asks again, and opens one for it.
+        # While most are silent, their time is waited for: whoever asked of late asks again, and opens one for
+        # it.
         spared = BEGUN if 2 * len(shy) > len(self._idle) else 0
         return any(self._closed(caller) for caller in chain(
             (one for one in shy if stood(one, SHY)),
@@ -360,7 +374,8 @@
         return True
 
     def sweep(self, now: int) -> None:
-        """Ends what its caller has no more use for: asked once and kept, begun and not ended, opened and silent."""
+        """Ends what its caller has no more use for: asked once and kept, begun and not ended, opened and
+        silent."""
         idle_most = BEGUN if self._budget.above(HALF) else max(BEGUN, self._longest_wait)
         for caller in list(self._callers):
             since = caller.waiting_since
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -76,7 +76,8 @@
 
 
 def _together(lines: Iterable[News]) -> Iterator[News]:
-    """Changes that came at once, as one: each alone would lay the ring anew. A whole list stands by itself."""
+    """Changes that came at once, as one: each alone would lay the ring anew. A whole list stands by
+    itself."""
     held: News | None = None
     try:
         for news in lines:
@@ -109,13 +110,15 @@
 class Discovery:
     def __init__(self, address: tuple[str, int], facade: Facade, backends: Backends, log: Log,
                  marks: Narrow | None = None, orders: Narrow | None = None) -> None:
-        # Our own file's marks on what the list says, and behind them the operators' bans; None where there are none.
+        # Our own file's marks on what the list says, and behind them the operators' bans; None where there
+        # are none.
         self._marks = marks
         self._orders = orders
         # What the list says of each, and where it is reached; emptied with the list.
         self._told: dict[str, tuple[Entry, tuple[str, int]]] = {}
         self._source = Source(address, 0)
-        # Whom a new configuration has replaced, each with its last watch; emptied when the new one has told, since
+        # Whom a new configuration has replaced, each with its last watch; emptied when the new one has told,
+        # since
         # till then an old watch is better than none.
         self._replaced: list[Source] = []
         self._facade = facade
@@ -140,7 +143,8 @@
         self.put(entries if self._orders is None else self._orders(entries, whole), whole)
 
     def put(self, entries: list[Entry], whole: bool = False) -> None:
-        """Lines as they are to be acted on. What is drained by a mark or an order has no connection kept either."""
+        """Lines as they are to be acted on. What is drained by a mark or an order has no connection kept
+        either."""
         for entry in entries:
             _, address = self._told.get(entry.id, (None, GONE))
             self._backends.reached_at(entry.id, address, entry.ready)
@@ -175,7 +179,8 @@
         self.take(news)
 
     def turn_to(self, address: tuple[str, int]) -> None:
-        """A new configuration: asked there at once, while the list and the old watch stand till it has told."""
+        """A new configuration: asked there at once, while the list and the old watch stand till it has
+        told."""
         if address == self._source.address:
             return
         if self._source.version is None:
@@ -244,7 +249,8 @@
                     continue
                 *whole, rest = text.split(b"\n")
                 for news in _together(self._news(one) for one in whole if one.strip()):
-                    # Within a watch versions only rise: what is older came late, and would lift a drain. With its first word
+                    # Within a watch versions only rise: what is older came late, and would lift a drain. With
+                    # its first word
                     # a discovery that has started again may well be behind.
                     if first or source.version is None or news.version >= source.version:
                         self.take(news, source)
--- a/pepperusher/net/exchange.py
+++ b/pepperusher/net/exchange.py
@@ -1,4 +1,5 @@
-"""One transmission on one connection to a backend: what is sent, how it ended, and the answer, held or passed on."""
+"""One transmission on one connection to a backend: what is sent, how it ended, and the answer, held or passed
+on."""
 
 from __future__ import annotations
 
@@ -13,13 +14,16 @@
 from pepperusher.net.line import Line
 from pepperusher.net.message import Answer, BadMessage, Request, framed_request, length_of, read_data, read_head
 
-# Once it has begun, an answer takes the network's time and not the work's: silent for so many times what a new connection may
+# Once it has begun, an answer takes the network's time and not the work's: silent for so many times what a
+# new connection may
 # take, or this if that is more, it is broken. Some never end.
 REST = 2
 QUIET = 0.5
-# An answer that is not whole so long after its head is passed on as it comes: held back further it might miss its client.
+# An answer that is not whole so long after its head is passed on as it comes: held back further it might miss
+# its client.
 HOLD = 1.0
-# Once its answer is passed on, or while its body flows, a backend that neither gives nor takes for so long is gone.
+# Once its answer is passed on, or while its body flows, a backend that neither gives nor takes for so long is
+# gone.
 STALLED = 5.0
 # The answers that tell of work done.
 DONE = frozenset((200, 201, 202, 203, 204, 206, 304))
@@ -53,7 +57,8 @@
 
 
 class Placed:
-    """What the decisions are told of a transmission under way: set aside while its body comes, and back in its place."""
+    """What the decisions are told of a transmission under way: set aside while its body comes, and back in
+    its place."""
 
     __slots__ = ("stands", "aside", "back")
 
@@ -66,7 +71,8 @@
 class Exchange:
     """`patience` starts with it, or with the body's last byte where that is still to come."""
 
-    def __init__(self, line: Line, parser: h11.Connection, pool: Pool, out: Transmission, patience: int, connect_within: float) -> None:
+    def __init__(self, line: Line, parser: h11.Connection, pool: Pool, out: Transmission, patience: int,
+                 connect_within: float) -> None:
         self._line = line
         self._parser = parser
         self._body = Body(pool)
@@ -106,7 +112,8 @@
 
     @property
     def clean(self) -> bool:
-        """Whether the connection may serve the next. What came after the answer would be taken for the answer to that."""
+        """Whether the connection may serve the next. What came after the answer would be taken for the answer
+        to that."""
         return (self._parser.our_state is h11.DONE and self._parser.their_state is h11.DONE and not self._line.ended
                 and self._out.how is None and not self._line.unread and not self._parser.trailing_data[0])
 
@@ -177,7 +184,8 @@
             self._body.add(data)
         return False
 
-    async def _pass_on(self, how: str, answer: Answer, length: int | None, onward: Onward) -> tuple[str, Answer | None]:
+    async def _pass_on(self, how: str, answer: Answer, length: int | None,
+                       onward: Onward) -> tuple[str, Answer | None]:
         for timer in (self._overdue, self._silent):
             if timer is not None:
                 timer.cancel()
--- a/pepperusher/net/flows.py
+++ b/pepperusher/net/flows.py
@@ -1,4 +1,5 @@
-"""Bodies too long to be held: a request's rest, read as it is sent on, and an answer passed on as it comes."""
+"""Bodies too long to be held: a request's rest, read as it is sent on, and an answer passed on as it
+comes."""
 
 from __future__ import annotations
 
@@ -49,13 +50,16 @@
 
 
 class Onward:
-    """The way back to a caller, for an answer that is passed on as it comes. `dress` makes its head the caller's."""
+    """The way back to a caller, for an answer that is passed on as it comes. `dress` makes its head the
+    caller's."""
 
-    # What it is handed points back to the call: `over` lets go of it, else the two would stay until a collection.
+    # What it is handed points back to the call: `over` lets go of it, else the two would stay until a
+    # collection.
 
     __slots__ = ("_parser", "_line", "_waits", "_closes", "dress", "begun", "ended")
 
-    def __init__(self, parser: h11.Connection, line: Line, waits: Callable[[bool], None], closes: Callable[[], bool]) -> None:
+    def __init__(self, parser: h11.Connection, line: Line, waits: Callable[[bool], None],
+                 closes: Callable[[], bool]) -> None:
         self._parser = parser
         self._line = line
         self._waits = waits
@@ -68,7 +72,8 @@
         self.dress, self._closes = _as_it_is, bool
 
     async def begin(self, answer: Answer, length: int | None) -> bool:
-        """Its head and what was held of it; without a length its end is told by its framing. Whether the caller takes it."""
+        """Its head and what was held of it; without a length its end is told by its framing. Whether the
+        caller takes it."""
         self.begun = True
         dressed = self.dress(answer)
         headers = list(dressed.headers)
--- a/pepperusher/net/house.py
+++ b/pepperusher/net/house.py
@@ -118,7 +118,8 @@
         self._lines(lines)
 
     async def start(self, facade: Facade, stopping: asyncio.Event, lines: Callable[[list[Entry]], None]) -> None:
-        """`lines` takes those that change by a mark. Raises ControlError where the control socket can't be opened."""
+        """`lines` takes those that change by a mark. Raises ControlError where the control socket can't be
+        opened."""
         self._lines = lines
         if self._instead:
             self._say("started with the last confirmed file", why=self._instead)
@@ -213,7 +214,8 @@
 
         made.waiting.tell = tell
         call.on_leave = leave
-        # Of its own, and not with the next look at all: that is up to LOOK_EVERY later, and its client has left by then.
+        # Of its own, and not with the next look at all: that is up to LOOK_EVERY later, and its client has
+        # left by then.
         left = made.until - clock.now() - max(LEAST_LEFT, self.standing.usual(made))
         timer = asyncio.get_running_loop().call_later(max(0, left) / 1e6, late)
         try:
--- a/pepperusher/net/line.py
+++ b/pepperusher/net/line.py
@@ -150,7 +150,8 @@
     def reset(self) -> None:
         """At once, and so that it is not taken for an end in order."""
         if not self.transport.is_closing():
-            self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            at_once = struct.pack("ii", 1, 0)
+            self.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, at_once)
         self.transport.abort()
 
 
--- a/pepperusher/net/listening.py
+++ b/pepperusher/net/listening.py
@@ -6,7 +6,8 @@
 import struct
 
 BACKLOG = 1024
-# One instruction of a classic filter, and what the kernel takes a program of them as; neither is in the socket module.
+# One instruction of a classic filter, and what the kernel takes a program of them as; neither is in the
+# socket module.
 RETURN = 0x06
 INSTRUCTION = struct.Struct("HBBI")
 PROGRAM = struct.Struct("@HP")
--- a/pepperusher/net/message.py
+++ b/pepperusher/net/message.py
@@ -81,7 +81,8 @@
 
 async def read_head(parser: h11.Connection, line: Line,
                     came: Callable[[], None] | None = None) -> h11.Request | h11.Response | None:
-    """The next message's head; None where the line ended before one began. `came` is told when a part of it has."""
+    """The next message's head; None where the line ended before one began. `came` is told when a part of it
+    has."""
     interim = 0
     with _bad_messages():
         while True:
@@ -111,7 +112,8 @@
                     line.send(parser.send(h11.InformationalResponse(status_code=100, headers=[])))
                 read = await line.read()
                 if not read and not line.ended_in_order:
-                    # Where the end of the connection is the end of the body, a broken one must not look like it.
+                    # Where the end of the connection is the end of the body, a broken one must not look like
+                    # it.
                     raise BadMessage(400, "the connection broke")
                 parser.receive_data(read)
             elif isinstance(event, h11.Data):
@@ -153,7 +155,8 @@
     """The whole of it, or as much as is held: the rest flows."""
     headers = request.headers
     if request.rest is not None:
-        by = (b"transfer-encoding", b"chunked") if request.length is None else (b"content-length", b"%d" % request.length)
+        length = request.length
+        by = (b"transfer-encoding", b"chunked") if length is None else (b"content-length", b"%d" % length)
         headers = [*headers, by]
     elif request.body or request.method not in (b"GET", b"HEAD"):
         headers = [*headers, (b"content-length", b"%d" % len(request.body))]
@@ -171,7 +174,8 @@
     return _framed(parser, h11.Response(status_code=answer.status, headers=headers), answer.body)
 
 
-def _framed(parser: h11.Connection, head: h11.Request | h11.Response, body: memoryview | bytes, whole: bool = True) -> bytes:
+def _framed(parser: h11.Connection, head: h11.Request | h11.Response, body: memoryview | bytes,
+            whole: bool = True) -> bytes:
     parts = [parser.send(head)]
     if body:
         parts.append(parser.send(h11.Data(data=body)))
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -37,7 +37,8 @@
 NOT_READY = plain(503, "no backends known, clients sent away, or about to stop")
 # After SIGTERM connections go on coming for a while.
 STILL_COMING = 0.55
-# SIGKILL comes no sooner after SIGTERM than the longest wait of a client, or this if that is shorter, and a moment.
+# SIGKILL comes no sooner after SIGTERM than the longest wait of a client, or this if that is shorter, and a
+# moment.
 LONGEST_GRACE = 3.0
 MOMENT = 0.7
 # Before that, the last are given up, to have their answers, and so much before that it ends.
@@ -53,7 +54,8 @@
 # Sound limits of what a caller may say; more is absurd.
 LONGEST_WAIT = 3600 * 1_000_000
 UNITS = {b"m": 1000, b"u": 1}
-# Of the memory that the process may take, so much is held of bodies at the most: the first part is the program's own, and
+# Of the memory that the process may take, so much is held of bodies at the most: the first part is the
+# program's own, and
 # each connection has buffers beside that.
 HELD_PART = 8
 # What a new configuration can't change in a process that serves.
@@ -83,7 +85,8 @@
                 raise BadCall(f"two of {name.decode()}")
             read[name] = value
         elif name == b"connection":
-            # Taken off for the connection's own, a mark against repeats would be gone from the tickets sent on.
+            # Taken off for the connection's own, a mark against repeats would be gone from the tickets sent
+            # on.
             if any(part.strip().lower() in READ for part in value.split(b",")):
                 raise BadCall("Connection names a header of the ticket")
     return read
@@ -162,7 +165,8 @@
                 answer = await self._ticket(call, told)
             finally:
                 self._names.discard(name)
-            holds.must_hold(answer is not None or call.left or call.begun, "a ticket ends with an answer unless its client left")
+            holds.must_hold(answer is not None or call.left or call.begun,
+                            "a ticket ends with an answer unless its client left")
             return answer or BROKEN
         except BadCall as bad:
             call.bad = True
@@ -352,7 +356,8 @@
         self._discovery.put(lines)
 
     def send_away(self, on: bool) -> None:
-        """Clients go elsewhere: no new ones, and those here with the answer to what they ask next, or when they ask nothing.
+        """Clients go elsewhere: no new ones, and those here with the answer to what they ask next, or when
+        they ask nothing.
 
         Stopping, the proxy sends them away by itself, and no word brings them back.
         """
@@ -386,7 +391,8 @@
         self._discovery.start()
         sweep = loop.create_task(self._sweep())
         pace = loop.create_task(self._pace())
-        # What stands now stays for good: the collector need not walk it each time. Connections leave cycles behind
+        # What stands now stays for good: the collector need not walk it each time. Connections leave cycles
+        # behind
         # in asyncio's transports: collected seldom they look like memory that goes on growing.
         gc.collect()
         gc.freeze()
@@ -409,7 +415,8 @@
         self._stopping.set()
 
     def tell_anew(self) -> None:
-        """The configuration may have been replaced: settings and where discovery answers are taken from it, all else at a start."""
+        """The configuration may have been replaced: settings and where discovery answers are taken from it,
+        all else at a start."""
         try:
             told = self._again(self._told)
         except ToldError as error:
@@ -463,7 +470,8 @@
             try:
                 self._backends.sweep(clock.now())
                 self._callers.sweep(clock.now())
-                # Not at once: those whose connections close would open new ones, and the front still sends those here.
+                # Not at once: those whose connections close would open new ones, and the front still sends
+                # those here.
                 if self._sent_away_at is not None and clock.now() - self._sent_away_at >= SENT_AWAY:
                     self._callers.close_idle(SHY)
                 self._budget.trim()
@@ -478,7 +486,8 @@
         while True:
             due = clock.now() + PACE
             await asyncio.sleep(PACE / 1e6)
-            # Forgotten by half in 7 s, a few times as long as a ticket lasts: what runs late does so in spells.
+            # Forgotten by half in 7 s, a few times as long as a ticket lasts: what runs late does so in
+            # spells.
             self._late = max(clock.now() - due, self._late - self._late // 200)
 
     def _say_counts(self) -> None:
@@ -492,6 +501,7 @@
 
 def run(told: Told, again: Callable[[Told], Told], own: Callable[[Ground, Log], House] | None = None,
         desk: Callable[[tuple[str, int], Ground, Log], Desk] | None = None) -> None:
-    """`again` reads the configuration anew, beside the one in force; `own` makes what our own file has the proxy do, where there is one, and
+    """`again` reads the configuration anew, beside the one in force; `own` makes what our own file has the
+    proxy do, where there is one, and
     `desk` what operators can call, where they have an address."""
     asyncio.run(Proxy(told, again, own, desk).serve())
--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -93,7 +93,8 @@
         self._position = ground.ordinal * GOLDEN % 1.0
 
     def retuned(self, ground: Ground, now: int) -> None:
-        """Other settings from now on. Use cases that stay are the same objects, and so what is known of them stays."""
+        """Other settings from now on. Use cases that stay are the same objects, and so what is known of them
+        stays."""
         self._tune(ground)
         for backend in self._backends:
             for table in (backend.runs, backend.shut):
@@ -104,7 +105,7 @@
     # --- where to send this ticket ----------------------------------------------------------------
 
     def where(self, ticket: Ticket, now: int) -> Backend | int:
-        if ticket.over or ticket.until - now <= 0 or len(ticket.transmissions) >= min(self._most, ticket.most):
+        if ticket.over or ticket.until <= now or len(ticket.transmissions) >= min(self._most, ticket.most):
             return self._no(ticket, now)
         first, use = not ticket.transmissions, ticket.use_case
         self._young = self._young and self._age(self._young, now)
@@ -134,7 +135,8 @@
                 shut.append(backend)
                 continue
             if not far:
-                # The prediction is that of all: what is bound is a part of the tickets, and the flow is everybody's.
+                # The prediction is that of all: what is bound is a part of the tickets, and the flow is
+                # everybody's.
                 counted += 1
                 admitting += backend.share
             if not may_run:
@@ -149,16 +151,20 @@
         # Asked of further transmissions too: in a jam they are the last thing the backends need.
         within = not first or not choice or self._within_share(ticket, now)
         if choice and not self._in_time(ticket, within, in_flight, counted, now):
-            # The prediction is that of the many: a fresh one that holds less and has some of its budget left is
-            # asked all the same. Else the warm ones' jam kept tickets from it, and it stood idle beside bounces.
-            # First transmissions alone: what may have run is bound to its group, which need not hold a fresh one.
+            # The prediction is that of the many: a fresh one that holds less and has some of its budget left
+            # is
+            # asked all the same. Else the warm ones' jam kept tickets from it, and it stood idle beside
+            # bounces.
+            # First transmissions alone: what may have run is bound to its group, which need not hold a fresh
+            # one.
             choice = [b for b in choice if first and within and b.cold and b.held < self._mean * b.room]
             if not choice:
                 return self._no(ticket, now)
         if first:
             self._spare = min(SPARE_MOST, self._spare + SPARE_PART)
         if anchor is not None:
-            choice = [b for b in self._backends if _drops_repeats(anchor.backend, b, use.scope) and _may_run(use, b)
+            choice = [b for b in self._backends
+                      if _drops_repeats(anchor.backend, b, use.scope) and _may_run(use, b)
                       and (b.state == CLOSED or self._admits(b, now)) and self._has_room(b, now)]
         if not first or not room:
             tried = [sent.backend for sent in ticket.transmissions]
@@ -251,8 +257,8 @@
     def _tightest(self, use: UseCase) -> tuple[float, UseCase | None]:
         """The pressure that the tightest use case sets, and one that is slow by itself.
 
-        What waits beside others that don't tells of no jam: it sets no pressure for them and its calls in flight,
-        which end by time-outs that no flow counts, are no sign for them. In a jam all are slow alike.
+        What waits beside others that don't tells of no jam: it sets no pressure for them, and its calls in
+        flight, which end by time-outs that no flow counts, are no sign for them. In a jam all are slow alike.
         """
         most = next_most = 0.0
         slow = None
@@ -496,7 +502,8 @@
         ticket.pause = 0 if self._calls_off else -1
 
     def learned(self, now: int) -> tuple[int, float, float]:
-        """What another process of the same proxy is `taught`: else it takes itself for new, and the jam for its doing."""
+        """What another process of the same proxy is `taught`: else it takes itself for new, and the jam for
+        its doing."""
         return self._usual, self._flow_now(now), self._took * exp((self._took_at - now) / self._warm_after)
 
     def taught(self, usual: int, flow: float, took: float, now: int) -> None:
@@ -575,7 +582,8 @@
             backend.share = backend.portion
             if backend.cold:
                 backend.share *= self._grown(backend, now)
-        # Asked with each ticket while one is fresh: no further than the near ones, with which the ring begins.
+        # Asked with each ticket while one is fresh: no further than the near ones, with which the ring
+        # begins.
         self._part_grown = sum(b.share for b in takewhile(attrgetter("near"), self._ring)) or 1.0
         return [b for b in backends if b.cold]
 
@@ -584,7 +592,8 @@
         if not backend.near:
             return False
         size = backend.portion * self._grown(backend, now)
-        # By what one took over as long as a backend is cold, if that is more than now: while most were fresh the
+        # By what one took over as long as a backend is cold, if that is more than now: while most were fresh
+        # the
         # few warm ones choked, and by what they then took the fresh stood idle beside bounced tickets.
         before = self._took * exp((self._took_at - now) / self._warm_after)
         rate = max(self._flow_now(now) / self._part_grown, before) * size * self._cold_rate
@@ -628,4 +637,5 @@
 
 def _may_run(use: UseCase, backend: Backend) -> bool:
     """Placement: kept at each transmission, a trial's and a last resort's too."""
-    return (use.zones is None or backend.zone in use.zones) and (use.kinds is None or backend.kind in use.kinds)
+    return ((use.zones is None or backend.zone in use.zones)
+            and (use.kinds is None or backend.kind in use.kinds))
--- a/pepperusher/simhost/host.py
+++ b/pepperusher/simhost/host.py
@@ -1,4 +1,5 @@
-"""Hosts many isolated instances on one wire: a line read is a call on the decisions, an answer is a line written."""
+"""Hosts many isolated instances on one wire: a line read is a call on the decisions, an answer is a line
+written."""
 
 from __future__ import annotations
 
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -127,7 +127,8 @@
         self.full_at = 0
         self.allowance = 0.0
         self.counted_at = 0
-        # By use case: how often in a row it failed here, and until when it is not sent here. Emptied by what is done.
+        # By use case: how often in a row it failed here, and until when it is not sent here. Emptied by what
+        # is done.
         self.runs: dict[UseCase, int] = {}
         self.shut: dict[UseCase, int] = {}
 
@@ -170,7 +171,8 @@
 
 
 class Ticket:
-    """One ticket in hand. `until` is its outer limit; `over` once it has had its final answer or its client left.
+    """One ticket in hand. `until` is its outer limit; `over` once it has had its final answer or its client
+    left.
 
     `most` is how often it may go out, where that is less than the ground allows.
     """
