A word ahead of an answer no longer stops a body that still flows

Found on reading again: while a body flowed, anything from the backend ended the sending (Exchange._send, line.unread). For an answer 1xx the backend then waited for the body and the proxy for the answer, with neither patience nor silence running: for good. Now 1xx is read over, an answer proper stops the body and has its patience.

--- a/pepperusher/net/exchange.py
+++ b/pepperusher/net/exchange.py
@@ -12,7 +12,8 @@
 from pepperusher.net.buffers import HELD, Body, Pool
 from pepperusher.net.flows import Onward
 from pepperusher.net.line import Line
-from pepperusher.net.message import Answer, BadMessage, Request, framed_request, length_of, read_data, read_head
+from pepperusher.net.message import (
+    INTERIM, Answer, BadMessage, Request, check_framing, framed_request, length_of, read_data, read_head)
 
 # Once it has begun, an answer takes the network's time and not the work's: silent for so many times what a
 # new connection may
@@ -82,6 +83,8 @@
         self._overdue: asyncio.TimerHandle | None = None
         self._silent: asyncio.TimerHandle | None = None
         self.heard = False
+        self._head: h11.Request | h11.Response | None = None   # where it came before the body was written
+        self._ahead = 0
         self._written = False
 
     async def run(self, request: Request, placed: Placed, onward: Onward | None) -> tuple[str, Answer | None]:
@@ -97,6 +100,8 @@
             how, answer = await self._receive(onward)
             # Whatever it answered before its last byte was written, it has not run it.
             return (how, answer) if self._written or how in (*PASSED_ON, "full", "called off") else ("unreached", None)
+        except h11.RemoteProtocolError:
+            return out.how or "unreached", None   # what it said before it had the whole body is no HTTP
         except h11.LocalProtocolError:
             return "moot", None   # it can't be framed, so nothing was written: no fault of the backend's
         except BadMessage:
@@ -132,7 +137,8 @@
                     data = await rest.read()
                 except BadMessage:
                     return "called off" if self._out.how == "called off" else "moot"   # no fault of the backend's
-                if line.ended or line.unread:
+                if await self._answers():
+                    self._due()   # it has its patience still, and no more of the body
                     return None
                 event = h11.Data(data=data) if data else h11.EndOfMessage()
                 if not line.send(self._parser.send(event) or b""):
@@ -147,10 +153,27 @@
         self._written = True
         return None
 
+    async def _answers(self) -> bool:
+        """Whether the backend has begun its answer before it has the whole body. An answer 1xx ahead is none: taken
+        for one, each side would wait for the other."""
+        line, parser = self._line, self._parser
+        while line.unread:
+            parser.receive_data(await line.read())
+        event = parser.next_event()
+        while isinstance(event, h11.InformationalResponse):
+            self._ahead += 1
+            if self._ahead > INTERIM:
+                raise BadMessage(502, "interim answers without end")
+            event = parser.next_event()
+        if isinstance(event, h11.Response):
+            check_framing(event)
+            self._head = event
+        return event is not h11.NEED_DATA or bool(parser.trailing_data[0]) or line.ended
+
     # --- the answer -------------------------------------------------------------------------------
 
     async def _receive(self, onward: Onward | None) -> tuple[str, Answer | None]:
-        head = await read_head(self._parser, self._line, self._listen)
+        head = self._head or await read_head(self._parser, self._line, self._listen)
         if head is None:
             return self._out.how or ("reset" if self._written else "unreached"), None
         assert isinstance(head, h11.Response)
--- a/pepperusher/net/message.py
+++ b/pepperusher/net/message.py
@@ -63,7 +63,7 @@
     return [pair for pair in headers if pair[0] not in HOP and pair[0] not in named]
 
 
-def _check_framing(head: h11.Request | h11.Response) -> None:
+def check_framing(head: h11.Request | h11.Response) -> None:
     """What h11 lets pass, and where it matters most: how long the body is has to be beyond doubt."""
     length = coding = None
     for name, value in head.headers:
@@ -92,7 +92,7 @@
                     came()
                 parser.receive_data(await line.read())
             elif isinstance(event, (h11.Request, h11.Response)):
-                _check_framing(event)
+                check_framing(event)
                 return event
             elif isinstance(event, h11.InformationalResponse):
                 interim += 1
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -290,8 +290,10 @@
     def _answer(self, step: Step, how: str, answer: Answer | None) -> Answer | None:
         if how in PASSED_ON and answer is not None:
             # The answer to HEAD tells a length and has no body.
-            length = next((int(value) for name, value in answer.headers if name == b"content-length"), None)
-            return Answer(answer.status, end_to_end(answer.headers), answer.body, None if answer.body else length)
+            length = None
+            if not answer.body:
+                length = next((int(value) for name, value in answer.headers if name == b"content-length"), None)
+            return Answer(answer.status, end_to_end(answer.headers), answer.body, length)
         if step.what == BOUNCE:
             self._count("bounces")
             advice = [(b"retry-after", f"{step.wait / 1e6:.3f}".encode())] if step.wait > 0 else []
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -99,6 +99,22 @@
         self.lines = [line for line in self.lines if "..." not in line]
         self.kept("streams_up")
 
+    async def test_a_word_ahead_of_the_answer_stops_no_body(self) -> None:
+        """The backend waited for the rest of the body, and the proxy for its answer, with no limit on either."""
+        async def ahead(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            _, fields = await head_of(reader)
+            writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+            length, _ = await body_of(reader, fields)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n%06d" % length)
+
+        await self.stand(a1=ahead)
+        at = await self.connect()
+        at[1].write(self.long(1, LONG) + bytes(LONG - PIECE))
+        await asyncio.sleep(0.2)
+        at[1].write(bytes(PIECE))
+        async with asyncio.timeout(3):
+            self.assertEqual(f"200 '{LONG}'", await self.hear(at[0]))
+
     async def test_a_slow_client_costs_a_backend_nothing(self) -> None:
         """Its time runs from the last byte, and meanwhile the module counts nothing in flight."""
         await self.stand(a1=self.whole)
