A test of the console while its process is flooded

A whole process of 128 descriptors, held to them by the kernel too, forty clients with a new connection for each ticket, 300 that say nothing or half a head. No code is changed.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import socket
 import sys
@@ -238,6 +239,32 @@
         self.assertIn("200", await self.hear(at[0]))
         self.assertIn("200", await fourth.call("POST", "/-/backends/b1/enable"))
 
+    async def test_the_console_answers_while_the_process_is_flooded(self) -> None:
+        """Tickets on new connections as fast as they go, half heads and silence, and descriptors run out: each call within 1 s."""
+        await self.stand("a1", "b1")
+        given = json.loads(self.file.read_text())
+        self.file.write_text(json.dumps({**given, "limits": {"sockets": 128}}))
+        one = await self.process()
+        # The budget counts what it lets in; here the kernel counts too.
+        resource.prlimit(one.process.pid, resource.RLIMIT_NOFILE, (128, 128))
+        stop = asyncio.Event()
+        flood = [asyncio.create_task(self.client(False, stop)) for _ in range(40)]
+        held = []
+        for number in range(300):
+            held.append(await asyncio.open_connection("127.0.0.1", self.port))
+            held[-1][1].write(b"GET /look/page HTTP/1.1\r\nHo" if number % 2 else b"")
+        longest = 0.0
+        for _ in range(6):
+            for method, path in (("GET", "/-/ready"), ("POST", "/-/backends/a1/disable"), ("POST", "/-/backends/a1/enable")):
+                began = asyncio.get_running_loop().time()
+                self.assertIn(" 200 ", await one.call(method, path))
+                longest = max(longest, asyncio.get_running_loop().time() - began)
+        stop.set()
+        for _, writer in held:
+            writer.close()
+        await asyncio.gather(*flood)
+        self.assertLess(longest, 1.0)
+
     async def test_a_full_disk_costs_the_keeping_and_not_the_start(self) -> None:
         """Each writes with its start; a process that comes beside another one once ended by it."""
         self.processes = []
