A side for each location with its own prediction; load reports inform rotation and floor

Change: a ring, an arc and a flow for each location; a ticket tries its own first for the part that location's weights carry, and the next where the prediction refuses; arcs are as wide as their part of the calls. Beside each client an even part of a share binds nobody. The bound grows with the part of the promised time that hinted work takes. What answers report joins calls in flight in passing over, and stands for the floor of the prediction where fresh.

--- a/pepperusher/ground.py
+++ b/pepperusher/ground.py
@@ -5,12 +5,17 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Any
 
 from pepperusher import terms
 from pepperusher.terms import Customer, Ground, UseCase
 
 REPEAT = {"pure": terms.REPLAYABLE, "token": terms.REFERENCED, "side_effect": terms.SINGLE_USE}
+# What a backend can report of its load; a name that is not here is read over.
+REPORT = {"active": terms.HELD, "waiting": terms.WAITING, "cpu": terms.BUSY, "rps": terms.DONE_RATE,
+          "avg_ms": terms.TOOK, "err_rps": terms.FAILED_RATE}
+REPORTED_BY = {"silent": terms.BY_NOBODY, "piggyback": terms.BY_ANSWERS, "pull": terms.BY_PROBES}
 SCOPE = {"all": terms.SCOPE_ALL, "zone": terms.SCOPE_ZONE, "cell": terms.SCOPE_CELL}
 
 
@@ -55,6 +60,13 @@
     return frozenset(told)
 
 
+def _word(of: dict[str, Any], name: str, known: dict[str, Any], default: str, within: str = "") -> Any:
+    told = of.get(name, default)
+    if not isinstance(told, str) or told not in known:
+        raise GroundError(f"{within + ': ' if within else ''}{name}: {told!r} is not one of {', '.join(known)}")
+    return known[told]
+
+
 def truth(of: dict[str, Any], name: str) -> bool:
     told = of.get(name, False)
     if not isinstance(told, bool):
@@ -62,6 +74,20 @@
     return told
 
 
+def load(told: Iterable[tuple[str, Any]]) -> dict[int, float]:
+    """A load report in our words. What is no figure from 0 up, or of a name not known, is as if it were not
+    there: a spoilt report is worth no more than none, and ends nothing."""
+    made = {}
+    for name, value in told:
+        try:
+            found = float(value)
+        except (TypeError, ValueError):
+            continue
+        if name in REPORT and not isinstance(value, bool) and 0 <= found < 1e9:
+            made[REPORT[name]] = found
+    return made
+
+
 def _named(of: Any, within: str) -> str:
     if not isinstance(of, dict) or not isinstance(of.get("name"), str):
         raise GroundError(f"{within} has an entry without a name")
@@ -94,7 +120,7 @@
     made.may_call_off = bool(limits.get("cancel", False))
     made.may_advise = bool(limits.get("retry-after", False))
     made.longest_advice = span(limits, "max-retry-after", 0.0)
-    made.must_ask = told.get("discovery") == "ask"
+    made.must_ask = _word(told, "discovery", {"push": False, "ask": True}, "push")
     made.ask_within = span(rules, "ask-within", 0.0)
     made.cold_share = figure(rules, "cold-share", 1.0)
     made.warm_after = span(rules, "warm-after", 0.0)
@@ -102,5 +128,15 @@
     made.overload_for = span(rules, "overload-for", 1000.0)
     made.passes_limit = bool(part(told, "family-info", dict).get("passes-deadline", False))
     made.drain_binds_alone = truth(rules, "drain-binds-alone")
+    reporting = part(told, "reporting", dict)
+    made.reported_by = _word(reporting, "how", REPORTED_BY, "silent", "reporting")
+    names = part(reporting, "names", list)
+    if not all(isinstance(one, str) for one in names):
+        raise GroundError("reporting: names: is not a list of names")
+    if twice := sorted({one for one in names if names.count(one) > 1}):
+        raise GroundError(f"reporting: names: {twice[0]} stands there twice")
+    made.reports = frozenset(REPORT[one] for one in names if one in REPORT)
+    made.beside_client = told.get("family") == "mesh"
+    made.may_probe = truth(limits, "may-probe")
     made.importance_by_work = told.get("importance-by") == "work"
     return made
--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -19,8 +19,8 @@
 from random import Random
 
 from pepperusher.terms import (
-    AGAIN, BOUNCE, CALLED_OFF, CLOSED, DONE, ERROR, FULL, HALF_OPEN, MOOT, NEVER_RAN, NOTHING, OPEN,
-    REFERENCED, REPLAYABLE, SCOPE_ALL, SCOPE_CELL, SCOPE_ZONE, SCRAP, SINGLE_USE, TIMED_OUT, Backend, Ground,
+    AGAIN, HELD, BOUNCE, CALLED_OFF, CLOSED, DONE, ERROR, FULL, HALF_OPEN, MOOT, NEVER_RAN, NOTHING, OPEN,
+    REFERENCED, REPLAYABLE, WAITING, SCOPE_ALL, SCOPE_CELL, SCOPE_ZONE, SCRAP, SINGLE_USE, TIMED_OUT, Backend, Ground,
     Listing, Ticket, Transmission, UseCase)
 
 SECOND = 1_000_000
@@ -46,12 +46,49 @@
 # its load even, and not under REACH backends, which leaves a choice.
 HEARD = 10
 REACH = 4
+# A location that gets few calls, or none but those refused elsewhere, is kept in view with this part of an arc.
+PART_LEAST = 0.25
 # In the mean of calls in flight at a backend, the newest figure has this part at the least.
 HELD_LEAST = 1 / 16
+# A load report older than this tells nothing; and what it tells is held against so many calls at the least.
+FRESH = 2 * SECOND
+TOLD_LEAST = 4.0
 # Positions a golden part apart lie evenly on a ring whatever their number.
 GOLDEN = (sqrt(5) - 1) / 2
 
 
+class Side:
+    """This proxy's part of the backends in one location, and its flow there."""
+
+    def __init__(self, started: int) -> None:
+        self.part = 1.0                       # of the calls that go here first
+        self.ring: deque[Backend] = deque()   # all of the location, this proxy's part first
+        self.weight, self.grown, self.sharing, self.mean = 0.0, 1.0, 1.0, 0.0
+        self.flow, self.held = 0.0, 0.0
+        self.started = self.flow_at = self.done_at = self.took_at = started
+        self.span, self.gap = FLOW_SPAN, FLOW_SPAN // FLOW_LEAST
+        self.took = 0.0   # a second, by one of weight 1
+
+    def done(self, now: int, warm_after: int) -> None:
+        self.flow_now(now)
+        self.gap += (now - self.done_at - self.gap) // FLOW_LEAST
+        self.done_at = now
+        self.span = max(FLOW_SPAN, FLOW_LEAST * self.gap)
+        self.flow += SECOND / self.span
+        self.took *= exp((self.took_at - now) / warm_after)
+        self.took += SECOND / warm_after / self.grown
+        self.took_at = now
+
+    def flow_now(self, now: int) -> float:
+        if now > self.flow_at:
+            self.flow *= exp((self.flow_at - now) / self.span)
+            self.flow_at = now
+        # The first moments count as short as they are: else a proxy just started takes itself for slow
+        # and bounces.
+        since = self.started - now
+        return self.flow / (1.0 - exp(since / self.span)) if since < 0 else 0.0
+
+
 class Balancer:
     """The decisions of one proxy."""
 
@@ -66,18 +103,15 @@
         self._asked = not ground.must_ask
         self._list_lost = False
         self._backends: list[Backend] = []   # emptied by the list: holds what it names as ready
-        self._ring: deque[Backend] = deque()   # the same, this proxy's part of it first
-        self._part_weight, self._part_grown, self._sharing, self._mean = 0.0, 1.0, 1.0, 0.0
+        self._sides: dict[str, Side] = {}    # by location, this proxy's own first; emptied by the list
         self._young: list[Backend] = []      # emptied by age
-        self._flow = 0.0
-        self._flow_at = self._started = now
-        self._flow_span = FLOW_SPAN
-        self._took, self._took_at = 0.0, now   # a second, by one of weight 1
-        self._done_at, self._gap = now, FLOW_SPAN // FLOW_LEAST
-        self._held, self._spare = 0.0, SPARE_MOST
+        self._started = now
+        self._spare = SPARE_MOST
 
     def _tune(self, ground: Ground) -> None:
         """The figures that are derived from the ground alone."""
+        # A customer's share is split evenly over a pool; beside each client nobody knows how it lies.
+        self._shared_out = ground.stage == 0 and not ground.beside_client
         self._first_tier, self._limit_passed = ground.stage == 0, ground.passes_limit
         self._by_work, self._last_tier = ground.importance_by_work, ground.last_tier
         self._most, self._calls_off = ground.most_transmissions, ground.may_call_off
@@ -108,10 +142,67 @@
         if ticket.over or ticket.until <= now or len(ticket.transmissions) >= min(self._most, ticket.most):
             return self._no(ticket, now)
         first, use = not ticket.transmissions, ticket.use_case
+        use.work += (int(ticket.cost) - use.work) // 16 if use.work else int(ticket.cost)
         self._young = self._young and self._age(self._young, now)
         anchor = None if first else self._anchor(ticket)
         if anchor is not None and now - anchor.sent >= use.remembered > 0:
             return self._no(ticket, now)
+        # What may have run stays with its group, and so with the location of that.
+        bound_to = anchor is not None and use.scope != SCOPE_ALL
+        sides = [self._side(anchor.backend)] if bound_to else self._in_turn()
+        # Asked of further transmissions too: in a jam they are the last thing the backends need.
+        within: bool | None = not first or None
+        refused = False
+        for side in sides:
+            choice, held, room, in_flight, counted = self._choice(side, use, now)
+            if not choice:
+                continue
+            if within is None:
+                within = self._within_share(ticket, now)
+            if self._in_time(ticket, side, within, in_flight, counted, now):
+                break
+            # The prediction is that of the many: a fresh one that holds less and has some of its budget left is
+            # asked all the same. Else the warm ones' jam kept tickets from it, and it stood idle beside bounces.
+            # First transmissions alone: what may have run is bound to its group, which need not hold a fresh one.
+            choice = [b for b in choice if first and within and b.cold and b.held < side.mean * b.room]
+            if choice:
+                break
+            refused = True
+        else:
+            if refused or not sides:
+                return self._no(ticket, now)
+            choice, held, room = [], 0.0, 0.0
+        if first:
+            self._spare = min(SPARE_MOST, self._spare + SPARE_PART)
+        if anchor is not None:
+            choice = [b for b in self._backends
+                      if _drops_repeats(anchor.backend, b, use.scope) and _may_run(use, b)
+                      and (b.state == CLOSED or self._admits(b, now)) and self._has_room(b, now)]
+        if not first or not room:
+            tried = [sent.backend for sent in ticket.transmissions]
+            choice = [b for b in choice if b not in tried] or choice
+            # The mean of those it may still go to: by that of all, a busy cell would have none under it.
+            held = sum(b.held for b in choice)
+            room = sum(b.room for b in choice)
+        picked = self._turn(choice, held / room if room else 0.0, now) or self._last_resort(ticket, anchor, now)
+        if picked is None:
+            return self._no(ticket, now)
+        self._place(ticket, picked, now)
+        return picked
+
+    def _in_turn(self) -> list[Side]:
+        """The locations, in the order in which this ticket tries them: each is first for its part of them."""
+        sides = list(self._sides.values())
+        if len(sides) > 1 and (left := self._chance()) >= sides[0].part:
+            for at, side in enumerate(sides):
+                left -= side.part
+                if left < 0.0:
+                    sides.insert(0, sides.pop(at))
+                    break
+        return sides
+
+    def _choice(self, side: Side, use: UseCase, now: int) -> tuple[list[Backend], float, float, int, int]:
+        """Who of one location may take it, what they hold and have room for; calls in flight, and at how many."""
         choice: list[Backend] = []
         shut: list[Backend] = []
         bound = use.zones is not None or use.kinds is not None
@@ -119,16 +210,18 @@
         held = room = admitting = 0.0
         # Calls in flight, which with less than one at each backend are a mean over many tickets: else a
         # proxy with few calls sees a slow backend as empty as the others.
-        pace = min(1.0, max(HELD_LEAST, self._mean))
-        for backend in self._ring:
+        pace = min(1.0, max(HELD_LEAST, side.mean))
+        for backend in side.ring:
             # Widened while less than half of this proxy's part admits, and for those that may not run there.
-            far = not backend.near and 2 * admitting >= self._part_weight
+            far = not backend.near and 2 * admitting >= side.weight
             if far and not bound:
                 break
             if backend.state != CLOSED and not self._admits(backend, now):
                 continue
             in_flight += 0 if far else backend.in_flight
             if not self._has_room(backend, now):
+                # Full is not gone: to go round it is a new connection for each proxy that turned to it.
+                admitting += 0.0 if far else backend.share
                 continue
             may_run = not bound or _may_run(use, backend)
             if may_run and now < backend.shut.get(use, 0):
@@ -146,45 +239,24 @@
             room += backend.room
             choice.append(backend)
         if not bound:
-            self._mean = held / room if room else 0.0
-        choice = choice or shut
-        # Asked of further transmissions too: in a jam they are the last thing the backends need.
-        within = not first or not choice or self._within_share(ticket, now)
-        if choice and not self._in_time(ticket, within, in_flight, counted, now):
-            # The prediction is that of the many: a fresh one that holds less and has some of its budget left
-            # is
-            # asked all the same. Else the warm ones' jam kept tickets from it, and it stood idle beside
-            # bounces.
-            # First transmissions alone: what may have run is bound to its group, which need not hold a fresh
-            # one.
-            choice = [b for b in choice if first and within and b.cold and b.held < self._mean * b.room]
-            if not choice:
-                return self._no(ticket, now)
-        if first:
-            self._spare = min(SPARE_MOST, self._spare + SPARE_PART)
-        if anchor is not None:
-            choice = [b for b in self._backends
-                      if _drops_repeats(anchor.backend, b, use.scope) and _may_run(use, b)
-                      and (b.state == CLOSED or self._admits(b, now)) and self._has_room(b, now)]
-        if not first or not room:
-            tried = [sent.backend for sent in ticket.transmissions]
-            choice = [b for b in choice if b not in tried] or choice
-            # The mean of those it may still go to: by that of all, a busy cell would have none under it.
-            held = sum(b.held for b in choice)
-            room = sum(b.room for b in choice)
-        picked = self._turn(choice, held / room if room else 0.0) or self._last_resort(ticket, anchor, now)
-        if picked is None:
-            return self._no(ticket, now)
-        self._place(ticket, picked, now)
-        return picked
+            side.mean = held / room if room else 0.0
+        return choice or shut, held, room, in_flight, counted
 
     def _has_room(self, backend: Backend, now: int) -> bool:
         room = now >= backend.full_until or backend.in_flight < backend.full_at
         return room and (not backend.cold or self._may_warm(backend, now))
 
     @staticmethod
-    def _turn(choice: list[Backend], mean: float) -> Backend | None:
-        """Smooth weighted rotation over `choice`, passing over what holds more than its part of the mean."""
+    def _turn(choice: list[Backend], mean: float, now: int) -> Backend | None:
+        """Smooth weighted rotation over `choice`, passing over what holds more than its part of the mean, by
+        this proxy's own calls and, where it is reported, by all proxies'."""
+        fresh = [b for b in choice if now < b.told_at + FRESH]
+        if fresh:
+            told = sum(b.told for b in fresh) / sum(b.weight for b in fresh)
+            over = {b: (b.told - told * b.weight) / (told * b.weight + TOLD_LEAST) for b in fresh}
+            kept = [b for b in choice if b.held / (mean * b.room + 0.01) - 1.0 + over.get(b, 0.0) <= 0.1]
+            choice = kept or choice
+            mean = choice and max(b.held / b.room for b in choice)
         best = None
         total = 0.0
         for backend in choice:
@@ -222,7 +294,7 @@
         if backend.cold:
             backend.allowance -= 1.0
 
-    def _in_time(self, ticket: Ticket, within: bool, in_flight: int, admitting: int, now: int) -> bool:
+    def _in_time(self, ticket: Ticket, side: Side, within: bool, in_flight: int, admitting: int, now: int) -> bool:
         """The operators' carry-over: a ticket is taken only if predicted in time.
 
         Calls in flight over tickets done a second is the time a ticket now takes on average; each use case
@@ -234,24 +306,31 @@
         if alone is not None and alone is not use:
             in_flight = max(0, in_flight - alone.out)
         # The mean over a few tickets: with one or two in flight at a time a single figure is chance.
-        self._held += (in_flight - self._held) / FLOW_LEAST
+        side.held += (in_flight - side.held) / FLOW_LEAST
         # Never refused while a few calls a server are in flight, over all proxies that share it: a stale
         # prediction must not shut this one. Chance rounds what comes to less than a call for each.
         # Three times as many while no time is known: a crowd at the very start chokes servers for long.
         few = 4 if self._usual else 12
-        if (in_flight + self._chance()) * self._sharing <= few * admitting:
+        fresh = [b.told for b in takewhile(attrgetter("near"), side.ring) if now < b.told_at + FRESH]
+        if 2 * len(fresh) >= admitting:
+            few_out = 1.5 * sum(fresh) <= few * len(fresh)
+        else:
+            few_out = (in_flight + self._chance()) * side.sharing <= few * admitting
+        if few_out:
             return True
         if not self._usual or not use.usual:
             return bool(self._usual)
-        flow = self._flow_now(now)
+        flow = side.flow_now(now)
         # Half a call of doubt on either side: where one call is all that was held, the quotient is chance.
-        stretch = (self._held + 0.5) / (flow * self._usual / SECOND + 0.5)
+        stretch = (side.held + 0.5) / (flow * self._usual / SECOND + 0.5)
         if not self._first_tier:
             return stretch * use.usual < ticket.until - now
         most = max((self._value(one) for one in self._use_cases if one.usual), default=1.0)
         bound = 0.8 + 0.4 * self._value(use) / most
         if not within:
             bound /= 2
+        # Work that takes a good part of the promised time with nothing to wait for is no sign of a jam.
+        bound *= max(1.0, 4 * max(one.work / one.promised for one in self._use_cases))
         return pressure * stretch < bound and stretch * use.usual < ticket.until - now
 
     def _tightest(self, use: UseCase) -> tuple[float, UseCase | None]:
@@ -278,7 +357,7 @@
 
     def _within_share(self, ticket: Ticket, now: int) -> bool:
         customer = ticket.customer
-        if customer is None or not self._first_tier:
+        if customer is None or not self._shared_out:
             return True
         rate = customer.rate / self._group
         customer.allowance += rate * (now - customer.counted_at) / SECOND
@@ -330,14 +409,7 @@
             else:
                 use.usual, use.spread = took, took // 2
         if how == DONE:
-            self._flow_now(now)
-            self._gap += (now - self._done_at - self._gap) // FLOW_LEAST
-            self._done_at = now
-            self._flow_span = max(FLOW_SPAN, FLOW_LEAST * self._gap)
-            self._flow += SECOND / self._flow_span
-            self._took *= exp((self._took_at - now) / self._warm_after)
-            self._took += SECOND / self._warm_after / self._part_grown
-            self._took_at = now
+            self._side(backend).done(now, self._warm_after)
             self._usual += (took - self._usual) // 16 if self._usual else took
         current = sent.generation == backend.generation
         if current and sent.trial:
@@ -424,64 +496,70 @@
             self._say(f"list regained, {len(self._backends)} backends ready")
 
     def _lay(self, now: int) -> None:
-        """What each backend counts for, by the list and the ground."""
-        self._weigh_zones()
-        self._lay_ring()
+        """What each backend counts for, by the list and the ground; one side for each location."""
+        before, self._sides = self._sides, {}
+        at = {self._zone if self._zones > 1 else "": deque()}
+        for backend in sorted(self._backends, key=attrgetter("address")):
+            at.setdefault(backend.zone if self._zones > 1 else "", deque()).append(backend)
+        for zone, ring in at.items():
+            self._sides[zone] = before.get(zone) or Side(self._started)
+            self._sides[zone].ring = ring
+        self._part_sides()
+        for side in self._sides.values():
+            self._lay_ring(side, side.ring)
         for backend in self._backends:
             # Between the plain mean, which crowds a small backend, and the mean for each weight, which lets
             # a heavy one that has slowed gather calls till they time out; for the part this proxy has in it.
             backend.room = backend.portion / sqrt(backend.weight)
         self._young = self._age(self._backends, now)
 
-    def _weigh_zones(self) -> None:
-        """Calls stay in this zone as far as its part of the weights carries an even part of the traffic.
+    def _part_sides(self) -> None:
+        """Calls stay here as far as this location's part of the weights carries an even part of the traffic.
 
-        Against paying the way between zones, in time and price, at every tier; what the zone cannot carry
-        goes to the zones with more than their part. Every backend keeps a little, which informs its breaker.
+        Against paying the way, in time and price; what it cannot carry goes to those with more than their part.
         """
-        if self._zones < 2:
-            return
-        zones = {self._zone: 0.0}
-        for backend in self._backends:
-            zones[backend.zone] = zones.get(backend.zone, 0.0) + backend.weight
-        total = sum(zones.values()) or 1.0
-        here = min(1.0, zones[self._zone] * self._zones / total)
-        spare = {zone: max(0.0, part / total - 1.0 / self._zones) for zone, part in zones.items()}
-        spare[self._zone] = 0.0
-        over = sum(spare.values())
-        for backend in self._backends:
-            part = here if backend.zone == self._zone else (1.0 - here) * spare[backend.zone] / (over or 1.0)
-            backend.nearness = max(0.02, part * total / zones[backend.zone])
+        sides = list(self._sides.values())
+        weights = [sum(b.weight for b in side.ring) for side in sides]
+        even = (sum(weights) or 1.0) / len(sides)
+        sides[0].part = here = min(1.0, weights[0] / even)
+        spare = [max(0.0, weight - even) for weight in weights[1:]]
+        for side, one in zip(sides[1:], spare):
+            side.part = (1.0 - here) * one / (sum(spare) or 1.0)
+
+    def _side(self, backend: Backend) -> Side:
+        return self._sides.get(backend.zone if self._zones > 1 else "") or next(iter(self._sides.values()))
 
-    def _lay_ring(self) -> None:
-        """This proxy's part of the list: an arc of a ring on which each backend is as long as its weight.
+    def _lay_ring(self, side: Side, ring: deque[Backend]) -> None:
+        """This proxy's part of a location: an arc of a ring on which each backend is as long as its weight.
 
         Against thin evidence: a proxy with a call a second learns nothing of fifty backends. The ring is the
         same at every proxy and the arcs' starts lie evenly, so that each backend is asked by its weight;
         one that an arc covers in part counts for that part.
         """
-        ring = deque(sorted(self._backends, key=attrgetter("address")))
         for backend in ring:
-            backend.portion = backend.weight * backend.nearness
+            backend.portion = backend.weight
             backend.near = True
         total = sum(b.portion for b in ring)
-        self._ring, self._part_weight, self._sharing = ring, total, self._group
+        # Each location has its even part of the proxies, as far as any of them knows.
+        side.ring, side.weight, side.sharing = ring, total, self._group / max(1, self._zones)
         squares = sum(b.portion * b.portion for b in ring)
+        # As wide as its part of the calls asks for, or a backend in a small location hears from all proxies.
         part = max(HEARD * self._zones / self._group, REACH / (total * total / squares)) if ring else 1.0
         if part >= 1.0:
             return
+        part *= max(PART_LEAST, side.part)
         before = self._position * total
         while before >= ring[0].portion:
             before -= ring[0].portion
             ring.rotate(-1)
         ring[0].portion -= before
-        self._part_weight = left = total * part
+        side.weight = left = total * part
         for backend in ring:
             backend.near = left > 0.0
             if backend.near:
                 backend.portion = min(backend.portion, left)
                 left -= backend.portion
-        self._sharing *= sum(b.near for b in ring) / len(ring)
+        side.sharing *= sum(b.near for b in ring) / len(ring)
 
     def list_failed(self, now: int) -> None:
         if not self._must_ask:
@@ -494,6 +572,11 @@
         self._ask_at = now + int(self._ask_step * (0.5 + 0.5 * self._chance()))
         self._asked = False
 
+    def reported(self, backend: Backend, load: dict[int, float], now: int) -> None:
+        told = load.get(WAITING, load.get(HELD))
+        if told is not None:
+            backend.told, backend.told_at = told, now
+
     def begun(self, sent: Transmission) -> None:
         sent.ticket.over = True
 
@@ -504,12 +587,16 @@
     def learned(self, now: int) -> tuple[int, float, float]:
         """What another process of the same proxy is `taught`: else it takes itself for new, and the jam for
         its doing."""
-        return self._usual, self._flow_now(now), self._took * exp((self._took_at - now) / self._warm_after)
+        home = next(iter(self._sides.values()), Side(now))
+        return self._usual, home.flow_now(now), home.took * exp((home.took_at - now) / self._warm_after)
 
     def taught(self, usual: int, flow: float, took: float, now: int) -> None:
-        self._usual, self._flow, self._took = usual, flow, took
-        self._flow_at = self._took_at = self._done_at = now
-        self._started = min(self._started, now - 9 * self._flow_span)
+        self._usual = usual
+        self._started = min(self._started, now - 9 * FLOW_SPAN)
+        for side in self._sides.values():
+            side.flow, side.took, side.started = flow, took, self._started
+            side.flow_at = side.took_at = side.done_at = now
+            flow = took = 0.0   # the first is the home's, whose they are
 
     # --- the breaker ------------------------------------------------------------------------------
 
@@ -584,7 +671,8 @@
                 backend.share *= self._grown(backend, now)
         # Asked with each ticket while one is fresh: no further than the near ones, with which the ring
         # begins.
-        self._part_grown = sum(b.share for b in takewhile(attrgetter("near"), self._ring)) or 1.0
+        for side in self._sides.values():
+            side.grown = sum(b.share for b in takewhile(attrgetter("near"), side.ring)) or 1.0
         return [b for b in backends if b.cold]
 
     def _may_warm(self, backend: Backend, now: int) -> bool:
@@ -595,23 +683,15 @@
         # By what one took over as long as a backend is cold, if that is more than now: while most were fresh
         # the
         # few warm ones choked, and by what they then took the fresh stood idle beside bounced tickets.
-        before = self._took * exp((self._took_at - now) / self._warm_after)
-        rate = max(self._flow_now(now) / self._part_grown, before) * size * self._cold_rate
+        side = self._side(backend)
+        before = side.took * exp((side.took_at - now) / self._warm_after)
+        rate = max(side.flow_now(now) / side.grown, before) * size * self._cold_rate
         rate = max(rate, self._cold_least / self._group)
         gained = rate * (now - backend.counted_at) / SECOND
         backend.allowance = min(max(1.0, rate / 4), backend.allowance + gained)
         backend.counted_at = now
         return backend.allowance >= 1.0
 
-    def _flow_now(self, now: int) -> float:
-        if now > self._flow_at:
-            self._flow *= exp((self._flow_at - now) / self._flow_span)
-            self._flow_at = now
-        # The first moments count as short as they are: else a proxy just started takes itself for slow
-        # and bounces.
-        since = self._started - now
-        return self._flow / (1.0 - exp(since / self._flow_span)) if since < 0 else 0.0
-
     # --- what a ticket still allows ---------------------------------------------------------------
 
     def _anchor(self, ticket: Ticket) -> Transmission | None:
--- a/pepperusher/simhost/host.py
+++ b/pepperusher/simhost/host.py
@@ -81,6 +81,8 @@
             return
         sent = ticket.transmissions[number]
         if sent.ended is None:
+            if "load" in fields:
+                self.balancer.reported(sent.backend, wire.load(fields["load"]), now)
             self._answer(xid, ticket, self.balancer.after(sent, how, fields.get("last") == "1", now), now)
 
     def first(self, fields: dict[str, str], now: int) -> None:
--- a/pepperusher/simhost/wire.py
+++ b/pepperusher/simhost/wire.py
@@ -55,6 +55,10 @@
     return f"{us // 1000}.{us % 1000:03d}"
 
 
+def load(text: str) -> dict[int, float]:
+    return settings.load(tuple(one.split(":", 1)) for one in text.split(",") if ":" in one)
+
+
 def ground(params: str, seed: int) -> Ground:
     try:
         told = json.loads(params)
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -37,6 +37,19 @@
 # Over what any ground allows; a ticket's own figure narrows it.
 MOST = 1 << 20
 
+# What a backend reports of its load: calls it holds, calls that wait there, the part of its cores that is busy,
+# calls done a second, its usual time in ms, calls failed a second.
+HELD = 50
+WAITING = 51
+BUSY = 52
+DONE_RATE = 53
+TOOK = 54
+FAILED_RATE = 55
+# And with what its reports come.
+BY_NOBODY = 60
+BY_ANSWERS = 61
+BY_PROBES = 62
+
 # A breaker's states.
 CLOSED = 40
 OPEN = 41
@@ -44,7 +57,7 @@
 
 
 # What is learned of a use case, beside its terms.
-LEARNED = ("usual", "spread", "out")
+LEARNED = ("usual", "spread", "work", "out")
 
 
 class UseCase:
@@ -54,7 +67,7 @@
     """
 
     __slots__ = ("name", "promised", "outer_limit", "importance", "late_share", "stretch", "repeat", "scope",
-                 "remembered", "zones", "kinds", "usual", "spread", "out")
+                 "remembered", "zones", "kinds", "usual", "spread", "work", "out")
 
     def __init__(self, name: str, promised: int, outer_limit: int, importance: float, late_share: float = 0.0,
                  repeat: int = REPLAYABLE, scope: int = SCOPE_ALL, remembered: int = 0, stretch: float = 0.0,
@@ -72,6 +85,7 @@
         self.kinds = kinds
         self.usual = 0
         self.spread = 0
+        self.work = 0   # by the hints of its tickets; 0 where there are none
         self.out = 0   # transmissions in flight
 
     def same_terms(self, other: UseCase) -> bool:
@@ -96,7 +110,7 @@
     __slots__ = ("address", "zone", "kind", "cell", "weight", "born", "in_flight", "held", "turn", "share", "nearness",
                  "portion", "near", "room", "cold", "state", "generation", "results", "failures", "run_failed",
                  "run_done", "open_until", "trials", "trial_due", "full_until", "full_at", "allowance", "counted_at",
-                 "runs", "shut")
+                 "runs", "shut", "told", "told_at")
 
     def __init__(self, address: str) -> None:
         self.address = address
@@ -131,6 +145,9 @@
         # is done.
         self.runs: dict[UseCase, int] = {}
         self.shut: dict[UseCase, int] = {}
+        # Calls that it reports, from all proxies; and when that came, 0 for never.
+        self.told = 0.0
+        self.told_at = 0
 
 
 class Listing:
@@ -197,7 +214,7 @@
     __slots__ = ("seed", "use_cases", "customers", "group_size", "ordinal", "stage", "last_tier", "zone", "zones",
                  "most_transmissions", "may_call_off", "may_advise", "longest_advice", "must_ask", "ask_within",
                  "cold_share", "warm_after", "tip_multiple", "overload_for", "passes_limit", "importance_by_work",
-                 "drain_binds_alone")
+                 "drain_binds_alone", "reported_by", "reports", "may_probe", "beside_client")
 
     seed: int
     use_cases: list[UseCase]
@@ -220,6 +237,10 @@
     overload_for: int
     passes_limit: bool
     importance_by_work: bool
+    reported_by: int
+    reports: frozenset[int]
+    may_probe: bool
+    beside_client: bool   # each client process has a proxy of its own, and so each proxy traffic of its own
     drain_binds_alone: bool   # one that is gone or left out of the list may still be sent to
 
     @property
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -171,7 +171,7 @@
             if ordinal < 3:
                 said.append(f"proxy {ordinal} asks {' '.join(asked)}")
         said.append(f"of 96 calls each, backends get {min(heard.values())} to {max(heard.values())}")
-        near = [backend for backend in self.balancer._ring if backend.near]
+        near = [backend for backend in self.balancer._sides[""].ring if backend.near]
         for backend in near[1:]:
             self.balancer._change(backend, OPEN, self.now)
         self.lines = said
