--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -19,9 +19,9 @@
 from random import Random
 
 from pepperusher.terms import (
-    AGAIN, HELD, BOUNCE, CALLED_OFF, CLOSED, DONE, ERROR, FULL, HALF_OPEN, MOOT, NEVER_RAN, NOTHING, OPEN,
-    REFERENCED, REPLAYABLE, WAITING, SCOPE_ALL, SCOPE_CELL, SCOPE_ZONE, SCRAP, SINGLE_USE, TIMED_OUT, Backend, Ground,
-    Listing, Ticket, Transmission, UseCase)
+    AGAIN, BOUNCE, CALLED_OFF, CLOSED, DONE, ERROR, FULL, HALF_OPEN, HELD, MOOT, NEVER_RAN, NOTHING, OPEN,
+    REFERENCED, REPLAYABLE, SCOPE_ALL, SCOPE_CELL, SCOPE_ZONE, SCRAP, SINGLE_USE, TIMED_OUT, WAITING, Backend,
+    Ground, Listing, Side, Ticket, Transmission, UseCase)
 
 SECOND = 1_000_000
 # The breaker's figures; docs/design.md says what was tried for each.
@@ -30,14 +30,12 @@
 CLOSE_COUNT = 3
 TRIALS = 1
 OPEN_FOR = 5 * SECOND
-# A use case whose time, for its promised time, is so many times the next one's is slow by itself.
-ALONE = 2.5
 # Failures in a row of one use case, at a server that does others, after which it stays away for OPEN_FOR.
 USE_RUN = 2
 # Done tickets a second are reckoned over about this long, and over so many of them at the least.
 FLOW_SPAN = SECOND // 3
 FLOW_LEAST = 8
-# A customer's share saves up so many tickets at the least: chance alone brings several at once.
+# A customer's share saves up so many tickets at the least: chance brings several at once.
 SHARE_LEAST = 4.0
 # Further transmissions for tickets that may have run, as a part of the tickets taken, and the most saved up.
 SPARE_PART = 0.2
@@ -46,49 +44,19 @@
 # its load even, and not under REACH backends, which leaves a choice.
 HEARD = 10
 REACH = 4
-# A location that gets few calls, or none but those refused elsewhere, is kept in view with this part of an arc.
+# A location that gets few calls, or those refused elsewhere alone, is kept in view with this part of an arc.
 PART_LEAST = 0.25
 # In the mean of calls in flight at a backend, the newest figure has this part at the least.
 HELD_LEAST = 1 / 16
-# A load report older than this tells nothing; and what it tells is held against so many calls at the least.
+# A load report this old tells nothing; what it tells is held against so many calls at the least.
 FRESH = 2 * SECOND
 TOLD_LEAST = 4.0
+# What calls take at a backend for their hinted work, over about so many of them.
+PACE_OVER = 8
 # Positions a golden part apart lie evenly on a ring whatever their number.
 GOLDEN = (sqrt(5) - 1) / 2
 
 
-class Side:
-    """This proxy's part of the backends in one location, and its flow there."""
-
-    def __init__(self, started: int) -> None:
-        self.part = 1.0                       # of the calls that go here first
-        self.ring: deque[Backend] = deque()   # all of the location, this proxy's part first
-        self.weight, self.grown, self.sharing, self.mean = 0.0, 1.0, 1.0, 0.0
-        self.flow, self.held = 0.0, 0.0
-        self.started = self.flow_at = self.done_at = self.took_at = started
-        self.span, self.gap = FLOW_SPAN, FLOW_SPAN // FLOW_LEAST
-        self.took = 0.0   # a second, by one of weight 1
-
-    def done(self, now: int, warm_after: int) -> None:
-        self.flow_now(now)
-        self.gap += (now - self.done_at - self.gap) // FLOW_LEAST
-        self.done_at = now
-        self.span = max(FLOW_SPAN, FLOW_LEAST * self.gap)
-        self.flow += SECOND / self.span
-        self.took *= exp((self.took_at - now) / warm_after)
-        self.took += SECOND / warm_after / self.grown
-        self.took_at = now
-
-    def flow_now(self, now: int) -> float:
-        if now > self.flow_at:
-            self.flow *= exp((self.flow_at - now) / self.span)
-            self.flow_at = now
-        # The first moments count as short as they are: else a proxy just started takes itself for slow
-        # and bounces.
-        since = self.started - now
-        return self.flow / (1.0 - exp(since / self.span)) if since < 0 else 0.0
-
-
 class Balancer:
     """The decisions of one proxy."""
 
@@ -110,7 +78,7 @@
 
     def _tune(self, ground: Ground) -> None:
         """The figures that are derived from the ground alone."""
-        # A customer's share is split evenly over a pool; beside each client nobody knows how it lies.
+        # A pool splits a customer's share evenly; beside each client nobody knows how it lies.
         self._shared_out = ground.stage == 0 and not ground.beside_client
         self._first_tier, self._limit_passed = ground.stage == 0, ground.passes_limit
         self._by_work, self._last_tier = ground.importance_by_work, ground.last_tier
@@ -127,8 +95,7 @@
         self._position = ground.ordinal * GOLDEN % 1.0
 
     def retuned(self, ground: Ground, now: int) -> None:
-        """Other settings from now on. Use cases that stay are the same objects, and so what is known of them
-        stays."""
+        """Other settings from now on. Use cases that stay are the same objects, and stay known."""
         self._tune(ground)
         for backend in self._backends:
             for table in (backend.runs, backend.shut):
@@ -151,19 +118,16 @@
         bound_to = anchor is not None and use.scope != SCOPE_ALL
         sides = [self._side(anchor.backend)] if bound_to else self._in_turn()
         # Asked of further transmissions too: in a jam they are the last thing the backends need.
-        within: bool | None = not first or None
+        within = not first or self._within_share(ticket, now)
         refused = False
         for side in sides:
-            choice, held, room, in_flight, counted = self._choice(side, use, now)
+            choice, in_flight, counted = self._choice(side, use, now)
             if not choice:
                 continue
-            if within is None:
-                within = self._within_share(ticket, now)
             if self._in_time(ticket, side, within, in_flight, counted, now):
                 break
-            # The prediction is that of the many: a fresh one that holds less and has some of its budget left is
-            # asked all the same. Else the warm ones' jam kept tickets from it, and it stood idle beside bounces.
-            # First transmissions alone: what may have run is bound to its group, which need not hold a fresh one.
+            # The prediction is that of the many: a fresh one that holds less is asked all the same, or their
+            # jam leaves it idle. Not what may have run: its group need not hold a fresh one.
             choice = [b for b in choice if first and within and b.cold and b.held < side.mean * b.room]
             if choice:
                 break
@@ -171,20 +135,19 @@
         else:
             if refused or not sides:
                 return self._no(ticket, now)
-            choice, held, room = [], 0.0, 0.0
+            choice = []
         if first:
             self._spare = min(SPARE_MOST, self._spare + SPARE_PART)
         if anchor is not None:
             choice = [b for b in self._backends
                       if _drops_repeats(anchor.backend, b, use.scope) and _may_run(use, b)
                       and (b.state == CLOSED or self._admits(b, now)) and self._has_room(b, now)]
-        if not first or not room:
-            tried = [sent.backend for sent in ticket.transmissions]
-            choice = [b for b in choice if b not in tried] or choice
-            # The mean of those it may still go to: by that of all, a busy cell would have none under it.
-            held = sum(b.held for b in choice)
-            room = sum(b.room for b in choice)
-        picked = self._turn(choice, held / room if room else 0.0, now) or self._last_resort(ticket, anchor, now)
+        tried = [sent.backend for sent in ticket.transmissions]
+        choice = [b for b in choice if b not in tried] or choice
+        if ticket.cost and self._first_tier and self._last_tier:
+            # Against heavy tickets at slow machines, where list weights tell nothing of the cores' speed.
+            choice = [b for b in choice if b.pace * ticket.cost < use.promised] or choice
+        picked = self._turn(choice, now) or self._last_resort(ticket, anchor, now)
         if picked is None:
             return self._no(ticket, now)
         self._place(ticket, picked, now)
@@ -193,16 +156,12 @@
     def _in_turn(self) -> list[Side]:
         """The locations, in the order in which this ticket tries them: each is first for its part of them."""
         sides = list(self._sides.values())
-        if len(sides) > 1 and (left := self._chance()) >= sides[0].part:
-            for at, side in enumerate(sides):
-                left -= side.part
-                if left < 0.0:
-                    sides.insert(0, sides.pop(at))
-                    break
-        return sides
-
-    def _choice(self, side: Side, use: UseCase, now: int) -> tuple[list[Backend], float, float, int, int]:
-        """Who of one location may take it, what they hold and have room for; calls in flight, and at how many."""
+        left = self._chance() if len(sides) > 1 else 0.0
+        before = next((side for side in sides if (left := left - side.part) < 0.0), None)
+        return sorted(sides, key=lambda side: side is not before)
+
+    def _choice(self, side: Side, use: UseCase, now: int) -> tuple[list[Backend], int, int]:
+        """Who of one location may take it; calls in flight, and at how many backends."""
         choice: list[Backend] = []
         shut: list[Backend] = []
         bound = use.zones is not None or use.kinds is not None
@@ -220,16 +179,13 @@
                 continue
             in_flight += 0 if far else backend.in_flight
             if not self._has_room(backend, now):
-                # Full is not gone: to go round it is a new connection for each proxy that turned to it.
-                admitting += 0.0 if far else backend.share
                 continue
             may_run = not bound or _may_run(use, backend)
             if may_run and now < backend.shut.get(use, 0):
                 shut.append(backend)
                 continue
             if not far:
-                # The prediction is that of all: what is bound is a part of the tickets, and the flow is
-                # everybody's.
+                # The prediction is that of all: what is bound is a part of the tickets, the flow everybody's.
                 counted += 1
                 admitting += backend.share
             if not may_run:
@@ -240,28 +196,26 @@
             choice.append(backend)
         if not bound:
             side.mean = held / room if room else 0.0
-        return choice or shut, held, room, in_flight, counted
+        return choice or shut, in_flight, counted
 
     def _has_room(self, backend: Backend, now: int) -> bool:
         room = now >= backend.full_until or backend.in_flight < backend.full_at
         return room and (not backend.cold or self._may_warm(backend, now))
 
     @staticmethod
-    def _turn(choice: list[Backend], mean: float, now: int) -> Backend | None:
-        """Smooth weighted rotation over `choice`, passing over what holds more than its part of the mean, by
-        this proxy's own calls and, where it is reported, by all proxies'."""
-        fresh = [b for b in choice if now < b.told_at + FRESH]
-        if fresh:
+    def _turn(choice: list[Backend], now: int) -> Backend | None:
+        """Smooth weighted rotation over `choice`, passing over what holds more than its part of the mean."""
+        # The mean of those it may still go to: by that of all, a busy cell would have none under it.
+        mean = sum(b.held for b in choice) / (sum(b.room for b in choice) or 1.0)
+        kept = [b for b in choice if b.held <= 1.1 * mean * b.room + 0.01]
+        # What is reported of all proxies' calls goes beside this one's, as a part of its own mean.
+        if fresh := [b for b in choice if now < b.told_at + FRESH]:
             told = sum(b.told for b in fresh) / sum(b.weight for b in fresh)
             over = {b: (b.told - told * b.weight) / (told * b.weight + TOLD_LEAST) for b in fresh}
-            kept = [b for b in choice if b.held / (mean * b.room + 0.01) - 1.0 + over.get(b, 0.0) <= 0.1]
-            choice = kept or choice
-            mean = choice and max(b.held / b.room for b in choice)
+            kept = [b for b in choice if b.held / (mean * b.room + 0.01) + over.get(b, 0.0) <= 1.1] or kept
         best = None
         total = 0.0
-        for backend in choice:
-            if backend.held > 1.1 * mean * backend.room + 0.01:
-                continue
+        for backend in kept:
             total += backend.share
             backend.turn += backend.share
             if best is None or backend.turn > best.turn:
@@ -285,7 +239,6 @@
         sent = Transmission(ticket, backend, now, self._patience(ticket, now), trial)
         ticket.transmissions.append(sent)
         backend.in_flight += 1
-        ticket.use_case.out += 1
         if ticket.use_case in backend.shut:
             backend.shut[ticket.use_case] = now + sent.patience
         if trial:
@@ -294,7 +247,8 @@
         if backend.cold:
             backend.allowance -= 1.0
 
-    def _in_time(self, ticket: Ticket, side: Side, within: bool, in_flight: int, admitting: int, now: int) -> bool:
+    def _in_time(self, ticket: Ticket, side: Side, within: bool, in_flight: int, admitting: int,
+                 now: int) -> bool:
         """The operators' carry-over: a ticket is taken only if predicted in time.
 
         Calls in flight over tickets done a second is the time a ticket now takes on average; each use case
@@ -302,25 +256,23 @@
         of least importance for its time goes first, so a short promised time does not shut a use case out.
         """
         use = ticket.use_case
-        pressure, alone = self._tightest(use)
-        if alone is not None and alone is not use:
-            in_flight = max(0, in_flight - alone.out)
+        pressure = max((one.usual + one.spread) / one.promised for one in self._use_cases)
         # The mean over a few tickets: with one or two in flight at a time a single figure is chance.
         side.held += (in_flight - side.held) / FLOW_LEAST
         # Never refused while a few calls a server are in flight, over all proxies that share it: a stale
         # prediction must not shut this one. Chance rounds what comes to less than a call for each.
         # Three times as many while no time is known: a crowd at the very start chokes servers for long.
         few = 4 if self._usual else 12
-        fresh = [b.told for b in takewhile(attrgetter("near"), side.ring) if now < b.told_at + FRESH]
-        if 2 * len(fresh) >= admitting:
-            few_out = 1.5 * sum(fresh) <= few * len(fresh)
-        else:
-            few_out = (in_flight + self._chance()) * side.sharing <= few * admitting
-        if few_out:
+        # Where most report what they hold, by the median: one that slows is no crowd, nor one that lies.
+        fresh = sorted(b.told for b in takewhile(attrgetter("near"), side.ring) if now < b.told_at + FRESH)
+        if 2 * len(fresh) >= admitting > 0:
+            if 1.5 * fresh[len(fresh) // 2] <= few:
+                return True
+        elif (in_flight + self._chance()) * side.sharing <= few * admitting:
             return True
         if not self._usual or not use.usual:
             return bool(self._usual)
-        flow = side.flow_now(now)
+        flow = self._flow_now(side, now)
         # Half a call of doubt on either side: where one call is all that was held, the quotient is chance.
         stretch = (side.held + 0.5) / (flow * self._usual / SECOND + 0.5)
         if not self._first_tier:
@@ -331,25 +283,9 @@
             bound /= 2
         # Work that takes a good part of the promised time with nothing to wait for is no sign of a jam.
         bound *= max(1.0, 4 * max(one.work / one.promised for one in self._use_cases))
-        return pressure * stretch < bound and stretch * use.usual < ticket.until - now
-
-    def _tightest(self, use: UseCase) -> tuple[float, UseCase | None]:
-        """The pressure that the tightest use case sets, and one that is slow by itself.
-
-        What waits beside others that don't tells of no jam: it sets no pressure for them, and its calls in
-        flight, which end by time-outs that no flow counts, are no sign for them. In a jam all are slow alike.
-        """
-        most = next_most = 0.0
-        slow = None
-        for one in self._use_cases:
-            tight = (one.usual + one.spread) / one.promised
-            if tight > most:
-                most, next_most, slow = tight, most, one
-            elif tight > next_most:
-                next_most = tight
-        if most <= 0.5 or most <= ALONE * next_most or not next_most:
-            return most, None
-        return most if use is slow else next_most, slow
+        # Late by its own times is late, however little the others are pressed.
+        return (pressure * stretch < bound and stretch * (use.usual + use.spread) <= use.promised
+                and stretch * use.usual < ticket.until - now)
 
     def _value(self, use: UseCase) -> float:
         """Importance for the time a ticket takes; where it is counted by work, that time is in it already."""
@@ -397,19 +333,26 @@
         backend = sent.backend
         use = sent.ticket.use_case
         backend.in_flight -= 1
-        use.out -= 1
         took = now - sent.sent
         long = use.usual + 6 * use.spread if use.usual and not self._first_tier else took
+        if sent.ticket.cost and (how == DONE or how == TIMED_OUT and took >= use.usual):
+            pace = took / sent.ticket.cost
+            backend.pace += (pace - backend.pace) / PACE_OVER if backend.pace else pace
         if how == DONE or (how == TIMED_OUT and use.usual <= took <= long):
             # A time-out is a time as well: else a use case slow everywhere would keep its short patience.
             # Far beyond what is done it is a lost answer: in lower tiers it made the next wait out theirs.
-            if use.usual:
-                use.spread += (abs(took - use.usual) - use.spread) // 16
-                use.usual += (took - use.usual) // 16
-            else:
-                use.usual, use.spread = took, took // 2
+            use.spread += (abs(took - use.usual) - use.spread) // 16 if use.usual else took // 2
+            use.usual += (took - use.usual) // 16 if use.usual else took
         if how == DONE:
-            self._side(backend).done(now, self._warm_after)
+            side = self._side(backend)
+            self._flow_now(side, now)
+            side.gap += (now - side.done_at - side.gap) // FLOW_LEAST
+            side.done_at = now
+            side.span = max(FLOW_SPAN, FLOW_LEAST * side.gap)
+            side.flow += SECOND / side.span
+            side.took *= exp((side.took_at - now) / self._warm_after)
+            side.took += SECOND / self._warm_after / side.grown
+            side.took_at = now
             self._usual += (took - self._usual) // 16 if self._usual else took
         current = sent.generation == backend.generation
         if current and sent.trial:
@@ -421,17 +364,14 @@
             backend.runs.pop(use, None)
             backend.shut.pop(use, None)
         elif how in (TIMED_OUT, ERROR) and self._last_tier:
-            # Against one use case that fails at some servers, whose breakers the others keep closed. Above
-            # the last tier most failures are those of a tier below.
+            # Against one use case that fails at some servers, whose breakers the others keep closed.
             run = backend.runs[use] = backend.runs.get(use, 0) + 1
             alone = 2 * sum(use in b.runs for b in self._backends) <= len(self._backends)
             if alone and run >= USE_RUN and run > backend.run_failed + 1:
                 backend.shut[use] = now + OPEN_FOR
         if how == FULL:
-            # Not asked for more than it then held until a call of usual length has made room: against
-            # hundreds of tickets turned away one after another by the same full servers.
-            backend.full_at = backend.in_flight
-            backend.full_until = now + self._usual
+            # Not asked for more than it then held until a call of usual length has made room.
+            backend.full_at, backend.full_until = backend.in_flight, now + self._usual
         self._result(backend, how == DONE, now)
 
     # --- how long to wait -------------------------------------------------------------------------
@@ -452,8 +392,7 @@
         if len(ticket.transmissions) + 1 >= min(self._most, ticket.most) or use.repeat == SINGLE_USE:
             return left
         # Never under half of what is left: a call carries what its caller allows, so a short patience here
-        # becomes time-outs and errors at every tier below, and where nothing stops the work it is
-        # done twice.
+        # becomes time-outs and errors at every tier below, and where nothing stops the work it is done twice.
         patience = max(left // 2, use.usual + 6 * use.spread)
         return patience if left - patience > use.usual else left
 
@@ -502,29 +441,27 @@
         for backend in sorted(self._backends, key=attrgetter("address")):
             at.setdefault(backend.zone if self._zones > 1 else "", deque()).append(backend)
         for zone, ring in at.items():
-            self._sides[zone] = before.get(zone) or Side(self._started)
-            self._sides[zone].ring = ring
-        self._part_sides()
-        for side in self._sides.values():
-            self._lay_ring(side, side.ring)
+            self._sides[zone] = before.get(zone) or Side(self._started, FLOW_SPAN, FLOW_SPAN // FLOW_LEAST)
+        self._part_sides([sum(b.weight for b in ring) for ring in at.values()])
+        for zone, ring in at.items():
+            self._lay_ring(self._sides[zone], ring)
         for backend in self._backends:
             # Between the plain mean, which crowds a small backend, and the mean for each weight, which lets
             # a heavy one that has slowed gather calls till they time out; for the part this proxy has in it.
             backend.room = backend.portion / sqrt(backend.weight)
         self._young = self._age(self._backends, now)
 
-    def _part_sides(self) -> None:
+    def _part_sides(self, weights: list[float]) -> None:
         """Calls stay here as far as this location's part of the weights carries an even part of the traffic.
 
-        Against paying the way, in time and price; what it cannot carry goes to those with more than their part.
+        Against paying the way, in time and price; the rest goes to those with more than their part.
         """
-        sides = list(self._sides.values())
-        weights = [sum(b.weight for b in side.ring) for side in sides]
-        even = (sum(weights) or 1.0) / len(sides)
-        sides[0].part = here = min(1.0, weights[0] / even)
+        even = (sum(weights) or 1.0) / len(weights)
+        here = min(1.0, weights[0] / even)
         spare = [max(0.0, weight - even) for weight in weights[1:]]
-        for side, one in zip(sides[1:], spare):
-            side.part = (1.0 - here) * one / (sum(spare) or 1.0)
+        spare = [here, *((1.0 - here) * one / (sum(spare) or 1.0) for one in spare)]
+        for side, part in zip(self._sides.values(), spare):
+            side.part = part
 
     def _side(self, backend: Backend) -> Side:
         return self._sides.get(backend.zone if self._zones > 1 else "") or next(iter(self._sides.values()))
@@ -585,10 +522,10 @@
         ticket.pause = 0 if self._calls_off else -1
 
     def learned(self, now: int) -> tuple[int, float, float]:
-        """What another process of the same proxy is `taught`: else it takes itself for new, and the jam for
-        its doing."""
-        home = next(iter(self._sides.values()), Side(now))
-        return self._usual, home.flow_now(now), home.took * exp((home.took_at - now) / self._warm_after)
+        """What another process of the same proxy is `taught`: else it takes the jam for its doing."""
+        home = next(iter(self._sides.values()), Side(now, FLOW_SPAN, 0))
+        took = home.took * exp((home.took_at - now) / self._warm_after)
+        return self._usual, self._flow_now(home, now), took
 
     def taught(self, usual: int, flow: float, took: float, now: int) -> None:
         self._usual = usual
@@ -637,8 +574,7 @@
         Against a tier below that fails, or a use case slow everywhere, opening sound servers.
         """
         others = [other for other in self._backends if other is not backend and other.state == CLOSED]
-        failures = sum(other.failures for other in others)
-        results = sum(len(other.results) for other in others)
+        failures, results = sum(one.failures for one in others), sum(len(one.results) for one in others)
         if results < RUN:
             return False
         own = 1.0 if backend.run_failed >= RUN else backend.failures / len(backend.results)
@@ -669,8 +605,7 @@
             backend.share = backend.portion
             if backend.cold:
                 backend.share *= self._grown(backend, now)
-        # Asked with each ticket while one is fresh: no further than the near ones, with which the ring
-        # begins.
+        # Asked with each ticket while one is fresh: no further than the near ones, which come first.
         for side in self._sides.values():
             side.grown = sum(b.share for b in takewhile(attrgetter("near"), side.ring)) or 1.0
         return [b for b in backends if b.cold]
@@ -680,18 +615,25 @@
         if not backend.near:
             return False
         size = backend.portion * self._grown(backend, now)
-        # By what one took over as long as a backend is cold, if that is more than now: while most were fresh
-        # the
-        # few warm ones choked, and by what they then took the fresh stood idle beside bounced tickets.
+        # By what one took over as long as a backend is cold, if that is more than now: where most are fresh
+        # the few warm ones choke, and by what they then take the fresh stood idle beside bounced tickets.
         side = self._side(backend)
         before = side.took * exp((side.took_at - now) / self._warm_after)
-        rate = max(side.flow_now(now) / side.grown, before) * size * self._cold_rate
+        rate = max(self._flow_now(side, now) / side.grown, before) * size * self._cold_rate
         rate = max(rate, self._cold_least / self._group)
-        gained = rate * (now - backend.counted_at) / SECOND
-        backend.allowance = min(max(1.0, rate / 4), backend.allowance + gained)
-        backend.counted_at = now
+        backend.allowance += rate * (now - backend.counted_at) / SECOND
+        backend.allowance, backend.counted_at = min(max(1.0, rate / 4), backend.allowance), now
         return backend.allowance >= 1.0
 
+    @staticmethod
+    def _flow_now(side: Side, now: int) -> float:
+        if now > side.flow_at:
+            side.flow *= exp((side.flow_at - now) / side.span)
+            side.flow_at = now
+        # The first moments count as short as they are: else a proxy just started takes itself for slow.
+        since = side.started - now
+        return side.flow / (1.0 - exp(since / side.span)) if since < 0 else 0.0
+
     # --- what a ticket still allows ---------------------------------------------------------------
 
     def _anchor(self, ticket: Ticket) -> Transmission | None:
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -50,6 +50,8 @@
 BY_ANSWERS = 61
 BY_PROBES = 62
 
+LONG_AGO = -1 << 60
+
 # A breaker's states.
 CLOSED = 40
 OPEN = 41
@@ -57,7 +59,7 @@
 
 
 # What is learned of a use case, beside its terms.
-LEARNED = ("usual", "spread", "work", "out")
+LEARNED = ("usual", "spread", "work")
 
 
 class UseCase:
@@ -67,7 +69,7 @@
     """
 
     __slots__ = ("name", "promised", "outer_limit", "importance", "late_share", "stretch", "repeat", "scope",
-                 "remembered", "zones", "kinds", "usual", "spread", "work", "out")
+                 "remembered", "zones", "kinds", "usual", "spread", "work")
 
     def __init__(self, name: str, promised: int, outer_limit: int, importance: float, late_share: float = 0.0,
                  repeat: int = REPLAYABLE, scope: int = SCOPE_ALL, remembered: int = 0, stretch: float = 0.0,
@@ -86,7 +88,6 @@
         self.usual = 0
         self.spread = 0
         self.work = 0   # by the hints of its tickets; 0 where there are none
-        self.out = 0   # transmissions in flight
 
     def same_terms(self, other: UseCase) -> bool:
         return all(getattr(self, name) == getattr(other, name) for name in self.__slots__ if name not in LEARNED)
@@ -110,7 +111,7 @@
     __slots__ = ("address", "zone", "kind", "cell", "weight", "born", "in_flight", "held", "turn", "share", "nearness",
                  "portion", "near", "room", "cold", "state", "generation", "results", "failures", "run_failed",
                  "run_done", "open_until", "trials", "trial_due", "full_until", "full_at", "allowance", "counted_at",
-                 "runs", "shut", "told", "told_at")
+                 "runs", "shut", "told", "told_at", "pace")
 
     def __init__(self, address: str) -> None:
         self.address = address
@@ -145,9 +146,32 @@
         # is done.
         self.runs: dict[UseCase, int] = {}
         self.shut: dict[UseCase, int] = {}
-        # Calls that it reports, from all proxies; and when that came, 0 for never.
+        # Calls that it reports, from all proxies, and when that came; a report is as good as none soon after.
         self.told = 0.0
-        self.told_at = 0
+        self.told_at = LONG_AGO
+        # What its calls take, for their hinted work; 0 where none is known.
+        self.pace = 0.0
+
+
+class Side:
+    """One location's backends as one proxy knows them, and its flow there."""
+
+    __slots__ = ("part", "ring", "weight", "grown", "sharing", "mean", "held", "flow", "flow_at", "started", "span",
+                 "gap", "done_at", "took", "took_at")
+
+    def __init__(self, started: int, span: int, gap: int) -> None:
+        self.part = 1.0                        # of the calls that go here first
+        self.ring: deque[Backend] = deque()    # all of the location, this proxy's part first; emptied by the list
+        self.weight = 0.0
+        self.grown = 1.0
+        self.sharing = 1.0
+        self.mean = 0.0
+        self.held = 0.0
+        self.flow = 0.0
+        self.started = self.flow_at = self.done_at = self.took_at = started
+        self.span = span
+        self.gap = gap
+        self.took = 0.0                        # a second, by one of weight 1
 
 
 class Listing:
