--- a/pepperusher/__main__.py
+++ b/pepperusher/__main__.py
@@ -12,8 +12,10 @@
 from pepperusher import __version__
 from pepperusher.net import told
 from pepperusher.net.proxy import run
+from pepperusher.terms import BY_ANSWERS, BY_NOBODY, BY_PROBES
 
 
+REPORTED_BY = {BY_NOBODY: "nobody", BY_ANSWERS: "answers", BY_PROBES: "probes, which are not sent"}
 # Commands that live in packages of their own, loaded when they are asked for: `serve` must not grow by them.
 LATER = {**{name: ("pepperusher.rehearsal.commands", "rehearsal")
             for name in ("emulate", "load", "rehearse", "experiment", "report")},
@@ -106,7 +108,9 @@
     ground = given.ground
     click.echo(f"{given.name} listens at {given.listen[0]}:{given.listen[1]}, tier {ground.stage + 1},"
                f" {ground.ordinal + 1} of {ground.group_size}; {len(ground.use_cases)} use cases,"
-               f" {len(ground.customers)} customers, {len(given.known.entries) if given.known else 0} backends known")
+               f" {len(ground.customers)} customers, {len(given.known.entries) if given.known else 0} backends known;"
+               f" {'beside its client' if ground.beside_client else 'one of a pool'}, load reported by"
+               f" {REPORTED_BY[ground.reported_by]}")
     if own is not None:
         later("pepperusher.own.commands", "own").checked(own, ground, values)
 
--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -71,6 +71,7 @@
         self._use_cases = {use.name: use for use in ground.use_cases}
         self._customers = {customer.name: customer for customer in ground.customers}
         self._most = ground.most_transmissions
+        self._by_answers = ground.reported_by == terms.BY_ANSWERS
         # A backend off the list may come back under its id. Its breaker tells something while it could still
         # be open
         # for a ticket that is in hand now; kept for longer, ids that are ever new would pile up.
@@ -298,6 +299,13 @@
                 use.usual, use.spread = known, spread
         self._balancer.taught(usual, flow, took, now)
 
+    def reported(self, backend: str, load: Mapping[int, float], now: int) -> None:
+        """What an answer told of its backend's load, in the words of `terms`; where the settings name no such
+        reports, and of one off the list, it counts for nothing."""
+        known = self._backends.get(backend)
+        if known is not None and self._by_answers:
+            self._balancer.reported(known, load, now)
+
     def knows(self, backend: str) -> bool:
         """Whether the list has it, or had it a short time ago."""
         return backend in self._backends
--- a/pepperusher/ground.py
+++ b/pepperusher/ground.py
@@ -135,8 +135,11 @@
         raise GroundError("reporting: names: is not a list of names")
     if twice := sorted({one for one in names if names.count(one) > 1}):
         raise GroundError(f"reporting: names: {twice[0]} stands there twice")
-    made.reports = frozenset(REPORT[one] for one in names if one in REPORT)
-    made.beside_client = told.get("family") == "mesh"
-    made.may_probe = truth(limits, "may-probe")
+    if made.reported_by == terms.BY_NOBODY and names:
+        raise GroundError(f"reporting: names: {names[0]} is told by nobody, as how says")
+    family = told.get("family", "")
+    if not isinstance(family, str):
+        raise GroundError("family is not a word")
+    made.beside_client = family == "mesh"
     made.importance_by_work = told.get("importance-by") == "work"
     return made
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -13,7 +13,8 @@
 
 from pepperusher import holds
 from pepperusher.facade import BOUNCE, HOLD, REFERENCED, REPLAYABLE, SCRAP, SEND, Entry, Facade, Step
-from pepperusher.net import clock
+from pepperusher.ground import load
+from pepperusher.net import clock, reports
 from pepperusher.net.backends import Backends
 from pepperusher.net.budget import Budget
 from pepperusher.net.buffers import Pool
@@ -230,8 +231,15 @@
                 out.give_up("called off")
 
         call.on_leave = leave
+
+        def heard(head: Answer) -> Answer:
+            """What it tells of its backend's load goes to the decisions, and no further."""
+            self._facade.reported(step.backend, load(reports.pairs_of(head.headers)), clock.now())
+            return head._replace(headers=reports.without(head.headers))
+
         def dress(head: Answer) -> Answer:
             """The head of an answer that is passed on as it comes: from here on it is this ticket's."""
+            head = heard(head)
             self._facade.begun(ticket, clock.now())
             made = Answer(head.status, end_to_end(head.headers), head.body)
             return made if passed is None or self._house is None else self._house.named(passed, made) or made
@@ -268,6 +276,8 @@
                     step.backend, Request(method, target, [*onward, wait_on], body, rest, length), out, patience, placed,
                     call.onward)
                 self._count(how)
+                if answer is not None:
+                    answer = heard(answer)
                 if shelf is not None and kept is not None:
                     shelf.ended(use_case, mark, kept, how)
                 again = passed is None or self._house is None or self._house.again(passed, how)
--- a/pepperusher/net/told.py
+++ b/pepperusher/net/told.py
@@ -16,7 +16,8 @@
 
 
 # Objects of the file whose keys are fixed, and lists whose entries' keys are.
-FIXED = ((), ("limits",), ("settings",), ("settings", "policy-limits"), ("settings", "rules"), ("settings", "family-info"))
+FIXED = ((), ("limits",), ("settings",), ("settings", "policy-limits"), ("settings", "rules"), ("settings", "family-info"),
+         ("settings", "reporting"))
 EACH = (("settings", "use-cases"), ("settings", "customers"))
 
 
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -238,7 +238,7 @@
     __slots__ = ("seed", "use_cases", "customers", "group_size", "ordinal", "stage", "last_tier", "zone", "zones",
                  "most_transmissions", "may_call_off", "may_advise", "longest_advice", "must_ask", "ask_within",
                  "cold_share", "warm_after", "tip_multiple", "overload_for", "passes_limit", "importance_by_work",
-                 "drain_binds_alone", "reported_by", "reports", "may_probe", "beside_client")
+                 "drain_binds_alone", "reported_by", "beside_client")
 
     seed: int
     use_cases: list[UseCase]
@@ -262,8 +262,6 @@
     passes_limit: bool
     importance_by_work: bool
     reported_by: int
-    reports: frozenset[int]
-    may_probe: bool
     beside_client: bool   # each client process has a proxy of its own, and so each proxy traffic of its own
     drain_binds_alone: bool   # one that is gone or left out of the list may still be sent to
 
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -33,7 +33,7 @@
         "seed": 7, "customers": [], "group_size": 1, "ordinal": 0, "stage": 0, "last_tier": True, "zone": "here", "zones": ["here"],
         "most_transmissions": 3, "may_call_off": True, "may_advise": False, "longest_advice": 0, "must_ask": False,
         "ask_within": 10 * SECOND, "cold_share": 0.2, "warm_after": 10 * SECOND, "tip_multiple": 3.0,
-        "overload_for": 2 * SECOND, "passes_limit": True, "importance_by_work": False, "reported_by": terms.BY_NOBODY, "reports": frozenset(), "may_probe": False, "beside_client": False,
+        "overload_for": 2 * SECOND, "passes_limit": True, "importance_by_work": False, "reported_by": terms.BY_NOBODY, "beside_client": False,
         "drain_binds_alone": False,
         "use_cases": [
             UseCase("look", SECOND, 2 * SECOND, 1.0),
--- /dev/null
+++ b/tests/test_reports.py
@@ -0,0 +1,109 @@
+"""Load reports: what answers tell, what is made of it, and that a spoilt one is worth no less than none."""
+
+from __future__ import annotations
+
+import copy
+import json
+
+from pepperusher import terms
+from pepperusher.ground import GroundError, ground, load
+from pepperusher.net import reports
+from pepperusher.terms import DONE, Backend
+
+from tests.scene import SECOND, SETTINGS, Kept, Scene, Street
+
+ORCA = "HTTP/1.1 200 OK\r\nEndpoint-Load-Metrics: TEXT active={}\r\nContent-Length: 2\r\n\r\nok"
+SPOILT = ("nan", "inf", "-5", "many", "", "1e400")
+
+
+class Read(Kept):
+    def test_what_a_header_tells(self) -> None:
+        self.lines = []
+        for text in ("TEXT active=3,cpu=0.5", "TEXT named_metrics.active=3, cpu_utilization=0.5", "TEXT active=nan,cpu=-1",
+                     "TEXT queue_of_ours=3", "TEXT active", 'JSON {"named_metrics": {"active": 3}, "cpu_utilization": 0.5}',
+                     'JSON {"active": true, "cpu": [1]}', 'JSON {"active": 1e400}', "JSON [", "BIN AAAA", "active=3", ""):
+            told = load(reports.pairs_of([(b"Endpoint-Load-Metrics", text.encode())]))
+            self.lines.append(f"{text or 'nothing'} -> held {told.get(terms.HELD)}, busy {told.get(terms.BUSY)}")
+        self.kept("reports_read")
+
+    def test_settings_that_cannot_be_worked_by_are_named(self) -> None:
+        self.lines = []
+        for changes in ({"discovery": "shout"}, {"discovery": 3}, {"discovery": "push"}, {"family": 5}, {"family": "mesh"},
+                        {"reporting": []}, {"reporting": {"how": "often"}}, {"reporting": {"how": None}},
+                        {"reporting": {"how": "piggyback", "names": ["active", "cpu", "active"]}},
+                        {"reporting": {"how": "piggyback", "names": [1]}}, {"reporting": {"names": ["active"]}},
+                        {"reporting": {"how": "piggyback", "names": ["active", "one_of_theirs"]}}, {"reporting": {}}):
+            try:
+                made = ground(json.loads(json.dumps({**copy.deepcopy(SETTINGS), **changes})), 5)
+                said = f"asked {made.must_ask}, beside its client {made.beside_client}, reported by {made.reported_by}"
+            except GroundError as error:
+                said = f"turned down: {error}"
+            self.lines.append(f"{json.dumps(changes)}: {said}")
+        self.kept("reports_settings")
+
+
+class Decided(Scene):
+    def sent(self, reports_of: dict[str, str], age: float = 0.1, **changes: object) -> str:
+        """Forty tickets of 0.1 s, one each 0.1 s, with what backends say of themselves ahead of each."""
+        self.open("a1", "b1", "c1", "d1", **changes)
+        counts = dict.fromkeys(self.backends, 0)
+        refused = 0
+        for _ in range(40):
+            for name, text in reports_of.items():
+                self.balancer.reported(self.backends[name], load([("active", text)]), self.now - int(age * SECOND))
+            ticket = self.ticket()
+            picked = self.where(ticket, True)
+            if isinstance(picked, Backend):
+                counts[picked.address] += 1
+                self.after(ticket, DONE, 0.1, quiet=True)
+            else:
+                refused += 1
+        return ", ".join(f"{name} {count}" for name, count in counts.items()) + f", refused {refused}"
+
+    def test_a_crowded_backend_is_passed_over_and_an_old_or_spoilt_report_is_none(self) -> None:
+        lines = [f"no report: {self.sent({})}"]
+        none = lines[0].partition(": ")[2]
+        lines.append(f"a1 holds 30, the others 1: {self.sent({'a1': '30', 'b1': '1', 'c1': '1', 'd1': '1'})}")
+        old = self.sent({"a1": "30", "b1": "1", "c1": "1", "d1": "1"}, age=2.5)
+        lines.append(f"the same, told 2.5 s ago: {old}")
+        self.assertEqual(old, none)
+        for text in SPOILT:
+            spoilt = self.sent({"a1": text})
+            lines.append(f"a1 tells {text!r}: {spoilt}")
+            self.assertEqual(spoilt, none)
+        lines.append(f"a1 alone tells, of 1e8: {self.sent({'a1': '1e8'})}")
+        self.lines = lines
+        self.kept("reports_decided")
+
+    def test_one_backend_that_lies_shuts_nobody_out(self) -> None:
+        """The floor of the prediction goes by the median: with the mean, one figure of 1e8 took the floor from all."""
+        told = {"a1": "1e8", "b1": "1", "c1": "1", "d1": "1"}
+        self.assertTrue(self.sent(told).endswith("refused 0"))
+
+
+class OnSockets(Street):
+    async def test_answers_tell_and_their_header_goes_no_further(self) -> None:
+        settings = {**SETTINGS, "reporting": {"how": "piggyback", "names": ["active", "cpu"]}}
+        await self.open("a1", "b1", settings=settings)
+        self.toys["a1"].does = [ORCA.format(9)] * 8
+        self.toys["b1"].does = [ORCA.format(0)] * 8
+        reader, writer = await self.connect()
+        heads = []
+        for number in range(8):
+            writer.write(self.request("look", number))
+            heads.append((await reader.readuntil(b"\r\n\r\n")).lower())
+            await reader.readexactly(2)
+        writer.close()
+        told = {one.address: one.told for one in self.proxy._facade._backends.values()}
+        self.assertEqual(told, {"a1": 9.0, "b1": 0.0})
+        self.assertFalse([head for head in heads if b"load-metrics" in head])
+
+    async def test_a_spoilt_report_ends_no_ticket_and_an_unasked_one_counts_for_nothing(self) -> None:
+        await self.open("a1")
+        self.toys["a1"].does = [ORCA.format(text) for text in SPOILT] + [ORCA.format(4)]
+        reader, writer = await self.connect()
+        for number in range(len(SPOILT) + 1):
+            writer.write(self.request("look", number))
+            self.assertEqual(await self.hear(reader), "200 'ok'")
+        writer.close()
+        self.assertEqual([one.told for one in self.proxy._facade._backends.values()], [0.0])
