--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -51,8 +51,6 @@
 # A load report this old tells nothing; what it tells is held against so many calls at the least.
 FRESH = 2 * SECOND
 TOLD_LEAST = 4.0
-# What calls take at a backend for their hinted work, over about so many of them.
-PACE_OVER = 8
 # Positions a golden part apart lie evenly on a ring whatever their number.
 GOLDEN = (sqrt(5) - 1) / 2
 
@@ -79,7 +77,7 @@
     def _tune(self, ground: Ground) -> None:
         """The figures that are derived from the ground alone."""
         # A pool splits a customer's share evenly; beside each client nobody knows how it lies.
-        self._shared_out = ground.stage == 0 and not ground.beside_client
+        self._beside, self._shared_out = ground.beside_client, ground.stage == 0 and not ground.beside_client
         self._first_tier, self._limit_passed = ground.stage == 0, ground.passes_limit
         self._by_work, self._last_tier = ground.importance_by_work, ground.last_tier
         self._most, self._calls_off = ground.most_transmissions, ground.may_call_off
@@ -191,13 +189,21 @@
             if not may_run:
                 continue
             backend.held += (backend.in_flight - backend.held) * pace
-            held += backend.held
-            room += backend.room
+            held, room = held + backend.held, room + backend.room
             choice.append(backend)
         if not bound:
             side.mean = held / room if room else 0.0
+            self._widen(side, now)
         return choice or shut, in_flight, counted
 
+    def _widen(self, side: Side, now: int) -> None:
+        """Beside each client some proxies carry far more than most: one that alone holds a call at each of
+        its arc would be its crowd, and asks twice as many, till it holds a fourth of that."""
+        wider = side.mean > 1.0 and side.weight < side.whole
+        if self._beside and (wider or side.mean < 0.25 and side.reach > 1.0):
+            side.reach *= 2.0 if wider else 0.5
+            self._lay(now)
+
     def _has_room(self, backend: Backend, now: int) -> bool:
         room = now >= backend.full_until or backend.in_flight < backend.full_at
         return room and (not backend.cold or self._may_warm(backend, now))
@@ -213,8 +219,7 @@
             told = sum(b.told for b in fresh) / sum(b.weight for b in fresh)
             over = {b: (b.told - told * b.weight) / (told * b.weight + TOLD_LEAST) for b in fresh}
             kept = [b for b in choice if b.held / (mean * b.room + 0.01) + over.get(b, 0.0) <= 1.1] or kept
-        best = None
-        total = 0.0
+        best, total = None, 0.0
         for backend in kept:
             total += backend.share
             backend.turn += backend.share
@@ -337,10 +342,10 @@
         long = use.usual + 6 * use.spread if use.usual and not self._first_tier else took
         if sent.ticket.cost and (how == DONE or how == TIMED_OUT and took >= use.usual):
             pace = took / sent.ticket.cost
-            backend.pace += (pace - backend.pace) / PACE_OVER if backend.pace else pace
+            backend.pace += (pace - backend.pace) / FLOW_LEAST if backend.pace else pace
         if how == DONE or (how == TIMED_OUT and use.usual <= took <= long):
             # A time-out is a time as well: else a use case slow everywhere would keep its short patience.
-            # Far beyond what is done it is a lost answer: in lower tiers it made the next wait out theirs.
+            # Far beyond what is done it is a lost answer, and in lower tiers no time for the next.
             use.spread += (abs(took - use.usual) - use.spread) // 16 if use.usual else took // 2
             use.usual += (took - use.usual) // 16 if use.usual else took
         if how == DONE:
@@ -430,8 +435,7 @@
         self._backends = list(kept.values())
         self._lay(now)
         if self._list_lost:
-            self._list_lost = False
-            self._ask_step = 0
+            self._list_lost, self._ask_step = False, 0
             self._say(f"list regained, {len(self._backends)} backends ready")
 
     def _lay(self, now: int) -> None:
@@ -474,9 +478,8 @@
         one that an arc covers in part counts for that part.
         """
         for backend in ring:
-            backend.portion = backend.weight
-            backend.near = True
-        total = sum(b.portion for b in ring)
+            backend.portion, backend.near = backend.weight, True
+        side.whole = total = sum(b.portion for b in ring)
         # Each location has its even part of the proxies, as far as any of them knows.
         side.ring, side.weight, side.sharing = ring, total, self._group / max(1, self._zones)
         squares = sum(b.portion * b.portion for b in ring)
@@ -484,7 +487,7 @@
         part = max(HEARD * self._zones / self._group, REACH / (total * total / squares)) if ring else 1.0
         if part >= 1.0:
             return
-        part *= max(PART_LEAST, side.part)
+        part = min(1.0, part * max(PART_LEAST, side.part) * side.reach)
         before = self._position * total
         while before >= ring[0].portion:
             before -= ring[0].portion
@@ -496,7 +499,7 @@
             if backend.near:
                 backend.portion = min(backend.portion, left)
                 left -= backend.portion
-        side.sharing *= sum(b.near for b in ring) / len(ring)
+        side.sharing *= sum(b.near for b in ring) / len(ring) / side.reach
 
     def list_failed(self, now: int) -> None:
         if not self._must_ask:
@@ -652,9 +655,7 @@
 
 
 def _drops_repeats(ran: Backend, other: Backend, scope: int) -> bool:
-    if scope == SCOPE_CELL:
-        return ran.cell == other.cell
-    return scope != SCOPE_ZONE or ran.zone == other.zone
+    return ran.cell == other.cell if scope == SCOPE_CELL else scope != SCOPE_ZONE or ran.zone == other.zone
 
 
 def _may_run(use: UseCase, backend: Backend) -> bool:
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -156,12 +156,14 @@
 class Side:
     """One location's backends as one proxy knows them, and its flow there."""
 
-    __slots__ = ("part", "ring", "weight", "grown", "sharing", "mean", "held", "flow", "flow_at", "started", "span",
-                 "gap", "done_at", "took", "took_at")
+    __slots__ = ("part", "reach", "whole", "ring", "weight", "grown", "sharing", "mean", "held", "flow", "flow_at",
+                 "started", "span", "gap", "done_at", "took", "took_at")
 
     def __init__(self, started: int, span: int, gap: int) -> None:
         self.part = 1.0                        # of the calls that go here first
         self.ring: deque[Backend] = deque()    # all of the location, this proxy's part first; emptied by the list
+        self.reach = 1.0                       # how many times as wide as others' this proxy's arc is
+        self.whole = 0.0                       # the weight of all its backends, and of this proxy's arc
         self.weight = 0.0
         self.grown = 1.0
         self.sharing = 1.0
