--- a/pepperusher/ground.py
+++ b/pepperusher/ground.py
@@ -12,9 +12,8 @@
 from pepperusher.terms import Customer, Ground, UseCase
 
 REPEAT = {"pure": terms.REPLAYABLE, "token": terms.REFERENCED, "side_effect": terms.SINGLE_USE}
-# What a backend can report of its load; a name that is not here is read over.
-REPORT = {"active": terms.HELD, "waiting": terms.WAITING, "cpu": terms.BUSY, "rps": terms.DONE_RATE,
-          "avg_ms": terms.TOOK, "err_rps": terms.FAILED_RATE}
+# What the decisions make use of in a load report; any other name is read over.
+REPORT = {"active": terms.HELD, "waiting": terms.WAITING}
 REPORTED_BY = {"silent": terms.BY_NOBODY, "piggyback": terms.BY_ANSWERS, "pull": terms.BY_PROBES}
 SCOPE = {"all": terms.SCOPE_ALL, "zone": terms.SCOPE_ZONE, "cell": terms.SCOPE_CELL}
 
--- a/pepperusher/net/reports.py
+++ b/pepperusher/net/reports.py
@@ -13,8 +13,6 @@
 
 HEADER = b"endpoint-load-metrics"
 NAMED = "named_metrics"
-# ORCA has a field of its own for what the settings call cpu.
-ITS_OWN = {"cpu_utilization": "cpu"}
 LONGEST = 1024
 
 
@@ -35,7 +33,7 @@
         for one in rest.split(","):
             name, equals, value = one.strip().partition("=")
             if equals:
-                yield _plain(name), value
+                yield name.removeprefix(f"{NAMED}."), value
     elif form == "JSON":
         try:
             told = json.loads(rest)
@@ -43,10 +41,5 @@
             return
         if isinstance(told, dict):
             named = told.pop(NAMED, None)
-            for name, value in [*told.items(), *(named.items() if isinstance(named, dict) else ())]:
-                yield _plain(name), value
-
-
-def _plain(name: str) -> str:
-    name = name.removeprefix(f"{NAMED}.")
-    return ITS_OWN.get(name, name)
+            yield from told.items()
+            yield from named.items() if isinstance(named, dict) else ()
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -37,14 +37,9 @@
 # Over what any ground allows; a ticket's own figure narrows it.
 MOST = 1 << 20
 
-# What a backend reports of its load: calls it holds, calls that wait there, the part of its cores that is busy,
-# calls done a second, its usual time in ms, calls failed a second.
+# What a backend reports of its load: calls it holds, calls that wait there.
 HELD = 50
 WAITING = 51
-BUSY = 52
-DONE_RATE = 53
-TOOK = 54
-FAILED_RATE = 55
 # And with what its reports come.
 BY_NOBODY = 60
 BY_ANSWERS = 61
