A test that new settings turn reports on and off, and a file cut short is turned down

Found by reading: nothing showed that SIGHUP reaches the facade's reading of reports, or that a file which lacks reporting, or a key in it, is turned down whole while one with it is in force.

--- a/tests/test_reports.py
+++ b/tests/test_reports.py
@@ -8,6 +8,7 @@
 from pepperusher import terms
 from pepperusher.ground import GroundError, ground, load
 from pepperusher.net import reports
+from pepperusher.net.told import ToldError
 from pepperusher.terms import DONE, Backend
 
 from tests.scene import SECOND, SETTINGS, Kept, Scene, Street
@@ -98,6 +99,32 @@
         self.assertEqual(told, {"a1": 9.0, "b1": 0.0})
         self.assertFalse([head for head in heads if b"load-metrics" in head])
 
+    async def test_new_settings_turn_reports_on_and_off_and_a_file_cut_short_is_turned_down(self) -> None:
+        def given(reporting: dict[str, object] | None) -> None:
+            settings = {**SETTINGS, "family": "mesh", "reporting": reporting}
+            if reporting is None:
+                del settings["reporting"]
+            self.given = json.dumps({**json.loads(self.given), "settings": settings})
+
+        await self.open("a1")
+        given({"how": "piggyback", "names": ["active"]})
+        on = self.read_again()
+        facade = self.proxy._facade
+        told = []
+        facade.retuned(on.ground, SECOND)
+        facade.reported("a1", {terms.HELD: 7.0}, SECOND)
+        told.append(facade._backends["a1"].told)
+        given({"how": "silent", "names": []})
+        facade.retuned(self.read_again(on).ground, SECOND)
+        facade.reported("a1", {terms.HELD: 3.0}, SECOND)
+        told.append(facade._backends["a1"].told)
+        self.assertEqual(told, [7.0, 7.0])
+        for reporting, said in ((None, "settings: reporting: missing"), ({"how": "silent"}, "settings: reporting: names: missing"),
+                                ({"how": "loud", "names": []}, "settings: reporting: how: 'loud' is not one of")):
+            given(reporting)
+            with self.assertRaisesRegex(ToldError, said):
+                self.read_again(on)
+
     async def test_a_spoilt_report_ends_no_ticket_and_an_unasked_one_counts_for_nothing(self) -> None:
         await self.open("a1")
         self.toys["a1"].does = [ORCA.format(text) for text in SPOILT] + [ORCA.format(4)]
