Mended on reading: no ValueError without importance, teaching kept before a list

Seen by reading the change since: _in_time took the greatest pressure of no use cases, a ValueError for each ticket where none has importance; taught() wrote to sides that came with the list only; retuned() forgot the learned work; the pressure was reckoned for tickets that the floor took and in lower tiers; each answer's headers were copied with no report in them; Backend.nearness was dead and Side.whole derivable. Change: a default, the home side from the start, LEARNED copied by name, the pressure where it is asked for, headers left alone without a report, both fields out. Two tests, which fail on the build before.

--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -89,7 +89,8 @@
         for at, use in enumerate(ground.use_cases):
             was = self._use_cases.get(use.name)
             if was is not None:
-                use.usual, use.spread = was.usual, was.spread
+                for name in terms.LEARNED:
+                    setattr(use, name, getattr(was, name))
                 if use.same_terms(was):
                     ground.use_cases[at] = was
         for customer in ground.customers:
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -234,6 +234,8 @@
 
         def heard(head: Answer) -> Answer:
             """What it tells of its backend's load goes to the decisions, and no further."""
+            if not any(name == reports.HEADER for name, _ in head.headers):
+                return head
             self._facade.reported(step.backend, load(reports.pairs_of(head.headers)), clock.now())
             return head._replace(headers=reports.without(head.headers))
 
--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -69,10 +69,10 @@
         self._asked = not ground.must_ask
         self._list_lost = False
         self._backends: list[Backend] = []   # emptied by the list: holds what it names as ready
-        self._sides: dict[str, Side] = {}    # by location, this proxy's own first; emptied by the list
+        # By location, this proxy's own first; emptied by the list, but for that.
+        self._sides = {self._home: Side(now, FLOW_SPAN, FLOW_SPAN // FLOW_LEAST)}
         self._young: list[Backend] = []      # emptied by age
-        self._started = now
-        self._spare = SPARE_MOST
+        self._started, self._spare = now, SPARE_MOST
 
     def _tune(self, ground: Ground) -> None:
         """The figures that are derived from the ground alone."""
@@ -82,7 +82,7 @@
         self._by_work, self._last_tier = ground.importance_by_work, ground.last_tier
         self._most, self._calls_off = ground.most_transmissions, ground.may_call_off
         self._longest_advice = ground.longest_advice if ground.may_advise else 0
-        self._zone, self._zones = ground.zone, len(ground.zones)
+        self._zones, self._home = len(ground.zones), ground.zone if len(ground.zones) > 1 else ""
         self._use_cases = [use for use in ground.use_cases if use.promised > 0 and use.importance > 0]
         self._group = max(1, ground.group_size)
         self._cold_share, self._warm_after = ground.cold_share, max(1, ground.warm_after)
@@ -131,7 +131,7 @@
                 break
             refused = True
         else:
-            if refused or not sides:
+            if refused:
                 return self._no(ticket, now)
             choice = []
         if first:
@@ -199,7 +199,7 @@
     def _widen(self, side: Side, now: int) -> None:
         """Beside each client some proxies carry far more than most: one that alone holds a call at each of
         its arc would be its crowd, and asks twice as many, till it holds a fourth of that."""
-        wider = side.mean > 1.0 and side.weight < side.whole
+        wider = side.mean > 1.0 and not side.ring[-1].near
         if self._beside and (wider or side.mean < 0.25 and side.reach > 1.0):
             side.reach *= 2.0 if wider else 0.5
             self._lay(now)
@@ -261,7 +261,6 @@
         of least importance for its time goes first, so a short promised time does not shut a use case out.
         """
         use = ticket.use_case
-        pressure = max((one.usual + one.spread) / one.promised for one in self._use_cases)
         # The mean over a few tickets: with one or two in flight at a time a single figure is chance.
         side.held += (in_flight - side.held) / FLOW_LEAST
         # Never refused while a few calls a server are in flight, over all proxies that share it: a stale
@@ -282,12 +281,13 @@
         stretch = (side.held + 0.5) / (flow * self._usual / SECOND + 0.5)
         if not self._first_tier:
             return stretch * use.usual < ticket.until - now
+        pressure = max(((one.usual + one.spread) / one.promised for one in self._use_cases), default=0.0)
         most = max((self._value(one) for one in self._use_cases if one.usual), default=1.0)
         bound = 0.8 + 0.4 * self._value(use) / most
         if not within:
             bound /= 2
         # Work that takes a good part of the promised time with nothing to wait for is no sign of a jam.
-        bound *= max(1.0, 4 * max(one.work / one.promised for one in self._use_cases))
+        bound *= max(1.0, 4 * max((one.work / one.promised for one in self._use_cases), default=0.0))
         # Late by its own times is late, however little the others are pressed.
         return (pressure * stretch < bound and stretch * (use.usual + use.spread) <= use.promised
                 and stretch * use.usual < ticket.until - now)
@@ -441,7 +441,7 @@
     def _lay(self, now: int) -> None:
         """What each backend counts for, by the list and the ground; one side for each location."""
         before, self._sides = self._sides, {}
-        at = {self._zone if self._zones > 1 else "": deque()}
+        at = {self._home: deque()}
         for backend in sorted(self._backends, key=attrgetter("address")):
             at.setdefault(backend.zone if self._zones > 1 else "", deque()).append(backend)
         for zone, ring in at.items():
@@ -468,7 +468,7 @@
             side.part = part
 
     def _side(self, backend: Backend) -> Side:
-        return self._sides.get(backend.zone if self._zones > 1 else "") or next(iter(self._sides.values()))
+        return self._sides.get(backend.zone if self._zones > 1 else "") or self._sides[self._home]
 
     def _lay_ring(self, side: Side, ring: deque[Backend]) -> None:
         """This proxy's part of a location: an arc of a ring on which each backend is as long as its weight.
@@ -479,7 +479,7 @@
         """
         for backend in ring:
             backend.portion, backend.near = backend.weight, True
-        side.whole = total = sum(b.portion for b in ring)
+        total = sum(b.portion for b in ring)
         # Each location has its even part of the proxies, as far as any of them knows.
         side.ring, side.weight, side.sharing = ring, total, self._group / max(1, self._zones)
         squares = sum(b.portion * b.portion for b in ring)
@@ -526,7 +526,7 @@
 
     def learned(self, now: int) -> tuple[int, float, float]:
         """What another process of the same proxy is `taught`: else it takes the jam for its doing."""
-        home = next(iter(self._sides.values()), Side(now, FLOW_SPAN, 0))
+        home = self._sides[self._home]
         took = home.took * exp((home.took_at - now) / self._warm_after)
         return self._usual, self._flow_now(home, now), took
 
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -103,7 +103,7 @@
 class Backend:
     """One backend as this proxy knows it, with its breaker. The window empties at each change of state."""
 
-    __slots__ = ("address", "zone", "kind", "cell", "weight", "born", "in_flight", "held", "turn", "share", "nearness",
+    __slots__ = ("address", "zone", "kind", "cell", "weight", "born", "in_flight", "held", "turn", "share",
                  "portion", "near", "room", "cold", "state", "generation", "results", "failures", "run_failed",
                  "run_done", "open_until", "trials", "trial_due", "full_until", "full_at", "allowance", "counted_at",
                  "runs", "shut", "told", "told_at", "pace")
@@ -119,7 +119,6 @@
         self.held = 0.0
         self.turn = 0.0
         self.share = 1.0
-        self.nearness = 1.0
         self.portion = 1.0
         self.near = True
         self.room = 1.0
@@ -151,14 +150,13 @@
 class Side:
     """One location's backends as one proxy knows them, and its flow there."""
 
-    __slots__ = ("part", "reach", "whole", "ring", "weight", "grown", "sharing", "mean", "held", "flow", "flow_at",
+    __slots__ = ("part", "reach", "ring", "weight", "grown", "sharing", "mean", "held", "flow", "flow_at",
                  "started", "span", "gap", "done_at", "took", "took_at")
 
     def __init__(self, started: int, span: int, gap: int) -> None:
         self.part = 1.0                        # of the calls that go here first
         self.ring: deque[Backend] = deque()    # all of the location, this proxy's part first; emptied by the list
         self.reach = 1.0                       # how many times as wide as others' this proxy's arc is
-        self.whole = 0.0                       # the weight of all its backends, and of this proxy's arc
         self.weight = 0.0
         self.grown = 1.0
         self.sharing = 1.0
--- a/tests/test_sides.py
+++ b/tests/test_sides.py
@@ -107,6 +107,22 @@
 
 
 class Beside(Scene):
+    def test_use_cases_of_no_importance_raise_nothing(self) -> None:
+        """The pressure was the greatest of none: a ValueError for each ticket beyond the floor."""
+        for stage in (0, 1):
+            self.open("a1", stage=stage, use_cases=[UseCase("look", SECOND, 2 * SECOND, 0.0)])
+            self.call(DONE, 0.1, times=5, quiet=True)
+            self.backends["a1"].in_flight = 20
+            self.where(self.ticket(), True)
+
+    def test_what_is_taught_before_the_first_list_stays(self) -> None:
+        """Kept at the sides, which came with the list, the flow and the budget for fresh ones were lost."""
+        self.open()
+        self.balancer = Balancer(ground(), self.now, self.note)
+        self.balancer.taught(100_000, 40.0, 3.0, self.now)
+        self.list("a1")
+        self.assertEqual([round(one) for one in self.balancer.learned(self.now)], [100_000, 40, 3])
+
     def test_an_even_part_of_a_customers_share_binds_nobody_beside_one_client(self) -> None:
         bounds = []
         for beside in (True, False):
