--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	$(PYTHON) -m pepperusher rehearse examples/rehearsals/demo.toml --report demo.html
 
 test: all
-	$(PYTHON) -m unittest discover -s tests -t . -v
+	$(PYTHON) -m pytest -q -n auto --dist worksteal -p no:cacheprovider tests
 
 clean:
 	rm -rf .venv demo.html
