Companions of the proxy behind one interface, three circles of imports untied

The proxy named house and desk wherever it started, stopped, turned or listed, and the group would have been a third. net/companion.py says what each narrows, hears, says and holds up at the end, and what it may ask of the proxy; the proxy knows a list of them, company.py makes it. Circles: console/desk with net/proxy (Host in place of Proxy), net/answers with net/house (the control socket is a companion of its own), net/flows with net/message (Rest, a protocol).

--- a/pepperusher/__main__.py
+++ b/pepperusher/__main__.py
@@ -74,20 +74,20 @@
     file as it stands then.
     """
     read = _read(config, name=name, listen=listen, discovery=discovery, console=console)
-    house = desk = None
-    if read.console is not None:
-        desk = import_module("pepperusher.console.desk").Desk
-    if own is not None:
-        module = later("pepperusher.net.house", "own")
-        house = partial(module.House, own, module.given_of(given))
-    elif given:
+    if own is None and given:
         raise click.ClickException("--set: there is no --own file whose values it could replace")
+    # Companions bring libraries that a small proxy has no room for: loaded only where there are any.
+    company = None
+    if own is not None:
+        company = partial(later("pepperusher.company", "own").company, own, given)
+    elif read.console is not None:
+        company = import_module("pepperusher.console.desk").alone
 
     def again(before: told.Told) -> told.Told:
         return told.read(config, name=name, listen=listen, discovery=discovery, console=console, before=before)
 
     try:
-        run(read, again, house, desk)
+        run(read, again, company)
     except OSError as error:
         raise click.ClickException(str(error)) from None
     except ValueError as error:
--- a/pepperusher/console/desk.py
+++ b/pepperusher/console/desk.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import os
-from typing import TYPE_CHECKING
 
 from pepperusher.console import words
 from pepperusher.console.door import PLACES, Door
@@ -13,13 +12,12 @@
 from pepperusher.console.place import Seat, seats
 from pepperusher.console.state import BadState, State
 from pepperusher.net import clock
+from pepperusher.net.companion import Companion, Host
 from pepperusher.net.log import Log
 from pepperusher.net.message import Answer, plain
+from pepperusher.net.told import Told
 from pepperusher.terms import Ground
 
-if TYPE_CHECKING:
-    from pepperusher.net.proxy import Proxy
-
 NOT_KEPT = plain(500, "in force, but not kept for the next process: see the log")
 # A lifted ban is remembered for so long at the least.
 KEPT = 60_000_000
@@ -32,16 +30,18 @@
 HALF = 0.5
 
 
-class Desk:
+class Desk(Companion):
     # Its listener, two locks, and room for connections that just lost their place.
     descriptors = 5 + PLACES
+    shares_address = True
 
     def __init__(self, address: tuple[str, int], ground: Ground, log: Log) -> None:
         self._address = address
         self._log = log
         self.orders = Orders(max(KEPT, ground.warm_after))
         self._door = Door(self.answer, log)
-        self._proxy: Proxy
+        self.narrow = self.orders.lines
+        self._proxy: Host
         self.port = 0
         # The first is whose holder reigns, the second whose holder is next; None without a folder for them.
         self._first: Seat | None = None
@@ -55,16 +55,16 @@
 
     # --- the places ---------------------------------------------------------------------------------
 
-    async def enter(self, proxy: Proxy) -> None:
+    async def enter(self, host: Host) -> None:
         """Before anything is served: takes the first place, or the next one and what the process before has
         to pass on."""
-        self._proxy = proxy
+        self._proxy = host
         folder = os.environ.get("TMPDIR")
         if not folder:
             self._log.say("no $TMPDIR: bans end with this process, and none can take its place")
             return
         try:
-            self._first, self._next = seats(folder, proxy.name)
+            self._first, self._next = seats(folder, host.name)
         except OSError as error:
             self._log.say(f"{folder}: {error.strerror or error}: bans end with this process, and none can take its place")
             return
@@ -74,12 +74,12 @@
             if (left := self._read(self._first)) is not None:
                 self._merge(left._replace(drain=NEVER))
             return
-        proxy.keep_to(HALF)
+        host.keep_to(HALF)
         self._kept()
         left = await self._told()
         if left is not None:
             self._merge(left)
-            self._proxy.follow(left)
+            self._proxy.follow(left.source, left.listed, left.learned)
         self._log.say("taking the place of a process that serves" + ("" if left is not None else ", which tells nothing"))
 
     async def _told(self) -> State | None:
@@ -104,7 +104,7 @@
 
     def _merge(self, other: State) -> None:
         drained = self.orders.drain
-        self._proxy.put(self.orders.merge(other.bans, other.drain))
+        self._proxy.narrowed(self, self.orders.merge(other.bans, other.drain))
         if self.orders.drain != drained:
             self._proxy.send_away(self.orders.drain.on)
 
@@ -179,7 +179,7 @@
         self.port = await self._door.listen(self._address)
         self._log.say(f"console at {self._address[0]}:{self.port}")
 
-    def stop(self) -> None:
+    async def stop(self) -> None:
         self._door.close()
         if self._looking is not None:
             self._looking.cancel()
@@ -218,7 +218,12 @@
             return plain(404, "no backend has this id")
         if self.orders.banned(backend) != on:
             self._log.say(f"{backend} {'banned' if on else 'put back'} at the console")
-        self._proxy.put(self.orders.ban(backend, on, clock.now()))
+        self._proxy.narrowed(self, self.orders.ban(backend, on, clock.now()))
         if not self._kept():
             return NOT_KEPT
         return plain(200, "banned" if on else "in use")
+
+
+def alone(told: Told, log: Log) -> list[Companion]:
+    """What a proxy has beside it whose operators have an address, and no file of its own."""
+    return [] if told.console is None else [Desk(told.console, told.ground, log)]
--- a/pepperusher/net/answers.py
+++ b/pepperusher/net/answers.py
@@ -2,21 +2,19 @@
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from itertools import islice
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from pepperusher import __version__
 from pepperusher.changes.ledger import Change, LedgerError
+from pepperusher.control.socket import Control
 from pepperusher.control.words import ROWS
-from pepperusher.facade import Facade
 from pepperusher.net import clock
+from pepperusher.net.companion import Companion, Host
+from pepperusher.net.house import House
 from pepperusher.own.reading import OwnError
 
-if TYPE_CHECKING:
-    from pepperusher.net.house import House
-
 
 def _change(change: Change) -> dict[str, Any]:
     return {
@@ -39,11 +37,25 @@
     yield {"ok": True, key: part}
 
 
-class Answers:
-    def __init__(self, house: House, facade: Facade, stopping: asyncio.Event) -> None:
+class Answers(Companion):
+    """The control socket that the own file names, for as long as the proxy serves."""
+
+    def __init__(self, house: House, say: Callable[..., None]) -> None:
         self._house = house
-        self._facade = facade
-        self._stopping = stopping
+        said = house.standing.version.read.own.control
+        assert said.socket is not None
+        self._control = Control(said.socket, said.connections, said.within / 1e6, self.to, say)
+        self._host: Host
+
+    async def enter(self, host: Host) -> None:
+        self._host = host
+
+    async def start(self) -> None:
+        """Raises ControlError where the socket can't be opened."""
+        await self._control.listen()
+
+    async def stop(self) -> None:
+        self._control.close()
 
     async def to(self, command: str, said: dict[str, Any]) -> AsyncIterator[dict[str, Any]]:
         try:
@@ -77,7 +89,7 @@
         return await house.drain(said.get("id") or "", bool(said.get("undo")), who, why)
 
     def _read(self, command: str) -> Iterable[dict[str, Any]]:
-        house, facade = self._house, self._facade
+        house, facade = self._house, self._host.facade
         if command == "status":
             standing = house.standing
             change = standing.ledger.open
@@ -88,7 +100,7 @@
                 "digest": standing.version.read.digest,
                 "versions": sorted(standing.versions),
                 "in_hand": facade.in_hand,
-                "stopping": self._stopping.is_set(),
+                "stopping": self._host.stopping,
                 "open_change": None if change is None else _change(change),
                 "kept_out": dict(house.kept_out),
                 "limits": standing.gates(),
--- /dev/null
+++ b/pepperusher/net/companion.py
@@ -0,0 +1,103 @@
+"""What a proxy may have beside it, and what each of these may ask of the proxy.
+
+The own file, the console, the control socket, the store and the group all join the proxy here: it knows none of them by
+name, and on the platform none is loaded. Each narrows, hears, says, or holds up the end; what it leaves out does nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, Protocol
+
+from pepperusher.facade import Entry, Facade
+
+if TYPE_CHECKING:
+    from pepperusher.net.message import Answer, Request
+    from pepperusher.terms import Ground
+
+Narrow = Callable[[list[Entry], bool], list[Entry]]
+
+
+class Host(Protocol):
+    """The proxy, as its companions see it."""
+
+    @property
+    def name(self) -> str: ...
+
+    @property
+    def facade(self) -> Facade: ...
+
+    @property
+    def stopping(self) -> bool: ...
+
+    @property
+    def can_serve(self) -> bool: ...
+
+    def knows(self, backend: str) -> bool: ...
+
+    def keep_to(self, part: float) -> None: ...
+
+    def passed_on(self) -> tuple[str, dict[str, Any] | None, dict[str, Any]]: ...
+
+    def follow(self, source: str, listed: dict[str, Any] | None, learned: dict[str, Any] | None) -> None: ...
+
+    def narrowed(self, by: Companion, lines: list[Entry]) -> None:
+        """The lines that change by what `by` narrows now; those behind it have their say of them."""
+
+    def send_away(self, on: bool) -> None: ...
+
+    def sent_away(self) -> bool: ...
+
+
+class Gate(Protocol):
+    """Through whom each ticket goes, where there is one: in, out again, and over."""
+
+    shelf: Any
+
+    def ask(self, request: Request, use_case: str, customer: str, given: int | None, usual: int) -> Any: ...
+
+    async def admit(self, made: Any, call: Any) -> bool: ...
+
+    def refusal(self, made: Any) -> Answer | None: ...
+
+    def goes(self, made: Any, wait: int) -> int: ...
+
+    def again(self, made: Any, how: str) -> bool: ...
+
+    def unspent(self, made: Any, how: str) -> None: ...
+
+    def over(self, made: Any, end: str, worked: bool) -> None: ...
+
+    def named(self, made: Any, answer: Answer | None) -> Answer | None: ...
+
+
+class Companion:
+    """One of them. The proxy calls these in the order of the list, `stop` in the other."""
+
+    descriptors = 0        # that it takes for itself, beside those of tickets
+    shares_address = False   # whether another process may listen at the proxy's address
+    narrow: Narrow | None = None   # what it makes of lines of the list
+    gate: Gate | None = None
+
+    async def enter(self, host: Host) -> None:
+        """Before anything is served."""
+
+    async def start(self) -> None:
+        """Once callers can connect. Raises OSError where it can't be had."""
+
+    def told_anew(self, ground: Ground) -> None:
+        """Other settings are in force."""
+
+    def leaving(self, until: int) -> None:
+        """The proxy stops: whom it has to tell it tells now. What waits is given up at `until`."""
+
+    async def stop(self) -> None:
+        """The last ticket has its answer."""
+
+    def sweep(self) -> None:
+        """A few times a second."""
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether another process takes the clients from here on."""
+        return False
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import json
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Iterable, Iterator, Sequence
 from typing import Any, NamedTuple
 
 import h11
@@ -12,6 +12,7 @@
 from pepperusher.facade import Entry, Facade
 from pepperusher.net import clock
 from pepperusher.net.backends import Backends
+from pepperusher.net.companion import Narrow
 from pepperusher.net.line import Line, reach
 from pepperusher.net.log import Log
 from pepperusher.net.message import HEAD, Request, framed_request
@@ -28,8 +29,6 @@
 # The address of a backend that is gone.
 GONE = ("", 0)
 
-Narrow = Callable[[list[Entry], bool], list[Entry]]
-
 
 class BadList(ValueError):
     """Not a list of backends; the text says what is wrong."""
@@ -109,11 +108,9 @@
 
 class Discovery:
     def __init__(self, address: tuple[str, int], facade: Facade, backends: Backends, log: Log,
-                 marks: Narrow | None = None, orders: Narrow | None = None) -> None:
-        # Our own file's marks on what the list says, and behind them the operators' bans; None where there
-        # are none.
-        self._marks = marks
-        self._orders = orders
+                 narrows: Sequence[Narrow] = ()) -> None:
+        # What companions make of each line, in this order: the last has the last word.
+        self._narrows = narrows
         # What the list says of each, and where it is reached; emptied with the list.
         self._told: dict[str, tuple[Entry, tuple[str, int]]] = {}
         self._source = Source(address, 0)
@@ -133,18 +130,16 @@
         for entry, address in zip(news.entries, news.addresses):
             self._told[entry.id] = entry, address
         if news.entries or news.whole:
-            self.marked(news.entries if self._marks is None else self._marks(news.entries, news.whole), news.whole)
+            self.put(news.entries, news.whole)
         for entry, address in zip(news.entries, news.addresses):
             if address == GONE:
                 self._told.pop(entry.id, None)
 
-    def marked(self, entries: list[Entry], whole: bool = False) -> None:
-        """Lines as our own file's marks have them: the operators' orders have the last word."""
-        self.put(entries if self._orders is None else self._orders(entries, whole), whole)
-
-    def put(self, entries: list[Entry], whole: bool = False) -> None:
-        """Lines as they are to be acted on. What is drained by a mark or an order has no connection kept
-        either."""
+    def put(self, entries: list[Entry], whole: bool = False, past: int = 0) -> None:
+        """Lines to be acted on, once those who narrow them had their say; the first `past` of these had it.
+        What is drained by a mark or an order has no connection kept either."""
+        for narrow in self._narrows[past:]:
+            entries = narrow(entries, whole)
         for entry in entries:
             _, address = self._told.get(entry.id, (None, GONE))
             self._backends.reached_at(entry.id, address, entry.ready)
--- a/pepperusher/net/house.py
+++ b/pepperusher/net/house.py
@@ -16,17 +16,18 @@
 from pepperusher.changes.kept import Kept
 from pepperusher.changes.ledger import APPLIED, CONFIRMED, Change, LedgerError
 from pepperusher.changes.standing import FULL, IN, LATE, RATE, WAITS, Pass, Standing
-from pepperusher.facade import Entry, Facade
+from pepperusher.facade import Entry
 from pepperusher.net import clock
 from pepperusher.net.callers import Call
+from pepperusher.net.companion import Companion, Host
 from pepperusher.net.log import Log
 from pepperusher.net.message import Answer, Request, plain
 from pepperusher.own import reading
 from pepperusher.own.reading import OwnError, Read
+from pepperusher.own.tables import Own
 from pepperusher.terms import Ground
 
 if TYPE_CHECKING:
-    from pepperusher.control.socket import Control
     from pepperusher.net.shelf import Shelf
 
 LOOK_EVERY = 0.1
@@ -45,12 +46,11 @@
     return reading.from_command_line(words)
 
 
-class House:
+class House(Companion):
     """`path` is the file, `given` the command line's values."""
 
     def __init__(self, path: str | Path, given: Mapping[str, Any], ground: Ground, log: Log) -> None:
         say = log.tell
-        self._control: Control | None = None
         self._hanging: asyncio.Task[None] | None = None
         self.kept_out: dict[str, int] = {}  # by the words of STATUS, so it grows with the code alone
         self._longest_advice = ground.longest_advice or LONGEST_ADVICE
@@ -60,12 +60,14 @@
         self._ground = ground
         self._say = say
         self._kept: Kept | None = None
-        self._lines: Callable[[list[Entry]], None] = lambda _: None
+        self._host: Host | None = None
         self._watching: asyncio.Task[None] | None = None
         # One carrying out of a change at a time: its writes are waited for.
         self._turn = asyncio.Lock()
         self._instead = ""
         self.standing = Standing(self._begin(), clock.now(), self._list_again, say)
+        self.gate = self
+        self.narrow = self.standing.overlay.lines
         self.shelf: Shelf | None = None
         if self.standing.version.read.own.store.folder is not None:
             from pepperusher.net.shelf import Shelf
@@ -77,6 +79,11 @@
 
             log.take_form(form_of(form))
 
+    @property
+    def own(self) -> Own:
+        """The file in force."""
+        return self.standing.version.read.own
+
     def _count(self, what: str) -> None:
         self.kept_out[what] = self.kept_out.get(what, 0) + 1
 
@@ -109,30 +116,28 @@
     def _parse(self, text: str, source: str) -> Read:
         return reading.parse(text, source, self._ground, self._environment, self._given)
 
-    def retuned(self, ground: Ground) -> None:
-        """The operators' settings as they are now; the own file is read against them from here on."""
+    def told_anew(self, ground: Ground) -> None:
+        """The operators' settings as they are now; the own file is read against them from here on, and proposed
+        as it stands."""
         self._ground = ground
         self._longest_advice = ground.longest_advice or LONGEST_ADVICE
+        self.hang_up()
+
+    def leaving(self, until: int) -> None:
+        self.standing.close_at(until)
 
     def _list_again(self, lines: list[Entry]) -> None:
-        self._lines(lines)
+        if self._host is not None:
+            self._host.narrowed(self, lines)
+
+    async def enter(self, host: Host) -> None:
+        self._host = host
 
-    async def start(self, facade: Facade, stopping: asyncio.Event, lines: Callable[[list[Entry]], None]) -> None:
-        """`lines` takes those that change by a mark. Raises ControlError where the control socket can't be
-        opened."""
-        self._lines = lines
+    async def start(self) -> None:
         if self._instead:
             self._say("started with the last confirmed file", why=self._instead)
         if self.shelf is not None:
             self.shelf.start()
-        said = self.standing.version.read.own.control
-        if said.socket is not None:
-            from pepperusher.control.socket import Control
-            from pepperusher.net.answers import Answers
-
-            answers = Answers(self, facade, stopping)
-            self._control = Control(said.socket, said.connections, said.within / 1e6, answers.to, self._say)
-            await self._control.listen()
         self._watching = asyncio.get_running_loop().create_task(self._watch())
 
     async def stop(self) -> None:
@@ -140,8 +145,6 @@
             await self.shelf.stop()
         if self._watching is not None:
             self._watching.cancel()
-        if self._control is not None:
-            self._control.close()
 
     def hang_up(self) -> None:
         """SIGHUP is one way to propose the file as it stands now."""
--- a/pepperusher/net/message.py
+++ b/pepperusher/net/message.py
@@ -4,16 +4,13 @@
 
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from typing import TYPE_CHECKING, NamedTuple
+from typing import NamedTuple, Protocol
 
 import h11
 
 from pepperusher.net.buffers import Body
 from pepperusher.net.line import Line
 
-if TYPE_CHECKING:
-    from pepperusher.net.flows import Inflow
-
 # A body at the most, whether it is held or flows.
 MOST = 32 * 1024 * 1024
 # A message's head; more is bad input.
@@ -35,12 +32,22 @@
         self.status = status
 
 
+class Rest(Protocol):
+    """What of a body is not held, and is read as it is sent on. Once `touched`, what was read is gone; `bad` is why
+    it had no end, and the status to answer."""
+
+    touched: bool
+    bad: tuple[str, int] | None
+
+    async def read(self) -> bytes: ...
+
+
 class Request(NamedTuple):
     method: bytes
     target: bytes
     headers: Headers
     body: memoryview | bytes        # as far as it is held
-    rest: Inflow | None = None      # what comes behind that
+    rest: Rest | None = None      # what comes behind that
     length: int | None = None       # of all of it, where there is a rest and its head says so
 
 
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -7,9 +7,9 @@
 import re
 import resource
 import signal
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from itertools import count
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from pepperusher import holds
 from pepperusher.facade import BOUNCE, HOLD, REFERENCED, REPLAYABLE, SCRAP, SEND, Entry, Facade, Step
@@ -19,19 +19,12 @@
 from pepperusher.net.budget import Budget
 from pepperusher.net.buffers import Pool
 from pepperusher.net.callers import SHY, Call, Callers
+from pepperusher.net.companion import Companion
 from pepperusher.net.discovery import Discovery, address_of, news_of, text_of_address
 from pepperusher.net.exchange import PASSED_ON, Placed, Transmission
 from pepperusher.net.log import Log
 from pepperusher.net.message import Answer, Headers, Request, end_to_end, plain
 from pepperusher.net.told import Told, ToldError
-from pepperusher.terms import Ground
-
-if TYPE_CHECKING:
-    # Loaded only where there is a file of our own: it brings libraries that a small proxy has no room for.
-    from pepperusher.net.house import House
-    # Likewise where operators have an address of their own.
-    from pepperusher.console.desk import Desk
-    from pepperusher.console.state import State
 
 READY = plain(200, "ready")
 BROKEN = plain(500, "an error in the proxy")
@@ -69,6 +62,10 @@
                   b"idempotency-key"))
 
 
+# Makes what a proxy has beside it, from what it is told at its start.
+Company = Callable[[Told, Log], Sequence[Companion]]
+
+
 class BadCall(Exception):
     """A request that is no ticket; it is told why."""
 
@@ -121,23 +118,22 @@
 
 
 class Proxy:
-    def __init__(self, told: Told, again: Callable[[Told], Told],
-                 own: Callable[[Ground, Log], House] | None = None,
-                 desk: Callable[[tuple[str, int], Ground, Log], Desk] | None = None) -> None:
+    def __init__(self, told: Told, again: Callable[[Told], Told], company: Company | None = None) -> None:
         self._told = told
         self._again = again
         self._log = Log(told.name)
-        self._house = own(told.ground, self._log) if own is not None else None
+        self._company = company(told, self._log) if company is not None else ()
+        gates = [one.gate for one in self._company if one.gate is not None]
+        holds.must_hold(len(gates) <= 1, "a ticket goes through one gate")
+        self._gate = gates[0] if gates else None
         self._pool = Pool(256, told.memory // HELD_PART)
-        self._desk = desk(told.console, told.ground, self._log) if desk is not None and told.console is not None else None
-        self._budget = Budget(_descriptors(told.sockets), self._desk.descriptors if self._desk is not None else 0)
+        self._budget = Budget(_descriptors(told.sockets), sum(one.descriptors for one in self._company))
         self._facade = Facade(told.ground, clock.now(), self._log.say)
         # Callers first: where descriptors run out, it is theirs that are closed first, since they cost least.
         self._callers = Callers(self._handle, self._budget, self._pool, self._log, told.ground.longest_wait)
         self._backends = Backends(self._budget, self._pool, told.connect_within, told.idle_most)
         self._discovery = Discovery(told.discovery, self._facade, self._backends, self._log,
-                                    self._house.standing.overlay.lines if self._house is not None else None,
-                                    self._desk.orders.lines if self._desk is not None else None)
+                                    [one.narrow for one in self._company if one.narrow is not None])
         self._names: set[bytes] = set()   # of the tickets in hand; emptied as they end
         self._stopping = asyncio.Event()
         self._sent_away_at: int | None = None   # since when the operators have clients sent away
@@ -206,16 +202,16 @@
         call.ticket = True
         customer = told.get(b"tenant", b"").decode("latin-1")
         passed = None
-        if self._house is not None:
-            passed = self._house.ask(call.request, use_case, customer, wait, self._facade.outer_of(use_case))
-            if not await self._house.admit(passed, call):
-                return self._house.refusal(passed)
+        if self._gate is not None:
+            passed = self._gate.ask(call.request, use_case, customer, wait, self._facade.outer_of(use_case))
+            if not await self._gate.admit(passed, call):
+                return self._gate.refusal(passed)
             wait = passed.terms.wait(wait)
         ticket = self._facade.take(use_case, customer, call.came, wait, cost)
         if passed is not None:
             self._facade.narrow(ticket, passed.terms.most)
         # What was sent under a mark counts over tickets and restarts, where it is kept.
-        shelf = self._house.shelf if self._house is not None and repeat == REFERENCED else None
+        shelf = self._gate.shelf if self._gate is not None and repeat == REFERENCED else None
         mark = told[b"idempotency-key"].decode("latin-1") if shelf is not None else ""
         if shelf is not None and shelf.on:
             for one in shelf.past(use_case, mark):
@@ -244,7 +240,7 @@
             head = heard(head)
             self._facade.begun(ticket, clock.now())
             made = Answer(head.status, end_to_end(head.headers), head.body)
-            return made if passed is None or self._house is None else self._house.named(passed, made) or made
+            return made if passed is None or self._gate is None else self._gate.named(passed, made) or made
 
         if call.onward is not None:
             call.onward.dress = dress
@@ -271,8 +267,8 @@
                         continue
                 out = Transmission()
                 patience = step.wait
-                if passed is not None and self._house is not None:
-                    patience = self._house.goes(passed, step.wait)
+                if passed is not None and self._gate is not None:
+                    patience = self._gate.goes(passed, step.wait)
                 wait_on = (b"request-timeout", b"%du" % max(1, patience))
                 how, answer = await self._backends.transmit(
                     step.backend, Request(method, target, [*onward, wait_on], body, rest, length), out, patience, placed,
@@ -282,22 +278,22 @@
                     answer = heard(answer)
                 if shelf is not None and kept is not None:
                     shelf.ended(use_case, mark, kept, how)
-                again = passed is None or self._house is None or self._house.again(passed, how)
+                again = passed is None or self._gate is None or self._gate.again(passed, how)
                 # What was read of its rest is gone, and a second copy would be without it.
                 again = again and (rest is None or not rest.touched)
                 step = self._facade.report(ticket, how, clock.now(), again)
-                if passed is not None and self._house is not None and again and step.what != SEND:
-                    self._house.unspent(passed, how)
+                if passed is not None and self._gate is not None and again and step.what != SEND:
+                    self._gate.unspent(passed, how)
             if rest is not None and rest.bad is not None:
                 raise BadCall(*rest.bad)
             end = "done" if how == "done" else ENDS.get(step.what, "left")
             answered = self._answer(step, how, answer)
-            return answered if passed is None or self._house is None else self._house.named(passed, answered)
+            return answered if passed is None or self._gate is None else self._gate.named(passed, answered)
         finally:
             call.on_leave = None
             self._facade.settle(ticket, clock.now())
-            if passed is not None and self._house is not None:
-                self._house.over(passed, end, how in WORKED)
+            if passed is not None and self._gate is not None:
+                self._gate.over(passed, end, how in WORKED)
 
     def _answer(self, step: Step, how: str, answer: Answer | None) -> Answer | None:
         if how in PASSED_ON and answer is not None:
@@ -336,6 +332,17 @@
     def name(self) -> str:
         return self._told.name
 
+    @property
+    def facade(self) -> Facade:
+        return self._facade
+
+    @property
+    def stopping(self) -> bool:
+        return self._stopping.is_set()
+
+    def sent_away(self) -> bool:
+        return self._sent_away_at is not None
+
     def keep_to(self, part: float) -> None:
         """So much of the descriptors: two processes of one proxy share them."""
         self._budget.share(part)
@@ -345,13 +352,13 @@
         """For the next process: where discovery answers, the list, and what was learned."""
         return self._discovery.source, self._discovery.listed(), self._facade.learned(clock.now())
 
-    def follow(self, left: State) -> None:
+    def follow(self, source: str, listed: dict[str, Any] | None, learned: dict[str, Any] | None) -> None:
         """Goes on from what the process before passed on, as far as it can be read."""
         try:
-            if left.listed is not None and left.source in (self._discovery.source, self._newest_discovery()):
-                self._discovery.go_on(address_of(left.source), news_of(left.listed))
-            if left.learned is not None:
-                self._facade.taught(left.learned, clock.now())
+            if listed is not None and source in (self._discovery.source, self._newest_discovery()):
+                self._discovery.go_on(address_of(source), news_of(listed))
+            if learned is not None:
+                self._facade.taught(learned, clock.now())
         except ValueError as error:
             self._log.say(f"what the process before passed on is not taken: {error}")
 
@@ -365,9 +372,10 @@
     def knows(self, backend: str) -> bool:
         return self._facade.knows(backend)
 
-    def put(self, lines: list[Entry]) -> None:
-        """Lines of the list as the operators' orders have them now."""
-        self._discovery.put(lines)
+    def narrowed(self, by: Companion, lines: list[Entry]) -> None:
+        """Lines of the list as `by` has them now: those whose say comes behind its own have it too."""
+        before = [one for one in self._company if one.narrow is not None]
+        self._discovery.put(lines, False, before.index(by) + 1)
 
     def send_away(self, on: bool) -> None:
         """Clients go elsewhere: no new ones, and those here with the answer to what they ask next, or when
@@ -395,13 +403,11 @@
             loop.add_signal_handler(number, self.stop)
         # Without a handler it ends the process, and with it every ticket in hand.
         loop.add_signal_handler(signal.SIGHUP, self.tell_anew)
-        if self._desk is not None:
-            await self._desk.enter(self)
-        self.port = self._callers.listen(self._told.listen, self._desk is not None)
-        if self._house is not None:
-            await self._house.start(self._facade, self._stopping, self._discovery.marked)
-        if self._desk is not None:
-            await self._desk.start()
+        for one in self._company:
+            await one.enter(self)
+        self.port = self._callers.listen(self._told.listen, any(one.shares_address for one in self._company))
+        for one in self._company:
+            await one.start()
         self._discovery.start()
         sweep = loop.create_task(self._sweep())
         pace = loop.create_task(self._pace())
@@ -414,10 +420,8 @@
         self._log.say(f"serving at {self._told.listen[0]}:{self.port}")
         await self._stopping.wait()
         await self._drain()
-        if self._house is not None:
-            await self._house.stop()
-        if self._desk is not None:
-            self._desk.stop()
+        for one in reversed(self._company):
+            await one.stop()
         self._discovery.stop()
         sweep.cancel()
         pace.cancel()
@@ -425,7 +429,7 @@
 
     def stop(self) -> None:
         if not self._stopping.is_set():
-            self._succeeded = self._desk is not None and self._desk.succeeded
+            self._succeeded = any(one.succeeded for one in self._company)
         self._stopping.set()
 
     def tell_anew(self) -> None:
@@ -446,9 +450,8 @@
         self._backends.retuned(told.connect_within, told.idle_most)
         self._callers.retuned(told.ground.longest_wait)
         self._discovery.turn_to(told.discovery)
-        if self._house is not None:
-            self._house.retuned(told.ground)
-            self._house.hang_up()
+        for one in self._company:
+            one.told_anew(told.ground)
 
     async def _drain(self) -> None:
         """Accepts to the last: what the kernel takes on our behalf is ours.
@@ -463,8 +466,8 @@
                       + (", another process serves on" if self._succeeded else ""))
         last = killed - GIVEN_UP
         self._facade.close_at(clock.now() + round(last * 1e6))
-        if self._house is not None:
-            self._house.standing.close_at(clock.now() + round(last * 1e6))
+        for one in self._company:
+            one.leaving(clock.now() + round(last * 1e6))
         loop.call_later(last, self._backends.give_up_all, "timed out")
         if self._succeeded:
             # New ones are the next process's, and those here end as they are answered.
@@ -489,8 +492,8 @@
                 if self._sent_away_at is not None and clock.now() - self._sent_away_at >= SENT_AWAY:
                     self._callers.close_idle(SHY)
                 self._budget.trim()
-                if self._desk is not None:
-                    self._desk.sweep()
+                for one in self._company:
+                    one.sweep()
             except Exception as error:   # what it closes nobody else does: it goes on
                 self._log.say(f"a sweep ended by {type(error).__name__}: {error}")
             if rounds % COUNTS_EVERY == 0:
@@ -513,9 +516,7 @@
             self._log.say(f"did not hold {count} times: {what}")
 
 
-def run(told: Told, again: Callable[[Told], Told], own: Callable[[Ground, Log], House] | None = None,
-        desk: Callable[[tuple[str, int], Ground, Log], Desk] | None = None) -> None:
-    """`again` reads the configuration anew, beside the one in force; `own` makes what our own file has the
-    proxy do, where there is one, and
-    `desk` what operators can call, where they have an address."""
-    asyncio.run(Proxy(told, again, own, desk).serve())
+def run(told: Told, again: Callable[[Told], Told], company: Company | None = None) -> None:
+    """`again` reads the configuration anew, beside the one in force; `company` makes the companions, where
+    there are any."""
+    asyncio.run(Proxy(told, again, company).serve())
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -16,7 +16,7 @@
 from unittest import mock
 
 from pepperusher import terms
-from pepperusher.console.desk import Desk
+from pepperusher.console.desk import Desk, alone
 from pepperusher.net import told
 from pepperusher.net.proxy import Proxy
 from pepperusher.policy import Balancer
@@ -215,18 +215,17 @@
         self.given = json.dumps(given)
         read = self.read_again()
         read.listen = ("127.0.0.1", 0)
-        desk = Desk if read.console is not None else None
         if read.console is not None:
             read.console = ("127.0.0.1", 0)
-        house = None
+        made = alone
         if own is not None:
-            from pepperusher.net.house import House
+            from pepperusher.company import company
             folder = tempfile.TemporaryDirectory()
             self.addCleanup(folder.cleanup)
             self.own_file = Path(folder.name) / "own.toml"
             self.own_file.write_text(own.replace("HERE", folder.name))
-            house = functools.partial(House, self.own_file, {})
-        self.proxy = Proxy(read, self.read_again, house, desk)
+            made = functools.partial(company, self.own_file, ())
+        self.proxy = Proxy(read, self.read_again, made)
         self.proxy._log.say = lambda line, figures=None: self.logged.append(f"{line} {figures}" if figures else line)
         self.serving = asyncio.create_task(self.proxy.serve())
         await self.until(lambda: self.proxy.port and (self.watches or not names))
@@ -237,6 +236,10 @@
             file.flush()
             return told.read(file.name, discovery=None if "discovery" in self.given else "127.0.0.1:1", before=before)
 
+    @property
+    def desk(self) -> Desk:
+        return next(one for one in self.proxy._company if isinstance(one, Desk))
+
     def line(self, name: str, state: str = "ready") -> dict[str, object]:
         return {"id": name, "addr": f"127.0.0.1:{self.toys[name].port}", "zone": "here", "cell": int(name[1:]),
                 "state": state, "weight": 1.0, "started_ms": 0}
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -53,7 +53,7 @@
 
 class Console(Street):
     async def call(self, what: str, path: str, method: str = "POST", more: str = "") -> str:
-        reader, writer = await asyncio.open_connection("127.0.0.1", self.proxy._desk.port)
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.desk.port)
         writer.write(f"{method} {path} HTTP/1.1\r\nHost: c\r\n{more}\r\n".encode())
         said = await self.hear(reader)
         writer.close()
@@ -142,10 +142,10 @@
     async def test_callers_that_say_nothing_keep_nobody_out(self) -> None:
         """Each place taken by silence or half a call: whoever asks has an answer all the same, at once."""
         await self.open("a1", console="127.0.0.1:1")
-        held = [await asyncio.open_connection("127.0.0.1", self.proxy._desk.port) for _ in range(3 * PLACES)]
+        held = [await asyncio.open_connection("127.0.0.1", self.desk.port) for _ in range(3 * PLACES)]
         for _, writer in held[::2]:
             writer.write(b"GET /-/rea")
         async with asyncio.timeout(1):
             for _ in range(2 * PLACES):
                 self.assertIn("200", await self.call("", "/-/ready", "GET"))
-        self.assertLessEqual(len(self.proxy._desk._door._open), 2 * PLACES)
+        self.assertLessEqual(len(self.desk._door._open), 2 * PLACES)
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -275,7 +275,7 @@
             await self.open("a1", console="127.0.0.1:1", passed=folder)
             await self.ask("look", self.request("look", 1))
             self.assertIn("200", self.lines[-1])
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.proxy._desk.port)
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.desk.port)
             writer.write(b"POST /-/backends/a1/disable HTTP/1.1\r\nHost: c\r\n\r\n")
             self.assertIn("500 'in force, but not kept", await self.hear(reader))
             writer.close()
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -72,8 +72,8 @@
         await self.until(lambda: self.watches)
         self.news(2, *(self.line(name) for name in self.backends), full=True)
         await self.until(lambda: len(self.proxy._facade.backends()) == len(self.backends))
-        assert self.proxy._house is not None
-        self.house = self.proxy._house
+        assert self.proxy._gate is not None
+        self.house = self.proxy._gate
         self.number = 0
 
     async def one(self, use: str = "look", more: str = "", left: int = 1500) -> tuple[str, str, str]:
