--- a/pepperusher/company.py
+++ b/pepperusher/company.py
@@ -14,12 +14,23 @@
     """In the order in which they narrow the list: the operators' orders have the last word. Raises OwnError."""
     house = House(own, given_of(given), told.ground, log)
     made: list[Companion] = [house]
-    if house.own.control.socket is not None:
-        from pepperusher.net.answers import Answers
-
-        made.append(Answers(house, log.tell))
+    desk = node = None
     if told.console is not None:
         from pepperusher.console.desk import Desk
 
-        made.append(Desk(told.console, told.ground, log))
+        desk = Desk(told.console, told.ground, log)
+    if house.own.group.listen is not None:
+        from pepperusher.net.node import Node
+
+        with_desk = (desk.orders, desk.take) if desk is not None else (None, None)
+        node = Node(house.own.group, told.ground, told.name, log.tell, *with_desk)
+        made.append(node)
+        if desk is not None:
+            desk.held = node.held
+    if house.own.control.socket is not None:
+        from pepperusher.net.answers import Answers
+
+        made.append(Answers(house, node, log.tell))
+    if desk is not None:
+        made.append(desk)
     return made
--- a/pepperusher/console/desk.py
+++ b/pepperusher/console/desk.py
@@ -5,10 +5,11 @@
 
 import asyncio
 import os
+from collections.abc import Awaitable, Callable
 
 from pepperusher.console import words
 from pepperusher.console.door import PLACES, Door
-from pepperusher.console.orders import NEVER, Orders
+from pepperusher.console.orders import NEVER, Order, Orders
 from pepperusher.console.place import Seat, seats
 from pepperusher.console.state import BadState, State
 from pepperusher.net import clock
@@ -46,6 +47,8 @@
         # The first is whose holder reigns, the second whose holder is next; None without a folder for them.
         self._first: Seat | None = None
         self._next: Seat | None = None
+        # How many proxies hold this one's orders, of how many; None where it is in no group.
+        self.held: Callable[[], Awaitable[tuple[int, int] | None]] | None = None
         self._token = f"{os.getpid()}-{clock.now()}"
         self._serves = False
         self._seen = ""          # the next process, once it has been noticed
@@ -199,29 +202,43 @@
             return False
         return True
 
-    def answer(self, method: bytes, target: bytes) -> Answer:
+    def take(self, bans: dict[str, Order]) -> None:
+        """Orders that were called at another proxy, beside those here."""
+        self._proxy.narrowed(self, self.orders.merge(bans, NEVER))
+        self._kept()
+
+    async def answer(self, method: bytes, target: bytes) -> Answer:
+        """In force here at once; where there is a group, said with how many hold it."""
+        made, ordered = self._answered(method, target)
+        if ordered and self.held is not None and made.status == 200 and (held := await self.held()) is not None:
+            made = plain(200, f"{made.body.decode().strip()}, held by {held[0]} of {held[1]} proxies")
+        return made
+
+    def _answered(self, method: bytes, target: bytes) -> tuple[Answer, bool]:
+        """The answer, and whether others are to hold what was called."""
         try:
             word = words.word_of(method, target)
         except words.BadWords as bad:
-            return plain(bad.status, str(bad))
+            return plain(bad.status, str(bad)), False
         if word.what == words.READY:
-            return plain(200, "ready") if self._proxy.can_serve else plain(503, "no backends known yet, or about to stop")
+            ready = self._proxy.can_serve
+            return plain(200, "ready") if ready else plain(503, "no backends known yet, or about to stop"), False
         if word.what in (words.DRAIN, words.RESUME):
             on = word.what == words.DRAIN
             self.orders.send_away(on, clock.now())
             self._proxy.send_away(on)
             if not self._kept():
-                return NOT_KEPT
-            return plain(200, "clients are sent away" if on else "clients may come")
+                return NOT_KEPT, False
+            return plain(200, "clients are sent away" if on else "clients may come"), False
         on, backend = word.what == words.BAN, word.backend
         if not self._proxy.knows(backend) and not self.orders.banned(backend):
-            return plain(404, "no backend has this id")
+            return plain(404, "no backend has this id"), False
         if self.orders.banned(backend) != on:
             self._log.say(f"{backend} {'banned' if on else 'put back'} at the console")
         self._proxy.narrowed(self, self.orders.ban(backend, on, clock.now()))
         if not self._kept():
-            return NOT_KEPT
-        return plain(200, "banned" if on else "in use")
+            return NOT_KEPT, True
+        return plain(200, "banned" if on else "in use"), True
 
 
 def alone(told: Told, log: Log) -> list[Companion]:
--- a/pepperusher/console/door.py
+++ b/pepperusher/console/door.py
@@ -5,7 +5,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import h11
 
@@ -25,7 +25,7 @@
 
 
 class Door:
-    def __init__(self, answer: Callable[[bytes, bytes], Answer], log: Log) -> None:
+    def __init__(self, answer: Callable[[bytes, bytes], Awaitable[Answer]], log: Log) -> None:
         self._answer = answer
         self._log = log
         self._pool = Pool(1)
@@ -70,7 +70,7 @@
                     if not await read_held(parser, line, body):
                         raise BadMessage(413, "a call has no body")
                     assert isinstance(head, h11.Request)
-                    answer = self._answer(head.method, head.target)
+                    answer = await self._answer(head.method, head.target)
             except BadMessage as bad:
                 answer = plain(bad.status, str(bad))
             except TimeoutError:
--- a/pepperusher/control/commands.py
+++ b/pepperusher/control/commands.py
@@ -4,6 +4,7 @@
 
 import getpass
 import json
+import time
 from datetime import datetime
 from pathlib import Path
 from typing import Any
@@ -78,6 +79,44 @@
 _listing("tickets", "tickets", "Tickets in hand, the oldest first.")
 
 
+def _said_members(answer: dict[str, Any]) -> str:
+    reach, orders = answer["reach"], answer["orders"]
+    cut = {"majority": "reaches a majority", "part": "CUT OFF from a majority", "nobody": "CUT OFF: reaches nobody"}
+    lines = [
+        f"{cut[reach['word']]}: {reach['here']} here, {reach['silent']} silent, {reach['gone']} gone, {reach['never']}"
+        f" never met; shares as one of {answer['sharers']} (the settings say {answer['told']});"
+        f" doubts itself by {answer['doubt']}",
+        client.table([{key: row[key] for key in ("name", "is", "found", "since_s", "answered_s", "orders", "place", "at")}
+                      for row in answer["members"]]),
+    ]
+    lines += [f"{kind} {key} {'on' if on else 'off'} since {_time(at)}" for kind, key, on, at in orders]
+    return "\n".join(lines)
+
+
+@ctl.command()
+@click.option("--watch", is_flag=True, help="Once a second, until it is interrupted.")
+@click.pass_context
+def members(context: click.Context, watch: bool) -> None:
+    """Who is in the group as this proxy finds it, who is silent, and whether it is cut off itself."""
+    while True:
+        answer, as_json = _ask(context, "members")
+        if not as_json:
+            click.echo(("\f" if watch else "") + _said_members(answer))
+        if not watch:
+            return
+        time.sleep(1.0)
+
+
+@ctl.command()
+@click.argument("name")
+@click.pass_context
+def forget(context: click.Context, name: str) -> None:
+    """Take NAME off this proxy's roll: it is silent or gone, and will not come back."""
+    answer, as_json = _ask(context, "forget", id=name)
+    if not as_json:
+        click.echo(f"{answer['forgotten']} is forgotten here")
+
+
 @ctl.command()
 @click.pass_context
 def history(context: click.Context) -> None:
--- a/pepperusher/control/words.py
+++ b/pepperusher/control/words.py
@@ -18,6 +18,8 @@
     "backends": (),
     "breakers": (),
     "tickets": (),
+    "members": (),
+    "forget": ("id",),
     "propose": ("text", "why", "who"),
     "confirm": ("number", "why", "who"),
     "undo": ("number", "why", "who"),
--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -62,6 +62,7 @@
         ground.must_ask = True
         self._balancer = Balancer(ground, now, say)
         self._take_up(ground)
+        self._sharers: int | None = None
         self._backends: dict[str, Backend] = {}     # emptied by the list's news, long after they left it
         self._unlisted: dict[str, int] = {}         # since when; emptied likewise, and when they come back
         self._latest: int | None = None
@@ -97,8 +98,17 @@
             if (known := self._customers.get(customer.name)) is not None:
                 customer.allowance, customer.counted_at = known.allowance, known.counted_at
         self._balancer.retuned(ground, now)
+        self.shared_by(self._sharers)
         self._take_up(ground)
 
+    def shared_by(self, sharers: int | None) -> None:
+        """Of how many proxies this one is one, where they share what a customer or a cold backend may get; None where nobody
+        knows better than the settings. Which backends it takes for its own hangs on the settings alone: arcs would move
+        with each proxy that comes and goes."""
+        self._sharers = sharers
+        if sharers is not None:
+            self._balancer.sharers = max(1, sharers)
+
     # --- tickets ----------------------------------------------------------------------------------
 
     @property
--- /dev/null
+++ b/pepperusher/group/parts.py
@@ -0,0 +1,70 @@
+"""What follows from who is there, who is gone and who is silent; free of I/O. docs/group-design.md has the table.
+
+No bound rises because others are silent: a part grows by those alone who *said* that they send clients away or left, each
+place of the tier counted once. So two halves of a partition do no more together than the whole was allowed, whoever believes
+what of whom. The one exception is a proxy that starts or takes clients again while others have not heard so: until they have,
+at most one part is used twice for each such proxy, as when it is started without a group.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from pepperusher.group.roll import Roll
+from pepperusher.group.words import ALIVE, LEFT, Said
+
+MAJORITY, PART, NOBODY = "majority", "part", "nobody"
+
+
+class Reach(NamedTuple):
+    """How many of the roll, this proxy included, it takes to be there; how many are silent, gone, and never met."""
+
+    word: str
+    here: int
+    silent: int
+    gone: int
+    never: int
+
+    @property
+    def may_order(self) -> bool:
+        """What binds the whole group waits for this. Tickets never do."""
+        return self.word == MAJORITY
+
+
+def reach(told: int, me: Said, roll: Roll, heard_since: int) -> Reach:
+    """`told` is how many proxies the settings count in this tier. Whoever last answered before `heard_since` is nobody that
+    is there, but for those that others vouch for: one answer to this proxy itself is needed for any of it."""
+    here, silent, gone, direct = 1, 0, 0, False
+    met = 1
+    for one in roll:
+        met += one.said.tier == me.tier
+        if one.said.phase == LEFT:
+            gone += 1
+        elif one.health == ALIVE and not one.said.doubled:
+            here += 1
+            direct = direct or one.heard >= heard_since
+        else:
+            silent += 1
+    never = max(0, told - met)
+    whole = here + silent + never
+    if here > 1 and not direct:
+        # What it holds of the others is older than any probe: it may just have gone on after it stood still.
+        here, silent = 1, silent + here - 1
+    if 2 * here > whole:
+        word = MAJORITY
+    else:
+        word = PART if here > 1 else NOBODY
+    return Reach(word, here, silent, gone, never)
+
+
+def size(told: int, me: Said, words: Iterable[Said]) -> int:
+    """Of how many this proxy is one where they share: the settings' count, less the places whose last word was that they are
+    gone. Never fewer than the places that are known to be held."""
+    held: set[int] = {me.place}
+    free: set[int] = set()
+    for one in words:
+        if one.tier == me.tier:
+            (free if one.gone else held).add(one.place)
+    places = held | free
+    return max(told, len(places)) - len(free - held)
--- /dev/null
+++ b/pepperusher/group/wire.py
@@ -0,0 +1,79 @@
+"""Packets as bytes: a mark, the form's number, a keyed checksum, and MessagePack; free of I/O.
+
+A stranger's bytes, cut, damaged or of another form are told apart and nothing of them is read. Fields that a later release
+puts at the end of a word are read over, so that releases of one form work side by side.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from collections.abc import Iterable
+
+import msgspec
+
+from pepperusher.group.words import Charge, Notice, Packet, Said
+
+MARK = b"pu"
+FORM = 1
+SUM = 16
+HEAD = len(MARK) + 1 + SUM
+# One datagram: within the least that networks carry whole, headers of IPv6 and UDP taken off.
+DATAGRAM = 1200
+
+
+class BadPacket(ValueError):
+    """Nothing to be believed; the text is why, in words that are few, since they are counted by it."""
+
+
+class _Outgoing(msgspec.Struct, frozen=True, array_like=True):
+    kind: int
+    number: int
+    seq: int
+    sender: msgspec.Raw
+    to: str
+    held: int
+    target: msgspec.Raw | None
+    said: list[msgspec.Raw]
+    charges: list[msgspec.Raw]
+    notices: list[msgspec.Raw]
+
+
+class Wire:
+    """`key` is the group's: whoever has another is a stranger."""
+
+    def __init__(self, key: str) -> None:
+        self._key = hashlib.sha256(key.encode()).digest()
+        self._encode = msgspec.msgpack.Encoder().encode
+        self._decode = msgspec.msgpack.Decoder(Packet).decode
+
+    def _sum(self, body: bytes) -> bytes:
+        return hashlib.blake2b(body, key=self._key, digest_size=SUM).digest()
+
+    def part(self, word: Said | Charge | Notice) -> bytes:
+        """A word as it will stand in a packet; packed once, however often it is told."""
+        return self._encode(word)
+
+    def pack(self, kind: int, number: int, seq: int, sender: bytes, to: str, held: int, target: bytes | None,
+             said: Iterable[bytes], charges: Iterable[bytes], notices: Iterable[bytes]) -> bytes:
+        body = self._encode(_Outgoing(
+            kind, number, seq, msgspec.Raw(sender), to, held, None if target is None else msgspec.Raw(target),
+            [msgspec.Raw(one) for one in said], [msgspec.Raw(one) for one in charges],
+            [msgspec.Raw(one) for one in notices]))
+        return b"%s%c%s%s" % (MARK, FORM, self._sum(b"%c%s" % (FORM, body)), body)
+
+    def unpack(self, data: bytes) -> Packet:
+        """Raises BadPacket."""
+        if len(data) < HEAD or not data.startswith(MARK):
+            raise BadPacket("not of this program")
+        form, body = data[len(MARK)], data[HEAD:]
+        if form != FORM:
+            # Its checksum may be made otherwise; that it speaks another form is all that can be told.
+            raise BadPacket(f"of form {form}, not {FORM}")
+        if not hmac.compare_digest(self._sum(b"%c%s" % (FORM, body)), data[len(MARK) + 1:HEAD]):
+            raise BadPacket("with a wrong checksum: another key, or damaged")
+        try:
+            return self._decode(body)
+        except (msgspec.MsgspecError, RecursionError):
+            # Sound and not to be read: from whoever has the key, so a fault of a release.
+            raise BadPacket("sound, but no packet") from None
--- a/pepperusher/net/answers.py
+++ b/pepperusher/net/answers.py
@@ -4,7 +4,7 @@
 
 from collections.abc import AsyncIterator, Callable, Iterable
 from itertools import islice
-from typing import Any
+from typing import Any, Protocol
 
 from pepperusher import __version__
 from pepperusher.changes.ledger import Change, LedgerError
@@ -37,11 +37,20 @@
     yield {"ok": True, key: part}
 
 
+class Members(Protocol):
+    """The group, as it can be asked."""
+
+    def members(self) -> dict[str, Any] | None: ...
+
+    def forget(self, name: str) -> bool: ...
+
+
 class Answers(Companion):
     """The control socket that the own file names, for as long as the proxy serves."""
 
-    def __init__(self, house: House, say: Callable[..., None]) -> None:
+    def __init__(self, house: House, members: Members | None, say: Callable[..., None]) -> None:
         self._house = house
+        self._members = members
         said = house.standing.version.read.own.control
         assert said.socket is not None
         self._control = Control(said.socket, said.connections, said.within / 1e6, self.to, say)
@@ -72,9 +81,28 @@
         except LedgerError as error:
             yield {"ok": False, "why": str(error)}
             return
+        if command in ("members", "forget"):
+            for part in self._of_group(command, said):
+                yield part
+            return
         for part in self._read(command):
             yield part
 
+    def _of_group(self, command: str, said: dict[str, Any]) -> Iterable[dict[str, Any]]:
+        group = self._members.members() if self._members is not None else None
+        if group is None or self._members is None:
+            yield {"ok": False, "why": "this proxy is in no group" + ("" if self._members is None else " yet")}
+        elif command == "forget":
+            name = said.get("id") or ""
+            if self._members.forget(name):
+                yield {"ok": True, "forgotten": name}
+            else:
+                yield {"ok": False, "why": f"{name[:100]!r} is no member that is silent or gone"}
+        else:
+            rows = group.pop("members")
+            for part in _rows("members", rows):
+                yield {**part, **group}
+
     async def _change(self, command: str, said: dict[str, Any]) -> Change:
         house, who, why = self._house, said.get("who") or "ctl", said.get("why") or "none given"
         if command == "confirm":
--- a/pepperusher/net/companion.py
+++ b/pepperusher/net/companion.py
@@ -30,6 +30,10 @@
     @property
     def stopping(self) -> bool: ...
 
+    @property
+    def followed(self) -> bool:
+        """Whether, as this one stops, another process serves on at its address."""
+
     @property
     def can_serve(self) -> bool: ...
 
--- /dev/null
+++ b/pepperusher/net/node.py
@@ -0,0 +1,355 @@
+"""The proxy's place in its group: a socket for datagrams, one for streams, and what is made of what the group knows.
+
+Loaded only where the own file has a group. Decides nothing: `group.swim` says who is there, `group.parts` what follows. No
+ticket waits for any of it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import struct
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from pepperusher.console.orders import NEVER, Order, Orders
+from pepperusher.group.swim import Swim, Terms
+from pepperusher.group.wire import DATAGRAM, BadPacket, Wire
+from pepperusher.group.words import LEAVING, LEFT, SENT_AWAY, SERVING, STARTING, Notice, Said
+from pepperusher.net import clock
+from pepperusher.net.companion import Companion, Host
+from pepperusher.own import rules
+from pepperusher.own.tables import Group
+from pepperusher.terms import Ground
+
+# Datagrams read in one turn of the loop: a flood of them has its turn among tickets, and no more.
+BATCH = 64
+# A process that takes another's place waits for its address as long as that one serves.
+AGAIN_EVERY = 0.05
+# Streams at once, each whole within this.
+STREAMS = 4
+STREAM_WITHIN = 3.0
+# Parts of one stream at the most.
+PARTS = 2_000
+LENGTH = struct.Struct(">I")
+# On its way out a member waits so long for some to have heard that it left.
+FAREWELL = 0.15
+FAREWELL_LOOK = 0.01
+ENOUGH = 3
+# What came and was not believed is said in the log, so seldom.
+TOLD_EVERY = 10_000_000
+BAN = "ban"
+# How long a call at the console waits for others to hold an order.
+HELD_WITHIN = 0.5
+# Others take this proxy's part once it is free: fronts go on sending for so long after clients are sent away.
+AWAY_AFTER = 600_000
+# A lifted ban is told to who was cut off for as long as this.
+KEPT = 3_600_000_000
+
+
+class Node(Companion):
+    """`orders` are the operators' orders where there is a console, which puts them in force; else this has its own."""
+
+    descriptors = 3 + STREAMS
+
+    def __init__(self, said: Group, ground: Ground, name: str, say: Callable[..., None], orders: Orders | None = None,
+                 put: Callable[[dict[str, Order]], None] | None = None) -> None:
+        assert said.listen is not None
+        self._said, self._ground, self._name, self._say = said, ground, name, say
+        self._listen = rules.address_of(said.listen)
+        self._wire = Wire(said.key)
+        self._host: Host
+        self.swim: Swim | None = None      # None until this process has the proxy's address in the group
+        self.sharers: int | None = None
+        self._version = -1
+        self._away_at: int | None = None
+        self._socket: socket.socket | None = None
+        self._server: asyncio.Server | None = None
+        self._sitting: asyncio.Task[None] | None = None
+        self._fetching: asyncio.Task[None] | None = None
+        self._streams = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._counted: dict[str, int] = {}
+        self._told_at = 0
+        self._unsent = 0
+        if orders is None:
+            orders = Orders(max(KEPT, ground.warm_after))
+            self.narrow = orders.lines
+            put = self._put
+        assert put is not None
+        self._orders, self._in_force = orders, put
+
+    def _put(self, bans: dict[str, Order]) -> None:
+        self._host.narrowed(self, self._orders.merge(bans, NEVER))
+
+    # --- start and end ------------------------------------------------------------------------------
+
+    async def enter(self, host: Host) -> None:
+        self._host = host
+
+    async def start(self) -> None:
+        """At once, or as soon as the process before has left the address: until then that one is the member."""
+        if not await self._sit(True):
+            self._sitting = asyncio.get_running_loop().create_task(self._wait())
+
+    async def _wait(self) -> None:
+        while not await self._sit(False):
+            await asyncio.sleep(AGAIN_EVERY)
+
+    async def _sit(self, first: bool) -> bool:
+        made = None
+        try:
+            made = self._bound()
+            port = made.getsockname()[1]
+            self._server = await asyncio.start_server(self._told, self._listen[0], port)
+        except OSError as error:
+            if made is not None:
+                made.close()
+            if first:
+                self._say("not yet in the group", at=self._said.listen, why=error.strerror or str(error))
+            return False
+        self._socket = made
+        now = clock.now()
+        address = (self._listen[0], port) if self._said.advertise is None else rules.address_of(self._said.advertise)
+        me = Said(self._name, *address, now, int.from_bytes(os.urandom(8)) >> 1, 0, STARTING, False, self._ground.stage,
+                  self._ground.ordinal)
+        seeds = tuple(map(rules.address_of, self._said.seeds))
+        terms = Terms(self._said.period, self._said.within, seeds, self._ground.group_size, KEPT)
+        self.swim = Swim(me, terms, self._wire, Random(me.token), now)
+        asyncio.get_running_loop().add_reader(made, self._come)
+        self._say("in the group", listen=f"{self._listen[0]}:{port}", advertise=f"{address[0]}:{address[1]}",
+                  token=f"{me.token:016x}", number=me.number)
+        self._wake()
+        return True
+
+    def _bound(self) -> socket.socket:
+        family = socket.AF_INET6 if ":" in self._listen[0] else socket.AF_INET
+        made = socket.socket(family, socket.SOCK_DGRAM)
+        try:
+            made.bind(self._listen)
+            made.setblocking(False)
+        except OSError:
+            made.close()
+            raise
+        return made
+
+    def leaving(self, until: int) -> None:
+        """Another process that takes this one's place is the member from here on; else the others are told."""
+        if self._host.followed:
+            self._close()
+        elif self.swim is not None:
+            self.swim.say(LEAVING, clock.now())
+            self._wake()
+
+    async def stop(self) -> None:
+        if self.swim is not None and self._socket is not None:
+            self.swim.say(LEFT, clock.now())
+            self._wake()
+            until = asyncio.get_running_loop().time() + FAREWELL
+            while asyncio.get_running_loop().time() < until:
+                heard, of = self.swim.farewells
+                if heard >= min(of, ENOUGH):
+                    break
+                await asyncio.sleep(FAREWELL_LOOK)
+        self._close()
+
+    def _close(self) -> None:
+        loop = asyncio.get_running_loop()
+        for task in (self._sitting, self._fetching):
+            if task is not None:
+                task.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        if self._socket is not None:
+            loop.remove_reader(self._socket)
+            self._socket.close()
+            self._socket = None
+
+    # --- datagrams and time -------------------------------------------------------------------------
+
+    def _come(self) -> None:
+        assert self._socket is not None and self.swim is not None
+        for _ in range(BATCH):
+            try:
+                # One byte more than is read: what is cut to fit is no packet.
+                data = self._socket.recv(DATAGRAM + 1)
+            except (BlockingIOError, InterruptedError):
+                break
+            except OSError:
+                continue   # an earlier datagram of ours reached nobody
+            self.swim.receive(data, clock.now())
+        self._done()
+
+    def _wake(self) -> None:
+        if self.swim is None or self._socket is None:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        now = clock.now()
+        due = self.swim.wake(now)
+        self._timer = asyncio.get_running_loop().call_later((due - now) / 1e6, self._woken)
+        self._done()
+
+    def _woken(self) -> None:
+        self._timer = None
+        try:
+            self._wake()
+        except Exception as error:   # without its timer it would be silent for good
+            self._say("the group met an error", why=f"{type(error).__name__}: {error}")
+            if self._timer is None and self._socket is not None:
+                self._timer = asyncio.get_running_loop().call_later(self._said.period / 1e6, self._woken)
+
+    def _done(self) -> None:
+        """What came of the last turn goes out, is said, and put in force."""
+        swim = self.swim
+        assert swim is not None
+        out, swim.out = swim.out, []
+        for address, data in out:
+            try:
+                if self._socket is not None:
+                    self._socket.sendto(data, address)
+            except (OSError, UnicodeError):
+                self._unsent += 1   # as if it were lost under way; an address may also be none
+        changes, swim.changes = swim.changes, []
+        for change in changes:
+            self._say(f"group: {change.what}", of=change.name, **change.figures)
+        if swim.news:
+            news, swim.news = swim.news, []
+            self._in_force({one.key: Order(one.on, one.at) for one in news if one.kind == BAN})
+            for one in news:
+                self._say("group: an order", kind=one.kind, key=one.key, on=one.on, at=one.at)
+        if swim.roll.version != self._version:
+            self._version = swim.roll.version
+            self._share()
+        if swim.wants_roll is not None and self._fetching is None:
+            address, swim.wants_roll = swim.wants_roll, None
+            self._fetching = asyncio.get_running_loop().create_task(self._fetch(address))
+
+    def _share(self) -> None:
+        assert self.swim is not None
+        size = self.swim.size()
+        if size != self.sharers:
+            self.sharers = size
+            self._host.facade.shared_by(size)
+            self._say("group: shares", of=size, told=self._ground.group_size)
+
+    # --- streams --------------------------------------------------------------------------------------
+
+    async def _fetch(self, address: tuple[str, int]) -> None:
+        """The whole roll of another, once; what of it does not come goes about by itself, if later."""
+        writer = None
+        try:
+            async with asyncio.timeout(STREAM_WITHIN):
+                reader, writer = await asyncio.open_connection(*address, local_addr=(self._listen[0], 0))
+                assert self.swim is not None
+                hello = self.swim.whole()[-1]
+                writer.write(LENGTH.pack(len(hello)) + hello)
+                for _ in range(PARTS):
+                    data = await _part(reader)
+                    self.swim.receive(data, clock.now())
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
+            pass
+        finally:
+            if writer is not None:
+                writer.transport.abort()
+            self._fetching = None
+        if self.swim is not None and self._socket is not None:
+            self._done()
+
+    async def _told(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """To whoever can show the group's key."""
+        try:
+            if self._streams >= STREAMS or self.swim is None:
+                return
+            self._streams += 1
+            try:
+                async with asyncio.timeout(STREAM_WITHIN):
+                    self._wire.unpack(await _part(reader))
+                    for data in self.swim.whole():
+                        writer.write(LENGTH.pack(len(data)) + data)
+                    await writer.drain()
+                    writer.write_eof()
+                    await reader.read()
+            finally:
+                self._streams -= 1
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError, BadPacket):
+            pass   # its caller's trouble
+        finally:
+            writer.transport.abort()
+
+    # --- with the proxy ---------------------------------------------------------------------------------
+
+    def sweep(self) -> None:
+        if self.swim is None or self._socket is None:
+            return
+        now = clock.now()
+        if not self._host.stopping:
+            self.swim.say(self._phase(), now)
+        self.spread(now)
+        self._wake()
+        if now - self._told_at >= TOLD_EVERY:
+            more = {what: many - self._counted.get(what, 0) for what, many in self.swim.counts.items()
+                    if what.startswith("packets") and many > self._counted.get(what, 0)}
+            if more:
+                self._told_at = now
+                self._counted = dict(self.swim.counts)
+                self._say("group: not believed", **{what.replace(" ", "_"): many for what, many in more.items()})
+
+    def _phase(self) -> int:
+        if not self._host.sent_away():
+            self._away_at = None
+        elif self._away_at is None:
+            self._away_at = clock.now()
+        if not self._host.can_serve:
+            return STARTING
+        away = self._away_at is not None and clock.now() - self._away_at >= AWAY_AFTER
+        return SENT_AWAY if away else SERVING
+
+    def spread(self, now: int) -> None:
+        """Orders that this proxy has, from its console or from another process at its seat."""
+        assert self.swim is not None
+        for backend, order in self._orders.bans.items():
+            known = self.swim.notices.get(BAN, backend)
+            if known is None or (order.at, order.on) > known.rank:
+                self.swim.tell(Notice(BAN, backend, order.on, order.at), now)
+
+    async def held(self) -> tuple[int, int] | None:
+        """How many proxies hold the orders that this one holds, of how many, as far as it is known within a moment; None where
+        it is in no group."""
+        if self.swim is None or self._socket is None:
+            return None
+        self.spread(clock.now())
+        self._wake()
+        until = asyncio.get_running_loop().time() + HELD_WITHIN
+        while True:
+            held, of = self.swim.holders()
+            if held >= of or asyncio.get_running_loop().time() >= until:
+                return held, of
+            await asyncio.sleep(FAREWELL_LOOK)
+
+    def members(self) -> dict[str, Any] | None:
+        """For people: this member's view. None where it is in no group yet."""
+        if self.swim is None:
+            return None
+        now = clock.now()
+        return {"reach": self.swim.reach(now)._asdict(), "sharers": self.sharers, "told": self._ground.group_size,
+                "doubt": self.swim.health.score, "counts": dict(self.swim.counts), "unsent": self._unsent,
+                "orders": [[one.kind, one.key, one.on, one.at] for one in self.swim.notices],
+                "members": self.swim.rows(now)}
+
+    def forget(self, name: str) -> bool:
+        return self.swim is not None and self.swim.roll.forget(name)
+
+
+async def _part(reader: asyncio.StreamReader) -> bytes:
+    (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
+    if length > DATAGRAM:
+        raise ValueError("a part that is none")
+    return await reader.readexactly(length)
+
+
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -340,6 +340,10 @@
     def stopping(self) -> bool:
         return self._stopping.is_set()
 
+    @property
+    def followed(self) -> bool:
+        return self._succeeded
+
     def sent_away(self) -> bool:
         return self._sent_away_at is not None
 
--- a/pepperusher/own/reading.py
+++ b/pepperusher/own/reading.py
@@ -23,6 +23,8 @@
 PREFIX = "PEPPERUSHER_"
 DEFAULT, FILE, ENVIRONMENT, COMMAND_LINE = "default", "file", "environment", "command line"
 LARGEST = 4 * 1024 * 1024
+# What nobody is shown who asks what is in force.
+SECRET = ("group.key",)
 
 
 class Fault(NamedTuple):
@@ -206,7 +208,8 @@
                 walk(one, f"{at}[{number}]")
         elif value is not None:
             origin = next((read.origins[near] for near in _ups(at) if near in read.origins), DEFAULT)
-            rows.append((at, msgspec.json.encode(value).decode(), origin))
+            shown = '"(not shown)"' if at in SECRET and value else msgspec.json.encode(value).decode()
+            rows.append((at, shown, origin))
 
     walk(msgspec.to_builtins(read.own, enc_hook=typed.hook), "")
     return rows
--- a/pepperusher/own/rules.py
+++ b/pepperusher/own/rules.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from pepperusher.own.tables import Own, Route
+from pepperusher.own.tables import Group, Own, Route
 from pepperusher.routes import match
 from pepperusher.routes.match import Pattern, TemplateError
 from pepperusher.terms import REPLAYABLE, SINGLE_USE, Ground, UseCase
@@ -18,6 +18,9 @@
 LONGEST_HISTORY = 10_000
 # What no answer can be in: the network alone takes more.
 SHORTEST_TIME_OUT = 1_000
+SHORTEST_KEY = 16
+MOST_SEEDS = 64
+LONGEST_HOST = 60
 
 RULES = {
     "form": "the file is TOML, and each value has its key's form",
@@ -33,6 +36,7 @@
     "sound limits": "a limit lets something through, and its figures agree",
     "sound watch": "a change is watched long enough to be judged, and not for ever",
     "one of a name": "a name stands once",
+    "sound group": "members can reach each other, and strangers cannot pass for one",
 }
 
 
@@ -229,6 +233,43 @@
             )
 
 
+def address_of(text: str) -> tuple[str, int]:
+    """Raises ValueError. Port 0 is for the kernel to choose."""
+    host, colon, port = text.rpartition(":")
+    if not colon or not port.isdecimal() or int(port) > 65535:
+        raise ValueError(f"{text!r} is no address:port")
+    host = host.strip("[]")
+    if not host or len(host) > LONGEST_HOST or not host.isprintable():
+        raise ValueError(f"{text!r} has no host")
+    return host, int(port)
+
+
+def _group(group: Group, tell: Tell) -> None:
+    if group.listen is None:
+        if group.seeds or group.advertise is not None or group.key:
+            tell("group.listen", "sound group", "is missing, and without it there is no group")
+        return
+    for key, text, least in (("listen", group.listen, 0), ("advertise", group.advertise, 1),
+                             *((f"seeds[{number}]", seed, 1) for number, seed in enumerate(group.seeds))):
+        if text is None:
+            continue
+        try:
+            if address_of(text)[1] < least:
+                tell(f"group.{key}", "sound group", f"{text!r} is where nobody can be reached")
+        except ValueError as error:
+            tell(f"group.{key}", "sound group", str(error))
+    if group.advertise is None and group.listen.rpartition(":")[0].strip("[]") in ("0.0.0.0", "::"):
+        tell("group.advertise", "sound group", "is missing, and listen is an address where nobody reaches this one")
+    if len(group.seeds) > MOST_SEEDS:
+        tell("group.seeds", "sound group", f"are {len(group.seeds)}, and {MOST_SEEDS} are enough")
+    if len(group.key) < SHORTEST_KEY:
+        tell("group.key", "sound group", f"is under {SHORTEST_KEY} characters: whoever guesses it is a member")
+    if not 50_000 <= group.period <= 60_000_000:
+        tell("group.period", "sound group", "is not from 50ms to 1m")
+    if not 5_000 <= group.within <= group.period // 2:
+        tell("group.within", "sound group", "is not from 5ms to half of period: others are asked in what is left")
+
+
 def _rest(own: Own, tell: Tell) -> None:
     for number, mark in enumerate(own.backends):
         if mark.weight is not None and not 0 < mark.weight <= 100:
@@ -260,6 +301,7 @@
         tell("store.compact_at", "sound limits", f"{own.store.compact_at} is not from 1 to 65536")
     if own.store.folder is not None and own.store.folder == own.changes.state:
         tell("store.folder", "one of a name", "is the folder of changes.state; each needs its own")
+    _group(own.group, tell)
     if not 1 <= own.control.connections <= 64:
         tell("control.connections", "sound limits", f"{own.control.connections} is not from 1 to 64")
     if not 100_000 <= own.control.within <= 60_000_000:
--- a/pepperusher/own/tables.py
+++ b/pepperusher/own/tables.py
@@ -138,6 +138,21 @@
     compact_at: Annotated[int, _said("MB of log at which what it holds is put into a snapshot")] = 32
 
 
+class Group(Table, kw_only=True, frozen=True):
+    listen: Annotated[
+        str | None, _said("where other proxies reach this one, address:port, by datagrams and streams; no group if left out")
+    ] = None
+    advertise: Annotated[
+        str | None, _said("the address that others are told, where it is another than listen")
+    ] = None
+    seeds: Annotated[list[str], _said("addresses of proxies to ask first; this one's own does no harm")] = msgspec.field(
+        default_factory=list
+    )
+    key: Annotated[str, _said("what all members have and strangers have not, 16 characters or more")] = ""
+    period: Annotated[Span, _said("how often a member asks another whether it is there")] = _span(500_000)
+    within: Annotated[Span, _said("how long it waits before it has others ask")] = _span(150_000)
+
+
 class Own(Table, kw_only=True, frozen=True):
     """The proxy's own file as a whole."""
 
@@ -153,4 +168,5 @@
     )
     control: Annotated[Control, _said("the control socket")] = msgspec.field(default_factory=Control)
     store: Annotated[Store, _said("what is kept over a restart; read at a start alone")] = msgspec.field(default_factory=Store)
+    group: Annotated[Group, _said("the other proxies; read at a start alone")] = msgspec.field(default_factory=Group)
     said: Annotated[Said, _said("the log, and what answers tell")] = msgspec.field(default_factory=Said)
--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -84,7 +84,7 @@
         self._longest_advice = ground.longest_advice if ground.may_advise else 0
         self._zones, self._home = len(ground.zones), ground.zone if len(ground.zones) > 1 else ""
         self._use_cases = [use for use in ground.use_cases if use.promised > 0 and use.importance > 0]
-        self._group = max(1, ground.group_size)
+        self._group = self.sharers = max(1, ground.group_size)
         self._cold_share, self._warm_after = ground.cold_share, max(1, ground.warm_after)
         # Half the rule's multiple: the other half is for what other proxies and chance add.
         self._cold_rate = ground.tip_multiple / 2
@@ -300,7 +300,7 @@
         customer = ticket.customer
         if customer is None or not self._shared_out:
             return True
-        rate = customer.rate / self._group
+        rate = customer.rate / self.sharers
         customer.allowance += rate * (now - customer.counted_at) / SECOND
         customer.allowance, customer.counted_at = min(max(rate, SHARE_LEAST), customer.allowance), now
         if customer.allowance < 1.0:
@@ -623,7 +623,7 @@
         side = self._side(backend)
         before = side.took * exp((side.took_at - now) / self._warm_after)
         rate = max(self._flow_now(side, now) / side.grown, before) * size * self._cold_rate
-        rate = max(rate, self._cold_least / self._group)
+        rate = max(rate, self._cold_least / self.sharers)
         backend.allowance += rate * (now - backend.counted_at) / SECOND
         backend.allowance, backend.counted_at = min(max(1.0, rate / 4), backend.allowance), now
         return backend.allowance >= 1.0
--- a/tests/test_own.py
+++ b/tests/test_own.py
@@ -19,6 +19,7 @@
 ROUTE = '[[routes]]\nname = "r"\n'
 LOOK, BOOK, PAY = (f'{ROUTE}use_case = "{name}"\n' for name in ("look", "book", "pay"))
 TWO = '[[routes]]\nname = "a"\nmatch = {%s}\n[[routes]]\nname = "b"\nmatch = {%s}\n'
+GROUP = '[group]\nkey = "sixteen or more characters"\n'
 SAMPLE = Path(__file__).parent.parent / "deploy" / "own.toml"
 
 
@@ -105,6 +106,13 @@
         ("sound limits", "[control]\nconnections = 0\n"),
         ("sound limits", f"[control]\nsocket = '{'x' * 108}'\n"),
         ("sound limits", "[changes]\nhistory = 0\n"),
+        ("sound group", '[group]\nkey = "sixteen or more characters"\n'),
+        ("sound group", f'{GROUP}listen = "7100"\n'),
+        ("sound group", f'{GROUP}listen = "0.0.0.0:7100"\n'),
+        ("sound group", f'{GROUP}listen = "127.0.0.1:0"\nadvertise = "127.0.0.1:0"\n'),
+        ("sound group", f'{GROUP}listen = "127.0.0.1:0"\nseeds = ["127.0.0.1:1", ":2"]\n'),
+        ("sound group", f'{GROUP}listen = "127.0.0.1:0"\nperiod = "200ms"\n'),
+        ("sound group", '[group]\nlisten = "127.0.0.1:0"\nkey = "short"\n'),
         ("sound watch", '[changes]\nwatch = "100ms"\n'),
         ("sound watch", '[changes]\nwatch = "2h"\n'),
         ("sound watch", "[changes]\nerrors = 0\n"),
