--- a/pepperusher/net/node.py
+++ b/pepperusher/net/node.py
@@ -217,6 +217,8 @@
                 self._unsent += 1   # as if it were lost under way; an address may also be none
         changes, swim.changes = swim.changes, []
         for change in changes:
+            if change.what == "suspected by one more":
+                continue   # the line on loss names them all
             self._say(f"group: {change.what}", of=change.name, **change.figures)
         if swim.news:
             news, swim.news = swim.news, []
--- a/pepperusher/rehearsal/books.py
+++ b/pepperusher/rehearsal/books.py
@@ -20,6 +20,8 @@
     LEFT,
     LOST,
     WRONG,
+    Believed,
+    Held,
     Ran,
     Sample,
     Sent,
@@ -69,6 +71,8 @@
         self.stalls: list[Stall] = []
         self.samples: list[Sample] = []
         self.turns: list[Turn] = []
+        self.held: list[Held] = []
+        self.believed: list[Believed] = []
         self._lists = {
             Try: self.tries,
             Sent: self.sent,
@@ -78,6 +82,8 @@
             Stall: self.stalls,
             Sample: self.samples,
             Turn: self.turns,
+            Held: self.held,
+            Believed: self.believed,
         }
         for record in records:
             self.add(record)
@@ -127,6 +133,9 @@
     for ran in records.ran:
         stays[ran.proxy].append(ran)
     silent = Spans((stall.at, stall.until) for stall in records.stalls)
+    # Whose process could not run answered nobody meanwhile.
+    kept_from = {number: Spans((held.at, held.until + CROSSING) for held in records.held if held.proxy == number)
+                 for number in {held.proxy for held in records.held}}
     slack = script.rules.slack
     for one in records.tries:
         if one.how == WRONG:
@@ -148,6 +157,8 @@
             continue
         if _killed(stays[one.proxy], one) or silent.touch(one.sent, one.ended):
             continue
+        if one.proxy in kept_from and kept_from[one.proxy].touch(one.sent, one.ended):
+            continue
         if one.how == LOST:
             book.against(LOST_TICKET, one.name, one.ended, "", "its connection ended without a whole answer")
         elif one.parent == "" and one.ended - one.sent >= one.limit + slack:
@@ -261,6 +272,12 @@
     told: dict[tuple[int, str], list[Told]] = defaultdict(list)
     for one in records.told:
         told[one.proxy, one.id].append(one)
+    # What discovery wrote to a process that could not run it has read once it runs again.
+    for held in sorted(records.held, key=lambda one: one.at):
+        for (proxy, _), those in told.items():
+            if proxy == held.proxy:
+                those[:] = [Told(one.proxy, one.id, one.state, held.until) if held.at <= one.at < held.until else one
+                            for one in those]
     for those in told.values():
         those.sort(key=lambda one: one.at)
     proxy_of = {one.name: one.proxy for one in records.tries}
--- a/pepperusher/rehearsal/records.py
+++ b/pepperusher/rehearsal/records.py
@@ -141,7 +141,25 @@
     state: str
 
 
-KINDS: tuple[type[msgspec.Struct], ...] = (Try, Sent, Told, Stood, Ran, Stall, Sample, Turn)
+class Held(msgspec.Struct, array_like=True, gc=False):
+    """The rehearsal kept a proxy's process from running from one time to another."""
+
+    proxy: int
+    at: int
+    until: int
+
+
+class Believed(msgspec.Struct, array_like=True, gc=False):
+    """What a proxy says that it finds of a member of its group: `what` befell `of`, told by `by` where somebody did."""
+
+    proxy: int
+    at: int
+    what: str
+    of: str
+    by: str
+
+
+KINDS: tuple[type[msgspec.Struct], ...] = (Try, Sent, Told, Stood, Ran, Stall, Sample, Turn, Held, Believed)
 DECODERS = [msgspec.msgpack.Decoder(kind) for kind in KINDS]
 NUMBER = {kind: number for number, kind in enumerate(KINDS)}
 
--- a/pepperusher/rehearsal/script.py
+++ b/pepperusher/rehearsal/script.py
@@ -178,9 +178,20 @@
     ask_within: Span = Span(10_000_000)
 
 
+class Grouped(Table, kw_only=True):
+    """The proxies are members of one group, with links of the rehearsal's own between them. `seeds` is how many each is told
+    of; `console` whether operators can call each, which also lets one process take another's place."""
+
+    period: Span = Span(200_000)
+    within: Span = Span(60_000)
+    seeds: int = 2
+    console: bool = True
+
+
 class Proxies(Table, kw_only=True):
     """How the real `serve` processes are run. `own` is an own file for those of the first tier, beside the script."""
 
+    group: Grouped | None = None
     sockets: int = 1024
     memory_mb: int = 192
     optimised: bool = True
@@ -204,6 +215,12 @@
     "proxy-term",
     "proxy-kill",
     "proxy-hup",
+    "proxy-stop",
+    "proxy-starve",
+    "proxy-twin",
+    "link-part",
+    "link-cut",
+    "link-bad",
     "discovery-down",
     "discovery-late",
     "discovery-moved",
@@ -229,7 +246,21 @@
         "new-ids",
     )
 )
-OF_PROXIES = frozenset(("proxy-term", "proxy-kill", "proxy-hup"))
+OF_PROXIES = frozenset(("proxy-term", "proxy-kill", "proxy-hup", "proxy-stop", "proxy-starve", "proxy-twin"))
+OF_LINKS = frozenset(("link-part", "link-cut", "link-bad"))
+
+
+class Link(Table, kw_only=True):
+    """What befalls what one proxy sends another: shares that are lost, doubled, damaged; how late, by how much more; the
+    bytes that a datagram is cut to; bytes a second."""
+
+    lost: Share = 0.0
+    twice: Share = 0.0
+    damaged: Share = 0.0
+    delay: Span = Span(0)
+    jitter: Span = Span(0)
+    size: int = 0
+    rate: float = 0.0
 
 
 class Fault(Table, kw_only=True):
@@ -237,7 +268,9 @@
     `part`.
 
     `flap` turns it on and off in turn, each for so long. `every` repeats it. `by` is how many times slower,
-    or of how many answers it strikes (1.0 is all), or how late.
+    or of how many answers it strikes (1.0 is all), or how late; for proxy-starve the part of its processor that it has.
+    `sides` are names of proxies: of those who no longer reach each other (link-part), or from whom to whom nothing
+    passes (link-cut), or passes as `link` says (link-bad).
     """
 
     what: WHAT
@@ -256,6 +289,8 @@
     times: int = 1
     apart: Span = Span(0)
     back: Span = Span(0)
+    sides: list[list[str]] = []
+    link: Link | None = None
 
 
 class Chance(Table, kw_only=True):
@@ -490,6 +525,22 @@
         raise ScriptError(f"{key}: there is no {name}{typed.nearest(name, names)}")
 
 
+def _check_group_fault(script: Script, fault: Fault, key: str) -> None:
+    linked = fault.what in OF_LINKS
+    _need(
+        script.proxies.group is not None or not linked and fault.what != "proxy-twin",
+        f"{key}.what", "needs proxies.group: else no proxy speaks to another",
+    )
+    _need(linked or not fault.sides and fault.link is None, f"{key}.sides", f"is not for {fault.what}")
+    if fault.what == "proxy-starve":
+        _need(fault.by is not None and 0 < fault.by < 1, f"{key}.by", "is not over 0 and under 1")
+    if not linked:
+        return
+    sides = len(fault.sides)
+    _need(sides >= 2 if fault.what == "link-part" else sides == 2, f"{key}.sides", "are not two (link-part: or more)")
+    _need((fault.what == "link-bad") == (fault.link is not None), f"{key}.link", "stands with link-bad, and there alone")
+
+
 def _check_faults(script: Script) -> None:
     tiers = [tier.name for tier in script.tiers]
     zones = sorted({zone for tier in script.tiers for zone in tier.zones})
@@ -516,10 +567,13 @@
         )
         _need(fault.what != "slow" or (fault.by or 2) >= 1, f"{key}.by", "is under 1, which is no slowing")
         lasts = OF_BACKENDS - {"kill", "restart", "drain", "new-ids"} | {"discovery-down", "discovery-late"}
+        lasts |= {"proxy-stop", "proxy-starve", "proxy-twin"} | OF_LINKS
+        _check_group_fault(script, fault, key)
         _need(fault.what not in lasts or fault.span > 0, f"{key}.span", "missing: it lasts for a while")
         _need(not fault.flap or fault.what in lasts, f"{key}.flap", f"{fault.what} cannot flap")
     for number, chance in enumerate(script.chances):
         key = f"chances[{number}]"
+        _need(not OF_LINKS & set(chance.of), f"{key}.of", "a link is not broken by chance: its sides are named")
         _known(chance.tier, tiers, f"{key}.tier")
         _need(chance.every > 0, f"{key}.every", "is 0")
         _need(bool(chance.of), f"{key}.of", "names none")
--- a/pepperusher/rehearsal/troubles.py
+++ b/pepperusher/rehearsal/troubles.py
@@ -12,7 +12,7 @@
 from typing import NamedTuple
 
 from pepperusher.rehearsal.fleetplan import FleetPlan, Gate, Place
-from pepperusher.rehearsal.script import OF_BACKENDS, OF_PROXIES, Chance, Fault, Script
+from pepperusher.rehearsal.script import OF_BACKENDS, OF_LINKS, OF_PROXIES, Chance, Fault, Script
 from pepperusher.spans import Span
 
 # A restart: so long after the drain the process goes, and so long after that the next one is up, unless the
@@ -25,8 +25,8 @@
 class Strike(NamedTuple):
     """One trouble at one time: `at` until `until` (us after the start; the same where it is an instant).
 
-    `targets` are numbers of places or of gates, as `what` has it; `by` its strength, `use_case` the one it is
-    held to.
+    `targets` are numbers of places or of gates, as `what` has it, for a link the number of the fault in the script; `by` its
+    strength, `use_case` the one it is held to.
     """
 
     at: int
@@ -130,6 +130,8 @@
     for number, fault in enumerate(script.faults):
         # Drawn once for all turns of a flap or repeat: a server that flaps is one server.
         targets = _of(script, plan, fault, Random(f"{script.seed}:fault:{number}"))
+        if fault.what in OF_LINKS:
+            targets = (number,)
         for one in _repeated(fault):
             strikes.extend(_struck(one, targets))
     for number, chance in enumerate(script.chances):
@@ -151,6 +153,11 @@
             goes = at + (fault.span or DRAINED_FOR)
             yield Strike(at, goes, "drain", (target,), 1.0, None)
             yield Strike(goes, goes + (fault.back or AWAY_FOR), "stop", (target,), by, None)
+    elif fault.what in ("proxy-stop", "proxy-starve", "proxy-twin"):
+        # One after another where the script has them apart.
+        for turn, target in enumerate(targets):
+            at = fault.at + turn * fault.apart
+            yield Strike(at, at + fault.span, fault.what, (target,), by, None)
     elif fault.what in ("kill", "proxy-kill", "proxy-term"):
         for turn, target in enumerate(targets):
             at = fault.at + turn * fault.apart
