Of two processes at one address the living one has all new connections

Cause: the kernel hands a group of listeners' connections out by hash, whether or not their processes run; one that is stopped keeps its lock and its part. Each process leaves a mark on its lock as it turns its loop (console/pulse.py); 300 ms without one and the other has the kernel's filter point at itself, and takes it off once marks come again or nobody sits there: left on, it would keep connections from whoever comes next. Ruled out: clocks in the state file (two processes' differ, and are set). A process that stood still reads what others were told before it takes another ticket: requests were read before timers ran.

--- a/pepperusher/console/desk.py
+++ b/pepperusher/console/desk.py
@@ -11,6 +11,7 @@
 from pepperusher.console.door import PLACES, Door
 from pepperusher.console.orders import NEVER, Order, Orders
 from pepperusher.console.place import Seat, seats
+from pepperusher.console.pulse import Pulse
 from pepperusher.console.state import BadState, State
 from pepperusher.net import clock
 from pepperusher.net.companion import Companion, Host
@@ -55,6 +56,9 @@
         self._next_serves = False
         self._sits = False       # whether this process reigns
         self._looking: asyncio.Task[None] | None = None
+        self._pulse = Pulse()    # of the other process, where that one leaves marks
+        self._beats = False
+        self._took = False       # whether this one has all new connections, since the other stands still
 
     # --- the places ---------------------------------------------------------------------------------
 
@@ -100,7 +104,10 @@
 
     def _read(self, seat: Seat) -> State | None:
         try:
-            return seat.read()
+            read = seat.read()
+            if read is not None and not seat.held:
+                self._beats = read.beats
+            return read
         except BadState as error:
             self._log.say(f"what another process left is not taken: {error}")
             return None
@@ -113,7 +120,7 @@
 
     def _state(self) -> State:
         return State(self.orders.bans, self.orders.drain, self._seen if self._sits else self._token, self._serves,
-                     *(self._proxy.passed_on() if self._sits and self._seen else ()))
+                     *(self._proxy.passed_on() if self._sits and self._seen else ("", None, None)), True)
 
     def _tell(self) -> None:
         """Raises OSError where it can't be kept."""
@@ -125,8 +132,12 @@
         """At the other process, where there is one."""
         if self._first is None or self._next is None:
             return
+        seat = self._first if self._sits else self._next
+        if seat.held:
+            seat.beat()
         if not self._sits and self._first.take():
             self._sits = True
+            self._alone()
             if (left := self._read(self._first)) is not None:
                 self._merge(left)
             self._tell()
@@ -137,16 +148,19 @@
         if not self._sits:
             if not self._next.held:
                 self._tell()
+            self._feel(self._first)
             if (other := self._read(self._first)) is not None:
                 self._merge(other)
             return
         if not self._next.taken():
+            self._alone()
             if self._seen:
                 self._seen, self._next_serves = "", False
                 self._proxy.keep_to(1.0)
                 self._tell()
                 self._log.say("the process that was to take this one's place has ended")
             return
+        self._feel(self._next)
         if (other := self._read(self._next)) is not None:
             self._merge(other)
             self._next_serves = other.serves
@@ -155,6 +169,33 @@
                 self._proxy.keep_to(HALF)
                 self._tell()
 
+    def _feel(self, other: Seat) -> None:
+        """While the other process stands still all new connections are this one's; its queue is lost for as long as it stands,
+        but for what the kernel gives back as it ends."""
+        still = self._pulse.still(other.mark(), clock.now()) and self._beats
+        if still == self._took or still and not self._serves:
+            return
+        if not self._proxy.steer(None if not still else 0 if self._sits else 1):
+            if still:
+                return
+        self._took = still
+        self._log.say("the other process stands still: new connections come here" if still
+                      else "the other process goes on: it has its part of new connections again")
+
+    def _alone(self) -> None:
+        """Nobody sits beside this process: a filter that stayed would keep connections from whoever comes next."""
+        self._pulse.anew()
+        self._beats = False
+        if self._took:
+            self._took = False
+            self._proxy.steer(None)
+
+    def woke(self) -> None:
+        try:
+            self.look()
+        except OSError as error:
+            self._log.say(f"a look at the other process failed: {error}")
+
     async def _look(self) -> None:
         while True:
             await asyncio.sleep(LOOK_EVERY)
--- a/pepperusher/console/place.py
+++ b/pepperusher/console/place.py
@@ -39,6 +39,20 @@
             fcntl.flock(self._lock, fcntl.LOCK_UN)
             self.held = False
 
+    def beat(self) -> None:
+        """Its holder's mark that it turns its loop."""
+        try:
+            os.utime(self._lock)
+        except OSError:
+            pass   # nobody is told, and whoever looks sees marks end as those of one that stands still
+
+    def mark(self) -> int:
+        """The last one; 0 where it can't be seen."""
+        try:
+            return os.fstat(self._lock).st_mtime_ns
+        except OSError:
+            return 0
+
     def taken(self) -> bool:
         """Whether somebody else holds it."""
         try:
--- a/pepperusher/console/state.py
+++ b/pepperusher/console/state.py
@@ -21,7 +21,8 @@
 
 
 class State(NamedTuple):
-    """`seen` names the next process that its writer knows of, `serves` whether its writer takes clients."""
+    """`seen` names the next process that its writer knows of, `serves` whether its writer takes clients, `beats` whether it
+    leaves marks as it turns its loop."""
 
     bans: dict[str, Order]
     drain: Order
@@ -30,6 +31,7 @@
     source: str = ""                     # where discovery answers its writer
     listed: dict[str, Any] | None = None   # in discovery's own form, and read as such
     learned: dict[str, Any] | None = None   # the facade's, and read there
+    beats: bool = False
 
 
 def text_of(state: State) -> str:
@@ -62,4 +64,4 @@
         if part is not None and not isinstance(part, dict):
             raise BadState("listed or learned is no object")
     return State(made, _order(told.get("drain", list(NEVER)), "drain"), words[0], told.get("serves") is True,
-                 words[1], listed, learned)
+                 words[1], listed, learned, told.get("beats") is True)
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -13,7 +13,7 @@
 from pepperusher.net.buffers import HELD, Body, Pool
 from pepperusher.net.budget import HALF, SHORT, Budget
 from pepperusher.net.line import Line, adopt
-from pepperusher.net.listening import give_way, listener
+from pepperusher.net.listening import NOBODY, listener, steer
 from pepperusher.net.log import Log
 from pepperusher.net.flows import Inflow, Onward
 from pepperusher.net.message import (
@@ -45,6 +45,8 @@
 # What is no ticket costs as much as one to read. Whoever sends it is heard again after so long.
 PAUSE = 0.1
 
+# Of two processes at one address, which came after the other.
+SECOND = 1
 # Over all that the budget holds, where nothing else would do.
 FOR_ONCE = 2.0
 
@@ -171,7 +173,7 @@
         """New connections are another process's from now on; what the kernel has queued here is ours
         still."""
         assert self._listener is not None
-        give_way(self._listener)
+        steer(self._listener, SECOND)
         # It stands between two accepts, and none is lost by its end.
         self._accepting.cancel()
         while (taken := _accepted(self._listener)) is not None:
@@ -181,6 +183,11 @@
         self._listener.close()
         self._listener = None
 
+    def steer(self, to: int | None) -> bool:
+        """All new connections to the first or the second process of this address, or as the kernel has it; whether it could be
+        done."""
+        return self._listener is not None and steer(self._listener, NOBODY if to is None else to)
+
     async def _accept(self, listener: socket.socket) -> None:
         """Stops for another process alone: what the kernel has accepted may hold a ticket, which is then
         ours."""
--- a/pepperusher/net/companion.py
+++ b/pepperusher/net/companion.py
@@ -48,6 +48,9 @@
     def narrowed(self, by: Companion, lines: list[Entry]) -> None:
         """The lines that change by what `by` narrows now; those behind it have their say of them."""
 
+    def steer(self, to: int | None) -> bool:
+        """All new connections to the first (0) or second (1) process at this address, or as the kernel has it."""
+
     def send_away(self, on: bool) -> None: ...
 
     def sent_away(self) -> bool: ...
@@ -101,6 +104,9 @@
     def sweep(self) -> None:
         """A few times a second."""
 
+    def woke(self) -> None:
+        """The process did not run for a while: before another ticket is taken, what others did meanwhile counts."""
+
     @property
     def succeeded(self) -> bool:
         """Whether another process takes the clients from here on."""
--- a/pepperusher/net/listening.py
+++ b/pepperusher/net/listening.py
@@ -32,15 +32,19 @@
     return made
 
 
-def give_way(made: socket.socket) -> bool:
-    """From now on the kernel gives new connections to the second of the group, which is who came after us.
+# Of no listener of a group: the kernel then goes by its own choice, as without a filter.
+NOBODY = 0xFFFF_FFFF
 
-    A listener that closes resets what is queued for it, so nothing must be queued any more. With more than two in the group, or
-    where the kernel has no such filter, it may come to nothing, and what is queued is accepted up to the close.
+
+def steer(made: socket.socket, to: int) -> bool:
+    """From now on the kernel gives new connections to this one of the group, 0 being who listened first; NOBODY ends that.
+
+    A listener that closes resets what is queued for it. Which is which holds for two; with more in the group, or where the
+    kernel has no such filter, it may come to nothing.
     """
     import ctypes   # here alone, and seldom: it would be a megabyte of each small proxy
 
-    one = ctypes.create_string_buffer(INSTRUCTION.pack(RETURN, 0, 0, 1))
+    one = ctypes.create_string_buffer(INSTRUCTION.pack(RETURN, 0, 0, to))
     try:
         made.setsockopt(socket.SOL_SOCKET, ATTACH_REUSEPORT_CBPF, PROGRAM.pack(1, ctypes.addressof(one)))
     except OSError:
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -44,6 +44,9 @@
 # After operators sent clients away, fronts notice within this; connections that stand idle then are closed.
 SENT_AWAY = 600_000
 PACE = 50_000
+# Timers that did not run for so long belong to a process that was stopped, or had no processor.
+STOOD = 300_000
+READ_AGAIN = 0.002
 COUNTS_EVERY = 240
 # Sound limits of what a caller may say; more is absurd.
 LONGEST_WAIT = 3600 * 1_000_000
@@ -140,14 +143,26 @@
         self._succeeded = False                 # at its end: whether another process serves on
         self._served = False                    # whether backends have been known
         self.port = 0
-        # How late timers have run of late, in microseconds.
+        # How late timers have run of late, in microseconds, and when they last ran.
         self._late = 0
+        self._paced_at = clock.now()
         self._counts: dict[str, int] = {}   # by the words of facade and pages here, so it grows with the code alone
 
     # --- one ticket -------------------------------------------------------------------------------
 
+    async def _woke(self) -> None:
+        """It stood still: others may have been told meanwhile what holds for this one too. What waits in its sockets, the list
+        among it, is read within a few turns of the loop; requests were before timers in the first."""
+        self._paced_at = clock.now()
+        self._count("times it stood still")
+        for one in self._company:
+            one.woke()
+        await asyncio.sleep(READ_AGAIN)
+
     async def _handle(self, call: Call) -> Answer:
         try:
+            if clock.now() - self._paced_at > STOOD:
+                await self._woke()
             told = _read_headers(call.request.headers)
             name = told.get(b"request-id")
             if not name:
@@ -381,6 +396,9 @@
         before = [one for one in self._company if one.narrow is not None]
         self._discovery.put(lines, False, before.index(by) + 1)
 
+    def steer(self, to: int | None) -> bool:
+        return self._callers.steer(to)
+
     def send_away(self, on: bool) -> None:
         """Clients go elsewhere: no new ones, and those here with the answer to what they ask next, or when
         they ask nothing.
@@ -509,7 +527,8 @@
             await asyncio.sleep(PACE / 1e6)
             # Forgotten by half in 7 s, a few times as long as a ticket lasts: what runs late does so in
             # spells.
-            self._late = max(clock.now() - due, self._late - self._late // 200)
+            self._paced_at = clock.now()
+            self._late = max(self._paced_at - due, self._late - self._late // 200)
 
     def _say_counts(self) -> None:
         said = ", ".join(f"{what} {count}" for what, count in sorted(self._counts.items()))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,11 +10,13 @@
 import socket
 import sys
 import tempfile
+import unittest
 from pathlib import Path
 from unittest import mock
 
 from pepperusher.console.orders import NEVER, Order
 from pepperusher.console.place import seats
+from pepperusher.console.pulse import Pulse
 from pepperusher.console.state import BadState, State, state_of, text_of
 from pepperusher.facade import Entry, Facade
 from pepperusher.ground import ground
@@ -22,6 +24,29 @@
 from tests.scene import SECOND, SETTINGS, Kept, Street
 
 
+class Marks(unittest.TestCase):
+    def test_who_stands_still_by_its_marks_alone(self) -> None:
+        pulse, now = Pulse(), 0
+
+        def looks(mark: int, span: int, every: int = 50_000) -> bool:
+            nonlocal now
+            until = now + span
+            while now < until:
+                now += every
+                found = pulse.still(mark, now)
+            return found
+
+        self.assertFalse(looks(1, 250_000))
+        self.assertFalse(looks(2, 250_000))
+        self.assertTrue(looks(2, 100_000))
+        self.assertFalse(looks(3, 250_000))
+        now += 5_000_000                        # this one stood still itself
+        self.assertFalse(looks(3, 250_000))
+        self.assertTrue(looks(3, 100_000))
+        pulse.anew()
+        self.assertFalse(looks(3, 250_000))
+
+
 class Passed(Kept):
     def test_what_another_left_is_read_as_a_stranger_s(self) -> None:
         self.lines = []
@@ -113,6 +138,16 @@
         writer.close()
         return said
 
+    async def logs(self, words: str, after: int = 0) -> int:
+        """Where its log goes on once it has said so, from a place on."""
+        async with asyncio.timeout(20):
+            while True:
+                # Not by seek: the process writes where this one stands.
+                text = os.pread(self.log.fileno(), 1 << 20, 0).decode()
+                if (at := text.find(words, after)) >= 0:
+                    return at + len(words)
+                await asyncio.sleep(0.02)
+
     async def end(self, how: int = signal.SIGTERM) -> int:
         if self.process.returncode is None:
             self.process.send_signal(how)
@@ -239,6 +274,71 @@
         self.assertIn("200", await self.hear(at[0]))
         self.assertIn("200", await fourth.call("POST", "/-/backends/b1/enable"))
 
+    async def asked(self, tickets: int) -> list[str]:
+        """Each on a new connection, one after another; what comes of each within 3 s."""
+        made = []
+        for _ in range(tickets):
+            self.number += 1
+            at = await asyncio.open_connection("127.0.0.1", self.port)
+            at[1].write(self.request("look", self.number))
+            try:
+                async with asyncio.timeout(3):
+                    made.append((await self.hear(at[0])).split()[0])
+            except TimeoutError:
+                made.append("nothing")
+            at[1].close()
+        return made
+
+    async def test_of_two_at_one_address_the_living_one_has_all_new_connections(self) -> None:
+        """The kernel went on handing them to the one that stood still: 9 of 12 got no answer in 3 s. Either may be it, and
+        both in turn; it has its part again once it goes on, and knows by then what was ordered meanwhile."""
+        await self.stand("a1", "b1")
+        first = await self.process()
+        second = await self.process()
+        seen: dict[Process, int] = {first: 0, second: 0}
+        for still, lives in ((first, second), (second, first), (first, second)):
+            kept = []
+            for _ in range(12):   # about half of them at each
+                self.number += 1
+                kept.append(await asyncio.open_connection("127.0.0.1", self.port))
+                await self.ask("look", self.request("look", self.number), kept[-1])
+            still.process.send_signal(signal.SIGSTOP)
+            seen[lives] = await lives.logs("new connections come here", seen[lives])
+            self.assertEqual({"200"}, set(await self.asked(30)))
+            for reader, writer in kept:
+                self.number += 1
+                writer.write(self.request("look", self.number, left=4000))
+            await asyncio.wait([asyncio.create_task(kept[0][0].readuntil(b"\r\n\r\n"))], timeout=0.2)
+            self.assertIn("200", await lives.call("POST", "/-/backends/a1/disable"))
+            del self.lines[:]
+            still.process.send_signal(signal.SIGCONT)
+            seen[lives] = await lives.logs("has its part of new connections again", seen[lives])
+            self.assertEqual({"200"}, set(await self.asked(10)))
+            self.assertEqual([], [line for line in self.lines if "    a1 gets" in line])
+            for _, writer in kept:
+                writer.close()
+            self.assertIn("200", await lives.call("POST", "/-/backends/a1/enable"))
+            # Both have some of these.
+            held = [await asyncio.open_connection("127.0.0.1", self.port) for _ in range(40)]
+            for one in (first, second):
+                async with asyncio.timeout(10):
+                    while len(os.listdir(f"/proc/{one.process.pid}/fd")) < 20:
+                        await asyncio.sleep(0.02)
+            for _, writer in held:
+                writer.close()
+        # Killed while it stands still, it is followed by one whose connections nobody keeps from it.
+        first.process.send_signal(signal.SIGSTOP)
+        await second.logs("new connections come here", seen[second])
+        await first.end(signal.SIGKILL)
+        third = await self.process()
+        self.assertIn("200", await third.call("POST", "/-/resume"))
+        held = [await asyncio.open_connection("127.0.0.1", self.port) for _ in range(40)]
+        async with asyncio.timeout(10):
+            while len(os.listdir(f"/proc/{third.process.pid}/fd")) < 20:
+                await asyncio.sleep(0.02)
+        for _, writer in held:
+            writer.close()
+
     async def test_the_console_answers_while_the_process_is_flooded(self) -> None:
         """Tickets on new connections as fast as they go, half heads and silence, and descriptors run out: each call within 1 s."""
         await self.stand("a1", "b1")
