A list from members at a start without discovery, figures and plots of a group, ready plays

A proxy that started while discovery was away, with no list told, was not ready until it came back. Now it asks up to three members of its tier, takes what all of them have as ready with the age of the oldest confirmation, and goes on asking discovery, whose first word replaces all of it; an entry that drains at one or is gone at one never comes back.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # On a fresh clone each of these works alone.
 PYTHON = .venv/bin/python
 
-.PHONY: all demo test clean
+.PHONY: all demo group-demo test clean
 
 all: .venv/rehearsal.txt
 
@@ -14,8 +14,11 @@
 demo: all
 	$(PYTHON) -m pepperusher rehearse examples/rehearsals/demo.toml --report demo.html
 
+group-demo: all
+	$(PYTHON) -m pepperusher rehearse examples/rehearsals/group-demo.toml --report group-demo.html
+
 test: all
 	$(PYTHON) -m pytest -q -n auto --dist worksteal -p no:cacheprovider tests
 
 clean:
-	rm -rf .venv demo.html
+	rm -rf .venv demo.html group-demo.html
--- a/pepperusher/control/commands.py
+++ b/pepperusher/control/commands.py
@@ -86,7 +86,7 @@
         f"{cut[reach['word']]}: {reach['here']} here, {reach['silent']} silent, {reach['gone']} gone, {reach['never']}"
         f" never met; shares as one of {answer['sharers']} (the settings say {answer['told']});"
         f" doubts itself by {answer['doubt']}",
-        client.table([{key: row[key] for key in ("name", "is", "found", "since_s", "answered_s", "orders", "place", "at")}
+        client.table([{key: row[key] for key in ("name", "is", "found", "since_s", "answered_s", "orders", "list", "place", "at")}
                       for row in answer["members"]]),
     ]
     lines += [f"{kind} {key} {'on' if on else 'off'} since {_time(at)}" for kind, key, on, at in orders]
--- a/pepperusher/group/roll.py
+++ b/pepperusher/group/roll.py
@@ -40,7 +40,7 @@
 
 class Member:
     __slots__ = ("said", "health", "since", "doubters", "charged_at", "until", "proved", "newest", "came", "heard", "held",
-                 "wrong", "wrong_at", "warned")
+                 "list", "wrong", "wrong_at", "warned")
 
     def __init__(self, said: Said, now: int) -> None:
         self.said = said
@@ -55,6 +55,7 @@
         self.came = 0
         self.heard = 0                 # when it last answered us itself
         self.held = 0                  # the digest of notices in its last packet
+        self.list = 0                  # and the version of the list that it has
         self.wrong = 0                 # its charges that were answered
         self.wrong_at = now
         self.warned = 0                # when it was last told that its word is an old one
--- a/pepperusher/group/swim.py
+++ b/pepperusher/group/swim.py
@@ -28,7 +28,8 @@
 from pepperusher.group.rumours import CHARGE, NOTICE, SAID, Rumours
 from pepperusher.group.wire import DATAGRAM, HEAD, BadPacket, Wire
 from pepperusher.group.words import (
-    ACK, ALIVE, ASK, HEALTH, LEFT, LOST, NACK, PHASES, PING, TELL, Charge, Notice, Packet, Said)
+    ACK, ALIVE, ASK, HEALTH, LEAVING, LEFT, LOST, NACK, PHASES, PING, SENT_AWAY, TELL, Charge, Notice, Packet, Said)
+from pepperusher.holds import must_hold
 
 SECOND = 1_000_000
 # Others asked to try one that does not answer.
@@ -46,7 +47,7 @@
 # Words of the roll in a packet's spare room, and notices.
 FILL = 4
 # What a packet has beside its words, at the most.
-FRAME = HEAD + 48
+FRAME = HEAD + 57
 # Without any answer for so many periods nobody is reached.
 UNHEARD = 8
 # A name that two processes live under is so for this long after the other last spoke.
@@ -108,6 +109,7 @@
         self.changes: list[Change] = []
         self.news: list[Notice] = []
         self.counts: dict[str, int] = {}   # by words of this module and of wire, so it grows with the code alone
+        self.list = 0                      # the version of discovery's list that this proxy has
         self.wants_roll: tuple[str, int] | None = None   # whom a stream would bring it up to date from
         self._wire = wire
         self._chance = chance
@@ -146,13 +148,22 @@
         return parts.size(self.terms.told, self.me, (one.said for one in self.roll))
 
     def say(self, phase: int, now: int) -> None:
-        """What this proxy is from here on; all who can be reached are told at once."""
-        if phase == self.me.phase:
+        """What this proxy is from here on; where it frees a part or takes it back, all who can be reached are told at once."""
+        before = self.me.phase
+        if phase == before:
             return
         self._new_word(phase=phase)
         self._farewell.clear()
-        self._tell_all()
-        self._tell_at = now
+        # Not of each start: in a herd of them everyone would tell everyone.
+        if phase in (SENT_AWAY, LEAVING, LEFT) or before == SENT_AWAY:
+            self._tell_all()
+            self._tell_at = now
+
+    def retuned(self, told: int, tier: int, place: int) -> None:
+        """Other settings: how many proxies they count, and which of them this one is."""
+        self.terms = self.terms._replace(told=told)
+        if (tier, place) != (self.me.tier, self.me.place):
+            self._new_word(tier=tier, place=place)
 
     @property
     def farewells(self) -> tuple[int, int]:
@@ -173,6 +184,10 @@
         there = [one for one in self.roll if one.said.phase != LEFT]
         return 1 + sum(one.held == self.notices.digest for one in there), 1 + len(there)
 
+    def hello(self, wants: int) -> bytes:
+        """The first part of a stream that this member opens."""
+        return self._packet(TELL, wants, "", None, ())
+
     def whole(self) -> list[bytes]:
         """All that this member knows, as packets for a stream."""
         words = [(SAID, self._packed(one)) for one in self.roll]
@@ -422,8 +437,8 @@
         by_sort: tuple[list[bytes], list[bytes], list[bytes]] = ([], [], [])
         for sort, part in words:
             by_sort[sort].append(part)
-        made = self._wire.pack(kind, self._number, seq, self._part, to, self.notices.digest, aim, *by_sort)
-        assert len(made) <= DATAGRAM, (len(made), kind, len(words))
+        made = self._wire.pack(kind, self._number, seq, self._part, to, self.notices.digest, aim, *by_sort, self.list)
+        must_hold(len(made) <= DATAGRAM, "a packet fits one datagram")
         return made
 
     # --- what comes ------------------------------------------------------------------------------------
@@ -450,7 +465,7 @@
         if not member.fresh(packet.number):
             self._count("packets that came twice or very late")
             return
-        member.held = packet.held
+        member.held, member.list = packet.held, packet.version
         owed = self._read(packet, now)
         if packet.kind == PING:
             self._send(ACK, sender.address, packet.seq, sender.name, None, owed)
@@ -625,7 +640,7 @@
         """A row for each member, this one first."""
         mine: dict[str, object] = {
             "name": self.me.name, "is": PHASES[self.me.phase] + (", doubled" if self.me.doubled else ""), "found": "itself",
-            "since_s": 0.0, "answered_s": 0.0, "orders": "-", "tier": self.me.tier, "place": self.me.place,
+            "since_s": 0.0, "answered_s": 0.0, "orders": "-", "list": self.list, "tier": self.me.tier, "place": self.me.place,
             "at": f"{self.me.host}:{self.me.port}", "life": self.me.number, "turn": self.me.turn}
         rows = [mine]
         for one in sorted(self.roll, key=lambda one: one.said.name):
@@ -635,6 +650,6 @@
                 "name": said.name, "is": PHASES[said.phase] + (", doubled" if said.doubled else ""), "found": found,
                 "since_s": round((now - one.since) / SECOND, 1),
                 "answered_s": round((now - one.heard) / SECOND, 1) if one.heard else None,
-                "orders": "same" if one.held == self.notices.digest else "other", "tier": said.tier, "place": said.place,
+                "orders": "same" if one.held == self.notices.digest else "other", "list": one.list, "tier": said.tier, "place": said.place,
                 "at": f"{said.host}:{said.port}", "life": said.number, "turn": said.turn})
         return rows
--- a/pepperusher/group/wire.py
+++ b/pepperusher/group/wire.py
@@ -37,6 +37,7 @@
     said: list[msgspec.Raw]
     charges: list[msgspec.Raw]
     notices: list[msgspec.Raw]
+    version: int
 
 
 class Wire:
@@ -55,14 +56,18 @@
         return self._encode(word)
 
     def pack(self, kind: int, number: int, seq: int, sender: bytes, to: str, held: int, target: bytes | None,
-             said: Iterable[bytes], charges: Iterable[bytes], notices: Iterable[bytes]) -> bytes:
+             said: Iterable[bytes], charges: Iterable[bytes], notices: Iterable[bytes], version: int = 0) -> bytes:
         body = self._encode(_Outgoing(
             kind, number, seq, msgspec.Raw(sender), to, held, None if target is None else msgspec.Raw(target),
             [msgspec.Raw(one) for one in said], [msgspec.Raw(one) for one in charges],
-            [msgspec.Raw(one) for one in notices]))
+            [msgspec.Raw(one) for one in notices], version))
+        return self.seal(body)
+
+    def seal(self, body: bytes) -> bytes:
+        """Any bytes, for who has the key to open."""
         return b"%s%c%s%s" % (MARK, FORM, self._sum(b"%c%s" % (FORM, body)), body)
 
-    def unpack(self, data: bytes) -> Packet:
+    def open(self, data: bytes) -> bytes:
         """Raises BadPacket."""
         if len(data) < HEAD or not data.startswith(MARK):
             raise BadPacket("not of this program")
@@ -72,6 +77,11 @@
             raise BadPacket(f"of form {form}, not {FORM}")
         if not hmac.compare_digest(self._sum(b"%c%s" % (FORM, body)), data[len(MARK) + 1:HEAD]):
             raise BadPacket("with a wrong checksum: another key, or damaged")
+        return body
+
+    def unpack(self, data: bytes) -> Packet:
+        """Raises BadPacket."""
+        body = self.open(data)
         try:
             return self._decode(body)
         except (msgspec.MsgspecError, RecursionError):
--- a/pepperusher/group/words.py
+++ b/pepperusher/group/words.py
@@ -85,12 +85,14 @@
 
 
 PING, ACK, ASK, NACK, TELL = range(5)
+# What a stream is opened for.
+WANTS_ROLL, WANTS_LIST = range(2)
 KINDS = ("ping", "ack", "ask", "nack", "tell")
 
 
 class Packet(msgspec.Struct, frozen=True, array_like=True):
     """One datagram, or one part of a stream. `number` rises with each of a life, so that none counts twice. `to` names the
-    one it is for; empty for whoever answers at a seed. `held` is a digest of the notices that the sender holds."""
+    one it is for; empty for whoever answers at a seed. In a stream `seq` says what is wanted. `held` is a digest of the notices that the sender holds."""
 
     kind: Annotated[int, Meta(ge=0, le=TELL)]
     number: Count
@@ -102,3 +104,4 @@
     said: list[Said]
     charges: list[Charge]
     notices: list[Notice]
+    version: Count = 0   # of discovery's list, as the sender has it
--- a/pepperusher/net/companion.py
+++ b/pepperusher/net/companion.py
@@ -48,6 +48,19 @@
     def narrowed(self, by: Companion, lines: list[Entry]) -> None:
         """The lines that change by what `by` narrows now; those behind it have their say of them."""
 
+    @property
+    def list_version(self) -> int: ...
+
+    @property
+    def wants_list(self) -> bool:
+        """Whether it has no list at all."""
+
+    def lent(self) -> tuple[int, dict[str, Any]] | None:
+        """The list and when discovery last confirmed it; None where nobody has."""
+
+    def borrow(self, listed: dict[str, Any], confirmed_at: int) -> None:
+        """Another's list, until discovery tells one. Raises ValueError where it is none."""
+
     def steer(self, to: int | None) -> bool:
         """All new connections to the first (0) or second (1) process at this address, or as the kernel has it."""
 
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -121,9 +121,16 @@
         self._facade = facade
         self._backends = backends
         self._log = log
+        # When its source last said anything, or that of whom the list was borrowed; None where nobody ever has.
+        self.confirmed_at: int | None = None
+        self._borrowed = False
 
     def take(self, news: News, source: Source | None = None) -> None:
         source = source or self._source
+        if self._borrowed:
+            # Also where it tells changes alone, since it was asked before: they are all that it has, and what another had
+            # beside them is gone.
+            news, self._borrowed = news._replace(whole=True), False
         source.version = news.version
         if news.whole:
             self._told.clear()
@@ -161,6 +168,25 @@
              "kind": entry.kind, "state": "ready" if entry.ready else "draining", "started_ms": entry.born / 1000}
             for entry, address in self._told.values()]}
 
+    @property
+    def version(self) -> int:
+        """Of the list as it stands; 0 where none was told."""
+        return max(0, self._source.version or 0)
+
+    @property
+    def wanting(self) -> bool:
+        """Whether there is no list at all."""
+        return not self._told
+
+    def borrow(self, news: News, confirmed_at: int) -> None:
+        """Another proxy's list, for as long as discovery has told nothing: its own first word then replaces it, and it is asked
+        on as before."""
+        if not self._told:
+            self.confirmed_at = confirmed_at
+            self.take(news)
+            self._source.version, self._borrowed = None, True
+            self._facade.list_failed(clock.now())
+
     def start(self) -> None:
         self._source.following = asyncio.get_running_loop().create_task(self._follow(self._source, False))
 
@@ -235,6 +261,8 @@
                 if event.status_code != 200:
                     return f"answered {event.status_code}"
             elif isinstance(event, h11.Data):
+                if source is self._source:
+                    self.confirmed_at = clock.now()
                 if not text:
                     until = loop.time() + LINE_WITHIN
                 text += event.data
--- a/pepperusher/net/node.py
+++ b/pepperusher/net/node.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import os
 import socket
 import struct
@@ -15,9 +16,11 @@
 from typing import Any
 
 from pepperusher.console.orders import NEVER, Order, Orders
+from pepperusher.group import lending
 from pepperusher.group.swim import Swim, Terms
 from pepperusher.group.wire import DATAGRAM, BadPacket, Wire
-from pepperusher.group.words import LEAVING, LEFT, SENT_AWAY, SERVING, STARTING, Notice, Said
+from pepperusher.group.words import (
+    ALIVE, LEAVING, LEFT, SENT_AWAY, SERVING, STARTING, WANTS_LIST, WANTS_ROLL, Notice, Said)
 from pepperusher.net import clock
 from pepperusher.net.companion import Companion, Host
 from pepperusher.own import rules
@@ -34,6 +37,12 @@
 # Parts of one stream at the most.
 PARTS = 2_000
 LENGTH = struct.Struct(">I")
+# A proxy with no list asks others for theirs: so long after it became a member, again after so long, so many of them.
+LIST_AFTER = 1_000_000
+LIST_EVERY = 1.0
+LENDERS = 3
+PART = 60_000
+LONGEST_LIST = 8 * 1024 * 1024
 # On its way out a member waits so long for some to have heard that it left.
 FAREWELL = 0.15
 FAREWELL_LOOK = 0.01
@@ -69,6 +78,7 @@
         self._server: asyncio.Server | None = None
         self._sitting: asyncio.Task[None] | None = None
         self._fetching: asyncio.Task[None] | None = None
+        self._listing: asyncio.Task[None] | None = None
         self._streams = 0
         self._timer: asyncio.TimerHandle | None = None
         self._counted: dict[str, int] = {}
@@ -117,7 +127,8 @@
                   self._ground.ordinal)
         seeds = tuple(map(rules.address_of, self._said.seeds))
         terms = Terms(self._said.period, self._said.within, seeds, self._ground.group_size, KEPT)
-        self.swim = Swim(me, terms, self._wire, Random(me.token), now)
+        self._chance = Random(me.token)
+        self.swim = Swim(me, terms, self._wire, self._chance, now)
         asyncio.get_running_loop().add_reader(made, self._come)
         self._say("in the group", listen=f"{self._listen[0]}:{port}", advertise=f"{address[0]}:{address[1]}",
                   token=f"{me.token:016x}", number=me.number)
@@ -135,6 +146,13 @@
             raise
         return made
 
+    def told_anew(self, ground: Ground) -> None:
+        """A size that the settings have now goes before what was reckoned from the one before."""
+        self._ground = ground
+        if self.swim is not None:
+            self.swim.retuned(ground.group_size, ground.stage, ground.ordinal)
+            self._share()
+
     def leaving(self, until: int) -> None:
         """Another process that takes this one's place is the member from here on; else the others are told."""
         if self._host.followed:
@@ -157,7 +175,7 @@
 
     def _close(self) -> None:
         loop = asyncio.get_running_loop()
-        for task in (self._sitting, self._fetching):
+        for task in (self._sitting, self._fetching, self._listing):
             if task is not None:
                 task.cancel()
         if self._timer is not None:
@@ -249,10 +267,10 @@
             async with asyncio.timeout(STREAM_WITHIN):
                 reader, writer = await asyncio.open_connection(*address, local_addr=(self._listen[0], 0))
                 assert self.swim is not None
-                hello = self.swim.whole()[-1]
+                hello = self.swim.hello(WANTS_ROLL)
                 writer.write(LENGTH.pack(len(hello)) + hello)
                 for _ in range(PARTS):
-                    data = await _part(reader)
+                    data = await _part(reader, DATAGRAM)
                     self.swim.receive(data, clock.now())
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError):
             pass
@@ -271,9 +289,10 @@
             self._streams += 1
             try:
                 async with asyncio.timeout(STREAM_WITHIN):
-                    self._wire.unpack(await _part(reader))
-                    for data in self.swim.whole():
+                    hello = self._wire.unpack(await _part(reader, DATAGRAM))
+                    for data in self._list_parts() if hello.seq == WANTS_LIST else self.swim.whole():
                         writer.write(LENGTH.pack(len(data)) + data)
+                        await writer.drain()
                     await writer.drain()
                     writer.write_eof()
                     await reader.read()
@@ -284,14 +303,75 @@
         finally:
             writer.transport.abort()
 
+    # --- the list, where discovery is away ------------------------------------------------------------
+
+    def _list_parts(self) -> list[bytes]:
+        """This proxy's list as sealed parts, with when it was last confirmed; none where it has none."""
+        lent = self._host.lent()
+        if lent is None:
+            return []
+        text = json.dumps({"age": max(0, clock.now() - lent[0]), "listed": lent[1]}, separators=(",", ":")).encode()
+        return [self._wire.seal(text[at:at + PART]) for at in range(0, len(text), PART)]
+
+    async def _lists(self) -> None:
+        """As long as there is no list: asked of a few members of this tier. What each of them has as ready is taken; what one
+        knows to drain, or no longer lists, is not."""
+        assert self.swim is not None
+        try:
+            while self._host.wants_list and self._socket is not None:
+                there = [one.said.address for one in self.swim.roll
+                         if one.health == ALIVE and one.said.phase in (SERVING, SENT_AWAY) and one.said.tier == self._ground.stage]
+                asked = self._chance.sample(there, min(LENDERS, len(there)))
+                made = await asyncio.gather(*map(self._list_of, asked))
+                try:
+                    joined = lending.joined([one for one in made if one is not None])
+                    if joined is not None and self._host.wants_list:
+                        age, listed = joined
+                        self._host.borrow(listed, clock.now() - age)
+                        self._say("group: serving by the list of other members, since discovery has told none",
+                                  backends=len(listed["servers"]), confirmed_us_ago=age)
+                        return
+                except ValueError as error:
+                    self._say("group: a list of another member is not taken", why=str(error))
+                await asyncio.sleep(LIST_EVERY)
+        finally:
+            self._listing = None
+
+    async def _list_of(self, address: tuple[str, int]) -> dict[str, Any] | None:
+        writer = None
+        text = bytearray()
+        try:
+            async with asyncio.timeout(STREAM_WITHIN):
+                reader, writer = await asyncio.open_connection(*address, local_addr=(self._listen[0], 0))
+                assert self.swim is not None
+                hello = self.swim.hello(WANTS_LIST)
+                writer.write(LENGTH.pack(len(hello)) + hello)
+                while len(text) < LONGEST_LIST:
+                    text += self._wire.open(await _part(reader, PART + DATAGRAM))
+        except asyncio.IncompleteReadError:
+            pass   # its end
+        except (OSError, TimeoutError, ValueError):
+            return None
+        finally:
+            if writer is not None:
+                writer.transport.abort()
+        try:
+            told = json.loads(text)
+        except ValueError:
+            return None
+        return told if isinstance(told, dict) else None
+
     # --- with the proxy ---------------------------------------------------------------------------------
 
     def sweep(self) -> None:
         if self.swim is None or self._socket is None:
             return
         now = clock.now()
+        self.swim.list = self._host.list_version
         if not self._host.stopping:
             self.swim.say(self._phase(), now)
+        if self._listing is None and self._host.wants_list and now - self.swim.me.number >= LIST_AFTER:
+            self._listing = asyncio.get_running_loop().create_task(self._lists())
         self.spread(now)
         self._wake()
         if now - self._told_at >= TOLD_EVERY:
@@ -348,9 +428,9 @@
         return self.swim is not None and self.swim.roll.forget(name)
 
 
-async def _part(reader: asyncio.StreamReader) -> bytes:
+async def _part(reader: asyncio.StreamReader, most: int) -> bytes:
     (length,) = LENGTH.unpack(await reader.readexactly(LENGTH.size))
-    if length > DATAGRAM:
+    if length > most:
         raise ValueError("a part that is none")
     return await reader.readexactly(length)
 
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -396,6 +396,21 @@
         before = [one for one in self._company if one.narrow is not None]
         self._discovery.put(lines, False, before.index(by) + 1)
 
+    @property
+    def list_version(self) -> int:
+        return self._discovery.version
+
+    @property
+    def wants_list(self) -> bool:
+        return self._discovery.wanting and not self._stopping.is_set()
+
+    def lent(self) -> tuple[int, dict[str, Any]] | None:
+        listed, confirmed_at = self._discovery.listed(), self._discovery.confirmed_at
+        return (confirmed_at, listed) if listed is not None and confirmed_at is not None and listed["servers"] else None
+
+    def borrow(self, listed: dict[str, Any], confirmed_at: int) -> None:
+        self._discovery.borrow(news_of(listed), confirmed_at)
+
     def steer(self, to: int | None) -> bool:
         return self._callers.steer(to)
 
--- a/pepperusher/rehearsal/commands.py
+++ b/pepperusher/rehearsal/commands.py
@@ -190,3 +190,17 @@
 
             page.write(html, read)
             click.echo(f"report: {html}")
+
+
+@click.command("group-figures")
+@click.option("--sizes", default="10,40,100,300,1000", show_default=True, help="How many members, several by commas.")
+@click.option("--plays", default=5, show_default=True, help="Plays of each, by seed; of groups over 100 one.")
+def group_figures(sizes: str, plays: int) -> None:
+    """Measure a group of proxies in virtual time: detection, news, wrong suspicions, and what it costs."""
+    from pepperusher.rehearsal import groupfigures
+
+    if not all(one.isdecimal() and 2 <= int(one) <= 2000 for one in sizes.split(",")) or plays < 1:
+        raise click.ClickException("--sizes are whole numbers from 2 to 2000, and --plays is 1 or more")
+    with one_line():
+        made = list(groupfigures.rows([int(one) for one in sizes.split(",")], plays, lambda line: click.echo(line, err=True)))
+        click.echo(groupfigures.table(made))
--- a/pepperusher/rehearsal/director.py
+++ b/pepperusher/rehearsal/director.py
@@ -29,7 +29,7 @@
 
 # Struck here, and not by the fleet itself.
 BY_DIRECTOR = OF_LINKS | {"proxy-kill", "proxy-term", "proxy-hup", "proxy-stop", "proxy-starve", "proxy-twin",
-                          "discovery-moved", "pause-generator"}
+                          "proxy-hand", "discovery-moved", "pause-generator"}
 # From all being ready to the first ticket.
 LEAD = 400_000
 # A backend's own proxy is started so long before it, and is ready when it is.
@@ -218,7 +218,8 @@
                 worker.signal(signal.SIGCONT)
             return
         if strike.what in OF_LINKS:
-            assert self.grouping is not None
+            if self.grouping is None:
+                return
             self.grouping.struck(strike, True)
             await self._until(strike.until)
             self.grouping.struck(strike, False)
@@ -234,6 +235,8 @@
                 await self._runners[number].starved(strike.by, strike.until)
             elif strike.what == "proxy-stop":
                 await self._stop_for(number, strike.until)
+            elif strike.what == "proxy-hand":
+                await self._by_hand(number, strike.until)
             elif strike.what == "proxy-twin":
                 await self.twin(number, strike.until)
             else:
@@ -272,6 +275,18 @@
             self._admitted.add(number)
             self._admit()
 
+    async def _by_hand(self, number: int, until: int) -> None:
+        """Staff send its clients away at its console, and let them come again."""
+        await self._runners[number].call("POST", "/-/drain")
+        await asyncio.sleep(self._script.load.notice / 1e6)
+        self._out(number)
+        await self._until(until)
+        await self._runners[number].call("POST", "/-/resume")
+        await asyncio.sleep(self._script.load.notice / 1e6)
+        if self._runners[number].gate.tier == 0:
+            self._admitted.add(number)
+            self._admit()
+
     async def twin(self, number: int, until: int) -> None:
         """A second process under the name of a proxy, at another address, for a while."""
         assert self.grouping is not None
--- a/pepperusher/rehearsal/grouping.py
+++ b/pepperusher/rehearsal/grouping.py
@@ -15,7 +15,6 @@
 from pepperusher.rehearsal.troubles import Strike
 from pepperusher.rehearsal.wire import clock
 
-CONSOLE_PORT = 7072
 KEY = "of this rehearsal alone"
 TWINS = 200   # hosts of second processes under one name come after those of all proxies
 SECOND = 1_000_000
@@ -66,15 +65,6 @@
     def control(self, seat: str) -> Path:
         return self._work / f"{seat}.ctl"
 
-    def console(self, gate: Gate) -> str | None:
-        return f"{gate.address[0]}:{CONSOLE_PORT}" if self._said.console else None
-
-    def folder(self, seat: str) -> Path:
-        """What lasts of its seat, for one process in place of another."""
-        made = self._work / f"{seat}.tmp"
-        made.mkdir(exist_ok=True)
-        return made
-
     def write_own(self, gate: Gate, seat: str) -> Path:
         others = [one.name for one in self._gates if one is not gate][: self._said.seeds]
         host, port = self.links.address(seat)
--- a/pepperusher/rehearsal/page.py
+++ b/pepperusher/rehearsal/page.py
@@ -85,6 +85,12 @@
         parts.append(_groups("Customer", figures.customers))
     if figures.turns:
         parts += ["<h3>Breakers</h3>", plots.breakers(result)]
+    if figures.believed:
+        parts += [
+            "<h3>Group</h3>",
+            "<p>Yellow is suspected, red lost, blue gone by its own word; a black line where the rehearsal kept it from running.</p>",
+            plots.members(result),
+        ]
     if costs:
         parts += [
             "<h3>Proxies</h3>",
--- a/pepperusher/rehearsal/plots.py
+++ b/pepperusher/rehearsal/plots.py
@@ -124,3 +124,39 @@
     axes.set_xlim(0, result.span / 1e6)
     axes.invert_yaxis()
     return _svg(figure)
+
+
+# What a member is found to be from such a line on.
+FOUND = {"suspected": "suspected", "lost": "lost", "left": "gone", "clients sent away": "gone"}
+FOUND_COLOURS = {"suspected": "#ffd966", "lost": "#cc4125", "gone": "#6fa8dc"}
+
+
+def members(result: Result) -> str:
+    """For each proxy, as what the others found it over time, darker where more did."""
+    spans: dict[tuple[str, str], list[tuple[float, float]]] = defaultdict(list)
+    since: dict[tuple[int, str], tuple[str, int]] = {}
+
+    def end(by: int, of: str, at: int) -> None:
+        if (was := since.pop((by, of), None)) is not None:
+            spans[of, was[0]].append((was[1] / 1e6, max(0, at - was[1]) / 1e6))
+
+    for at, proxy, what, of in result.figures.believed:
+        if of == result.proxies[proxy] or what.startswith(("reaches", "an order", "shares")):
+            continue
+        end(proxy, of, at)
+        if what in FOUND:
+            since[proxy, of] = FOUND[what], at
+    for proxy, of in list(since):
+        end(proxy, of, result.span)
+    names = [name for name in result.proxies if any(of == name for of, _ in spans)][:MOST_ROWS]
+    figure, axes = _axes("Members as the others find them, darker where more do", "s", "",
+                         (8.0, 0.8 + 0.2 * max(1, len(names))))
+    for row, name in enumerate(names):
+        for what, colour in FOUND_COLOURS.items():
+            axes.broken_barh(spans[name, what], (row - 0.4, 0.8), color=colour, alpha=min(1.0, 2 / len(result.proxies)), linewidth=0)
+        held = [(max(0, at) / 1e6, (until - at) / 1e6) for proxy, at, until in result.figures.held if result.proxies[proxy] == name]
+        axes.broken_barh(held, (row - 0.1, 0.2), color="black", linewidth=0)
+    axes.set_yticks(range(len(names)), names, fontsize=7)
+    axes.set_xlim(0, result.span / 1e6)
+    axes.invert_yaxis()
+    return _svg(figure)
--- a/pepperusher/rehearsal/proxies.py
+++ b/pepperusher/rehearsal/proxies.py
@@ -22,6 +22,7 @@
 from pepperusher.rehearsal.wire import Broken, Start, clock, reach
 from pepperusher.rehearsal.worker import environment, with_parent
 
+CONSOLE_PORT = 7072
 READY_WITHIN = 20.0
 LOOK_EVERY = 0.02
 SAMPLE_EVERY = 0.5
@@ -166,9 +167,12 @@
         seen = environment(self._build)
         if self._grouping is not None:
             more = ["--own", str(self._grouping.write_own(self.gate, self.seat))]
-            if (console := self._grouping.console(self.gate)) is not None:
-                more += ["--console", console]
-            seen["TMPDIR"] = str(self._grouping.folder(self.seat))
+        if self._script.proxies.console or self._grouping is not None:
+            more += ["--console", f"{self.gate.address[0]}:{CONSOLE_PORT}"]
+            # What lasts of its seat, for one process in place of another.
+            lasting = self._work / f"{self.seat}.tmp"
+            lasting.mkdir(exist_ok=True)
+            seen["TMPDIR"] = str(lasting)
         self._times = {"started": self._now()}
         self._process = process = await asyncio.create_subprocess_exec(
             python_of(self._build),
@@ -273,12 +277,8 @@
 
     async def call(self, method: str, path: str) -> tuple[int, str]:
         """At its console: status and body; 0 where nobody answers."""
-        assert self._grouping is not None
-        console = self._grouping.console(self.gate)
-        assert console is not None
-        host, _, port = console.rpartition(":")
         try:
-            reader, writer = await asyncio.open_connection(host, int(port))
+            reader, writer = await asyncio.open_connection(self.gate.address[0], CONSOLE_PORT)
             writer.write(f"{method} {path} HTTP/1.1\r\nHost: console\r\n\r\n".encode())
             said = (await reader.read()).decode()
             writer.close()
--- a/pepperusher/rehearsal/script.py
+++ b/pepperusher/rehearsal/script.py
@@ -180,18 +180,19 @@
 
 class Grouped(Table, kw_only=True):
     """The proxies are members of one group, with links of the rehearsal's own between them. `seeds` is how many each is told
-    of; `console` whether operators can call each, which also lets one process take another's place."""
+    of."""
 
     period: Span = Span(200_000)
     within: Span = Span(60_000)
     seeds: int = 2
-    console: bool = True
 
 
 class Proxies(Table, kw_only=True):
-    """How the real `serve` processes are run. `own` is an own file for those of the first tier, beside the script."""
+    """How the real `serve` processes are run. `own` is an own file for those of the first tier, beside the script; `console`
+    whether operators can call each, as they can where there is a group."""
 
     group: Grouped | None = None
+    console: bool = False
     sockets: int = 1024
     memory_mb: int = 192
     optimised: bool = True
@@ -218,6 +219,7 @@
     "proxy-stop",
     "proxy-starve",
     "proxy-twin",
+    "proxy-hand",
     "link-part",
     "link-cut",
     "link-bad",
@@ -246,7 +248,8 @@
         "new-ids",
     )
 )
-OF_PROXIES = frozenset(("proxy-term", "proxy-kill", "proxy-hup", "proxy-stop", "proxy-starve", "proxy-twin"))
+OF_PROXIES = frozenset(("proxy-term", "proxy-kill", "proxy-hup", "proxy-stop", "proxy-starve", "proxy-twin",
+                        "proxy-hand"))
 OF_LINKS = frozenset(("link-part", "link-cut", "link-bad"))
 
 
@@ -270,7 +273,7 @@
     `flap` turns it on and off in turn, each for so long. `every` repeats it. `by` is how many times slower,
     or of how many answers it strikes (1.0 is all), or how late; for proxy-starve the part of its processor that it has.
     `sides` are names of proxies: of those who no longer reach each other (link-part), or from whom to whom nothing
-    passes (link-cut), or passes as `link` says (link-bad).
+    passes (link-cut), or passes as `link` says (link-bad); where no proxy speaks to another, none of it is noticed.
     """
 
     what: WHAT
@@ -528,8 +531,12 @@
 def _check_group_fault(script: Script, fault: Fault, key: str) -> None:
     linked = fault.what in OF_LINKS
     _need(
-        script.proxies.group is not None or not linked and fault.what != "proxy-twin",
-        f"{key}.what", "needs proxies.group: else no proxy speaks to another",
+        script.proxies.group is not None or fault.what != "proxy-twin",
+        f"{key}.what", "needs proxies.group: else no proxy has a name to another",
+    )
+    _need(
+        fault.what != "proxy-hand" or script.proxies.console or script.proxies.group is not None,
+        f"{key}.what", "needs proxies.console: clients are sent away by a call there",
     )
     _need(linked or not fault.sides and fault.link is None, f"{key}.sides", f"is not for {fault.what}")
     if fault.what == "proxy-starve":
@@ -538,6 +545,10 @@
         return
     sides = len(fault.sides)
     _need(sides >= 2 if fault.what == "link-part" else sides == 2, f"{key}.sides", "are not two (link-part: or more)")
+    first = [f"p{number + 1}" for number in range(script.tiers[0].proxies)]
+    for name in (name for side in fault.sides for name in side):
+        if not name.startswith("p-"):   # those of lower tiers are called by their backends
+            _known(name, first, f"{key}.sides")
     _need((fault.what == "link-bad") == (fault.link is not None), f"{key}.link", "stands with link-bad, and there alone")
 
 
@@ -567,7 +578,7 @@
         )
         _need(fault.what != "slow" or (fault.by or 2) >= 1, f"{key}.by", "is under 1, which is no slowing")
         lasts = OF_BACKENDS - {"kill", "restart", "drain", "new-ids"} | {"discovery-down", "discovery-late"}
-        lasts |= {"proxy-stop", "proxy-starve", "proxy-twin"} | OF_LINKS
+        lasts |= {"proxy-stop", "proxy-starve", "proxy-twin", "proxy-hand"} | OF_LINKS
         _check_group_fault(script, fault, key)
         _need(fault.what not in lasts or fault.span > 0, f"{key}.span", "missing: it lasts for a while")
         _need(not fault.flap or fault.what in lasts, f"{key}.flap", f"{fault.what} cannot flap")
--- a/pepperusher/rehearsal/tally.py
+++ b/pepperusher/rehearsal/tally.py
@@ -98,6 +98,10 @@
     doubled: int
     costs: list[Cost]
     turns: list[tuple[int, int, str, str]]
+    # What proxies found of members of their group: when (us), which proxy, what, of whom.
+    believed: list[tuple[int, int, str, str]] = []
+    # From when to when the rehearsal kept which proxy from running.
+    held: list[tuple[int, int, int]] = []
 
 
 def histogram() -> HdrHistogram:
@@ -303,4 +307,6 @@
         doubled=used.doubled,
         costs=costs_of(names, records, script.warm_up),
         turns=sorted((one.at, one.proxy, one.id, one.state) for one in records.turns),
+        believed=sorted((one.at, one.proxy, one.what, one.of) for one in records.believed),
+        held=sorted((one.proxy, one.at, one.until) for one in records.held),
     )
--- a/pepperusher/rehearsal/troubles.py
+++ b/pepperusher/rehearsal/troubles.py
@@ -153,7 +153,7 @@
             goes = at + (fault.span or DRAINED_FOR)
             yield Strike(at, goes, "drain", (target,), 1.0, None)
             yield Strike(goes, goes + (fault.back or AWAY_FOR), "stop", (target,), by, None)
-    elif fault.what in ("proxy-stop", "proxy-starve", "proxy-twin"):
+    elif fault.what in ("proxy-stop", "proxy-starve", "proxy-twin", "proxy-hand"):
         # One after another where the script has them apart.
         for turn, target in enumerate(targets):
             at = fault.at + turn * fault.apart
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -9,7 +9,7 @@
 from random import Random
 from unittest import mock
 
-from pepperusher.group import parts
+from pepperusher.group import lending, parts
 from pepperusher.group.notices import Notices
 from pepperusher.group.roll import Roll
 from pepperusher.group.swim import Swim, Terms
@@ -79,6 +79,23 @@
         self.assertEqual((2_000, 1, None), (len(roll), roll.refused, roll.get("three")))
 
 
+class Lists(unittest.TestCase):
+    def test_what_all_have_as_ready_and_nothing_that_one_knows_to_drain(self) -> None:
+        def listed(age: object, **states: str) -> dict[str, object]:
+            return {"age": age, "listed": {"version": 3, "servers": [{"id": name, "state": state} for name, state in states.items()]}}
+
+        def names(*lists: object) -> object:
+            found = lending.joined(lists)   # type: ignore[arg-type]
+            return found and (found[0], [one["id"] for one in found[1]["servers"]])
+
+        fresh, old = listed(5, a="ready", b="draining", d="ready"), listed(9, a="ready", b="ready", c="ready", d="ready")
+        self.assertEqual((9, ["a", "d"]), names(fresh, old))
+        self.assertEqual((5, ["a", "d"]), names(fresh, listed(lending.LONGEST_AGE + 1, a="ready")))
+        self.assertIsNone(names(fresh, listed(7, c="ready")))
+        self.assertIsNone(names())
+        self.assertIsNone(names({}, listed(None, a="ready"), listed(-1, a="ready"), {"age": 3, "listed": {"servers": [3, {"id": 4}]}}))
+
+
 class Strangers(unittest.TestCase):
     def test_nothing_of_theirs_is_read_and_no_reason_is_told_twice(self) -> None:
         wire, other = Wire("the group's key here"), Wire("another group's key")
--- a/tests/test_group_processes.py
+++ b/tests/test_group_processes.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import socket
 from collections.abc import Iterable
 from pathlib import Path
@@ -193,6 +194,42 @@
         await self.over()
 
 
+class Started(Play):
+    async def test_without_discovery_by_the_list_of_others_and_never_by_what_drained(self) -> None:
+        """Started while discovery is away, told no list: as soon as it is a member it serves by what others have, but for a
+        backend that had drained. Discovery's own word replaces it."""
+        drained = "desk-1"
+        await self.stand(4, 12, faults=[{"what": "drain", "at": "500ms", "names": [drained]},
+                                        {"what": "discovery-down", "at": "2s", "span": "6s"}])
+        number = next(place.number for place in self.director.plan.places if place.name == drained)
+        backend = self.director.plan.places[number].id_at(0)
+        await asyncio.sleep(2.5)   # of play: discovery is away from here on
+        self.director._out(0)
+        p1 = self.runner("p1")
+        await p1.kill()
+        write = p1.write_configuration
+
+        def without() -> Path:
+            path = write()
+            told = json.loads(path.read_text())
+            told.pop("known")
+            path.write_text(json.dumps(told))
+            return path
+
+        p1.write_configuration = without   # type: ignore[method-assign]
+        began = self.director._now()
+        await p1.run()   # returns once it says that it serves
+        self.assertLess(self.director._now(), 8_000_000, "discovery was back before")
+        self.assertIn("serving by the list of other members", (self.work / "p1.log").read_text())
+        self.director._admitted.add(0)
+        self.director._admit()
+        kept = await self.over()
+        through = {one.name for one in kept.tries if one.proxy == 0 and one.sent > began}
+        sent = [one for one in kept.sent if one.name in through]
+        self.assertGreater(len(sent), 10)
+        self.assertEqual([], [one for one in sent if one.id == backend])
+
+
 class Wrong(Play):
     """Members that are none, or should not be."""
 
