--- a/pepperusher/company.py
+++ b/pepperusher/company.py
@@ -11,7 +11,7 @@
 
 
 def company(own: str | Path, given: tuple[str, ...], told: Told, log: Log) -> list[Companion]:
-    """In the order in which they narrow the list: the operators' orders have the last word. Raises OwnError."""
+    """In the order in which they narrow the list: operators' orders have the last word. Raises OwnError."""
     house = House(own, given_of(given), told.ground, log)
     made: list[Companion] = [house]
     desk = node = None
--- a/pepperusher/console/desk.py
+++ b/pepperusher/console/desk.py
@@ -20,6 +20,7 @@
 from pepperusher.net.told import Told
 from pepperusher.terms import Ground
 
+NOT_YET = plain(503, "no backends known yet, or about to stop")
 NOT_KEPT = plain(500, "in force, but not kept for the next process: see the log")
 # A lifted ban is remembered for so long at the least.
 KEPT = 60_000_000
@@ -120,8 +121,9 @@
             self._proxy.send_away(self.orders.drain.on)
 
     def _state(self) -> State:
-        return State(self.orders.bans, self.orders.drain, self._seen if self._sits else self._token, self._serves,
-                     *(self._proxy.passed_on() if self._sits and self._seen else ("", None, None)), True)
+        passed = self._proxy.passed_on() if self._sits and self._seen else ("", None, None)
+        seen = self._seen if self._sits else self._token
+        return State(self.orders.bans, self.orders.drain, seen, self._serves, *passed, beats=True)
 
     def _tell(self) -> None:
         """Raises OSError where it can't be kept."""
@@ -171,8 +173,9 @@
         self._feel(self._next)
 
     def _feel(self, other: Seat) -> None:
-        """While the other process stands still all new connections are this one's; its queue is lost for as long as it stands,
-        but for what the kernel gives back as it ends."""
+        """While the other process stands still all new connections are this one's; its queue is lost for as
+        long as it stands, but for what the kernel gives back as it ends.
+        """
         still = self._pulse.still(other.mark(), clock.now()) and self._beats
         if still == self._took or still and not self._serves:
             return
@@ -187,7 +190,9 @@
                       else "the other process goes on: it has its part of new connections again")
 
     def _alone(self) -> None:
-        """Nobody sits beside this process: a filter that stayed would keep connections from whoever comes next."""
+        """Nobody sits beside this process: a filter that stayed would keep connections from whoever comes
+        next.
+        """
         self._pulse.anew()
         self._beats = False
         if self._took:
@@ -260,7 +265,8 @@
     async def answer(self, method: bytes, target: bytes) -> Answer:
         """In force here at once; where there is a group, said with how many hold it."""
         made, ordered = self._answered(method, target)
-        if ordered and self.held is not None and made.status == 200 and (held := await self.held()) is not None:
+        held = await self.held() if ordered and self.held is not None and made.status == 200 else None
+        if held is not None:
             made = plain(200, f"{made.body.decode().strip()}, held by {held[0]} of {held[1]} proxies")
         return made
 
@@ -272,7 +278,7 @@
             return plain(bad.status, str(bad)), False
         if word.what == words.READY:
             ready = self._proxy.can_serve
-            return plain(200, "ready") if ready else plain(503, "no backends known yet, or about to stop"), False
+            return (plain(200, "ready") if ready else NOT_YET), False
         if word.what in (words.DRAIN, words.RESUME):
             on = word.what == words.DRAIN
             self.orders.send_away(on, clock.now())
--- a/pepperusher/console/door.py
+++ b/pepperusher/console/door.py
@@ -29,7 +29,8 @@
         self._answer = answer
         self._log = log
         self._pool = Pool(1)
-        self._asking: dict[Line, None] = {}   # no whole call yet, the oldest first; emptied as calls come and lines end
+        # No whole call yet, the oldest first; emptied as calls come and lines end.
+        self._asking: dict[Line, None] = {}
         self._open: set[asyncio.Task[None]] = set()   # PLACES at the most, and those that just lost theirs
         self._server: asyncio.Server
 
--- a/pepperusher/console/state.py
+++ b/pepperusher/console/state.py
@@ -21,8 +21,9 @@
 
 
 class State(NamedTuple):
-    """`seen` names the next process that its writer knows of, `serves` whether its writer takes clients, `beats` whether it
-    leaves marks as it turns its loop."""
+    """`seen` names the next process that its writer knows of, `serves` whether its writer takes clients,
+    `beats` whether it leaves marks as it turns its loop.
+    """
 
     bans: dict[str, Order]
     drain: Order
--- a/pepperusher/group/health.py
+++ b/pepperusher/group/health.py
@@ -1,8 +1,9 @@
 """How far a member trusts itself before it charges another; free of I/O.
 
-Lifeguard's local health multiplier (Dadgar, Phillips, Currey 2018): probes that fail, nacks that stay out and charges that
-had to be answered make it doubt itself, answers take the doubt away. Ours beside it: timers that ran late count too, since a
-member starved of its processor sees its own lateness before it can tell whether anybody else is silent.
+Lifeguard's local health multiplier (Dadgar, Phillips, Currey 2018): probes that fail, nacks that stay out and
+charges that had to be answered make it doubt itself, answers take the doubt away. Ours beside it: timers that
+ran late count too, since a member starved of its processor sees its own lateness before it can tell whether
+anybody else is silent.
 """
 
 from __future__ import annotations
--- a/pepperusher/group/lending.py
+++ b/pepperusher/group/lending.py
@@ -1,4 +1,4 @@
-"""Which entries of other members' lists may stand for discovery's, while it is away at a start; free of I/O."""
+"""Which entries of other members' lists may stand for discovery's, which is away at a start; free of I/O."""
 
 from __future__ import annotations
 
@@ -9,11 +9,13 @@
 
 
 def joined(lists: list[dict[str, Any]]) -> tuple[int, dict[str, Any]] | None:
-    """What every one of these lists has as ready, and how long ago discovery confirmed the oldest of them; None where none is
-    young enough, or nothing is in all. Each has its age by its own proxy's clock: those of two may be apart.
+    """What every one of these lists has as ready, and how long ago discovery confirmed the oldest of them;
+    None where none is young enough, or nothing is in all. Each has its age by its own proxy's clock: those of
+    two may be apart.
 
-    An entry that drains at one is left out though others have not heard so, and one that is gone stands in no list of who has:
-    it never comes back by who has not. What is new and known to some alone waits for discovery.
+    An entry that drains at one is left out though others have not heard so, and one that is gone stands in no
+    list of who has: it never comes back by who has not. What is new and known to some alone waits for
+    discovery.
     """
     young: list[tuple[int, dict[str, dict[str, Any]], dict[str, Any]]] = []
     for told in lists:
@@ -23,8 +25,11 @@
         servers = listed.get("servers")
         if not 0 <= age <= LONGEST_AGE or not isinstance(servers, list):
             continue
-        ready = {one["id"]: one for one in servers
-                 if isinstance(one, dict) and isinstance(one.get("id"), str) and one.get("state") == "ready"}
+        ready = {
+            one["id"]: one
+            for one in servers
+            if isinstance(one, dict) and isinstance(one.get("id"), str) and one.get("state") == "ready"
+        }
         young.append((age, ready, listed))
     if not young:
         return None
--- a/pepperusher/group/notices.py
+++ b/pepperusher/group/notices.py
@@ -1,4 +1,6 @@
-"""News for all that outlives the packet it came in: bans and the like, each the later of all that was told; free of I/O."""
+"""News for all that outlives the packet it came in: bans and the like, each the later of all that was told;
+free of I/O.
+"""
 
 from __future__ import annotations
 
@@ -9,13 +11,15 @@
 
 # Things at once; one more is not taken, and counted.
 MOST = 500
-# Ahead of this member's clock by more, a time is a clock gone wrong, and would outlast all that is told after it.
+# Ahead of this member's clock by more, a time is a clock gone wrong, and would outlast all that is told after
+# it.
 AHEAD = 3_600_000_000
 
 
 class Notices:
-    """`kept` is for how long one that is off is remembered: so long a member cut off still takes it back. Emptied by age;
-    one that is on stays until it is off."""
+    """`kept` is for how long one that is off is remembered: so long a member cut off still takes it back.
+    Emptied by age; one that is on stays until it is off.
+    """
 
     def __init__(self, kept: int) -> None:
         self._kept = kept
@@ -55,8 +59,9 @@
             self._count()
 
     def _count(self) -> None:
-        """The same for the same notices that are on, in whatever order they came. Those that are off count as not there,
-        since they are forgotten at each member by its own clock."""
+        """The same for the same notices that are on, in whatever order they came. Those that are off count as
+        not there, since they are forgotten at each member by its own clock.
+        """
         digest = 0
         for one in self._of.values():
             if one.on:
--- a/pepperusher/group/parts.py
+++ b/pepperusher/group/parts.py
@@ -1,9 +1,11 @@
-"""What follows from who is there, who is gone and who is silent; free of I/O. docs/group-design.md has the table.
+"""What follows from who is there, who is gone and who is silent; free of I/O. docs/group-design.md has the
+table.
 
-No bound rises because others are silent: a part grows by those alone who *said* that they send clients away or left, each
-place of the tier counted once. So two halves of a partition do no more together than the whole was allowed, whoever believes
-what of whom. The one exception is a proxy that starts or takes clients again while others have not heard so: until they have,
-at most one part is used twice for each such proxy, as when it is started without a group.
+No bound rises because others are silent: a part grows by those alone who *said* that they send clients away
+or left, each place of the tier counted once. So two halves of a partition do no more together than the whole
+was allowed, whoever believes what of whom. The one exception is a proxy that starts or takes clients again
+while others have not heard so: until they have, at most one part is used twice for each such proxy, as when
+it is started without a group.
 """
 
 from __future__ import annotations
@@ -18,7 +20,9 @@
 
 
 class Reach(NamedTuple):
-    """How many of the roll, this proxy included, it takes to be there; how many are silent, gone, and never met."""
+    """How many of the roll, this proxy included, it takes to be there; how many are silent, gone, and never
+    met.
+    """
 
     word: str
     here: int
@@ -33,8 +37,10 @@
 
 
 def reach(told: int, me: Said, roll: Roll, heard_since: int) -> Reach:
-    """`told` is how many proxies the settings count in this tier. Whoever last answered before `heard_since` is nobody that
-    is there, but for those that others vouch for: one answer to this proxy itself is needed for any of it."""
+    """`told` is how many proxies the settings count in this tier. Whoever last answered before `heard_since`
+    is nobody that is there, but for those that others vouch for: one answer to this proxy itself is needed
+    for any of it.
+    """
     here, silent, gone, direct = 1, 0, 0, False
     met = 1
     for one in roll:
@@ -59,8 +65,9 @@
 
 
 def size(told: int, me: Said, words: Iterable[Said]) -> int:
-    """Of how many this proxy is one where they share: the settings' count, less the places whose last word was that they are
-    gone. Never fewer than the places that are known to be held."""
+    """Of how many this proxy is one where they share: the settings' count, less the places whose last word
+    was that they are gone. Never fewer than the places that are known to be held.
+    """
     held: set[int] = {me.place}
     free: set[int] = set()
     for one in words:
--- a/pepperusher/group/roll.py
+++ b/pepperusher/group/roll.py
@@ -1,11 +1,11 @@
 """Who is on the roll, and how each is found; free of I/O.
 
-Three things are kept apart. *Gone* is what a member said of itself. *Silent* is what others find: suspected, then lost, and
-taken back by the member's own next word, whenever it comes; a silent member stays on the roll for good. *Never met* is whom
-the settings count and nobody has heard of. Only gone frees anything (parts.py).
+Three things are kept apart. *Gone* is what a member said of itself. *Silent* is what others find: suspected,
+then lost, and taken back by the member's own next word, whenever it comes; a silent member stays on the roll
+for good. *Never met* is whom the settings count and nobody has heard of. Only gone frees anything (parts.py).
 
-A member's own words come together as a greatest of (life, turn): the same end in every order, and repeats change nothing.
-Charges are of the word they charge and fall with the next one.
+A member's own words come together as a greatest of (life, turn): the same end in every order, and repeats
+change nothing. Charges are of the word they charge and fall with the next one.
 """
 
 from __future__ import annotations
@@ -22,11 +22,12 @@
 LEAST_PERIODS = 5
 STRETCH = 6
 DOUBTERS = 3
-# Charges that were answered are counted for each that made them, one forgotten in this time; beyond so many its charges
-# count for nothing: a member that hears nobody charges everyone, without end.
+# Charges that were answered are counted for each that made them, one forgotten in this time; beyond so many
+# its charges count for nothing: a member that hears nobody charges everyone, without end.
 FORGOTTEN = 10_000_000
 WRONG_MOST = 4
-# Numbers of packets that came, by which a second one of the same is known; older ones than these are not read.
+# Numbers of packets that came, by which a second one of the same is known; older ones than these are not
+# read.
 WINDOW = 256
 
 
@@ -39,26 +40,41 @@
 
 
 class Member:
-    __slots__ = ("said", "health", "since", "doubters", "charged_at", "until", "proved", "newest", "came", "heard", "held",
-                 "list", "wrong", "wrong_at", "warned")
+    __slots__ = (
+        "said",
+        "health",
+        "since",
+        "doubters",
+        "charged_at",
+        "until",
+        "proved",
+        "newest",
+        "came",
+        "heard",
+        "held",
+        "list",
+        "wrong",
+        "wrong_at",
+        "warned",
+    )
 
     def __init__(self, said: Said, now: int) -> None:
         self.said = said
         self.health = ALIVE
-        self.since = now               # of phase and health as they are
-        self.doubters: set[str] = set()   # who charged it as it is; emptied by its next word
+        self.since = now  # of phase and health as they are
+        self.doubters: set[str] = set()  # who charged it as it is; emptied by its next word
         self.charged_at = 0
-        self.until = 0                 # when suspicion becomes loss
+        self.until = 0  # when suspicion becomes loss
         # The process that answered a packet of ours: what others send in its name is not read.
         self.proved: int | None = None
-        self.newest = 0                # number of the newest packet of that process, and which before it came
+        self.newest = 0  # number of the newest packet of that process, and which before it came
         self.came = 0
-        self.heard = 0                 # when it last answered us itself
-        self.held = 0                  # the digest of notices in its last packet
-        self.list = 0                  # and the version of the list that it has
-        self.wrong = 0                 # its charges that were answered
+        self.heard = 0  # when it last answered us itself
+        self.held = 0  # the digest of notices in its last packet
+        self.list = 0  # and the version of the list that it has
+        self.wrong = 0  # its charges that were answered
         self.wrong_at = now
-        self.warned = 0                # when it was last told that its word is an old one
+        self.warned = 0  # when it was last told that its word is an old one
 
     @property
     def silent(self) -> bool:
@@ -67,7 +83,11 @@
     def fresh(self, number: int) -> bool:
         """Whether a packet of this number has not been read; it has from here on."""
         if number > self.newest:
-            self.came = (self.came << (number - self.newest) | 1) & (1 << WINDOW) - 1 if number - self.newest < WINDOW else 1
+            self.came = (
+                (self.came << (number - self.newest) | 1) & (1 << WINDOW) - 1
+                if number - self.newest < WINDOW
+                else 1
+            )
             self.newest = number
             return True
         bit = 1 << (self.newest - number)
@@ -88,8 +108,8 @@
         self._period = period
         self._members: dict[str, Member] = {}
         self._names: tuple[str, ...] | None = None
-        self.refused = 0   # names for which there was no room
-        self.version = 0   # rises with each word that is news
+        self.refused = 0  # names for which there was no room
+        self.version = 0  # rises with each word that is news
 
     def __len__(self) -> int:
         return len(self._members)
@@ -132,8 +152,13 @@
         known.doubters.clear()
         known.health = ALIVE
         if said.doubled and not before.doubled:
-            changes.append(Change("doubled: two processes live under one name, neither is believed of the other", said.name,
-                                  {**_figures(said), "other": before.token}))
+            changes.append(
+                Change(
+                    "doubled: two processes live under one name, neither is believed of the other",
+                    said.name,
+                    {**_figures(said), "other": before.token},
+                )
+            )
         elif before.doubled and not said.doubled:
             changes.append(Change("no longer doubled", said.name, _figures(said)))
         if said.token != before.token and not said.doubled and not before.doubled:
@@ -176,7 +201,9 @@
         return one is None or self._wrong(one, now) <= WRONG_MOST
 
     def charge(self, charge: Charge, now: int) -> list[Change]:
-        """Somebody, or this proxy itself, gets no answer from a member. No news where the member has spoken since."""
+        """Somebody, or this proxy itself, gets no answer from a member. No news where the member has spoken
+        since.
+        """
         known = self._members.get(charge.of)
         if known is None or known.said.phase == LEFT or known.health == LOST:
             return []
@@ -190,8 +217,13 @@
         if known.health == ALIVE:
             known.health, known.charged_at, known.since = SUSPECTED, now, now
         known.until = known.charged_at + self.suspicion(len(known.doubters) - 1)
-        return [Change("suspected" if len(known.doubters) == 1 else "suspected by one more", charge.of,
-                       {**_figures(known.said), "by": charge.by})]
+        return [
+            Change(
+                "suspected" if len(known.doubters) == 1 else "suspected by one more",
+                charge.of,
+                {**_figures(known.said), "by": charge.by},
+            )
+        ]
 
     def suspicion(self, more: int) -> int:
         """For how long a member is suspected whom `more` others than the first doubt too."""
@@ -207,8 +239,17 @@
         changes = []
         for one in self:
             if one.health == SUSPECTED and now >= one.until:
-                changes.append(Change("lost", one.said.name, {**_figures(one.said), "after_us": now - one.charged_at,
-                                                              "by": " ".join(sorted(one.doubters))}))
+                changes.append(
+                    Change(
+                        "lost",
+                        one.said.name,
+                        {
+                            **_figures(one.said),
+                            "after_us": now - one.charged_at,
+                            "by": " ".join(sorted(one.doubters)),
+                        },
+                    )
+                )
                 one.health, one.since = LOST, now
         return changes
 
@@ -234,4 +275,9 @@
 
 
 def _figures(said: Said) -> dict[str, object]:
-    return {"phase": PHASES[said.phase], "number": said.number, "token": f"{said.token:016x}", "turn": said.turn}
+    return {
+        "phase": PHASES[said.phase],
+        "number": said.number,
+        "token": f"{said.token:016x}",
+        "turn": said.turn,
+    }
--- a/pepperusher/group/rumours.py
+++ b/pepperusher/group/rumours.py
@@ -1,7 +1,7 @@
 """What is still to be passed on, each so many times and the least told first; free of I/O.
 
-As in SWIM (Das, Gupta, Motivala 2002): told about log n times, everybody has heard it but for a vanishing part; that part
-hears it from what fills the room left in later packets.
+As in SWIM (Das, Gupta, Motivala 2002): told about log n times, everybody has heard it but for a vanishing
+part; that part hears it from what fills the room left in later packets.
 """
 
 from __future__ import annotations
@@ -23,7 +23,7 @@
 
 class Rumour(NamedTuple):
     told: int
-    age: int     # rises: of two told alike the newer goes first
+    age: int  # rises: of two told alike the newer goes first
     key: tuple[int, str]
     sort: int
     part: bytes
--- a/pepperusher/group/swim.py
+++ b/pepperusher/group/swim.py
@@ -1,15 +1,16 @@
 """One member of a group: whom it asks, what it answers, what it passes on; free of I/O.
 
-Driven by now, datagrams in, and `wake` when it is due; what is to be sent stands in `out`, what changed in `changes`, what
-is new for this proxy to act on in `news`.
+Driven by now, datagrams in, and `wake` when it is due; what is to be sent stands in `out`, what changed in
+`changes`, what is new for this proxy to act on in `news`.
 
-From SWIM (Das, Gupta, Motivala 2002): probes in a shuffled round, indirect ones, words passed on with them, turns of a life,
-suspicion. From Lifeguard (Dadgar, Phillips, Currey 2018): doubt of oneself, suspicion that shortens with each doubter, nacks,
-the suspected told first of all that it is. Passing on between probes as well, as memberlist's authors describe it. Not taken:
-the word of loss that others must believe, and a stream for whatever does not fit; see docs/group-design.md.
+From SWIM (Das, Gupta, Motivala 2002): probes in a shuffled round, indirect ones, words passed on with them,
+turns of a life, suspicion. From Lifeguard (Dadgar, Phillips, Currey 2018): doubt of oneself, suspicion that
+shortens with each doubter, nacks, the suspected told first of all that it is. Passing on between probes as
+well, as memberlist's authors describe it. Not taken: the word of loss that others must believe, and a stream
+for whatever does not fit; see docs/group-design.md.
 
-Nothing in a packet is read unless the process that sent it has answered a packet of this one, and each of its packets counts
-once: so old ones, sent again by whoever recorded them, change nothing.
+Nothing in a packet is read unless the process that sent it has answered a packet of this one, and each of its
+packets counts once: so old ones, sent again by whoever recorded them, change nothing.
 """
 
 from __future__ import annotations
@@ -28,7 +29,23 @@
 from pepperusher.group.rumours import CHARGE, NOTICE, SAID, Rumours
 from pepperusher.group.wire import DATAGRAM, HEAD, BadPacket, Wire
 from pepperusher.group.words import (
-    ACK, ALIVE, ASK, HEALTH, LEAVING, LEFT, LOST, NACK, PHASES, PING, SENT_AWAY, TELL, Charge, Notice, Packet, Said)
+    ACK,
+    ALIVE,
+    ASK,
+    HEALTH,
+    LEAVING,
+    LEFT,
+    LOST,
+    NACK,
+    PHASES,
+    PING,
+    SENT_AWAY,
+    TELL,
+    Charge,
+    Notice,
+    Packet,
+    Said,
+)
 from pepperusher.holds import must_hold
 
 SECOND = 1_000_000
@@ -69,7 +86,7 @@
     within: int
     seeds: tuple[tuple[str, int], ...]
     told: int
-    kept: int   # for how long what is off is remembered
+    kept: int  # for how long what is off is remembered
 
 
 class Awaited(NamedTuple):
@@ -108,26 +125,28 @@
         self.out: list[tuple[tuple[str, int], bytes]] = []
         self.changes: list[Change] = []
         self.news: list[Notice] = []
-        self.counts: dict[str, int] = {}   # by words of this module and of wire, so it grows with the code alone
-        self.list = 0                      # the version of discovery's list that this proxy has
-        self.wants_roll: tuple[str, int] | None = None   # whom a stream would bring it up to date from
+        # By words of this module and of wire, so it grows with the code alone.
+        self.counts: dict[str, int] = {}
+        self.list = 0  # the version of discovery's list that this proxy has
+        self.wants_roll: tuple[str, int] | None = None  # whom a stream would bring it up to date from
         self._wire = wire
         self._chance = chance
         self._rumours = Rumours()
         self._part = wire.part(me)
-        self._parts: dict[str, tuple[Said, bytes]] = {}   # packed words of the roll; one for each name on it
+        self._parts: dict[str, tuple[Said, bytes]] = {}  # packed words of the roll; one for each name on it
         self._number = 0
         self._seq = chance.getrandbits(48)
-        self._round: list[str] = []      # whose turn to be probed it is; emptied by probing
+        self._round: list[str] = []  # whose turn to be probed it is; emptied by probing
         self._probe: Probe | None = None
         self._probe_at = now + chance.randrange(max(1, terms.period))
         self._probes = 0
         self._tell_at = now
         self._join_at = now
-        self._awaited: dict[int, Awaited] = {}   # emptied by answers and by time
-        self._relays: dict[int, Relay] = {}      # likewise
-        self._owing: list[str] = []              # who is still to be told at once; emptied by telling
-        self._rivals: dict[int, int] = {}        # other lives under this name, each with its highest number; RIVALS
+        self._awaited: dict[int, Awaited] = {}  # emptied by answers and by time
+        self._relays: dict[int, Relay] = {}  # likewise
+        self._owing: list[str] = []  # who is still to be told at once; emptied by telling
+        # Other lives under this name, each with its highest number; RIVALS.
+        self._rivals: dict[int, int] = {}
         self._rival_at = 0
         self._raise_at: int | None = None
         self._raised_at = -RAISE_EVERY
@@ -148,7 +167,9 @@
         return parts.size(self.terms.told, self.me, (one.said for one in self.roll))
 
     def say(self, phase: int, now: int) -> None:
-        """What this proxy is from here on; where it frees a part or takes it back, all who can be reached are told at once."""
+        """What this proxy is from here on; where it frees a part or takes it back, all who can be reached are
+        told at once.
+        """
         before = self.me.phase
         if phase == before:
             return
@@ -237,8 +258,9 @@
         return self._due
 
     def _stood(self, now: int) -> None:
-        """This process was kept from its turn for a time. It had no ears meanwhile, so nobody is charged for that time: all
-        that is waited for begins anew, and its own word counts for less."""
+        """This process was kept from its turn for a time. It had no ears meanwhile, so nobody is charged for
+        that time: all that is waited for begins anew, and its own word counts for less.
+        """
         late = now - self._due
         if late <= self.terms.within // LATE:
             return
@@ -253,7 +275,9 @@
         self._due = now
         self._count("stood still")
         if late >= UNHEARD * self.terms.period:
-            self.changes.append(Change("stood still, so its own doubts count for less", self.me.name, {"us": late}))
+            self.changes.append(
+                Change("stood still, so its own doubts count for less", self.me.name, {"us": late})
+            )
 
     def _say_reach(self, now: int) -> None:
         found = self.reach(now)
@@ -276,7 +300,9 @@
         if one is None:
             self._probe = None
             return
-        probe = Probe(one.said.name, self._next_seq(), now + self.health.stretched(self.terms.within), now + period)
+        probe = Probe(
+            one.said.name, self._next_seq(), now + self.health.stretched(self.terms.within), now + period
+        )
         self._probe = probe
         self._ping(one, now, probe.seq, probe.end)
 
@@ -301,7 +327,9 @@
         if seq is None:
             seq = self._next_seq()
         if len(self._awaited) < AWAITED_MOST:
-            self._awaited[seq] = Awaited(one.said.name, until or now + 2 * self.health.stretched(self.terms.within))
+            self._awaited[seq] = Awaited(
+                one.said.name, until or now + 2 * self.health.stretched(self.terms.within)
+            )
         self._send(PING, one.said.address, seq, one.said.name)
 
     def _look_at_probe(self, now: int) -> None:
@@ -309,8 +337,11 @@
         if probe is None or probe.done or probe.asked or now < probe.ask_at:
             return
         target = self.roll.get(probe.name)
-        others = [one for one in self._live() if one.health == ALIVE and one.proved is not None
-                  and one.said.name != probe.name]
+        others = [
+            one
+            for one in self._live()
+            if one.health == ALIVE and one.proved is not None and one.said.name != probe.name
+        ]
         if target is None or not others:
             return
         for one in self._chance.sample(others, min(ASKED, len(others))):
@@ -365,7 +396,9 @@
             self._send(TELL, one.said.address, 0, one.said.name)
 
     def _join(self, now: int) -> None:
-        """Seeds are asked while nobody is there, and seldom after: both halves of a group may have lost each other."""
+        """Seeds are asked while nobody is there, and seldom after: both halves of a group may have lost each
+        other.
+        """
         there = {one.said.address for one in self.roll if one.health == ALIVE}
         alone = not there
         self._join_at = now + (JOIN_EVERY if alone else SEEDS_EVERY) * self._chance.randrange(75, 126) // 100
@@ -386,7 +419,9 @@
         known = self._parts.get(said.name)
         if known is None or known[0] is not said:
             if len(self._parts) > 2 * len(self.roll) + 16:
-                self._parts = {name: kept for name, kept in self._parts.items() if self.roll.get(name) is not None}
+                self._parts = {
+                    name: kept for name, kept in self._parts.items() if self.roll.get(name) is not None
+                }
             known = self._parts[said.name] = said, self._wire.part(said)
         return known[1]
 
@@ -394,10 +429,19 @@
         self._seq += 1
         return self._seq
 
-    def _send(self, kind: int, address: tuple[str, int], seq: int, to: str, target: Said | None = None,
-              owed: Sequence[tuple[int, bytes]] = (), fill: int = FILL) -> None:
-        """A packet with what is to be passed on, and in its spare room words of the roll by chance: what somebody has missed
-        comes by in time, without any being asked for."""
+    def _send(
+        self,
+        kind: int,
+        address: tuple[str, int],
+        seq: int,
+        to: str,
+        target: Said | None = None,
+        owed: Sequence[tuple[int, bytes]] = (),
+        fill: int = FILL,
+    ) -> None:
+        """A packet with what is to be passed on, and in its spare room words of the roll by chance: what
+        somebody has missed comes by in time, without any being asked for.
+        """
         aim = None if target is None else self._wire.part(target)
         room = DATAGRAM - FRAME - len(self._part) - len(to.encode()) - len(aim or b"")
         words: list[tuple[int, bytes]] = []
@@ -406,7 +450,9 @@
             # It is told before all others, so that it can answer.
             said = known.said
             for doubter in sorted(known.doubters)[:2]:
-                words.append((CHARGE, self._wire.part(Charge(said.name, said.number, said.token, said.turn, doubter))))
+                words.append(
+                    (CHARGE, self._wire.part(Charge(said.name, said.number, said.token, said.turn, doubter)))
+                )
         words += owed
         room -= sum(len(one) for _, one in words)
         for one in self._rumours.pick(room, 24, len(self.roll)):
@@ -432,12 +478,16 @@
                 room -= len(part)
         self.out.append((address, self._packet(kind, seq, to, aim, words)))
 
-    def _packet(self, kind: int, seq: int, to: str, aim: bytes | None, words: Sequence[tuple[int, bytes]]) -> bytes:
+    def _packet(
+        self, kind: int, seq: int, to: str, aim: bytes | None, words: Sequence[tuple[int, bytes]]
+    ) -> bytes:
         self._number += 1
         by_sort: tuple[list[bytes], list[bytes], list[bytes]] = ([], [], [])
         for sort, part in words:
             by_sort[sort].append(part)
-        made = self._wire.pack(kind, self._number, seq, self._part, to, self.notices.digest, aim, *by_sort, self.list)
+        made = self._wire.pack(
+            kind, self._number, seq, self._part, to, self.notices.digest, aim, *by_sort, self.list
+        )
         must_hold(len(made) <= DATAGRAM, "a packet fits one datagram")
         return made
 
@@ -478,17 +528,21 @@
                 self._probe.nacked += 1
 
     def _proved(self, packet: Packet, now: int) -> Member | None:
-        """The sender, where its process has answered this one; else it is asked for that answer, and nothing is read."""
+        """The sender, where its process has answered this one; else it is asked for that answer, and nothing
+        is read.
+        """
         sender = packet.sender
         member = self.roll.get(sender.name)
         if member is not None and member.proved == sender.token:
             self._take(sender, now)
             return member
         if member is not None and sender.life < member.said.life:
-            # A life that is over, or one whose clock is behind: told of the later one, the living raises itself.
-            # In an answer, for it reads nobody who has not answered it.
+            # A life that is over, or one whose clock is behind: told of the later one, the living raises
+            # itself. In an answer, for it reads nobody who has not answered it.
             if packet.kind == PING:
-                self._send(ACK, sender.address, packet.seq, sender.name, None, [(SAID, self._packed(member))], 0)
+                self._send(
+                    ACK, sender.address, packet.seq, sender.name, None, [(SAID, self._packed(member))], 0
+                )
             return None
         awaited = self._awaited.get(packet.seq) if packet.kind == ACK else None
         if awaited is not None and awaited.name in ("", sender.name) and packet.target is None:
@@ -531,7 +585,9 @@
         return True
 
     def _read(self, packet: Packet, now: int) -> list[tuple[int, bytes]]:
-        """What others are said to have said. The newer words that this member has, where the sender has older ones."""
+        """What others are said to have said. The newer words that this member has, where the sender has older
+        ones.
+        """
         owed: list[tuple[int, bytes]] = []
         for said in packet.said:
             if not self._take(said, now):
@@ -543,7 +599,11 @@
                 self._charged(charge)
                 continue
             known = self.roll.get(charge.of)
-            if known is not None and (charge.number, charge.token, charge.turn) < known.said.key and len(owed) < FILL:
+            if (
+                known is not None
+                and (charge.number, charge.token, charge.turn) < known.said.key
+                and len(owed) < FILL
+            ):
                 owed.append((SAID, self._packed(known)))
             self._charge(charge, now)
         for notice in packet.notices:
@@ -599,20 +659,26 @@
             return
         seq = self._next_seq()
         within = self.terms.within
-        self._relays[seq] = Relay(packet.sender.name, packet.seq, target.name, now + round(NACK_AT * within),
-                                  now + 2 * within)
+        self._relays[seq] = Relay(
+            packet.sender.name, packet.seq, target.name, now + round(NACK_AT * within), now + 2 * within
+        )
         self._ping(one, now, seq, now + 2 * within)
 
     # --- two under one name --------------------------------------------------------------------------
 
     def _rival(self, said: Said, now: int) -> None:
-        """Another life under this name. One that is over never rises; one that rises lives, as this one does."""
+        """Another life under this name. One that is over never rises; one that rises lives, as this does."""
         seen = self._rivals.get(said.token)
         if seen is not None and said.number > seen and said.phase != LEFT:
             self._rival_at = now
             if not self.me.doubled:
-                self.changes.append(Change("doubled: another process lives under this one's name", self.me.name,
-                                           {"at": f"{said.host}:{said.port}", "token": f"{said.token:016x}"}))
+                self.changes.append(
+                    Change(
+                        "doubled: another process lives under this one's name",
+                        self.me.name,
+                        {"at": f"{said.host}:{said.port}", "token": f"{said.token:016x}"},
+                    )
+                )
                 self._new_word(doubled=True)
         self._rivals[said.token] = max(said.number, seen or 0)
         if len(self._rivals) > RIVALS:
@@ -623,7 +689,9 @@
                 self._raise()
 
     def _raise(self) -> None:
-        """Above every other life under this name. Not more than once a second: a living rival does so in turn."""
+        """Above every other life under this name. Not more than once a second: a living rival does so in
+        turn.
+        """
         assert self._raise_at is not None
         self._raised_at, self._raise_at = self._raise_at, None
         highest = max(self._rivals.values(), default=0)
@@ -639,17 +707,37 @@
     def rows(self, now: int) -> list[dict[str, object]]:
         """A row for each member, this one first."""
         mine: dict[str, object] = {
-            "name": self.me.name, "is": PHASES[self.me.phase] + (", doubled" if self.me.doubled else ""), "found": "itself",
-            "since_s": 0.0, "answered_s": 0.0, "orders": "-", "list": self.list, "tier": self.me.tier, "place": self.me.place,
-            "at": f"{self.me.host}:{self.me.port}", "life": self.me.number, "turn": self.me.turn}
+            "name": self.me.name,
+            "is": PHASES[self.me.phase] + (", doubled" if self.me.doubled else ""),
+            "found": "itself",
+            "since_s": 0.0,
+            "answered_s": 0.0,
+            "orders": "-",
+            "list": self.list,
+            "tier": self.me.tier,
+            "place": self.me.place,
+            "at": f"{self.me.host}:{self.me.port}",
+            "life": self.me.number,
+            "turn": self.me.turn,
+        }
         rows = [mine]
         for one in sorted(self.roll, key=lambda one: one.said.name):
             said = one.said
             found = "gone" if said.phase == LEFT else HEALTH[one.health]
-            rows.append({
-                "name": said.name, "is": PHASES[said.phase] + (", doubled" if said.doubled else ""), "found": found,
-                "since_s": round((now - one.since) / SECOND, 1),
-                "answered_s": round((now - one.heard) / SECOND, 1) if one.heard else None,
-                "orders": "same" if one.held == self.notices.digest else "other", "list": one.list, "tier": said.tier, "place": said.place,
-                "at": f"{said.host}:{said.port}", "life": said.number, "turn": said.turn})
+            rows.append(
+                {
+                    "name": said.name,
+                    "is": PHASES[said.phase] + (", doubled" if said.doubled else ""),
+                    "found": found,
+                    "since_s": round((now - one.since) / SECOND, 1),
+                    "answered_s": round((now - one.heard) / SECOND, 1) if one.heard else None,
+                    "orders": "same" if one.held == self.notices.digest else "other",
+                    "list": one.list,
+                    "tier": said.tier,
+                    "place": said.place,
+                    "at": f"{said.host}:{said.port}",
+                    "life": said.number,
+                    "turn": said.turn,
+                }
+            )
         return rows
--- a/pepperusher/group/wire.py
+++ b/pepperusher/group/wire.py
@@ -1,7 +1,7 @@
 """Packets as bytes: a mark, the form's number, a keyed checksum, and MessagePack; free of I/O.
 
-A stranger's bytes, cut, damaged or of another form are told apart and nothing of them is read. Fields that a later release
-puts at the end of a word are read over, so that releases of one form work side by side.
+A stranger's bytes, cut, damaged or of another form are told apart and nothing of them is read. Fields that a
+later release puts at the end of a word are read over, so that releases of one form work side by side.
 """
 
 from __future__ import annotations
@@ -55,12 +55,35 @@
         """A word as it will stand in a packet; packed once, however often it is told."""
         return self._encode(word)
 
-    def pack(self, kind: int, number: int, seq: int, sender: bytes, to: str, held: int, target: bytes | None,
-             said: Iterable[bytes], charges: Iterable[bytes], notices: Iterable[bytes], version: int = 0) -> bytes:
-        body = self._encode(_Outgoing(
-            kind, number, seq, msgspec.Raw(sender), to, held, None if target is None else msgspec.Raw(target),
-            [msgspec.Raw(one) for one in said], [msgspec.Raw(one) for one in charges],
-            [msgspec.Raw(one) for one in notices], version))
+    def pack(
+        self,
+        kind: int,
+        number: int,
+        seq: int,
+        sender: bytes,
+        to: str,
+        held: int,
+        target: bytes | None,
+        said: Iterable[bytes],
+        charges: Iterable[bytes],
+        notices: Iterable[bytes],
+        version: int = 0,
+    ) -> bytes:
+        body = self._encode(
+            _Outgoing(
+                kind,
+                number,
+                seq,
+                msgspec.Raw(sender),
+                to,
+                held,
+                None if target is None else msgspec.Raw(target),
+                [msgspec.Raw(one) for one in said],
+                [msgspec.Raw(one) for one in charges],
+                [msgspec.Raw(one) for one in notices],
+                version,
+            )
+        )
         return self.seal(body)
 
     def seal(self, body: bytes) -> bytes:
@@ -75,7 +98,7 @@
         if form != FORM:
             # Its checksum may be made otherwise; that it speaks another form is all that can be told.
             raise BadPacket(f"of form {form}, not {FORM}")
-        if not hmac.compare_digest(self._sum(b"%c%s" % (FORM, body)), data[len(MARK) + 1:HEAD]):
+        if not hmac.compare_digest(self._sum(b"%c%s" % (FORM, body)), data[len(MARK) + 1 : HEAD]):
             raise BadPacket("with a wrong checksum: another key, or damaged")
         return body
 
--- a/pepperusher/group/words.py
+++ b/pepperusher/group/words.py
@@ -1,6 +1,7 @@
 """What members say to each other, typed: of themselves, of those who are silent, and news for all.
 
-A member's word of itself is the only one that changes what it is; what others say of it is a charge that it can answer.
+A member's word of itself is the only one that changes what it is; what others say of it is a charge that it
+can answer.
 """
 
 from __future__ import annotations
@@ -27,8 +28,10 @@
 
 
 class Said(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """A member's own word. `number` and `token` are its life: the first rises with each start under a name, the second
-    tells two processes apart. `turn` rises with each word of one life. `place` is which of its tier it is, from 0."""
+    """A member's own word. `number` and `token` are its life: the first rises with each start under a name,
+    the second tells two processes apart. `turn` rises with each word of one life. `place` is which of its
+    tier it is, from 0.
+    """
 
     name: Name
     host: Host
@@ -37,7 +40,7 @@
     token: Token
     turn: Count
     phase: Annotated[int, Meta(ge=0, le=LEFT)]
-    doubled: bool   # it has met another process living under its name
+    doubled: bool  # it has met another process living under its name
     tier: Count
     place: Count
 
@@ -61,8 +64,9 @@
 
 
 class Charge(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """`by` gets no answer from `of`, as it was at this turn of this life. Nobody is lost by another's word: whoever hears it
-    starts to doubt, and concludes for itself."""
+    """`by` gets no answer from `of`, as it was at this turn of this life. Nobody is lost by another's word:
+    whoever hears it starts to doubt, and concludes for itself.
+    """
 
     of: Name
     number: Time
@@ -72,7 +76,9 @@
 
 
 class Notice(msgspec.Struct, frozen=True, array_like=True, gc=False):
-    """News for all: one thing is on or off since a time. The later counts, and of two at one time the one that is on."""
+    """News for all: one thing is on or off since a time. The later counts, and of two at one time the one
+    that is on.
+    """
 
     kind: Annotated[str, Meta(min_length=1, max_length=16)]
     key: Annotated[str, Meta(max_length=200)]
@@ -91,8 +97,10 @@
 
 
 class Packet(msgspec.Struct, frozen=True, array_like=True):
-    """One datagram, or one part of a stream. `number` rises with each of a life, so that none counts twice. `to` names the
-    one it is for; empty for whoever answers at a seed. In a stream `seq` says what is wanted. `held` is a digest of the notices that the sender holds."""
+    """One datagram, or one part of a stream. `number` rises with each of a life, so that none counts twice.
+    `to` names the one it is for; empty for whoever answers at a seed. In a stream `seq` says what is wanted.
+    `held` is a digest of the notices that the sender holds.
+    """
 
     kind: Annotated[int, Meta(ge=0, le=TELL)]
     number: Count
@@ -104,4 +112,4 @@
     said: list[Said]
     charges: list[Charge]
     notices: list[Notice]
-    version: Count = 0   # of discovery's list, as the sender has it
+    version: Count = 0  # of discovery's list, as the sender has it
--- a/pepperusher/net/companion.py
+++ b/pepperusher/net/companion.py
@@ -1,7 +1,8 @@
 """What a proxy may have beside it, and what each of these may ask of the proxy.
 
-The own file, the console, the control socket, the store and the group all join the proxy here: it knows none of them by
-name, and on the platform none is loaded. Each narrows, hears, says, or holds up the end; what it leaves out does nothing.
+The own file, the console, the control socket, the store and the group all join the proxy here: it knows none
+of them by name, and on the platform none is loaded. Each narrows, hears, says, or holds up the end; what it
+leaves out does nothing.
 """
 
 from __future__ import annotations
@@ -62,7 +63,9 @@
         """Another's list, until discovery tells one. Raises ValueError where it is none."""
 
     def steer(self, to: int | None) -> bool:
-        """All new connections to the first (0) or second (1) process at this address, or as the kernel has it."""
+        """All new connections to the first (0) or second (1) process at this address, or as the kernel has
+        it.
+        """
 
     def send_away(self, on: bool) -> None: ...
 
@@ -94,9 +97,9 @@
 class Companion:
     """One of them. The proxy calls these in the order of the list, `stop` in the other."""
 
-    descriptors = 0        # that it takes for itself, beside those of tickets
-    shares_address = False   # whether another process may listen at the proxy's address
-    narrow: Narrow | None = None   # what it makes of lines of the list
+    descriptors = 0  # that it takes for itself, beside those of tickets
+    shares_address = False  # whether another process may listen at the proxy's address
+    narrow: Narrow | None = None  # what it makes of lines of the list
     gate: Gate | None = None
 
     async def enter(self, host: Host) -> None:
@@ -118,7 +121,9 @@
         """A few times a second."""
 
     def woke(self) -> None:
-        """The process did not run for a while: before another ticket is taken, what others did meanwhile counts."""
+        """The process did not run for a while: before another ticket is taken, what others did meanwhile
+        counts.
+        """
 
     @property
     def succeeded(self) -> bool:
--- a/pepperusher/net/node.py
+++ b/pepperusher/net/node.py
@@ -1,7 +1,8 @@
-"""The proxy's place in its group: a socket for datagrams, one for streams, and what is made of what the group knows.
+"""The proxy's place in its group: a socket for datagrams, one for streams, and what is made of what the group
+knows.
 
-Loaded only where the own file has a group. Decides nothing: `group.swim` says who is there, `group.parts` what follows. No
-ticket waits for any of it.
+Loaded only where the own file has a group. Decides nothing: `group.swim` says who is there, `group.parts`
+what follows. No ticket waits for any of it.
 """
 
 from __future__ import annotations
@@ -20,7 +21,17 @@
 from pepperusher.group.swim import Swim, Terms
 from pepperusher.group.wire import DATAGRAM, BadPacket, Wire
 from pepperusher.group.words import (
-    ALIVE, LEAVING, LEFT, SENT_AWAY, SERVING, STARTING, WANTS_LIST, WANTS_ROLL, Notice, Said)
+    ALIVE,
+    LEAVING,
+    LEFT,
+    SENT_AWAY,
+    SERVING,
+    STARTING,
+    WANTS_LIST,
+    WANTS_ROLL,
+    Notice,
+    Said,
+)
 from pepperusher.net import clock
 from pepperusher.net.companion import Companion, Host
 from pepperusher.own import rules
@@ -37,7 +48,8 @@
 # Parts of one stream at the most.
 PARTS = 2_000
 LENGTH = struct.Struct(">I")
-# A proxy with no list asks others for theirs: so long after it became a member, again after so long, so many of them.
+# A proxy with no list asks others for theirs: so long after it became a member, again after so long, so many
+# of them.
 LIST_AFTER = 1_000_000
 LIST_EVERY = 1.0
 LENDERS = 3
@@ -59,18 +71,27 @@
 
 
 class Node(Companion):
-    """`orders` are the operators' orders where there is a console, which puts them in force; else this has its own."""
+    """`orders` are the operators' orders where there is a console, which puts them in force; else this has
+    its own.
+    """
 
     descriptors = 3 + STREAMS
 
-    def __init__(self, said: Group, ground: Ground, name: str, say: Callable[..., None], orders: Orders | None = None,
-                 put: Callable[[dict[str, Order]], None] | None = None) -> None:
+    def __init__(
+        self,
+        said: Group,
+        ground: Ground,
+        name: str,
+        say: Callable[..., None],
+        orders: Orders | None = None,
+        put: Callable[[dict[str, Order]], None] | None = None,
+    ) -> None:
         assert said.listen is not None
         self._said, self._ground, self._name, self._say = said, ground, name, say
         self._listen = rules.address_of(said.listen)
         self._wire = Wire(said.key)
         self._host: Host
-        self.swim: Swim | None = None      # None until this process has the proxy's address in the group
+        self.swim: Swim | None = None  # None until this process has the proxy's address in the group
         self.sharers: int | None = None
         self._version = -1
         self._away_at: int | None = None
@@ -100,7 +121,7 @@
         self._host = host
 
     async def start(self) -> None:
-        """At once, or as soon as the process before has left the address: until then that one is the member."""
+        """At once, or once the process before has left the address: until then that one is the member."""
         if not await self._sit(True):
             self._sitting = asyncio.get_running_loop().create_task(self._wait())
 
@@ -122,16 +143,34 @@
             return False
         self._socket = made
         now = clock.now()
-        address = (self._listen[0], port) if self._said.advertise is None else rules.address_of(self._said.advertise)
-        me = Said(self._name, *address, now, int.from_bytes(os.urandom(8)) >> 1, 0, STARTING, False, self._ground.stage,
-                  self._ground.ordinal)
+        address = (
+            (self._listen[0], port)
+            if self._said.advertise is None
+            else rules.address_of(self._said.advertise)
+        )
+        me = Said(
+            self._name,
+            *address,
+            now,
+            int.from_bytes(os.urandom(8)) >> 1,
+            0,
+            STARTING,
+            False,
+            self._ground.stage,
+            self._ground.ordinal,
+        )
         seeds = tuple(map(rules.address_of, self._said.seeds))
         terms = Terms(self._said.period, self._said.within, seeds, self._ground.group_size, KEPT)
         self._chance = Random(me.token)
         self.swim = Swim(me, terms, self._wire, self._chance, now)
         asyncio.get_running_loop().add_reader(made, self._come)
-        self._say("in the group", listen=f"{self._listen[0]}:{port}", advertise=f"{address[0]}:{address[1]}",
-                  token=f"{me.token:016x}", number=me.number)
+        self._say(
+            "in the group",
+            listen=f"{self._listen[0]}:{port}",
+            advertise=f"{address[0]}:{address[1]}",
+            token=f"{me.token:016x}",
+            number=me.number,
+        )
         self._wake()
         return True
 
@@ -154,7 +193,7 @@
             self._share()
 
     def leaving(self, until: int) -> None:
-        """Another process that takes this one's place is the member from here on; else the others are told."""
+        """Another process that takes this one's place is the member from now on; else the others are told."""
         if self._host.followed:
             self._close()
         elif self.swim is not None:
@@ -199,7 +238,7 @@
             except (BlockingIOError, InterruptedError):
                 break
             except OSError:
-                continue   # an earlier datagram of ours reached nobody
+                continue  # an earlier datagram of ours reached nobody
             self.swim.receive(data, clock.now())
         self._done()
 
@@ -217,7 +256,7 @@
         self._timer = None
         try:
             self._wake()
-        except Exception as error:   # without its timer it would be silent for good
+        except Exception as error:  # without its timer it would be silent for good
             self._say("the group met an error", why=f"{type(error).__name__}: {error}")
             if self._timer is None and self._socket is not None:
                 self._timer = asyncio.get_running_loop().call_later(self._said.period / 1e6, self._woken)
@@ -232,11 +271,11 @@
                 if self._socket is not None:
                     self._socket.sendto(data, address)
             except (OSError, UnicodeError):
-                self._unsent += 1   # as if it were lost under way; an address may also be none
+                self._unsent += 1  # as if it were lost under way; an address may also be none
         changes, swim.changes = swim.changes, []
         for change in changes:
             if change.what == "suspected by one more":
-                continue   # the line on loss names them all
+                continue  # the line on loss names them all
             self._say(f"group: {change.what}", of=change.name, **change.figures)
         if swim.news:
             news, swim.news = swim.news, []
@@ -299,7 +338,7 @@
             finally:
                 self._streams -= 1
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError, BadPacket):
-            pass   # its caller's trouble
+            pass  # its caller's trouble
         finally:
             writer.transport.abort()
 
@@ -310,17 +349,25 @@
         lent = self._host.lent()
         if lent is None:
             return []
-        text = json.dumps({"age": max(0, clock.now() - lent[0]), "listed": lent[1]}, separators=(",", ":")).encode()
-        return [self._wire.seal(text[at:at + PART]) for at in range(0, len(text), PART)]
+        text = json.dumps(
+            {"age": max(0, clock.now() - lent[0]), "listed": lent[1]}, separators=(",", ":")
+        ).encode()
+        return [self._wire.seal(text[at : at + PART]) for at in range(0, len(text), PART)]
 
     async def _lists(self) -> None:
-        """As long as there is no list: asked of a few members of this tier. What each of them has as ready is taken; what one
-        knows to drain, or no longer lists, is not."""
+        """As long as there is no list: asked of a few members of this tier. What each of them has as ready is
+        taken; what one knows to drain, or no longer lists, is not.
+        """
         assert self.swim is not None
         try:
             while self._host.wants_list and self._socket is not None:
-                there = [one.said.address for one in self.swim.roll
-                         if one.health == ALIVE and one.said.phase in (SERVING, SENT_AWAY) and one.said.tier == self._ground.stage]
+                there = [
+                    one.said.address
+                    for one in self.swim.roll
+                    if one.health == ALIVE
+                    and one.said.phase in (SERVING, SENT_AWAY)
+                    and one.said.tier == self._ground.stage
+                ]
                 asked = self._chance.sample(there, min(LENDERS, len(there)))
                 made = await asyncio.gather(*map(self._list_of, asked))
                 try:
@@ -328,8 +375,11 @@
                     if joined is not None and self._host.wants_list:
                         age, listed = joined
                         self._host.borrow(listed, clock.now() - age)
-                        self._say("group: serving by the list of other members, since discovery has told none",
-                                  backends=len(listed["servers"]), confirmed_us_ago=age)
+                        self._say(
+                            "group: serving by the list of other members, since discovery has told none",
+                            backends=len(listed["servers"]),
+                            confirmed_us_ago=age,
+                        )
                         return
                 except ValueError as error:
                     self._say("group: a list of another member is not taken", why=str(error))
@@ -349,7 +399,7 @@
                 while len(text) < LONGEST_LIST:
                     text += self._wire.open(await _part(reader, PART + DATAGRAM))
         except asyncio.IncompleteReadError:
-            pass   # its end
+            pass  # its end
         except (OSError, TimeoutError, ValueError):
             return None
         finally:
@@ -375,12 +425,17 @@
         self.spread(now)
         self._wake()
         if now - self._told_at >= TOLD_EVERY:
-            more = {what: many - self._counted.get(what, 0) for what, many in self.swim.counts.items()
-                    if what.startswith("packets") and many > self._counted.get(what, 0)}
+            more = {
+                what: many - self._counted.get(what, 0)
+                for what, many in self.swim.counts.items()
+                if what.startswith("packets") and many > self._counted.get(what, 0)
+            }
             if more:
                 self._told_at = now
                 self._counted = dict(self.swim.counts)
-                self._say("group: not believed", **{what.replace(" ", "_"): many for what, many in more.items()})
+                self._say(
+                    "group: not believed", **{what.replace(" ", "_"): many for what, many in more.items()}
+                )
 
     def _phase(self) -> int:
         if not self._host.sent_away():
@@ -401,8 +456,9 @@
                 self.swim.tell(Notice(BAN, backend, order.on, order.at), now)
 
     async def held(self) -> tuple[int, int] | None:
-        """How many proxies hold the orders that this one holds, of how many, as far as it is known within a moment; None where
-        it is in no group."""
+        """How many proxies hold the orders that this one holds, of how many, as far as it is known within a
+        moment; None where it is in no group.
+        """
         if self.swim is None or self._socket is None:
             return None
         self.spread(clock.now())
@@ -419,10 +475,16 @@
         if self.swim is None:
             return None
         now = clock.now()
-        return {"reach": self.swim.reach(now)._asdict(), "sharers": self.sharers, "told": self._ground.group_size,
-                "doubt": self.swim.health.score, "counts": dict(self.swim.counts), "unsent": self._unsent,
-                "orders": [[one.kind, one.key, one.on, one.at] for one in self.swim.notices],
-                "members": self.swim.rows(now)}
+        return {
+            "reach": self.swim.reach(now)._asdict(),
+            "sharers": self.sharers,
+            "told": self._ground.group_size,
+            "doubt": self.swim.health.score,
+            "counts": dict(self.swim.counts),
+            "unsent": self._unsent,
+            "orders": [[one.kind, one.key, one.on, one.at] for one in self.swim.notices],
+            "members": self.swim.rows(now),
+        }
 
     def forget(self, name: str) -> bool:
         return self.swim is not None and self.swim.roll.forget(name)
@@ -433,5 +495,3 @@
     if length > most:
         raise ValueError("a part that is none")
     return await reader.readexactly(length)
-
-
--- a/pepperusher/rehearsal/director.py
+++ b/pepperusher/rehearsal/director.py
@@ -29,7 +29,7 @@
 
 # Struck here, and not by the fleet itself.
 BY_DIRECTOR = OF_LINKS | {"proxy-kill", "proxy-term", "proxy-hup", "proxy-stop", "proxy-starve", "proxy-twin",
-                          "proxy-hand", "discovery-moved", "pause-generator"}
+                          "proxy-hand", "disk-full", "disk-gone", "disk-old", "discovery-moved", "pause-generator"}
 # From all being ready to the first ticket.
 LEAD = 400_000
 # A backend's own proxy is started so long before it, and is ready when it is.
@@ -168,6 +168,9 @@
 
     def begin(self) -> None:
         self._start.at = clock() + LEAD
+        if any(strike.what == "disk-old" for strike in self._line.strikes):
+            for runner in self._runners:
+                runner.keep_disk()
         self.listing.begin()
         for worker in [*self._fleet, *self._load]:
             worker.tell(start=self._start.at)
@@ -235,6 +238,16 @@
                 await self._runners[number].starved(strike.by, strike.until)
             elif strike.what == "proxy-stop":
                 await self._stop_for(number, strike.until)
+            elif strike.what == "disk-full":
+                self._runners[number].full_disk(True)
+                await self._until(strike.until)
+                self._runners[number].full_disk(False)
+            elif strike.what == "disk-gone":
+                self._runners[number].take_disk(True)
+                await self._until(strike.until)
+                self._runners[number].take_disk(False)
+            elif strike.what == "disk-old":
+                await self._old_disk(number)
             elif strike.what == "proxy-hand":
                 await self._by_hand(number, strike.until)
             elif strike.what == "proxy-twin":
@@ -275,6 +288,13 @@
             self._admitted.add(number)
             self._admit()
 
+    async def _old_disk(self, number: int) -> None:
+        """It is killed, and started with its disk as that was when the load began."""
+        runner = self._runners[number]
+        await runner.kill()
+        runner.old_disk()
+        await self._again(runner)
+
     async def _by_hand(self, number: int, until: int) -> None:
         """Staff send its clients away at its console, and let them come again."""
         await self._runners[number].call("POST", "/-/drain")
--- a/pepperusher/rehearsal/groupfigures.py
+++ b/pepperusher/rehearsal/groupfigures.py
@@ -1,5 +1,6 @@
-"""Figures of a group in virtual time, by size, loss and starvation. Simulated: the members are the program's own, the network is
-the model's. `pepperusher group-figures` prints them."""
+"""Figures of a group in virtual time, by size, loss and starvation. Simulated: the members are the program's
+own, the network is the model's. `pepperusher group-figures` prints them.
+"""
 
 from __future__ import annotations
 
@@ -16,9 +17,10 @@
 
 
 class Row(NamedTuple):
-    """Times in seconds: from a kill to the first and to all who find it lost (median and most over the plays), until news are
-    with 99% and all; members wrongly lost and wrong suspicions an hour of the whole group; bytes and processor time (us) of
-    one member a second."""
+    """Times in seconds: from a kill to the first and to all who find it lost (median and most over the
+    plays), until news are with 99% and all; members wrongly lost and wrong suspicions an hour of the whole
+    group; bytes and processor time (us) of one member a second.
+    """
 
     what: str
     first: float
@@ -32,14 +34,19 @@
     cpu: float
 
 
-def play(what: str, size: int, seed: int, manner: Manner, starved: int = 0, duty: float = 1.0,
-         span: int = SPAN) -> tuple[float, float, float, float, int, int, float, float]:
+def play(
+    what: str, size: int, seed: int, manner: Manner, starved: int = 0, duty: float = 1.0, span: int = SPAN
+) -> tuple[float, float, float, float, int, int, float, float]:
     """One group that meets, runs for a while, is told something, and loses a member."""
     model = Model(seed, manner=manner)
     model.turn = SECOND
     for number in range(size):
         model.add(f"m{number}", told=size)
-    met = model.run(120 * SECOND, lambda: all(len(one.swim.roll) == size - 1 for one in model.ones.values()), every=100_000)
+    met = model.run(
+        120 * SECOND,
+        lambda: all(len(one.swim.roll) == size - 1 for one in model.ones.values()),
+        every=100_000,
+    )
     assert met, f"{what}: a group of {size} did not meet"
     model.run(10 * SECOND)
     for number in range(starved):
@@ -67,27 +74,54 @@
     at = model.now
 
     def found() -> int:
-        return sum((known := one.swim.roll.get("m0")) is not None and known.health == LOST
-                   for name, one in model.ones.items() if name != "m0")
+        return sum(
+            (known := one.swim.roll.get("m0")) is not None and known.health == LOST
+            for name, one in model.ones.items()
+            if name != "m0"
+        )
 
     model.run(KILLED_WITHIN, lambda: found() > 0, every=10_000)
     first = model.now - at
     model.run(KILLED_WITHIN, lambda: found() == size - 1, every=10_000)
     lost = model.now - at
-    return (first / SECOND, lost / SECOND, news_99 / SECOND, news_all / SECOND,
-            round(sum(line.change.what == "lost" for line in wrong) / hours),
-            round(sum(line.change.what == "suspected" for line in wrong) / hours), rate,
-            taken * SECOND / size / (span / SECOND))
-
-
-def row(what: str, size: int, plays: int, manner: Manner = Manner(), starved: int = 0, duty: float = 1.0, span: int = SPAN) -> Row:
+    return (
+        first / SECOND,
+        lost / SECOND,
+        news_99 / SECOND,
+        news_all / SECOND,
+        round(sum(line.change.what == "lost" for line in wrong) / hours),
+        round(sum(line.change.what == "suspected" for line in wrong) / hours),
+        rate,
+        taken * SECOND / size / (span / SECOND),
+    )
+
+
+def row(
+    what: str,
+    size: int,
+    plays: int,
+    manner: Manner = Manner(),
+    starved: int = 0,
+    duty: float = 1.0,
+    span: int = SPAN,
+) -> Row:
     made = [play(what, size, seed, manner, starved, duty, span) for seed in range(plays)]
 
     def middle(place: int) -> float:
         return sorted(one[place] for one in made)[len(made) // 2]
 
-    return Row(what, middle(0), middle(1), max(one[1] for one in made), middle(2), max(one[3] for one in made),
-               sum(one[4] for one in made) / plays, sum(one[5] for one in made) / plays, middle(6), middle(7))
+    return Row(
+        what,
+        middle(0),
+        middle(1),
+        max(one[1] for one in made),
+        middle(2),
+        max(one[3] for one in made),
+        sum(one[4] for one in made) / plays,
+        sum(one[5] for one in made) / plays,
+        middle(6),
+        middle(7),
+    )
 
 
 def rows(sizes: list[int], plays: int, say: Callable[[str], None]) -> Iterator[Row]:
@@ -99,14 +133,22 @@
         yield row(f"40, {lost:.0%} lost", 40, plays, Manner(lost=lost), span=60 * SECOND)
     say("losses are played")
     for starved in (1, 4, 10):
-        yield row(f"40, {starved} with 5% of a processor", 40, plays, starved=starved, duty=0.05, span=60 * SECOND)
-    yield row("40, 4 with 5% and 10% lost", 40, plays, Manner(lost=0.1), starved=4, duty=0.05, span=60 * SECOND)
+        yield row(
+            f"40, {starved} with 5% of a processor", 40, plays, starved=starved, duty=0.05, span=60 * SECOND
+        )
+    yield row(
+        "40, 4 with 5% and 10% lost", 40, plays, Manner(lost=0.1), starved=4, duty=0.05, span=60 * SECOND
+    )
 
 
 def table(made: list[Row]) -> str:
-    lines = ["| members | first, lost | all, lost (most) | news to 99%, all | wrongly lost, suspected an hour | bytes/s | CPU us/s |",
-             "| --- | --- | --- | --- | --- | --- | --- |"]
+    lines = [
+        "| members | first, lost | all, lost (most) | news to 99%, all | wrongly lost, suspected an hour | bytes/s | CPU us/s |",
+        "| --- | --- | --- | --- | --- | --- | --- |",
+    ]
     for one in made:
-        lines.append(f"| {one.what} | {one.first:.1f} s | {one.lost:.1f} s ({one.lost_most:.1f}) | {one.news_99:.2f}, {one.news_all:.2f} s"
-                     f" | {one.wrong_lost:.0f}, {one.wrong:.0f} | {one.bytes:.0f} | {one.cpu:.0f} |")
+        lines.append(
+            f"| {one.what} | {one.first:.1f} s | {one.lost:.1f} s ({one.lost_most:.1f}) | {one.news_99:.2f}, {one.news_all:.2f} s"
+            f" | {one.wrong_lost:.0f}, {one.wrong:.0f} | {one.bytes:.0f} | {one.cpu:.0f} |"
+        )
     return "\n".join(lines)
--- a/pepperusher/rehearsal/grouping.py
+++ b/pepperusher/rehearsal/grouping.py
@@ -1,4 +1,6 @@
-"""The proxies of a rehearsal as one group: their own files, the links between them, and what each says that it finds."""
+"""The proxies of a rehearsal as one group: their own files, the links between them, and what each says that
+it finds.
+"""
 
 from __future__ import annotations
 
@@ -16,20 +18,31 @@
 from pepperusher.rehearsal.wire import clock
 
 KEY = "of this rehearsal alone"
-TWINS = 200   # hosts of second processes under one name come after those of all proxies
+TWINS = 200  # hosts of second processes under one name come after those of all proxies
 SECOND = 1_000_000
 IN, SAYS = "in the group", "group: "
 
 
 def manner_of(link: Link) -> Manner:
-    return Manner(link.lost, link.twice, link.damaged, link.delay / SECOND, link.jitter / SECOND, link.size, link.rate)
+    return Manner(
+        link.lost, link.twice, link.damaged, link.delay / SECOND, link.jitter / SECOND, link.size, link.rate
+    )
 
 
 def twin_of(gate: Gate, net: int) -> Gate:
     """Another place for a second process under the same name."""
     number = TWINS + gate.number
-    return Gate(gate.number, gate.name, gate.tier, gate.zone, gate.ordinal, gate.group,
-                (f"127.{net}.{2 + number // 250}.{1 + number % 250}", gate.address[1]), gate.discovery, gate.of)
+    return Gate(
+        gate.number,
+        gate.name,
+        gate.tier,
+        gate.zone,
+        gate.ordinal,
+        gate.group,
+        (f"127.{net}.{2 + number // 250}.{1 + number % 250}", gate.address[1]),
+        gate.discovery,
+        gate.of,
+    )
 
 
 class Grouping:
@@ -44,7 +57,7 @@
         self._base = base
         self._net = net
         self.links = Links(f"127.{net}.0.2", Random(f"{script.seed}:links"))
-        self._on: dict[int, Strike] = {}   # faults of links that are on, by their number; emptied as they end
+        self._on: dict[int, Strike] = {}  # faults of links that are on, by their number; emptied as they end
 
     async def open(self) -> None:
         """Before any process is started: each is told of the others by addresses that stand here."""
@@ -65,13 +78,16 @@
     def control(self, seat: str) -> Path:
         return self._work / f"{seat}.ctl"
 
-    def write_own(self, gate: Gate, seat: str) -> Path:
+    def write_own(self, gate: Gate, seat: str, folder: Path) -> Path:
         others = [one.name for one in self._gates if one is not gate][: self._said.seeds]
         host, port = self.links.address(seat)
         seeds = ", ".join(f'"{at[0]}:{at[1]}"' for at in map(self.links.address, others))
-        text = (f'{self._base}\n[group]\nlisten = "{gate.address[0]}:0"\nadvertise = "{host}:{port}"\nseeds = [{seeds}]\n'
-                f'key = "{KEY}"\nperiod = "{self._said.period}us"\nwithin = "{self._said.within}us"\n'
-                f'[control]\nsocket = "{self.control(seat)}"\n[said]\nform = "json"\n')
+        base = self._base.replace("HERE", str(folder))
+        text = (
+            f'{base}\n[group]\nlisten = "{gate.address[0]}:0"\nadvertise = "{host}:{port}"\nseeds = [{seeds}]\n'
+            f'key = "{KEY}"\nperiod = "{self._said.period}us"\nwithin = "{self._said.within}us"\n'
+            f'[control]\nsocket = "{self.control(seat)}"\n[said]\nform = "json"\n'
+        )
         path = self._work / f"{seat}.toml"
         path.write_text(text)
         return path
@@ -87,8 +103,13 @@
             return None
         said = float(line.get("time", time.time()))
         ago = max(0, round((time.time() - said) * SECOND))
-        return Believed(gate.number, clock() - ago - start, event.removeprefix(SAYS), str(line.get("of", "")),
-                        str(line.get("by", "")))
+        return Believed(
+            gate.number,
+            clock() - ago - start,
+            event.removeprefix(SAYS),
+            str(line.get("of", "")),
+            str(line.get("by", "")),
+        )
 
     # --- links --------------------------------------------------------------------------------------
 
--- a/pepperusher/rehearsal/groupmodel.py
+++ b/pepperusher/rehearsal/groupmodel.py
@@ -1,7 +1,8 @@
-"""A group in virtual time: the very members of `group/swim.py` with a network of ours between them, all from one seed.
+"""A group in virtual time: the very members of `group/swim.py` with a network of ours between them, all from
+one seed.
 
-For what takes hundreds of members or thousands of histories. What several processes do to each other on a machine is
-played by `grounds.py` with whole ones; figures from here are called simulated.
+For what takes hundreds of members or thousands of histories. What several processes do to each other on a
+machine is played by `grounds.py` with whole ones; figures from here are called simulated.
 """
 
 from __future__ import annotations
@@ -43,10 +44,10 @@
     def __init__(self, swim: Swim) -> None:
         self.swim = swim
         self.up = True
-        self.stopped_until: int | None = None   # stands still: what comes waits, as in a socket's buffer
-        self.waiting: list[bytes] = []          # at most BUFFERED; emptied when it goes on
-        self.duty = 1.0                         # the part of its time in which it has its processor
-        self.turn_of = 0                        # where its turns begin, if it has only a part
+        self.stopped_until: int | None = None  # stands still: what comes waits, as in a socket's buffer
+        self.waiting: list[bytes] = []  # at most BUFFERED; emptied when it goes on
+        self.duty = 1.0  # the part of its time in which it has its processor
+        self.turn_of = 0  # where its turns begin, if it has only a part
         self.sent = self.sent_bytes = 0
 
 
@@ -56,7 +57,9 @@
 
 
 class Model:
-    def __init__(self, seed: int, period: int = 200_000, within: int = 60_000, manner: Manner = Manner()) -> None:
+    def __init__(
+        self, seed: int, period: int = 200_000, within: int = 60_000, manner: Manner = Manner()
+    ) -> None:
         self.chance = Random(seed)
         self.now = 1_700_000_000 * SECOND
         self.manner = manner
@@ -64,7 +67,8 @@
         self.ones: dict[str, One] = {}
         self.book: list[Told] = []
         self.wire = Wire("the model's")
-        self.cut: Callable[[str, str], bool] = lambda _, __: False   # whether nothing passes from one to the other
+        # Whether nothing passes from one to the other.
+        self.cut: Callable[[str, str], bool] = lambda _, __: False
         self.manners: dict[tuple[str, str], Manner] = {}
         self.turn = TURN
         self._heap: list[tuple[int, int, str, Any]] = []
@@ -75,16 +79,35 @@
     def address(self, name: str) -> tuple[str, int]:
         return self.ones[name].swim.me.address
 
-    def add(self, name: str, seeds: int = 2, told: int = 0, tier: int = 0, place: int | None = None,
-            behind: int = 0, address: tuple[str, int] | None = None) -> One:
-        """A member that starts now; again under a name that was there, it has lost all that it knew. `behind` is how far its
-        clock is set back."""
+    def add(
+        self,
+        name: str,
+        seeds: int = 2,
+        told: int = 0,
+        tier: int = 0,
+        place: int | None = None,
+        behind: int = 0,
+        address: tuple[str, int] | None = None,
+    ) -> One:
+        """A member that starts now; again under a name that was there, it has lost all that it knew. `behind`
+        is how far its clock is set back.
+        """
         old = self.ones.get(name)
         if address is None:
             address = old.swim.me.address if old is not None else ("m", next(self._ports))
         others = [one.swim.me.address for one in self.ones.values() if one is not old]
-        me = Said(name, address[0], address[1], self.now - behind, self.chance.getrandbits(62), 0, SERVING, False, tier,
-                  len(self.ones) if place is None else place)
+        me = Said(
+            name,
+            address[0],
+            address[1],
+            self.now - behind,
+            self.chance.getrandbits(62),
+            0,
+            SERVING,
+            False,
+            tier,
+            len(self.ones) if place is None else place,
+        )
         terms = Terms(self.period, self.within, tuple(others[:seeds]), told, 60 * SECOND)
         one = One(Swim(me, terms, self.wire, Random(self.chance.getrandbits(32)), self.now))
         self.ones[name] = one
@@ -181,8 +204,11 @@
         manner = self.manners.get((name, to), self.manner)
         for _ in range(2 if self.chance.random() < manner.twice else 1):
             if self.chance.random() >= manner.lost:
-                self._push(self.now + manner.delay + self.chance.randrange(manner.jitter + 1), "come",
-                           (to, self.ones[to], data))
+                self._push(
+                    self.now + manner.delay + self.chance.randrange(manner.jitter + 1),
+                    "come",
+                    (to, self.ones[to], data),
+                )
 
     def _stream(self, name: str, one: One, address: tuple[str, int]) -> None:
         to = self._at.get(address)
--- a/pepperusher/rehearsal/links.py
+++ b/pepperusher/rehearsal/links.py
@@ -1,8 +1,8 @@
 """Links of our own between proxies, in user space: what passes between each two, one way and the other.
 
-Each proxy is told to others by the address of its front here, so that all for it comes by; who sent it is known by where it
-came from. Datagrams and streams: cut, cut one way, lost, late, out of order, doubled, damaged, cut to a size, slow. No proxy
-knows of any of it.
+Each proxy is told to others by the address of its front here, so that all for it comes by; who sent it is
+known by where it came from. Datagrams and streams: cut, cut one way, lost, late, out of order, doubled,
+damaged, cut to a size, slow. No proxy knows of any of it.
 """
 
 from __future__ import annotations
@@ -21,8 +21,10 @@
 
 
 class Manner(NamedTuple):
-    """What befalls what one sends another. Shares from 0 to 1, times in seconds, `rate` in bytes a second (0: no bound);
-    `size` is what a datagram is cut to (0: none is). With a jitter over the time between two they change order."""
+    """What befalls what one sends another. Shares from 0 to 1, times in seconds, `rate` in bytes a second (0:
+    no bound); `size` is what a datagram is cut to (0: none is). With a jitter over the time between two they
+    change order.
+    """
 
     lost: float = 0.0
     twice: float = 0.0
@@ -54,18 +56,20 @@
         self._host = host
         self._chance = chance
         self._fronts: dict[str, Front] = {}
-        self._of_host: dict[str, str] = {}   # by a proxy's own host, its name
+        self._of_host: dict[str, str] = {}  # by a proxy's own host, its name
         self._cut: set[tuple[str, str]] = set()
         self._manners: dict[tuple[str, str], Manner] = {}
-        self._free: dict[tuple[str, str], float] = {}   # when a slow link has sent what it holds back
-        self._tasks: set[asyncio.Task[None]] = set()    # of streams; emptied as they end
+        self._free: dict[tuple[str, str], float] = {}  # when a slow link has sent what it holds back
+        self._tasks: set[asyncio.Task[None]] = set()  # of streams; emptied as they end
         self._late: set[asyncio.TimerHandle] = set()
         self.counts: dict[str, int] = {"passed": 0, "cut": 0, "lost": 0, "doubled": 0, "damaged": 0}
 
     async def open(self, name: str) -> tuple[str, int]:
         """The address to be told of it; of the same number for datagrams and streams."""
         while True:
-            server = await asyncio.start_server(lambda reader, writer: self._accepted(name, reader, writer), self._host, 0)
+            server = await asyncio.start_server(
+                lambda reader, writer: self._accepted(name, reader, writer), self._host, 0
+            )
             port = server.sockets[0].getsockname()[1]
             sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
             try:
@@ -109,7 +113,7 @@
         """Nothing passes between members of different sides; whoever is on no side reaches all."""
         held = [set(side) for side in sides]
         for number, side in enumerate(held):
-            for other in held[number + 1:]:
+            for other in held[number + 1 :]:
                 self.cut(side, other)
                 self.cut(other, side)
 
@@ -153,9 +157,13 @@
         if manner.damaged and chance() < manner.damaged:
             self.counts["damaged"] += 1
             at = self._chance.randrange(len(data) or 1)
-            data = data[:at] + bytes([data[at] ^ 1 << self._chance.randrange(8)]) + data[at + 1:] if data else data
+            data = (
+                data[:at] + bytes([data[at] ^ 1 << self._chance.randrange(8)]) + data[at + 1 :]
+                if data
+                else data
+            )
         if manner.size:
-            data = data[:manner.size]
+            data = data[: manner.size]
         copies = 2 if manner.twice and chance() < manner.twice else 1
         self.counts["doubled"] += copies - 1
         for _ in range(copies):
@@ -205,7 +213,9 @@
                 return
             await self._open_way(sender, name)
             back, onward = await asyncio.open_connection(*front.stands)
-            await asyncio.gather(self._pump(sender, name, reader, onward), self._pump(name, sender, back, writer))
+            await asyncio.gather(
+                self._pump(sender, name, reader, onward), self._pump(name, sender, back, writer)
+            )
         except (OSError, asyncio.CancelledError):
             pass
         finally:
@@ -215,11 +225,15 @@
                 onward.transport.abort()
 
     async def _open_way(self, sender: str, receiver: str) -> None:
-        """A cut is silence, and no end of a connection: what is written waits, as in a kernel that sends again."""
+        """A cut is silence, and no end of a connection: what is written waits, as in a kernel that sends
+        again.
+        """
         while (sender, receiver) in self._cut:
             await asyncio.sleep(LOOK_EVERY)
 
-    async def _pump(self, sender: str, receiver: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _pump(
+        self, sender: str, receiver: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
         while data := await reader.read(LONGEST):
             await self._open_way(sender, receiver)
             manner = self._manners.get((sender, receiver), PLAIN)
--- a/pepperusher/rehearsal/proxies.py
+++ b/pepperusher/rehearsal/proxies.py
@@ -6,6 +6,8 @@
 import json
 import os
 import re
+import resource
+import shutil
 import signal
 import sys
 from collections.abc import Awaitable, Callable
@@ -163,16 +165,18 @@
         self._stays += 1
         flags = ["-O"] if self._script.proxies.optimised else []
         own = self._script.proxies.own
-        more = ["--own", str(Path(self._script.folder) / own)] if own and self.gate.tier == 0 else []
+        more = []
+        if own and self.gate.tier == 0:
+            text = (Path(self._script.folder) / own).read_text()
+            mine = self._work / f"{self.seat}.toml"
+            mine.write_text(text.replace("HERE", str(self.folder())))
+            more = ["--own", str(mine)]
         seen = environment(self._build)
         if self._grouping is not None:
-            more = ["--own", str(self._grouping.write_own(self.gate, self.seat))]
+            more = ["--own", str(self._grouping.write_own(self.gate, self.seat, self.folder()))]
         if self._script.proxies.console or self._grouping is not None:
             more += ["--console", f"{self.gate.address[0]}:{CONSOLE_PORT}"]
-            # What lasts of its seat, for one process in place of another.
-            lasting = self._work / f"{self.seat}.tmp"
-            lasting.mkdir(exist_ok=True)
-            seen["TMPDIR"] = str(lasting)
+            seen["TMPDIR"] = str(self.folder())
         self._times = {"started": self._now()}
         self._process = process = await asyncio.create_subprocess_exec(
             python_of(self._build),
@@ -305,6 +309,38 @@
             await asyncio.sleep(part * STARVED_TURN)
             await self.stopped(lambda: asyncio.sleep((1 - part) * STARVED_TURN))
 
+    # --- its disk --------------------------------------------------------------------------------------
+
+    def folder(self) -> Path:
+        """What lasts of its seat, for one process in place of another and for a store."""
+        lasting = self._work / f"{self.seat}.disk"
+        lasting.mkdir(exist_ok=True)
+        return lasting
+
+    def full_disk(self, on: bool) -> None:
+        """No file of its process may grow: writes fail as on a full disk, with another number (EFBIG). Its log is a pipe."""
+        if self.pid is not None:
+            most = 0 if on else resource.RLIM_INFINITY
+            resource.prlimit(self.pid, resource.RLIMIT_FSIZE, (most, resource.RLIM_INFINITY))
+
+    def take_disk(self, away: bool) -> None:
+        """Its folder is away, or back as it was; whatever was made in its place meanwhile goes."""
+        here, aside = self.folder(), self._work / f"{self.seat}.aside"
+        if away:
+            here.rename(aside)
+        else:
+            shutil.rmtree(here, ignore_errors=True)
+            aside.rename(here)
+
+    def keep_disk(self) -> None:
+        """As it is now, for `old_disk`."""
+        shutil.copytree(self.folder(), self._work / f"{self.seat}.old", dirs_exist_ok=True)
+
+    def old_disk(self) -> None:
+        """Put back as it was kept: for a process that has ended, as from a backup of an hour before."""
+        shutil.rmtree(self.folder(), ignore_errors=True)
+        shutil.copytree(self._work / f"{self.seat}.old", self.folder(), dirs_exist_ok=True)
+
     def _last_line(self) -> str:
         lines = (self._work / f"{self.seat}.log").read_text(errors="replace").strip().splitlines()
         return lines[-1] if lines else "it said nothing"
--- a/pepperusher/rehearsal/script.py
+++ b/pepperusher/rehearsal/script.py
@@ -188,8 +188,8 @@
 
 
 class Proxies(Table, kw_only=True):
-    """How the real `serve` processes are run. `own` is an own file for those of the first tier, beside the script; `console`
-    whether operators can call each, as they can where there is a group."""
+    """How the real `serve` processes are run. `own` is an own file for those of the first tier, beside the script, and HERE in
+    it the folder that a proxy's seat keeps; `console` whether operators can call each, as they can where there is a group."""
 
     group: Grouped | None = None
     console: bool = False
@@ -220,6 +220,9 @@
     "proxy-starve",
     "proxy-twin",
     "proxy-hand",
+    "disk-full",
+    "disk-gone",
+    "disk-old",
     "link-part",
     "link-cut",
     "link-bad",
@@ -249,7 +252,7 @@
     )
 )
 OF_PROXIES = frozenset(("proxy-term", "proxy-kill", "proxy-hup", "proxy-stop", "proxy-starve", "proxy-twin",
-                        "proxy-hand"))
+                        "proxy-hand", "disk-full", "disk-gone", "disk-old"))
 OF_LINKS = frozenset(("link-part", "link-cut", "link-bad"))
 
 
@@ -578,7 +581,7 @@
         )
         _need(fault.what != "slow" or (fault.by or 2) >= 1, f"{key}.by", "is under 1, which is no slowing")
         lasts = OF_BACKENDS - {"kill", "restart", "drain", "new-ids"} | {"discovery-down", "discovery-late"}
-        lasts |= {"proxy-stop", "proxy-starve", "proxy-twin", "proxy-hand"} | OF_LINKS
+        lasts |= {"proxy-stop", "proxy-starve", "proxy-twin", "proxy-hand", "disk-full", "disk-gone"} | OF_LINKS
         _check_group_fault(script, fault, key)
         _need(fault.what not in lasts or fault.span > 0, f"{key}.span", "missing: it lasts for a while")
         _need(not fault.flap or fault.what in lasts, f"{key}.flap", f"{fault.what} cannot flap")
--- a/pepperusher/rehearsal/troubles.py
+++ b/pepperusher/rehearsal/troubles.py
@@ -153,11 +153,13 @@
             goes = at + (fault.span or DRAINED_FOR)
             yield Strike(at, goes, "drain", (target,), 1.0, None)
             yield Strike(goes, goes + (fault.back or AWAY_FOR), "stop", (target,), by, None)
-    elif fault.what in ("proxy-stop", "proxy-starve", "proxy-twin", "proxy-hand"):
+    elif fault.what in ("proxy-stop", "proxy-starve", "proxy-twin", "proxy-hand", "disk-full", "disk-gone"):
         # One after another where the script has them apart.
         for turn, target in enumerate(targets):
             at = fault.at + turn * fault.apart
             yield Strike(at, at + fault.span, fault.what, (target,), by, None)
+    elif fault.what == "disk-old":
+        yield Strike(fault.at, fault.at, fault.what, targets, by, None)
     elif fault.what in ("kill", "proxy-kill", "proxy-term"):
         for turn, target in enumerate(targets):
             at = fault.at + turn * fault.apart
--- a/tests/group_scene.py
+++ b/tests/group_scene.py
@@ -22,17 +22,22 @@
 
 
 class Play(unittest.IsolatedAsyncioTestCase):
-    """`stand` starts all; faults are struck by the test itself, which waits for what it sees and for no time; `over` waits for
-    the end of the load and checks the books."""
+    """`stand` starts all; faults are struck by the test itself, which waits for what it sees and for no time;
+    `over` waits for the end of the load and checks the books.
+    """
 
-    async def stand(self, size: int, seconds: int, group: dict[str, Any] | None = None, **changes: Any) -> None:
-        asyncio.get_running_loop().set_debug(False)   # several times as slow, and all links pass through here
+    async def stand(
+        self, size: int, seconds: int, group: dict[str, Any] | None = None, **changes: Any
+    ) -> None:
+        asyncio.get_running_loop().set_debug(False)  # several times as slow, and all links pass through here
         span = f"{seconds}s"
         script = small(
             span=span,
             tiers=[{"name": "desk", "cell": 2, "proxies": size, "kinds": [{"name": "std", "count": 4}]}],
             proxies={"group": group or {}},
-            load={"phases": [{"span": span, "rate": 8 * size, "arrivals": "even"}], "notice": "200ms"}, **changes)
+            load={"phases": [{"span": span, "rate": 8 * size, "arrivals": "even"}], "notice": "200ms"},
+            **changes,
+        )
         stack, keeping = AsyncExitStack(), ExitStack()
         self.addCleanup(keeping.close)
         self.addAsyncCleanup(stack.aclose)
@@ -43,8 +48,12 @@
         stack.push_async_callback(self.director.end)
         await self.director.stand()
         self.names = [gate.name for gate in self.director.plan.gates]
-        await self.until(lambda views: all(len(view["members"]) == size and view["reach"]["word"] == "majority"
-                                           for view in views.values()))
+        await self.until(
+            lambda views: all(
+                len(view["members"]) == size and view["reach"]["word"] == "majority"
+                for view in views.values()
+            )
+        )
         self.director.begin()
 
     @property
@@ -57,12 +66,20 @@
 
     async def views(self, names: Iterable[str] | None = None) -> dict[str, dict[str, Any]]:
         """What `ctl members` says at each; of those whose process runs."""
-        wanted = [name for name in (self.names if names is None else names) if self.runner(name).pid is not None]
-        made = await asyncio.gather(*(self.runner(name).ask("members") for name in wanted), return_exceptions=True)
+        wanted = [
+            name for name in (self.names if names is None else names) if self.runner(name).pid is not None
+        ]
+        made = await asyncio.gather(
+            *(self.runner(name).ask("members") for name in wanted), return_exceptions=True
+        )
         return {name: view for name, view in zip(wanted, made) if isinstance(view, dict)}
 
-    async def until(self, true: Callable[[dict[str, dict[str, Any]]], bool], names: Iterable[str] | None = None,
-                    within: float = 60.0) -> dict[str, dict[str, Any]]:
+    async def until(
+        self,
+        true: Callable[[dict[str, dict[str, Any]]], bool],
+        names: Iterable[str] | None = None,
+        within: float = 60.0,
+    ) -> dict[str, dict[str, Any]]:
         """The views once something holds of them."""
         names = list(self.names if names is None else names)
         views: dict[str, dict[str, Any]] = {}
@@ -74,22 +91,36 @@
                         return views
                     await asyncio.sleep(LOOK)
         except TimeoutError:
-            self.fail("it never held: " + "; ".join(
-                f"{name} {view['reach']} {[(row['name'], row['is'], row['found']) for row in view['members'][1:]]}"
-                for name, view in views.items()))
+            self.fail(
+                "it never held: "
+                + "; ".join(
+                    f"{name} {view['reach']} {[(row['name'], row['is'], row['found']) for row in view['members'][1:]]}"
+                    for name, view in views.items()
+                )
+            )
 
     async def found(self, names: Iterable[str], of: Iterable[str], how: str) -> None:
         """Each of `names` finds each of `of` so."""
         of = set(of)
-        await self.until(lambda views: all(
-            {row["found"] for row in view["members"] if row["name"] in of and row["name"] != name} <= {how}
-            and of - {name} <= {row["name"] for row in view["members"]}
-            for name, view in views.items()), names)
+        await self.until(
+            lambda views: all(
+                {row["found"] for row in view["members"] if row["name"] in of and row["name"] != name}
+                <= {how}
+                and of - {name} <= {row["name"] for row in view["members"]}
+                for name, view in views.items()
+            ),
+            names,
+        )
 
     def said(self, what: str, by: str | None = None) -> list[tuple[str, str]]:
         """Who has said that of whom."""
-        return [(name, one.of) for name in self.names if by in (None, name)
-                for one in self.runner(name).believed if one.what == what]
+        return [
+            (name, one.of)
+            for name in self.names
+            if by in (None, name)
+            for one in self.runner(name).believed
+            if one.what == what
+        ]
 
     async def over(self) -> books.Records:
         """Plays on to the end of the load; tickets flowed through every proxy, and no rule is broken."""
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -1,4 +1,6 @@
-"""A group in virtual time: who is found how, in every order of arrival, and what no member may conclude from silence."""
+"""A group in virtual time: who is found how, in every order of arrival, and what no member may conclude from
+silence.
+"""
 
 from __future__ import annotations
 
@@ -14,23 +16,35 @@
 from pepperusher.group.roll import Roll
 from pepperusher.group.swim import Swim, Terms
 from pepperusher.group.wire import DATAGRAM, BadPacket, Wire
-from pepperusher.group.words import (
-    ALIVE, LEAVING, LEFT, LOST, SENT_AWAY, SERVING, TELL, Charge, Notice, Said)
+from pepperusher.group.words import ALIVE, LEAVING, LEFT, LOST, SENT_AWAY, SERVING, TELL, Charge, Notice, Said
 from pepperusher.rehearsal.groupmodel import SECOND, Manner, Model
 
 NOW = 1_700_000_000 * SECOND
 
 
-def said(name: str, number: int = 1, token: int = 1, turn: int = 0, phase: int = SERVING, doubled: bool = False,
-         place: int = 0) -> Said:
+def said(
+    name: str,
+    number: int = 1,
+    token: int = 1,
+    turn: int = 0,
+    phase: int = SERVING,
+    doubled: bool = False,
+    place: int = 0,
+) -> Said:
     return Said(name, "h", 1, number, token, turn, phase, doubled, 0, place)
 
 
 class Words(unittest.TestCase):
     def test_the_same_end_in_every_order_of_arrival(self) -> None:
         """Lives, turns, leavers, and charges between them: each word counts as much as it did said last."""
-        words = [said("a"), said("a", turn=1, phase=SENT_AWAY), said("a", turn=2), said("a", 2, 9, phase=LEFT),
-                 said("a", 2, 9, 1, LEFT), said("a", 2, 9, 1, LEFT)]
+        words = [
+            said("a"),
+            said("a", turn=1, phase=SENT_AWAY),
+            said("a", turn=2),
+            said("a", 2, 9, phase=LEFT),
+            said("a", 2, 9, 1, LEFT),
+            said("a", 2, 9, 1, LEFT),
+        ]
         charge = Charge("a", 1, 1, 2, "b")
         ends = set()
         for order in permutations([*words[1:5], charge]):
@@ -45,7 +59,10 @@
         self.assertEqual({(words[4], ALIVE)}, ends)
 
     def test_notices_come_together_and_on_wins_a_tie(self) -> None:
-        told = [Notice("ban", "x", on, NOW + at) for on, at in ((True, 1), (False, 2), (True, 3), (False, 3), (True, 2))]
+        told = [
+            Notice("ban", "x", on, NOW + at)
+            for on, at in ((True, 1), (False, 2), (True, 3), (False, 3), (True, 2))
+        ]
         ends = set()
         for order in permutations(told):
             notices = Notices(60 * SECOND)
@@ -82,18 +99,33 @@
 class Lists(unittest.TestCase):
     def test_what_all_have_as_ready_and_nothing_that_one_knows_to_drain(self) -> None:
         def listed(age: object, **states: str) -> dict[str, object]:
-            return {"age": age, "listed": {"version": 3, "servers": [{"id": name, "state": state} for name, state in states.items()]}}
+            return {
+                "age": age,
+                "listed": {
+                    "version": 3,
+                    "servers": [{"id": name, "state": state} for name, state in states.items()],
+                },
+            }
 
         def names(*lists: object) -> object:
-            found = lending.joined(lists)   # type: ignore[arg-type]
+            found = lending.joined(lists)  # type: ignore[arg-type]
             return found and (found[0], [one["id"] for one in found[1]["servers"]])
 
-        fresh, old = listed(5, a="ready", b="draining", d="ready"), listed(9, a="ready", b="ready", c="ready", d="ready")
+        fresh, old = listed(5, a="ready", b="draining", d="ready"), listed(
+            9, a="ready", b="ready", c="ready", d="ready"
+        )
         self.assertEqual((9, ["a", "d"]), names(fresh, old))
         self.assertEqual((5, ["a", "d"]), names(fresh, listed(lending.LONGEST_AGE + 1, a="ready")))
         self.assertIsNone(names(fresh, listed(7, c="ready")))
         self.assertIsNone(names())
-        self.assertIsNone(names({}, listed(None, a="ready"), listed(-1, a="ready"), {"age": 3, "listed": {"servers": [3, {"id": 4}]}}))
+        self.assertIsNone(
+            names(
+                {},
+                listed(None, a="ready"),
+                listed(-1, a="ready"),
+                {"age": 3, "listed": {"servers": [3, {"id": 4}]}},
+            )
+        )
 
 
 class Strangers(unittest.TestCase):
@@ -103,9 +135,21 @@
         good = wire.pack(TELL, 1, 0, word, "", 0, None, [word], [], [])
         self.assertEqual(said("a"), wire.unpack(good).said[0])
         chance = Random(5)
-        bad = [b"", b"pu", good[:-1], good + b"x", good[:10] + b"\0" + good[11:], other.pack(TELL, 1, 0, word, "", 0, None, [], [], []),
-               b"pu\2" + good[3:], good * 2, chance.randbytes(900)]
-        bad += [good[:at] + bytes([good[at] ^ 1 << chance.randrange(8)]) + good[at + 1:] for at in range(3, len(good))]
+        bad = [
+            b"",
+            b"pu",
+            good[:-1],
+            good + b"x",
+            good[:10] + b"\0" + good[11:],
+            other.pack(TELL, 1, 0, word, "", 0, None, [], [], []),
+            b"pu\2" + good[3:],
+            good * 2,
+            chance.randbytes(900),
+        ]
+        bad += [
+            good[:at] + bytes([good[at] ^ 1 << chance.randrange(8)]) + good[at + 1 :]
+            for at in range(3, len(good))
+        ]
         swim = Swim(said("me", token=7), Terms(200_000, 60_000, (), 1, SECOND), wire, Random(1), NOW)
         for data in bad:
             self.assertRaises(BadPacket, wire.unpack, data)
@@ -117,26 +161,33 @@
     def test_sound_bytes_that_are_no_packet_end_nothing(self) -> None:
         """From a release with a fault, which has the key: wrong types, times beyond all, names too long."""
         wire = Wire("the group's key here")
-        for part in (wire.part(said("a" * 101)), wire.part(said("a", number=2**62)), wire.part(said("a", phase=9)), b"\xc0", b"\x93\1\2\3"):
+        for part in (
+            wire.part(said("a" * 101)),
+            wire.part(said("a", number=2**62)),
+            wire.part(said("a", phase=9)),
+            b"\xc0",
+            b"\x93\1\2\3",
+        ):
             self.assertRaises(BadPacket, wire.unpack, wire.pack(TELL, 1, 0, part, "", 0, None, [], [], []))
 
     def test_a_later_release_s_words_are_read(self) -> None:
         """What it put at the end of a word is read over."""
         wire = Wire("the group's key here")
         longer = bytearray(wire.part(said("a")))
-        longer[0] += 1   # one more in the array
+        longer[0] += 1  # one more in the array
         packet = wire.unpack(wire.pack(TELL, 1, 0, bytes(longer) + b"\xc3", "", 0, None, [], [], []))
         self.assertEqual(said("a"), packet.sender)
 
     def test_what_was_recorded_and_sent_again_changes_nothing(self) -> None:
-        """Every datagram of a minute, among them a ban that was lifted and a member that left and came back, again and in
-        another order to all, and to one that starts anew and knows nothing."""
+        """Every datagram of a minute, among them a ban that was lifted and a member that left and came back,
+        again and in another order to all, and to one that starts anew and knows nothing.
+        """
         model = Model(3)
         for number in range(4):
             model.add(f"m{number}", told=4)
         kept: list[tuple[str, tuple[str, int], bytes]] = []
         sent = model.datagram
-        model.datagram = lambda *of: (kept.append(of), sent(*of))   # type: ignore[method-assign]
+        model.datagram = lambda *of: (kept.append(of), sent(*of))  # type: ignore[method-assign]
         model.run(2 * SECOND)
         one = model.ones["m1"].swim
         one.tell(Notice("ban", "x", True, model.now), model.now)
@@ -145,10 +196,10 @@
         model.ones["m2"].swim.say(LEFT, model.now)
         model.run(2 * SECOND)
         model.add("m2", told=4)
-        model.run(70 * SECOND)   # the lifted ban is forgotten by all
+        model.run(70 * SECOND)  # the lifted ban is forgotten by all
         self.assertEqual([0] * 4, [len(one.swim.notices) for one in model.ones.values()])
         model.add("m3", told=4)
-        model.datagram = sent   # type: ignore[method-assign]
+        model.datagram = sent  # type: ignore[method-assign]
         model.chance.shuffle(kept)
         for name, address, data in kept[:4_000]:
             model.datagram(name, address, data)
@@ -166,17 +217,32 @@
         for number in range(size):
             model.add(f"m{number}", told=size)
         if met:
-            self.assertTrue(model.run(20 * SECOND, lambda: all(len(one.swim.roll) == size - 1 for one in model.ones.values())))
+            self.assertTrue(
+                model.run(
+                    20 * SECOND, lambda: all(len(one.swim.roll) == size - 1 for one in model.ones.values())
+                )
+            )
             model.run(2 * SECOND)
         return model
 
-    def found(self, model: Model, name: str, health: int, by: Iterable[str] | None = None, within: float = 60.0) -> None:
+    def found(
+        self, model: Model, name: str, health: int, by: Iterable[str] | None = None, within: float = 60.0
+    ) -> None:
         by = [one for one in model.ones if one != name and model.ones[one].up] if by is None else list(by)
-        self.assertTrue(model.run(round(within * SECOND), lambda: all(model.finds(one).get(name, (9,))[0] == health for one in by)),
-                        [model.finds(one).get(name) for one in by])
+        self.assertTrue(
+            model.run(
+                round(within * SECOND),
+                lambda: all(model.finds(one).get(name, (9,))[0] == health for one in by),
+            ),
+            [model.finds(one).get(name) for one in by],
+        )
 
     def lost(self, model: Model, since: int = 0) -> list[tuple[str, str]]:
-        return [(line.by, line.change.name) for line in model.book if line.change.what == "lost" and line.at >= since]
+        return [
+            (line.by, line.change.name)
+            for line in model.book
+            if line.change.what == "lost" and line.at >= since
+        ]
 
     def test_one_killed_is_lost_to_all_and_comes_back_as_a_new_life(self) -> None:
         """Also without a disk, and with a clock that was set back by an hour."""
@@ -189,7 +255,8 @@
                 new = model.add("m3", told=8, behind=behind, place=3)
                 self.found(model, "m3", ALIVE, within=15)
                 model.run(2 * SECOND)
-                words = {model.ones[name].swim.roll.get("m3").said for name in model.ones if name != "m3"}   # type: ignore[union-attr]
+                # Type: ignore[union-attr].
+                words = {model.ones[name].swim.roll.get("m3").said for name in model.ones if name != "m3"}
                 self.assertEqual({new.swim.me}, words)
                 self.assertGreater(new.swim.me.life, old.life)
                 self.assertFalse(new.swim.me.doubled)
@@ -206,41 +273,67 @@
         self.assertEqual({7}, {one.swim.size() for name, one in model.ones.items() if name != "m3"})
 
     def test_halves_thirds_a_chain_and_one_alone_lose_each_other_and_come_together(self) -> None:
-        cuts = {"halves": lambda a, b: (a < 4) != (b < 4), "thirds": lambda a, b: a % 3 != b % 3,
-                "one alone": lambda a, b: 0 in (a, b)}
+        cuts = {
+            "halves": lambda a, b: (a < 4) != (b < 4),
+            "thirds": lambda a, b: a % 3 != b % 3,
+            "one alone": lambda a, b: 0 in (a, b),
+        }
         words = {"halves": {parts.PART}, "thirds": {parts.PART}, "one alone": {parts.NOBODY, parts.MAJORITY}}
         for what, cut in cuts.items():
             with self.subTest(what):
                 model = self.group(8)
-                model.cut = lambda a, b, cut=cut: cut(int(a[1:]), int(b[1:]))   # type: ignore[misc]
+                model.cut = lambda a, b, cut=cut: cut(int(a[1:]), int(b[1:]))  # type: ignore[misc]
                 model.run(40 * SECOND)
                 for name, one in model.ones.items():
                     silent = {other for other, (health, _) in model.finds(name).items() if health == LOST}
-                    self.assertEqual({other for other in model.ones if other != name and model.cut(name, other)}, silent)
+                    self.assertEqual(
+                        {other for other in model.ones if other != name and model.cut(name, other)}, silent
+                    )
                     self.assertEqual(8, one.swim.size())
                 self.assertEqual(words[what], {one.swim.reach(model.now).word for one in model.ones.values()})
                 model.cut = lambda _, __: False
-                self.assertTrue(model.run(30 * SECOND, lambda: model.all_know(
-                    list(model.ones), lambda swim, name: swim.roll.get(name).health == ALIVE)))   # type: ignore[union-attr]
+                self.assertTrue(
+                    model.run(
+                        30 * SECOND,
+                        lambda: model.all_know(
+                            # Type: ignore[union-attr].
+                            list(model.ones),
+                            lambda swim, name: swim.roll.get(name).health == ALIVE,
+                        ),
+                    )
+                )
                 model.run(5 * SECOND)
-                self.assertEqual({parts.MAJORITY}, {one.swim.reach(model.now).word for one in model.ones.values()})
+                self.assertEqual(
+                    {parts.MAJORITY}, {one.swim.reach(model.now).word for one in model.ones.values()}
+                )
 
     def test_a_chain_and_one_way_links_lose_nobody(self) -> None:
-        """Each hears its neighbours alone; or one is heard by all and hears through others. Someone is between."""
-        for what, cut in (("a chain", lambda a, b: abs(a - b) > 1), ("a third between two", lambda a, b: {a, b} == {0, 1}),
-                          ("one way", lambda a, b: b == 0 and a != 1)):
+        """Each hears its neighbours alone; or one is heard by all and hears through others. Someone is
+        between.
+        """
+        for what, cut in (
+            ("a chain", lambda a, b: abs(a - b) > 1),
+            ("a third between two", lambda a, b: {a, b} == {0, 1}),
+            ("one way", lambda a, b: b == 0 and a != 1),
+        ):
             with self.subTest(what):
                 model = self.group(5)
                 since = model.now
-                model.cut = lambda a, b, cut=cut: cut(int(a[1:]), int(b[1:]))   # type: ignore[misc]
+                model.cut = lambda a, b, cut=cut: cut(int(a[1:]), int(b[1:]))  # type: ignore[misc]
                 model.run(60 * SECOND)
-                lasting = [(by, name) for by in model.ones for name, (health, _) in model.finds(by).items() if health == LOST]
+                lasting = [
+                    (by, name)
+                    for by in model.ones
+                    for name, (health, _) in model.finds(by).items()
+                    if health == LOST
+                ]
                 if what == "a third between two":
                     self.assertEqual([], self.lost(model, since))
                 elif what == "one way":
                     self.assertEqual([], lasting)
-                # In a chain two that are three apart have nobody that reaches both: each finds the other lost, its word
-                # comes along the chain and takes that back, and so on. None of it changes a part.
+                # In a chain two that are three apart have nobody that reaches both: each finds the other
+                # lost, its word comes along the chain and takes that back, and so on. None of it changes a
+                # part.
                 self.assertEqual({5}, {one.swim.size() for one in model.ones.values()})
 
     def test_a_third_of_all_lost_doubled_and_out_of_order_loses_nobody(self) -> None:
@@ -251,7 +344,9 @@
         self.found(model, "m5", LOST, within=30)
 
     def test_one_that_stood_still_doubts_itself_before_it_charges_anybody(self) -> None:
-        """Stopped for 10 and 60 s and gone on. Without the look at its own clock its first turn charges whom it waited for."""
+        """Stopped for 10 and 60 s and gone on. Without the look at its own clock its first turn charges whom
+        it waited for.
+        """
         for span in (2, 10, 60):
             with self.subTest(span):
                 model = self.group(8)
@@ -264,7 +359,11 @@
                     self.assertEqual(parts.NOBODY, model.ones["m2"].swim.reach(model.now).word)
                 self.found(model, "m2", ALIVE, within=20)
                 model.run(20 * SECOND)
-                wrong = [line for line in model.book if line.at >= on and line.by == "m2" and line.change.figures.get("by") == "m2"]
+                wrong = [
+                    line
+                    for line in model.book
+                    if line.at >= on and line.by == "m2" and line.change.figures.get("by") == "m2"
+                ]
                 self.assertEqual([], wrong)
                 self.assertEqual([], [one for one in self.lost(model, on) if one[1] != "m2"])
 
@@ -273,17 +372,24 @@
         model.turn = SECOND
         model.starve("m2", duty)
         model.run(120 * SECOND)
-        return sum(line.change.what.startswith("suspected") and line.change.figures.get("by") == "m2" for line in model.book)
+        return sum(
+            line.change.what.startswith("suspected") and line.change.figures.get("by") == "m2"
+            for line in model.book
+        )
 
     def test_one_starved_of_its_processor_charges_few(self) -> None:
-        """Where packets are lost as well: what it waits for it has heard before its timers run, unless that was lost."""
+        """Where packets are lost as well: what it waits for it has heard before its timers run, unless that
+        was lost.
+        """
         kept = self.charged(0.05)
         with mock.patch.object(Swim, "_stood", lambda self, now: None):
             without = self.charged(0.05)
         self.assertLess(3 * kept, without)
 
     def test_one_that_charges_everyone_without_end_is_not_believed(self) -> None:
-        """It gets no answers, and all hear it. What it says starts no suspicion for long; nobody is lost by it."""
+        """It gets no answers, and all hear it. What it says starts no suspicion for long; nobody is lost by
+        it.
+        """
         model = self.group(8)
         since = model.now
         swim = model.ones["m2"].swim
@@ -293,8 +399,18 @@
                 swim._rumours.put(1, f"{charge.of} m2", model.wire.part(charge))
             model.run(100_000)
         self.assertEqual([], [pair for pair in self.lost(model, since) if pair[0] != "m2"])
-        late = [line for line in model.book if line.at >= since + 30 * SECOND and line.change.figures.get("by") == "m2" and line.by != "m2"]
-        early = [line for line in model.book if since <= line.at < since + 5 * SECOND and line.change.figures.get("by") == "m2" and line.by != "m2"]
+        late = [
+            line
+            for line in model.book
+            if line.at >= since + 30 * SECOND and line.change.figures.get("by") == "m2" and line.by != "m2"
+        ]
+        early = [
+            line
+            for line in model.book
+            if since <= line.at < since + 5 * SECOND
+            and line.change.figures.get("by") == "m2"
+            and line.by != "m2"
+        ]
         self.assertGreater(len(early), 7)
         self.assertLess(len(late) / 30, len(early) / 5 / 2)
 
@@ -308,8 +424,17 @@
         model._at[twin.swim.me.address] = "m2"
         model._at["m", 99] = "m2 again"
         self.assertTrue(model.run(10 * SECOND, lambda: twin.swim.me.doubled and other.swim.me.doubled))
-        self.assertTrue(model.run(5 * SECOND, lambda: all(
-            one.swim.roll.get("m2").said.doubled for name, one in model.ones.items() if not name.startswith("m2"))))   # type: ignore[union-attr]
+        self.assertTrue(
+            model.run(
+                5 * SECOND,
+                lambda: all(
+                    # Type: ignore[union-attr].
+                    one.swim.roll.get("m2").said.doubled
+                    for name, one in model.ones.items()
+                    if not name.startswith("m2")
+                ),
+            )
+        )
         other.swim.say(SENT_AWAY, model.now)
         model.run(5 * SECOND)
         for name in ("m0", "m5"):
@@ -324,11 +449,20 @@
         model.cut = lambda a, b: (a == "m7") != (b == "m7")
         model.run(20 * SECOND)
         model.ones["m1"].swim.tell(Notice("ban", "x", True, model.now), model.now)
-        self.assertTrue(model.run(SECOND, lambda: all(one.swim.notices.get("ban", "x") for name, one in model.ones.items() if name != "m7")))
+        self.assertTrue(
+            model.run(
+                SECOND,
+                lambda: all(
+                    one.swim.notices.get("ban", "x") for name, one in model.ones.items() if name != "m7"
+                ),
+            )
+        )
         model.run(30 * SECOND)
         model.cut = lambda _, __: False
         healed = model.now
-        self.assertTrue(model.run(10 * SECOND, lambda: model.ones["m7"].swim.notices.get("ban", "x") is not None))
+        self.assertTrue(
+            model.run(10 * SECOND, lambda: model.ones["m7"].swim.notices.get("ban", "x") is not None)
+        )
         self.assertLess(model.now - healed, 3 * SECOND)
 
 
@@ -336,7 +470,9 @@
     """Of how many one is one: the sum of all parts never passes the whole, whoever believes what."""
 
     def play(self, seed: int, returns: bool) -> tuple[Fraction, int]:
-        """The greatest sum over a random history of cuts, stops, deaths and leavers, and how often there was a cut."""
+        """The greatest sum over a random history of cuts, stops, deaths and leavers, and how often there was
+        a cut.
+        """
         chance = Random(seed)
         size = chance.randrange(3, 9)
         model = Model(seed, manner=Manner(lost=chance.choice((0.0, 0.1, 0.3))))
@@ -350,12 +486,16 @@
             one = model.ones[name]
             if what == 0:
                 sides = [chance.randrange(3) for _ in range(size)]
-                model.cut = lambda a, b, sides=sides: sides[int(a[1:])] != sides[int(b[1:])]   # type: ignore[misc]
+                # Type: ignore[misc].
+                model.cut = lambda a, b, sides=sides: sides[int(a[1:])] != sides[int(b[1:])]
                 cuts += 1
             elif what == 1:
                 model.cut = lambda _, __: False
             elif what == 2 and one.up:
-                one.swim.say(chance.choice((SENT_AWAY, LEAVING, LEFT)) if one.swim.me.phase != LEFT else LEFT, model.now)
+                one.swim.say(
+                    chance.choice((SENT_AWAY, LEAVING, LEFT)) if one.swim.me.phase != LEFT else LEFT,
+                    model.now,
+                )
             elif what == 3 and one.up:
                 model.stop(name, chance.randrange(1, 8) * SECOND)
             elif what == 4:
@@ -364,8 +504,14 @@
                 model.add(name, told=size, place=int(name[1:]))
             for _ in range(chance.randrange(1, 60)):
                 model.run(100_000)
-                total = sum((Fraction(1, one.swim.size()) for one in model.ones.values()
-                             if one.up and one.swim.me.phase not in (SENT_AWAY, LEFT)), Fraction(0))
+                total = sum(
+                    (
+                        Fraction(1, one.swim.size())
+                        for one in model.ones.values()
+                        if one.up and one.swim.me.phase not in (SENT_AWAY, LEFT)
+                    ),
+                    Fraction(0),
+                )
                 most = max(most, total)
         return most, cuts
 
@@ -379,6 +525,7 @@
 
     def test_it_would_be_passed_if_silence_freed_a_part(self) -> None:
         """The check can fail: by the silent counted as gone, as a group of the living alone would have it."""
+
         def living(told: int, me: Said, words: Iterable[Said]) -> int:
             return 1 + sum(one.health == ALIVE for one in swim_of[me.token].roll)
 
@@ -397,7 +544,9 @@
         me = said("me")
         gone = [said(f"old{place}", phase=LEFT, place=place) for place in range(1, 4)]
         self.assertEqual(1, parts.size(4, me, gone))
-        self.assertEqual(4, parts.size(4, me, [*gone, *(said(f"new{place}", place=place) for place in range(1, 4))]))
+        self.assertEqual(
+            4, parts.size(4, me, [*gone, *(said(f"new{place}", place=place) for place in range(1, 4))])
+        )
         self.assertEqual(3, parts.size(4, me, [*gone[:2], said("new1", place=1)]))
         # All told the same place: nothing is freed by any.
         self.assertEqual(4, parts.size(4, me, [said(f"x{number}", phase=LEFT) for number in range(3)]))
@@ -419,7 +568,7 @@
             longest = max(longest, len(data))
             sent(name, address, data)
 
-        model.datagram = kept   # type: ignore[method-assign]
+        model.datagram = kept  # type: ignore[method-assign]
         model.run(5 * SECOND)
         self.assertLessEqual(longest, DATAGRAM)
         before = [one.sent_bytes for one in model.ones.values()]
--- a/tests/test_group_processes.py
+++ b/tests/test_group_processes.py
@@ -1,5 +1,6 @@
-"""Eight processes of the program in one group, and what breaks between them. Each test waits for what the processes say that
-they see; tickets flow meanwhile, and the four rules are read from the books on both sides."""
+"""Eight processes of the program in one group, and what breaks between them. Each test waits for what the
+processes say that they see; tickets flow meanwhile, and the four rules are read from the books on both sides.
+"""
 
 from __future__ import annotations
 
@@ -22,13 +23,17 @@
 
 class Cut(Play):
     async def test_in_halves_with_a_ban_called_at_one_and_together_again(self) -> None:
-        """No part grows by silence, orders for all wait, and the ban holds wherever it can be told, the rest once they meet."""
+        """No part grows by silence, orders for all wait, and the ban holds wherever it can be told, the rest
+        once they meet.
+        """
         await self.stand(8, 14)
         first, second = self.names[:4], self.names[4:]
         self.links.part((first, second))
         await self.found(first, second, "lost")
         await self.found(second, first, "lost")
-        views = await self.until(lambda views: all(view["reach"]["word"] == "part" for view in views.values()))
+        views = await self.until(
+            lambda views: all(view["reach"]["word"] == "part" for view in views.values())
+        )
         self.assertEqual({8}, {view["sharers"] for view in views.values()})
         backend = self.director.plan.places[0].id_at(0)
         status, text = await self.runner("p1").call("POST", f"/-/backends/{backend}/disable")
@@ -37,10 +42,15 @@
         self.assertEqual([[]] * 4, [view["orders"] for view in (await self.views(second)).values()])
         self.links.heal()
         await self.found(self.names, self.names, "alive")
-        await self.until(lambda views: all(view["orders"] and view["reach"]["word"] == "majority" for view in views.values()))
+        await self.until(
+            lambda views: all(
+                view["orders"] and view["reach"]["word"] == "majority" for view in views.values()
+            )
+        )
         held_at = self.director._now()
         kept = await self.over()
-        # Whoever holds it sends no ticket there: told or not by discovery, which lists the backend as ready all along.
+        # Whoever holds it sends no ticket there: told or not by discovery, which lists the backend as ready
+        # all along.
         late = [one for one in kept.sent if one.id == backend and one.first > held_at + 500_000]
         self.assertEqual([], late)
         self.assertTrue([one for one in kept.sent if one.id == backend])
@@ -58,32 +68,45 @@
         self.links.part((names[:1], names[1:]))
         await self.found(names[1:], names[:1], "lost")
         await self.found(names[:1], names[1:], "lost")
-        views = await self.until(lambda views: views["p1"]["reach"]["word"] == "nobody"
-                                 and {view["reach"]["word"] for name, view in views.items() if name != "p1"} == {"majority"})
+        views = await self.until(
+            lambda views: views["p1"]["reach"]["word"] == "nobody"
+            and {view["reach"]["word"] for name, view in views.items() if name != "p1"} == {"majority"}
+        )
         self.assertEqual({8}, {view["sharers"] for view in views.values()})
         self.links.heal()
         await self.found(names, names, "alive")
         for number, one in enumerate(names):
             self.links.cut([one], [other for place, other in enumerate(names) if abs(place - number) > 2])
-        await asyncio.sleep(2.0)   # of play; nothing is waited for
+        await asyncio.sleep(2.0)  # of play; nothing is waited for
         self.links.heal()
         await self.found(names, names, "alive")
         self.assertEqual({8}, {view["sharers"] for view in (await self.views()).values()})
         await self.over()
 
     async def test_one_way_and_bad_links_lose_nobody_for_good(self) -> None:
-        """p1 hears nobody but p2, then three packets in ten are lost, others doubled, late, out of order or damaged. Whoever is
-        found lost on a busy machine answers that, and no part changes by it."""
+        """p1 hears nobody but p2, then three packets in ten are lost, others doubled, late, out of order or
+        damaged. Whoever is found lost on a busy machine answers that, and no part changes by it.
+        """
         await self.stand(8, 14)
         self.links.cut(self.names[2:], ["p1"])
         await self.until(lambda views: views["p1"]["counts"].get("probes without an answer", 0) > 2)
         await self.found(self.names[1:], self.names[1:], "alive")
         self.links.heal()
-        self.links.shape(Manner(lost=0.3, twice=0.1, damaged=0.02, delay=0.005, jitter=0.04), self.names, self.names)
-        await self.until(lambda views: sum(view["counts"].get("probes without an answer", 0) for view in views.values()) > 20
-                         and any("wrong checksum" in what for view in views.values() for what in view["counts"]))
-        views = await self.until(lambda views: all(row["found"] in ("itself", "alive", "suspected")
-                                                   for view in views.values() for row in view["members"]))
+        self.links.shape(
+            Manner(lost=0.3, twice=0.1, damaged=0.02, delay=0.005, jitter=0.04), self.names, self.names
+        )
+        await self.until(
+            lambda views: sum(view["counts"].get("probes without an answer", 0) for view in views.values())
+            > 20
+            and any("wrong checksum" in what for view in views.values() for what in view["counts"])
+        )
+        views = await self.until(
+            lambda views: all(
+                row["found"] in ("itself", "alive", "suspected")
+                for view in views.values()
+                for row in view["members"]
+            )
+        )
         self.assertEqual({8}, {view["sharers"] for view in views.values()})
         self.links.heal()
         await self.found(self.names, self.names, "alive")
@@ -94,7 +117,9 @@
     """From running, or from living."""
 
     async def test_stopped_for_long_and_gone_on(self) -> None:
-        """It is lost to all, says so of itself, charges nobody, and is found again. A moment's stop loses nobody."""
+        """It is lost to all, says so of itself, charges nobody, and is found again. A moment's stop loses
+        nobody.
+        """
         await self.stand(8, 14)
         others = [name for name in self.names if name != "p3"]
         p3 = self.runner("p3")
@@ -103,7 +128,7 @@
         async def lost() -> None:
             self.director._out(2)
             await self.found(others, ["p3"], "lost")
-            await asyncio.sleep(3.0)   # of standing still; what comes meanwhile waits in its socket
+            await asyncio.sleep(3.0)  # of standing still; what comes meanwhile waits in its socket
 
         await p3.stopped(lost)
         self.director._admitted.add(2)
@@ -146,8 +171,12 @@
         await self.found(self.names, self.names, "alive")
         views = await self.until(lambda views: all(view["orders"] for view in views.values()))
         for row in views["p1"]["members"]:
-            (self.assertGreater if row["name"] in killed else self.assertEqual)(row["life"], lives[row["name"]])
-        self.assertFalse(self.said("doubled: two processes live under one name, neither is believed of the other"))
+            (self.assertGreater if row["name"] in killed else self.assertEqual)(
+                row["life"], lives[row["name"]]
+            )
+        self.assertFalse(
+            self.said("doubled: two processes live under one name, neither is believed of the other")
+        )
         await self.over()
 
     async def test_all_killed_at_once_and_started_at_once(self) -> None:
@@ -169,7 +198,7 @@
         for number, name in enumerate(self.names):
             others = [other for other in self.names if other != name]
             ending = asyncio.create_task(self.runner(name).terminate())
-            await asyncio.sleep(0.3)   # clients are still dealt to it for a while
+            await asyncio.sleep(0.3)  # clients are still dealt to it for a while
             self.director._out(number)
             await ending
             await self.found(others, [name], "gone")
@@ -197,14 +226,21 @@
 
 class Started(Play):
     async def test_without_discovery_by_the_list_of_others_and_never_by_what_drained(self) -> None:
-        """Started while discovery is away, told no list: as soon as it is a member it serves by what others have, but for a
-        backend that had drained. Discovery's own word replaces it."""
+        """Started while discovery is away, told no list: as soon as it is a member it serves by what others
+        have, but for a backend that had drained. Discovery's own word replaces it.
+        """
         drained = "desk-1"
-        await self.stand(4, 12, faults=[{"what": "drain", "at": "500ms", "names": [drained]},
-                                        {"what": "discovery-down", "at": "2s", "span": "6s"}])
+        await self.stand(
+            4,
+            12,
+            faults=[
+                {"what": "drain", "at": "500ms", "names": [drained]},
+                {"what": "discovery-down", "at": "2s", "span": "6s"},
+            ],
+        )
         number = next(place.number for place in self.director.plan.places if place.name == drained)
         backend = self.director.plan.places[number].id_at(0)
-        await asyncio.sleep(2.5)   # of play: discovery is away from here on
+        await asyncio.sleep(2.5)  # of play: discovery is away from here on
         self.director._out(0)
         p1 = self.runner("p1")
         await p1.kill()
@@ -217,9 +253,9 @@
             path.write_text(json.dumps(told))
             return path
 
-        p1.write_configuration = without   # type: ignore[method-assign]
+        p1.write_configuration = without  # type: ignore[method-assign]
         began = self.director._now()
-        await p1.run()   # returns once it says that it serves
+        await p1.run()  # returns once it says that it serves
         self.assertLess(self.director._now(), 8_000_000, "discovery was back before")
         self.assertIn("serving by the list of other members", (self.work / "p1.log").read_text())
         self.director._admitted.add(0)
@@ -231,59 +267,133 @@
         self.assertEqual([], [one for one in sent if one.id == backend])
 
 
+class Disks(Play):
+    async def test_full_gone_and_an_hour_old(self) -> None:
+        """A ban called while the disk is full holds in the group and is said not to be kept; a folder that is away costs nothing
+        that runs; started with a disk from before the ban was lifted, a proxy learns that it was."""
+        await self.stand(4, 14)
+        backend = self.director.plan.places[0].id_at(0)
+        p1, p2 = self.runner("p1"), self.runner("p2")
+        p1.full_disk(True)
+        self.assertEqual(500, (await p1.call("POST", f"/-/backends/{backend}/disable"))[0])
+        await self.until(lambda views: all([one[2] for one in view["orders"]] == [True] for view in views.values()))
+        p1.full_disk(False)
+        p2.keep_disk()   # with the ban in it
+        self.assertEqual((200, "in use, held by 4 of 4 proxies"), await p1.call("POST", f"/-/backends/{backend}/enable"))
+        p2.take_disk(True)
+        await self.found(self.names, self.names, "alive")
+        p2.take_disk(False)
+        self.director._out(1)
+        await p2.kill()
+        p2.old_disk()
+        await p2.run()
+        self.director._admitted.add(1)
+        self.director._admit()
+        await self.until(lambda views: all([one[2] for one in view["orders"]] == [False] for view in views.values()))
+        await self.over()
+
+
 class Wrong(Play):
     """Members that are none, or should not be."""
 
     async def test_two_processes_under_one_name(self) -> None:
-        """Both say so and so do all others; what either says frees nothing. With one gone the other is believed again."""
+        """Both say so and so do all others; what either says frees nothing. With one gone the other is
+        believed again.
+        """
         await self.stand(5, 20)
         others = [name for name in self.names if name != "p2"]
         twin = asyncio.create_task(self.director.twin(1, 10**12))
 
         def doubled(views: dict[str, dict[str, object]], name: str) -> bool:
-            return all(any(row["name"] == "p2" and "doubled" in row["is"] for row in view["members"])   # type: ignore[attr-defined]
-                       for view in views.values())
+            # Type: ignore[attr-defined].
+            return all(
+                any(row["name"] == "p2" and "doubled" in row["is"] for row in view["members"])
+                for view in views.values()
+            )
 
         await self.until(lambda views: doubled(views, "p2"))
         made = self.director._twins[0]
-        self.assertTrue(any(one.what.startswith("doubled: another") for one in [*self.runner("p2").believed, *made.believed]))
+        self.assertTrue(
+            any(
+                one.what.startswith("doubled: another")
+                for one in [*self.runner("p2").believed, *made.believed]
+            )
+        )
         await made.call("POST", "/-/drain")
         await made.ask("members")
-        views = await self.until(lambda views: all(view["reach"]["silent"] == 1 for view in views.values()), others)
+        views = await self.until(
+            lambda views: all(view["reach"]["silent"] == 1 for view in views.values()), others
+        )
         self.assertEqual({5}, {view["sharers"] for view in views.values()})
         await made.kill()
         twin.cancel()
-        await self.until(lambda views: all(not any("doubled" in row["is"] for row in view["members"]) for view in views.values()))
+        await self.until(
+            lambda views: all(
+                not any("doubled" in row["is"] for row in view["members"]) for view in views.values()
+            )
+        )
         await self.found(self.names, self.names, "alive")
         await self.over()
 
     async def test_strangers_are_not_heard(self) -> None:
-        """Another key, another form, noise, what was recorded an hour ago and cut short: thousands of datagrams at one
-        process. Nothing is believed, its memory stays, its log says it in a line, and tickets flow."""
+        """Another key, another form, noise, cut short, and all that was recorded before it was started
+        anew, of a ban that was lifted: thousands of datagrams at one process. Nothing is believed, its memory stays, its log says it in a line, and
+        tickets flow.
+        """
         await self.stand(4, 12)
         p1 = self.runner("p1")
+        recorded: list[bytes] = []
+        out = self.links._out
+        self.links._out = lambda front, data: (recorded.append(data), out(front, data))  # type: ignore
+        backend = self.director.plan.places[0].id_at(0)
+        for what in ("disable", "enable"):
+            self.assertEqual(200, (await self.runner("p2").call("POST", f"/-/backends/{backend}/{what}"))[0])
+        await self.until(lambda views: views["p1"]["orders"] and not views["p1"]["orders"][0][2], ["p1"])
+        self.links._out = out  # type: ignore[method-assign]
+        # Started anew it knows nothing of what it has read before.
+        self.director._out(0)
+        await p1.kill()
+        await p1.run()
+        self.director._admitted.add(0)
+        self.director._admit()
+        await self.found(self.names, self.names, "alive")
         front = self.links._fronts["p1"].stands
         assert front is not None
         chance = Random(5)
         other, ours = Wire("another group's key"), Wire(KEY)
         word = ours.part(Said("stranger", "127.0.0.1", 9, 1, 1, 0, SERVING, False, 0, 0))
         sound = ours.pack(PING, 1, 1, word, "p1", 0, None, [word], [], [])
-        kinds = [other.pack(PING, 1, 1, word, "p1", 0, None, [word], [], []), b"pu\2" + sound[3:], sound[:-3],
-                 sound[:40] + b"\0" + sound[41:], chance.randbytes(700), b"", chance.randbytes(DATAGRAM + 300)]
+        kinds = [
+            other.pack(PING, 1, 1, word, "p1", 0, None, [word], [], []),
+            b"pu\2" + sound[3:],
+            sound[:-3],
+            sound[:40] + b"\0" + sound[41:],
+            chance.randbytes(700),
+            b"",
+            chance.randbytes(DATAGRAM + 300),
+        ]
         before = memory(p1.pid)
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            for number, data in enumerate(recorded):
+                sock.sendto(data, front)
+                if number % 100 == 0:
+                    await asyncio.sleep(0.002)
             for number in range(20_000):
                 sock.sendto(kinds[number % len(kinds)], front)
                 if number % 100 == 0:
                     await asyncio.sleep(0.002)
-        views = await self.until(lambda views: any("packets" in what for what in views["p1"]["counts"]), ["p1"])
+        views = await self.until(
+            lambda views: any("packets" in what for what in views["p1"]["counts"]), ["p1"]
+        )
         # Seldom, and not once for each.
         await self.until(lambda _: "group: not believed" in (self.work / "p1.log").read_text(), ["p1"])
         lines = [line for line in (self.work / "p1.log").read_text().splitlines() if "not believed" in line]
         self.assertLessEqual(len(lines), 3)
         self.assertEqual(set(self.names), {row["name"] for row in views["p1"]["members"]})
+        self.assertEqual([[False]], [[one[2] for one in view["orders"]] for view in [views["p1"]]])
+        self.assertFalse(self.said("doubled: two processes live under one name, neither is believed of the other"))
         self.assertLess(memory(p1.pid) - before, 4096)
-        self.assertEqual([], self.said("lost"))
+        self.assertLessEqual({of for _, of in self.said("lost")}, {"p1"})
         await self.over()
 
     async def test_one_with_another_key_and_one_of_another_form_stay_outside(self) -> None:
@@ -293,19 +403,21 @@
         assert made is not None
         write = made.write_own
 
-        def wrong(gate: object, seat: str) -> Path:
-            path = write(gate, seat)   # type: ignore[arg-type]
+        def wrong(gate: object, *of: object) -> Path:
+            path = write(gate, *of)  # type: ignore[arg-type]
             path.write_text(path.read_text().replace(KEY, "some other key for it"))
             return path
 
-        made.write_own = wrong   # type: ignore[method-assign]
+        made.write_own = wrong  # type: ignore[method-assign]
         self.director._out(3)
         await self.runner("p4").kill()
         await self.runner("p4").run()
         self.director._admitted.add(3)
         self.director._admit()
         await self.found(self.names[:3], ["p4"], "lost")
-        views = await self.until(lambda views: any("wrong checksum" in what for what in views["p4"]["counts"]), ["p4"])
+        views = await self.until(
+            lambda views: any("wrong checksum" in what for what in views["p4"]["counts"]), ["p4"]
+        )
         self.assertEqual(1, len(views["p4"]["members"]))
         self.assertEqual({4}, {view["sharers"] for view in (await self.views()).values()})
         await self.over()
@@ -315,11 +427,18 @@
         await self.stand(8, 14)
         ninth = Ninth([self.links.address(name) for name in self.names])
         self.addCleanup(ninth.close)
-        until = asyncio.get_running_loop().time() + 8.0   # of play
+        until = asyncio.get_running_loop().time() + 8.0  # of play
         while asyncio.get_running_loop().time() < until:
             ninth.turn()
             await asyncio.sleep(0.02)
-        self.assertTrue([one for name in self.names for one in self.runner(name).believed if one.what == "suspected" and one.by == "p9"])
+        self.assertTrue(
+            [
+                one
+                for name in self.names
+                for one in self.runner(name).believed
+                if one.what == "suspected" and one.by == "p9"
+            ]
+        )
         self.assertEqual([], self.said("lost"))
         ninth.close()
         await self.over()
@@ -334,7 +453,9 @@
         self.sock.setblocking(False)
         me = Said("p9", *self.sock.getsockname(), clock.now(), 77, 0, SERVING, False, 0, 8)
         self.wire = Wire(KEY)
-        self.swim = Swim(me, Terms(200_000, 60_000, tuple(seeds), 9, 60_000_000), self.wire, Random(1), clock.now())
+        self.swim = Swim(
+            me, Terms(200_000, 60_000, tuple(seeds), 9, 60_000_000), self.wire, Random(1), clock.now()
+        )
         self.due = 0
 
     def turn(self) -> None:
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -18,14 +18,18 @@
         if isinstance(node, ast.Import):
             found |= {one.name for one in node.names}
         elif isinstance(node, ast.ImportFrom) and node.module:
-            found |= {f"{node.module}.{one.name}" if f"{node.module}.{one.name}" in names else node.module
-                      for one in node.names}
+            found |= {
+                f"{node.module}.{one.name}" if f"{node.module}.{one.name}" in names else node.module
+                for one in node.names
+            }
     return found & names
 
 
 def graph() -> dict[str, set[str]]:
-    paths = {".".join(path.relative_to(ROOT.parent).with_suffix("").parts).removesuffix(".__init__"): path
-             for path in ROOT.rglob("*.py")}
+    paths = {
+        ".".join(path.relative_to(ROOT.parent).with_suffix("").parts).removesuffix(".__init__"): path
+        for path in ROOT.rglob("*.py")
+    }
     return {name: imports(path, set(paths)) - {name} for name, path in paths.items()}
 
 
@@ -40,4 +44,6 @@
         self.assertEqual([], [name for name, those in graph().items() if "pepperusher.__main__" in those])
 
     def test_a_circle_is_found(self) -> None:
-        self.assertRaises(CycleError, TopologicalSorter({**graph(), "pepperusher.terms": {"pepperusher.policy"}}).prepare)
+        self.assertRaises(
+            CycleError, TopologicalSorter({**graph(), "pepperusher.terms": {"pepperusher.policy"}}).prepare
+        )
