Whom staff take off the roll stays off, orders without a console are forgotten by age

Read again from end to end. ctl forget was undone by the next member that still had the name: the roll now keeps how it was, and a later life alone is met again; a test fails without it. A member without a console kept lifted bans for good. Descriptors of its own streams are counted.

--- a/pepperusher/group/roll.py
+++ b/pepperusher/group/roll.py
@@ -25,6 +25,7 @@
 # Charges that were answered are counted for each that made them, one forgotten in this time; beyond so many
 # its charges count for nothing: a member that hears nobody charges everyone, without end.
 FORGOTTEN = 10_000_000
+FORGOTTEN_MOST = 200
 WRONG_MOST = 4
 # Numbers of packets that came, by which a second one of the same is known; older ones than these are not
 # read.
@@ -108,6 +109,8 @@
         self._period = period
         self._members: dict[str, Member] = {}
         self._names: tuple[str, ...] | None = None
+        # Whom staff took off, as they were: others who still have them would bring them back. FORGOTTEN_MOST.
+        self._off: dict[str, tuple[int, int, int]] = {}
         self.refused = 0  # names for which there was no room
         self.version = 0  # rises with each word that is news
 
@@ -132,6 +135,8 @@
         """A member's own word, from itself or passed on; nothing where it is no news."""
         known = self._members.get(said.name)
         if known is None:
+            if said.key <= self._off.get(said.name, (0, 0, 0)):
+                return []
             if not self._room():
                 self.refused += 1
                 return []
@@ -270,6 +275,9 @@
         one = self._members.get(name)
         if one is None or not (one.silent or one.said.phase == LEFT):
             return False
+        self._off[name] = one.said.key
+        if len(self._off) > FORGOTTEN_MOST:
+            del self._off[next(iter(self._off))]
         self._drop(name)
         return True
 
--- a/pepperusher/net/node.py
+++ b/pepperusher/net/node.py
@@ -75,7 +75,8 @@
     its own.
     """
 
-    descriptors = 3 + STREAMS
+    # Two listeners, streams that others opened, and its own: for the roll, and for lists.
+    descriptors = 2 + STREAMS + 1 + LENDERS
 
     def __init__(
         self,
@@ -109,6 +110,7 @@
             orders = Orders(max(KEPT, ground.warm_after))
             self.narrow = orders.lines
             put = self._put
+        self._own_orders = put == self._put
         assert put is not None
         self._orders, self._in_force = orders, put
 
@@ -407,7 +409,7 @@
                 writer.transport.abort()
         try:
             told = json.loads(text)
-        except ValueError:
+        except (ValueError, RecursionError):
             return None
         return told if isinstance(told, dict) else None
 
@@ -422,6 +424,8 @@
             self.swim.say(self._phase(), now)
         if self._listing is None and self._host.wants_list and now - self.swim.me.number >= LIST_AFTER:
             self._listing = asyncio.get_running_loop().create_task(self._lists())
+        if self._own_orders:
+            self._orders.forget(now)
         self.spread(now)
         self._wake()
         if now - self._told_at >= TOLD_EVERY:
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -272,6 +272,18 @@
         self.assertEqual([], self.lost(model))
         self.assertEqual({7}, {one.swim.size() for name, one in model.ones.items() if name != "m3"})
 
+    def test_whom_staff_take_off_stays_off_and_a_new_life_is_met(self) -> None:
+        """Also while others still have it on their rolls."""
+        model = self.group(5)
+        model.kill("m3")
+        self.found(model, "m3", LOST, within=15)
+        self.assertFalse(model.ones["m0"].swim.roll.forget("m1"))
+        self.assertTrue(model.ones["m0"].swim.roll.forget("m3"))
+        model.run(20 * SECOND)
+        self.assertIsNone(model.ones["m0"].swim.roll.get("m3"))
+        model.add("m3", told=5, place=3)
+        self.found(model, "m3", ALIVE, within=15)
+
     def test_halves_thirds_a_chain_and_one_alone_lose_each_other_and_come_together(self) -> None:
         cuts = {
             "halves": lambda a, b: (a < 4) != (b < 4),
