--- a/pepperusher/rehearsal/agreemodel.py
+++ b/pepperusher/rehearsal/agreemodel.py
@@ -30,6 +30,7 @@
     rounds: int = 3
     crashes: int = 1
     states: int = 60_000
+    asks_first: bool = False
 
 
 class Wrong(NamedTuple):
@@ -144,8 +145,10 @@
     """What may happen now: in words, to whom, what it does, and which counts it raises."""
     for name, voter in world.voters.items():
         if voter.role != LEADS and voter.kept.term < limits.terms:
-            # At once for votes, though it would ask first: that only keeps elections away.
+            # At once for votes too, though it would ask first: that only keeps elections away.
             yield f"{name} asks for votes", name, lambda one: one._ask(0), {}
+            if limits.asks_first:
+                yield f"{name} asks first", name, lambda one: one._ask_first(0), {}
         if voter.role == LEADS:
             if world.proposed < limits.entries:
                 what = f"x{world.proposed}"
@@ -165,7 +168,9 @@
     counts: dict[str, int],
     make: type[Agree],
     crash: bool,
+    lag: bool = False,
 ) -> World:
+    """The world after a step. With `lag` the disk has not done what the step handed to it; what waits for that waits on."""
     made = world.copy(name)
     for count, by in counts.items():
         setattr(made, count, getattr(made, count) + by)
@@ -179,6 +184,10 @@
             made.crashes += 1
             made.voters[name] = started(make, name, made.disks[name])
             return made
+        if lag:
+            made.sent |= {(one.to, one.message): None for one in voter.out if one.after <= voter._flushed}
+            voter.out = [one for one in voter.out if one.after > voter._flushed]
+            return made
         made.disks[name] = flushed(made.disks[name], voter)
         out, voter.out, voter.writes = voter.out, [], []
         made.sent |= {(one.to, one.message): None for one in out}
@@ -244,13 +253,15 @@
     for _ in range(walks):
         world, way = World(make), None
         heard: set[str] = set()
+        slow = chance.choice(("", *NAMES))  # whose disk is late for most of this history
         for _ in range(length):
             said, name, does, counts = drawn(world, limits, heard, chance)
             crash = world.crashes < limits.crashes and chance.random() < 0.1
-            way = (said + (", and crashes" if crash else ""), way)
+            lag = not crash and chance.random() < (0.85 if name == slow else 0.05)
+            way = (said + (", and crashes" if crash else ", its disk is late" if lag else ""), way)
             count += 1
             try:
-                world = after(world, name, does, counts, make, crash)
+                world = after(world, name, does, counts, make, crash, lag)
                 wrong = look(world)
             except AssertionError as error:
                 wrong = str(error) or "what must hold does not"
