--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,9 @@
 group-demo: all
 	$(PYTHON) -m pepperusher rehearse examples/rehearsals/group-demo.toml --report group-demo.html
 
+# They mostly wait: half as many again as eight cores.
 test: all
-	$(PYTHON) -m pytest -q -n auto --dist worksteal -p no:cacheprovider tests
+	$(PYTHON) -m pytest -q -n 12 --dist worksteal -p no:cacheprovider tests
 
 clean:
 	rm -rf .venv demo.html group-demo.html
