Mended on reading: forged words, late writes, all tickets wait after standing still

A word in a member's own name at a turn that it never had was passed over by that member: whoever has the key could say that it left and free its part for good. It now goes above it. A voter's write that was still out counted for places cut off and filled anew since. After standing still the first ticket alone waited for the list to be read; now all do: with four on kept connections one went to a backend that had drained. Reach has a truth in place of a time that was 0 or not; the model lost a check that could not fail, and a process that is started again there no longer goes on under its old self. Each of the first three has a test that fails without it.

--- a/pepperusher/duties/agree.py
+++ b/pepperusher/duties/agree.py
@@ -169,6 +169,11 @@
         self._ends.append((self._number, self.last))
         return self._number
 
+    def _cut(self, last: int) -> None:
+        """Places behind `last` hold other entries from now on: writes that are still out tell nothing of these."""
+        self._on_disk = min(self._on_disk, last)
+        self._ends = [(number, min(end, last)) for number, end in self._ends]
+
     def _keep(self, term: int, vote: str) -> int:
         self.kept = Kept(term, vote)
         return self._write(self.kept)
@@ -181,8 +186,7 @@
         """All writes up to this one will outlive a crash."""
         self._flushed = max(self._flushed, number)
         while self._ends and self._ends[0][0] <= number:
-            # What was cut off after it was handed to the disk is no longer there.
-            self._on_disk = min(self._ends.pop(0)[1], self.last)
+            self._on_disk = self._ends.pop(0)[1]
         if self.role == ASKS and number >= self._vote_write:
             self._votes.add(self.me)
             self._count_votes(now)
@@ -516,7 +520,7 @@
             if self.term_at(at) != entry.term:
                 assert at > self.commit, "what counts is cut off"
                 del self.entries[at - self.base.index - 1 :]
-                self._on_disk = min(self._on_disk, at - 1)
+                self._cut(at - 1)
                 self.entries += entries[place:]
                 self._write(start=at, entries=tuple(entries[place:]))
                 break
@@ -540,7 +544,7 @@
 
     def _stand_on(self, base: Base) -> None:
         self.base, self.entries, self.commit = base, [], base.index
-        self._on_disk = min(self._on_disk, base.index)
+        self._cut(base.index)
         self._write(self.kept, base, base.index + 1)
 
     def _appended(self, answer: Appended, now: int) -> None:
--- a/pepperusher/group/parts.py
+++ b/pepperusher/group/parts.py
@@ -36,12 +36,11 @@
         return self.word == MAJORITY
 
 
-def reach(told: int, me: Said, roll: Roll, heard_since: int) -> Reach:
-    """`told` is how many proxies the settings count in this tier. Whoever last answered before `heard_since`
-    is nobody that is there, but for those that others vouch for: one answer to this proxy itself is needed
-    for any of it.
+def reach(told: int, me: Said, roll: Roll, answered: bool) -> Reach:
+    """`told` is how many proxies the settings count in this tier. Unless anybody `answered` of late nobody is
+    there, whatever it holds of them: it may just have gone on after it stood still.
     """
-    here, silent, gone, direct = 1, 0, 0, False
+    here, silent, gone = 1, 0, 0
     met = 1
     for one in roll:
         met += one.said.tier == me.tier
@@ -49,13 +48,11 @@
             gone += 1
         elif one.health == ALIVE and not one.said.doubled:
             here += 1
-            direct = direct or one.heard >= heard_since
         else:
             silent += 1
     never = max(0, told - met)
     whole = here + silent + never
-    if here > 1 and not direct:
-        # What it holds of the others is older than any probe: it may just have gone on after it stood still.
+    if not answered:
         here, silent = 1, silent + here - 1
     if 2 * here > whole:
         word = MAJORITY
--- a/pepperusher/group/swim.py
+++ b/pepperusher/group/swim.py
@@ -159,8 +159,8 @@
     # --- what the proxy asks and says -------------------------------------------------------------
 
     def reach(self, now: int) -> Reach:
-        since = now - UNHEARD * self.health.stretched(self.terms.period)
-        return parts.reach(self.terms.told, self.me, self.roll, since if self._answered_at < since else 0)
+        answered = now - self._answered_at <= UNHEARD * self.health.stretched(self.terms.period)
+        return parts.reach(self.terms.told, self.me, self.roll, answered)
 
     def size(self) -> int:
         """Of how many this proxy is one, where they share."""
@@ -571,6 +571,10 @@
         if said.name == self.me.name:
             if said.token != self.me.token:
                 self._rival(said, now)
+            elif said.key > self.me.key:
+                # Somebody who has the key speaks in its name, and could free its part: a word above that is its own.
+                self._count("words never said, taken back")
+                self._new_word(number=said.number + 1)
             return False
         changed = self.roll.take(said, now)
         known = self.roll.get(said.name)
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -147,23 +147,39 @@
         self._late = 0
         self._paced_at = clock.now()
         self._stood = 0
+        self._reading: asyncio.Event | None = None   # while what waited for it is read, after it stood still
         self._counts: dict[str, int] = {}   # by the words of facade and pages here, so it grows with the code alone
 
     # --- one ticket -------------------------------------------------------------------------------
 
-    async def _woke(self) -> None:
+    def _woke(self) -> None:
         """It stood still: others may have been told meanwhile what holds for this one too. What waits in its sockets, the list
-        among it, is read within a few turns of the loop; requests were before timers in the first."""
+        among it, is read within a few turns of the loop; requests were before timers in the first, and all of them wait."""
         self._paced_at = clock.now()
         self._stood += 1
+        self._tell("woke", lambda one: one.woke())
+        self._reading = reading = asyncio.Event()
+
+        def read() -> None:
+            self._reading = None
+            reading.set()
+
+        asyncio.get_running_loop().call_later(READ_AGAIN, read)
+
+    def _tell(self, what: str, does: Callable[[Companion], None]) -> None:
+        """Each companion in its turn: what one trips over keeps nothing from the others, and no ticket from its answer."""
         for one in self._company:
-            one.woke()
-        await asyncio.sleep(READ_AGAIN)
+            try:
+                does(one)
+            except Exception as error:
+                self._log.say(f"{type(one).__name__}, {what}: {type(error).__name__}: {error}")
 
     async def _handle(self, call: Call) -> Answer:
         try:
             if clock.now() - self._paced_at > STOOD:
-                await self._woke()
+                self._woke()
+            if self._reading is not None:
+                await self._reading.wait()
             told = _read_headers(call.request.headers)
             name = told.get(b"request-id")
             if not name:
@@ -488,8 +504,7 @@
         self._backends.retuned(told.connect_within, told.idle_most)
         self._callers.retuned(told.ground.longest_wait)
         self._discovery.turn_to(told.discovery)
-        for one in self._company:
-            one.told_anew(told.ground)
+        self._tell("told anew", lambda one: one.told_anew(told.ground))
 
     async def _drain(self) -> None:
         """Accepts to the last: what the kernel takes on our behalf is ours.
@@ -504,8 +519,7 @@
                       + (", another process serves on" if self._succeeded else ""))
         last = killed - GIVEN_UP
         self._facade.close_at(clock.now() + round(last * 1e6))
-        for one in self._company:
-            one.leaving(clock.now() + round(last * 1e6))
+        self._tell("leaving", lambda one: one.leaving(clock.now() + round(last * 1e6)))
         loop.call_later(last, self._backends.give_up_all, "timed out")
         if self._succeeded:
             # New ones are the next process's, and those here end as they are answered.
@@ -530,8 +544,7 @@
                 if self._sent_away_at is not None and clock.now() - self._sent_away_at >= SENT_AWAY:
                     self._callers.close_idle(SHY)
                 self._budget.trim()
-                for one in self._company:
-                    one.sweep()
+                self._tell("sweep", lambda one: one.sweep())
             except Exception as error:   # what it closes nobody else does: it goes on
                 self._log.say(f"a sweep ended by {type(error).__name__}: {error}")
             if rounds % COUNTS_EVERY == 0:
--- a/pepperusher/rehearsal/groupmodel.py
+++ b/pepperusher/rehearsal/groupmodel.py
@@ -93,6 +93,8 @@
         is how far its clock is set back.
         """
         old = self.ones.get(name)
+        if address is None and old is not None:
+            old.up = False  # its process ends: two of one name stand at two addresses
         if address is None:
             address = old.swim.me.address if old is not None else ("m", next(self._ports))
         others = [one.swim.me.address for one in self.ones.values() if one is not old]
@@ -152,7 +154,7 @@
             name, one = of[0], of[1]
             if not one.up:
                 continue
-            if what == "wake" and one.swim is of[1].swim:
+            if what == "wake":
                 turn = self._turn(one)
                 if turn > self.now:
                     self._push(turn, "wake", of)
--- a/tests/test_agree.py
+++ b/tests/test_agree.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from pepperusher.duties.agree import ASKS, FOLLOWS, LEADS, Agree, Bounds
-from pepperusher.duties.words import Append, Appended, Ask, Base, Kept, Message, Out, Voted
+from pepperusher.duties.words import Append, Appended, Ask, Base, Entry, Kept, Message, Out, Voted
 from pepperusher.rehearsal import agreemodel
 from pepperusher.rehearsal.agreemodel import Limits, explore, wander
 
@@ -135,6 +135,19 @@
 )
 
 
+class Disks(unittest.TestCase):
+    def test_a_late_write_tells_nothing_of_what_replaced_it(self) -> None:
+        """A write of places 11 and 12 is acknowledged after others took their place: those are not on disk yet."""
+        one = Agree("b", ("a", "b", "c"), Bounds(1, 0, 0), Random(1), 0, 0, Kept(1, ""), Base(10, 0, ("a", "b", "c")))
+        one.receive(Append(1, "a", 10, 0, (Entry(1), Entry(1)), 10, 1), 0)
+        late = one.writes[-1].number
+        one.receive(Append(2, "c", 10, 0, (Entry(2), Entry(2)), 10, 1), 0)
+        one.on_disk(late, 0)
+        self.assertEqual(10, one._on_disk)
+        one.on_disk(one.writes[-1].number, 0)
+        self.assertEqual(12, one._on_disk)
+
+
 class Histories(unittest.TestCase):
     def test_nothing_that_may_never_be(self) -> None:
         self.assertIsNone(explore(limits=Limits(states=6_000)).wrong)
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -11,6 +11,8 @@
 from random import Random
 from unittest import mock
 
+import msgspec
+
 from pepperusher.group import lending, parts
 from pepperusher.group.notices import Notices
 from pepperusher.group.roll import Roll
@@ -426,6 +428,17 @@
         self.assertGreater(len(early), 7)
         self.assertLess(len(late) / 30, len(early) / 5 / 2)
 
+    def test_a_word_forged_in_a_member_s_name_is_taken_back_by_it(self) -> None:
+        """That it left, at a turn that it never had, passed on by whoever has the key: its part is free for a moment alone."""
+        model = self.group(5)
+        swim = model.ones["m1"].swim
+        forged = msgspec.structs.replace(model.ones["m3"].swim.me, turn=2**53 - 1, phase=LEFT)
+        swim._take(forged, model.now)
+        self.assertEqual(4, swim.size())
+        self.assertTrue(model.run(5 * SECOND, lambda: model.ones["m3"].swim.me.life > forged.life))
+        self.assertTrue(model.run(5 * SECOND, lambda: {one.swim.size() for one in model.ones.values()} == {5}))
+        self.found(model, "m3", ALIVE)
+
     def test_two_under_one_name_are_told_by_both_and_neither_is_believed(self) -> None:
         model = self.group(6)
         twin = model.ones["m2"]
--- a/tests/test_group_processes.py
+++ b/tests/test_group_processes.py
@@ -240,7 +240,7 @@
         )
         number = next(place.number for place in self.director.plan.places if place.name == drained)
         backend = self.director.plan.places[number].id_at(0)
-        await asyncio.sleep(2.5)  # of play: discovery is away from here on
+        await self.director._until(2_500_000)  # discovery is away from here on
         self.director._out(0)
         p1 = self.runner("p1")
         await p1.kill()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -219,6 +219,21 @@
                           f" tickets in hand: {self.proxy._facade.in_hand}")
         self.kept("net_silent")
 
+    async def test_after_standing_still_no_ticket_goes_before_the_list_is_read(self) -> None:
+        """Four wait on kept connections while the loop stands, and a line of the list that drains a1: requests are read first."""
+        await self.open("a1", "b1")
+        kept = [await self.connect() for _ in range(4)]
+        for number, at in enumerate(kept):
+            await self.ask("look", self.request("look", number), at)
+        for number, (_, writer) in enumerate(kept, 10):
+            writer.write(self.request("look", number))
+        self.news(2, self.line("a1", "draining"))
+        del self.lines[:]
+        time.sleep(0.4)   # the whole loop, with proxy and all
+        for reader, _ in kept:
+            self.assertIn("200", await self.hear(reader))
+        self.assertEqual([], [line for line in self.lines if "    a1 gets" in line])
+
     async def test_a_client_that_leaves_calls_its_ticket_off(self) -> None:
         await self.open("a1")
         self.toys["a1"].does = ["silent"]
