Turns of a member no longer walk its roll; two forms side by side, starts without seeds

Processor time grew with the roll since each turn asked all members whether they are suspected and counted them all for reach: who is suspected is kept, and reach is counted where something that it hangs on has changed. Two hard cases that had no test: two forms side by side between whole processes (the links change the form's number one way and the other), and a start of all without seeds in the model.

--- a/pepperusher/group/roll.py
+++ b/pepperusher/group/roll.py
@@ -112,7 +112,8 @@
         # Whom staff took off, as they were: others who still have them would bring them back. FORGOTTEN_MOST.
         self._off: dict[str, tuple[int, int, int]] = {}
         self.refused = 0  # names for which there was no room
-        self.version = 0  # rises with each word that is news
+        self._doubted: dict[str, Member] = {}  # who is suspected; emptied by their words and by loss
+        self.version = 0  # rises with each word that is news, and as somebody is found otherwise
 
     def __len__(self) -> int:
         return len(self._members)
@@ -156,6 +157,7 @@
         self.version += 1
         known.doubters.clear()
         known.health = ALIVE
+        self._doubted.pop(said.name, None)
         if said.doubled and not before.doubled:
             changes.append(
                 Change(
@@ -188,6 +190,7 @@
 
     def _drop(self, name: str) -> None:
         del self._members[name]
+        self._doubted.pop(name, None)
         self._names = None
         self.version += 1
 
@@ -221,6 +224,8 @@
         known.doubters.add(charge.by)
         if known.health == ALIVE:
             known.health, known.charged_at, known.since = SUSPECTED, now, now
+            self._doubted[charge.of] = known
+            self.version += 1
         known.until = known.charged_at + self.suspicion(len(known.doubters) - 1)
         return [
             Change(
@@ -240,10 +245,12 @@
         return round(least * (STRETCH - (STRETCH - 1) * part))
 
     def look(self, now: int) -> list[Change]:
-        """Suspicions whose time is over."""
+        """Suspicions whose time is over. Not by a walk over the whole roll: it is asked in each turn."""
         changes = []
-        for one in self:
-            if one.health == SUSPECTED and now >= one.until:
+        for name, one in list(self._doubted.items()):
+            if now >= one.until:
+                del self._doubted[name]
+                self.version += 1
                 changes.append(
                     Change(
                         "lost",
@@ -259,14 +266,13 @@
         return changes
 
     def next_look(self) -> int | None:
-        return min((one.until for one in self if one.health == SUSPECTED), default=None)
+        return min((one.until for one in self._doubted.values()), default=None)
 
     def postponed(self, span: int) -> None:
         """This proxy stood still: who did not answer it meanwhile had no chance to."""
-        for one in self:
-            if one.health == SUSPECTED:
-                one.charged_at += span
-                one.until += span
+        for one in self._doubted.values():
+            one.charged_at += span
+            one.until += span
 
     # --- by staff's word ----------------------------------------------------------------------------
 
--- a/pepperusher/group/swim.py
+++ b/pepperusher/group/swim.py
@@ -152,15 +152,18 @@
         self._raised_at = -RAISE_EVERY
         self._answered_at = now - UNHEARD * terms.period
         self._reached = ""
+        self._reach_of: tuple[int, bool, int, int] | None = None
         self._due = now
         self._farewell: set[str] = set()
         self._rumours.put(SAID, me.name, self._part)
 
     # --- what the proxy asks and says -------------------------------------------------------------
 
+    def _answered(self, now: int) -> bool:
+        return now - self._answered_at <= UNHEARD * self.health.stretched(self.terms.period)
+
     def reach(self, now: int) -> Reach:
-        answered = now - self._answered_at <= UNHEARD * self.health.stretched(self.terms.period)
-        return parts.reach(self.terms.told, self.me, self.roll, answered)
+        return parts.reach(self.terms.told, self.me, self.roll, self._answered(now))
 
     def size(self) -> int:
         """Of how many this proxy is one, where they share."""
@@ -280,6 +283,11 @@
             )
 
     def _say_reach(self, now: int) -> None:
+        """A walk over the whole roll, so only where something that it hangs on is other than it was."""
+        stands = self.roll.version, self._answered(now), self.terms.told, self.me.tier
+        if stands == self._reach_of:
+            return
+        self._reach_of = stands
         found = self.reach(now)
         if found.word != self._reached:
             self._reached = found.word
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -263,6 +263,17 @@
                 self.assertGreater(new.swim.me.life, old.life)
                 self.assertFalse(new.swim.me.doubled)
 
+    def test_started_without_seeds_each_is_alone_and_takes_no_more_than_its_part(self) -> None:
+        """Until one is told of another: then all come together through it."""
+        model = Model(4)
+        for number in range(4):
+            model.add(f"m{number}", seeds=0, told=4)
+        model.run(20 * SECOND)
+        swims = [one.swim for one in model.ones.values()]
+        self.assertEqual({(0, 4, parts.NOBODY)}, {(len(one.roll), one.size(), one.reach(model.now).word) for one in swims})
+        model.add("m4", seeds=4, told=4, place=0)
+        self.assertTrue(model.run(30 * SECOND, lambda: all(len(one.swim.roll) == 4 for one in model.ones.values())))
+
     def test_left_is_not_lost(self) -> None:
         model = self.group(8)
         model.ones["m3"].swim.say(LEAVING, model.now)
--- a/tests/test_group_processes.py
+++ b/tests/test_group_processes.py
@@ -10,6 +10,7 @@
 from collections.abc import Iterable
 from pathlib import Path
 from random import Random
+from typing import Any
 
 from pepperusher.group.swim import Swim, Terms
 from pepperusher.group.wire import DATAGRAM, Wire
@@ -422,6 +423,27 @@
         self.assertEqual({4}, {view["sharers"] for view in (await self.views()).values()})
         await self.over()
 
+    async def test_two_forms_side_by_side_are_two_groups_and_join_when_the_form_is_one(self) -> None:
+        """What p3 and p4 say to the others, and hear of them, comes in another form, as beside another release."""
+        await self.stand(4, 14)
+        later = {"p3", "p4"}
+        through = self.links._pass
+
+        def other_form(sender: str, front: Any, data: bytes) -> None:
+            through(sender, front, data[:2] + b"\2" + data[3:] if (sender in later) != (front.name in later) else data)
+
+        self.links._pass = other_form  # type: ignore[method-assign]
+        await self.found(["p1", "p2"], later, "lost")
+        await self.found(later, ["p1", "p2"], "lost")
+        views = await self.until(
+            lambda views: all(any("of form 2" in what for what in view["counts"]) for view in views.values())
+        )
+        self.assertEqual({4}, {view["sharers"] for view in views.values()})
+        self.assertEqual({"alive", "itself"}, {row["found"] for row in views["p3"]["members"] if row["name"] in later})
+        self.links._pass = through  # type: ignore[method-assign]
+        await self.found(self.names, self.names, "alive")
+        await self.over()
+
     async def test_a_member_that_charges_everyone_loses_nobody(self) -> None:
         """A ninth, sound in all else, tells everyone without end that it gets no answer from any."""
         await self.stand(8, 14)
