Watches: silence ends in time wherever it begins, and what counts at once is asked for at once

What was found, and where it stood: - A watch silent for 4.5 s was left, and one silent in the middle of a line after 10 s, by LINE_WITHIN; what it misses counts as told after 6 s, and the call after it may have to wait. Now 3 s and up to 0.5 s by chance, since all may fall silent at once; counted from the last whole line, so that neither a drip nor a cut line is a sign of life. A connect has 1.5 s. - The wait before asking anew doubled from one lost watch to the next, weeks apart as well: policy sets it back with news alone, and a watch that opened with nothing new brought none (discovery.py, _read). After four quiet losses it was 5 s. - A discovery whose versions begin anew tells changes after a version of its own; taken as ours they left drains untold. The whole list is asked for. - A list over several lines was taken for a broken one. A line that is cut is so told by an empty line behind it, no longer at its own end; with nothing behind it, by the silence. The kept trace of broken lists is as it was. - Where lists are pushed, a change binds from the moment it is known nearby: a lost watch is asked for within half the grace, and a new process lets clients in after the first word, or the grace. Settings that do not say "push" are as they were. The longest wait is half of ask-within, as before, and half of the grace where lists are pushed; only where ask-within is under 2 s does the first differ (policy.py, one line).

Tests: test_crossings.py, Watches; each fails with its line taken back, seen for all of them.

--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -58,8 +58,7 @@
     """One proxy's decisions, asked in turn."""
 
     def __init__(self, ground: Ground, now: int, say: Callable[[str], None]) -> None:
-        # On sockets nobody pushes the list: a watch has to be asked for, whatever the settings call it.
-        ground.must_ask = True
+        self._on_sockets(ground)
         self._balancer = Balancer(ground, now, say)
         self._take_up(ground)
         self._sharers: int | None = None
@@ -68,6 +67,14 @@
         self._latest: int | None = None
         self._tickets: set[Ticket] = set()          # in hand; emptied as they are settled
 
+    def _on_sockets(self, ground: Ground) -> None:
+        """Nobody pushes the list there: a watch has to be asked for, whatever the settings call it. Where they call it pushed,
+        a change binds from the moment it is known nearby, so a lost watch is asked for anew within half a drain's grace;
+        where it is asked for, the settings leave time, and every proxy asks the one discovery."""
+        ground.must_ask = True
+        if ground.pushed:
+            ground.ask_within = ground.drain_within
+
     def _take_up(self, ground: Ground) -> None:
         self._use_cases = {use.name: use for use in ground.use_cases}
         self._customers = {customer.name: customer for customer in ground.customers}
@@ -84,7 +91,7 @@
         A ticket in hand keeps the use case that it was taken under, and goes out no more often than either ground allows:
         the module asks its own figure too. What is known of use cases and customers that stay is kept.
         """
-        ground.must_ask = True
+        self._on_sockets(ground)
         for ticket in self._tickets:
             ticket.most = min(ticket.most, self._most)
         for at, use in enumerate(ground.use_cases):
--- a/pepperusher/ground.py
+++ b/pepperusher/ground.py
@@ -120,7 +120,9 @@
     made.may_advise = bool(limits.get("retry-after", False))
     made.longest_advice = span(limits, "max-retry-after", 0.0)
     made.must_ask = _word(told, "discovery", {"push": False, "ask": True}, "push")
+    made.pushed = told.get("discovery") == "push"
     made.ask_within = span(rules, "ask-within", 0.0)
+    made.drain_within = span(rules, "stop-sending-within", 500.0)
     made.cold_share = figure(rules, "cold-share", 1.0)
     made.warm_after = span(rules, "warm-after", 0.0)
     made.tip_multiple = figure(rules, "tip-multiple", 1.0)
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 from collections.abc import Iterable, Iterator, Sequence
+from random import Random
 from typing import Any, NamedTuple
 
 import h11
@@ -17,15 +18,21 @@
 from pepperusher.net.log import Log
 from pepperusher.net.message import HEAD, Request, framed_request
 
-CONNECT_WITHIN = 3.0
+CONNECT_WITHIN = 1.5
 # Calls wait in turn at discovery; the first word may take so long.
 FIRST_WITHIN = 5.0
-# An empty line comes every 2 s: a watch that is silent for longer is dead, whatever its connection says.
-SILENT = 4.5
-# So long after its first byte a line is whole: discovery may drip, and each byte alone is in time.
-LINE_WITHIN = 10.0
+# An empty line comes every 2 s: a watch with no line for longer is dead, whatever its connection says. What it
+# misses is held against this proxy 6 s after its last line, and by then another watch has to have told it: with
+# 4.5 s, one slow call more was too late. The second figure is spread over proxies, since all watches may fall
+# silent at once, and a discovery that all of them ask in one moment is down for good.
+SILENT = 3.0
+SPREAD = 0.5
+# A line that has begun is whole as soon as that, and a second later for each so many bytes that came: discovery may
+# drip, or stop in the middle, and each byte alone is in time.
+SLOWEST = 128 * 1024
 # One line of a watch; more is no list.
 LONGEST = 8 * 1024 * 1024
+DECODER = json.JSONDecoder()
 # The address of a backend that is gone.
 GONE = ("", 0)
 
@@ -98,17 +105,21 @@
 class Source:
     """Discovery at one address. Each counts versions of its own; None is one that has told nothing yet."""
 
-    __slots__ = ("address", "version", "following")
+    __slots__ = ("address", "version", "begun_anew", "following")
 
     def __init__(self, address: tuple[str, int], version: int | None) -> None:
         self.address = address
         self.version = version
+        self.begun_anew = False   # its versions start again: what came after ours means nothing there
         self.following: asyncio.Task[None]
 
 
 class Discovery:
     def __init__(self, address: tuple[str, int], facade: Facade, backends: Backends, log: Log,
-                 narrows: Sequence[Narrow] = ()) -> None:
+                 narrows: Sequence[Narrow] = (), seed: int = 0) -> None:
+        self._spread = SPREAD * Random(seed).random()
+        self._heard = asyncio.Event()   # once any watch has spoken
+        self._lost = False              # since a watch ended, until another speaks
         # What companions make of each line, in this order: the last has the last word.
         self._narrows = narrows
         # What the list says of each, and where it is reached; emptied with the list.
@@ -190,6 +201,14 @@
     def start(self) -> None:
         self._source.following = asyncio.get_running_loop().create_task(self._follow(self._source, False))
 
+    async def told(self, within: float) -> None:
+        """Until a watch has spoken, but `within` seconds at the most."""
+        try:
+            async with asyncio.timeout(within):
+                await self._heard.wait()
+        except TimeoutError:
+            pass
+
     def stop(self) -> None:
         self._source.following.cancel()
         self._let_go()
@@ -231,6 +250,7 @@
             self._log.say(f"watch ended: {why}")
             # The end of one that is replaced is expected, and says nothing of the new one.
             if source is self._source:
+                self._lost = True
                 self._facade.list_failed(clock.now())
 
     async def _watch(self, source: Source) -> str:
@@ -244,14 +264,17 @@
     async def _read(self, line: Line, source: Source) -> str:
         parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD)
         host = f"{source.address[0]}:{source.address[1]}".encode()
-        # Versions of another address mean nothing here: without one the whole list comes.
-        after = b"" if source.version is None else b"&after=%d" % source.version
+        # Versions of another address mean nothing here, nor those of before a new beginning: without one the whole list
+        # comes.
+        asked = None if source.begun_anew else source.version
+        after = b"" if asked is None else b"&after=%d" % asked
         target = b"/v1/endpoints?watch=1" + after
         line.send(framed_request(parser, Request(b"GET", target, [(b"host", host)], b"")))
         text = bytearray()
         first = True
         loop = asyncio.get_running_loop()
         until = loop.time() + FIRST_WITHIN
+        spoke_at = 0.0   # its last line; a part of one is no word
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
@@ -260,34 +283,72 @@
             elif isinstance(event, h11.Response):
                 if event.status_code != 200:
                     return f"answered {event.status_code}"
+                spoke_at = loop.time()
+                until = spoke_at + SILENT + self._spread
             elif isinstance(event, h11.Data):
                 if source is self._source:
                     self.confirmed_at = clock.now()
-                if not text:
-                    until = loop.time() + LINE_WITHIN
                 text += event.data
                 if len(text) > LONGEST:
                     raise BadList("a line is too long")
-                if b"\n" not in event.data:
-                    continue
-                *whole, rest = text.split(b"\n")
-                for news in _together(self._news(one) for one in whole if one.strip()):
-                    # Within a watch versions only rise: what is older came late, and would lift a drain. With
-                    # its first word
-                    # a discovery that has started again may well be behind.
-                    if first or source.version is None or news.version >= source.version:
-                        self.take(news, source)
-                    first = False
-                    if source is self._source:
-                        self._let_go()
-                text = rest
-                until = loop.time() + (LINE_WITHIN if text else SILENT)
+                if b"\n" in event.data:
+                    told, rest, bad = _whole(text)
+                    for news in _together(map(self._news, told)):
+                        self._speaks(news, source, first, asked)
+                        first = False
+                    if bad is not None:
+                        raise bad
+                    text = bytearray(rest)
+                    if told or not text:
+                        spoke_at = loop.time()
+                        if source is self._source:
+                            self._said()
+                until = spoke_at + SILENT + self._spread + len(text) / SLOWEST
             else:
                 return "closed"
 
+    def _speaks(self, news: News, source: Source, first: bool, asked: int | None) -> None:
+        """One word of a watch. Within one versions only rise: what is older came late, and would lift a drain. With its first
+        word a discovery that has started again may well be behind; then only a whole list tells where it stands."""
+        if first and not news.whole and asked is not None and news.version < asked:
+            source.begun_anew = True
+            raise BadList(f"its versions begin anew: {news.version} after {asked}")
+        if first or source.version is None or news.version >= source.version:
+            self.take(news, source)
+            source.begun_anew = False
+        if source is self._source:
+            self._let_go()
+
+    def _said(self) -> None:
+        """The watch lives. Where it has nothing new that has to be told all the same: the decisions ask later after each
+        watch that ended, and would go on from the failures of days ago."""
+        self._heard.set()
+        if self._lost:
+            self._lost = False
+            self._facade.listed((), False, clock.now())
+
     @staticmethod
-    def _news(one: bytes | bytearray) -> News:
+    def _news(told: Any) -> News:
         try:
-            return news_of(json.loads(one))
+            return news_of(told)
         except ValueError as error:
             raise BadList(f"a line {error}") from None
+
+
+def _whole(text: bytes | bytearray) -> tuple[list[Any], bytes, BadList | None]:
+    """What stands whole in `text`, the rest that has no end yet, and what is wrong behind what came whole. An object may stand
+    in several lines, none of them empty: an empty one says that the watch lives, and so that the object was cut short."""
+    held, newline, rest = bytes(text).rpartition(b"\n")
+    found: list[Any] = []
+    try:
+        told = held.decode()
+        while told := told.lstrip():
+            one, end = DECODER.raw_decode(told)
+            found.append(one)
+            told = told[end:]
+    except ValueError as error:
+        # At the end of a line no word is cut: what is only not whole yet fails behind all that has come.
+        if isinstance(error, json.JSONDecodeError) and error.pos >= len(told.rstrip()) and "\n\n" not in told + "\n":
+            return found, told.encode() + newline + rest, None
+        return found, b"", BadList(f"a line {error}")
+    return found, rest, None
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -136,7 +136,7 @@
         self._callers = Callers(self._handle, self._budget, self._pool, self._log, told.ground.longest_wait)
         self._backends = Backends(self._budget, self._pool, told.connect_within, told.idle_most)
         self._discovery = Discovery(told.discovery, self._facade, self._backends, self._log,
-                                    [one.narrow for one in self._company if one.narrow is not None])
+                                    [one.narrow for one in self._company if one.narrow is not None], told.ground.seed)
         self._names: set[bytes] = set()   # of the tickets in hand; emptied as they end
         self._stopping = asyncio.Event()
         self._sent_away_at: int | None = None   # since when the operators have clients sent away
@@ -447,6 +447,7 @@
     # --- start and end ----------------------------------------------------------------------------
 
     async def serve(self) -> None:
+        told = self._told.ground
         if self._told.known is not None:
             self._discovery.take(self._told.known)
         loop = asyncio.get_running_loop()
@@ -459,10 +460,13 @@
         loop.add_signal_handler(signal.SIGHUP, self.tell_anew)
         for one in self._company:
             await one.enter(self)
+        self._discovery.start()
+        if told.pushed:
+            # What is known nearby binds from the first moment on: the list that this process was told may be old.
+            await self._discovery.told(told.drain_within / 1e6)
         self.port = self._callers.listen(self._told.listen, any(one.shares_address for one in self._company))
         for one in self._company:
             await one.start()
-        self._discovery.start()
         sweep = loop.create_task(self._sweep())
         pace = loop.create_task(self._pace())
         # What stands now stays for good: the collector need not walk it each time. Connections leave cycles
--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -89,7 +89,7 @@
         # Half the rule's multiple: the other half is for what other proxies and chance add.
         self._cold_rate = ground.tip_multiple / 2
         self._cold_least = SECOND / max(1, ground.overload_for)
-        self._ask_longest = max(SECOND, ground.ask_within // 2)
+        self._ask_longest = ground.ask_within // 2 or SECOND
         self._position = ground.ordinal * GOLDEN % 1.0
 
     def retuned(self, ground: Ground, now: int) -> None:
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -233,7 +233,7 @@
     __slots__ = ("seed", "use_cases", "customers", "group_size", "ordinal", "stage", "last_tier", "zone", "zones",
                  "most_transmissions", "may_call_off", "may_advise", "longest_advice", "must_ask", "ask_within",
                  "cold_share", "warm_after", "tip_multiple", "overload_for", "passes_limit", "importance_by_work",
-                 "drain_binds_alone", "reported_by", "beside_client")
+                 "drain_binds_alone", "reported_by", "beside_client", "pushed", "drain_within")
 
     seed: int
     use_cases: list[UseCase]
@@ -249,7 +249,9 @@
     may_advise: bool
     longest_advice: int
     must_ask: bool
+    pushed: bool   # what has been told to whoever pushes the list binds, whether or not it came here
     ask_within: int
+    drain_within: int   # nothing new to a backend so long after it was told to drain
     cold_share: float
     warm_after: int
     tip_multiple: float
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,150 @@
+"""Where two events cross: each test makes them meet, by what it observes or by making both ready before the loop turns.
+
+docs/crossings.md lists them with the reason for each outcome.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import socket
+import time
+from unittest import mock
+
+from tests.scene import SETTINGS, Street
+
+LIMITS = {**SETTINGS["policy-limits"]}
+# Those who may not call work off: what is out stays out when its client leaves.
+PATIENT = {**SETTINGS, "policy-limits": {**LIMITS, "cancel": False}}
+PUSHED = {**SETTINGS, "discovery": "push", "rules": {**SETTINGS["rules"], "stop-sending-within": 250.0}}
+KINDS = ("look", "book", "pay")
+
+
+class Crossing(Street):
+    def dial(self) -> socket.socket:
+        """A client's connection outside the loop: what it does is with the kernel before the loop comes round."""
+        made = socket.create_connection(("127.0.0.1", self.proxy.port), timeout=10)
+        self.addCleanup(made.close)
+        return made
+
+    async def said(self, at: socket.socket) -> str:
+        """All that a client hears till its connection ends, and how it ended."""
+        at.setblocking(False)
+        heard = b""
+        try:
+            async with asyncio.timeout(10):
+                while part := await asyncio.get_running_loop().sock_recv(at, 65536):
+                    heard += part
+        except ConnectionResetError:
+            return f"{heard[9:12].decode()} reset"
+        return f"{heard[9:12].decode()} end"
+
+    async def warm(self) -> None:
+        """A connection kept at each backend: what goes out on one goes out in the turn in which it is decided."""
+        for number in range(len(self.toys)):
+            await self.ask("look", self.request("look", 90 + number))
+        await self.until(lambda: all(door.idle for door in self.proxy._backends._doors.values()))
+        self.proxy._counts.clear()
+
+    def got(self, number: int | str = "") -> list[str]:
+        return [line.split()[0] for line in self.lines if " gets " in line and f"id {number}" in line]
+
+    async def closed(self) -> None:
+        await self.until(lambda: any("connection is closed" in line for line in self.lines))
+
+
+class Watches(Crossing):
+    def tell(self, text: bytes, watch: int = -1) -> None:
+        self.watches[watch].write(b"%x\r\n%s\r\n" % (len(text), text))
+
+    def ready(self) -> list[str]:
+        return sorted(one["id"] for one in self.proxy._facade.backends() if one["ready"])
+
+    async def test_a_silence_is_over_in_time_wherever_it_begins(self) -> None:
+        """What is missed counts as told 6 s after the last word. In the middle of a line 10 s were waited for."""
+        text = json.dumps({"version": 2, "full": False, "servers": []}).encode()
+        for what, before, drips in (("after a line", b"\n", b""), ("in a line", text[:20], b""),
+                                    ("in a line, with a drip behind it", b"{", b" "), ("in an object of lines", b"{\n", b""),
+                                    ("in a list without end", b"[\n", b"1,\n")):
+            with self.subTest(what):
+                await self.open("a1")
+                began = time.monotonic()
+                self.tell(before)
+                while len(self.watches) == 1:
+                    if drips:
+                        self.tell(drips)
+                    await asyncio.sleep(0.05)
+                    self.assertLess(time.monotonic() - began, 5.0)
+                await self.asyncTearDown()
+
+    async def test_a_watch_that_lives_makes_the_asking_begin_anew(self) -> None:
+        """With nothing new to tell, the wait went on doubling from one lost watch to the next, weeks apart as well."""
+        await self.open("a1")
+        for asked in range(2, 5):
+            self.watches[-1].close()
+            await self.until(lambda: len(self.watches) == asked)
+            await self.until(lambda: not self.proxy._discovery._lost)
+            self.assertEqual(0, self.proxy._facade._balancer._ask_step)
+
+    async def test_versions_that_begin_anew_want_the_whole_list(self) -> None:
+        """A discovery back from nothing tells changes after a version of its own: drains before it were never heard of."""
+        await self.open("a1", "b1")
+        self.tell(json.dumps({"version": 40, "full": False, "servers": [self.line("b1", "draining")]}).encode() + b"\n")
+        await self.until(lambda: self.ready() == ["a1"])
+        self.watches[-1].close()
+        await self.until(lambda: len(self.watches) == 2)
+        self.tell(json.dumps({"version": 3, "full": False, "servers": [self.line("b1")]}).encode() + b"\n")
+        await self.until(lambda: len(self.watches) == 3)
+        asked = [line.split()[3] for line in self.lines if line.startswith("discovery gets")]
+        self.assertEqual(["/v1/endpoints?watch=1&after=1", "/v1/endpoints?watch=1&after=40", "/v1/endpoints?watch=1"], asked)
+        self.assertEqual(["a1"], self.ready())
+        self.tell(json.dumps({"version": 4, "full": True, "servers": [self.line("b1")]}).encode() + b"\n")
+        await self.until(lambda: self.ready() == ["b1"])
+        self.watches[-1].close()
+        await self.until(lambda: len(self.watches) == 4)
+        self.assertIn("after=4 ", [line for line in self.lines if line.startswith("discovery gets")][-1])
+
+    async def test_a_list_may_stand_in_several_lines(self) -> None:
+        await self.open("a1", "b1")
+        text = json.dumps({"version": 2, "full": False, "servers": [self.line("b1", "draining")]}, indent=2).encode()
+        for part in text.splitlines(keepends=True):
+            self.tell(part)
+            await asyncio.sleep(0)
+        self.assertEqual(["a1", "b1"], self.ready())
+        self.tell(b"\n\n")
+        await self.until(lambda: self.ready() == ["a1"])
+        # Cut short, and a sign of life behind it: that line is never whole.
+        self.tell(text[:40] + b"\n\n")
+        await self.until(lambda: len(self.watches) == 2)
+        self.assertEqual(1, sum("watch ended: BadList a line" in line for line in self.logged))
+
+    async def test_where_lists_are_pushed_a_lost_watch_is_asked_for_within_the_grace(self) -> None:
+        """What is known nearby binds at once: the first waits were as long as where it is asked for, up to seconds."""
+        await self.open("a1", settings=PUSHED)
+        balancer = self.proxy._facade._balancer
+        for _ in range(4):
+            self.proxy._facade.list_failed(0)
+            self.assertLessEqual(balancer._ask_at, 125_000)
+
+    async def test_where_lists_are_pushed_clients_come_after_the_first_word(self) -> None:
+        """The list that a new process was told may be old, and what is known nearby binds from its first moment."""
+        may_speak, asked = asyncio.Event(), asyncio.Event()
+        watched = self.watched
+
+        async def late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            asked.set()
+            await may_speak.wait()
+            await watched(reader, writer)
+            self.tell(json.dumps({"version": 2, "full": False, "servers": [self.line("a1", "draining")]}).encode() + b"\n")
+
+        self.watched = late
+        with mock.patch.dict(PUSHED["rules"], {"stop-sending-within": 9000.0}):
+            opening = asyncio.create_task(self.open("a1", "b1", settings=PUSHED))
+            await asyncio.wait_for(asked.wait(), 10)
+            self.assertEqual(0, self.proxy.port)
+            may_speak.set()
+            await opening
+        await self.until(lambda: self.ready() == ["b1"])
+        for number in range(2):
+            await self.ask("pay", self.request("pay", number))
+            self.assertEqual(["b1"], self.got(number))
