Connections to backends: ended or moved before the first byte, two answers, a late timer

Each with its test in test_crossings.py, WrongInstants, failing without it: - A new connection whose end is read or in the kernel already was written to, so its ticket counted as one that may have run: a single-use one was scrapped where it could go elsewhere (backends.py, _transmit; kept ones were looked at before). - What the end of a process gives up in the moment its connection has come up was reported as timed out, and scrapped; it never went out, and is bounced. - A backend at another address from now on: a connection in use meanwhile came back to those kept, and the next ticket went where the backend no longer is, as did one whose connection was just coming up. A connection now knows its address. - The last looks of a time-out that was due went on after the head of the answer had called it off, and cut off an answer on its way (exchange.py, _late): the head, the time-out and then the rest. Kept now, so that they are called off too. - A second answer, some milliseconds after the first, was taken for the answer to the next ticket on that connection: the one used last is taken first. One that has just answered now settles for 20 ms, and for twice as long as a second answer was ever seen late, up to 200 ms. Echoed ids were no way, since the protocol has none; the longest rested first would keep all of a burst's connections for good. Price: a further connection where one backend gets more than a call in 20 ms. - A ticket that is called off before its first byte counts as never sent (`moot`), which tells nothing of its backend.

The scene sets the settling to nothing, since its tickets follow one another at once; the two tests of it set it themselves.

--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -21,15 +21,21 @@
 KEPT_LEAST = 10_000
 # Turns of the loop that a connection takes to come up once the kernel has it, with some to spare.
 TURNS = 10
+# So long after its last answer a connection is not used again: some backends answer twice, the second time a little later,
+# and that would be taken for the answer to the next ticket. Later still, and it is learned, up to the second figure.
+SETTLES = 20_000
+SETTLES_MOST = 200_000
 
 
 class Link:
     """One connection to a backend with its parser."""
 
-    __slots__ = ("line", "parser", "idle_since")
+    __slots__ = ("line", "address", "answered", "parser", "idle_since")
 
-    def __init__(self, line: Line) -> None:
+    def __init__(self, line: Line, address: tuple[str, int]) -> None:
         self.line = line
+        self.address = address
+        self.answered = False   # it has carried a ticket
         self.parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD)
         self.idle_since = 0
 
@@ -57,6 +63,7 @@
         # What stands between may drop a connection long before that, and tells it with a reset of the next
         # ticket.
         self._kept_most = self._idle_most
+        self._settles = SETTLES
         self._doors: dict[str, Door] = {}   # emptied by the list, once nothing is out there
         budget.may_close_idle(self._close_oldest)
 
@@ -128,14 +135,32 @@
         if link.parser.our_state is h11.DONE:
             link.parser.start_next_cycle()
         link.idle_since = clock.now()
+
+        def strays() -> None:
+            stood = clock.now() - link.idle_since
+            if 2 * stood < SETTLES_MOST:
+                self._settles = max(self._settles, 2 * stood)
+            self._drop(door, link)
+
         # Whatever comes now, an end or words nobody asked for: this connection is not used again.
-        link.line.on_end = link.line.on_data = lambda: self._drop(door, link)
+        link.line.on_end, link.line.on_data = lambda: self._drop(door, link), strays
         door.idle.append(link)
 
+    def _keep(self, door: Door, link: Link) -> bool:
+        """Whether it may serve the next: a backend that has gone, or stands at another address by now, has none kept."""
+        if not door.listed or door.address != link.address:
+            link.line.abort()
+            return False
+        self._rest(door, link)
+        return True
+
     def _latest(self, door: Door) -> Link | None:
         now = clock.now()
-        while door.idle:
-            link = door.idle.pop()
+        for at in range(len(door.idle) - 1, -1, -1):
+            link = door.idle[at]
+            if link.answered and now - link.idle_since < self._settles:
+                continue
+            del door.idle[at]
             link.line.on_data = None
             link.line.on_end = None
             # Its end may be in the kernel and not yet read: written to now, the ticket may have run.
@@ -158,7 +183,8 @@
     async def _connect(self, door: Door, out: Transmission, within: float) -> Link | str:
         if not self._budget.take(PART):
             return "moot"
-        reaching = asyncio.ensure_future(reach(door.address))
+        address = door.address
+        reaching = asyncio.ensure_future(reach(address))
         reaching.add_done_callback(self._connected)
         out.stopped_by(reaching.cancel)
         done, _ = await asyncio.wait((reaching,), timeout=within)
@@ -171,7 +197,7 @@
             await asyncio.wait((reaching,))
         if reaching.cancelled() or reaching.exception() is not None:
             return "unreached"
-        return Link(reaching.result())
+        return Link(reaching.result(), address)
 
     def _connected(self, reaching: asyncio.Future[Line]) -> None:
         """The descriptor goes back to the budget when the connection ends, or at once if there is none."""
@@ -210,12 +236,19 @@
         if link is None:
             made = await self._connect(door, out, min(self._connect_within, patience / 1e6))
             if isinstance(made, str):
-                return out.how if out.how == "called off" else made, None
+                return "moot" if out.how == "called off" else made, None
             link = made
+            # Never written to, whatever it is given up for: the ticket never ran, and where its client left that tells
+            # nothing of the backend.
             if out.how is not None or not placed.stands():
-                # Never written to: it may serve the next.
-                self._rest(door, link) if door.listed else link.line.abort()
-                return out.how or "unreached", None
+                self._keep(door, link)
+                return "moot" if out.how == "called off" or placed.left() else "unreached", None
+            if door.address != link.address or not link.line.quiet():
+                # Somebody else may be there now; or it has ended already, or speaks out of turn, in the kernel alone as yet:
+                # written to, a single-use ticket would count as one that may have run.
+                link.line.abort()
+                return "unreached", None
+        link.answered = True
         began = clock.now()
         exchange = Exchange(link.line, link.parser, self._pool, out, max(0, until - began), self._connect_within)
         kept = False
@@ -230,12 +263,10 @@
                 # At once and without a word: an answer that broke off, or work that ended in a crash, tells
                 # nothing of it.
                 self._learn(stood, False)
-            kept = door.listed and exchange.clean
+            kept = exchange.clean
             return how, answer
         finally:
-            if kept:
-                self._rest(door, link)
-            else:
+            if not kept or not self._keep(door, link):
                 link.line.abort()
                 # The loop closes it when it comes round: sent on before that, the ticket would be out twice.
                 await asyncio.sleep(0)
--- a/pepperusher/net/exchange.py
+++ b/pepperusher/net/exchange.py
@@ -61,10 +61,12 @@
     """What the decisions are told of a transmission under way: set aside while its body comes, and back in
     its place."""
 
-    __slots__ = ("stands", "aside", "back")
+    __slots__ = ("stands", "left", "aside", "back")
 
-    def __init__(self, stands: Callable[[], bool], aside: Callable[[], None], back: Callable[[], None]) -> None:
+    def __init__(self, stands: Callable[[], bool], left: Callable[[], bool], aside: Callable[[], None],
+                 back: Callable[[], None]) -> None:
         self.stands = stands
+        self.left = left     # whether its client has
         self.aside = aside
         self.back = back
 
@@ -80,8 +82,8 @@
         self._out = out
         self._patience = patience
         self._quiet = max(REST * connect_within, QUIET)
-        self._overdue: asyncio.TimerHandle | None = None
-        self._silent: asyncio.TimerHandle | None = None
+        self._overdue: asyncio.Handle | None = None
+        self._silent: asyncio.Handle | None = None
         self.heard = False
         self._head: h11.Request | h11.Response | None = None   # where it came before the body was written
         self._ahead = 0
@@ -235,9 +237,15 @@
         self._silent = asyncio.get_running_loop().call_later(self._quiet, self._late, "reset", 2)
 
     def _late(self, how: str, looks: int) -> None:
-        """Under load timers run late, and an answer may have been read already: it has its turn first."""
+        """Under load timers run late, and an answer may have been read already: it has its turn first, and ends this."""
         if looks:
-            asyncio.get_running_loop().call_soon(self._late, how, looks - 1)
+            again = asyncio.get_running_loop().call_soon(self._late, how, looks - 1)
+            # Kept, so that what calls off the timer calls off this: an answer whose head came in the same turn, and whose
+            # rest came later, was cut off.
+            if how == "timed out":
+                self._overdue = again
+            else:
+                self._silent = again
         else:
             self._out.give_up(how)
 
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -276,8 +276,8 @@
 
         if call.onward is not None:
             call.onward.dress = dress
-        placed = Placed(lambda: self._facade.stands(ticket, clock.now()), lambda: self._facade.aside(ticket, clock.now()),
-                        lambda: self._facade.back(ticket, clock.now()))
+        placed = Placed(lambda: self._facade.stands(ticket, clock.now()), lambda: call.left,
+                        lambda: self._facade.aside(ticket, clock.now()), lambda: self._facade.back(ticket, clock.now()))
         how, answer, end = "", None, "left"
         try:
             step = self._facade.pick(ticket, clock.now())
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -226,6 +226,8 @@
             self.own_file.write_text(own.replace("HERE", folder.name))
             made = functools.partial(company, self.own_file, ())
         self.proxy = Proxy(read, self.read_again, made)
+        # Here tickets follow one another at once; that a connection settles has tests of its own.
+        self.proxy._backends._settles = 0
         self.proxy._log.say = lambda line, figures=None: self.logged.append(f"{line} {figures}" if figures else line)
         self.serving = asyncio.create_task(self.proxy.serve())
         await self.until(lambda: self.proxy.port and (self.watches or not names))
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -53,6 +53,139 @@
         await self.until(lambda: any("connection is closed" in line for line in self.lines))
 
 
+class WrongInstants(Crossing):
+    async def met(self, does: object) -> None:
+        """`does` happens when a connection to a backend has just come up, before its first byte."""
+        connect = self.proxy._backends._connect
+
+        async def meets(*given: object) -> object:
+            made = await connect(*given)
+            self.proxy._backends._connect = connect
+            done = does()
+            if asyncio.iscoroutine(done):
+                await done
+            return made
+
+        self.proxy._backends._connect = meets
+
+    async def test_a_connection_that_ended_before_its_first_byte_carried_nothing(self) -> None:
+        """Written to all the same, its ticket counted as one that may have run: a single-use one was scrapped."""
+        await self.open("a1", "b1")
+
+        async def ends() -> None:
+            toy = next(toy for toy in self.toys.values() if toy.connections)
+            toy.writers[-1].get_extra_info("socket").shutdown(socket.SHUT_RDWR)
+
+        for number, use in enumerate(KINDS, 1):
+            for toy in self.toys.values():
+                toy.connections = 0
+            for door in self.proxy._backends._doors.values():
+                self.proxy._backends._close_idle(door)
+            await self.met(ends)
+            await self.ask(use, self.request(use, number))
+            self.assertIn("-> 200", self.lines[-1])
+            self.assertEqual(1, len(self.got(number)), use)
+
+    async def test_what_is_given_up_before_its_first_byte_is_bounced(self) -> None:
+        """At a stop, the last are given up as timed out; one whose connection had just come up was scrapped for it."""
+        await self.open("a1")
+        for number, use in enumerate(KINDS, 1):
+            for door in self.proxy._backends._doors.values():
+                self.proxy._backends._close_idle(door)
+            await self.met(lambda: (self.proxy._backends.give_up_all("timed out"),
+                                    setattr(self.proxy._facade._balancer, "_most", 1)))
+            await self.ask(use, self.request(use, number))
+            self.assertIn("-> 503 'bounced'", self.lines[-1])
+        self.assertEqual([], self.got())
+
+    async def test_a_backend_that_moved_has_nothing_sent_where_it_was(self) -> None:
+        """Another may stand there by now. A connection in use meanwhile came back to those kept for the new address."""
+        await self.open("a1", "z1")
+        self.news(2, {**self.line("z1"), "state": "draining"})
+        await self.until(lambda: "z1" not in self.proxy._backends._doors)
+        moved = {**self.line("a1"), "addr": self.line("z1")["addr"]}
+        self.toys["a1"].does = ["slow"]
+        at = await self.connect()
+        at[1].write(self.request("look", 1))
+        await self.until(lambda: self.got(1))
+        self.news(3, moved)
+        await self.until(lambda: self.proxy._discovery.version == 3)
+        self.assertIn("200", await self.hear(at[0]))
+        await self.ask("look 2", self.request("look", 2))
+        self.assertEqual(["z1"], self.got(2))
+        # And back, while a connection comes up.
+        for door in self.proxy._backends._doors.values():
+            self.proxy._backends._close_idle(door)
+
+        async def moves() -> None:
+            self.news(4, self.line("a1"))
+            await self.until(lambda: self.proxy._discovery.version == 4)
+
+        await self.met(moves)
+        await self.ask("pay 3", self.request("pay", 3))
+        self.assertEqual(["a1"], self.got(3))
+
+    async def test_a_head_that_comes_with_its_time_out_has_its_answer(self) -> None:
+        """The timer's last looks went on after the head had called it off, and cut off an answer that was on its way."""
+        await self.open("a1")
+
+        async def late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            body = await reader.readexactly(int(head.lower().split("content-length: ")[1].split("\r\n")[0])
+                                            if "content-length" in head.lower() else 0)
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nab")
+            time.sleep(0.35)   # the whole loop: the head and the time-out are ready in one turn
+            await asyncio.sleep(0.05)
+            writer.write(b"cd" + body[:0])
+            return True
+
+        self.toys["a1"].answer = late
+        for number, use in enumerate(KINDS, 1):
+            self.proxy._late = 0
+            self.proxy._facade._balancer._most = 1
+            await self.ask(use, self.request(use, number, left=300))
+            self.assertIn("-> 200 'abcd'", self.lines[-1], use)
+
+    async def test_a_second_answer_is_not_taken_for_that_to_the_next_ticket(self) -> None:
+        """It came some milliseconds after the first, and on a connection used again at once it was handed to another."""
+        await self.open("a1")
+        self.proxy._backends._settles = 60_000_000
+        toy, twice = self.toys["a1"], b""
+
+        async def again(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+            nonlocal twice
+            head = (await reader.readuntil(b"\r\n\r\n")).decode().replace("request-id", "Request-Id")
+            text = head.split("Request-Id: ")[1].split("\r\n")[0].encode()
+            made = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(text), text)
+            # The second answer to the one before, as soon as the next request has come.
+            writer.write(twice if reader is again.reader else made)
+            again.reader, twice = reader, made
+            return True
+
+        again.reader = None
+        toy.answer = again
+        for number in (11, 12, 13):
+            await self.ask(f"pay {number}", self.request("pay", number))
+            self.assertIn(f"-> 200 '{number}'", self.lines[-1])
+        self.assertEqual(3, toy.connections)
+        # One that has settled is used again.
+        self.proxy._backends._settles = 0
+        toy.__dict__.pop("answer")
+        await self.ask("pay 14", self.request("pay", 14))
+        self.assertEqual(3, toy.connections)
+
+    @mock.patch("pepperusher.net.backends.SETTLES_MOST", 60_000_000)
+    async def test_how_late_a_second_answer_comes_is_learned(self) -> None:
+        await self.open("a1")
+        await self.ask("look 1", self.request("look", 1))
+        door = self.proxy._backends._doors["a1"]
+        await self.until(lambda: door.idle)
+        door.idle[0].idle_since -= 80_000
+        self.toys["a1"].writers[-1].write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        await self.until(lambda: not door.idle)
+        self.assertGreaterEqual(self.proxy._backends._settles, 160_000)
+
+
 class Watches(Crossing):
     def tell(self, text: bytes, watch: int = -1) -> None:
         self.watches[watch].write(b"%x\r\n%s\r\n" % (len(text), text))
