Clients that leave are seen before a byte goes out, and the end of a process answers who came last

Found by reading, each with its test in test_crossings.py (ClientsThatLeave, Stops), failing without it: - The loop tells of an end one turn behind the bytes before it, so a ticket whose client had left went out first, and again where the end came with the outcome of the transmission before. The kernel is looked at before each transmission (Line.left), one poll a ticket. What left while the process stood still was sent on without a look. - With more sent ahead than is held, the loop reads no further, and tells of no end: what was out stayed out till its patience. Such connections are watched for their end alone (lookout.py), one descriptor for all, opened when first needed. - Whoever ends its sending alone may read on. It counts as having left, since PROTOCOL's client that closes looks the same, but is told 503 where nothing of it may have run and else 502, or its answer where that came; it heard nothing before. Counted as "left". - Where nothing may be called off, a client that left while a connection came up counted as a backend out of reach. - SIGTERM: a connection in the kernel's queue as the last caller went, or while companions ended, was reset with its ticket. The queue is let in, and the listener closed, before the process ends (Callers.shut). - At the end, an answer that closes its connection is followed by a short reading on: what crossed it unread made a reset of the close. These are the first closed where room is needed. One that is new has time for its first words.

--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -15,6 +15,7 @@
 from pepperusher.net.line import Line, adopt
 from pepperusher.net.listening import NOBODY, listener, steer
 from pepperusher.net.log import Log
+from pepperusher.net.lookout import Lookout
 from pepperusher.net.flows import Inflow, Onward
 from pepperusher.net.message import (
     HEAD, MOST, Answer, BadMessage, Request, framed_answer, length_of, plain, read_head, read_held)
@@ -23,18 +24,14 @@
 BATCH = 16
 # So long after its connect a caller has begun, or the connection ends.
 BEGUN = 2_000_000
-# So long after its first byte a message is whole, and a second more for each so many bytes that came. Not
-# from the last
-# byte: a caller that drips would keep its connection for good. Honest ones take 2 s for a head and send 64 kB
-# a second.
+# So long after its first byte a message is whole, and a second more for each so many bytes that came. Not from the last
+# byte: a caller that drips would keep its connection for good. Honest ones take 2 s for a head and send 64 kB a second.
 WHOLE = 2_400_000
 SLOWEST = 32_000
-# Where descriptors run out, a new connection that has said nothing for so long is the first to make room:
-# whoever
+# Where descriptors run out, or the proxy ends, a new connection that has said nothing for so long is closed: whoever
 # opens one to send does so at once.
 SHY = 250_000
-# Callers get no more than this part of all descriptors: a ticket in hand takes one of its caller's and one to
-# a backend,
+# Callers get no more than this part of all descriptors: a ticket in hand takes one of its caller's and one to a backend,
 # and a crowd that says nothing left none for the second, so that those who asked were bounced.
 PART = 2 / 3
 # After an answer to bad input so much more is read, so that the answer is not lost in a reset.
@@ -42,6 +39,8 @@
 LINGER_MOST = 4 * HELD
 # An honest one whose body was not read to its end has longer to notice.
 NOTICED = 3.0
+# And one that is told to close with its answer, so that what it still sends does not turn our close into a reset.
+CLOSING = 0.25
 # What is no ticket costs as much as one to read. Whoever sends it is heard again after so long.
 PAUSE = 0.1
 
@@ -77,12 +76,15 @@
 class Call:
     """One request from a caller. `on_leave` is told if its client leaves before the answer.
 
-    `ticket` once it is one: neither `bad` nor about the proxy itself.
+    `ticket` once it is one: neither `bad` nor about the proxy itself. `away` looks whether its client has left, in the kernel
+    too: docs/crossings.md says what counts as leaving.
     """
 
-    __slots__ = ("request", "came", "onward", "on_leave", "left", "bad", "ticket")
+    __slots__ = ("request", "came", "onward", "on_leave", "left", "bad", "ticket", "_away")
 
-    def __init__(self, request: Request, came: int, onward: Onward | None = None) -> None:
+    def __init__(self, request: Request, came: int, onward: Onward | None = None,
+                 away: Callable[[], bool] = bool) -> None:
+        self._away = away
         self.request = request
         self.came = came
         self.onward = onward
@@ -97,9 +99,21 @@
         return self.onward is not None and self.onward.begun
 
     def leave(self) -> None:
-        self.left = True
-        if self.on_leave is not None:
-            self.on_leave()
+        if not self.left:
+            self.left = True
+            if self.on_leave is not None:
+                self.on_leave()
+
+    def gone(self) -> bool:
+        """Whether its client has left by now: asked before a byte goes to a backend, since the loop tells of an end behind
+        all that came before it."""
+        if not self.left and self._away():
+            self.leave()
+        return self.left
+
+    def over(self) -> None:
+        """It has its answer. What it was handed points back to its connection: the two would stay until a collection."""
+        self._away = bool
 
 
 class Caller:
@@ -150,8 +164,11 @@
         # Standing between tickets, the longest first; emptied by a ticket's first byte and as connections
         # end.
         self._idle: dict[Caller, None] = {}
+        # Told to close with their answer, and not closed yet; emptied as connections end, and where room is needed.
+        self._ending: dict[Caller, None] = {}
         self._closing = False
         self._listener: socket.socket | None = None
+        self._lookout = Lookout()
         self._accepting: asyncio.Task[None]
         budget.may_close_idle(self._close_oldest)
 
@@ -174,14 +191,24 @@
         still."""
         assert self._listener is not None
         steer(self._listener, SECOND)
+        self.shut()
+
+    def shut(self) -> bool:
+        """No more are let in from now on, but for what the kernel has queued; whether there was any. A connection that came
+        while the last of the others ended would be reset, and a ticket may be in it."""
+        if self._listener is None:
+            return False
         # It stands between two accepts, and none is lost by its end.
         self._accepting.cancel()
+        queued = False
         while (taken := _accepted(self._listener)) is not None:
             # Beyond its part, but once: left in the queue it would be reset.
             self._budget.take(FOR_ONCE)
             self._let_in(taken)
+            queued = True
         self._listener.close()
         self._listener = None
+        return queued
 
     def steer(self, to: int | None) -> bool:
         """All new connections to the first or the second process of this address, or as the kernel has it; whether it could be
@@ -231,6 +258,7 @@
             self._log.say(f"a connection was not taken: {error}")
             return
         line.when_let_go(self._budget.give)
+        line.lookout = self._lookout
         caller = Caller(line)
         self._callers[caller] = None
         body = Body(self._pool)
@@ -243,6 +271,7 @@
             body.give_back()
             self._rest(caller, False)
             self._callers.pop(caller, None)
+            self._ending.pop(caller, None)
             caller.line.close()
 
     async def _serve_one(self, caller: Caller, body: Body) -> bool:
@@ -270,8 +299,7 @@
         finally:
             line.on_data = None
             self._rest(caller, False)
-        # A client that has left already is told nothing, and its ticket need not be taken.
-        if head is None or line.ended:
+        if head is None or line.transport.is_closing():
             return False
         assert isinstance(head, h11.Request)
         caller.waits(False)
@@ -281,15 +309,19 @@
             request = request._replace(rest=Inflow(parser, line, body.length, caller.waits), length=length_of(head))
             came = clock.now()
         onward = Onward(parser, line, caller.takes, lambda: self._closes(caller, call))
-        call = Call(request, came, onward)
+        call = Call(request, came, onward, line.left)
+        if line.ended:
+            call.leave()
         line.on_end = call.leave
         answer = await self._handle(call)
         line.on_end = None
         onward.over()
+        call.over()
         caller.waiting_since, caller.spent = None, 0
         if onward.begun and not onward.ended:
             line.reset()   # broken off: it must not look like an end
-        if call.left or onward.begun and not onward.ended:
+        # Whoever ended its sending alone, and reads on, is told; nobody else is there to be.
+        if line.transport.is_closing() or onward.begun and not onward.ended:
             return False
         if not onward.begun:
             if parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -300,10 +332,14 @@
         caller.waiting_since = clock.now()
         if not await line.sent():
             return False
-        if parser.their_state is h11.SEND_BODY:
-            caller.waiting_since = None
-            await self._linger(line, *((NOTICED, MOST) if call.ticket else (LINGER, LINGER_MOST)))
         if parser.our_state is not h11.DONE or parser.their_state is not h11.DONE:
+            caller.waiting_since = None
+            if parser.their_state is h11.SEND_BODY:
+                await self._linger(line, *((NOTICED, MOST) if call.ticket else (LINGER, LINGER_MOST)))
+            elif self._closing and call.ticket and not line.ended:
+                # Only where clients are sent away: where descriptors run short, one held on to is worth more to others.
+                self._ending[caller] = None
+                await self._linger(line, CLOSING, LINGER_MOST)
             return False
         if call.bad:
             await asyncio.sleep(PAUSE)
@@ -315,12 +351,11 @@
         """Whether the connection ends with this answer."""
         line, parser = caller.line, caller.parser
         # Whoever sends what is no ticket and more behind it is not read to the end.
-        close = parser.their_state is not h11.DONE or call.bad and bool(parser.trailing_data[0] or not line.quiet())
+        close = call.left or parser.their_state is not h11.DONE or call.bad and bool(parser.trailing_data[0] or not line.quiet())
         if self._closing or self._budget.above(SHORT):
             # What a client has sent ahead is taken as well: it is answered before the connection ends.
             close = close or line.quiet() and not parser.trailing_data[0]
-        # Against hundreds that ask whether we are ready, or for what there is not, and keep a connection
-        # each.
+        # Against hundreds that ask whether we are ready, or for what there is not, and keep a connection each.
         return close or not call.ticket and not caller.useful and self._budget.above(HALF)
 
     async def _turn_away(self, caller: Caller, bad: BadMessage) -> None:
@@ -355,7 +390,12 @@
         caller.waiting_since, caller.spent = clock.now(), 0
 
     def _close_oldest(self) -> bool:
-        """Where descriptors run out. What is in the kernel, and so may be a whole ticket, is left alone."""
+        """Where descriptors run out: first whose answer said so already. What is in the kernel, and so may be a whole ticket, is left alone."""
+        while self._ending:
+            line = self._ending.popitem()[0].line
+            if not line.transport.is_closing():
+                line.abort()
+                return True
         now = clock.now()
 
         def stood(caller: Caller, least: int) -> bool:
@@ -410,8 +450,12 @@
         self._closing = on
 
     def close_idle(self, least: int = 0) -> None:
-        """Those that have stood idle for so long. One that has sent something ends with the answer to it."""
+        """Those that have stood idle for so long; one that is new has time for its first words. One that has sent something
+        ends with the answer to it."""
         now = clock.now()
         for caller in list(self._idle):
-            if caller.waiting_since is None or now - caller.waiting_since >= least:
+            if caller.waiting_since is None or now - caller.waiting_since >= (least if caller.answered else max(least, SHY)):
                 self._closed(caller)
+
+    def over(self) -> None:
+        self._lookout.close()
--- a/pepperusher/net/line.py
+++ b/pepperusher/net/line.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from pepperusher.net import clock
+from pepperusher.net.lookout import Lookout
 
 # Where the kernel's figures of a connection hold the time since data last came in, and how coarse it may be.
 INFO = struct.Struct("=52xI")
@@ -35,6 +36,9 @@
         self._tell_let_go: Callable[[], None] | None = None
         self._let_go = False
         self._unwritten = False
+        # Who tells of its end while so much has come unread that no more is taken; None where that need not be known.
+        self.lookout: Lookout | None = None
+        self._minded = False
         # Come and not yet read; what is left after an answer belongs to no ticket.
         self.unread = 0
 
@@ -60,6 +64,28 @@
         super().data_received(data)
         if self.on_data is not None:
             self.on_data()
+        if self.lookout is not None and not self._minded and not self.transport.is_reading():
+            self._minded = True
+            self.lookout.mind(self)
+
+    def _taken(self) -> None:
+        """Some of what came is read: where more is taken again, its end is told with it."""
+        if self._minded and self.transport.is_reading():
+            self._unminded()
+
+    def _unminded(self) -> None:
+        if self._minded and self.lookout is not None:
+            self._minded = False
+            self.lookout.leave(self)
+
+    def fileno(self) -> int:
+        number: int = self.transport.get_extra_info("socket").fileno()
+        return number
+
+    def hung_up(self) -> None:
+        """The other side has ended, with words of its still unread."""
+        self._minded = False
+        self._end()
 
     def eof_received(self) -> bool | None:
         stays = super().eof_received()
@@ -69,6 +95,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
+        self._unminded()
         self._end()
         # It points back here: the two would stay until a collection.
         del self.writer
@@ -97,6 +124,7 @@
         except OSError:
             return b""
         self.unread -= len(data)
+        self._taken()
         return data
 
     def came_at(self) -> int:
@@ -116,6 +144,15 @@
         look.register(self.transport.get_extra_info("socket"), select.POLLIN)
         return not look.poll(0)
 
+    def left(self) -> bool:
+        """Whether the other side has ended its sending or the connection, be it in the kernel alone: the loop tells it later,
+        behind what came before it."""
+        if self.ended or self.transport.is_closing():
+            return True
+        look = select.poll()
+        look.register(self.transport.get_extra_info("socket"), select.POLLRDHUP)
+        return bool(look.poll(0))
+
     def send(self, data: bytes) -> bool:
         """Whether the kernel took all of it at once."""
         if self.transport.is_closing():
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -28,6 +28,9 @@
 
 READY = plain(200, "ready")
 BROKEN = plain(500, "an error in the proxy")
+# For whoever ended its sending and reads on: nothing of it is sent on any more.
+LEFT = plain(503, "its client left before it was sent on")
+LEFT_LATER = plain(502, "its client left")
 NOT_READY = plain(503, "no backends known, clients sent away, or about to stop")
 # After SIGTERM connections go on coming for a while.
 STILL_COMING = 0.55
@@ -196,7 +199,7 @@
                 self._names.discard(name)
             holds.must_hold(answer is not None or call.left or call.begun,
                             "a ticket ends with an answer unless its client left")
-            return answer or BROKEN
+            return answer or (LEFT if call.left and not call.begun else BROKEN)
         except BadCall as bad:
             call.bad = True
             self._count("bad calls")
@@ -233,6 +236,10 @@
             cost = _span("Work-Hint", given, 1, "a number")
         call.ticket = True
         customer = told.get(b"tenant", b"").decode("latin-1")
+        if call.left:
+            # While it waited for its turn.
+            self._count("left")
+            return LEFT
         passed = None
         if self._gate is not None:
             passed = self._gate.ask(call.request, use_case, customer, wait, self._facade.outer_of(use_case))
@@ -276,7 +283,7 @@
 
         if call.onward is not None:
             call.onward.dress = dress
-        placed = Placed(lambda: self._facade.stands(ticket, clock.now()), lambda: call.left,
+        placed = Placed(lambda: not call.gone() and self._facade.stands(ticket, clock.now()), lambda: call.left,
                         lambda: self._facade.aside(ticket, clock.now()), lambda: self._facade.back(ticket, clock.now()))
         how, answer, end = "", None, "left"
         try:
@@ -287,6 +294,11 @@
                     await asyncio.sleep(step.wait / 1e6)
                     step = self._facade.pick(ticket, clock.now())
                     continue
+                if call.gone():
+                    # Seen here where the loop has not come round to it: nothing more goes out.
+                    how = "moot"
+                    step = self._facade.report(ticket, how, clock.now(), False)
+                    continue
                 kept = None
                 if shelf is not None and shelf.on:
                     kept = await shelf.sending(use_case, mark, step.backend, self._facade.cell_of(step.backend),
@@ -320,6 +332,9 @@
                 raise BadCall(*rest.bad)
             end = "done" if how == "done" else ENDS.get(step.what, "left")
             answered = self._answer(step, how, answer)
+            if answered is None and call.left and not call.begun:
+                self._count("left")
+                answered = LEFT if self._facade.pick(ticket, clock.now()).what == BOUNCE else LEFT_LATER
             return answered if passed is None or self._gate is None else self._gate.named(passed, answered)
         finally:
             call.on_leave = None
@@ -481,6 +496,7 @@
         for one in reversed(self._company):
             await one.stop()
         self._discovery.stop()
+        self._callers.over()
         sweep.cancel()
         pace.cancel()
         self._say_counts()
@@ -531,10 +547,14 @@
             self._callers.close_after_answers()
         else:
             await asyncio.sleep(STILL_COMING)
-        while (passed := loop.time() - began) < killed - ENDED and self._callers.open:
+        while (passed := loop.time() - began) < killed - ENDED:
             if passed >= last - CLOSED_BEFORE:
                 self._callers.close_after_answers()
+                self._callers.shut()
                 self._callers.close_idle()
+            # With the last of them another may have come.
+            if not self._callers.open and not self._callers.shut():
+                break
             await asyncio.sleep(0.02)
 
     async def _sweep(self) -> None:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -6,13 +6,21 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import socket
+import struct
 import time
 from unittest import mock
 
+from pepperusher.net.callers import Callers
+from pepperusher.net.companion import Companion
+from pepperusher.net.line import Line
+from pepperusher.net.message import read_head
+
 from tests.scene import SETTINGS, Street
 
+RESET = struct.pack("ii", 1, 0)
 LIMITS = {**SETTINGS["policy-limits"]}
 # Those who may not call work off: what is out stays out when its client leaves.
 PATIENT = {**SETTINGS, "policy-limits": {**LIMITS, "cancel": False}}
@@ -53,6 +61,131 @@
         await self.until(lambda: any("connection is closed" in line for line in self.lines))
 
 
+class ClientsThatLeave(Crossing):
+    async def test_an_end_that_is_in_the_kernel_alone_keeps_the_ticket_from_going_out(self) -> None:
+        """Read behind the request, in the next turn of the loop, it was known when the ticket was out."""
+        await self.open("a1")
+        await self.warm()
+        for number, use in enumerate(KINDS, 1):
+            at = self.dial()
+            at.sendall(self.request(use, number))
+            at.shutdown(socket.SHUT_WR)
+            self.assertEqual("503 end", await self.said(at), use)
+            self.assertEqual([], self.got(number))
+        self.assertEqual(3, self.proxy._counts["left"])
+        # Nothing of it is held against the backend.
+        self.assertEqual(0, self.proxy._facade._backends["a1"].failures)
+
+    async def test_one_that_left_while_the_process_stood_still_is_not_sent_on(self) -> None:
+        await self.open("a1")
+        await self.warm()
+        kept = [self.dial() for _ in KINDS]
+        await self.until(lambda: self.proxy._callers.open == len(kept))
+        for number, (at, use) in enumerate(zip(kept, KINDS), 1):
+            at.sendall(self.request(use, number))
+            at.shutdown(socket.SHUT_WR)
+        time.sleep(0.4)   # the whole loop
+        self.assertEqual(["503 end"] * 3, [await self.said(at) for at in kept])
+        self.assertEqual([], [self.got(number) for number in (1, 2, 3) if self.got(number)])
+        self.assertEqual({"left": 3}, self.proxy._counts)
+
+    async def test_one_that_left_between_two_transmissions_goes_out_once(self) -> None:
+        """Its end and the outcome of the first come in one turn; where nothing is called off it was read later."""
+        await self.open("a1", "b1", settings=PATIENT)
+        leaver: list[socket.socket] = []
+        for toy in self.toys.values():
+
+            async def leaves(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, answer: object = toy.answer) -> bool:
+                goes_on = await answer(reader, writer)
+                if leaver:
+                    leaver.pop().shutdown(socket.SHUT_WR)
+                return goes_on
+
+            toy.answer = leaves
+        await self.warm()
+        for use, status in (("look", "503"), ("book", "502"), ("pay", "502")):
+            at = self.dial()
+            for toy in self.toys.values():
+                toy.does = ["HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"]
+            del self.lines[:]
+            leaver.append(at)
+            at.sendall(self.request(use, 7))
+            self.assertEqual(f"{status} end", await self.said(at), use)
+            self.assertEqual(1, len(self.got(7)), use)
+            self.assertEqual([], leaver)
+
+    async def test_an_end_is_noticed_while_nothing_more_is_read(self) -> None:
+        """With more sent ahead than is held, the loop reads no further and told of no end: what was out stayed out, and
+        descriptors and time with it."""
+        for how in ("resets", "ends"):
+            with self.subTest(how):
+                await self.open("a1")
+                self.toys["a1"].does = ["silent"]
+                at = self.dial()
+                at.sendall(self.request("look", 1, left=30_000))
+                await self.until(lambda: self.got(1))
+                caller = next(iter(self.proxy._callers._callers))
+                at.setblocking(False)
+                while caller.line.transport.is_reading():
+                    with contextlib.suppress(BlockingIOError):
+                        at.send(b"GET /look/ahead HTTP/1.1\r\n" + b"x" * 8000)
+                    await asyncio.sleep(0)
+                if how == "resets":
+                    at.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+                at.close()
+                await self.closed()
+                await self.until(lambda: not self.proxy._facade.in_hand and not self.proxy._callers.open)
+                self.assertEqual({}, self.proxy._callers._lookout._watched)
+                self.assertEqual({"called off": 1, "left": 1}, self.proxy._counts)
+                await self.asyncTearDown()
+
+    async def test_reading_that_goes_on_is_no_longer_watched(self) -> None:
+        await self.open("a1")
+        self.toys["a1"].does = ["slow"]
+        at = self.dial()
+        at.sendall(self.request("pay", 1))
+        await self.until(lambda: self.got(1))
+        caller = next(iter(self.proxy._callers._callers))
+        ahead = b"".join(self.request("pay", number, "x" * 4000) for number in range(2, 22))
+        sending = asyncio.get_running_loop().run_in_executor(None, at.sendall, ahead)
+        await self.until(lambda: not caller.line.transport.is_reading())
+        self.assertEqual([caller.line], list(self.proxy._callers._lookout._watched.values()))
+        await sending
+        await self.until(lambda: self.proxy._counts.get("done") == 21)
+        self.assertEqual({}, self.proxy._callers._lookout._watched)
+
+    async def test_whoever_ends_its_sending_alone_is_told_what_became_of_it(self) -> None:
+        """An end of sending counts as leaving, and where only that ended the client still hears its answer."""
+        for settings, does, expected in (
+                (SETTINGS, "silent", ("503 end", "502 end", "502 end")), (PATIENT, "slow", ("200 end",) * 3)):
+            await self.open("a1", settings=settings)
+            self.toys["a1"].does = [does] * 3
+            for number, (use, status) in enumerate(zip(KINDS, expected), 1):
+                at = self.dial()
+                at.sendall(self.request(use, number))
+                await self.until(lambda: self.got(number))
+                at.shutdown(socket.SHUT_WR)
+                self.assertEqual(status, await self.said(at), f"{use} at one that is {does}")
+            await self.asyncTearDown()
+
+    async def test_an_end_read_with_the_request_leaves_it_its_answer(self) -> None:
+        """Nothing was said to it, though its client might have read on; and whoever asks how the proxy is hears that."""
+        await self.open("a1")
+        for sent, expected in ((self.request("pay", 1), "503 end"), (b"GET /ready HTTP/1.1\r\nHost: p\r\n\r\n", "200 end")):
+            at = self.dial()
+
+            async def ends_behind(parser: object, line: Line, *more: object) -> object:
+                head = await read_head(parser, line, *more)
+                at.shutdown(socket.SHUT_WR)
+                await self.until(lambda: line.ended)
+                return head
+
+            with mock.patch("pepperusher.net.callers.read_head", ends_behind):
+                at.sendall(sent)
+                self.assertEqual(expected, await self.said(at))
+        self.assertEqual([], self.got())
+
+
 class WrongInstants(Crossing):
     async def met(self, does: object) -> None:
         """`does` happens when a connection to a backend has just come up, before its first byte."""
@@ -98,6 +231,19 @@
             self.assertIn("-> 503 'bounced'", self.lines[-1])
         self.assertEqual([], self.got())
 
+    async def test_a_client_that_leaves_as_the_connection_comes_up_tells_nothing_of_the_backend(self) -> None:
+        """Where nothing may be called off it counted as a backend out of reach, and five of them opened its breaker."""
+        await self.open("a1", settings=PATIENT)
+        for number in range(6):
+            at = self.dial()
+            await self.met(lambda: at.shutdown(socket.SHUT_WR))
+            at.sendall(self.request("look", number))
+            self.assertEqual("503 end", await self.said(at))
+            for door in self.proxy._backends._doors.values():
+                self.proxy._backends._close_idle(door)
+        self.assertEqual([], self.got())
+        self.assertEqual(["closed"], [one["state"] for one in self.proxy._facade.backends()])
+
     async def test_a_backend_that_moved_has_nothing_sent_where_it_was(self) -> None:
         """Another may stand there by now. A connection in use meanwhile came back to those kept for the new address."""
         await self.open("a1", "z1")
@@ -186,6 +332,83 @@
         self.assertGreaterEqual(self.proxy._backends._settles, 160_000)
 
 
+class Stops(Crossing):
+    async def test_a_connection_that_comes_as_the_last_one_ends_is_answered(self) -> None:
+        """It stood in the kernel's queue when the proxy saw that nobody was left, and was reset with its ticket."""
+        await self.open("a1")
+        at = None
+
+        def none_left(callers: Callers) -> int:
+            nonlocal at
+            left = len(callers._serving)
+            if not left and at is None and self.proxy.stopping:
+                at = self.dial()
+                at.sendall(self.request("pay", 1))
+            return left
+
+        with mock.patch.object(Callers, "open", property(none_left)):
+            self.proxy.stop()
+            await self.until(lambda: at is not None)
+            at.setblocking(False)
+            heard = await asyncio.wait_for(asyncio.get_running_loop().sock_recv(at, 65536), 10)
+            self.assertEqual(b"200", heard[9:12])
+            self.assertFalse(self.serving.done())   # its loop would have ended under the ticket
+            at.close()
+            await asyncio.wait_for(self.serving, 10)
+
+    async def test_nobody_is_let_in_while_companions_end(self) -> None:
+        """A ticket let in then had no answer: the loop ended under it."""
+        await self.open("a1")
+        tried = []
+
+        class Slow(Companion):
+            async def stop(one) -> None:
+                for _ in range(3):
+                    try:
+                        self.dial()
+                        tried.append("let in")
+                    except ConnectionRefusedError:
+                        tried.append("refused")
+                    await asyncio.sleep(0)
+
+        self.proxy._company = [*self.proxy._company, Slow()]
+        self.proxy.stop()
+        await asyncio.wait_for(self.serving, 10)
+        self.assertEqual(["refused"] * 3, tried)
+
+    async def test_what_crosses_the_last_answer_does_not_reset_it(self) -> None:
+        """Unread at the close, it turned the close into a reset, in which the answer before may be lost."""
+        await self.open("a1")
+        at = self.dial()
+        closes = self.proxy._callers._closes
+
+        def crosses(*given: object) -> bool:
+            made = closes(*given)
+            if made:
+                at.sendall(self.request("look", 2))
+            return made
+
+        self.proxy._callers._closes = crosses
+        self.proxy._callers.close_after_answers()
+        at.sendall(self.request("look", 1))
+        self.assertEqual("200 end", await self.said(at))
+
+    async def test_one_that_is_new_at_the_end_has_time_for_its_first_words(self) -> None:
+        """Let in and closed at once, its request met a closed connection and no answer."""
+        await self.open("a1")
+        at = self.dial()
+        await self.until(lambda: self.proxy._callers._idle)
+        self.proxy._callers.close_after_answers()
+        self.proxy._callers.close_idle()
+        at.sendall(self.request("look", 1))
+        self.assertEqual("200 end", await self.said(at))
+        shy = self.dial()
+        await self.until(lambda: self.proxy._callers._idle)
+        next(iter(self.proxy._callers._idle)).waiting_since -= 250_000
+        self.proxy._callers.close_idle()
+        self.assertEqual(" end", await self.said(shy))
+
+
 class Watches(Crossing):
     def tell(self, text: bytes, watch: int = -1) -> None:
         self.watches[watch].write(b"%x\r\n%s\r\n" % (len(text), text))
