What is not written whole to a backend goes no further once its client has left

Where the settings let nothing be called off, a request that a hanging backend had taken in part stayed out when its client left, and its rest went out as the backend made room, up to its patience later (proxy.py, leave). A transmission whose last byte the kernel has not is no work yet: it never ran and is given up in either case, and counts as never sent. Test: small socket buffers, a backend that does not read, 60 kB of a referenced and a single-use ticket; without the change both end as out of reach by their patience, and the counts tell it.

--- a/pepperusher/net/exchange.py
+++ b/pepperusher/net/exchange.py
@@ -35,10 +35,12 @@
 
 
 class Transmission:
-    """One sending of a ticket to one backend. `how` is set once it is given up from outside."""
+    """One sending of a ticket to one backend. `how` is set once it is given up from outside, `written` once the kernel has its
+    last byte: before that it never ran, and may always be given up."""
 
     def __init__(self) -> None:
         self.how: str | None = None
+        self.written = False
         self._stop: Callable[[], object] | None = None
 
     def give_up(self, how: str) -> None:
@@ -87,7 +89,6 @@
         self.heard = False
         self._head: h11.Request | h11.Response | None = None   # where it came before the body was written
         self._ahead = 0
-        self._written = False
 
     async def run(self, request: Request, placed: Placed, onward: Onward | None) -> tuple[str, Answer | None]:
         """How it ended, and the answer if a whole one came and was not passed on yet."""
@@ -101,15 +102,15 @@
                 return how, None
             how, answer = await self._receive(onward)
             # Whatever it answered before its last byte was written, it has not run it.
-            return (how, answer) if self._written or how in (*PASSED_ON, "full", "called off") else ("unreached", None)
+            return (how, answer) if self._out.written or how in (*PASSED_ON, "full", "called off") else ("unreached", None)
         except h11.RemoteProtocolError:
             return out.how or "unreached", None   # what it said before it had the whole body is no HTTP
         except h11.LocalProtocolError:
             return "moot", None   # it can't be framed, so nothing was written: no fault of the backend's
         except BadMessage:
-            return out.how or ("reset" if self._written else "unreached"), None
+            return out.how or ("reset" if self._out.written else "unreached"), None
         except TimeoutError:
-            return out.how or ("reset" if self._written else "unreached"), None
+            return out.how or ("reset" if self._out.written else "unreached"), None
         finally:
             for timer in (self._overdue, self._silent):
                 if timer is not None:
@@ -131,14 +132,14 @@
         line, rest = self._line, request.rest
         sent = line.send(framed_request(self._parser, request)) or await line.sent()
         if not sent:
-            return "called off" if self._out.how == "called off" else "unreached"
+            return "moot" if self._out.how == "called off" else "unreached"
         if rest is not None:
             placed.aside()
             while True:
                 try:
                     data = await rest.read()
                 except BadMessage:
-                    return "called off" if self._out.how == "called off" else "moot"   # no fault of the backend's
+                    return "moot"   # no fault of the backend's
                 if await self._answers():
                     self._due()   # it has its patience still, and no more of the body
                     return None
@@ -147,12 +148,12 @@
                     async with asyncio.timeout(STALLED):
                         sent = await line.sent()
                     if not sent:
-                        return "called off" if self._out.how == "called off" else "unreached"
+                        return "moot" if self._out.how == "called off" else "unreached"
                 if not data:
                     break
             placed.back()
             self._due()
-        self._written = True
+        self._out.written = True
         return None
 
     async def _answers(self) -> bool:
@@ -177,7 +178,7 @@
     async def _receive(self, onward: Onward | None) -> tuple[str, Answer | None]:
         head = self._head or await read_head(self._parser, self._line, self._listen)
         if head is None:
-            return self._out.how or ("reset" if self._written else "unreached"), None
+            return self._out.how or ("reset" if self._out.written else "unreached"), None
         assert isinstance(head, h11.Response)
         self.heard = True
         # The work is done: from here on it is silence that ends it, and not its patience.
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -262,7 +262,9 @@
         out: Transmission | None = None
 
         def leave() -> None:
-            if (self._facade.gone(ticket, clock.now()) or call.begun) and out is not None:
+            off = self._facade.gone(ticket, clock.now()) or call.begun
+            # Work under way stays where the settings have it so; what is not written whole is none, and would be later.
+            if out is not None and (off or not out.written):
                 out.give_up("called off")
 
         call.on_leave = leave
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,7 +15,7 @@
 
 from pepperusher.net.callers import Callers
 from pepperusher.net.companion import Companion
-from pepperusher.net.line import Line
+from pepperusher.net.line import Line, reach
 from pepperusher.net.message import read_head
 
 from tests.scene import SETTINGS, Street
@@ -114,6 +114,39 @@
             self.assertEqual(1, len(self.got(7)), use)
             self.assertEqual([], leaver)
 
+    async def test_what_is_not_written_whole_goes_no_further(self) -> None:
+        """Where nothing may be called off the rest went out as the backend made room, long after its client had left."""
+        await self.open("a1", settings=PATIENT)
+        slow = socket.socket()
+        self.addCleanup(slow.close)
+        slow.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        slow.bind(("127.0.0.1", 0))
+        slow.listen()
+        slow.setblocking(False)
+        self.proxy._backends._doors["a1"].address = slow.getsockname()
+
+        async def narrow(address: tuple[str, int]) -> Line:
+            line = await reach(address)
+            line.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            return line
+
+        with mock.patch("pepperusher.net.backends.reach", narrow):
+            for number, use in ((1, "book"), (2, "pay")):
+                at = self.dial()
+                at.sendall(self.request(use, number, "x" * 60_000))
+                taken, _ = await asyncio.get_running_loop().sock_accept(slow)
+                taken.setblocking(False)
+                came = len(await asyncio.get_running_loop().sock_recv(taken, 1))
+                at.shutdown(socket.SHUT_WR)
+                self.assertEqual("503 end", await self.said(at), use)
+                with contextlib.suppress(ConnectionResetError):
+                    while part := await asyncio.get_running_loop().sock_recv(taken, 65536):
+                        came += len(part)
+                taken.close()
+                self.assertLess(came, 60_000, use)
+        # Given up for the client's leaving, and not by its patience.
+        self.assertEqual({"moot": 2, "left": 2}, self.proxy._counts)
+
     async def test_an_end_is_noticed_while_nothing_more_is_read(self) -> None:
         """With more sent ahead than is held, the loop reads no further and told of no end: what was out stayed out, and
         descriptors and time with it."""
