--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,7 +10,10 @@
 import json
 import socket
 import struct
+import sys
+import tempfile
 import time
+import unittest
 from unittest import mock
 
 from pepperusher.net.callers import Callers
@@ -18,7 +21,7 @@
 from pepperusher.net.line import Line, reach
 from pepperusher.net.message import read_head
 
-from tests.scene import SETTINGS, Street
+from tests.scene import SETTINGS, Street, configuration
 
 RESET = struct.pack("ii", 1, 0)
 LIMITS = {**SETTINGS["policy-limits"]}
@@ -442,6 +445,149 @@
         self.assertEqual(" end", await self.said(shy))
 
 
+    @mock.patch("pepperusher.net.proxy.LONGEST_GRACE", 1.6)
+    async def test_whatever_stage_a_ticket_is_at_when_the_end_comes_it_has_its_answer(self) -> None:
+        """Half read, whole in the kernel, in the accept queue, one behind another, out at one that hangs; told to end twice, with a
+        new configuration in between, and with bad input beside it."""
+        long = {"name": "file", "promised-time": 9000.0, "outer-limit": 9000.0, "effect": "side_effect"}
+        await self.open("a1", settings={**SETTINGS, "use-cases": [*SETTINGS["use-cases"], long]})
+        await self.warm()
+        half, kernel, bad, kept = self.dial(), self.dial(), self.dial(), self.dial()
+        hangs = self.dial()
+        self.toys["a1"].does = ["silent"]
+        hangs.sendall(self.request("file", 1, left=9000))
+        await self.until(lambda: self.got(1))
+        sent = self.request("book", 2, "x" * 300)
+        half.sendall(sent[:-100])
+        await self.until(lambda: sum(bool(one.line.received) for one in self.proxy._callers._callers) == 2)
+        kernel.sendall(self.request("look", 3) + self.request("pay", 4))
+        bad.sendall(b"no request\r\n\r\n")
+        self.proxy.stop()
+        queued = self.dial()
+        queued.sendall(self.request("pay", 5))
+        self.proxy.tell_anew()
+        self.proxy.stop()
+        half.sendall(sent[-100:])
+        loop = asyncio.get_running_loop()
+        for at in (half, kernel, queued, bad, kept):
+            at.setblocking(False)
+
+        async def answers(at: socket.socket, count: int) -> list[str]:
+            heard = b""
+            async with asyncio.timeout(10):
+                while heard.count(b"HTTP/1.1 ") < count or not heard.endswith((b"\n", b"2", b"3", b"4", b"5", b"6")):
+                    heard += await loop.sock_recv(at, 65536)
+            return [part[:3].decode() for part in heard.split(b"HTTP/1.1 ")[1:]]
+
+        self.assertEqual(["200"], await answers(half, 1))
+        self.assertEqual(["200", "200"], await answers(kernel, 2))
+        self.assertEqual(["200"], await answers(queued, 1))
+        self.assertEqual(["400"], await answers(bad, 1))
+        kept.sendall(self.request("look", 6))   # one that stays open is served on
+        self.assertEqual(["200"], await answers(kept, 1))
+        self.assertEqual("504 end", await self.said(hangs))
+        for at in (half, kernel, queued, kept):
+            self.assertEqual(" end", await self.said(at))
+        await asyncio.wait_for(self.serving, 10)
+        self.assertEqual([1] * 6, [len(self.got(number)) for number in range(1, 7)])
+
+    async def test_an_outcome_and_its_client_s_end_in_one_turn_are_told_once(self) -> None:
+        """Each order; the transmission would be counted twice, or never come off those in flight."""
+        for does in ("ok", "break", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"):
+            await self.open("a1")
+            toy = self.toys["a1"]
+            leaver: list[socket.socket] = []
+
+            async def leaves(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, answer: object = toy.answer) -> bool:
+                goes_on = await answer(reader, writer)
+                leaver.pop().shutdown(socket.SHUT_WR)
+                return goes_on
+
+            toy.answer = leaves
+            for number, use in enumerate(KINDS):
+                toy.does = [does]
+                at = self.dial()
+                leaver.append(at)
+                at.sendall(self.request(use, number))
+                self.assertIn(await self.said(at), ("200 end", "502 end", "503 end"))
+                self.assertEqual(1, len(self.got(number)))
+            self.assertEqual(0, self.proxy._facade.in_hand)
+            self.assertEqual(0, self.proxy._facade._backends["a1"].in_flight)
+            self.assertNotIn("exceptions", self.proxy._counts)
+            await self.asyncTearDown()
+
+
+class WholeProgram(unittest.IsolatedAsyncioTestCase):
+    async def test_sigterm_with_tickets_out_and_more_that_come(self) -> None:
+        """As the platform starts and ends it. What is out at SIGTERM, what comes on a connection that stays open, and what
+        connects then, are all answered; it ends by itself and with 0."""
+        held, asked = asyncio.Event(), []
+
+        async def backend(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+                    asked.append(head.split("request-id: ")[1].split("\r\n")[0])
+                    await held.wait()
+                    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+            writer.close()
+
+        server = await asyncio.start_server(backend, "127.0.0.1", 0)
+        with socket.socket() as free:
+            free.bind(("127.0.0.1", 0))
+            port = free.getsockname()[1]
+        told = configuration(listen=f"127.0.0.1:{port}", known={"version": 1, "full": True, "servers": [
+            {"id": "a1", "addr": f"127.0.0.1:{server.sockets[0].getsockname()[1]}", "state": "ready"}]})
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            json.dump(told, file)
+            file.flush()
+            served = await asyncio.create_subprocess_exec(
+                sys.executable, "-O", "-m", "pepperusher", "serve", "--config", file.name, stderr=asyncio.subprocess.PIPE)
+            said: list[str] = []
+
+            async def until(word: str) -> None:
+                async with asyncio.timeout(20):
+                    while not said or word not in said[-1]:
+                        said.append((await served.stderr.readline()).decode())
+
+            def request(number: int, use: str) -> bytes:
+                return Street.request(None, use, number, left=8000)
+
+            async def ask(number: int, use: str, at: object = None) -> object:
+                reader, writer = at or await asyncio.open_connection("127.0.0.1", port)
+                writer.write(request(number, use))
+                return reader, writer
+
+            try:
+                await until("serving at")
+                out = [await ask(number, use) for number, use in enumerate(KINDS)]
+                kept = await asyncio.open_connection("127.0.0.1", port)
+                kept[1].write(b"GET /ready HTTP/1.1\r\nHost: p\r\n\r\n")
+                self.assertIn(b"200", await asyncio.wait_for(kept[0].readuntil(b"ready\n"), 10))
+                async with asyncio.timeout(10):
+                    while len(asked) < 3:
+                        await asyncio.sleep(0.005)
+                served.terminate()
+                await until("stopping")
+                out += [await ask(3, "pay", kept), await ask(4, "pay")]
+                async with asyncio.timeout(10):
+                    while len(asked) < 5:
+                        await asyncio.sleep(0.005)
+                held.set()
+                for reader, writer in out:
+                    self.assertIn(b" 200 ", await asyncio.wait_for(reader.readuntil(b"\r\n\r\nok"), 10))
+                    writer.close()
+                self.assertEqual(0, await asyncio.wait_for(served.wait(), 10))
+                said.append((await served.stderr.read()).decode())
+                self.assertNotIn("Traceback", "".join(said))
+                self.assertEqual(["0", "1", "2", "3", "4"], sorted(asked))
+            finally:
+                if served.returncode is None:
+                    served.kill()
+                    await served.wait()
+                server.close()
+
+
 class Watches(Crossing):
     def tell(self, text: bytes, watch: int = -1) -> None:
         self.watches[watch].write(b"%x\r\n%s\r\n" % (len(text), text))
