A silent watch is left after 2.5 to 3 s and asked for at once: a drain was broken at another customer

All watches fell silent at about 0.5 s; the logs have `watch ended: TimeoutError` at 4.57 s at ten proxies, and at 5.51 s at n2, whose call of 0.5 s never had a word; the list was regained at 5.70, 7.69 and 7.97 s. What was missed counts from 6 s after the silence, and 0.5 s of grace. So: 4.5 s till it was noticed, up to 0.5 s of waiting as after a call that failed, and 2.8 s in the queue of a discovery that serves few calls. Ruled out: a list told and not acted on (no list line before the send), a transmission held back (the choice itself was late).

Tests: two more in test_crossings.py, Watches. The kept line "watch ended: TimeoutError" now says "silent".

--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -19,13 +19,15 @@
 from pepperusher.net.message import HEAD, Request, framed_request
 
 CONNECT_WITHIN = 1.5
-# Calls wait in turn at discovery; the first word may take so long.
-FIRST_WITHIN = 5.0
+# Calls wait in turn at discovery; the first word may take so long. A watch that is silent from its first byte looks the
+# same, so it is not longer at once: half as much again after each call that had none, up to the second figure.
+FIRST_WITHIN = 3.5
+FIRST_MOST = 10.0
 # An empty line comes every 2 s: a watch with no line for longer is dead, whatever its connection says. What it
-# misses is held against this proxy 6 s after its last line, and by then another watch has to have told it: with
-# 4.5 s, one slow call more was too late. The second figure is spread over proxies, since all watches may fall
-# silent at once, and a discovery that all of them ask in one moment is down for good.
-SILENT = 3.0
+# misses is held against this proxy 6 s after its last line, and by then another watch has to have told it: after
+# 4.5 s, and a wait of up to 500 ms, a call that stood 2.8 s in discovery's queue was too late. The second figure is
+# spread over proxies, since all watches may fall silent at once; asked is then without a further wait.
+SILENT = 2.5
 SPREAD = 0.5
 # A line that has begun is whole as soon as that, and a second later for each so many bytes that came: discovery may
 # drip, or stop in the middle, and each byte alone is in time.
@@ -41,6 +43,10 @@
     """Not a list of backends; the text says what is wrong."""
 
 
+class Silent(Exception):
+    """A watch that has spoken says no more."""
+
+
 class News(NamedTuple):
     version: int
     whole: bool
@@ -118,6 +124,7 @@
     def __init__(self, address: tuple[str, int], facade: Facade, backends: Backends, log: Log,
                  narrows: Sequence[Narrow] = (), seed: int = 0) -> None:
         self._spread = SPREAD * Random(seed).random()
+        self._longer = 1.0              # how many times the first word is waited for by now
         self._heard = asyncio.Event()   # once any watch has spoken
         self._lost = False              # since a watch ended, until another speaks
         # What companions make of each line, in this order: the last has the last word.
@@ -245,6 +252,11 @@
                 continue
             try:
                 why = await self._watch(source)
+            except Silent as silent:
+                # Not a call that failed: the next goes out at once.
+                self._log.say(f"watch ended: {silent}")
+                at_once, self._lost = True, self._lost or source is self._source
+                continue
             except Exception as error:   # whatever discovery says or does: without a watch drains are not kept
                 why = f"{type(error).__name__} {error}".strip()
             self._log.say(f"watch ended: {why}")
@@ -273,13 +285,19 @@
         text = bytearray()
         first = True
         loop = asyncio.get_running_loop()
-        until = loop.time() + FIRST_WITHIN
-        spoke_at = 0.0   # its last line; a part of one is no word
+        until = loop.time() + FIRST_WITHIN * self._longer
+        spoken, spoke_at = False, 0.0   # its last line; a part of one is no word
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
-                async with asyncio.timeout_at(until):
-                    parser.receive_data(await line.read())
+                try:
+                    async with asyncio.timeout_at(until):
+                        parser.receive_data(await line.read())
+                except TimeoutError:
+                    if spoken:
+                        raise Silent("silent") from None
+                    self._longer = min(FIRST_MOST / FIRST_WITHIN, 1.5 * self._longer)
+                    raise
             elif isinstance(event, h11.Response):
                 if event.status_code != 200:
                     return f"answered {event.status_code}"
@@ -300,7 +318,7 @@
                         raise bad
                     text = bytearray(rest)
                     if told or not text:
-                        spoke_at = loop.time()
+                        spoken, spoke_at = True, loop.time()
                         if source is self._source:
                             self._said()
                 until = spoke_at + SILENT + self._spread + len(text) / SLOWEST
@@ -323,6 +341,7 @@
         """The watch lives. Where it has nothing new that has to be told all the same: the decisions ask later after each
         watch that ended, and would go on from the failures of days ago."""
         self._heard.set()
+        self._longer = 1.0
         if self._lost:
             self._lost = False
             self._facade.listed((), False, clock.now())
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -683,3 +683,37 @@
         for number in range(2):
             await self.ask("pay", self.request("pay", number))
             self.assertEqual(["b1"], self.got(number))
+
+    async def test_after_a_silence_the_next_call_goes_out_at_once(self) -> None:
+        """It waited as after a call that failed, and longer after each: the wait is part of what is left of 6 s."""
+        with mock.patch("pepperusher.net.discovery.SILENT", 0.05):
+            await self.open("a1")
+            balancer = self.proxy._facade._balancer
+            balancer._ask_step = 4_000_000
+            await self.until(lambda: len(self.watches) == 3)
+        self.assertLessEqual(balancer._ask_step, 4_000_000)
+        self.assertEqual(0, sum("list lost" in line for line in self.logged))
+
+    async def test_a_call_without_a_word_has_longer_the_next_time(self) -> None:
+        """Left too soon, a call that only waits in discovery's queue begins anew at its end, for good."""
+        calls: list[float] = []
+        await self.open("a1")
+
+        async def mute(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            began = time.monotonic()
+            await reader.read()   # till it is left
+            calls.append(time.monotonic() - began)
+            writer.close()
+
+        self.watched = mute
+        with mock.patch.multiple("pepperusher.net.discovery", FIRST_WITHIN=0.1, FIRST_MOST=0.2):
+            self.proxy._discovery._lost = False
+            self.server.close()
+            port = int(json.loads(self.given)["discovery"].split(":")[1])
+            server = await asyncio.start_server(mute, "127.0.0.1", port)
+            self.watches[-1].close()
+            await self.until(lambda: len(calls) >= 1)
+            self.assertEqual(1.5, self.proxy._discovery._longer)
+            await self.until(lambda: len(calls) >= 3)
+            self.assertEqual(2.0, self.proxy._discovery._longer)
+        server.close()
