--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -1,4 +1,4 @@
-from pepperusher.terms import DONE, ERROR, FULL, OPEN, TIMED_OUT, Backend, Customer, Ticket
+from pepperusher.terms import DONE, ERROR, FULL, OPEN, SCRAP, TIMED_OUT, Backend, Customer, Ticket
 
 from tests.scene import SECOND, Scene
 
@@ -41,6 +41,24 @@
         self.note(f"of 80 calls, one at a time, a1 taking four times as long: {sent}")
         self.kept("few_calls")
 
+    def test_what_never_ran_lifts_nothing_that_an_earlier_one_bound(self) -> None:
+        """One that may have run, then one that surely did not: still bound to the first one's group, and no bounce at its end."""
+        self.open("a1", "b1", "c2")
+        ticket = self.ticket("book", left=4.0)
+        first = self.where(ticket)
+        while first.cell != 1:   # whose group has two
+            self.after(ticket, DONE, quiet=True)
+            ticket = self.ticket("book", left=4.0)
+            first = self.where(ticket)
+        self.after(ticket, ERROR, 0.01)
+        second = self.where(ticket)
+        self.assertEqual(1, second.cell)
+        self.after(ticket, FULL, 0.01)
+        third = self.where(ticket)
+        self.assertTrue(third == SCRAP or third.cell == 1)
+        if third != SCRAP:
+            self.assertEqual(SCRAP, self.after(ticket, FULL, 0.01))
+
     def test_a_customer_saves_up_a_few_tickets_of_its_share(self) -> None:
         """A fifth of a ticket a second for each proxy: chance alone brings several at once."""
         customer = Customer("school", 20.0)
