An answer that begins and stops is given up when its client's time is over

The head ends the transmission's patience, and from there on nothing but silence ended it: half a second at the least, which is longer than these clients wait. They left 60 ms after their time with nothing said.

Ruled out: load of the machine (the count of the trace is that of spoilt answers, and each waits for the one timer; lateness of timers stood at 1 to 2 ms), requests never read or crossing a close (none in the trace), requests held back by the decisions (none was), late answers of the proxy's own.

Exchange._listen now waits for the next part no longer than the client does, told by Facade.remaining; while a request's body still comes that time stands. The outcome is the one that silence has: reset.

test_a_head_that_comes_with_its_time_out_has_its_answer had a rest that came 100 ms after its client's own time, and wanted it as an answer; the client now waits longer than the transmission may take, and the test still fails without the lines that it is about.

--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -161,6 +161,11 @@
         use = ticket.use_case
         return not ran or use.repeat == terms.REPLAYABLE or not 0 < use.remembered <= now - ran[0]
 
+    def remaining(self, ticket: Ticket, now: int) -> int:
+        """How long its client waits yet; under 0 once its time is over. While the transmission is aside that time stands."""
+        aside = ticket.transmissions[-1].aside if ticket.transmissions else None
+        return ticket.until - (now if aside is None else aside)
+
     def remember(self, ticket: Ticket, backend: str, cell: int, sent: int, ran: bool) -> None:
         """One that went out under the same mark before this ticket was taken, and may have run, or is known
         never to
--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -250,10 +250,11 @@
                 return "unreached", None
         link.answered = True
         began = clock.now()
-        exchange = Exchange(link.line, link.parser, self._pool, out, max(0, until - began), self._connect_within)
+        exchange = Exchange(link.line, link.parser, self._pool, out, max(0, until - began), self._connect_within,
+                            placed)
         kept = False
         try:
-            how, answer = await exchange.run(request, placed, onward)
+            how, answer = await exchange.run(request, onward)
             if exchange.heard:
                 door.heard_at = clock.now()
                 if stood is not None:
--- a/pepperusher/net/exchange.py
+++ b/pepperusher/net/exchange.py
@@ -17,7 +17,7 @@
 
 # Once it has begun, an answer takes the network's time and not the work's: silent for so many times what a
 # new connection may
-# take, or this if that is more, it is broken. Some never end.
+# take, or this if that is more, it is broken, and sooner where its client's time ends. Some never end.
 REST = 2
 QUIET = 0.5
 # An answer that is not whole so long after its head is passed on as it comes: held back further it might miss
@@ -63,21 +63,23 @@
     """What the decisions are told of a transmission under way: set aside while its body comes, and back in
     its place."""
 
-    __slots__ = ("stands", "left", "aside", "back")
+    __slots__ = ("stands", "left", "aside", "back", "remaining")
 
     def __init__(self, stands: Callable[[], bool], left: Callable[[], bool], aside: Callable[[], None],
-                 back: Callable[[], None]) -> None:
+                 back: Callable[[], None], remaining: Callable[[], int]) -> None:
         self.stands = stands
         self.left = left     # whether its client has
         self.aside = aside
         self.back = back
+        self.remaining = remaining   # how long its client waits yet, in microseconds
 
 
 class Exchange:
     """`patience` starts with it, or with the body's last byte where that is still to come."""
 
     def __init__(self, line: Line, parser: h11.Connection, pool: Pool, out: Transmission, patience: int,
-                 connect_within: float) -> None:
+                 connect_within: float, placed: Placed) -> None:
+        self._placed = placed
         self._line = line
         self._parser = parser
         self._body = Body(pool)
@@ -90,14 +92,14 @@
         self._head: h11.Request | h11.Response | None = None   # where it came before the body was written
         self._ahead = 0
 
-    async def run(self, request: Request, placed: Placed, onward: Onward | None) -> tuple[str, Answer | None]:
+    async def run(self, request: Request, onward: Onward | None) -> tuple[str, Answer | None]:
         """How it ended, and the answer if a whole one came and was not passed on yet."""
         out = self._out
         out.stopped_by(self._line.abort)
         try:
             if request.rest is None:
                 self._due()
-            how = await self._send(request, placed)
+            how = await self._send(request)
             if how is not None:
                 return how, None
             how, answer = await self._receive(onward)
@@ -127,14 +129,14 @@
 
     # --- the request ------------------------------------------------------------------------------
 
-    async def _send(self, request: Request, placed: Placed) -> str | None:
+    async def _send(self, request: Request) -> str | None:
         """None once it is with the kernel, or the backend has spoken before that; else how it ended."""
         line, rest = self._line, request.rest
         sent = line.send(framed_request(self._parser, request)) or await line.sent()
         if not sent:
             return "moot" if self._out.how == "called off" else "unreached"
         if rest is not None:
-            placed.aside()
+            self._placed.aside()
             while True:
                 try:
                     data = await rest.read()
@@ -151,7 +153,7 @@
                         return "moot" if self._out.how == "called off" else "unreached"
                 if not data:
                     break
-            placed.back()
+            self._placed.back()
             self._due()
         self._out.written = True
         return None
@@ -181,7 +183,7 @@
             return self._out.how or ("reset" if self._out.written else "unreached"), None
         assert isinstance(head, h11.Response)
         self.heard = True
-        # The work is done: from here on it is silence that ends it, and not its patience.
+        # The work is done: from here on it is silence that ends it, or its client's time, and not its patience.
         if self._overdue is not None:
             self._overdue.cancel()
         length = length_of(head)
@@ -232,10 +234,12 @@
         self._overdue = asyncio.get_running_loop().call_later(self._patience / 1e6, self._late, "timed out", 2)
 
     def _listen(self) -> None:
-        """There is a part of an answer, which an answer 1xx ahead is not: the next is to follow."""
+        """There is a part of an answer, which an answer 1xx ahead is not: the next is to follow, while its client still
+        waits. Else one that stopped short held a client of less time than such a silence until it left unanswered."""
         if self._silent is not None:
             self._silent.cancel()
-        self._silent = asyncio.get_running_loop().call_later(self._quiet, self._late, "reset", 2)
+        within = min(self._quiet, max(0, self._placed.remaining()) / 1e6)
+        self._silent = asyncio.get_running_loop().call_later(within, self._late, "reset", 2)
 
     def _late(self, how: str, looks: int) -> None:
         """Under load timers run late, and an answer may have been read already: it has its turn first, and ends this."""
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -286,7 +286,8 @@
         if call.onward is not None:
             call.onward.dress = dress
         placed = Placed(lambda: not call.gone() and self._facade.stands(ticket, clock.now()), lambda: call.left,
-                        lambda: self._facade.aside(ticket, clock.now()), lambda: self._facade.back(ticket, clock.now()))
+                        lambda: self._facade.aside(ticket, clock.now()), lambda: self._facade.back(ticket, clock.now()),
+                        lambda: self._facade.remaining(ticket, clock.now()))
         how, answer, end = "", None, "left"
         try:
             step = self._facade.pick(ticket, clock.now())
