--- /dev/null
+++ b/pepperusher/distribution/client.py
@@ -0,0 +1,285 @@
+"""A proxy's side of distribution under asyncio: the same for a whole proxy and for a hollow one.
+
+Never on a ticket's path: with all control machines gone, what is in force stays so, and what was kept is
+taken at a start.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import inspect
+import os
+from collections import Counter
+from collections.abc import Awaitable, Callable, Sequence
+from functools import partial
+from pathlib import Path
+from random import Random
+
+from pepperusher.distribution import keeping, wire
+from pepperusher.distribution.link import Link
+from pepperusher.distribution.subscriber import Apply, Close, Connect, Say, Send, Subscriber
+from pepperusher.distribution.wire import Session
+from pepperusher.distribution.words import LONGEST_MESSAGE, Key, Message, Resource, Version, one_line
+from pepperusher.net import clock
+from pepperusher.sealed import BadPacket
+
+# When a control machine last confirmed what is held is written down so often.
+TOUCH_EVERY = 10_000_000
+
+
+def _unheard(what: str, **figures: object) -> None:
+    pass
+
+
+class Client:
+    """`upstreams` are all control machines, `names` the resources that this proxy uses; nothing else is sent
+    to it. `apply` takes one whole: None for in force, a text for refused with this reason; it may be a
+    coroutine function. What `keep` holds is taken by it at the start. Its connections come from `local`.
+    """
+
+    def __init__(
+        self,
+        upstreams: Sequence[tuple[str, int]],
+        names: Sequence[Key],
+        apply: Callable[[Resource], str | None | Awaitable[str | None]],
+        *,
+        key: bytes,
+        name: str,
+        region: str,
+        zone: str,
+        seed: int,
+        keep: Path | None = None,
+        local: str = "127.0.0.1",
+        say: Callable[..., None] = _unheard,
+    ) -> None:
+        self._addresses = {f"{host}:{port}": (host, port) for host, port in upstreams}
+        self._names, self._apply, self._key, self._say = list(names), apply, key, say
+        self._name, self._region, self._zone = name, region, zone
+        self._chance = Random(seed)
+        self._keep, self._local = keep, local
+        self.counts: Counter[str] = Counter()
+        self.in_force: dict[Key, Version] = {}
+        self._links: dict[str, Link] = {}  # as many as there are control machines
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._applying: set[asyncio.Task[None]] = set()  # one a resource at the most
+        self._writing: asyncio.Task[None] | None = None
+        self._unwritten = False
+        self._touched_at = 0
+        self._timer: asyncio.TimerHandle | None = None
+        self._beginning: asyncio.Task[None] | None = None
+        self._gone = False
+        self._subscriber: Subscriber | None = None
+        self._kept_at: int | None = None
+
+    # --- start and end ------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        """At once; what was kept is taken before anything else is."""
+        self._beginning = asyncio.get_running_loop().create_task(self._begin())
+
+    async def _begin(self) -> None:
+        held: list[Resource] = []
+        if self._keep is not None:
+            kept, self._kept_at, why = keeping.read(self._keep, set(self._names))
+            if why:
+                self._say("what was kept of distribution can't be read", why=why)
+            for one in kept:
+                reason = await self._made(one)
+                if reason is None:
+                    held.append(one)
+                    self.in_force[one.key] = one.version
+                else:
+                    self._say("what was kept is not taken", resource="/".join(one.key), version=str(one.version), why=reason)
+        now = clock.now()
+        self._subscriber = Subscriber(
+            self._name, int.from_bytes(os.urandom(8)) >> 1, self._region, self._zone, list(self._addresses),
+            self._names, held, self._chance, now,
+        )  # fmt: skip
+        self._subscriber.confirmed_at = self._kept_at
+        self._wake()
+
+    async def stop(self) -> None:
+        """What is in force is on disk, and the control machines see the connections end."""
+        links = list(self._links.values())
+        self._end()
+        for link in links:
+            link.close()
+        if self._writing is not None:
+            await asyncio.wait([self._writing])
+        if self._keep is not None and self._unwritten:
+            await self._write()
+
+    def kill(self) -> None:
+        """Gone without a word, as a process that is killed."""
+        links = list(self._links.values())
+        self._end()
+        for link in links:
+            link.abort("killed")
+
+    def _end(self) -> None:
+        self._gone = True
+        if self._timer is not None:
+            self._timer.cancel()
+        if self._beginning is not None:
+            self._beginning.cancel()
+        for task in [*self._tasks.values(), *self._applying]:
+            task.cancel()
+        self._links.clear()
+
+    def age(self, now_us: int) -> int | None:
+        """us since the origin's word last reached here by a control machine whose versions this has; over a
+        restart too. None where none ever did.
+        """
+        if self._subscriber is None:
+            return None if self._kept_at is None else max(0, now_us - self._kept_at)
+        return self._subscriber.age(now_us)
+
+    @property
+    def upstreams(self) -> list[str]:
+        """Those that it is connected to."""
+        return [] if self._subscriber is None else self._subscriber.up
+
+    @property
+    def refused(self) -> dict[Key, tuple[Version, str]]:
+        if self._subscriber is None:
+            return {}
+        return {key: (mark.version, why) for key, (mark, why) in self._subscriber.refused.items()}
+
+    # --- the subscriber's effects -------------------------------------------------------------------
+
+    def _wake(self) -> None:
+        if self._gone or self._subscriber is None:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        now = clock.now()
+        due = self._subscriber.wake(now)
+        self._done()
+        self._timer = asyncio.get_running_loop().call_later(max(0.001, (due - now) / 1e6), self._wake)
+        if self._keep is not None and now - self._touched_at >= TOUCH_EVERY and not self._unwritten:
+            self._touched_at = now
+            if self._subscriber.confirmed_at is not None:
+                keeping.touch(self._keep, self._subscriber.confirmed_at)
+
+    def _done(self) -> None:
+        subscriber = self._subscriber
+        assert subscriber is not None
+        while subscriber.out and not self._gone:
+            out, subscriber.out = subscriber.out, []
+            for effect in out:
+                if isinstance(effect, Send):
+                    link = self._links.get(effect.upstream)
+                    if link is not None:
+                        link.send(wire.encoded(effect.message))
+                elif isinstance(effect, Connect):
+                    self._tasks[effect.upstream] = asyncio.get_running_loop().create_task(
+                        self._connect(effect.upstream)
+                    )
+                elif isinstance(effect, Close):
+                    self._close(effect.upstream)
+                elif isinstance(effect, Apply):
+                    self._take(effect.resource)
+                elif isinstance(effect, Say):
+                    self._say(effect.what, **effect.figures)
+        for what in ("connects", "snapshots", "deltas", "refused"):
+            self.counts[what] = subscriber.counts[what]
+
+    async def _connect(self, upstream: str) -> None:
+        session = Session(self._key, True, LONGEST_MESSAGE)
+        link = Link(
+            session, partial(self._opened, upstream), partial(self._came, upstream),
+            partial(self._ended, upstream), self.counts,
+        )  # fmt: skip
+        self._links[upstream] = link
+        try:
+            await asyncio.get_running_loop().create_connection(
+                lambda: link, *self._addresses[upstream], local_addr=(self._local, 0)
+            )
+        except OSError as error:
+            link.abort(error.strerror or str(error))
+        except asyncio.CancelledError:
+            link.abort("given up")
+            raise
+        finally:
+            if self._tasks.get(upstream) is asyncio.current_task():
+                del self._tasks[upstream]
+
+    def _close(self, upstream: str) -> None:
+        task = self._tasks.pop(upstream, None)
+        if task is not None:
+            task.cancel()
+        link = self._links.pop(upstream, None)
+        if link is not None:
+            link.abort("closed")
+
+    def _opened(self, upstream: str, link: Link) -> None:
+        if self._links.get(upstream) is link and self._subscriber is not None:
+            self._subscriber.connected(upstream, clock.now())
+            self._later()
+
+    def _came(self, upstream: str, link: Link, message: Message) -> None:
+        if self._links.get(upstream) is link and self._subscriber is not None:
+            self._subscriber.received(upstream, message, clock.now())
+            self._later()
+
+    def _ended(self, upstream: str, link: Link, why: str) -> None:
+        if self._links.get(upstream) is not link or self._subscriber is None:
+            return
+        del self._links[upstream]
+        if why.startswith(("not of", "of form", "with a wrong", "sound, but", "a frame", "a message")):
+            self._say("a control machine is not believed", upstream=upstream, why=why)
+        self._subscriber.lost(upstream, clock.now())
+        self._wake()
+
+    def _later(self) -> None:
+        """Effects now; and the timer anew, since something may be due sooner."""
+        self._done()
+        self._wake()
+
+    # --- taking -------------------------------------------------------------------------------------
+
+    def _take(self, one: Resource) -> None:
+        task = asyncio.get_running_loop().create_task(self._taken(one))
+        self._applying.add(task)
+        task.add_done_callback(self._applying.discard)
+
+    async def _made(self, one: Resource) -> str | None:
+        try:
+            made = self._apply(one)
+            if inspect.isawaitable(made):
+                made = await made
+            return made if made is None else one_line(made) or "no reason given"
+        except Exception as error:  # a fault of ours in taking it is a refusal, and the old stands
+            return one_line(f"{type(error).__name__}: {error}")
+
+    async def _taken(self, one: Resource) -> None:
+        reason = await self._made(one)
+        if self._gone or self._subscriber is None:
+            return
+        if reason is None:
+            self.in_force[one.key] = one.version
+        self._subscriber.applied(one, reason, clock.now())
+        self._later()
+        if reason is None and self._keep is not None:
+            self._unwritten = True
+            if self._writing is None:
+                self._writing = asyncio.get_running_loop().create_task(self._keeping())
+
+    async def _keeping(self) -> None:
+        try:
+            while self._unwritten and not self._gone:
+                await self._write()
+        finally:
+            self._writing = None
+
+    async def _write(self) -> None:
+        assert self._keep is not None and self._subscriber is not None
+        self._unwritten = False
+        held = list(self._subscriber.held.values())
+        confirmed_at = self._subscriber.confirmed_at or clock.now()
+        why = await asyncio.to_thread(keeping.write, self._keep, held, confirmed_at)
+        if why:
+            self._say("what is in force can't be kept", why=why)
+
+
+__all__ = ["BadPacket", "Client"]
--- /dev/null
+++ b/pepperusher/distribution/commands.py
@@ -0,0 +1,80 @@
+"""The command control: a control machine's role, and its check."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+from pathlib import Path
+
+import click
+
+from pepperusher.distribution import reading
+from pepperusher.distribution.server import Server, Terms
+from pepperusher.net.log import Log
+from pepperusher.own.reading import OwnError
+from pepperusher.own.rules import address_of
+from pepperusher.store.disk import Disk
+
+
+def _read(path: str) -> reading.Read:
+    try:
+        return reading.read(path)
+    except OwnError as error:
+        raise click.ClickException("\n".join(map(str, error.faults))) from None
+
+
+@click.group(invoke_without_command=True)
+@click.option("--config", "path", envvar="PEPPERUSHER_CONTROL_FILE", help="The control machine's own file, TOML.")
+@click.pass_context
+def control(context: click.Context, path: str | None) -> None:
+    """Serve as a control machine until SIGTERM or SIGINT: configuration and facts to every proxy that asks."""
+    if context.invoked_subcommand is not None:
+        return
+    if path is None:
+        raise click.UsageError("Missing option '--config'.")
+    read = _read(path)
+    try:
+        asyncio.run(_serve(read))
+    except OSError as error:
+        raise click.ClickException(f"{read.file.listen}: {error.strerror or error}") from None
+
+
+@control.command()
+@click.argument("path", metavar="FILE")
+def check(path: str) -> None:
+    """Read FILE as `control` would: what it holds, or all that is wrong, a line each."""
+    file = _read(path).file
+    does = f"origin with epoch {file.epoch}" if file.origin else "relay"
+    facts = f", owner of the facts of {file.region}" if file.owns_facts else ""
+    click.echo(
+        f"{file.name} in {file.region or 'no region'} listens at {file.listen}: {does}{facts},"
+        f" {len(file.peers)} other control machines, {file.subscribers} proxies at the most"
+    )
+
+
+def terms_of(file: reading.ControlFile) -> Terms:
+    return Terms(
+        file.name, file.region, file.zone, address_of(file.listen), [address_of(one) for one in file.peers],
+        file.epoch if file.origin else None, file.owns_facts, file.subscribers, file.local,
+    )  # fmt: skip
+
+
+async def _serve(read: reading.Read) -> None:
+    file = read.file
+    log = Log(file.name)
+    if file.log != "plain":
+        from pepperusher.net.formed import form_of
+
+        log.take_form(form_of(file.log))
+    server = Server(terms_of(file), read.key, Disk(Path(file.state_dir)), log.tell, int.from_bytes(os.urandom(8)))
+    ended = asyncio.Event()
+    for one in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(one, ended.set)
+    port = await server.start()
+    click.echo(json.dumps({"event": "listening", "name": file.name, "address": file.listen, "port": port}))
+    try:
+        await ended.wait()
+    finally:
+        await server.stop()
--- /dev/null
+++ b/pepperusher/distribution/publisher.py
@@ -0,0 +1,631 @@
+"""What one control machine has, to whom it is sent, and what they made of it; free of I/O.
+
+State and not a log: of each resource the newest version, the steady one (the last that went everywhere), and
+a few bodies before them to make deltas of. A subscriber has a set of resources that it is to be sent, and the
+message is made when it can be written: whoever is slow is sent the newest then, and holds the names alone.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import Counter, OrderedDict
+from typing import NamedTuple
+
+from pepperusher.distribution import delta, wire
+from pepperusher.distribution.words import (
+    KINDS,
+    LONGEST_BODY,
+    MOST_RESOURCES,
+    NEVER,
+    PROXY,
+    RELAY,
+    Ack,
+    Beat,
+    Delta,
+    Hello,
+    Key,
+    Mark,
+    Offer,
+    Resource,
+    Row,
+    Rows,
+    Snapshot,
+    Version,
+    digest_of,
+    mark_of,
+    one_line,
+    resource,
+)
+
+# A change goes out in waves: to these parts of the proxies, by a hash of their names and of the version, and
+# to one of them at the least. A wave ends once all of it have answered, or after so long.
+WAVES = (0.02, 0.2, 1.0)
+WAVE_WITHIN = 1_500_000
+# It stops where at least a tenth of those that answered refused it: at once from so many on, else at the
+# end of its wave.
+REFUSED_PART = 0.1
+REFUSED_AT_ONCE = 3
+# Bodies before the newest that deltas are made from, and how much of them.
+BEFORE = 4
+BEFORE_BYTES = 8 * 1024 * 1024
+# Who has gone is known for so long, and so many at the most.
+GONE_KEPT = 600_000_000
+MOST_PROXIES = 20_000
+
+
+class NotTaken(ValueError):
+    """A change that can't be written now; its text is one line."""
+
+
+def place_of(name: str, version: Version) -> float:
+    """Where among the proxies one stands in the waves of a version, from 0 to 1; the same at every control
+    machine, and another with each version, so that nobody is the first each time.
+    """
+    number = hashlib.blake2b(f"{version} {name}".encode(), digest_size=8).digest()
+    return int.from_bytes(number) / 2**64
+
+
+class Held:
+    """One resource, as this control machine has it."""
+
+    __slots__ = (
+        "newest", "steady", "halted", "before", "wave", "wave_at", "bar", "subscribers", "cache", "ahead",
+    )  # fmt: skip
+
+    def __init__(self, newest: Resource) -> None:
+        self.newest = newest
+        self.steady: Resource | None = None
+        self.halted = ""
+        self.before: OrderedDict[Version, Resource] = OrderedDict()  # BEFORE at the most
+        self.wave = 0
+        self.wave_at = 0
+        self.bar = 0.0
+        self.subscribers: set[int] = set()  # emptied as they leave
+        # Messages of this version as bytes, by the base that they are for: emptied with each version.
+        self.cache: dict[Version | None, bytes] = {}
+        self.ahead = NEVER  # the newest that anybody else showed
+
+    @property
+    def done(self) -> bool:
+        return self.steady is self.newest
+
+
+class Subscriber:
+    """One connection, as long as it lasts."""
+
+    __slots__ = ("hello", "names", "known", "bodies", "dirty", "wants", "offered", "beat_at")
+
+    def __init__(self, hello: Hello) -> None:
+        self.hello = hello
+        self.names: frozenset[Key] | None = None if hello.role == RELAY else frozenset(map(tuple, hello.names))  # type: ignore[arg-type]
+        self.known: dict[Key, Mark] = {one.key: one.mark for one in hello.have}
+        self.bodies = hello.bodies
+        self.dirty: dict[Key, None] = {}  # in order; as many as it subscribes to at the most
+        self.wants: set[tuple[Key, bool]] = set()  # twice as many
+        self.offered: dict[Key, tuple[object, ...]] = {}  # as many
+
+
+class Proxy:
+    """What is known of a proxy by its name, connected or not."""
+
+    __slots__ = ("connection", "heard_at", "region", "in_force", "refused")
+
+    def __init__(self, region: str) -> None:
+        self.connection: int | None = None
+        self.heard_at = 0
+        self.region = region
+        self.in_force: dict[Key, Version] = {}  # as many as it subscribes to
+        self.refused: dict[Key, tuple[Version, str]] = {}
+
+
+class Line(NamedTuple):
+    """For the log."""
+
+    what: str
+    figures: dict[str, object]
+
+
+class Publisher:
+    """`epoch` is the origin's; None where it is none. `writes` are the facts' region that it owns, "" for none.
+
+    After each call `pending` holds the connections that have something to be sent: `next_for` makes it.
+    """
+
+    def __init__(self, name: str, region: str, epoch: int | None, owner: bool, peers: int, now: int) -> None:
+        self.name, self.region, self.epoch, self.owner = name, region, epoch, owner
+        self.held: dict[Key, Held] = {}  # MOST_RESOURCES at the most
+        self.subscribers: dict[int, Subscriber] = {}  # emptied as they leave
+        self.proxies: dict[str, Proxy] = {}  # emptied GONE_KEPT after they left
+        self.pending: dict[int, None] = {}
+        self.replaced: list[int] = []  # connections whose name has come again: to be closed
+        self.lines: list[Line] = []
+        self.keep: dict[Key, None] = {}  # resources that are to be written to disk
+        self.counts: Counter[str] = Counter()
+        self.confirmed: tuple[int, int] = (epoch or 0, now if epoch is not None else 0)
+        self.confirmed_at = now
+        self._rolling: set[Key] = set()
+        self._peers = peers
+        self.compared: set[str] = set()  # control machines that showed what they have since the start
+        self._ahead: dict[Key, Version] = {}
+
+    # --- what there is ------------------------------------------------------------------------------
+
+    def restore(self, newest: Resource, steady: Resource | None, halted: str, now: int) -> None:
+        """From this machine's disk, at a start."""
+        held = self.held[newest.key] = Held(newest)
+        held.halted = halted
+        if steady is not None:
+            held.steady = newest if steady.version == newest.version else steady
+        self._begin(held, now)
+
+    def _begin(self, held: Held, now: int) -> None:
+        held.wave, held.wave_at = 0, now
+        if held.newest.fact:
+            held.steady = held.newest
+        if held.done or held.halted:
+            self._rolling.discard(held.newest.key)
+        else:
+            self._rolling.add(held.newest.key)
+        self._set_bar(held)
+
+    def _set_bar(self, held: Held) -> None:
+        """How far the wave reaches."""
+        places = [
+            place_of(one.hello.name, held.newest.version)
+            for one in map(self.subscribers.__getitem__, held.subscribers)
+            if one.hello.role == PROXY
+        ]
+        held.bar = max(WAVES[held.wave], min(places, default=0.0))
+
+    def draft(self, kind: str, name: str, body: bytes) -> Resource:
+        """The version that a change would become here. Raises NotTaken."""
+        if kind not in KINDS:
+            raise NotTaken(f"{kind!r} is none of {', '.join(KINDS)}")
+        if not name or len(name) > 100 or not name.isprintable():
+            raise NotTaken(f"{name[:100]!r} is no name")
+        if len(body) > LONGEST_BODY:
+            raise NotTaken(f"is over {LONGEST_BODY} bytes")
+        fact, held = KINDS[kind], self.held.get((kind, name))
+        if fact and not (self.owner and name.startswith(f"{self.region}/")):
+            raise NotTaken(f"{self.name} does not own the facts of {name.partition('/')[0]}")
+        if not fact and self.epoch is None:
+            raise NotTaken(f"{self.name} is not the origin")
+        if not fact and len(self.compared) < (self._peers + 1) // 2:
+            raise NotTaken(
+                f"{self.name} has compared with {len(self.compared)} of {self._peers} other control machines since"
+                f" its start, and begins to write at {(self._peers + 1) // 2}"
+            )
+        if held is None and len(self.held) >= MOST_RESOURCES:
+            raise NotTaken(f"there are {MOST_RESOURCES} resources already")
+        last = held.newest.version if held is not None else NEVER
+        ahead = max(last, self._ahead.get((kind, name), NEVER))
+        epoch = self.epoch if self.epoch is not None else 1
+        if epoch < ahead.epoch:
+            raise NotTaken(f"epoch {epoch} of {self.name} is below {ahead.epoch}, which is in use")
+        if ahead > last and epoch == ahead.epoch:
+            # Its number here would be one that others have with another content.
+            raise NotTaken(f"{ahead} is in use and {self.name} has {last}: fetched, or raise the epoch")
+        return resource(kind, name, Version(epoch, ahead.number + 1), body)
+
+    def take(self, one: Resource, now: int, halted: str = "", steady: bool = False) -> str | None:
+        """A version from disk, from the origin or from another control machine. What is wrong with it, or
+        None; nothing older ever replaces something newer.
+        """
+        if one.digest != digest_of(one.body):
+            return "its digest is not its body's"
+        held = self.held.get(one.key)
+        if steady and held is not None and one.version < held.newest.version:
+            if held.steady is None or one.version > held.steady.version:
+                held.steady = one
+                held.cache.clear()
+                self._mark(held)
+                self.keep[one.key] = None
+            return None
+        if held is None:
+            if len(self.held) >= MOST_RESOURCES:
+                return f"there are {MOST_RESOURCES} resources already"
+            held = self.held[one.key] = Held(one)
+            for id, sub in self.subscribers.items():
+                if sub.names is None or one.key in sub.names:
+                    held.subscribers.add(id)
+        else:
+            last = held.newest
+            if one.version == last.version:
+                if one.digest != last.digest:
+                    self._forked(one.key, one.version, "another control machine")
+                    return "two contents under one version"
+                return None
+            if one.version < last.version:
+                self.counts["older left"] += 1
+                return None
+            held.before[last.version] = last
+            while len(held.before) > BEFORE or (
+                len(held.before) > 1 and sum(len(old.body) for old in held.before.values()) > BEFORE_BYTES
+            ):
+                held.before.popitem(last=False)
+            held.newest = one
+        held.cache.clear()
+        held.halted = halted
+        if steady:
+            held.steady = one
+        if self._ahead.get(one.key, NEVER) <= one.version:
+            self._ahead.pop(one.key, None)
+        self._begin(held, now)
+        self._mark(held)
+        self.keep[one.key] = None
+        self.counts["versions"] += 1
+        return None
+
+    def halt(self, key: Key, version: Version, why: str) -> None:
+        """Not another proxy is sent this version."""
+        held = self.held.get(key)
+        if held is None or held.newest.version != version or held.halted or held.newest.fact:
+            return
+        if held.done:
+            held.steady = next(reversed(held.before.values()), None)
+        held.halted = one_line(why)
+        held.cache.clear()
+        self._rolling.discard(key)
+        self.keep[key] = None
+        self.lines.append(Line("a change is halted", {"resource": "/".join(key), "version": str(version), "why": why}))
+        self._mark(held)
+
+    def _mark(self, held: Held) -> None:
+        """Whoever subscribes may have something coming."""
+        key = held.newest.key
+        for id in held.subscribers:
+            self.subscribers[id].dirty[key] = None
+            self.pending[id] = None
+
+    def _forked(self, key: Key, version: Version, by: str) -> None:
+        """Two contents under one version: two wrote as the origin. Neither replaces the other; the next
+        version, or another epoch, ends it.
+        """
+        self.counts["forked"] += 1
+        self.lines.append(
+            Line("two contents under one version", {"resource": "/".join(key), "version": str(version), "by": by})
+        )
+
+    # --- who subscribes -----------------------------------------------------------------------------
+
+    def join(self, id: int, hello: Hello, now: int) -> None:
+        sub = self.subscribers[id] = Subscriber(hello)
+        if hello.role == PROXY:
+            proxy = self.proxies.get(hello.name)
+            if proxy is None:
+                self._make_room()
+                proxy = self.proxies[hello.name] = Proxy(hello.region)
+            if proxy.connection is not None:
+                self.replaced.append(proxy.connection)
+            proxy.connection, proxy.heard_at, proxy.region = id, now, hello.region
+            assert sub.names is not None
+            proxy.in_force = {key: mark.version for key, mark in sub.known.items() if key in sub.names}
+            proxy.refused = {
+                one.key: (one.version, one.reason) for one in hello.refused if one.key in sub.names
+            }
+        elif hello.role == RELAY:
+            self.compared.add(hello.name)
+        for key, mark in sub.known.items():
+            self._shown(key, mark, hello.name)
+        for key in self.held if sub.names is None else sub.names:
+            held = self.held.get(key)
+            if held is not None:
+                held.subscribers.add(id)
+                sub.dirty[key] = None
+                if key in self._rolling and len(held.subscribers) == 1:
+                    self._set_bar(held)
+        self.pending[id] = None
+
+    def _make_room(self) -> None:
+        if len(self.proxies) >= MOST_PROXIES:
+            gone = min(
+                (name for name, one in self.proxies.items() if one.connection is None),
+                key=lambda name: self.proxies[name].heard_at,
+                default=None,
+            )
+            if gone is not None:
+                del self.proxies[gone]
+
+    def _shown(self, key: Key, mark: Mark, by: str) -> None:
+        """Somebody has this version: this machine's own may be of an old disk."""
+        held = self.held.get(key)
+        last = held.newest.version if held is not None else NEVER
+        if mark.version > max(last, self._ahead.get(key, NEVER)):
+            if len(self._ahead) < MOST_RESOURCES:
+                self._ahead[key] = mark.version
+            self.counts["behind"] += 1
+            self.lines.append(
+                Line(
+                    "older here than elsewhere",
+                    {"resource": "/".join(key), "here": str(last), "there": str(mark.version), "by": by},
+                )
+            )
+        elif held is not None and mark.version == last and mark.digest != held.newest.digest:
+            self._forked(key, last, by)
+
+    def leave(self, id: int, now: int) -> None:
+        sub = self.subscribers.pop(id, None)
+        self.pending.pop(id, None)
+        if sub is None:
+            return
+        for key in self.held if sub.names is None else sub.names:
+            if key in self.held:
+                self.held[key].subscribers.discard(id)
+        proxy = self.proxies.get(sub.hello.name)
+        if proxy is not None and proxy.connection == id:
+            proxy.connection, proxy.heard_at = None, now
+
+    # --- what they say ------------------------------------------------------------------------------
+
+    def heard(self, id: int, now: int) -> None:
+        sub = self.subscribers[id]
+        if sub.hello.role == PROXY and (proxy := self.proxies.get(sub.hello.name)) is not None:
+            proxy.heard_at = now
+
+    def ack(self, id: int, one: Ack, now: int) -> None:
+        sub = self.subscribers[id]
+        proxy = self.proxies.get(sub.hello.name)
+        if proxy is None or sub.names is None or one.key not in sub.names:
+            return
+        if one.reason:
+            if proxy.refused.get(one.key, (NEVER, ""))[0] < one.version:
+                proxy.refused[one.key] = one.version, one.reason
+                self.counts["refused"] += 1
+                self._has_still(sub, one.key, proxy.in_force.get(one.key, NEVER))
+                if one.key in self._rolling:
+                    self._judge(one.key, now, False)
+        else:
+            # As it says and not the greatest: a process that was made anew may have less.
+            proxy.in_force[one.key] = one.version
+            self.counts["in force"] += 1
+
+    def _has_still(self, sub: Subscriber, key: Key, version: Version) -> None:
+        """One that refused what it was sent has the one before: deltas are made from that."""
+        held = self.held.get(key)
+        there = [] if held is None else [*held.before.values(), *([held.steady] if held.steady else [])]
+        for old in there:
+            if old.version == version:
+                sub.known[key] = mark_of(old)
+                return
+        sub.known.pop(key, None)
+
+    def want(self, id: int, key: Key, steady: bool) -> None:
+        sub = self.subscribers[id]
+        if sub.names is not None and (key not in sub.names or steady):
+            return
+        sub.wants.add((key, steady))
+        if key in self.held:
+            if not steady and sub.names is not None:
+                sub.known.pop(key, None)
+            sub.dirty[key] = None
+            self.pending[id] = None
+        else:
+            sub.wants.discard((key, steady))
+
+    def bodies(self, id: int, on: bool) -> None:
+        sub = self.subscribers[id]
+        sub.bodies = on
+        sub.offered.clear()
+        for key in sub.names or ():
+            if key in self.held:
+                sub.dirty[key] = None
+        self.pending[id] = None
+
+    # --- what they are sent -------------------------------------------------------------------------
+
+    def _for(self, name: str, held: Held) -> Resource | None:
+        """The version that a proxy is to have now."""
+        if held.done:
+            return held.newest
+        if not held.halted and place_of(name, held.newest.version) <= held.bar:
+            return held.newest
+        return held.steady
+
+    def next_for(self, id: int) -> bytes | None:
+        """The next message for a connection that can be written to; None where there is none."""
+        sub = self.subscribers.get(id)
+        while sub is not None and sub.dirty:
+            key = next(iter(sub.dirty))
+            made = self._to_relay(sub, key) if sub.names is None else self._to_proxy(sub, key)
+            if made is not None:
+                return made
+            sub.dirty.pop(key, None)
+        self.pending.pop(id, None)
+        return None
+
+    def _to_relay(self, sub: Subscriber, key: Key) -> bytes | None:
+        """Offers, and the bodies that it wants."""
+        held = self.held[key]
+        said = (held.newest.version, held.halted, held.steady and held.steady.version)
+        if sub.offered.get(key) != said:
+            sub.offered[key] = said
+            return wire.encoded(
+                Offer(*key, mark_of(held.newest), held.halted, held.steady and mark_of(held.steady))
+            )
+        if (key, True) in sub.wants:
+            sub.wants.discard((key, True))
+            if held.steady is not None and not held.done:
+                return wire.encoded(Snapshot(*key, mark_of(held.steady), held.steady.body, True))
+        if (key, False) in sub.wants:
+            sub.wants.discard((key, False))
+            sub.known[key] = mark_of(held.newest)
+            return self._snapshot(held, held.newest)
+        return None
+
+    def _to_proxy(self, sub: Subscriber, key: Key) -> bytes | None:
+        held = self.held[key]
+        one = self._for(sub.hello.name, held)
+        wanted = (key, False) in sub.wants
+        sub.wants.discard((key, False))
+        if one is None:
+            return None
+        known = sub.known.get(key)
+        if known is not None and known.version >= one.version:
+            return None
+        refused = self.proxies[sub.hello.name].refused.get(key) if sub.hello.name in self.proxies else None
+        if refused is not None and refused[0] == one.version:
+            return None
+        if not sub.bodies and not wanted:
+            if sub.offered.get(key) == (one.version,):
+                return None
+            sub.offered[key] = (one.version,)
+            return wire.encoded(Offer(*key, mark_of(one)))
+        sub.known[key] = mark_of(one)
+        return self._update(held, one, known)
+
+    def _snapshot(self, held: Held, one: Resource) -> bytes:
+        if one is not held.newest:
+            return wire.encoded(Snapshot(*one.key, mark_of(one), one.body))
+        made = held.cache.get(None)
+        if made is None:
+            made = held.cache[None] = wire.encoded(Snapshot(*one.key, mark_of(one), one.body))
+        self.counts["snapshots"] += 1
+        return made
+
+    def _update(self, held: Held, one: Resource, known: Mark | None) -> bytes:
+        base = held.before.get(known.version) if known is not None else None
+        if base is None or known is None or base.digest != known.digest or one is not held.newest:
+            return self._snapshot(held, one)
+        made = held.cache.get(base.version)
+        if made is None:
+            ops = delta.made(base.body, one.body)
+            if delta.size(ops) >= len(one.body):
+                made = wire.encoded(Snapshot(*one.key, mark_of(one), one.body))
+            else:
+                made = wire.encoded(Delta(*one.key, mark_of(one), mark_of(base), ops))
+            held.cache[base.version] = made
+        self.counts["deltas"] += 1
+        return made
+
+    # --- time ---------------------------------------------------------------------------------------
+
+    def tick(self, now: int) -> None:
+        """A few times a second."""
+        for key in list(self._rolling):
+            self._judge(key, now, now - self.held[key].wave_at >= WAVE_WITHIN)
+        if self.epoch is not None:
+            self.confirmed, self.confirmed_at = (self.epoch, now), now
+
+    def forget(self, now: int) -> None:
+        """Now and then: who has been gone for long."""
+        for name in [
+            name
+            for name, one in self.proxies.items()
+            if one.connection is None and now - one.heard_at >= GONE_KEPT
+        ]:
+            del self.proxies[name]
+
+    def _judge(self, key: Key, now: int, over: bool) -> None:
+        """Whether the wave goes on, is over, or the change is halted."""
+        held = self.held[key]
+        version = held.newest.version
+        sent = answered = refused = 0
+        reason = ""
+        for id in held.subscribers:
+            name = self.subscribers[id].hello.name
+            proxy = self.proxies.get(name)
+            if proxy is None or proxy.connection != id or place_of(name, version) > held.bar:
+                continue
+            sent += 1
+            no = proxy.refused.get(key)
+            if no is not None and no[0] == version:
+                refused, reason = refused + 1, no[1]
+            if proxy.in_force.get(key, NEVER) >= version or (no is not None and no[0] == version):
+                answered += 1
+        over = over or (answered == sent and sent > 0)
+        if refused >= REFUSED_PART * answered and refused and (over or refused >= REFUSED_AT_ONCE):
+            self.halt(key, version, f"refused by {refused} of {answered} that answered at {self.name}: {reason}")
+        elif over and held.wave < len(WAVES) - 1:
+            held.wave += 1
+            held.wave_at = now
+            self._set_bar(held)
+            self._mark(held)
+        elif over:
+            held.steady = held.newest
+            self._rolling.discard(key)
+            self.keep[key] = None
+            self._mark(held)
+
+    def confirm(self, beat: Beat, now: int) -> None:
+        """Another control machine has it, at one remove or more, from the origin that it spoke."""
+        if self.epoch is None and (beat.epoch, beat.stamp) > self.confirmed:
+            self.confirmed = beat.epoch, beat.stamp
+            self.confirmed_at = now - beat.age
+
+    def beat(self, now: int) -> Beat:
+        if not self.confirmed[1]:
+            return Beat()
+        return Beat(*self.confirmed, max(0, now - self.confirmed_at))
+
+    # --- what operators ask -------------------------------------------------------------------------
+
+    def rows(self, number: int, key: Key, now: int) -> Rows:
+        """What this control machine knows of one resource."""
+        held = self.held.get(key)
+        made = []
+        for name, proxy in self.proxies.items():
+            if proxy.connection is not None:
+                names = self.subscribers[proxy.connection].names
+                if names is not None and key not in names:
+                    continue
+            elif key not in proxy.in_force and key not in proxy.refused:
+                continue
+            refused, reason = proxy.refused.get(key, (NEVER, ""))
+            connected = proxy.connection is not None
+            made.append(
+                Row(name, proxy.region, proxy.in_force.get(key, NEVER), refused, reason, connected,
+                    max(0, now - proxy.heard_at))
+            )  # fmt: skip
+        if held is None:
+            return Rows(number, NEVER, "", "", made)
+        return Rows(number, held.newest.version, held.newest.digest, held.halted, made)
+
+    def figures(self) -> dict[str, int | str]:
+        return {
+            **self.counts,
+            "resources": len(self.held),
+            "subscribers": len(self.subscribers),
+            "proxies known": len(self.proxies),
+            "rolling": len(self._rolling),
+            "halted": sum(1 for one in self.held.values() if one.halted),
+            "ahead elsewhere": len(self._ahead),
+        }
+
+
+class Rollout(NamedTuple):
+    """How far one version is. `pending` are connected and have not answered; `unreachable` were known in the
+    last ten minutes and are connected nowhere; `silent` are control machines that did not answer.
+    """
+
+    version: Version
+    digest: str
+    halted: str
+    in_force: int
+    pending: list[str]
+    refused: dict[str, str]
+    unreachable: list[str]
+    silent: list[str]
+
+
+def rollout_of(parts: list[Rows], silent: list[str]) -> Rollout:
+    """Of what the control machines say, the newest version, and of each proxy its best word."""
+    last = max(parts, key=lambda one: tuple(one.version))
+    version = Version(*last.version)
+    rows: dict[str, list[Row]] = {}
+    for part in parts:
+        for row in part.rows:
+            rows.setdefault(row.proxy, []).append(row)
+    in_force, pending, unreachable = 0, [], []
+    refused: dict[str, str] = {}
+    for name, those in sorted(rows.items()):
+        no = next((one.reason for one in those if Version(*one.refused) == version and one.reason), "")
+        if any(Version(*one.in_force) >= version for one in those):
+            in_force += 1
+        elif no:
+            refused[name] = no
+        elif any(one.connected for one in those):
+            pending.append(name)
+        else:
+            unreachable.append(name)
+    halted = next((one.halted for one in parts if one.halted and Version(*one.version) == version), "")
+    return Rollout(version, last.digest, halted, in_force, pending, refused, unreachable, silent)
--- /dev/null
+++ b/pepperusher/distribution/server.py
@@ -0,0 +1,570 @@
+"""The control role under asyncio: accepts at a rate, reads, writes to whoever can be written to, keeps on disk.
+
+Decides nothing: `publisher` says who is sent what, `subscriber` what this one takes from other control
+machines.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+from collections import Counter
+from collections.abc import Callable, Sequence
+from functools import partial
+from itertools import count
+from random import Random
+from typing import NamedTuple
+
+from pepperusher.distribution import records, wire
+from pepperusher.distribution.link import Link
+from pepperusher.distribution.publisher import NotTaken, Publisher, rollout_of
+from pepperusher.distribution.subscriber import Apply, Close, Connect, Say, Send, Subscriber
+from pepperusher.distribution.wire import Session
+from pepperusher.distribution.words import (
+    LONGEST_MESSAGE,
+    NEVER,
+    OPERATOR,
+    RELAY,
+    Ack,
+    AskFigures,
+    AskRollout,
+    Beat,
+    Bodies,
+    Figures,
+    Hello,
+    Message,
+    Publish,
+    Published,
+    Refused,
+    Resource,
+    Rows,
+    Want,
+    one_line,
+)
+from pepperusher.net import clock
+from pepperusher.sealed import BadPacket
+from pepperusher.store.disk import Disk
+
+# Connections taken a second in the long run, and at once: the rest waits in the kernel.
+ACCEPTED_A_SECOND = 400.0
+ACCEPTED_AT_ONCE = 200.0
+BACKLOG = 4096
+# Who has not shown the key by then goes, and so many may be about it at once.
+HELLO_WITHIN = 3.0
+MOST_STRANGERS = 512
+MOST_RELAYS = 64
+MOST_OPERATORS = 32
+TICK = 0.1
+BEAT_EVERY = 2_000_000
+SILENT_AFTER = 10_000_000
+FORGET_EVERY = 30_000_000
+# Written to in one turn of the loop.
+BATCH = 64
+# Other control machines are waited for so long with a question to all.
+ASKED_WITHIN = 1.0
+# A disk that fails is tried again so often.
+KEEP_AGAIN = 1.0
+
+
+class Terms(NamedTuple):
+    """What the role's file says; `origin` is its epoch where it is the one that may write."""
+
+    name: str
+    region: str
+    zone: str
+    listen: tuple[str, int]
+    peers: Sequence[tuple[str, int]]
+    epoch: int | None
+    owner: bool
+    subscribers: int
+    local: str
+
+
+class _Connection:
+    """One that was accepted, until it ends."""
+
+    __slots__ = ("link", "hello", "heard_at", "beat_at", "timer")
+
+    def __init__(self, link: Link, now: int) -> None:
+        self.link = link
+        self.hello: Hello | None = None
+        self.heard_at = self.beat_at = now
+        self.timer: asyncio.TimerHandle | None = None
+
+
+class Server:
+    def __init__(self, terms: Terms, key: bytes, disk: Disk, say: Callable[..., None], seed: int) -> None:
+        self._terms, self._key, self._disk, self._say = terms, key, disk, say
+        now = clock.now()
+        self.publisher = Publisher(
+            terms.name, terms.region, terms.epoch, terms.owner, len(terms.peers), now
+        )
+        self.counts: Counter[str] = Counter()
+        self._ids = count(1)
+        self._connections: dict[int, _Connection] = {}  # emptied as they end
+        self._strangers = 0
+        self._roles: Counter[int] = Counter()
+        self._allowance, self._allowed_at = ACCEPTED_AT_ONCE, now
+        self._socket: socket.socket | None = None
+        self._tasks: set[asyncio.Task[None]] = set()  # emptied as they end
+        self._pumping = False
+        self._drafting = asyncio.Lock()  # one change becomes a version at a time
+        self._writing = asyncio.Lock()
+        self._forgot_at = now
+        self._keep_due = asyncio.Event()
+        self._disk_fails = ""
+        self._chance = Random(seed)
+        # As a subscriber of the other control machines.
+        self._addresses = {f"{host}:{port}": (host, port) for host, port in terms.peers}
+        self._peers: dict[str, Link] = {}  # as many as there are
+        self._peer_tasks: dict[str, asyncio.Task[None]] = {}
+        self._life = int.from_bytes(os.urandom(8)) >> 1
+        self._subscriber: Subscriber | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._asked: dict[int, tuple[str, asyncio.Future[Rows]]] = {}  # emptied after ASKED_WITHIN
+        self._numbers = count(1)
+
+    # --- start and end ------------------------------------------------------------------------------
+
+    async def start(self) -> int:
+        """The port that it listens at. Raises OSError where the address or the folder can't be had."""
+        now = clock.now()
+        self._disk.lock()
+        kept, wrong = records.read(self._disk)
+        for one in wrong:
+            self._say("a resource on disk can't be read", why=one)
+        for newest, steady, halted in kept:
+            self.publisher.restore(newest, steady, halted, now)
+        family = socket.AF_INET6 if ":" in self._terms.listen[0] else socket.AF_INET
+        made = socket.socket(family, socket.SOCK_STREAM)
+        try:
+            made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            made.bind(self._terms.listen)
+            made.listen(BACKLOG)
+            made.setblocking(False)
+        except OSError:
+            made.close()
+            raise
+        self._socket = made
+        self._go(self._accept(made))
+        self._go(self._tick())
+        self._go(self._keeping())
+        self._subscriber = Subscriber(
+            self._terms.name, self._life, self._terms.region, self._terms.zone, list(self._addresses), (),
+            [held.newest for held in self.publisher.held.values()], self._chance, now, RELAY,
+        )  # fmt: skip
+        self._wake()
+        port: int = made.getsockname()[1]
+        return port
+
+    def _go(self, what: object) -> None:
+        task = asyncio.get_running_loop().create_task(what)  # type: ignore[arg-type]
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def stop(self) -> None:
+        """What was taken is on disk, as far as it can be."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for task in [*self._tasks, *self._peer_tasks.values()]:
+            task.cancel()
+        if self._socket is not None:
+            self._socket.close()
+            self._socket = None
+        for link in [*self._peers.values(), *(one.link for one in self._connections.values())]:
+            link.close()
+        while self.publisher.keep:
+            if not await self._keep_one():
+                break
+        await asyncio.sleep(0)
+        for one in list(self._connections.values()):
+            one.link.abort("stopped")
+        self._disk.close()
+
+    # --- who connects -------------------------------------------------------------------------------
+
+    async def _accept(self, listening: socket.socket) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            now = clock.now()
+            self._allowance = min(
+                ACCEPTED_AT_ONCE, self._allowance + ACCEPTED_A_SECOND * (now - self._allowed_at) / 1e6
+            )
+            self._allowed_at = now
+            if self._allowance < 1.0:
+                await asyncio.sleep((1.0 - self._allowance) / ACCEPTED_A_SECOND + 0.01)
+                continue
+            if self._strangers >= MOST_STRANGERS:
+                await asyncio.sleep(TICK)
+                continue
+            try:
+                taken, _ = await loop.sock_accept(listening)
+                self._allowance -= 1.0
+                await loop.connect_accepted_socket(self._link, taken)
+            except OSError as error:
+                self._say("a connection can't be taken", why=error.strerror or str(error))
+                await asyncio.sleep(TICK)
+
+    def _link(self) -> Link:
+        id = next(self._ids)
+        link = Link(
+            Session(self._key, False), lambda _: None, partial(self._came, id), partial(self._ended, id),
+            self.counts, lambda _: self.publisher.next_for(id),
+        )  # fmt: skip
+        one = self._connections[id] = _Connection(link, clock.now())
+        self._strangers += 1
+        self.counts["accepted"] += 1
+        one.timer = asyncio.get_running_loop().call_later(HELLO_WITHIN, self._unheard, id)
+        return link
+
+    def _unheard(self, id: int) -> None:
+        one = self._connections.get(id)
+        if one is not None and one.hello is None:
+            one.link.abort("said nothing in time")
+
+    def _ended(self, id: int, link: Link, why: str) -> None:
+        one = self._connections.pop(id, None)
+        if one is None:
+            return
+        if one.timer is not None:
+            one.timer.cancel()
+        if one.hello is None:
+            self._strangers -= 1
+        else:
+            self._roles[one.hello.role] -= 1
+            self.publisher.leave(id, clock.now())
+        if not why.startswith("lost") and why not in ("stopped", "another of its name"):
+            self.counts["ended"] += 1
+            self._say("a connection ended", peer=link.peer, name=one.hello.name if one.hello else "?", why=why)
+
+    def _came(self, id: int, link: Link, message: Message) -> None:
+        one = self._connections.get(id)
+        if one is None:
+            return
+        now = one.heard_at = clock.now()
+        publisher = self.publisher
+        if one.hello is None:
+            if not isinstance(message, Hello):
+                raise BadPacket("sound, but no greeting")
+            self._greeted(id, one, message, now)
+        elif isinstance(message, Beat):
+            if one.hello.role != OPERATOR:
+                publisher.heard(id, now)
+        elif one.hello.role == OPERATOR:
+            self._operator(one, message)
+        elif isinstance(message, Ack):
+            publisher.ack(id, message, now)
+        elif isinstance(message, Want):
+            publisher.want(id, message.key, message.steady)
+        elif isinstance(message, Bodies):
+            publisher.bodies(id, message.on)
+        elif isinstance(message, AskRollout) and one.hello.role == RELAY:
+            self._say_to(one, publisher.rows(message.number, (message.kind, message.name), now))
+        else:
+            raise BadPacket("sound, but nothing that it may say")
+        self._pump_soon()
+
+    def _greeted(self, id: int, one: _Connection, hello: Hello, now: int) -> None:
+        most = {RELAY: MOST_RELAYS, OPERATOR: MOST_OPERATORS}.get(hello.role, self._terms.subscribers)
+        if self._roles[hello.role] >= most:
+            self._refuse(one, f"{most} of its kind are connected already")
+            return
+        if one.timer is not None:
+            one.timer.cancel()
+        self._strangers -= 1
+        self._roles[hello.role] += 1
+        one.hello = hello
+        if hello.role != OPERATOR:
+            if hello.role == RELAY:
+                one.link.session.longest = LONGEST_MESSAGE
+            self.publisher.join(id, hello, now)
+        else:
+            one.link.session.longest = LONGEST_MESSAGE
+        one.beat_at = now
+        if hello.role != OPERATOR:
+            self._say_to(one, self.publisher.beat(now))
+
+    def _refuse(self, one: _Connection, why: str) -> None:
+        self._say("a connection is refused", peer=one.link.peer, why=why)
+        self._say_to(one, Refused(one_line(why)))
+        one.link.close()
+
+    def _say_to(self, one: _Connection, message: Message) -> None:
+        one.link.send(wire.encoded(message))
+
+    # --- sending ------------------------------------------------------------------------------------
+
+    def _pump_soon(self) -> None:
+        """What is pending goes out, some connections a turn of the loop; and lines, and the disk."""
+        publisher = self.publisher
+        for line in publisher.lines:
+            self._say(line.what, **line.figures)
+        publisher.lines.clear()
+        for id in publisher.replaced:
+            if id in self._connections:
+                self._connections[id].link.abort("another of its name")
+        publisher.replaced.clear()
+        if publisher.keep:
+            self._keep_due.set()
+        if publisher.pending and not self._pumping:
+            self._pumping = True
+            asyncio.get_running_loop().call_soon(self._pump)
+
+    def _pump(self) -> None:
+        self._pumping = False
+        pending = self.publisher.pending
+        for id in list(pending)[:BATCH]:
+            # Whoever is not to be written to now calls for its next itself, once it can be.
+            pending.pop(id, None)
+            one = self._connections.get(id)
+            if one is not None:
+                one.link.pump()
+        if pending:
+            self._pumping = True
+            asyncio.get_running_loop().call_soon(self._pump)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK)
+            try:
+                self._ticked(clock.now())
+            except Exception as error:  # without its tick nothing would go on
+                self._say("the control role met an error", why=f"{type(error).__name__}: {error}")
+
+    def _ticked(self, now: int) -> None:
+        self.publisher.tick(now)
+        beat: bytes | None = None
+        for one in list(self._connections.values()):
+            if one.hello is None:
+                continue
+            if now - one.heard_at >= SILENT_AFTER:
+                one.link.abort("lost: silent")
+            elif one.hello.role != OPERATOR and now - one.beat_at >= BEAT_EVERY:
+                one.beat_at = now
+                if one.link.idle:
+                    # One that is being written to shows by that that this one is there.
+                    beat = beat or wire.encoded(self.publisher.beat(now))
+                    one.link.send(beat)
+        if now - self._forgot_at >= FORGET_EVERY:
+            self._forgot_at = now
+            self.publisher.forget(now)
+        self._pump_soon()
+
+    # --- disk ---------------------------------------------------------------------------------------
+
+    async def _keeping(self) -> None:
+        while True:
+            await self._keep_due.wait()
+            self._keep_due.clear()
+            while self.publisher.keep:
+                if not await self._keep_one():
+                    await asyncio.sleep(KEEP_AGAIN)
+
+    async def _keep_one(self) -> bool:
+        key = next(iter(self.publisher.keep))
+        del self.publisher.keep[key]
+        held = self.publisher.held[key]
+        why = await self._written(held.newest, held.steady, held.halted)
+        if why:
+            self.publisher.keep.setdefault(key, None)
+        if why != self._disk_fails:
+            self._disk_fails = why
+            self._say("the disk fails: served on from memory" if why else "the disk is written again", why=why or "-")
+        return not why
+
+    async def _written(self, newest: Resource, steady: Resource | None, halted: str) -> str:
+        async with self._writing:
+            try:
+                await asyncio.to_thread(records.write, self._disk, newest, steady, halted)
+            except OSError as error:
+                return error.strerror or str(error)
+        return ""
+
+    # --- operators ----------------------------------------------------------------------------------
+
+    def _operator(self, one: _Connection, message: Message) -> None:
+        if isinstance(message, Publish):
+            self._go(self._publish(one, message))
+        elif isinstance(message, AskRollout):
+            self._go(self._rollout(one, message))
+        elif isinstance(message, AskFigures):
+            self._say_to(one, Figures(self._figures()))
+        else:
+            raise BadPacket("sound, but nothing that it may say")
+
+    def _figures(self) -> dict[str, int | str]:
+        return {
+            "name": self._terms.name,
+            "connections": len(self._connections),
+            "peers connected": len(self._peers),
+            "disk": self._disk_fails or "written",
+            "age us": self.publisher.beat(clock.now()).age,
+            **self.publisher.figures(),
+            **self.counts,
+        }
+
+    async def _publish(self, one: _Connection, said: Publish) -> None:
+        """On disk first, and then to others."""
+        publisher = self.publisher
+        async with self._drafting:
+            try:
+                made = publisher.draft(said.kind, said.name, said.body)
+            except NotTaken as no:
+                self._say_to(one, Published(*NEVER, one_line(str(no))))
+                return
+            held = publisher.held.get(made.key)
+            why = await self._written(made, held.steady if held is not None else None, "")
+            if why:
+                self._say_to(one, Published(*NEVER, one_line(f"it can't be written: {why}")))
+                return
+            wrong = publisher.take(made, clock.now())
+            if wrong:
+                self._say_to(one, Published(*NEVER, one_line(wrong)))
+                return
+            if self._subscriber is not None:
+                self._subscriber.held[made.key] = made
+        name = one.hello.name if one.hello else "?"
+        self._say("published", resource=f"{made.kind}/{made.name}", version=str(made.version), digest=made.digest, by=name)
+        self._say_to(one, Published(*made.version))
+        self._pump_soon()
+
+    async def _rollout(self, one: _Connection, asked: AskRollout) -> None:
+        """This control machine's part, and with `wide` all others' too."""
+        parts = [self.publisher.rows(asked.number, (asked.kind, asked.name), clock.now())]
+        silent: list[str] = []
+        if asked.wide:
+            those: dict[str, asyncio.Future[Rows]] = {}
+            for upstream in self._addresses:
+                link = self._peers.get(upstream)
+                if link is None or not link.session.open:
+                    silent.append(upstream)
+                    continue
+                number = next(self._numbers)
+                told: asyncio.Future[Rows] = asyncio.get_running_loop().create_future()
+                self._asked[number] = upstream, told
+                those[upstream] = told
+                link.send(wire.encoded(AskRollout(number, asked.kind, asked.name, False)))
+            if those:
+                await asyncio.wait(those.values(), timeout=ASKED_WITHIN)
+            for upstream, told in those.items():
+                if told.done() and not told.cancelled():
+                    parts.append(told.result())
+                else:
+                    silent.append(upstream)
+            for number in [number for number, (_, told) in self._asked.items() if told in those.values()]:
+                del self._asked[number]
+        whole = rollout_of(parts, silent)
+        rows = {row.proxy: row for part in parts for row in part.rows if not row.connected}
+        rows.update({row.proxy: row for part in parts for row in part.rows if row.connected})
+        self._say_to(
+            one,
+            Rows(asked.number, whole.version, whole.digest, whole.halted, list(rows.values()), whole.silent),
+        )
+
+    # --- of other control machines ------------------------------------------------------------------
+
+    def _wake(self) -> None:
+        if self._subscriber is None or self._socket is None:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        now = clock.now()
+        due = self._subscriber.wake(now)
+        self._done()
+        self._timer = asyncio.get_running_loop().call_later(max(0.001, (due - now) / 1e6), self._wake)
+
+    def _done(self) -> None:
+        subscriber = self._subscriber
+        assert subscriber is not None
+        while subscriber.out:
+            out, subscriber.out = subscriber.out, []
+            for effect in out:
+                if isinstance(effect, Send):
+                    link = self._peers.get(effect.upstream)
+                    if link is not None:
+                        link.send(wire.encoded(effect.message))
+                elif isinstance(effect, Connect):
+                    self._peer_tasks[effect.upstream] = asyncio.get_running_loop().create_task(
+                        self._connect(effect.upstream)
+                    )
+                elif isinstance(effect, Close):
+                    self._close(effect.upstream)
+                elif isinstance(effect, Apply):
+                    self._take(effect)
+                elif isinstance(effect, Say):
+                    self._say(effect.what, **effect.figures)
+
+    def _take(self, effect: Apply) -> None:
+        """From another control machine."""
+        assert self._subscriber is not None
+        now, one = clock.now(), effect.resource
+        held = self.publisher.held.get(one.key)
+        if effect.halted and held is not None and held.newest.version == one.version:
+            self.publisher.halt(one.key, one.version, effect.halted)
+            return
+        why = self.publisher.take(one, now, effect.halted, effect.steady)
+        if why:
+            self._say("a version of another control machine is not taken", resource="/".join(one.key), version=str(one.version), why=why)
+        if not effect.steady:
+            self._subscriber.applied(one, why, now)
+
+    async def _connect(self, upstream: str) -> None:
+        link = Link(
+            Session(self._key, True, LONGEST_MESSAGE), partial(self._peer_opened, upstream),
+            partial(self._peer_came, upstream), partial(self._peer_ended, upstream), self.counts,
+        )  # fmt: skip
+        self._peers[upstream] = link
+        try:
+            await asyncio.get_running_loop().create_connection(
+                lambda: link, *self._addresses[upstream], local_addr=(self._terms.local, 0)
+            )
+        except OSError as error:
+            link.abort(error.strerror or str(error))
+        except asyncio.CancelledError:
+            link.abort("given up")
+            raise
+        finally:
+            if self._peer_tasks.get(upstream) is asyncio.current_task():
+                del self._peer_tasks[upstream]
+
+    def _close(self, upstream: str) -> None:
+        task = self._peer_tasks.pop(upstream, None)
+        if task is not None:
+            task.cancel()
+        link = self._peers.pop(upstream, None)
+        if link is not None:
+            link.abort("closed")
+
+    def _peer_opened(self, upstream: str, link: Link) -> None:
+        if self._peers.get(upstream) is link and self._subscriber is not None:
+            self._subscriber.connected(upstream, clock.now())
+            self._after()
+
+    def _peer_came(self, upstream: str, link: Link, message: Message) -> None:
+        if self._peers.get(upstream) is not link or self._subscriber is None:
+            return
+        if isinstance(message, Rows):
+            asked = self._asked.get(message.number)
+            if asked is not None and asked[0] == upstream and not asked[1].done():
+                asked[1].set_result(message)
+            return
+        self._subscriber.received(upstream, message, clock.now())
+        self._after()
+
+    def _peer_ended(self, upstream: str, link: Link, why: str) -> None:
+        if self._peers.get(upstream) is not link or self._subscriber is None:
+            return
+        del self._peers[upstream]
+        self.counts["peers lost"] += 1
+        self._subscriber.lost(upstream, clock.now())
+        self._after()
+
+    def _after(self) -> None:
+        self._done()
+        subscriber, publisher = self._subscriber, self.publisher
+        assert subscriber is not None
+        if publisher.epoch is None and subscriber.confirmed_at is not None:
+            publisher.confirmed, publisher.confirmed_at = subscriber.confirmed, subscriber.confirmed_at
+        self._wake()
+        self._pump_soon()
--- /dev/null
+++ b/pepperusher/distribution/subscriber.py
@@ -0,0 +1,456 @@
+"""What a proxy, or a relay, does with the control machines: which of them it is connected to, what it takes
+from them, what it asks for; free of I/O.
+
+Nothing older ever replaces something newer, whoever sends it. Two upstreams at a time, the first of an order
+by a hash of both names, so that a lost one's proxies go to all the others alike: the first sends bodies, the
+second offers what it has, and is asked for it where the first does not send it in time.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import Counter
+from collections.abc import Iterable, Sequence
+from random import Random
+from typing import NamedTuple
+
+from pepperusher.distribution import delta
+from pepperusher.distribution.words import (
+    KINDS,
+    MOST_RESOURCES,
+    NEVER,
+    PROXY,
+    RELAY,
+    Ack,
+    Beat,
+    Bodies,
+    Delta,
+    Have,
+    Hello,
+    Key,
+    Mark,
+    Message,
+    Offer,
+    Refused,
+    Resource,
+    Snapshot,
+    Version,
+    Want,
+    digest_of,
+    mark_of,
+    one_line,
+)
+from pepperusher.sealed import BadPacket
+
+UPSTREAMS = 2
+# Both sides speak so often, and a side that was silent for so long has gone, whatever its socket says.
+BEAT_EVERY = 2_000_000
+SILENT_AFTER = 5_000_000
+CONNECT_WITHIN = 2_000_000
+# Before it tries a lost one again: doubled each time, up to the most, and drawn from the half of it to all.
+AGAIN_LEAST = 200_000
+AGAIN_MOST = 3_000_000
+RELAY_AGAIN_MOST = 1_500_000
+# An upstream that ended the connection for a reason is not asked again at once.
+REFUSED_AGAIN = 5_000_000
+# One that is being connected to keeps the next in order from being tried for so long.
+CONNECT_FIRST = 700_000
+# After a loss the next is tried within this, drawn, and after each further failure no sooner than that: all
+# that lost the same machine, or all machines, at one moment must not come at one moment.
+NEXT_WITHIN = 400_000
+NEXT_MOST = 1_000_000
+# So long the first upstream has to send what the second has offered.
+OFFERED_WITHIN = 1_000_000
+# The snapshot is asked for so often at the most: doubled each time up to the most, until one fits.
+WANT_AGAIN = 1_000_000
+WANT_MOST = 30_000_000
+
+
+def rank(name: str, upstreams: Iterable[str]) -> list[str]:
+    """Rendezvous hashing: the order in which this one uses them."""
+
+    def weight(upstream: str) -> bytes:
+        return hashlib.blake2b(f"{name} {upstream}".encode(), digest_size=8).digest()
+
+    return sorted(upstreams, key=weight)
+
+
+class Connect(NamedTuple):
+    upstream: str
+
+
+class Close(NamedTuple):
+    upstream: str
+    why: str
+
+
+class Send(NamedTuple):
+    upstream: str
+    message: Message
+
+
+class Apply(NamedTuple):
+    """To be taken whole, and `applied` to be called with what came of it. `steady` is for relays."""
+
+    resource: Resource
+    halted: str
+    steady: bool
+
+
+class Say(NamedTuple):
+    what: str
+    figures: dict[str, object]
+
+
+Effect = Connect | Close | Send | Apply | Say
+
+DOWN, CONNECTING, UP = range(3)
+
+
+class _Upstream:
+    __slots__ = ("name", "state", "since", "again_at", "wait", "heard_at", "beat_at", "offers", "bodies")
+
+    def __init__(self, name: str, now: int) -> None:
+        self.name = name
+        self.state = DOWN
+        self.since = self.again_at = self.heard_at = self.beat_at = now
+        self.wait = AGAIN_LEAST
+        self.offers: dict[tuple[Key, bool], tuple[Mark, int, str]] = {}  # as many as are subscribed to
+        self.bodies = False
+
+
+class Subscriber:
+    """`held` is what it has in force at the start. Every call may put effects into `out`; `wake` says when it
+    is to be called next.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        life: int,
+        region: str,
+        zone: str,
+        upstreams: Sequence[str],
+        names: Sequence[Key],
+        held: Iterable[Resource],
+        chance: Random,
+        now: int,
+        role: int = PROXY,
+    ) -> None:
+        self._name, self._life, self._region, self._zone, self._role = name, life, region, zone, role
+        self._names = None if role == RELAY else frozenset(names)
+        self._links = len(upstreams) if role == RELAY else min(UPSTREAMS, len(upstreams))
+        self._upstreams = {one: _Upstream(one, now) for one in rank(name, upstreams)}
+        self._chance = chance
+        self.out: list[Effect] = []
+        self.held: dict[Key, Resource] = {one.key: one for one in held}  # as many as are subscribed to
+        self.refused: dict[Key, tuple[Mark, str]] = {}  # as many
+        self._applying: dict[Key, Resource] = {}  # as many
+        self._next: dict[Key, tuple[Resource, str]] = {}  # the newest behind what is being applied
+        self._wants: dict[tuple[Key, bool], tuple[int, int]] = {}  # (when asked again, how long then)
+        self._steady: dict[Key, Version] = {}  # a relay's, as many as it holds
+        self._halted: set[tuple[Key, Version]] = set()
+        self.confirmed: tuple[int, int] = (0, 0)
+        self.confirmed_at: int | None = None
+        self.counts: Counter[str] = Counter()
+        self._next_at = now + chance.randrange(NEXT_WITHIN)
+        self._next_wait = AGAIN_LEAST
+
+    # --- upstreams ----------------------------------------------------------------------------------
+
+    @property
+    def up(self) -> list[str]:
+        """Those that it is connected to, in its order."""
+        return [one.name for one in self._upstreams.values() if one.state == UP]
+
+    def _settle(self, now: int) -> None:
+        """Connects to as many as it uses, the first of its order that can be reached; gives up those that are
+        one too many; has the first one send bodies.
+        """
+        up = sought = 0
+        for one in self._upstreams.values():
+            if one.state == UP:
+                up += 1
+                sought += 1
+                if up > self._links:
+                    self._close(one, "others stand before it", now, 0)
+            elif one.state == CONNECTING:
+                if up >= self._links:
+                    self._close(one, "others stand before it", now, 0)
+                elif now - one.since < CONNECT_FIRST:
+                    sought += 1
+            elif sought < self._links and now >= max(one.again_at, self._next_at):
+                one.state, one.since = CONNECTING, now
+                sought += 1
+                self.counts["connects"] += 1
+                self.out.append(Connect(one.name))
+        first = self._role == PROXY
+        for one in self._upstreams.values():
+            if one.state == UP:
+                if one.bodies != first:
+                    one.bodies = first
+                    self.out.append(Send(one.name, Bodies(first)))
+                first = False
+
+    def _close(self, one: _Upstream, why: str, now: int, wait: int | None = None) -> None:
+        self.out.append(Close(one.name, why))
+        self._down(one, now, wait)
+
+    def _down(self, one: _Upstream, now: int, wait: int | None = None) -> None:
+        most = RELAY_AGAIN_MOST if self._role == RELAY else AGAIN_MOST
+        if wait is None:
+            wait, one.wait = one.wait, min(2 * one.wait, most)
+            wait = self._chance.randrange(wait // 2, wait)
+        if one.state == UP:
+            self._next_at = now + self._chance.randrange(NEXT_WITHIN)
+        elif wait and self._role == PROXY:
+            self._next_wait = min(2 * self._next_wait, NEXT_MOST)
+            self._next_at = now + self._chance.randrange(self._next_wait // 2, self._next_wait)
+        one.state, one.since, one.again_at = DOWN, now, now + wait
+        one.offers.clear()
+
+    def connected(self, upstream: str, now: int) -> None:
+        """And the two sides have shown each other the key."""
+        one = self._upstreams[upstream]
+        one.state, one.since, one.heard_at, one.beat_at = UP, now, now, now
+        # The first in order sends bodies; it is told before it says anything.
+        one.bodies = self._role == PROXY and not any(
+            other.state == UP for other in self._before(one)
+        )
+        refused = [Ack(*key, *mark.version, reason) for key, (mark, reason) in self.refused.items()]
+        have = [Have(*key, mark_of(self.held[key])) for key in self.held]
+        names = [] if self._names is None else sorted(self._names)
+        self.out.append(
+            Send(
+                upstream,
+                Hello(self._role, self._name, self._life, self._region, self._zone, one.bodies, names, have, refused),
+            )
+        )
+        self._settle(now)
+
+    def _before(self, one: _Upstream) -> list[_Upstream]:
+        those = list(self._upstreams.values())
+        return those[: those.index(one)]
+
+    def lost(self, upstream: str, now: int) -> None:
+        """The connection ended, or was not to be had."""
+        one = self._upstreams[upstream]
+        if one.state == DOWN:
+            return
+        self._down(one, now)
+        self._settle(now)
+
+    def wake(self, now: int) -> int:
+        """What is due by now; when there will be more."""
+        due = now + BEAT_EVERY
+        for one in self._upstreams.values():
+            if one.state == CONNECTING and now - one.since >= CONNECT_WITHIN:
+                self._close(one, "not connected in time", now)
+            elif one.state == UP and now - one.heard_at >= SILENT_AFTER:
+                self.counts["silent"] += 1
+                self._close(one, "silent", now)
+            elif one.state == UP and now - one.beat_at >= BEAT_EVERY:
+                one.beat_at = now
+                self.out.append(Send(one.name, Beat()))
+        self._settle(now)
+        self._ask(now)
+        up = 0
+        for one in self._upstreams.values():
+            if one.state == UP:
+                up += 1
+                due = min(due, one.beat_at + BEAT_EVERY, one.heard_at + SILENT_AFTER)
+            elif one.state == CONNECTING:
+                late = now - one.since >= CONNECT_FIRST
+                due = min(due, one.since + (CONNECT_WITHIN if late else CONNECT_FIRST))
+            elif up < self._links:
+                due = min(due, max(one.again_at, self._next_at, now + 5_000))
+        for at, _ in self._wants.values():
+            due = min(due, max(at, now + 5_000))
+        return due
+
+    # --- what they send -----------------------------------------------------------------------------
+
+    def received(self, upstream: str, message: Message, now: int) -> None:
+        """Raises BadPacket for what no control machine says."""
+        one = self._upstreams[upstream]
+        if one.state != UP:
+            return
+        one.heard_at = now
+        one.wait = self._next_wait = AGAIN_LEAST
+        if isinstance(message, Beat):
+            self._beat(one, message, now)
+        elif isinstance(message, Offer):
+            self._offer(one, message, now)
+        elif isinstance(message, Snapshot):
+            self._snapshot(one, message, now)
+        elif isinstance(message, Delta):
+            self._delta(one, message, now)
+        elif isinstance(message, Refused):
+            self.out.append(Say("a control machine ended the connection", {"upstream": one.name, "why": one_line(message.why)}))
+            self._close(one, "refused there", now, REFUSED_AGAIN)
+            self._settle(now)
+        else:
+            raise BadPacket("sound, but nothing that a control machine says")
+
+    def _beat(self, one: _Upstream, beat: Beat, now: int) -> None:
+        if (beat.epoch, beat.stamp) <= self.confirmed:
+            return
+        behind = any(
+            mark.version > self._last(key) and not steady for (key, steady), (mark, _, _) in one.offers.items()
+        )
+        if not behind and not self._applying:
+            self.confirmed = beat.epoch, beat.stamp
+            self.confirmed_at = max(now - beat.age, self.confirmed_at or 0)
+
+    def _known(self, key: Key) -> bool:
+        if self._names is not None:
+            return key in self._names
+        return key[0] in KINDS and (key in self.held or len(self.held) < MOST_RESOURCES)
+
+    def _last(self, key: Key) -> Version:
+        """The newest that it has had, in force, refused, or about to be either."""
+        held = self.held.get(key)
+        last = held.version if held is not None else NEVER
+        if key in self.refused:
+            last = max(last, self.refused[key][0].version)
+        if key in self._applying:
+            last = max(last, self._applying[key].version)
+        if key in self._next:
+            last = max(last, self._next[key][0].version)
+        return last
+
+    def _offer(self, one: _Upstream, offer: Offer, now: int) -> None:
+        key = offer.key
+        if not self._known(key):
+            self.counts["not asked for"] += 1
+            return
+        one.offers[key, False] = offer.mark, now, offer.halted
+        if self._role == RELAY:
+            if offer.steady is not None and offer.steady.version < offer.mark.version:
+                one.offers[key, True] = offer.steady, now, ""
+            else:
+                one.offers.pop((key, True), None)
+            held = self.held.get(key)
+            if offer.halted and held is not None and held.version == offer.mark.version:
+                self.out.append(Apply(held, offer.halted, False))
+        self._ask(now)
+
+    def _ask(self, now: int) -> None:
+        """Wants what is offered and not sent: a relay at once, a proxy where its first upstream did not."""
+        late = OFFERED_WITHIN if self._role == PROXY else 0
+        for one in self._upstreams.values():
+            if one.state != UP:
+                continue
+            for (key, steady), (mark, at, _) in one.offers.items():
+                last = self._steady.get(key, NEVER) if steady else self._last(key)
+                if mark.version <= last:
+                    continue
+                due, wait = self._wants.get((key, steady), (at + late, WANT_AGAIN))
+                if now < due:
+                    self._wants[key, steady] = due, wait
+                    continue
+                self._wants[key, steady] = now + wait, min(2 * wait, WANT_MOST)
+                self.out.append(Send(one.name, Want(*key, steady)))
+                self.counts["wants"] += 1
+        for slot in [slot for slot in self._wants if not self._missing(slot)]:
+            del self._wants[slot]
+
+    def _missing(self, slot: tuple[Key, bool]) -> bool:
+        """Whether anything newer is offered still."""
+        key, steady = slot
+        last = self._steady.get(key, NEVER) if steady else self._last(key)
+        return any(
+            one.state == UP and slot in one.offers and one.offers[slot][0].version > last
+            for one in self._upstreams.values()
+        )
+
+    def _snapshot(self, one: _Upstream, said: Snapshot, now: int) -> None:
+        if not self._known(said.key):
+            self.counts["not asked for"] += 1
+            return
+        self.counts["snapshots"] += 1
+        if said.kind not in KINDS or digest_of(said.body) != said.mark.digest:
+            raise BadPacket("sound, but its digest is not its body's")
+        made = Resource(said.kind, said.name, said.mark.version, said.mark.digest, said.body, KINDS[said.kind])
+        self._wants.pop((said.key, said.steady), None)
+        halted = one.offers[said.key, False][2] if (said.key, False) in one.offers else ""
+        if said.steady:
+            if made.version > self._steady.get(made.key, NEVER):
+                self._steady[made.key] = made.version
+                self.out.append(Apply(made, "", True))
+            return
+        self._take(made, halted, now)
+
+    def _delta(self, one: _Upstream, said: Delta, now: int) -> None:
+        if not self._known(said.key):
+            self.counts["not asked for"] += 1
+            return
+        self.counts["deltas"] += 1
+        if said.mark.version <= self._last(said.key):
+            self.counts["older left"] += 1
+            return
+        base = next(
+            (
+                there
+                for there in (self.held.get(said.key), self._applying.get(said.key), self._next.get(said.key, (None,))[0])
+                if there is not None and mark_of(there) == said.base
+            ),
+            None,
+        )
+        body = None
+        if base is not None:
+            try:
+                body = delta.joined(base.body, said.ops)
+            except delta.BadDelta:
+                pass
+        if body is None or digest_of(body) != said.mark.digest:
+            # From here on as something that is offered and did not come.
+            self.counts["misfits"] += 1
+            one.offers[said.key, False] = said.mark, now - OFFERED_WITHIN, ""
+            self._ask(now)
+            return
+        self._take(
+            Resource(said.kind, said.name, said.mark.version, said.mark.digest, body, KINDS[said.kind]), "", now
+        )
+
+    def _take(self, made: Resource, halted: str, now: int) -> None:
+        if made.version <= self._last(made.key):
+            held = self.held.get(made.key)
+            if held is not None and held.version == made.version and held.digest != made.digest:
+                self.counts["forked"] += 1
+                self.out.append(
+                    Say("two contents under one version", {"resource": "/".join(made.key), "version": str(made.version)})
+                )
+            self.counts["older left"] += 1
+            return
+        if made.key in self._applying:
+            self._next[made.key] = made, halted
+            return
+        self._applying[made.key] = made
+        self.out.append(Apply(made, halted, False))
+
+    def applied(self, one: Resource, reason: str | None, now: int) -> None:
+        """What came of an Apply: in force, or refused with a reason. All upstreams are told."""
+        if self._applying.get(one.key) is not one:
+            return
+        del self._applying[one.key]
+        if reason is None:
+            held = self.held.get(one.key)
+            assert held is None or held.version < one.version
+            self.held[one.key] = one
+            self.refused.pop(one.key, None)
+        else:
+            self.counts["refused"] += 1
+            self.refused[one.key] = mark_of(one), one_line(reason) or "no reason given"
+        if self._role == PROXY:
+            said = Ack(*one.key, *one.version, "" if reason is None else self.refused[one.key][1])
+            self.out += [Send(up, said) for up in self.up]
+        later = self._next.pop(one.key, None)
+        if later is not None:
+            self._take(*later, now)
+
+    def age(self, now: int) -> int | None:
+        """us since the origin last spoke, as far as a control machine that it holds everything of told; None
+        where none ever did.
+        """
+        return None if self.confirmed_at is None else max(0, now - self.confirmed_at)
--- a/pepperusher/group/wire.py
+++ b/pepperusher/group/wire.py
@@ -7,23 +7,19 @@
 from __future__ import annotations
 
 import hashlib
-import hmac
 from collections.abc import Iterable
 
 import msgspec
 
 from pepperusher.group.words import Charge, Notice, Packet, Said
+from pepperusher.sealed import SUM, BadPacket, Seal
 
 MARK = b"pu"
 FORM = 1
-SUM = 16
 HEAD = len(MARK) + 1 + SUM
 # One datagram: within the least that networks carry whole, headers of IPv6 and UDP taken off.
 DATAGRAM = 1200
-
-
-class BadPacket(ValueError):
-    """Nothing to be believed; the text is why, in words that are few, since they are counted by it."""
+__all__ = ["DATAGRAM", "FORM", "HEAD", "MARK", "SUM", "BadPacket", "Wire"]
 
 
 class _Outgoing(msgspec.Struct, frozen=True, array_like=True):
@@ -44,13 +40,11 @@
     """`key` is the group's: whoever has another is a stranger."""
 
     def __init__(self, key: str) -> None:
-        self._key = hashlib.sha256(key.encode()).digest()
+        sealed = Seal(hashlib.sha256(key.encode()).digest(), MARK, FORM)
+        self.seal, self.open = sealed.seal, sealed.open
         self._encode = msgspec.msgpack.Encoder().encode
         self._decode = msgspec.msgpack.Decoder(Packet).decode
 
-    def _sum(self, body: bytes) -> bytes:
-        return hashlib.blake2b(body, key=self._key, digest_size=SUM).digest()
-
     def part(self, word: Said | Charge | Notice) -> bytes:
         """A word as it will stand in a packet; packed once, however often it is told."""
         return self._encode(word)
@@ -86,22 +80,6 @@
         )
         return self.seal(body)
 
-    def seal(self, body: bytes) -> bytes:
-        """Any bytes, for who has the key to open."""
-        return b"%s%c%s%s" % (MARK, FORM, self._sum(b"%c%s" % (FORM, body)), body)
-
-    def open(self, data: bytes) -> bytes:
-        """Raises BadPacket."""
-        if len(data) < HEAD or not data.startswith(MARK):
-            raise BadPacket("not of this program")
-        form, body = data[len(MARK)], data[HEAD:]
-        if form != FORM:
-            # Its checksum may be made otherwise; that it speaks another form is all that can be told.
-            raise BadPacket(f"of form {form}, not {FORM}")
-        if not hmac.compare_digest(self._sum(b"%c%s" % (FORM, body)), data[len(MARK) + 1 : HEAD]):
-            raise BadPacket("with a wrong checksum: another key, or damaged")
-        return body
-
     def unpack(self, data: bytes) -> Packet:
         """Raises BadPacket."""
         body = self.open(data)
