--- a/pepperusher/distribution/link.py
+++ b/pepperusher/distribution/link.py
@@ -14,7 +14,8 @@
 from pepperusher.sealed import BadPacket
 
 # Small words that wait behind one that is being written: beats and the like, which their makers bound.
-MOST_WAITING = 4 * 256
+MOST_WAITING = 1024
+MOST_WAITING_BYTES = 8 * 1024 * 1024
 
 
 class Link(asyncio.Protocol):
@@ -76,6 +77,8 @@
                 self._opened(self)
         except BadPacket as bad:
             self.abort(str(bad))
+        except Exception as error:  # a fault of ours in reading it ends this connection and nothing else
+            self.abort(f"{type(error).__name__}: {error}")
 
     def eof_received(self) -> bool:
         return False
@@ -101,7 +104,7 @@
         """Behind what is being written. More than waits is for one that does not read: it is ended."""
         if self._over or self._transport is None:
             return
-        if len(self._waiting) >= MOST_WAITING:
+        if len(self._waiting) >= MOST_WAITING or sum(map(len, self._waiting)) > MOST_WAITING_BYTES:
             self.abort("does not read")
             return
         self._waiting.append(message)
--- a/pepperusher/distribution/publisher.py
+++ b/pepperusher/distribution/publisher.py
@@ -41,9 +41,10 @@
 # to one of them at the least. A wave ends once all of it have answered, or after so long.
 WAVES = (0.02, 0.2, 1.0)
 WAVE_WITHIN = 1_500_000
-# It stops where at least a tenth of those that answered refused it: at once from so many on, else at the
-# end of its wave.
+# It stops where two or more refused it and these are at least a tenth of those that answered, at once from so
+# many on and else at the end of a wave; and where a wave ends with nobody but such as refused it.
 REFUSED_PART = 0.1
+REFUSED_LEAST = 2
 REFUSED_AT_ONCE = 3
 # Bodies before the newest that deltas are made from, and how much of them.
 BEFORE = 4
@@ -177,8 +178,12 @@
         ]
         held.bar = max(WAVES[held.wave], min(places, default=0.0))
 
-    def draft(self, kind: str, name: str, body: bytes) -> Resource:
-        """The version that a change would become here. Raises NotTaken."""
+    def draft(self, kind: str, name: str, body: bytes, now: int) -> Resource:
+        """The version that a change would become here. Raises NotTaken.
+
+        Its number is the time in milliseconds, or one more than the last where that is greater: an origin with
+        an old disk that nobody can tell of what it lost must not give a number twice.
+        """
         if kind not in KINDS:
             raise NotTaken(f"{kind!r} is none of {', '.join(KINDS)}")
         if not name or len(name) > 100 or not name.isprintable():
@@ -205,7 +210,7 @@
         if ahead > last and epoch == ahead.epoch:
             # Its number here would be one that others have with another content.
             raise NotTaken(f"{ahead} is in use and {self.name} has {last}: fetched, or raise the epoch")
-        return resource(kind, name, Version(epoch, ahead.number + 1), body)
+        return resource(kind, name, Version(epoch, max(ahead.number + 1, now // 1_000)), body)
 
     def take(self, one: Resource, now: int, halted: str = "", steady: bool = False) -> str | None:
         """A version from disk, from the origin or from another control machine. What is wrong with it, or
@@ -533,7 +538,8 @@
             if proxy.in_force.get(key, NEVER) >= version or (no is not None and no[0] == version):
                 answered += 1
         over = over or (answered == sent and sent > 0)
-        if refused >= REFUSED_PART * answered and refused and (over or refused >= REFUSED_AT_ONCE):
+        many = refused >= REFUSED_LEAST and refused >= REFUSED_PART * answered
+        if (many and (over or refused >= REFUSED_AT_ONCE)) or (over and refused and refused == answered):
             self.halt(key, version, f"refused by {refused} of {answered} that answered at {self.name}: {reason}")
         elif over and held.wave < len(WAVES) - 1:
             held.wave += 1
--- a/pepperusher/distribution/server.py
+++ b/pepperusher/distribution/server.py
@@ -409,7 +409,7 @@
         publisher = self.publisher
         async with self._drafting:
             try:
-                made = publisher.draft(said.kind, said.name, said.body)
+                made = publisher.draft(said.kind, said.name, said.body, clock.now())
             except NotTaken as no:
                 self._say_to(one, Published(*NEVER, one_line(str(no))))
                 return
--- a/pepperusher/distribution/wire.py
+++ b/pepperusher/distribution/wire.py
@@ -38,6 +38,15 @@
     return _encode(message)
 
 
+def decoded(data: bytes) -> Message:
+    """Raises BadPacket."""
+    try:
+        return _decode(data)
+    except (msgspec.MsgspecError, RecursionError):
+        # Sound and not to be read: from whoever has the key, so a fault of a release.
+        raise BadPacket("sound, but no message") from None
+
+
 class Session:
     """One connection as one side has it. Raises BadPacket for whatever is not of the other side, and is of no
     use from then on. `longest` is how long a message from there may be; raised once it is known who it is.
@@ -111,8 +120,4 @@
             if body[:1] == MORE:
                 continue
             whole, self._parts = bytes(self._parts), bytearray()
-            try:
-                yield _decode(whole)
-            except (msgspec.MsgspecError, RecursionError):
-                # Sound and not to be read: from whoever has the key, so a fault of a release.
-                raise BadPacket("sound, but no message") from None
+            yield decoded(whole)
--- a/pepperusher/distribution/words.py
+++ b/pepperusher/distribution/words.py
@@ -35,8 +35,8 @@
 
 
 class Version(NamedTuple):
-    """The epoch is raised by hand with each new origin; the number by the origin with each change. They order
-    the versions of one resource, and say nothing across resources.
+    """The epoch is raised by hand with each new origin; the number by the origin with each change, to the time
+    in ms or by one. They order the versions of one resource, and say nothing across resources.
     """
 
     epoch: int
