--- a/pepperusher/distribution/publisher.py
+++ b/pepperusher/distribution/publisher.py
@@ -383,24 +383,30 @@
             # As it says and not the greatest: a process that was made anew may have less.
             proxy.in_force[one.key] = one.version
             self.counts["in force"] += 1
+            if one.version > sub.known.get(one.key, Mark(*NEVER, "")).version:
+                # By way of its other upstream: from here on deltas are made from that.
+                self._has_still(sub, one.key, one.version)
 
     def _has_still(self, sub: Subscriber, key: Key, version: Version) -> None:
         """One that refused what it was sent has the one before: deltas are made from that."""
         held = self.held.get(key)
-        there = [] if held is None else [*held.before.values(), *([held.steady] if held.steady else [])]
-        for old in there:
+        if held is None:
+            return
+        for old in (held.newest, *held.before.values(), *((held.steady,) if held.steady else ())):
             if old.version == version:
                 sub.known[key] = mark_of(old)
                 return
         sub.known.pop(key, None)
 
-    def want(self, id: int, key: Key, steady: bool) -> None:
+    def want(self, id: int, key: Key, steady: bool, base: Mark | None) -> None:
         sub = self.subscribers[id]
         if sub.names is not None and (key not in sub.names or steady):
             return
         sub.wants.add((key, steady))
         if key in self.held:
-            if not steady and sub.names is not None:
+            if not steady and base is not None:
+                sub.known[key] = base
+            elif not steady:
                 sub.known.pop(key, None)
             sub.dirty[key] = None
             self.pending[id] = None
@@ -453,8 +459,8 @@
                 return wire.encoded(Snapshot(*key, mark_of(held.steady), held.steady.body, True))
         if (key, False) in sub.wants:
             sub.wants.discard((key, False))
-            sub.known[key] = mark_of(held.newest)
-            return self._snapshot(held, held.newest)
+            known, sub.known[key] = sub.known.get(key), mark_of(held.newest)
+            return self._update(held, held.newest, known)
         return None
 
     def _to_proxy(self, sub: Subscriber, key: Key) -> bytes | None:
@@ -531,6 +537,8 @@
             proxy = self.proxies.get(name)
             if proxy is None or proxy.connection != id or place_of(name, version) > held.bar:
                 continue
+            if key in self.subscribers[id].dirty:
+                continue  # it does not take what it is sent: the others don't wait for it
             sent += 1
             no = proxy.refused.get(key)
             if no is not None and no[0] == version:
--- a/pepperusher/distribution/server.py
+++ b/pepperusher/distribution/server.py
@@ -256,7 +256,7 @@
         elif isinstance(message, Ack):
             publisher.ack(id, message, now)
         elif isinstance(message, Want):
-            publisher.want(id, message.key, message.steady)
+            publisher.want(id, message.key, message.steady, message.base)
         elif isinstance(message, Bodies):
             publisher.bodies(id, message.on)
         elif isinstance(message, AskRollout) and one.hello.role == RELAY:
--- a/pepperusher/distribution/subscriber.py
+++ b/pepperusher/distribution/subscriber.py
@@ -149,7 +149,7 @@
         self._next: dict[Key, tuple[Resource, str]] = {}  # the newest behind what is being applied
         self._wants: dict[tuple[Key, bool], tuple[int, int]] = {}  # (when asked again, how long then)
         self._steady: dict[Key, Version] = {}  # a relay's, as many as it holds
-        self._halted: set[tuple[Key, Version]] = set()
+        self._misfits: set[Key] = set()  # to be had whole
         self.confirmed: tuple[int, int] = (0, 0)
         self.confirmed_at: int | None = None
         self.counts: Counter[str] = Counter()
@@ -350,7 +350,8 @@
                     self._wants[key, steady] = due, wait
                     continue
                 self._wants[key, steady] = now + wait, min(2 * wait, WANT_MOST)
-                self.out.append(Send(one.name, Want(*key, steady)))
+                held = None if steady or key in self._misfits else self.held.get(key)
+                self.out.append(Send(one.name, Want(*key, steady, held and mark_of(held))))
                 self.counts["wants"] += 1
         for slot in [slot for slot in self._wants if not self._missing(slot)]:
             del self._wants[slot]
@@ -373,6 +374,7 @@
             raise BadPacket("sound, but its digest is not its body's")
         made = Resource(said.kind, said.name, said.mark.version, said.mark.digest, said.body, KINDS[said.kind])
         self._wants.pop((said.key, said.steady), None)
+        self._misfits.discard(said.key)
         halted = one.offers[said.key, False][2] if (said.key, False) in one.offers else ""
         if said.steady:
             if made.version > self._steady.get(made.key, NEVER):
@@ -406,6 +408,7 @@
         if body is None or digest_of(body) != said.mark.digest:
             # From here on as something that is offered and did not come.
             self.counts["misfits"] += 1
+            self._misfits.add(said.key)
             one.offers[said.key, False] = said.mark, now - OFFERED_WITHIN, ""
             self._ask(now)
             return
--- a/pepperusher/distribution/words.py
+++ b/pepperusher/distribution/words.py
@@ -144,11 +144,14 @@
 
 
 class Want(_Message, tag=3):
-    """The body, whole: what came does not fit what is there, or this one was only offered it."""
+    """The body: what came does not fit what is there, or this one was only offered it. `base` is what a delta
+    may be made from; without one it comes whole.
+    """
 
     kind: Name
     name: Name
     steady: bool = False
+    base: Mark | None = None
 
     @property
     def key(self) -> Key:
