--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -22,6 +22,9 @@
        "turned away": terms.MOOT, "unknown": terms.UNKNOWN}
 # While a trial is set aside it is not overdue.
 FOR_NOW = 3600 * 1_000_000
+# Calls for the list that fail are at the most half of this apart, so that one after discovery is back has time to be
+# answered before what it tells counts, 6 s after that; also where its queue turned away the first.
+ASK_WITHIN = 5_000_000
 # Whether a ticket may run again.
 REPLAYABLE, REFERENCED, SINGLE_USE = "replayable", "referenced", "single-use"
 REPEAT = {terms.REPLAYABLE: REPLAYABLE, terms.REFERENCED: REFERENCED, terms.SINGLE_USE: SINGLE_USE}
@@ -70,10 +73,10 @@
     def _on_sockets(self, ground: Ground) -> None:
         """Nobody pushes the list there: a watch has to be asked for, whatever the settings call it. Where they call it pushed,
         a change binds from the moment it is known nearby, so a lost watch is asked for anew within half a drain's grace;
-        where it is asked for, the settings leave time, and every proxy asks the one discovery."""
+        where it is asked for, the settings leave time, and every proxy asks the one discovery. But a change counts 6 s after
+        discovery had it and could be reached, whatever they leave."""
         ground.must_ask = True
-        if ground.pushed:
-            ground.ask_within = ground.drain_within
+        ground.ask_within = ground.drain_within if ground.pushed else min(ground.ask_within, ASK_WITHIN)
 
     def _take_up(self, ground: Ground) -> None:
         self._use_cases = {use.name: use for use in ground.use_cases}
@@ -343,8 +346,9 @@
                  "at": next((sent.backend.address for sent in one.transmissions if sent.ended is None), "")}
                 for one in sorted(self._tickets, key=lambda one: one.came)]
 
-    def list_failed(self, now: int) -> None:
-        self._balancer.list_failed(now)
+    def list_failed(self, now: int, anew: bool = False) -> None:
+        """`anew`: the waits between calls begin again, since it failed in another way than those before."""
+        self._balancer.list_failed(now, anew)
 
     def tick(self, now: int) -> int:
         """In how long to ask for the list; 0 is now, and counts as asked; -1 is when the asking has ended."""
--- a/pepperusher/rehearsal/commands.py
+++ b/pepperusher/rehearsal/commands.py
@@ -1,4 +1,4 @@
-"""The commands of rehearsals: emulate, load, rehearse, experiment, report."""
+"""The commands of rehearsals: emulate, load, rehearse, experiment, report, group-figures, askers."""
 
 from __future__ import annotations
 
@@ -204,3 +204,33 @@
     with one_line():
         made = list(groupfigures.rows([int(one) for one in sizes.split(",")], plays, lambda line: click.echo(line, err=True)))
         click.echo(groupfigures.table(made))
+
+
+@click.command("askers")
+@click.option("--scene", "scenes", default="down,refusing,silent,unreachable,watches-end,watches-silent", show_default=True,
+              help="Several by commas; start-slow, start-full and start-back time new processes.")
+@click.option("--askers", "crowd", default=200, show_default=True, help="How many ask the one discovery.")
+@click.option("--whole", default=24, show_default=True, help="How many of these are processes, where starts are timed.")
+@click.option("--each", default=14.0, show_default=True, help="Milliseconds that discovery works on a call.")
+@click.option("--queue", default=1_000_000, help="Calls that may wait there; it answers 503 to those beyond.  [default: no end]")
+@click.option("--ask-within", default=10.0, show_default=True, help="Seconds that the settings give for asking.")
+@click.option("--trials", default=5, show_default=True, help="Troubles in a scene, of 3 to 20 s by chance.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="One object a scene, in place of a table.")
+def askers(scenes: str, crowd: int, whole: int, each: float, queue: int, ask_within: float, trials: int, seed: int,
+           as_json: bool) -> None:
+    """Measure a crowd of proxies at one discovery: how late they hear of a change after it is back, and the calls it took."""
+    import json
+
+    from pepperusher.rehearsal import askers as crowds
+
+    wanted = scenes.split(",")
+    if strange := [one for one in wanted if one not in (*crowds.SCENES, *crowds.STARTS)]:
+        raise click.ClickException(f"--scene: there is no {strange[0]}")
+    if not 1 <= crowd <= 220 or min(whole, trials, queue) < 0 or not 0 < each < 10_000:
+        raise click.ClickException("--askers is from 1 to 220, the others are above 0")
+    with one_line():
+        if not as_json:
+            click.echo(crowds.HEAD)
+        for made in crowds.played(wanted, crowd, whole, each / 1000, queue, trials, seed, ask_within):
+            click.echo(json.dumps(made._asdict()) if as_json else made.row())
