--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -22,8 +22,8 @@
        "turned away": terms.MOOT, "unknown": terms.UNKNOWN}
 # While a trial is set aside it is not overdue.
 FOR_NOW = 3600 * 1_000_000
-# Calls for the list that fail are at the most half of this apart, so that one after discovery is back has time to be
-# answered before what it tells counts, 6 s after that; also where its queue turned away the first.
+# Calls for the list that fail are at the most half of this apart, so that one after discovery is back has time
+# to be answered before what it tells counts, 6 s after that; also where its queue turned away the first.
 ASK_WITHIN = 5_000_000
 # Whether a ticket may run again.
 REPLAYABLE, REFERENCED, SINGLE_USE = "replayable", "referenced", "single-use"
@@ -73,8 +73,8 @@
     def _on_sockets(self, ground: Ground) -> None:
         """Nobody pushes the list there: a watch has to be asked for, whatever the settings call it. Where they call it pushed,
         a change binds from the moment it is known nearby, so a lost watch is asked for anew within half a drain's grace;
-        where it is asked for, the settings leave time, and every proxy asks the one discovery. But a change counts 6 s after
-        discovery had it and could be reached, whatever they leave."""
+        where it is asked for, the settings leave time, and every proxy asks the one discovery. But a change
+        counts 6 s after discovery had it and could be reached, whatever they leave."""
         ground.must_ask = True
         ground.ask_within = ground.drain_within if ground.pushed else min(ground.ask_within, ASK_WITHIN)
 
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -25,12 +25,12 @@
 # spread over proxies, since all watches may fall silent at once; asked is then without a further wait.
 SILENT = 2.5
 SPREAD = 0.5
-# The same for a call without a word: a change counts 6 s after discovery had it and could be reached, and a call that
-# is lost looks like one that waits its turn. Another goes out beside it then, and it keeps its place in the queue.
-# So from one call to the next it is never longer than this and the spread, whatever became of the first.
+# The same for a call without a word: a change counts 6 s after discovery had it and could be reached, and a call
+# that is lost looks like one that waits its turn. Another goes out beside it then, and it keeps its place in the
+# queue. So from one call to the next it is never longer than this and the spread, whatever became of the first.
 FIRST_WITHIN = 2.5
-# It is given up after so long. Two stand at once, the oldest, which is the next in discovery's queue, and the newest,
-# which shows whether discovery hears by now; each more would be one more in that queue.
+# It is given up after so long. Two stand at once, the oldest, which is the next in discovery's queue, and the
+# newest, which shows whether discovery hears by now; each more would be one more in that queue.
 FIRST_MOST = 10.0
 ABREAST = 2
 # A line that has begun is whole as soon as that, and a second later for each so many bytes that came: discovery may
@@ -122,12 +122,12 @@
         self.version = version
         self.begun_anew = False   # its versions start again: what came after ours means nothing there
         self.following: asyncio.Task[None]
-        # Out and not over, the oldest first; several only while none of them has spoken, and then that one is the watch.
+        # Out and not over, the oldest first; several only while none has spoken, and then that one is the watch.
         self.calls: list[asyncio.Task[str]] = []
         self.watch: asyncio.Task[str] | None = None
 
     def spoken_by(self, call: asyncio.Task[str]) -> None:
-        """It is the watch from here on. The others end before another word of theirs is read: it might be older."""
+        """It is the watch from here on. The others end before a word of theirs is read: it might be older."""
         if self.watch is None:
             self.watch = call
             for other in self.calls:
@@ -269,10 +269,11 @@
             self._replaced.pop().following.cancel()
 
     async def _follow(self, source: Source, at_once: bool) -> None:
-        """Watches for as long as the proxy lives, asking again when the decisions say, and beside a call that has had no word
-        for long."""
+        """Watches for as long as the proxy lives, asking again when the decisions say, and beside a call that has
+        had no word for long."""
         loop = asyncio.get_running_loop()
-        due = loop.time() if at_once else None   # when another goes out at the latest; None where the decisions alone say
+        # When another goes out at the latest; None where the decisions alone say.
+        due = loop.time() if at_once else None
         try:
             while source is self._source or source.calls:
                 wait = None
@@ -317,8 +318,8 @@
         lost, self._lost = self._lost, True
         if isinstance(error, Silent):
             return now   # not a call that failed
-        # Refused by one that is just back: its queue is full of all that waited for it, and soon is no more. Once only,
-        # or the waits of one that comes and goes would never grow.
+        # Refused by one that is just back: its queue is full of all that waited for it, and soon is no more.
+        # Once only, or the waits of one that comes and goes would never grow.
         anew = error is None and self._unreached is True
         if anew:
             self._unreached = None
@@ -327,7 +328,7 @@
         # Whatever discovery says or does: without a watch drains are not kept.
         self._facade.list_failed(clock.now(), anew)
         after = now + self._wait(None)
-        # Never later for having failed, or what takes a call, keeps it and then fails it would be asked twice as seldom.
+        # Never later for having failed: what keeps a call for long and fails it then would be asked too seldom.
         return after if due is None or due < now else min(due, after)
 
     async def _watch(self, source: Source) -> str:
--- a/pepperusher/rehearsal/askers.py
+++ b/pepperusher/rehearsal/askers.py
@@ -1,20 +1,22 @@
-"""A crowd that asks one discovery: how late each hears of a change after discovery is back, how many calls that takes, and
-how soon new processes are ready.
+"""A crowd that asks one discovery: how late each hears of a change after discovery is back, how many calls
+that takes, and how soon new processes are ready.
 
-Hollow askers are the proxy's own Discovery, Facade and Backends with no tickets, all in one process; the discovery that they
-ask is `turns.Turns`. Times are real. What an asker has is in force once the decisions were told of it.
-"""
+Hollow askers are the proxy's own Discovery, Facade and Backends with no tickets, all in one process; the
+discovery that they ask is `turns.Turns`. Times are real. What an asker has is in force once the decisions
+were told of it."""
 
 from __future__ import annotations
 
 import asyncio
 import json
 import os
+import socket
 import sys
 import tempfile
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import asynccontextmanager
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any, AsyncIterator, NamedTuple
@@ -35,17 +37,18 @@
 LOOK_EVERY = 0.05
 SETTINGS: dict[str, Any] = {
     "group-size": 1, "ordinal": 0, "stage": 0, "zone": "here", "zones": ["here"], "tiers": ["only"],
-    "policy-limits": {"cancel": True, "connect-timeout": 500.0, "keepalive": 10_000.0, "most-transmissions": 3,
-                      "retry-after": True, "max-retry-after": 1000.0},
+    "policy-limits": {"cancel": True, "connect-timeout": 500.0, "keepalive": 10_000.0,
+                      "most-transmissions": 3, "retry-after": True, "max-retry-after": 1000.0},
     "rules": {"ask-within": 10_000.0, "cold-share": 0.2, "warm-after": 5000.0, "tip-multiple": 3.0,
               "overload-for": 2000.0, "stop-sending-within": 250.0},
     "family-info": {"passes-deadline": True},
-    "use-cases": [{"name": "look", "promised-time": 1000.0, "outer-limit": 2000.0, "importance": 1.0, "effect": "pure"}]}
+    "use-cases": [{"name": "look", "promised-time": 1000.0, "outer-limit": 2000.0, "importance": 1.0,
+                   "effect": "pure"}]}
 
 
 class Figures(NamedTuple):
-    """Seconds: what was told late, or how long until ready. Calls came to discovery; those in its worst second, those it
-    answered 503, and those that it worked through for nobody."""
+    """Seconds: what was told late, or how long until ready. Calls came to discovery; those in its worst
+    second, those it answered 503, and those that it worked through for nobody."""
 
     scene: str
     lags: list[float]
@@ -57,12 +60,13 @@
 
     def row(self) -> str:
         lags = sorted(self.lags)
-        at = [lags[min(len(lags) - 1, int(part * len(lags)))] if lags else float("nan") for part in (0.5, 0.9, 0.99, 1.0)]
-        return (f"| {self.scene} | {len(lags)} | {' | '.join(f'{one:.2f}' for one in at)} | {self.unheard} | {self.calls}"
-                f" | {self.worst_second} | {self.refused} | {self.in_vain} |")
+        parts = (0.5, 0.9, 0.99, 1.0)
+        at = [lags[min(len(lags) - 1, int(part * len(lags)))] if lags else float("nan") for part in parts]
+        return (f"| {self.scene} | {len(lags)} | {' | '.join(f'{one:.2f}' for one in at)} | {self.unheard}"
+                f" | {self.calls} | {self.worst_second} | {self.refused} | {self.in_vain} |")
 
 
-HEAD = ("| scene | heard | p50 s | p90 s | p99 s | most s | never | calls | in the worst second | 503 | in vain |\n"
+HEAD = ("| scene | heard | p50 s | p90 s | p99 s | most s | never | calls | worst second | 503 | in vain |\n"
         "| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |")
 
 
@@ -121,13 +125,15 @@
 
 # What befalls discovery, and whether it lasts; otherwise discovery is well at once.
 SCENES: dict[str, tuple[Callable[[Turns], None], bool]] = {
-    "down": (_down, True), "refusing": (_refusing, True), "silent": (_silent, True), "unreachable": (Turns.unreachable, True),
+    "down": (_down, True), "refusing": (_refusing, True), "silent": (_silent, True),
+    "unreachable": (Turns.unreachable, True),
     "watches-end": (_ended, False), "watches-silent": (_hushed, False)}
 STARTS = ("start-slow", "start-full", "start-back")
 
 
 @asynccontextmanager
-async def _crowd(askers: int, turns: Turns, seed: int, ask_within: float = 10.0) -> AsyncIterator[list[Asker]]:
+async def _crowd(askers: int, turns: Turns, seed: int,
+                 ask_within: float = 10.0) -> AsyncIterator[list[Asker]]:
     await turns.open()
     those = [Asker(number, askers, turns.address, seed, ask_within) for number in range(askers)]
     try:
@@ -143,13 +149,16 @@
 def _figures(scene: str, turns: Turns, lags: list[float], unheard: int) -> Figures:
     first = min(turns.calls, default=0.0)
     seconds = Counter(int(at - first) for at in turns.calls)
-    return Figures(scene, lags, unheard, len(turns.calls), max(seconds.values(), default=0), turns.refused, turns.in_vain)
+    return Figures(scene, lags, unheard, len(turns.calls), max(seconds.values(), default=0), turns.refused,
+                   turns.in_vain)
 
 
 async def lags(scene: str, askers: int, each: float, queue: int, trials: int, seed: int,
-               ask_within: float = 10.0, spans: tuple[float, float] = (3.0, 20.0), most: float = MOST) -> Figures:
-    """A change in the time of the trouble, told so much later than discovery had it and could be reached: for each asker and
-    each of `trials` troubles of a length by chance. `each`, `ask_within` (the settings' time for asking) are seconds."""
+               ask_within: float = 10.0, spans: tuple[float, float] = (3.0, 20.0),
+               most: float = MOST) -> Figures:
+    """A change in the time of the trouble, told so much later than discovery had it and could be reached: for
+    each asker and each of `trials` troubles of a length by chance. `each`, `ask_within` (the settings' time
+    for asking) are seconds."""
     befalls, lasts = SCENES[scene]
     chance = Random(seed)
     turns = Turns(BACKENDS, each, queue)
@@ -185,16 +194,17 @@
     def __init__(self, folder: Path, number: int, of: int, discovery: tuple[str, int], python: str) -> None:
         self._path = folder / f"{number}.json"
         self._python = python
-        with _free() as port:
-            self._port = port
+        self._port = _free()
         self._path.write_text(json.dumps({
-            "name": f"p{number}", "listen": f"127.0.0.1:{self._port}", "discovery": f"{discovery[0]}:{discovery[1]}",
-            "seed": f"{number:x}", "limits": {"sockets": 256}, "settings": {**SETTINGS, "group-size": of, "ordinal": number}}))
+            "name": f"p{number}", "listen": f"127.0.0.1:{self._port}",
+            "discovery": f"{discovery[0]}:{discovery[1]}", "seed": f"{number:x}", "limits": {"sockets": 256},
+            "settings": {**SETTINGS, "group-size": of, "ordinal": number}}))
 
     async def ready(self) -> None:
         process = await asyncio.create_subprocess_exec(
-            self._python, "-m", "pepperusher", "serve", "--config", str(self._path), stdin=asyncio.subprocess.DEVNULL,
-            stdout=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.DEVNULL, env=dict(os.environ))
+            self._python, "-m", "pepperusher", "serve", "--config", str(self._path),
+            stdin=asyncio.subprocess.DEVNULL, stdout=asyncio.subprocess.DEVNULL,
+            stderr=asyncio.subprocess.DEVNULL, env=dict(os.environ))
         try:
             while not await self._is_ready():
                 if process.returncode is not None:
@@ -219,24 +229,19 @@
             writer.transport.abort()
 
 
-class _free:
+def _free() -> int:
     """A port that the kernel gave and nobody holds now."""
-
-    def __enter__(self) -> int:
-        import socket
-        with socket.socket() as one:
-            one.bind(("127.0.0.1", 0))
-            port: int = one.getsockname()[1]
-        return port
-
-    def __exit__(self, *_: object) -> None:
-        pass
+    with socket.socket() as one:
+        one.bind(("127.0.0.1", 0))
+        port: int = one.getsockname()[1]
+    return port
 
 
 async def starts(scene: str, askers: int, whole: int, each: float, queue: int, seed: int) -> Figures:
-    """How long until ready, each from its own start, of all that start at once without a list: `whole` processes and so many
-    hollow ones that they are `askers` together. Discovery is slow (`each` seconds a call), full (503 beyond `queue`), or down
-    and back after 5 s. Of processes where there are any, otherwise of the hollow ones."""
+    """How long until ready, each from its own start, of all that start at once without a list: `whole`
+    processes and so many hollow ones that they are `askers` together. Discovery is slow (`each` seconds a
+    call), full (503 beyond `queue`), or down and back after 5 s. Of processes where there are any, otherwise
+    of the hollow ones."""
     turns = Turns(BACKENDS, each, queue if scene == "start-full" else 1_000_000)
     loop = asyncio.get_running_loop()
     took: list[float] = []
@@ -250,12 +255,13 @@
         if scene == "start-back":
             turns.down()
         with tempfile.TemporaryDirectory() as folder:
-            started = [Whole(Path(folder), number, askers, turns.address, sys.executable) for number in range(whole)]
+            started = [Whole(Path(folder), number, askers, turns.address, sys.executable)
+                       for number in range(whole)]
             for one in those:
                 one.discovery.start()
             tasks = [loop.create_task(timed(one.ready())) for one in started]
             if not whole:
-                tasks = [loop.create_task(timed(until(lambda one=one: bool(one.heard_at)))) for one in those]   # type: ignore[misc]
+                tasks = [loop.create_task(timed(until(partial(bool, one.heard_at)))) for one in those]
             if scene == "start-back":
                 await asyncio.sleep(5.0)
                 await turns.back()
--- a/pepperusher/rehearsal/turns.py
+++ b/pepperusher/rehearsal/turns.py
@@ -1,8 +1,8 @@
-"""Discovery that works through calls in turn: slow, full, down, silent, out of reach, and back, as it is told.
+"""Discovery that works through calls in turn: slow, full, down, silent, out of reach, and back, as it is
+told.
 
-One listener for all that ask, as a crowd finds it. It also works through calls that were given up meanwhile: whether one
-was is only seen when its answer is written.
-"""
+One listener for all that ask, as a crowd finds it. It also works through calls that were given up meanwhile:
+whether one was is only seen when its answer is written."""
 
 from __future__ import annotations
 
@@ -50,7 +50,8 @@
         self._deaf.clear()
         self.manner = WELL
         if self._server is None:
-            self._server = await asyncio.start_server(self._serve, *self.address, backlog=1024, reuse_address=True)
+            self._server = await asyncio.start_server(self._serve, *self.address, backlog=1024,
+                                                      reuse_address=True)
             self.address = self._server.sockets[0].getsockname()
 
     def down(self) -> None:
@@ -102,8 +103,8 @@
             one.close()
 
     def _line(self, after: int | None) -> bytes:
-        told = [{"id": f"b{number}", "addr": f"127.0.0.1:{2 + number}", "zone": "here", "cell": number, "weight": 1.0,
-                 "state": "draining" if number in self._draining else "ready", "started_ms": 0}
+        told = [{"id": f"b{number}", "addr": f"127.0.0.1:{2 + number}", "zone": "here", "cell": number,
+                 "weight": 1.0, "state": "draining" if number in self._draining else "ready", "started_ms": 0}
                 for number, version in self._changed.items() if after is None or version > after]
         return json.dumps({"version": self.version, "full": after is None, "servers": told}).encode() + b"\n"
 
