A whole proxy takes part of its file from control machines, as a change like any other

The own file's [distribution] names control machines, their key, a configuration and where it is kept. What is shared (routes, marks, shares) stands behind the proxy's own part between two marks; it is proposed, watched, confirmed and undone as operators' changes are, and refused with the reason. ctl publish and ctl rollout ask a control machine; ctl status says what is in force and how old its confirmation is. With all machines gone the proxy starts from what it kept.

--- a/pepperusher/company.py
+++ b/pepperusher/company.py
@@ -3,16 +3,30 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from pepperusher.net.companion import Companion
 from pepperusher.net.house import House, given_of
 from pepperusher.net.log import Log
 from pepperusher.net.told import Told
+from pepperusher.own.tables import Own
+
+if TYPE_CHECKING:
+    from pepperusher.net.distributed import Distributed
+
+
+def _kept(own: Own) -> str:
+    """What is kept of what is shared with other proxies, where the file names control machines."""
+    if not own.distribution.machines:
+        return ""
+    from pepperusher.net.distributed import kept
+
+    return kept(own)
 
 
 def company(own: str | Path, given: tuple[str, ...], told: Told, log: Log) -> list[Companion]:
     """In the order in which they narrow the list: operators' orders have the last word. Raises OwnError."""
-    house = House(own, given_of(given), told.ground, log)
+    house = House(own, given_of(given), told.ground, log, _kept)
     made: list[Companion] = [house]
     desk = node = None
     if told.console is not None:
@@ -27,10 +41,16 @@
         made.append(node)
         if desk is not None:
             desk.held = node.held
+    distributed: Distributed | None = None
+    if house.own.distribution.machines:
+        from pepperusher.net.distributed import Distributed
+
+        distributed = Distributed(house.own.distribution, house, told.name, str(own), log.tell)
+        made.append(distributed)
     if house.own.control.socket is not None:
         from pepperusher.net.answers import Answers
 
-        made.append(Answers(house, node, log.tell))
+        made.append(Answers(house, node, log.tell, distributed))
     if desk is not None:
         made.append(desk)
     return made
--- a/pepperusher/control/commands.py
+++ b/pepperusher/control/commands.py
@@ -2,32 +2,41 @@
 
 from __future__ import annotations
 
+import asyncio
 import getpass
 import json
 import time
+from collections.abc import Awaitable, Callable
 from datetime import datetime
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any, TypeVar
 
 import click
 
 from pepperusher.control import client
 from pepperusher.control.client import Refused
 
+if TYPE_CHECKING:
+    from pepperusher.distribution.publisher import Rollout
+
+T = TypeVar("T")
+# Names of proxies that people are shown of each kind; JSON has all.
+SHOWN = 20
+
 
 @click.group()
-@click.option(
-    "--socket", "path", envvar="PEPPERUSHER_CONTROL", required=True, help="The proxy's control socket."
-)
+@click.option("--socket", "path", envvar="PEPPERUSHER_CONTROL", help="The proxy's control socket.")
 @click.option("--json", "as_json", is_flag=True, help="Answers as JSON.")
 @click.pass_context
-def ctl(context: click.Context, path: str, as_json: bool) -> None:
-    """Ask a running proxy, or change it, over its control socket."""
+def ctl(context: click.Context, path: str | None, as_json: bool) -> None:
+    """Ask a running proxy, or change it, over its control socket; rollout and publish ask a control machine."""
     context.obj = (path, as_json)
 
 
 def _ask(context: click.Context, do: str, **said: Any) -> tuple[dict[str, Any], bool]:
     path, as_json = context.obj
+    if path is None:
+        raise click.UsageError("Missing option '--socket'.", context)
     try:
         answer = client.ask(path, do, **said)
     except Refused as error:
@@ -62,6 +71,14 @@
         since = answer["since_change"]
         click.echo(_said_change(answer["open_change"]))
         click.echo(f"  since: {since['done']} done, {since['bounced']} bounced, {since['scrapped']} scrapped")
+    shared = answer["distribution"]
+    if shared is not None:
+        age = shared["confirmed_us_ago"]
+        click.echo(
+            f"{shared['resource']} {shared['version'] or 'not yet in force'}, confirmed"
+            f" {'never' if age is None else f'{age / 1e6:.1f} s ago'} by {', '.join(shared['machines']) or 'nobody there'}"
+            f"{'; refused ' + shared['refused'] if shared['refused'] else ''}"
+        )
     click.echo(client.table(answer["limits"]))
 
 
@@ -174,3 +191,106 @@
 def drain(context: click.Context, id: str, lift: bool, why: str | None) -> None:
     """Send nothing new to the backend ID, as a change like any other."""
     _changed(context, "drain", id=id, undo=lift, why=why)
+
+
+MACHINE = click.option(
+    "--machine", required=True, metavar="HOST:PORT", help="A control machine."
+)
+KEY_FILE = click.option(
+    "--key-file", required=True, help="The file with the key of control machines."
+)
+KIND = click.option("--kind", default="config", help="config, or endpoints.")
+
+
+def _asked(machine: str, key_file: str, ask: Callable[[tuple[str, int], bytes], Awaitable[T]]) -> T:
+    """Of a control machine."""
+    from pepperusher.distribution.operate import NoAnswer
+    from pepperusher.distribution.reading import read_key
+    from pepperusher.own.rules import address_of
+
+    async def asked() -> T:
+        return await ask(address_of(machine), read_key(key_file))
+
+    try:
+        return asyncio.run(asked())
+    except (NoAnswer, ValueError) as error:
+        raise click.ClickException(str(error)) from None
+
+
+@ctl.command()
+@click.argument("name")
+@click.argument("file", type=click.Path(path_type=Path))
+@MACHINE
+@KEY_FILE
+@KIND
+@click.option("--unchecked", is_flag=True, help="Not read as a proxy would before it is sent.")
+@click.pass_context
+def publish(
+    context: click.Context, name: str, file: Path, machine: str, key_file: str, kind: str, unchecked: bool
+) -> None:
+    """Make FILE the next version of NAME, by way of the origin at HOST:PORT."""
+    from pepperusher.changes import layered
+    from pepperusher.distribution import operate
+    from pepperusher.own import reading
+    from pepperusher.own.reading import OwnError
+
+    try:
+        body = file.read_bytes()
+        if kind == "config" and not unchecked:
+            layered.tables(body.decode())
+            reading.parse(body.decode(), str(file))
+    except OSError as error:
+        raise click.ClickException(f"{file}: {error.strerror or error}") from None
+    except OwnError as error:
+        raise click.ClickException("\n".join(map(str, error.faults))) from None
+    except UnicodeDecodeError:
+        raise click.ClickException(f"{file}: is not text in UTF-8") from None
+    except layered.NotShared as error:
+        raise click.ClickException(f"{file}: {error}") from None
+    version = _asked(machine, key_file, lambda at, key: operate.publish(at, key, kind, name, body))
+    if context.obj[1]:
+        click.echo(json.dumps({"kind": kind, "name": name, "version": list(version)}))
+    else:
+        click.echo(f"{kind}/{name} {version} is written")
+
+
+def _said_rollout(kind: str, name: str, told: Rollout) -> str:
+    lines = [
+        f"{kind}/{name} {told.version} ({told.digest}): in force at {told.in_force}, pending {len(told.pending)},"
+        f" refused {len(told.refused)}, unreachable {len(told.unreachable)}"
+    ]
+    if told.halted:
+        lines.append(f"  HALTED: {told.halted}")
+    if told.silent:
+        lines.append(f"  not counted, since they did not answer: {', '.join(told.silent)}")
+    lines += [f"  {proxy} refused: {why}" for proxy, why in list(told.refused.items())[:SHOWN]]
+    for what, those in (("pending", told.pending), ("unreachable", told.unreachable)):
+        if those:
+            more = f" and {len(those) - SHOWN} more" if len(those) > SHOWN else ""
+            lines.append(f"  {what}: {', '.join(those[:SHOWN])}{more}")
+    return "\n".join(lines)
+
+
+@ctl.command()
+@click.argument("name")
+@MACHINE
+@KEY_FILE
+@KIND
+@click.option("--watch", is_flag=True, help="Once a second, until all that can be reached have answered or it is halted.")
+@click.option("--json", "here_json", is_flag=True, help="As JSON, a line each time.")
+@click.pass_context
+def rollout(
+    context: click.Context, name: str, machine: str, key_file: str, kind: str, watch: bool, here_json: bool
+) -> None:
+    """How far the newest version of NAME is: in force where, refused by whom and why, who is pending."""
+    from pepperusher.distribution import operate
+
+    while True:
+        told = _asked(machine, key_file, lambda at, key: operate.rollout(at, key, kind, name))
+        if here_json or context.obj[1]:
+            click.echo(json.dumps({"kind": kind, "name": name, **told._asdict(), "version": list(told.version)}))
+        else:
+            click.echo(_said_rollout(kind, name, told))
+        if not watch or told.halted or not told.pending:
+            return
+        time.sleep(1.0)
--- a/pepperusher/distribution/client.py
+++ b/pepperusher/distribution/client.py
@@ -35,6 +35,9 @@
     """`upstreams` are all control machines, `names` the resources that this proxy uses; nothing else is sent
     to it. `apply` takes one whole: None for in force, a text for refused with this reason; it may be a
     coroutine function. What `keep` holds is taken by it at the start. Its connections come from `local`.
+
+    With `provisional` what is in force is kept only once `confirm` says that it lasts; `undone` says that it
+    did not.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
         keep: Path | None = None,
         local: str = "127.0.0.1",
         say: Callable[..., None] = _unheard,
+        provisional: bool = False,
     ) -> None:
         self._addresses = {f"{host}:{port}": (host, port) for host, port in upstreams}
         self._names, self._apply, self._key, self._say = list(names), apply, key, say
@@ -70,6 +74,8 @@
         self._gone = False
         self._subscriber: Subscriber | None = None
         self._kept_at: int | None = None
+        self._provisional = provisional
+        self._lasting: dict[Key, Resource] = {}  # as many as there are names
 
     # --- start and end ------------------------------------------------------------------------------
 
@@ -88,6 +94,7 @@
                 if reason is None:
                     held.append(one)
                     self.in_force[one.key] = one.version
+                    self._lasting[one.key] = one
                 else:
                     self._say("what was kept is not taken", resource="/".join(one.key), version=str(one.version), why=reason)
         now = clock.now()
@@ -260,11 +267,31 @@
             self.in_force[one.key] = one.version
         self._subscriber.applied(one, reason, clock.now())
         self._later()
-        if reason is None and self._keep is not None:
+        if reason is None and not self._provisional:
+            self.confirm(one.key)
+
+    def confirm(self, key: Key) -> None:
+        """What is in force lasts, and is kept."""
+        if self._gone or self._subscriber is None or key not in self._subscriber.held:
+            return
+        self._lasting[key] = self._subscriber.held[key]
+        if self._keep is not None:
             self._unwritten = True
             if self._writing is None:
                 self._writing = asyncio.get_running_loop().create_task(self._keeping())
 
+    def undone(self, key: Key, reason: str) -> None:
+        """What lasted before is in force again; the one undone counts as refused."""
+        if self._gone or self._subscriber is None:
+            return
+        before = self._lasting.get(key)
+        self._subscriber.undone(key, before, reason)
+        if before is None:
+            self.in_force.pop(key, None)
+        else:
+            self.in_force[key] = before.version
+        self._later()
+
     async def _keeping(self) -> None:
         try:
             while self._unwritten and not self._gone:
@@ -275,7 +302,7 @@
     async def _write(self) -> None:
         assert self._keep is not None and self._subscriber is not None
         self._unwritten = False
-        held = list(self._subscriber.held.values())
+        held = list(self._lasting.values())
         confirmed_at = self._subscriber.confirmed_at or clock.now()
         why = await asyncio.to_thread(keeping.write, self._keep, held, confirmed_at)
         if why:
--- a/pepperusher/distribution/commands.py
+++ b/pepperusher/distribution/commands.py
@@ -26,7 +26,7 @@
 
 
 @click.group(invoke_without_command=True)
-@click.option("--config", "path", envvar="PEPPERUSHER_CONTROL_FILE", help="The control machine's own file, TOML.")
+@click.option("--config", "path", help="The control machine's own file, TOML.")
 @click.pass_context
 def control(context: click.Context, path: str | None) -> None:
     """Serve as a control machine until SIGTERM or SIGINT: configuration and facts to every proxy that asks."""
--- a/pepperusher/distribution/publisher.py
+++ b/pepperusher/distribution/publisher.py
@@ -376,8 +376,12 @@
             if proxy.refused.get(one.key, (NEVER, ""))[0] < one.version:
                 proxy.refused[one.key] = one.version, one.reason
                 self.counts["refused"] += 1
+                if proxy.in_force.get(one.key) == one.version:
+                    # It was taken, did harm, and was undone.
+                    del proxy.in_force[one.key]
                 self._has_still(sub, one.key, proxy.in_force.get(one.key, NEVER))
-                if one.key in self._rolling:
+                held = self.held.get(one.key)
+                if held is not None and held.newest.version == one.version and not held.halted:
                     self._judge(one.key, now, False)
         else:
             # As it says and not the greatest: a process that was made anew may have less.
@@ -545,7 +549,7 @@
                 refused, reason = refused + 1, no[1]
             if proxy.in_force.get(key, NEVER) >= version or (no is not None and no[0] == version):
                 answered += 1
-        over = over or (answered == sent and sent > 0)
+        over = key in self._rolling and (over or (answered == sent and sent > 0))
         many = refused >= REFUSED_LEAST and refused >= REFUSED_PART * answered
         if (many and (over or refused >= REFUSED_AT_ONCE)) or (over and refused and refused == answered):
             self.halt(key, version, f"refused by {refused} of {answered} that answered at {self.name}: {reason}")
--- a/pepperusher/distribution/subscriber.py
+++ b/pepperusher/distribution/subscriber.py
@@ -452,6 +452,20 @@
         if later is not None:
             self._take(*later, now)
 
+    def undone(self, key: Key, before: Resource | None, reason: str) -> None:
+        """What was in force did harm, and what was before it stands again: refused, as upstreams are told."""
+        one = self.held.get(key)
+        if one is None or (before is not None and before.version >= one.version):
+            return
+        if before is None:
+            del self.held[key]
+        else:
+            self.held[key] = before
+        self.counts["refused"] += 1
+        self.refused[key] = mark_of(one), one_line(reason) or "no reason given"
+        said = Ack(*key, *one.version, self.refused[key][1])
+        self.out += [Send(up, said) for up in self.up]
+
     def age(self, now: int) -> int | None:
         """us since the origin last spoke, as far as a control machine that it holds everything of told; None
         where none ever did.
--- a/pepperusher/net/answers.py
+++ b/pepperusher/net/answers.py
@@ -45,11 +45,20 @@
     def forget(self, name: str) -> bool: ...
 
 
+class Shared(Protocol):
+    """What control machines distribute, as it can be asked."""
+
+    def said(self) -> dict[str, Any]: ...
+
+
 class Answers(Companion):
     """The control socket that the own file names, for as long as the proxy serves."""
 
-    def __init__(self, house: House, members: Members | None, say: Callable[..., None]) -> None:
+    def __init__(
+        self, house: House, members: Members | None, say: Callable[..., None], shared: Shared | None = None
+    ) -> None:
         self._house = house
+        self._shared = shared
         self._members = members
         said = house.standing.version.read.own.control
         assert said.socket is not None
@@ -132,6 +141,7 @@
                 "open_change": None if change is None else _change(change),
                 "kept_out": dict(house.kept_out),
                 "limits": standing.gates(),
+                "distribution": None if self._shared is None else self._shared.said(),
                 "since_change": {
                     "done": standing.toll.since.done,
                     "bounced": standing.toll.since.bounced,
--- /dev/null
+++ b/pepperusher/net/distributed.py
@@ -0,0 +1,157 @@
+"""A proxy that takes part of its file from control machines: as a change like any other, watched and undone
+like any other.
+
+Loaded only where the own file names control machines. No ticket waits for any of it; with all of them gone the
+proxy serves on by what is in force, and says how old that is.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from pepperusher.changes import layered
+from pepperusher.changes.ledger import CONFIRMED, UNDONE, Change, LedgerError
+from pepperusher.distribution import keeping
+from pepperusher.distribution.client import Client
+from pepperusher.distribution.reading import read_key
+from pepperusher.distribution.subscriber import UPSTREAMS
+from pepperusher.distribution.words import CONFIG, Resource
+from pepperusher.net import clock
+from pepperusher.net.companion import Companion, Host
+from pepperusher.net.house import House
+from pepperusher.own.reading import Fault, OwnError
+from pepperusher.own.rules import address_of
+from pepperusher.own.tables import Distribution, Own
+
+LOOK_EVERY = 0.1
+# A change by hand that is open goes before it; after this it is refused for it.
+OPEN_WITHIN = 60.0
+# With no control machine there, so often is said how old that is which is in force.
+SAID_EVERY = 60_000_000
+
+
+def _title(one: Resource) -> str:
+    return f"{one.kind}/{one.name} {one.version} {one.digest}"
+
+
+def _shared(one: Resource) -> str:
+    """Raises NotShared."""
+    try:
+        text = one.body.decode()
+    except UnicodeDecodeError:
+        raise layered.NotShared("is not text in UTF-8") from None
+    layered.tables(text)
+    return layered.block(_title(one), text)
+
+
+def kept(own: Own) -> str:
+    """What was in force before, of what is shared; nothing where it can't be had, which the client says."""
+    said = own.distribution
+    if not said.machines or said.keep is None:
+        return ""
+    try:
+        for one in keeping.read(Path(said.keep), {(CONFIG, said.config or "")})[0]:
+            return _shared(one)
+    except layered.NotShared:
+        pass
+    return ""
+
+
+class Distributed(Companion):
+    descriptors = 2 * UPSTREAMS
+
+    def __init__(self, said: Distribution, house: House, name: str, source: str, say: Callable[..., None]) -> None:
+        """Raises OwnError for a key that can't be read."""
+        assert said.key_file is not None and said.config is not None
+        try:
+            key = read_key(said.key_file)
+        except ValueError as error:
+            raise OwnError([Fault(source, 0, "distribution.key_file", "sound distribution", str(error))]) from None
+        self._house, self._say = house, say
+        self._key = CONFIG, said.config
+        self._watched: Change | None = None
+        self._said_at = clock.now()
+        addresses = [address_of(one) for one in said.machines]
+        self._client = Client(
+            addresses, [self._key], self._apply, key=key, name=name, region=said.region, zone="",
+            seed=hash(name), keep=None if said.keep is None else Path(said.keep), local=_any(addresses), say=say,
+            provisional=True,
+        )  # fmt: skip
+
+    async def enter(self, host: Host) -> None:
+        pass
+
+    async def start(self) -> None:
+        self._client.start()
+
+    async def stop(self) -> None:
+        await self._client.stop()
+
+    async def _apply(self, one: Resource) -> str | None:
+        """As a change; in force from when it is applied, and refused where it is undone before or after."""
+        try:
+            shared = _shared(one)
+        except layered.NotShared as error:
+            return str(error)
+        house = self._house
+        if house.shared == shared:
+            return None
+        until = asyncio.get_running_loop().time() + OPEN_WITHIN
+        while True:
+            self._look()
+            try:
+                change = await house.propose_shared(shared, "a control machine", _title(one))
+                break
+            except OwnError as error:
+                return str(error)
+            except LedgerError as error:
+                if asyncio.get_running_loop().time() >= until:
+                    return str(error)
+                await asyncio.sleep(LOOK_EVERY)
+        if change is None:
+            asyncio.get_running_loop().call_soon(self._client.confirm, self._key)
+        elif change.state == UNDONE:
+            return change.steps[-1].why
+        else:
+            self._watched = change
+        return None
+
+    def sweep(self) -> None:
+        self._look()
+        now = clock.now()
+        if not self._client.upstreams and now - self._said_at >= SAID_EVERY:
+            self._said_at = now
+            self._say("no control machine is there: serving by what is in force", **self.said())
+
+    def _look(self) -> None:
+        """What became of the change that was taken last."""
+        change = self._watched
+        if change is None or self._client.in_force.get(self._key) is None:
+            return
+        if change.state == CONFIRMED:
+            self._watched = None
+            self._client.confirm(self._key)
+        elif change.state == UNDONE:
+            self._watched = None
+            self._client.undone(self._key, f"undone: {change.steps[-1].why}")
+
+    def said(self) -> dict[str, Any]:
+        """For people: what is in force, how old that is, what was refused, and who is there."""
+        version = self._client.in_force.get(self._key)
+        refused = self._client.refused.get(self._key)
+        age = self._client.age(clock.now())
+        return {
+            "resource": "/".join(self._key),
+            "version": None if version is None else str(version),
+            "confirmed_us_ago": age,
+            "refused": None if refused is None else f"{refused[0]}: {refused[1]}",
+            "machines": self._client.upstreams,
+        }
+
+
+def _any(addresses: list[tuple[str, int]]) -> str:
+    """Whichever address of this machine leads there."""
+    return "::" if all(":" in host for host, _ in addresses) else "0.0.0.0"
--- a/pepperusher/net/house.py
+++ b/pepperusher/net/house.py
@@ -13,8 +13,9 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from pepperusher.changes import layered
 from pepperusher.changes.kept import Kept
-from pepperusher.changes.ledger import APPLIED, CONFIRMED, Change, LedgerError
+from pepperusher.changes.ledger import APPLIED, CONFIRMED, UNDONE, Change, LedgerError
 from pepperusher.changes.standing import FULL, IN, LATE, RATE, WAITS, Pass, Standing
 from pepperusher.facade import Entry
 from pepperusher.net import clock
@@ -47,9 +48,17 @@
 
 
 class House(Companion):
-    """`path` is the file, `given` the command line's values."""
-
-    def __init__(self, path: str | Path, given: Mapping[str, Any], ground: Ground, log: Log) -> None:
+    """`path` is the file, `given` the command line's values. `shared` gives what is kept of what is shared with
+    other proxies, where the file says that any is."""
+
+    def __init__(
+        self,
+        path: str | Path,
+        given: Mapping[str, Any],
+        ground: Ground,
+        log: Log,
+        shared: Callable[[Own], str] | None = None,
+    ) -> None:
         say = log.tell
         self._hanging: asyncio.Task[None] | None = None
         self.kept_out: dict[str, int] = {}  # by the words of STATUS, so it grows with the code alone
@@ -65,6 +74,9 @@
         # One carrying out of a change at a time: its writes are waited for.
         self._turn = asyncio.Lock()
         self._instead = ""
+        self.shared = ""  # behind the file's own text, as `changes.layered` puts it there
+        self._kept_shared = shared
+        self._sharing: tuple[Change, str] | None = None  # the last change of it, and what was shared before
         self.standing = Standing(self._begin(), clock.now(), self._list_again, say)
         self.gate = self
         self.narrow = self.standing.overlay.lines
@@ -90,6 +102,8 @@
     def _begin(self) -> Read:
         """What to start with. Raises OwnError, or OSError of the folder that is to last."""
         read = self._read()
+        if self._kept_shared is not None:
+            read = self._begin_shared(read, self._kept_shared(read.own))
         folder = read.own.changes.state
         if folder is None:
             return read
@@ -98,6 +112,7 @@
             begin = self._kept.begin(read.text)
             if begin.instead:
                 self._instead = begin.instead
+                self.shared = layered.shared_part(begin.text)
                 return self._parse(begin.text, "the last confirmed")
             self._kept.confirm(read.text)
         except OSError as error:
@@ -110,12 +125,33 @@
             self._kept = None
         return read
 
+    def _begin_shared(self, read: Read, shared: str) -> Read:
+        """With what was in force before, where the file goes with it still."""
+        try:
+            made = self._parse(self._put(read.text, shared, str(self._path)), str(self._path))
+        except ValueError as error:
+            self._say("what was shared is left out: it does not go with the file", why=str(error))
+            return read
+        self.shared = shared
+        return made
+
     def _read(self) -> Read:
-        return reading.read(self._path, self._ground, self._environment, self._given)
+        read = reading.read(self._path, self._ground, self._environment, self._given)
+        return self._parse(read.text, str(self._path)) if self.shared else read
 
     def _parse(self, text: str, source: str) -> Read:
+        """With what is shared as it stands, whatever a text has of it."""
+        text = self._put(text, self.shared, source) if self.shared else text
         return reading.parse(text, source, self._ground, self._environment, self._given)
 
+    @staticmethod
+    def _put(text: str, shared: str, source: str) -> str:
+        """Raises OwnError."""
+        try:
+            return layered.put(text, shared)
+        except layered.NotShared as error:
+            raise OwnError([reading.Fault(source, 0, "", "form", f"what is shared {error}")]) from None
+
     def told_anew(self, ground: Ground) -> None:
         """The operators' settings as they are now; the own file is read against them from here on, and proposed
         as it stands."""
@@ -270,6 +306,33 @@
         """Raises OwnError, LedgerError."""
         return await self._propose(await asyncio.to_thread(self._parse, text, "what is proposed"), who, why)
 
+    async def propose_shared(self, shared: str, who: str, why: str) -> Change | None:
+        """Another text in place of what is shared; None where all stands as it would have it. Raises OwnError,
+        and LedgerError where another change is open."""
+
+        def parsed() -> Read:
+            text = self._put(self.standing.version.read.text, shared, "what is shared")
+            return reading.parse(text, "what is shared", self._ground, self._environment, self._given)
+
+        read = await asyncio.to_thread(parsed)
+        if self.standing.ledger.open is not None:
+            # It does not wait as others may: what it is put behind could be another by then.
+            raise LedgerError(f"change {self.standing.ledger.open.number} is open")
+        if read.digest == self.standing.version.read.digest:
+            self.shared = shared
+            return None
+        change = self.standing.propose(read, who, why, clock.now())
+        self._sharing, self.shared = (change, self.shared), shared
+        await self._carry_out(change)
+        if change.over:
+            self._unshare(change)
+        return change
+
+    def _unshare(self, change: Change) -> None:
+        """What is shared as it was before a change that was undone."""
+        if self._sharing is not None and self._sharing[0] is change and change.state == UNDONE:
+            self.shared, self._sharing = self._sharing[1], None
+
     async def drain(self, id: str, lift: bool, who: str, why: str) -> Change:
         """A mark by hand, as a change like any other; `lift` takes one off again that was put on so. Raises
         OwnError, LedgerError."""
@@ -339,6 +402,7 @@
         """At once; what lasts is written after. Raises LedgerError."""
         change = self.standing.ledger.find(number)
         self.standing.undo(change, who, why, clock.now())
+        self._unshare(change)
         async with self._turn:
             await self._mark_undone(change)
             change.what = None
--- a/pepperusher/own/rules.py
+++ b/pepperusher/own/rules.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
-from pepperusher.own.tables import Group, Own, Route
+from pepperusher.own.tables import Distribution, Group, Own, Route
 from pepperusher.routes import match
 from pepperusher.routes.match import Pattern, TemplateError
 from pepperusher.terms import REPLAYABLE, SINGLE_USE, Ground, UseCase
@@ -36,6 +36,7 @@
     "sound limits": "a limit lets something through, and its figures agree",
     "sound watch": "a change is watched long enough to be judged, and not for ever",
     "one of a name": "a name stands once",
+    "sound distribution": "control machines can be reached and told from strangers, and it is said what is taken of them",
     "sound group": "members can reach each other, and strangers cannot pass for one",
 }
 
@@ -270,6 +271,27 @@
         tell("group.within", "sound group", "is not from 5ms to half of period: others are asked in what is left")
 
 
+def _distribution(said: Distribution, tell: Tell) -> None:
+    if not said.machines:
+        if said.key_file is not None or said.config is not None or said.keep is not None:
+            tell("distribution.machines", "sound distribution", "is missing, and without it nothing is distributed")
+        return
+    for number, text in enumerate(said.machines):
+        try:
+            if address_of(text)[1] < 1:
+                tell(f"distribution.machines[{number}]", "sound distribution", f"{text!r} is where nobody can be reached")
+        except ValueError as error:
+            tell(f"distribution.machines[{number}]", "sound distribution", str(error))
+    if len(said.machines) > MOST_SEEDS:
+        tell("distribution.machines", "sound distribution", f"are {len(said.machines)}, and {MOST_SEEDS} are enough")
+    if len(set(said.machines)) < len(said.machines):
+        tell("distribution.machines", "one of a name", "have one address twice")
+    if said.key_file is None:
+        tell("distribution.key_file", "sound distribution", "is missing: whoever answers there could say what is in force")
+    if not said.config or len(said.config) > 100 or not said.config.isprintable():
+        tell("distribution.config", "sound distribution", "is missing, or no name")
+
+
 def _rest(own: Own, tell: Tell) -> None:
     for number, mark in enumerate(own.backends):
         if mark.weight is not None and not 0 < mark.weight <= 100:
@@ -302,6 +324,7 @@
     if own.store.folder is not None and own.store.folder == own.changes.state:
         tell("store.folder", "one of a name", "is the folder of changes.state; each needs its own")
     _group(own.group, tell)
+    _distribution(own.distribution, tell)
     if not 1 <= own.control.connections <= 64:
         tell("control.connections", "sound limits", f"{own.control.connections} is not from 1 to 64")
     if not 100_000 <= own.control.within <= 60_000_000:
--- a/pepperusher/own/tables.py
+++ b/pepperusher/own/tables.py
@@ -153,6 +153,18 @@
     within: Annotated[Span, _said("how long it waits before it has others ask")] = _span(150_000)
 
 
+class Distribution(Table, kw_only=True, frozen=True):
+    machines: Annotated[
+        list[str], _said("all control machines, address:port each; nothing is distributed to this proxy if left out")
+    ] = msgspec.field(default_factory=list)
+    key_file: Annotated[str | None, _said("a file with the key that control machines and proxies have")] = None
+    config: Annotated[str | None, _said("the name of the configuration that this proxy takes from them")] = None
+    keep: Annotated[
+        str | None, _said("a file for what is in force, to start from when no control machine is there")
+    ] = None
+    region: Annotated[str, _said("where this proxy stands, as rollouts tell it")] = ""
+
+
 class Own(Table, kw_only=True, frozen=True):
     """The proxy's own file as a whole."""
 
@@ -169,4 +181,7 @@
     control: Annotated[Control, _said("the control socket")] = msgspec.field(default_factory=Control)
     store: Annotated[Store, _said("what is kept over a restart; read at a start alone")] = msgspec.field(default_factory=Store)
     group: Annotated[Group, _said("the other proxies; read at a start alone")] = msgspec.field(default_factory=Group)
+    distribution: Annotated[Distribution, _said("control machines; read at a start alone")] = msgspec.field(
+        default_factory=Distribution
+    )
     said: Annotated[Said, _said("the log, and what answers tell")] = msgspec.field(default_factory=Said)
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -12,6 +12,7 @@
 import signal
 import socket
 import struct
+import subprocess
 import sys
 import tempfile
 import unittest
@@ -27,8 +28,12 @@
 from pepperusher.distribution.wire import Session
 from pepperusher.distribution.words import CONFIG, ENDPOINTS, MOST_NAMES, PROXY, Beat, Hello, Key, Resource, Version
 from pepperusher.net import clock
+from pepperusher.net.distributed import Distributed
+from pepperusher.net.house import House
 from pepperusher.store.disk import Disk
 
+from tests.scene import Street
+
 SECRET = b"a key for the tests alone"
 KEY: Key = (CONFIG, "shop")
 # What the target allows from a change, or a healing, to in force everywhere.
@@ -512,6 +517,154 @@
         await again.stop()
 
 
+OWN = """
+[changes]
+watch = "1s"
+least = 1000
+[control]
+socket = "HERE/control"
+[distribution]
+machines = ["127.0.0.1:PORT"]
+key_file = "HERE/../KEY"
+config = "shop"
+keep = "KEPT"
+region = "east"
+[[routes]]
+name = "own"
+match = { path = "/own" }
+"""
+SHARED = """[[routes]]
+name = "shared"
+match = { path = "/look/{any*}" }
+transmissions = %d
+[weights]
+north = 2.0
+"""
+
+
+class Whole(Street):
+    """A whole proxy, whose file names control machines."""
+
+    async def asyncSetUp(self) -> None:
+        self.folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, self.folder)
+        (self.folder / "key").write_bytes(SECRET)
+        self.machine = Machine(self.folder, 0, free_ports(1)[0], [])
+        await self.machine.start()
+        self.at = "127.0.0.1", self.machine.port
+        self.own = OWN.replace("PORT", str(self.machine.port)).replace("HERE/../KEY", str(self.folder / "key")).replace(
+            "KEPT", str(self.folder / "kept"))  # fmt: skip
+
+    async def asyncTearDown(self) -> None:
+        await super().asyncTearDown()
+        await self.machine.end()
+
+    @property
+    def house(self) -> House:
+        return next(one for one in self.proxy._company if isinstance(one, House))
+
+    @property
+    def distributed(self) -> Distributed:
+        return next(one for one in self.proxy._company if isinstance(one, Distributed))
+
+    def names(self) -> list[str]:
+        return [route.name for route in self.house.own.routes]
+
+    async def ctl(self, *words: str) -> str:
+        made = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "pepperusher", "ctl", *words, stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )  # fmt: skip
+        async with asyncio.timeout(20):
+            return (await made.communicate())[0].decode()
+
+    async def serve_again(self) -> None:
+        self.proxy.stop()
+        await self.serving
+        await self.open("a1", own=self.own)
+
+    async def test_taken_as_a_change_refused_kept_and_told(self) -> None:
+        async with asyncio.timeout(60):
+            await self.open("a1", own=self.own)
+            self.assertEqual(["own"], self.names())
+            machine = ("--machine", f"127.0.0.1:{self.machine.port}", "--key-file", str(self.folder / "key"))
+            (self.folder / "shop.toml").write_text(SHARED % 2)
+            said = await self.ctl("publish", "shop", str(self.folder / "shop.toml"), *machine)
+            self.assertRegex(said, r"^config/shop 1\.\d+ is written\n$")
+            await until(lambda: self.names() == ["own", "shared"], what="in force")
+            first = self.distributed.said()["version"]
+            # Watched and confirmed as any other change.
+            await until(lambda: self.house.standing.ledger.open is None, what="confirmed")
+            self.assertEqual("a control machine", self.house.standing.ledger.history[-1].steps[0].who)
+            await until(lambda: (self.folder / "kept").exists(), what="kept")
+            said = await self.ctl("rollout", "shop", *machine)
+            self.assertIn("in force at 1, pending 0, refused 0", said)
+            # Not one that the rules refuse: three transmissions are the most.
+            refused = await publish(self.at, SECRET, *KEY, (SHARED % 9).encode())
+            await until(lambda: bool(self.distributed.said()["refused"]), what="refused")
+            self.assertEqual((["own", "shared"], 2), (self.names(), self.house.own.routes[1].transmissions))
+            said = json.loads(await self.ctl("rollout", "shop", "--json", *machine))
+            self.assertEqual(list(refused), said["version"])
+            self.assertIn("three transmissions", said["refused"]["p1"])
+            self.assertIn("refused by 1 of 1", said["halted"])
+            # Nor what is a proxy's own; the operator is told before it is sent.
+            (self.folder / "bad.toml").write_text('[control]\nsocket = "/elsewhere"\n')
+            said = await self.ctl("publish", "shop", str(self.folder / "bad.toml"), *machine)
+            self.assertIn("control is a proxy's own", said)
+            await publish(self.at, SECRET, *KEY, b'[control]\nsocket = "/elsewhere"\n')
+            await until(lambda: "control is" in (self.distributed.said()["refused"] or ""), what="refused too")
+            # What people do by hand stands beside it.
+            await self.house.drain("a1", False, "test", "by hand")
+            self.assertEqual(["own", "shared"], self.names())
+            self.assertIn("a1", self.house.standing.version.marks)
+            said = await self.ctl("--socket", self.house.own.control.socket or "", "status")
+            self.assertIn(f"config/shop {first}, confirmed", said)
+            # All control machines gone, and the proxy starts anew: by what it kept, from its first request on.
+            await self.machine.end()
+            await self.serve_again()
+            self.assertEqual(["own", "shared"], self.names())
+            await until(lambda: self.distributed.said()["version"] == first, what="from what was kept")
+            self.assertGreater(self.distributed.said()["confirmed_us_ago"], 0)
+            await self.ask("served", self.request("look", 1))
+            self.assertIn("served -> 200 'a1 1'", self.lines)
+            # And back: the next one is taken.
+            await self.machine.start()
+            await publish(self.at, SECRET, *KEY, (SHARED % 1).encode())
+            await until(lambda: self.house.own.routes[-1].transmissions == 1, what="taken once it is back")
+
+    async def test_one_that_does_harm_is_undone_and_counts_as_refused(self) -> None:
+        async with asyncio.timeout(60):
+            await self.open("a1", own=self.own)
+            first = await publish(self.at, SECRET, *KEY, (SHARED % 2).encode())
+            await until(lambda: self.distributed.said()["version"] == str(first), what="in force")
+            await until(lambda: (self.folder / "kept").exists(), what="kept")
+            await publish(self.at, SECRET, *KEY, (SHARED % 1).encode())
+            await until(lambda: self.house.own.routes[-1].transmissions == 1, what="in force")
+            await self.house.undo(None, "test", "it does harm")
+            await until(lambda: bool(self.distributed.said()["refused"]), what="told")
+            self.assertEqual(str(first), self.distributed.said()["version"])
+            self.assertEqual(2, self.house.own.routes[-1].transmissions)
+            async with asyncio.timeout(10):
+                while not (told := await rollout(self.at, SECRET, *KEY)).refused:
+                    await asyncio.sleep(0.05)
+            self.assertIn("it does harm", told.refused["p1"])
+            self.assertEqual(0, told.in_force)
+
+
+class Light(unittest.TestCase):
+    def test_serve_loads_nothing_of_it(self) -> None:
+        """Nor does a proxy with an own file that names no control machines."""
+        for code in (
+            "import pepperusher.__main__; from pepperusher.net import proxy",
+            "import pepperusher.company; from pepperusher.net import house, node, answers",
+        ):
+            said = subprocess.run(
+                [sys.executable, "-c", f"import sys; {code}; print([n for n in sys.modules if 'distribut' in n])"],
+                capture_output=True, text=True, check=True, timeout=60,
+            )  # fmt: skip
+            self.assertEqual("[]\n", said.stdout)
+
+
 class File(unittest.IsolatedAsyncioTestCase):
     async def run_(self, *words: str) -> tuple[int, str]:
         made = await asyncio.create_subprocess_exec(
