Distribution: whoever floods, wants all the time or lives twice harms itself alone

Messages and wants of a connection have a rate, strangers go oldest first, a second process under one name is refused while the first speaks, a control machine that is among its own peers is told so. What proxies alone have is gone over by the next number; what another control machine has is fetched first.

--- a/pepperusher/distribution/commands.py
+++ b/pepperusher/distribution/commands.py
@@ -10,7 +10,7 @@
 
 import click
 
-from pepperusher.distribution import reading
+from pepperusher.distribution import operate, reading
 from pepperusher.distribution.server import Server, Terms
 from pepperusher.net.log import Log
 from pepperusher.own.reading import OwnError
@@ -54,6 +54,18 @@
     )
 
 
+@control.command()
+@click.option("--machine", required=True, metavar="HOST:PORT", help="A control machine.")
+@click.option("--key-file", required=True, help="The file with the key of control machines.")
+def figures(machine: str, key_file: str) -> None:
+    """A running control machine's counts, by name, as JSON."""
+    try:
+        told = asyncio.run(operate.figures(address_of(machine), reading.read_key(key_file)))
+    except (operate.NoAnswer, ValueError) as error:
+        raise click.ClickException(str(error)) from None
+    click.echo(json.dumps(told, indent=1))
+
+
 def terms_of(file: reading.ControlFile) -> Terms:
     return Terms(
         file.name, file.region, file.zone, address_of(file.listen), [address_of(one) for one in file.peers],
--- a/pepperusher/distribution/publisher.py
+++ b/pepperusher/distribution/publisher.py
@@ -46,9 +46,14 @@
 REFUSED_PART = 0.1
 REFUSED_LEAST = 2
 REFUSED_AT_ONCE = 3
+# A proxy asks for a body beside what it is sent only where something went wrong.
+MOST_WANTS = 32
+WANTS_A_SECOND = 2.0
 # Bodies before the newest that deltas are made from, and how much of them.
 BEFORE = 4
 BEFORE_BYTES = 8 * 1024 * 1024
+# A name whose process spoke this lately is not another's; longer than they are silent between two words.
+DOUBLED_WITHIN = 4_000_000
 # Who has gone is known for so long, and so many at the most.
 GONE_KEPT = 600_000_000
 MOST_PROXIES = 20_000
@@ -94,7 +99,7 @@
 class Subscriber:
     """One connection, as long as it lasts."""
 
-    __slots__ = ("hello", "names", "known", "bodies", "dirty", "wants", "offered", "beat_at")
+    __slots__ = ("hello", "names", "known", "bodies", "dirty", "wants", "offered", "may_want", "may_want_at")
 
     def __init__(self, hello: Hello) -> None:
         self.hello = hello
@@ -104,6 +109,8 @@
         self.dirty: dict[Key, None] = {}  # in order; as many as it subscribes to at the most
         self.wants: set[tuple[Key, bool]] = set()  # twice as many
         self.offered: dict[Key, tuple[object, ...]] = {}  # as many
+        self.may_want = float(MOST_WANTS if hello.role == PROXY else MOST_RESOURCES)
+        self.may_want_at = 0
 
 
 class Proxy:
@@ -147,7 +154,10 @@
         self._rolling: set[Key] = set()
         self._peers = peers
         self.compared: set[str] = set()  # control machines that showed what they have since the start
+        # What others showed that is newer than what is here, and of that what other control machines have, so
+        # that it is being fetched: as many as there are resources, emptied as it comes.
         self._ahead: dict[Key, Version] = {}
+        self._fetched: dict[Key, Version] = {}
 
     # --- what there is ------------------------------------------------------------------------------
 
@@ -207,9 +217,9 @@
         epoch = self.epoch if self.epoch is not None else 1
         if epoch < ahead.epoch:
             raise NotTaken(f"epoch {epoch} of {self.name} is below {ahead.epoch}, which is in use")
-        if ahead > last and epoch == ahead.epoch:
-            # Its number here would be one that others have with another content.
-            raise NotTaken(f"{ahead} is in use and {self.name} has {last}: fetched, or raise the epoch")
+        if self._fetched.get((kind, name), NEVER) > last and epoch == ahead.epoch:
+            # Whoever writes would go by what was, and undo the newer without having seen it.
+            raise NotTaken(f"{ahead} is in use and {self.name} has {last}: it is being fetched; or raise the epoch")
         return resource(kind, name, Version(epoch, max(ahead.number + 1, now // 1_000)), body)
 
     def take(self, one: Resource, now: int, halted: str = "", steady: bool = False) -> str | None:
@@ -255,6 +265,8 @@
             held.steady = one
         if self._ahead.get(one.key, NEVER) <= one.version:
             self._ahead.pop(one.key, None)
+        if self._fetched.get(one.key, NEVER) <= one.version:
+            self._fetched.pop(one.key, None)
         self._begin(held, now)
         self._mark(held)
         self.keep[one.key] = None
@@ -293,6 +305,14 @@
 
     # --- who subscribes -----------------------------------------------------------------------------
 
+    def doubled(self, hello: Hello, now: int) -> bool:
+        """Whether another process lives under this name: it spoke just now, and is not this one."""
+        proxy = self.proxies.get(hello.name)
+        if hello.role != PROXY or proxy is None or proxy.connection is None:
+            return False
+        there = self.subscribers[proxy.connection].hello
+        return there.life != hello.life and now - proxy.heard_at < DOUBLED_WITHIN
+
     def join(self, id: int, hello: Hello, now: int) -> None:
         sub = self.subscribers[id] = Subscriber(hello)
         if hello.role == PROXY:
@@ -311,7 +331,7 @@
         elif hello.role == RELAY:
             self.compared.add(hello.name)
         for key, mark in sub.known.items():
-            self._shown(key, mark, hello.name)
+            self._shown(key, mark, hello.name, hello.role == RELAY)
         for key in self.held if sub.names is None else sub.names:
             held = self.held.get(key)
             if held is not None:
@@ -331,10 +351,12 @@
             if gone is not None:
                 del self.proxies[gone]
 
-    def _shown(self, key: Key, mark: Mark, by: str) -> None:
+    def _shown(self, key: Key, mark: Mark, by: str, relay: bool) -> None:
         """Somebody has this version: this machine's own may be of an old disk."""
         held = self.held.get(key)
         last = held.newest.version if held is not None else NEVER
+        if relay and mark.version > max(last, self._fetched.get(key, NEVER)) and len(self._fetched) < MOST_RESOURCES:
+            self._fetched[key] = mark.version
         if mark.version > max(last, self._ahead.get(key, NEVER)):
             if len(self._ahead) < MOST_RESOURCES:
                 self._ahead[key] = mark.version
@@ -402,8 +424,17 @@
                 return
         sub.known.pop(key, None)
 
-    def want(self, id: int, key: Key, steady: bool, base: Mark | None) -> None:
+    def want(self, id: int, key: Key, steady: bool, base: Mark | None, now: int) -> None:
+        """Whoever wants more often than anybody need is not sent more for it."""
         sub = self.subscribers[id]
+        proxy = sub.hello.role == PROXY
+        most, again = (MOST_WANTS, WANTS_A_SECOND) if proxy else (MOST_RESOURCES, MOST_RESOURCES)
+        sub.may_want = min(most, sub.may_want + again * (now - sub.may_want_at) / 1e6)
+        sub.may_want_at = now
+        if sub.may_want < 1.0:
+            self.counts["wants left"] += 1
+            return
+        sub.may_want -= 1.0
         if sub.names is not None and (key not in sub.names or steady):
             return
         sub.wants.add((key, steady))
@@ -625,6 +656,11 @@
     silent: list[str]
 
 
+def best(row: Row) -> tuple[bool, tuple[int, int]]:
+    """Of two control machines' rows of one proxy the greater tells more."""
+    return row.connected, max(tuple(row.in_force), tuple(row.refused))
+
+
 def rollout_of(parts: list[Rows], silent: list[str]) -> Rollout:
     """Of what the control machines say, the newest version, and of each proxy its best word."""
     last = max(parts, key=lambda one: tuple(one.version))
--- a/pepperusher/distribution/server.py
+++ b/pepperusher/distribution/server.py
@@ -18,13 +18,14 @@
 
 from pepperusher.distribution import records, wire
 from pepperusher.distribution.link import Link
-from pepperusher.distribution.publisher import NotTaken, Publisher, rollout_of
+from pepperusher.distribution.publisher import NotTaken, Publisher, best, rollout_of
 from pepperusher.distribution.subscriber import Apply, Close, Connect, Say, Send, Subscriber
 from pepperusher.distribution.wire import Session
 from pepperusher.distribution.words import (
     LONGEST_MESSAGE,
     NEVER,
     OPERATOR,
+    PROXY,
     RELAY,
     Ack,
     AskFigures,
@@ -38,6 +39,7 @@
     Published,
     Refused,
     Resource,
+    Row,
     Rows,
     Want,
     one_line,
@@ -53,6 +55,8 @@
 # Who has not shown the key by then goes, and so many may be about it at once.
 HELLO_WITHIN = 3.0
 MOST_STRANGERS = 512
+# Messages from one connection within ten seconds, by its role.
+MESSAGES = {PROXY: 1_000, RELAY: 20_000, OPERATOR: 1_000}
 MOST_RELAYS = 64
 MOST_OPERATORS = 32
 TICK = 0.1
@@ -84,12 +88,13 @@
 class _Connection:
     """One that was accepted, until it ends."""
 
-    __slots__ = ("link", "hello", "heard_at", "beat_at", "timer")
+    __slots__ = ("link", "hello", "heard_at", "beat_at", "timer", "allowance")
 
     def __init__(self, link: Link, now: int) -> None:
         self.link = link
         self.hello: Hello | None = None
         self.heard_at = self.beat_at = now
+        self.allowance = float(MESSAGES[PROXY])
         self.timer: asyncio.TimerHandle | None = None
 
 
@@ -103,7 +108,7 @@
         self.counts: Counter[str] = Counter()
         self._ids = count(1)
         self._connections: dict[int, _Connection] = {}  # emptied as they end
-        self._strangers = 0
+        self._strangers: dict[int, None] = {}  # MOST_STRANGERS at the most
         self._roles: Counter[int] = Counter()
         self._allowance, self._allowed_at = ACCEPTED_AT_ONCE, now
         self._socket: socket.socket | None = None
@@ -195,9 +200,9 @@
             if self._allowance < 1.0:
                 await asyncio.sleep((1.0 - self._allowance) / ACCEPTED_A_SECOND + 0.01)
                 continue
-            if self._strangers >= MOST_STRANGERS:
-                await asyncio.sleep(TICK)
-                continue
+            if len(self._strangers) >= MOST_STRANGERS:
+                # The one that has been one for longest: whoever has the key shows it at once.
+                self._connections[next(iter(self._strangers))].link.abort("said nothing, and others came")
             try:
                 taken, _ = await loop.sock_accept(listening)
                 self._allowance -= 1.0
@@ -213,7 +218,7 @@
             self.counts, lambda _: self.publisher.next_for(id),
         )  # fmt: skip
         one = self._connections[id] = _Connection(link, clock.now())
-        self._strangers += 1
+        self._strangers[id] = None
         self.counts["accepted"] += 1
         one.timer = asyncio.get_running_loop().call_later(HELLO_WITHIN, self._unheard, id)
         return link
@@ -230,7 +235,7 @@
         if one.timer is not None:
             one.timer.cancel()
         if one.hello is None:
-            self._strangers -= 1
+            self._strangers.pop(id, None)
         else:
             self._roles[one.hello.role] -= 1
             self.publisher.leave(id, clock.now())
@@ -242,7 +247,13 @@
         one = self._connections.get(id)
         if one is None:
             return
-        now = one.heard_at = clock.now()
+        now = clock.now()
+        most = MESSAGES.get(one.hello.role, MESSAGES[PROXY]) if one.hello is not None else MESSAGES[PROXY]
+        one.allowance = min(most, one.allowance + most * (now - one.heard_at) / 10e6)
+        one.heard_at = now
+        if one.allowance < 1.0:
+            raise BadPacket("too many messages")
+        one.allowance -= 1.0
         publisher = self.publisher
         if one.hello is None:
             if not isinstance(message, Hello):
@@ -256,7 +267,7 @@
         elif isinstance(message, Ack):
             publisher.ack(id, message, now)
         elif isinstance(message, Want):
-            publisher.want(id, message.key, message.steady, message.base)
+            publisher.want(id, message.key, message.steady, message.base, now)
         elif isinstance(message, Bodies):
             publisher.bodies(id, message.on)
         elif isinstance(message, AskRollout) and one.hello.role == RELAY:
@@ -270,9 +281,15 @@
         if self._roles[hello.role] >= most:
             self._refuse(one, f"{most} of its kind are connected already")
             return
+        if hello.life == self._life:
+            self._refuse(one, "this is the control machine itself: take its address off its peers")
+            return
+        if self.publisher.doubled(hello, now):
+            self._refuse(one, f"another process is connected as {hello.name}")
+            return
         if one.timer is not None:
             one.timer.cancel()
-        self._strangers -= 1
+        self._strangers.pop(id, None)
         self._roles[hello.role] += 1
         one.hello = hello
         if hello.role != OPERATOR:
@@ -419,9 +436,14 @@
                 self._say_to(one, Published(*NEVER, one_line(f"it can't be written: {why}")))
                 return
             wrong = publisher.take(made, clock.now())
+            if wrong is None and publisher.held[made.key].newest is not made:
+                # While it was written a newer one came of another control machine; that is on disk after this.
+                publisher.keep[made.key] = None
+                wrong = f"{publisher.held[made.key].newest.version} came meanwhile"
             if wrong:
                 self._say_to(one, Published(*NEVER, one_line(wrong)))
                 return
+            publisher.keep.pop(made.key, None)
             if self._subscriber is not None:
                 self._subscriber.held[made.key] = made
         name = one.hello.name if one.hello else "?"
@@ -455,8 +477,9 @@
             for number in [number for number, (_, told) in self._asked.items() if told in those.values()]:
                 del self._asked[number]
         whole = rollout_of(parts, silent)
-        rows = {row.proxy: row for part in parts for row in part.rows if not row.connected}
-        rows.update({row.proxy: row for part in parts for row in part.rows if row.connected})
+        rows: dict[str, Row] = {}
+        for row in (row for part in parts for row in part.rows):
+            rows[row.proxy] = max(row, rows.get(row.proxy, row), key=best)
         self._say_to(
             one,
             Rows(asked.number, whole.version, whole.digest, whole.halted, list(rows.values()), whole.silent),
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -237,6 +237,34 @@
         self.put(2)
         self.assertEqual((made(3), 1), (self.one.held[KEY].newest, self.one.counts["older left"]))
 
+    def test_what_a_proxy_alone_has_is_gone_over(self) -> None:
+        """Nobody can send its body: the next change has a number above it."""
+        self.put(1)
+        self.one.join(1, hello("p", [Have(*KEY, mark_of(made(5)))]), 0)
+        self.assertEqual(Version(1, 6), self.one.draft(*KEY, b"x", 0).version)
+
+    def test_who_wants_all_the_time_is_not_sent_more(self) -> None:
+        self.put(1)
+        self.settle(0)
+        self.one.join(1, hello("p"), 0)
+        sent = 0
+        for step in range(1_000):
+            self.one.want(1, KEY, False, None, step * 1_000)
+            sent += len(read(self.one, 1))
+        self.assertLess(sent, 40)
+        self.assertGreater(self.one.counts["wants left"], 900)
+
+    def test_two_processes_under_one_name(self) -> None:
+        self.put(1)
+        self.one.join(1, hello("p"), 0)
+        other = hello("p")
+        other = type(other)(PROXY, "p", 2, "east", "", True, [KEY], [], [])
+        self.assertTrue(self.one.doubled(other, S))
+        self.assertFalse(self.one.doubled(hello("p"), S))  # the same one, by another connection
+        self.assertFalse(self.one.doubled(other, 10 * S))  # silent for long: it was made anew
+        self.one.leave(1, S)
+        self.assertFalse(self.one.doubled(other, S))
+
     def test_a_body_that_is_not_its_digests(self) -> None:
         self.assertIsNotNone(self.one.take(made(1)._replace(body=b"x"), 0))
         self.assertEqual({}, self.one.held)
@@ -588,7 +616,7 @@
                 elif isinstance(said, Ack):
                     machine.ack(id, said, self.now)
                 elif isinstance(said, Want):
-                    machine.want(id, said.key, said.steady, said.base)
+                    machine.want(id, said.key, said.steady, said.base, self.now)
                 elif isinstance(said, Beat):
                     machine.heard(id, self.now)
                     down.append(machine.beat(self.now))
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -109,8 +109,7 @@
         self.refusing: set[str] = set()
 
     async def asyncTearDown(self) -> None:
-        for client in self.clients.values():
-            client.kill()
+        await asyncio.gather(*(client.stop() for client in self.clients.values()))
         for machine in self.machines:
             if machine.process is not None:
                 if machine.process.returncode is None:
@@ -419,6 +418,7 @@
             "no message": [sealed(b"\xc1\xc1")],
             "a greeting again": [sealed(greeting), sealed(greeting)],
             "subscribes to everything": [sealed(everything)],
+            "floods": [sealed(greeting), lambda session: b"".join(sealed(wire.encoded(Beat()))(session) for _ in range(3_000))],
             "nothing": [],
             "cut": [lambda session: session.part(greeting, 0)[0][:-5]],
         }
