--- a/pepperusher/distribution/server.py
+++ b/pepperusher/distribution/server.py
@@ -53,8 +53,9 @@
 ACCEPTED_AT_ONCE = 200.0
 BACKLOG = 4096
 # Who has not shown the key by then goes, and so many may be about it at once.
-HELLO_WITHIN = 3.0
-MOST_STRANGERS = 512
+HELLO_WITHIN = 5.0
+MOST_STRANGERS = 1024
+STRANGER_FOR = 1_500_000
 # Messages from one connection within ten seconds, by its role.
 MESSAGES = {PROXY: 1_000, RELAY: 20_000, OPERATOR: 1_000}
 MOST_RELAYS = 64
@@ -201,8 +202,12 @@
                 await asyncio.sleep((1.0 - self._allowance) / ACCEPTED_A_SECOND + 0.01)
                 continue
             if len(self._strangers) >= MOST_STRANGERS:
-                # The one that has been one for longest: whoever has the key shows it at once.
-                self._connections[next(iter(self._strangers))].link.abort("said nothing, and others came")
+                # The one that has been one for longest: whoever has the key shows it soon.
+                oldest = self._connections[next(iter(self._strangers))]
+                if now - oldest.heard_at < STRANGER_FOR:
+                    await asyncio.sleep(TICK / 2)
+                    continue
+                oldest.link.abort("said nothing, and others came")
             try:
                 taken, _ = await loop.sock_accept(listening)
                 self._allowance -= 1.0
--- a/pepperusher/distribution/subscriber.py
+++ b/pepperusher/distribution/subscriber.py
@@ -46,7 +46,7 @@
 # Both sides speak so often, and a side that was silent for so long has gone, whatever its socket says.
 BEAT_EVERY = 2_000_000
 SILENT_AFTER = 5_000_000
-CONNECT_WITHIN = 2_000_000
+CONNECT_WITHIN = 2_500_000
 # Before it tries a lost one again: doubled each time, up to the most, and drawn from the half of it to all.
 AGAIN_LEAST = 200_000
 AGAIN_MOST = 3_000_000
