--- a/pepperusher/distribution/client.py
+++ b/pepperusher/distribution/client.py
@@ -34,7 +34,8 @@
 class Client:
     """`upstreams` are all control machines, `names` the resources that this proxy uses; nothing else is sent
     to it. `apply` takes one whole: None for in force, a text for refused with this reason; it may be a
-    coroutine function. What `keep` holds is taken by it at the start. Its connections come from `local`.
+    coroutine function. What `keep` holds is taken by it at the start. Its connections come from
+    `local`; "" for whichever address leads there.
 
     With `provisional` what is in force is kept only once `confirm` says that it lasts; `undone` says that it
     did not.
@@ -200,7 +201,7 @@
         self._links[upstream] = link
         try:
             await asyncio.get_running_loop().create_connection(
-                lambda: link, *self._addresses[upstream], local_addr=(self._local, 0)
+                lambda: link, *self._addresses[upstream], local_addr=(self._local, 0) if self._local else None
             )
         except OSError as error:
             link.abort(error.strerror or str(error))
--- a/pepperusher/distribution/operate.py
+++ b/pepperusher/distribution/operate.py
@@ -12,7 +12,7 @@
 from pepperusher.distribution.publisher import Rollout, rollout_of
 from pepperusher.distribution.wire import Session
 from pepperusher.distribution.words import (
-    LONGEST_MESSAGE, NEVER, OPERATOR, AskFigures, AskRollout, Figures, Hello, Message, Publish, Published,
+    LONGEST_ANSWER, NEVER, OPERATOR, AskFigures, AskRollout, Figures, Hello, Message, Publish, Published,
     Refused, Rows, Version,
 )  # fmt: skip
 
@@ -43,7 +43,7 @@
         if not told.done():
             told.set_exception(NoAnswer(f"{at}: {why} (another key, or no control machine?)"))
 
-    link = Link(Session(key, True, LONGEST_MESSAGE), opened, came, ended, Counter())
+    link = Link(Session(key, True, LONGEST_ANSWER), opened, came, ended, Counter())
     try:
         async with asyncio.timeout(within):
             await loop.create_connection(lambda: link, *address)
--- a/pepperusher/distribution/reading.py
+++ b/pepperusher/distribution/reading.py
@@ -36,7 +36,7 @@
     peers: Annotated[list[str], _said("the other control machines, address:port each")] = msgspec.field(
         default_factory=list
     )
-    local: Annotated[str, _said("the address that its own connections come from")] = "0.0.0.0"
+    local: Annotated[str, _said("the address that its own connections come from; the kernel's choice if left out")] = ""
     origin: Annotated[bool, _said("whether it is the one that writes configuration")] = False
     epoch: Annotated[int, _said("raised by hand whenever another becomes the origin, or it lost its disk")] = 1
     owns_facts: Annotated[bool, _said("whether it is the one that writes its region's facts")] = False
--- a/pepperusher/distribution/server.py
+++ b/pepperusher/distribution/server.py
@@ -22,6 +22,7 @@
 from pepperusher.distribution.subscriber import Apply, Close, Connect, Say, Send, Subscriber
 from pepperusher.distribution.wire import Session
 from pepperusher.distribution.words import (
+    LONGEST_ANSWER,
     LONGEST_MESSAGE,
     NEVER,
     OPERATOR,
@@ -539,13 +540,15 @@
 
     async def _connect(self, upstream: str) -> None:
         link = Link(
-            Session(self._key, True, LONGEST_MESSAGE), partial(self._peer_opened, upstream),
+            Session(self._key, True, LONGEST_ANSWER), partial(self._peer_opened, upstream),
             partial(self._peer_came, upstream), partial(self._peer_ended, upstream), self.counts,
         )  # fmt: skip
         self._peers[upstream] = link
         try:
             await asyncio.get_running_loop().create_connection(
-                lambda: link, *self._addresses[upstream], local_addr=(self._terms.local, 0)
+                lambda: link,
+                *self._addresses[upstream],
+                local_addr=(self._terms.local, 0) if self._terms.local else None,
             )
         except OSError as error:
             link.abort(error.strerror or str(error))
--- a/pepperusher/distribution/subscriber.py
+++ b/pepperusher/distribution/subscriber.py
@@ -53,6 +53,8 @@
 RELAY_AGAIN_MOST = 1_500_000
 # An upstream that ended the connection for a reason is not asked again at once.
 REFUSED_AGAIN = 5_000_000
+# At once under way, of a proxy.
+CONNECTING_MOST = 4
 # One that is being connected to keeps the next in order from being tried for so long.
 CONNECT_FIRST = 700_000
 # After a loss the next is tried within this, drawn, and after each further failure no sooner than that: all
@@ -168,6 +170,8 @@
         one too many; has the first one send bodies.
         """
         up = sought = 0
+        more = CONNECTING_MOST if self._role == PROXY else len(self._upstreams)
+        more -= sum(one.state == CONNECTING for one in self._upstreams.values())
         for one in self._upstreams.values():
             if one.state == UP:
                 up += 1
@@ -179,8 +183,9 @@
                     self._close(one, "others stand before it", now, 0)
                 elif now - one.since < CONNECT_FIRST:
                     sought += 1
-            elif sought < self._links and now >= max(one.again_at, self._next_at):
+            elif sought < self._links and more > 0 and now >= max(one.again_at, self._next_at):
                 one.state, one.since = CONNECTING, now
+                more -= 1
                 sought += 1
                 self.counts["connects"] += 1
                 self.out.append(Connect(one.name))
--- a/pepperusher/distribution/words.py
+++ b/pepperusher/distribution/words.py
@@ -20,6 +20,8 @@
 # A body at the most, as the own file's; a message is that and its frame's words.
 LONGEST_BODY = 4 * 1024 * 1024
 LONGEST_MESSAGE = LONGEST_BODY + 64 * 1024
+# All rows of a rollout.
+LONGEST_ANSWER = 16 * 1024 * 1024
 # What one that is no control machine and no operator may say at once.
 LONGEST_WORD = 128 * 1024
 # How much one proxy may subscribe to, and how much there is for a control machine to keep.
--- a/pepperusher/net/distributed.py
+++ b/pepperusher/net/distributed.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -17,7 +18,7 @@
 from pepperusher.distribution import keeping
 from pepperusher.distribution.client import Client
 from pepperusher.distribution.reading import read_key
-from pepperusher.distribution.subscriber import UPSTREAMS
+from pepperusher.distribution.subscriber import CONNECTING_MOST, UPSTREAMS
 from pepperusher.distribution.words import CONFIG, Resource
 from pepperusher.net import clock
 from pepperusher.net.companion import Companion, Host
@@ -61,7 +62,7 @@
 
 
 class Distributed(Companion):
-    descriptors = 2 * UPSTREAMS
+    descriptors = UPSTREAMS + CONNECTING_MOST
 
     def __init__(self, said: Distribution, house: House, name: str, source: str, say: Callable[..., None]) -> None:
         """Raises OwnError for a key that can't be read."""
@@ -73,11 +74,12 @@
         self._house, self._say = house, say
         self._key = CONFIG, said.config
         self._watched: Change | None = None
+        self._ending: asyncio.Task[None] | None = None
         self._said_at = clock.now()
         addresses = [address_of(one) for one in said.machines]
         self._client = Client(
             addresses, [self._key], self._apply, key=key, name=name, region=said.region, zone="",
-            seed=hash(name), keep=None if said.keep is None else Path(said.keep), local=_any(addresses), say=say,
+            seed=int.from_bytes(os.urandom(8)), keep=None if said.keep is None else Path(said.keep), local="", say=say,
             provisional=True,
         )  # fmt: skip
 
@@ -87,8 +89,14 @@
     async def start(self) -> None:
         self._client.start()
 
+    def leaving(self, until: int) -> None:
+        """What is changed from now on is for whoever takes its place, under its name."""
+        self._ending = asyncio.get_running_loop().create_task(self._client.stop())
+
     async def stop(self) -> None:
-        await self._client.stop()
+        if self._ending is None:
+            self._ending = asyncio.get_running_loop().create_task(self._client.stop())
+        await self._ending
 
     async def _apply(self, one: Resource) -> str | None:
         """As a change; in force from when it is applied, and refused where it is undone before or after."""
@@ -150,8 +158,3 @@
             "refused": None if refused is None else f"{refused[0]}: {refused[1]}",
             "machines": self._client.upstreams,
         }
-
-
-def _any(addresses: list[tuple[str, int]]) -> str:
-    """Whichever address of this machine leads there."""
-    return "::" if all(":" in host for host, _ in addresses) else "0.0.0.0"
