--- a/pepperusher/__main__.py
+++ b/pepperusher/__main__.py
@@ -20,6 +20,7 @@
 LATER = {**{name: ("pepperusher.rehearsal.commands", "rehearsal")
             for name in ("emulate", "load", "rehearse", "experiment", "report", "group-figures")},
          **{name: ("pepperusher.own.commands", "own") for name in ("explain", "schema")},
+         "capacity": ("pepperusher.capacity.commands", "rehearsal"),
          "ctl": ("pepperusher.control.commands", "own"), "store": ("pepperusher.store.commands", "store")}
 
 
