Slopes of what grows with a fleet: measured, fitted, checked at a size not fitted

'pepperusher capacity slopes' measures decisions, the list, arcs, membership in virtual time, discovery's calls, the own file, whole processes, attempts along a chain and time added open loop; each is a least-squares fit over five sizes or more with its 95% interval, and held against a size that was not fitted.

--- /dev/null
+++ b/pepperusher/capacity/attempts.py
@@ -0,0 +1,120 @@
+"""Attempts along a chain of services, each of whose proxies may send a call again: the real decisions, in virtual time.
+
+A tree that is walked depth first, one call from the top at a time: what several at once do to each other is not in it.
+"""
+
+from __future__ import annotations
+
+from random import Random
+from typing import NamedTuple
+
+from pepperusher.capacity import stage
+from pepperusher.capacity.decisions import NOW, quiet
+from pepperusher.capacity.stage import SECOND
+from pepperusher.facade import SEND, Facade
+from pepperusher.ground import ground
+from pepperusher.net.discovery import news_of
+
+# A service's own work, and how long a client at the top waits.
+WORK, WAITS = 1_000, 2 * SECOND
+BACKENDS = 24
+# A call from the top that has come to so many sends is not followed further.
+MOST = 20_000
+
+
+class Came(NamedTuple):
+    """For one call at the top: sends in all, and those that reach the last service. `done` is the part of the calls that were,
+    `most` the sends of the worst of them, `cut` how many were not followed to their end.
+    """
+
+    sends: float
+    last: float
+    done: float
+    most: int
+    cut: int
+
+
+class Chain:
+    """`failing` counts the services from the last one upwards that fail a `share` of their calls. `passed` is what a service says
+    whose own call failed: `error`, or `full`, which says that nothing was done.
+    """
+
+    def __init__(self, depth: int, seed: int, passed: str = "error") -> None:
+        self.depth = depth
+        self.failing, self.share = 0, 0.0
+        self._passed = passed
+        self._chance = Random(seed).random
+        self._now = NOW
+        self.sends = [0] * depth
+        self._facades = []
+        for level in range(depth):
+            told = stage.settings(BACKENDS * 4)
+            told["tiers"] = [f"tier-{number}" for number in range(depth)]
+            told["stage"] = level
+            facade = Facade(ground(told, seed + level), NOW, quiet)
+            facade.listed(news_of(stage.listing(BACKENDS)).entries, True, NOW)
+            self._facades.append(facade)
+
+    def call(self, level: int = 0, until: int | None = None) -> bool:
+        """One call by the proxies of a level; whether it was done."""
+        facade = self._facades[level]
+        until = self._now + WAITS if until is None else until
+        ticket = facade.take("use-0", "", self._now, max(1, until - self._now), 0)
+        step = facade.pick(ticket, self._now)
+        while step.what == SEND:
+            self.sends[level] += 1
+            latest = min(until, self._now + step.wait)
+            done = sum(self.sends) < MOST and self._serve(level, latest)
+            if self._now >= latest:
+                self._now = latest
+                how = "timed out"
+            else:
+                how = "done" if done else self._passed if level < self.depth - 1 else "error"
+            step = facade.report(ticket, how, self._now)
+            if how == "done":
+                facade.settle(ticket, self._now)
+                return True
+        facade.settle(ticket, self._now)
+        return False
+
+    def _serve(self, level: int, until: int) -> bool:
+        self._now += WORK
+        if self._now >= until:
+            return False
+        if level + 1 < self.depth and not self.call(level + 1, until):
+            return False
+        return not (self.depth - 1 - level < self.failing and self._chance() < self.share)
+
+    def warm(self, calls: int = 40) -> None:
+        """Each level has calls of its own, the last first: what is usual is known everywhere."""
+        for level in reversed(range(self.depth)):
+            for _ in range(calls):
+                self._now += 20_000
+                self.sends = [0] * self.depth
+                self.call(level)
+
+    def play(self, calls: int) -> Came:
+        """So many calls at the top, 20 ms apart or as they end."""
+        sends = last = done = most = cut = 0
+        for _ in range(calls):
+            self._now += 20_000
+            self.sends = [0] * self.depth
+            done += self.call()
+            came = sum(self.sends)
+            sends, last, most = sends + came, last + self.sends[-1], max(most, came)
+            cut += came >= MOST
+        return Came(sends / calls, last / calls, done / calls, most, cut)
+
+
+def came(depth: int, failing: int, share: float, seed: int, passed: str = "error", calls: int = 100) -> tuple[Came, Came]:
+    """The first 20 calls after so many services began to fail, and the `calls` after those."""
+    chain = Chain(depth, seed, passed)
+    chain.warm()
+    chain.play(100)
+    chain.failing, chain.share = failing, share
+    return chain.play(20), chain.play(calls)
+
+
+def cold(depth: int, seed: int, calls: int = 100) -> Came:
+    """The first calls along a chain none of whose proxies knows yet how long a call takes."""
+    return Chain(depth, seed).play(calls)
--- /dev/null
+++ b/pepperusher/capacity/latency.py
@@ -0,0 +1,142 @@
+"""Time that proxies add to a call: open loop, each latency from the intended moment of sending, against the same services without
+proxies. Figures of a machine that others share are worth what the load beside them says.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from contextlib import ExitStack
+from random import Random
+from typing import NamedTuple
+
+from pepperusher.capacity.processes import ProcessError, Proxied, proxy, standins
+
+# Calls a second of one proxy at the target: 360,000 over 5,000.
+RATE = 72.0
+LASTS = 20.0
+WARM = 3.0
+WITHIN = 2.0
+
+
+class Told(NamedTuple):
+    """Latencies in us: the middle and the 99th of 100; calls, and those that were not answered 200."""
+
+    p50: float
+    p99: float
+    calls: int
+    failed: int
+
+
+class _Line:
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader, self.writer = reader, writer
+
+    async def ask(self, number: int) -> tuple[bool, bool]:
+        """Whether it was answered 200, and whether the connection can be used again."""
+        head = (
+            f"GET /use-0/page HTTP/1.1\r\nHost: service\r\nRequest-Id: {number}\r\nRequest-Class: use-0\r\n"
+            f"Request-Timeout: {round(WITHIN * 1000)}m\r\n\r\n"
+        )
+        self.writer.write(head.encode())
+        told = (await self.reader.readuntil(b"\r\n\r\n")).lower()
+        length = next(int(one[15:]) for one in told.split(b"\r\n") if one.startswith(b"content-length:"))
+        await self.reader.readexactly(length)
+        return told[9:12] == b"200", b"connection: close" not in told
+
+
+async def _load(port: int, rate: float, lasts: float, seed: int, first: int) -> Told:
+    loop = asyncio.get_running_loop()
+    chance = Random(seed)
+    idle: list[_Line] = []  # emptied by use
+    took: list[float] = []
+    failed = 0
+
+    async def one(number: int, at: float) -> None:
+        nonlocal failed
+        good = False
+        try:
+            async with asyncio.timeout(2 * WITHIN):
+                line = idle.pop() if idle else _Line(*await asyncio.open_connection("127.0.0.1", port))
+                good, again = await line.ask(number)
+                if again:
+                    idle.append(line)
+                else:
+                    line.writer.close()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, StopIteration):
+            pass
+        took.append((loop.time() - at) * 1e6)
+        failed += not good
+
+    tasks: list[asyncio.Task[None]] = []
+    at, number, end = loop.time() + 0.05, first, loop.time() + lasts
+    while at < end:
+        await asyncio.sleep(max(0.0, at - loop.time()))
+        tasks.append(loop.create_task(one(number, at)))
+        number += 1
+        at += chance.expovariate(rate)
+    await asyncio.gather(*tasks)
+    for line in idle:
+        line.writer.close()
+    took.sort()
+    return Told(took[len(took) // 2], took[min(len(took) - 1, int(0.99 * len(took)))], len(took), failed)
+
+
+def load(port: int, seed: int, rate: float = RATE, lasts: float = LASTS) -> Told:
+    """After a while that is not counted. Raises ProcessError where more than 1 in 100 fail."""
+    asyncio.run(_load(port, rate, WARM, seed + 1, 1))
+    told = asyncio.run(_load(port, rate, lasts, seed, 1_000_000))
+    if told.failed > told.calls / 100:
+        raise ProcessError(f"{told.failed} of {told.calls} calls failed")
+    return told
+
+
+class Added(NamedTuple):
+    """us that the proxies add: at the middle and at the 99th of 100, with what the calls took beside them."""
+
+    p50: float
+    p99: float
+    bare: Told
+    through: Told
+
+
+def through_one(listed: int, group: int, seed: int, changes: float = 0.0, lasts: float = LASTS) -> Added:
+    """One proxy before one service that stands for all on its list."""
+    with standins() as others:
+        service = others.do(do="open", services=1)["ports"][0]
+        address = f"127.0.0.1:{service}"
+        discovery = others.do(do="discovery", entries=listed, address=address, changes=changes)["port"]
+        with proxy(listed, group, discovery, address) as one:
+            bare = load(service, seed, lasts=lasts)
+            through = load(one.port, seed, lasts=lasts)
+    return Added(through.p50 - bare.p50, through.p99 - bare.p99, bare, through)
+
+
+def through_chain(depth: int, listed: int, group: int, seed: int, changes: float = 0.0, lasts: float = LASTS) -> Added:
+    """`depth` services, each calling the next through a proxy of its own, against the same with none. The chain's proxies are
+    warmed from its end, since none of them knows yet how long a call takes.
+    """
+    with ExitStack() as held:
+        others = held.enter_context(standins())
+        ports = others.do(do="open", services=depth)["ports"]
+        proxies: list[Proxied] = []
+        for port in ports:
+            address = f"127.0.0.1:{port}"
+            discovery = others.do(do="discovery", entries=listed, address=address, changes=changes)["port"]
+            proxies.append(held.enter_context(proxy(listed, group, discovery, address)))
+        others.do(do="forwards", to=[*(("127.0.0.1", port) for port in ports[1:]), None])
+        bare = load(ports[0], seed, lasts=lasts)
+        others.do(do="forwards", to=[*(("127.0.0.1", one.port) for one in proxies[1:]), None])
+        for place in reversed(range(depth)):
+            asyncio.run(_load(proxies[place].port, RATE, 1.0, seed + place, 10_000_000 * (place + 1)))
+        through = load(proxies[0].port, seed, lasts=lasts)
+    return Added(through.p50 - bare.p50, through.p99 - bare.p99, bare, through)
+
+
+def added(group: int, which: str = "p99", changes: float = 0.0) -> Callable[[int, int], float]:
+    def at(listed: int, seed: int) -> float:
+        return float(getattr(through_one(listed, group, seed, changes), which))
+
+    return at
+
+
--- /dev/null
+++ b/pepperusher/capacity/measures.py
@@ -0,0 +1,133 @@
+"""What a measurement of growth is, and what it gave; free of I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Sequence
+from statistics import median
+from typing import NamedTuple
+
+import msgspec
+
+from pepperusher.capacity.fit import Checked, Fit, Point, best, checked, fitted
+
+# What a figure is worth: a count is the same on every machine, a time is of this one, which others shared.
+COUNTED, TIMED = "counted", "timed"
+
+
+class Measure(NamedTuple):
+    """One thing that grows: `at(size, seed)` gives its value in `unit`. `held_out` is a size for the check alone. `repeats` are
+    taken at each size and their median counts. `curve` empty: the best of those that `fit` knows.
+    """
+
+    name: str
+    role: str
+    what: str
+    per: str
+    unit: str
+    worth: str
+    sizes: tuple[int, ...]
+    held_out: int
+    at: Callable[[int, int], float]
+    repeats: int = 1
+    curve: str = ""
+
+
+class Measured(msgspec.Struct, frozen=True, kw_only=True):
+    """As it is kept in a file."""
+
+    name: str
+    role: str
+    what: str
+    per: str
+    unit: str
+    worth: str
+    seed: int
+    repeats: int
+    points: list[tuple[float, float]]
+    held_out: tuple[float, float]
+    curve: str = ""
+    load: float | None = None  # of the machine a minute long, as the measurement ended
+
+    def fit(self) -> Fit:
+        points = [Point(*one) for one in self.points]
+        return fitted(points, self.curve) if self.curve else best(points)
+
+    def check(self) -> Checked:
+        return checked(self.fit(), Point(*self.held_out))
+
+    def value(self, size: float) -> float:
+        """What it comes to at a size; never under nothing."""
+        return max(0.0, self.fit().at(size))
+
+
+class Single(msgspec.Struct, frozen=True, kw_only=True):
+    """A figure at given settings that is no slope, such as attempts by levels that fail."""
+
+    name: str
+    what: str
+    unit: str
+    worth: str
+    seed: int
+    value: float
+
+
+class Book(msgspec.Struct, kw_only=True):
+    """All that one run measured, and where."""
+
+    commit: str
+    command: str
+    machine: str
+    measured: list[Measured] = []
+    singles: list[Single] = []
+
+    def of(self, name: str) -> Measured | None:
+        return next((one for one in self.measured if one.name == name), None)
+
+    def single(self, name: str) -> Single | None:
+        return next((one for one in self.singles if one.name == name), None)
+
+
+def taken(
+    one: Measure, seed: int, load: Callable[[], float] | None = None, say: Callable[[str], None] = lambda _: None
+) -> Measured:
+    """Measures each size `repeats` times; the median of them counts."""
+
+    def middle(size: int) -> tuple[float, float]:
+        made = [one.at(size, seed + place) for place in range(one.repeats)]
+        say(f"{one.name} at {size}: {median(made):.6g} {one.unit}")
+        return float(size), float(median(made))
+
+    points = [middle(size) for size in one.sizes]
+    held_out = middle(one.held_out)
+    return Measured(
+        name=one.name,
+        role=one.role,
+        what=one.what,
+        per=one.per,
+        unit=one.unit,
+        worth=one.worth,
+        seed=seed,
+        repeats=one.repeats,
+        points=points,
+        held_out=held_out,
+        curve=one.curve,
+        load=None if load is None else round(load(), 1),
+    )
+
+
+def merged(before: Book, now: Book) -> Book:
+    """What was measured again takes the place of what it was."""
+    names = {one.name for one in now.measured}
+    singles = {one.name for one in now.singles}
+    return Book(
+        commit=now.commit,
+        command=now.command,
+        machine=now.machine,
+        measured=[*(one for one in before.measured if one.name not in names), *now.measured],
+        singles=[*(one for one in before.singles if one.name not in singles), *now.singles],
+    )
+
+
+def only(measures: Iterable[Measure], names: Sequence[str]) -> list[Measure]:
+    """Those whose name begins with one of `names`; all where there is none."""
+    return [one for one in measures if not names or any(one.name.startswith(name) for name in names)]
--- a/pepperusher/capacity/slope_commands.py
+++ b/pepperusher/capacity/slope_commands.py
@@ -2,13 +2,116 @@
 
 from __future__ import annotations
 
+import os
+import platform
+import subprocess
+import sys
+import time
+from pathlib import Path
+
 import click
+import msgspec
+
+from pepperusher.capacity import slopes as measurements
+from pepperusher.capacity.measures import Book, Measured, merged, only, taken
+from pepperusher.capacity.processes import ProcessError
+
+
+def _commit() -> str:
+    """Of the checkout that this program runs from, with a plus where it was changed since; empty where it is none."""
+    here = Path(__file__).parent
+    try:
+        head = subprocess.run(
+            ["git", "rev-parse", "--short", "HEAD"], cwd=here, capture_output=True, text=True, check=True
+        ).stdout.strip()
+        changed = subprocess.run(
+            ["git", "status", "--porcelain", "--untracked-files=no", "."], cwd=here, capture_output=True, text=True, check=True
+        ).stdout.strip()
+    except (OSError, subprocess.CalledProcessError):
+        return ""
+    return head + "+" * bool(changed)
+
+
+def _machine() -> str:
+    return f"{os.cpu_count()} cores, Python {platform.python_version()}"
+
+
+def read(path: Path) -> Book:
+    """Raises click.ClickException."""
+    try:
+        return msgspec.json.decode(path.read_bytes(), type=Book)
+    except (OSError, msgspec.MsgspecError) as error:
+        raise click.ClickException(f"{path}: {error}") from None
+
+
+def write(path: Path, book: Book) -> None:
+    path.write_bytes(msgspec.json.format(msgspec.json.encode(book), indent=1) + b"\n")
+
+
+def _say(line: str) -> None:
+    click.echo(f"{time.strftime('%H:%M:%S')} {line}", err=True)
 
 
 @click.command()
-def slopes() -> None:
-    """Measure how each cost grows with its size."""
-    raise click.ClickException("not built yet")
+@click.option("--only", "names", multiple=True, help="Measure what begins with this; several times for several.")
+@click.option("--chain", is_flag=True, help="Also a chain of 30 whole proxies (31 processes, some minutes).")
+@click.option("--seed", default=1, show_default=True, help="Of everything that hangs on chance.")
+@click.option("--out", type=click.Path(path_type=Path, dir_okay=False), help="Keep the figures here, beside those that are there.")
+@click.option("--json", "as_json", is_flag=True, help="Print the figures as JSON.")
+@click.option("--list", "listing", is_flag=True, help="Print what can be measured, and measure nothing.")
+def slopes(names: tuple[str, ...], chain: bool, seed: int, out: Path | None, as_json: bool, listing: bool) -> None:
+    """Measure how each cost grows with its size.
+
+    Each is measured at five sizes or more, fitted, and checked at a size that was not fitted.
+    """
+    wanted = only(measurements.measures(), names)
+    if listing:
+        for one in wanted:
+            click.echo(f"{one.name}: {one.what} ({one.unit} by {one.per}; {', '.join(map(str, one.sizes))}; {one.held_out})")
+        return
+    with_singles = not names or any("attempts".startswith(name) or name.startswith("attempts") for name in names)
+    if not wanted and not with_singles and not chain:
+        raise click.ClickException(f"nothing is measured under {', '.join(names)}; see --list")
+    command = " ".join(["pepperusher capacity slopes", *(f"--only {name}" for name in names), *(["--chain"] * chain), f"--seed {seed}"])
+    book = Book(commit=_commit(), command=command, machine=_machine())
+
+    def keep() -> None:
+        if out is not None:
+            write(out, merged(read(out), book) if out.exists() else book)
+
+    for place, one in enumerate(wanted, 1):
+        _say(f"[{place} of {len(wanted)}] {one.name}")
+        try:
+            book.measured.append(taken(one, seed, lambda: os.getloadavg()[0], _say))
+        except ProcessError as error:
+            click.echo(f"{one.name}: not measured: {error}", err=True)
+            continue
+        keep()
+    if with_singles:
+        book.singles += measurements.singles(seed, _say)
+        keep()
+    if chain:
+        try:
+            book.singles += measurements.chain(seed, _say)
+        except ProcessError as error:
+            raise click.ClickException(f"the chain: {error}") from None
+        keep()
+    if as_json:
+        sys.stdout.buffer.write(msgspec.json.encode(book) + b"\n")
+        return
+    for measured in book.measured:
+        click.echo(spoken(measured))
+    for single in book.singles:
+        click.echo(f"{single.name}: {single.value:.6g} {single.unit}: {single.what}")
+
+
+def spoken(one: Measured) -> str:
+    fit, check = one.fit(), one.check()
+    return (
+        f"{one.name}: {one.what}: {fit.base:.4g} + {fit.slope:.4g} ({fit.low:.4g} to {fit.high:.4g}) {one.unit} x {fit.curve} of {one.per}s;"
+        f" mean residual {fit.residual:.1%}; at {check.size:g}, not fitted, {check.said:.4g} said, {check.measured:.4g} measured"
+        f" ({check.error:+.1%})"
+    )
 
 
 @click.command()
--- /dev/null
+++ b/pepperusher/capacity/stage.py
@@ -0,0 +1,117 @@
+"""Made-up lists, grounds and files that measurements work on, the same for the same size; free of I/O."""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from pepperusher.ground import ground
+from pepperusher.terms import Ground
+
+SECOND = 1_000_000
+ZONES = [f"r{region}z{zone}" for region, zones in enumerate((4, 3, 3, 3)) for zone in range(zones)]
+ONE_ZONE = ["r0z0"]
+
+
+def settings(group: int, ordinal: int = 0, use_cases: int = 3, zones: list[str] | None = None) -> dict[str, Any]:
+    """The platform's settings object for one of `group` proxies, each beside a client process."""
+    zones = zones or ONE_ZONE
+    effects = ("pure", "token", "side_effect")
+    return {
+        "group-size": group,
+        "ordinal": ordinal,
+        "stage": 0,
+        "tiers": ["only"],
+        "zone": zones[ordinal % len(zones)],
+        "zones": zones,
+        "family": "mesh",
+        "discovery": "push",
+        "use-cases": [
+            {
+                "name": f"use-{number}",
+                "effect": effects[number % 3],
+                "key-scope": "cell",
+                "window": 5000.0,
+                "importance": 1.0 + number % 5,
+                "promised-time": 500.0,
+                "outer-limit": 2000.0,
+            }
+            for number in range(use_cases)
+        ],
+        "customers": [],
+        "policy-limits": {
+            "cancel": True,
+            "connect-timeout": 250.0,
+            "keepalive": 60000.0,
+            "most-transmissions": 3,
+            "retry-after": True,
+            "max-retry-after": 1000.0,
+        },
+        "rules": {
+            "ask-within": 10000.0,
+            "cold-share": 0.2,
+            "warm-after": 10000.0,
+            "tip-multiple": 3.0,
+            "overload-for": 2000.0,
+            "stop-sending-within": 1000.0,
+        },
+        "family-info": {"passes-deadline": True},
+    }
+
+
+def ground_of(
+    group: int, seed: int = 0, ordinal: int = 0, use_cases: int = 3, zones: list[str] | None = None
+) -> Ground:
+    return ground(settings(group, ordinal, use_cases, zones), seed)
+
+
+def server(number: int, address: str, zones: list[str], state: str = "ready") -> dict[str, Any]:
+    """One entry of the list, in discovery's own form."""
+    return {
+        "id": f"service-{number // 24:03d}-{number:05d}",
+        "addr": address,
+        "zone": zones[number % len(zones)],
+        "cell": number,
+        "weight": 1.0,
+        "state": state,
+        "started_ms": 0,
+    }
+
+
+def listing(size: int, zones: list[str] | None = None, address: str = "") -> dict[str, Any]:
+    """A whole list; everybody at one `address`, or each at its own."""
+    zones = zones or ONE_ZONE
+    return {
+        "version": 1,
+        "full": True,
+        "servers": [
+            server(number, address or f"10.{number >> 14}.{number >> 6 & 255}.{number & 63}:8080", zones)
+            for number in range(size)
+        ],
+    }
+
+
+def change(size: int, number: int, state: str, version: int, zones: list[str] | None = None) -> dict[str, Any]:
+    """One line of a watch about one backend."""
+    one = listing(size, zones)["servers"][number]
+    return {"version": version, "full": False, "servers": [{**one, "state": state}]}
+
+
+def text_of(told: dict[str, Any]) -> bytes:
+    return json.dumps(told).encode() + b"\n"
+
+
+def routes(number: int) -> str:
+    """So many routes, each with terms, a rate and a limit."""
+    return "\n".join(
+        f'[[routes]]\nname = "route-{place:04d}"\nmatch.path = "/service-{place:04d}/{{rest*}}"\n'
+        f'time_out = "{200 + place % 50}ms"\ntransmissions = 2\nretry_on = ["unreached", "full"]\n'
+        f"retry_budget = {{ share = 0.1, floor = 1.0 }}\nrate = {{ per_customer = 50.0, burst = 20.0 }}\n"
+        f"concurrency = {{ most = {20 + place % 7}, queue = 10 }}\n"
+        for place in range(number)
+    )
+
+
+def own_file(number: int, least: int = 30) -> str:
+    """A proxy's own file with so many routes."""
+    return f'[changes]\nleast = {least}\nwatch = "10s"\n\n{routes(number)}'
