Measured slopes projected on the target: rows over budget first, what carries them or missing

'pepperusher capacity project' holds kept slopes against the target for a mild and a harsh choice of what it leaves open, sorted by ratio, and prints the page. What was not measured is said.

--- a/pepperusher/capacity/latency.py
+++ b/pepperusher/capacity/latency.py
@@ -84,7 +84,7 @@
 
 def load(port: int, seed: int, rate: float = RATE, lasts: float = LASTS) -> Told:
     """After a while that is not counted. Raises ProcessError where more than 1 in 100 fail."""
-    asyncio.run(_load(port, rate, WARM, seed + 1, 1))
+    asyncio.run(_load(port, rate, min(WARM, lasts), seed + 1, 1))
     told = asyncio.run(_load(port, rate, lasts, seed, 1_000_000))
     if told.failed > told.calls / 100:
         raise ProcessError(f"{told.failed} of {told.calls} calls failed")
--- a/pepperusher/capacity/measures.py
+++ b/pepperusher/capacity/measures.py
@@ -16,7 +16,7 @@
 
 class Measure(NamedTuple):
     """One thing that grows: `at(size, seed)` gives its value in `unit`. `held_out` is a size for the check alone. `repeats` are
-    taken at each size and their median counts. `curve` empty: the best of those that `fit` knows.
+    taken at each size and their median counts.
     """
 
     name: str
@@ -29,7 +29,6 @@
     held_out: int
     at: Callable[[int, int], float]
     repeats: int = 1
-    curve: str = ""
 
 
 class Measured(msgspec.Struct, frozen=True, kw_only=True):
@@ -45,12 +44,14 @@
     repeats: int
     points: list[tuple[float, float]]
     held_out: tuple[float, float]
-    curve: str = ""
     load: float | None = None  # of the machine a minute long, as the measurement ended
 
     def fit(self) -> Fit:
+        """What is counted is fitted by the curve that leaves least, if that is clearly less than a line; what is timed by a line,
+        since noise bends too.
+        """
         points = [Point(*one) for one in self.points]
-        return fitted(points, self.curve) if self.curve else best(points)
+        return best(points) if self.worth == COUNTED else fitted(points)
 
     def check(self) -> Checked:
         return checked(self.fit(), Point(*self.held_out))
@@ -110,7 +111,6 @@
         repeats=one.repeats,
         points=points,
         held_out=held_out,
-        curve=one.curve,
         load=None if load is None else round(load(), 1),
     )
 
--- /dev/null
+++ b/pepperusher/capacity/projection.py
@@ -0,0 +1,357 @@
+"""From measured slopes and assumptions to what each role needs at the target, held against budgets; free of I/O."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from typing import NamedTuple
+
+from pepperusher.capacity.measures import Book, Measured
+
+MISSING = "missing"
+SECOND = 1_000_000.0
+MB = 1_000_000.0
+
+
+class Target(NamedTuple):
+    """The size that is coming, as it is given. Times in seconds but `added_us`."""
+
+    proxies: int = 5_000
+    services: int = 210
+    calls: float = 360_000.0
+    depth: int = 30
+    added_us: float = 1_300.0
+    regions: int = 4
+    zones: int = 13
+    changes_a_day: int = 2_400
+    in_force_s: float = 12.0
+    proxy_cpu_us: float = 14_000.0  # a second: 1.4% of a core
+    proxy_bytes: float = 256 * MB
+    proxy_wire: float = 21_000.0  # bytes a second for control
+    control_machines: int = 9
+    failures_a_day: int = 11
+    restarts_a_day: int = 1_500
+    told_s: float = 6.0  # after discovery had it
+
+
+class Assumed(NamedTuple):
+    """What the target leaves open. `listed` is the list that a proxy holds, `group` what its settings call the group's size."""
+
+    name: str
+    largest: int  # backends of the largest service; the mean is proxies / services
+    called: int  # services that one proxy calls
+    listed: int
+    group: int
+    callers: int  # proxies that call the service that most call
+    zoned: bool  # whether a proxy's settings name all zones
+    released: int  # backends replaced in a release
+    release_s: float
+    members: int  # of one group
+    routes: int  # in an own file
+    concerned: float  # part of the changes of configuration that concern one proxy
+    marked: int  # backends banned or drained by hand at once
+    depth: int  # how deep the calls go that the time added counts for
+    failing: int  # levels of a chain that fail at once, and the part of their calls
+    share: float
+
+
+MILD = Assumed(
+    "mild", largest=150, called=3, listed=72, group=1_000, callers=1_000, zoned=False, released=24, release_s=600.0, members=150,
+    routes=20, concerned=4 / 210, marked=40, depth=1, failing=1, share=0.3,
+)
+HARSH = Assumed(
+    "harsh", largest=400, called=12, listed=5_000, group=1, callers=5_000, zoned=True, released=400, release_s=180.0,
+    members=5_000, routes=200, concerned=1.0, marked=1_538, depth=30, failing=1, share=1.0,
+)
+
+
+class Budget(NamedTuple):
+    value: float
+    of: str  # where it comes from: the target, or our own choice
+
+
+class Row(NamedTuple):
+    """One cost at the target. A value is None where its slope was not measured. `from_` names the slopes."""
+
+    role: str
+    when: str
+    what: str
+    unit: str
+    mild: float | None
+    harsh: float | None
+    budget: Budget | None
+    mechanism: str
+    from_: tuple[str, ...]
+    note: str = ""
+
+    def ratio(self, value: float | None) -> float | None:
+        return None if value is None or self.budget is None else value / self.budget.value
+
+    @property
+    def worst(self) -> float:
+        """The greater of both ratios; -1 where there is none."""
+        found = [one for one in (self.ratio(self.mild), self.ratio(self.harsh)) if one is not None]
+        return max(found, default=-1.0)
+
+    @property
+    def missing(self) -> bool:
+        return self.mechanism.startswith(MISSING)
+
+
+def _times(*parts: float | None) -> float | None:
+    made = 1.0
+    for one in parts:
+        if one is None:
+            return None
+        made *= one
+    return made
+
+
+def _plus(*parts: float | None) -> float | None:
+    known = [one for one in parts if one is not None]
+    return sum(known) if len(known) == len(parts) else None
+
+
+class Projection:
+    """`book` has the slopes."""
+
+    def __init__(self, book: Book, target: Target = Target(), mild: Assumed = MILD, harsh: Assumed = HARSH) -> None:
+        self._book = book
+        self.target, self.mild, self.harsh = target, mild, harsh
+
+    def _at(self, name: str, size: float) -> float | None:
+        found: Measured | None = self._book.of(name)
+        return None if found is None else found.value(size)
+
+    def _single(self, name: str) -> float | None:
+        found = self._book.single(name)
+        return None if found is None else found.value
+
+    def rows(self) -> list[Row]:
+        """The worst first; those without a budget last."""
+        return sorted([*self._beside(), *self._front(), *self._discovery(), *self._backend(), *self._operator(), *self._chain()],
+                      key=lambda one: -one.worst)
+
+    def over(self) -> list[Row]:
+        return [one for one in self.rows() if one.worst > 1.0]
+
+    def first_missing(self) -> Row | None:
+        """The row that is furthest over its budget and that no mechanism carries."""
+        return next((one for one in self.over() if one.missing), None)
+
+    # --- by role ------------------------------------------------------------------------------------
+
+    def _beside(self) -> Iterator[Row]:
+        t, mild, harsh = self.target, self.mild, self.harsh
+        role = "proxy beside a backend"
+        added = Budget(t.added_us, "target: 1.3 ms added to a call")
+        cpu = Budget(t.proxy_cpu_us, "target: 1.4% of a core for control")
+        wire = Budget(t.proxy_wire, "target: 21 KB a second for control")
+        memory = Budget(t.proxy_bytes, "target: 256 MB")
+
+        def decision(of: Assumed) -> float | None:
+            return self._at("decision.group1" if of.group == 1 else "decision.group1000", of.listed)
+
+        yield Row(
+            role, "always", "a decision (take, pick, report)", "us", decision(mild), decision(harsh), added,
+            "arcs of the list (`policy.py` REACH, HEARD), which the settings' group size turns off at 1", ("decision.group1", "decision.group1000"),
+            "linear in the list only where the group size is small against HEARD x the list",
+        )
+        yield Row(
+            role, "always", "memory of an idle process", "bytes", self._at("process.memory", mild.listed),
+            self._at("process.memory", harsh.listed), memory, "the list as it is sent, all of it kept", ("process.memory",),
+        )
+        yield Row(
+            role, "ordinary day", "processor time a second: process and membership at rest", "us/s",
+            _plus(self._at("process.idle", mild.listed), self._at("group.cpu", mild.members)),
+            _plus(self._at("process.idle", harsh.listed), self._at("group.cpu", harsh.members)),
+            cpu, "`group/swim.py`, `net/discovery.py`", ("process.idle", "group.cpu"),
+        )
+        yield Row(
+            role, "ordinary day", "bytes a second out for membership, at rest", "bytes/s", self._at("group.bytes", mild.members),
+            self._at("group.bytes", harsh.members), wire, "`group/swim.py`", ("group.bytes",),
+        )
+        most = self._single("roll.most")
+        yield Row(
+            role, "always", "members of one group, each proxy one", "members", float(mild.members), float(harsh.members),
+            None if most is None else Budget(most, "the code: `group/roll.py` MOST"),
+            f"{MISSING}: groups by region (one flat group)", ("roll.most",),
+        )
+        marks = self._single("notices.most")
+        yield Row(
+            role, "a region lost", "backends banned or drained by hand at once", "notices", float(mild.marked), float(harsh.marked),
+            None if marks is None else Budget(marks, "the code: `group/notices.py` MOST"),
+            f"{MISSING}: marks by zone or region in place of one a backend", ("notices.most",),
+        )
+
+        def words(of: Assumed) -> float:
+            return 4 * of.released / of.release_s  # leaving, left, starting, serving
+
+        yield Row(
+            role, "release", "bytes a second out for membership", "bytes/s",
+            _plus(self._at("group.bytes", mild.members), _times(words(mild), self._at("group.change_bytes", mild.members))),
+            _plus(self._at("group.bytes", harsh.members), _times(words(harsh), self._at("group.change_bytes", harsh.members))),
+            wire, "`group/rumours.py`: each word told 4 log n times, by each", ("group.bytes", "group.change_bytes"),
+            "words that share a packet cost less than one by one, so this is a bound from above",
+        )
+        yield Row(
+            role, "every proxy started", "bytes that a newcomer is sent by its group, of 12 s", "bytes",
+            self._at("group.sync", mild.members), self._at("group.sync", harsh.members),
+            Budget(t.proxy_wire * t.in_force_s, "target: 21 KB a second, over 12 s"), "`group/swim.py` whole()", ("group.sync",),
+        )
+        yield Row(
+            role, "every proxy started", "bytes of its list, of 12 s", "bytes", self._at("list.bytes", mild.listed),
+            self._at("list.bytes", harsh.listed), Budget(t.proxy_wire * t.in_force_s, "target: 21 KB a second, over 12 s"),
+            f"{MISSING}: a subscription by name (every proxy is sent the whole list)", ("list.bytes",),
+        )
+
+        def change_rate(of: Assumed) -> float:
+            return 3 * of.released / of.release_s  # drains, goes, comes
+
+        yield Row(
+            role, "release", "processor time a second with the list's changes", "us/s",
+            _plus(self._at("process.idle", mild.listed), _times(change_rate(mild), self._at("list.change", mild.listed))),
+            _plus(self._at("process.idle", harsh.listed), _times(change_rate(harsh), self._at("list.change", harsh.listed))),
+            cpu, "`facade.listed`, which lays every ring anew for each change", ("process.idle", "list.change"),
+        )
+
+        def stall(name: str, size: int, rate: float) -> float | None:
+            """How long the loop stands, if that befalls more than 1 call in 100; else it is not in the 99th."""
+            one = self._at(name, size)
+            return None if one is None else one if one * rate > SECOND / 100 else 0.0
+
+        yield Row(
+            role, "release", "how long one change of the list holds the loop, where over 1 call in 100 meets it", "us",
+            stall("list.change", mild.listed, change_rate(mild)), stall("list.change", harsh.listed, change_rate(harsh)),
+            added, "`facade.listed` on the loop that carries calls", ("list.change",),
+            f"the harsh release changes the list {change_rate(harsh):.1f} times a second",
+        )
+        yield Row(
+            role, "every proxy started", "how long a whole list holds the loop", "us",
+            _plus(self._at("list.parse", mild.listed), self._at("list.take", mild.listed)),
+            _plus(self._at("list.parse", harsh.listed), self._at("list.take", harsh.listed)),
+            None, "`net/discovery.py`, at once on the loop", ("list.parse", "list.take"), "too rare for the 99th of 100, so no budget binds",
+        )
+
+        def checks(of: Assumed) -> float:
+            return of.concerned * t.changes_a_day / 86_400
+
+        yield Row(
+            role, "ordinary day", "how long checking an own file holds the loop, where over 1 call in 100 meets it", "us",
+            stall("config.check", mild.routes, checks(mild)), stall("config.check", harsh.routes, checks(harsh)), added,
+            "`own/reading.py` and `own/rules.py`, on the loop that carries calls", ("config.check",),
+            f"the harsh day brings a proxy all {t.changes_a_day} changes",
+        )
+        yield Row(
+            role, "ordinary day", "processor time a second for checking changes of configuration", "us/s",
+            _times(checks(mild), self._at("config.check", mild.routes)), _times(checks(harsh), self._at("config.check", harsh.routes)), cpu,
+            "`own/reading.py`, `changes/`", ("config.check",),
+        )
+        yield Row(
+            role, "always", "time added at the 99th of 100 by one proxy", "us", self._at("added.calm", mild.listed),
+            self._at("added.group1" if harsh.group == 1 else "added.calm", harsh.listed), added, "the whole proxy",
+            ("added.calm", "added.group1"), "on a shared machine; see the load beside the slope",
+        )
+        yield Row(
+            role, "release", "time added at the 99th of 100 by one proxy, one in 100 lists", "us", self._at("added.release", mild.listed),
+            self._at("added.release", harsh.listed), added, "the whole proxy", ("added.release",), "6.7 changes of the list a second in both",
+        )
+
+    def _front(self) -> Iterator[Row]:
+        mild, harsh = self.mild, self.harsh
+        role = "front proxy"
+        arc = "arc.zone", "arc.zones"
+        sockets = Budget(1_024, "own choice: `net/told.py` SOCKETS, a proxy's descriptors where its configuration names none")
+        yield Row(
+            role, "always", "backends it keeps connections to", "connections", self._at(arc[mild.zoned], mild.listed),
+            self._at(arc[harsh.zoned], harsh.listed), sockets, "arcs (`policy.py` REACH, HEARD)", arc,
+        )
+        clients = 2_000
+        yield Row(
+            role, "always", f"memory with {clients:,} connections of clients", "bytes", self._at("connection.memory", clients),
+            self._at("connection.memory", clients), Budget(self.target.proxy_bytes, "target: 256 MB"), "`net/callers.py`", ("connection.memory",),
+        )
+
+    def _discovery(self) -> Iterator[Row]:
+        t, mild, harsh = self.target, self.mild, self.harsh
+        role = "discovery"
+        line = Budget(125 * MB * t.told_s, "own choice: one line of 1 Gbit/s, for the 6 s within which all are to be told")
+        missing = f"{MISSING}: relays (9 control machines) and subscriptions by name"
+        yield Row(
+            role, "every proxy started", "bytes out", "bytes", _times(t.proxies, self._at("list.bytes", mild.listed)),
+            _times(t.proxies, self._at("list.bytes", harsh.listed)), line, missing, ("list.bytes",),
+        )
+        yield Row(
+            role, "a region lost", "bytes out: each lost backend one change, told to every proxy", "bytes",
+            _times(harsh.marked * mild.listed / t.proxies, self._at("discovery.change_bytes", t.proxies)),
+            _times(harsh.marked, self._at("discovery.change_bytes", t.proxies)), line, missing, ("discovery.change_bytes",),
+            "mild: a proxy hears of its own list alone",
+        )
+        yield Row(
+            role, "return after an outage of 3 s", "seconds until all proxies are told again, 4 ms a call, 64 waiting", "s",
+            self._at("discovery.return_seconds", t.proxies), self._at("discovery.return_seconds", t.proxies),
+            Budget(t.told_s, "term in force: told 6 s after discovery could be reached"), missing, ("discovery.return_seconds",),
+            "extrapolated; the stand-in and all watches are one process",
+        )
+        yield Row(
+            role, "return after an outage of 3 s", "calls, 4 ms a call, 64 waiting", "calls", self._at("discovery.return_calls", t.proxies),
+            self._at("discovery.return_calls", t.proxies), Budget(2.0 * t.proxies, "own choice: two for each proxy"),
+            f"doubled waits up to half of ask-within (`policy.py` list_failed); {missing}", ("discovery.return_calls",), "extrapolated",
+        )
+
+    def _backend(self) -> Iterator[Row]:
+        mild, harsh = self.mild, self.harsh
+        names = "callers.zone", "callers.zones"
+        yield Row(
+            "backend and its callers", "always", "proxies that keep connections to one of 24 backends", "connections",
+            self._at(names[mild.zoned], mild.callers), self._at(names[harsh.zoned], harsh.callers),
+            Budget(1_024, "own choice: the descriptors of a process that nobody has raised"),
+            "arcs (`policy.py` REACH, HEARD), laid by zone: with 13 zones a zone's part is under REACH, so all connect to all", names,
+        )
+
+    def _operator(self) -> Iterator[Row]:
+        t = self.target
+        spent = self._at("operator.change", t.proxies)
+        yield Row(
+            "operator", "ordinary day", "seconds until a change of configuration is in force at every proxy", "s", spent, spent,
+            Budget(t.in_force_s, "target: in force everywhere within 12 s"),
+            f"{MISSING}: distribution (one `ctl propose` after another, on each proxy's own machine, and no proof that all have it)",
+            ("operator.change",), "remote shells not counted",
+        )
+        day = None if spent is None else spent * t.changes_a_day
+        yield Row(
+            "operator", "ordinary day", f"seconds of one operator for {t.changes_a_day} changes a day, each everywhere", "s",
+            None if day is None else day / t.services, day, Budget(86_400.0, "a day"), f"{MISSING}: distribution", ("operator.change",),
+            "mild: each change concerns one service",
+        )
+
+    def _chain(self) -> Iterator[Row]:
+        t, mild, harsh = self.target, self.mild, self.harsh
+        sends = Budget(1.2 * t.depth, "own choice: SPARE_PART (0.2) read as the chain's whole excess over one send a level")
+
+        def key(of: Assumed, which: str) -> str:
+            return f"attempts.error.{round(of.share * 100)}.{of.failing}.{which}"
+
+        for which, what, when in (("first", "sends for one call along 30 levels, just after", "a service lost"),
+                                  ("after", "sends for one call along 30 levels, later", "a service lost"),
+                                  ("most", "sends for the worst call along 30 levels", "a service lost")):
+            yield Row(
+                "proxy beside a backend", when, what, "sends", self._single(key(mild, which)), self._single(key(harsh, which)), sends,
+                "SPARE_PART and SPARE_MOST at each proxy, and the client's wait; nothing is carried down the chain",
+                (key(mild, which), key(harsh, which)),
+                "mild: the last level fails 3 in 10 calls; harsh: all. Without a bound it were 3^30",
+            )
+        reached = [depth for depth in (4, 8, 12, 16, 20, 30) if (self._single(f"cold.{depth}.done") or 0.0) >= 0.99]
+        levels = None if self._single("cold.30.done") is None else t.depth / max(reached, default=1)
+        yield Row(
+            "proxy beside a backend", "every proxy started", "levels of a chain over those that get a call through while no proxy knows a time", "",
+            None if levels is None else 1.0, levels, Budget(1.0, "the target's 30 levels"),
+            "`policy.py` _patience: half of what is left for each level while nothing is known of the times below", ("cold.12.done", "cold.16.done", "cold.30.done"),
+            "clients that wait 2 s, services that take 1 ms; mild: the chain is warm",
+        )
+        short, long = (self._single(f"chain.{t.depth}.{listed}.added99") for listed in (24, 1000))
+        for levels_of, said in ((t.depth, "for each level"), (1, "for the whole chain")):
+            yield Row(
+                "proxy beside a backend", "always", "time added at the 99th of 100 by 30 proxies in a row", "us", short, long,
+                Budget(t.added_us * levels_of, f"target: 1.3 ms, read as {said}"), "the whole proxy",
+                ("chain.30.24.added99", "chain.30.1000.added99"), "mild: 24 listed, harsh: 1,000",
+            )
--- a/pepperusher/capacity/slope_commands.py
+++ b/pepperusher/capacity/slope_commands.py
@@ -12,9 +12,10 @@
 import click
 import msgspec
 
-from pepperusher.capacity import slopes as measurements
+from pepperusher.capacity import page, slopes as measurements
 from pepperusher.capacity.measures import Book, Measured, merged, only, taken
 from pepperusher.capacity.processes import ProcessError
+from pepperusher.capacity.projection import Projection
 
 
 def _commit() -> str:
@@ -83,7 +84,7 @@
         _say(f"[{place} of {len(wanted)}] {one.name}")
         try:
             book.measured.append(taken(one, seed, lambda: os.getloadavg()[0], _say))
-        except ProcessError as error:
+        except (ProcessError, TimeoutError) as error:
             click.echo(f"{one.name}: not measured: {error}", err=True)
             continue
         keep()
@@ -115,6 +116,26 @@
 
 
 @click.command()
-def project() -> None:
-    """Hold measured slopes against a target, worst first."""
-    raise click.ClickException("not built yet")
+@click.option("--slopes", "path", type=click.Path(path_type=Path, dir_okay=False), default=Path("docs/capacity.json"), show_default=True,
+              help="Figures that `capacity slopes --out` kept.")
+@click.option("--page", "out", type=click.Path(path_type=Path, dir_okay=False),
+              help="Write the page here; what stands there between the marks of the after-figures is kept.")
+@click.option("--json", "as_json", is_flag=True, help="Print it as JSON.")
+def project(path: Path, out: Path | None, as_json: bool) -> None:
+    """Hold measured slopes against the target, worst first.
+
+    Prints what is over its budget; the whole page with --page, and all rows with --json.
+    """
+    book = read(path)
+    made = Projection(book)
+    if out is not None:
+        after = page.after_of(out.read_text()) if out.exists() else page.NOTHING_YET
+        out.write_text(page.printed(made, book, after))
+    if as_json:
+        sys.stdout.buffer.write(msgspec.json.encode(page.as_json(made, book)) + b"\n")
+        return
+    for row in made.over():
+        click.echo(f"{row.worst:8.1f} times: {row.role}, {row.when}: {row.what}: {page.figure(row.mild, row.unit)} mild,"
+                   f" {page.figure(row.harsh, row.unit)} harsh; {row.mechanism}")
+    first = made.first_missing()
+    click.echo(f"furthest over its budget and carried by no mechanism: {first.what if first else 'none'}")
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,293 @@
+"""Slopes, their projection and the page; what is asserted on growth is counted, never timed."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from pepperusher.capacity import attempts, decisions, latency, membership, page, processes, stage, watching
+from pepperusher.capacity.commands import COMMANDS, capacity
+from pepperusher.capacity.fit import Point, best, checked, fitted
+from pepperusher.capacity.measures import COUNTED, TIMED, Book, Measure, Measured, Single, merged, taken
+from pepperusher.capacity.projection import HARSH, MILD, Projection
+
+LIMIT = 60  # seconds of one test
+
+
+class Limited(unittest.TestCase):
+    """Each test ends by itself."""
+
+    def setUp(self) -> None:
+        def late(*_: object) -> None:
+            raise AssertionError(f"not over in {LIMIT} s")
+
+        self.addCleanup(signal.signal, signal.SIGALRM, signal.signal(signal.SIGALRM, late))
+        self.addCleanup(signal.alarm, 0)
+        signal.alarm(LIMIT)
+
+
+def points(of: object, *sizes: int) -> list[Point]:
+    assert callable(of)
+    return [Point(size, of(size)) for size in sizes]
+
+
+class Fits(Limited):
+    def test_a_line_is_found_with_an_interval_of_nothing(self) -> None:
+        fit = fitted(points(lambda size: 3.0 + 2.0 * size, 1, 2, 5, 8, 13))
+        for found, true in ((fit.base, 3.0), (fit.slope, 2.0), (fit.low, 2.0), (fit.high, 2.0), (fit.residual, 0.0)):
+            self.assertAlmostEqual(found, true)
+
+    def test_the_interval_is_students(self) -> None:
+        # By hand: x 1..5, y 1 2 1.3 3.75 2.25; slope 0.425, its standard error 0.305, t at 3 degrees 3.182.
+        fit = fitted([Point(x, y) for x, y in zip((1, 2, 3, 4, 5), (1.0, 2.0, 1.3, 3.75, 2.25))])
+        self.assertAlmostEqual(fit.base, 0.785)
+        self.assertAlmostEqual(fit.slope, 0.425)
+        self.assertAlmostEqual(fit.low, 0.425 - 3.182 * 0.305, places=5)
+        self.assertAlmostEqual(fit.high, 0.425 + 3.182 * 0.305, places=5)
+        self.assertAlmostEqual(sum(fit.residuals), 0.0)
+        self.assertAlmostEqual(fit.residuals[0], -0.21)
+
+    def test_a_slope_is_never_of_fewer_than_five_sizes(self) -> None:
+        self.assertRaises(ValueError, fitted, points(float, 1, 2, 3, 4))
+        self.assertRaises(ValueError, fitted, [*points(float, 1, 2, 3, 4), Point(4, 5.0)])
+        self.assertRaises(ValueError, fitted, [*points(float, 1, 2, 3, 4), Point(5, float("nan"))])
+
+    def test_growth_that_is_no_line_is_found_by_its_curve(self) -> None:
+        for curve, grows in (("n squared", lambda size: 5 + 0.1 * size * size), ("root of n", lambda size: 2 + 3 * size**0.5),
+                             ("line", lambda size: 7 + 0.5 * size)):
+            self.assertEqual(best(points(grows, 10, 30, 90, 200, 500)).curve, curve)
+
+    def test_a_little_noise_does_not_bend_a_line(self) -> None:
+        noisy = [Point(size, 100 + size * (1 + wrong)) for size, wrong in zip((100, 200, 400, 800, 1600), (0.02, -0.03, 0.03, -0.02, 0.01))]
+        self.assertEqual(best(noisy).curve, "line")
+
+    def test_what_was_not_fitted_is_held_against_what_was(self) -> None:
+        check = checked(fitted(points(lambda size: 2.0 * size, 1, 2, 3, 4, 5)), Point(10, 16.0))
+        self.assertAlmostEqual(check.said, 20.0)
+        self.assertAlmostEqual(check.error, 0.25)
+
+
+def book(**slopes: tuple[float, float]) -> Book:
+    """Slopes by name with dots as two underscores: base and slope, as lines."""
+    made = Book(commit="abc", command="measured", machine="a machine")
+    for name, (base, slope) in slopes.items():
+        made.measured.append(Measured(
+            name=name.replace("__", "."), role="r", what="w", per="p", unit="us", worth=TIMED, seed=1, repeats=1,
+            points=[(size, base + slope * size) for size in (10.0, 20.0, 30.0, 40.0, 50.0)], held_out=(100.0, base + slope * 100),
+        ))
+    return made
+
+
+class Projections(Limited):
+    def test_slopes_and_assumptions_give_values_and_ratios(self) -> None:
+        of = Projection(book(decision__group1=(10.0, 1.0), decision__group1000=(50.0, 0.0), operator__change=(0.0, 0.5)))
+        rows = {row.what: row for row in of.rows()}
+        decision = rows["a decision (take, pick, report)"]
+        self.assertEqual((decision.mild, decision.harsh), (50.0, 10.0 + HARSH.listed))
+        self.assertAlmostEqual(decision.worst, (10.0 + HARSH.listed) / 1300)
+        told = rows["seconds until a change of configuration is in force at every proxy"]
+        self.assertAlmostEqual(told.worst, 2500 / 12)
+
+    def test_the_worst_comes_first_and_the_first_without_a_mechanism_is_named(self) -> None:
+        of = Projection(book(decision__group1=(0.0, 100.0), decision__group1000=(50.0, 0.0), operator__change=(0.0, 0.5)))
+        ratios = [row.worst for row in of.rows()]
+        self.assertEqual(ratios, sorted(ratios, reverse=True))
+        self.assertEqual(of.over()[0].what, "a decision (take, pick, report)")   # 385 times, and a mechanism
+        first = of.first_missing()
+        assert first is not None
+        self.assertIn("in force at every proxy", first.what)
+
+    def test_what_was_not_measured_is_said_and_never_filled(self) -> None:
+        empty = Projection(book())
+        self.assertIsNone(next(row for row in empty.rows() if "in force" in row.what).harsh)
+        printed = page.printed(empty, book())
+        self.assertIn("- operator, ordinary day: seconds until a change of configuration is in force at every proxy.", printed)
+        self.assertIn("**control machine**: every occasion", printed)
+
+    def test_the_page_opens_with_what_is_over_and_keeps_the_after_figures(self) -> None:
+        made = book(operator__change=(0.0, 0.5), list__bytes=(0.0, 1.0))
+        first = page.printed(Projection(made), made)
+        self.assertLess(first.index("## Over budget"), first.index("## All rows"))
+        self.assertLess(first.index("seconds until a change"), first.index("bytes of its list"))
+        self.assertEqual(page.after_of(first), page.NOTHING_YET)
+        filled = first.replace(page.NOTHING_YET, "| 1.2 s |")
+        self.assertEqual(page.printed(Projection(made), made, page.after_of(filled)), filled)
+
+    def test_every_assumption_stands_on_the_page(self) -> None:
+        self.assertEqual(set(page.SAID) | {"name"}, set(MILD._fields))
+
+
+class Measures(Limited):
+    def test_the_middle_of_several_counts_and_the_held_out_size_is_not_fitted(self) -> None:
+        told = iter([1.0, 9.0, 2.0] * 6)
+        one = Measure("x", "r", "w", "p", "us", TIMED, (1, 2, 3, 4, 5), 10, lambda _, __: next(told), 3)
+        made = taken(one, 1)
+        self.assertEqual(made.points, [(float(size), 2.0) for size in (1, 2, 3, 4, 5)])
+        self.assertEqual(made.held_out, (10.0, 2.0))
+
+    def test_what_is_measured_again_takes_the_place_of_what_was(self) -> None:
+        before, now = book(a=(0.0, 1.0), b=(0.0, 1.0)), book(b=(0.0, 3.0))
+        now.singles.append(Single(name="s", what="", unit="", worth=COUNTED, seed=1, value=2.0))
+        both = merged(before, now)
+        self.assertEqual([one.name for one in both.measured], ["a", "b"])
+        assert (again := both.of("b")) is not None
+        self.assertAlmostEqual(again.fit().slope, 3.0)
+
+
+class Counted(Limited):
+    """Slopes of this program in messages, bytes and connections, at small sizes."""
+
+    def test_an_entry_of_the_list_is_under_150_bytes(self) -> None:
+        fit = fitted(points(lambda size: decisions.list_bytes(size, 1), 10, 20, 40, 80, 160))
+        self.assertTrue(110 < fit.slope < 150, fit)
+        self.assertLess(abs(checked(fit, Point(400, decisions.list_bytes(400, 1))).error), 0.02)
+
+    def test_a_backend_is_heard_by_an_arc_of_its_callers(self) -> None:
+        """Each proxy keeps to four of 24 and a part of a fifth or so: connections grow by a fourth of one with each caller."""
+        at = decisions.callers_at(24)
+        fit = fitted(points(lambda size: at(size, 1), 50, 100, 150, 200, 300))
+        self.assertTrue(0.15 < fit.slope < 0.35, fit)
+
+    def test_by_list_an_arc_grows_by_a_hundredth_with_a_thousand_callers(self) -> None:
+        at = decisions.arc_by_list(1000)
+        fit = fitted(points(lambda size: at(size, 1), 200, 400, 600, 800, 1000))
+        self.assertTrue(0.002 < fit.slope < 0.02, fit)
+
+    def test_a_member_at_rest_sends_as_much_in_a_large_group_as_in_a_small_one(self) -> None:
+        sizes = (8, 16, 24, 32, 48)
+        messages = fitted(points(lambda size: membership.spent("messages")(size, 1), *sizes))
+        sent = fitted(points(lambda size: membership.spent("bytes")(size, 1), *sizes))
+        self.assertAlmostEqual(messages.at(48), 4.0, delta=0.2)   # asked, answered, and both by others
+        self.assertLess(abs(messages.slope), 0.01)
+        self.assertLess(sent.at(48), 1500)
+
+    def test_a_word_costs_a_member_by_the_logarithm_of_its_group(self) -> None:
+        found = points(lambda size: membership.spent("change_messages")(size, 2), 8, 16, 32, 48, 64)
+        fit = fitted(found, "log n")
+        self.assertTrue(2.0 < fit.slope < 5.0, fit)
+
+    def test_a_newcomer_is_sent_under_70_bytes_for_each_member(self) -> None:
+        fit = fitted(points(lambda size: membership.sync(size, 1), 20, 40, 80, 160, 320))
+        self.assertTrue(40 < fit.slope < 70, fit)
+
+    def test_bounds_of_the_code_are_found_by_filling_it(self) -> None:
+        self.assertEqual((membership.most_members(), membership.most_notices()), (2000, 500))
+
+    def test_each_proxy_asks_once_at_a_start_and_once_at_a_return(self) -> None:
+        """As many as wait at discovery: a storm begins beyond that."""
+        for name, lowest, most in (("start_calls", 1.0, 1.0), ("return_calls", 1.0, 2.0)):
+            at = watching.played(name)
+            for size in (6, 12):
+                self.assertTrue(lowest * size <= at(size, 1) <= most * size, f"{name} {at(size, 1)} for {size}")
+        change = watching.played("change_bytes")
+        self.assertEqual(change(6, 1) * 2, change(12, 1))
+
+    def test_an_idle_connection_is_one_descriptor(self) -> None:
+        at = processes.by_connections("descriptors")
+        self.assertEqual(at(25, 1) - at(5, 1), 20)
+
+
+class Attempts(Limited):
+    def test_a_chain_that_is_well_sends_once_a_level(self) -> None:
+        first, after = attempts.came(8, 0, 0.0, 1, calls=20)
+        self.assertEqual((after.sends, after.last, after.done, after.cut), (8.0, 1.0, 1.0, 0))
+        self.assertEqual(first.sends, 8.0)
+
+    def test_further_sends_are_held_to_a_part_at_each_level(self) -> None:
+        """All calls fail at the last of eight levels: 1.2 to the power of the level, not 3."""
+        _, after = attempts.came(8, 1, 1.0, 1, calls=200)
+        self.assertLess(after.sends, sum(1.25**level for level in range(1, 9)))
+        self.assertGreater(after.sends, 8)
+
+    def test_the_same_seed_gives_the_same(self) -> None:
+        self.assertEqual(attempts.came(6, 1, 0.3, 5, calls=20), attempts.came(6, 1, 0.3, 5, calls=20))
+
+
+class Load(Limited):
+    def test_it_is_open_loop(self) -> None:
+        """Nothing is answered before five have come: a closed loop would wait for the first for ever."""
+        async def scene() -> latency.Told:
+            come = asyncio.Event()
+            seen = 0
+
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                nonlocal seen
+                try:
+                    while True:
+                        await reader.readuntil(b"\r\n\r\n")
+                        seen += 1
+                        if seen == 5:
+                            come.set()
+                        await come.wait()
+                        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                except asyncio.IncompleteReadError:
+                    writer.close()
+
+            server = await asyncio.start_server(serve, "127.0.0.1", 0)
+            try:
+                return await latency._load(server.sockets[0].getsockname()[1], 100.0, 0.5, 1, 1)
+            finally:
+                server.close()
+
+        told = asyncio.run(scene())
+        self.assertEqual(told.failed, 0)
+        self.assertGreater(told.calls, 5)
+
+    def test_a_chain_of_whole_proxies_carries_calls(self) -> None:
+        added = latency.through_chain(3, 10, 10, 1, lasts=1.0)
+        self.assertEqual((added.bare.failed, added.through.failed), (0, 0))
+        self.assertGreater(added.through.calls, 20)
+
+
+class Commands(Limited):
+    def test_slopes_are_kept_and_projected(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            kept, out = Path(folder) / "slopes.json", Path(folder) / "page.md"
+            run = CliRunner().invoke(capacity, ["slopes", "--only", "list.bytes", "--out", str(kept), "--json"])
+            self.assertEqual(run.exit_code, 0, run.output)
+            self.assertEqual(json.loads(run.stdout.splitlines()[-1])["measured"][0]["name"], "list.bytes")
+            run = CliRunner().invoke(capacity, ["project", "--slopes", str(kept), "--page", str(out), "--json"])
+            self.assertEqual(run.exit_code, 0, run.output)
+            told = json.loads(run.stdout)
+            self.assertEqual(told["first_missing"], "bytes out")   # of discovery, as all proxies start
+            self.assertIn("| list.bytes |", out.read_text())
+
+    def test_what_cannot_be_read_is_one_line(self) -> None:
+        with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
+            file.write('{"commit": 5}')
+            file.flush()
+            for words, said in ((["project", "--slopes", file.name], file.name), (["slopes", "--only", "nothing"], "nothing"),
+                                (["project", "--slopes", file.name + ".gone"], "gone")):
+                run = CliRunner().invoke(capacity, words)
+                self.assertEqual(run.exit_code, 1)
+                self.assertEqual(len(run.output.strip().splitlines()), 1, run.output)
+                self.assertIn(said, run.output)
+
+    def test_each_command_is_there(self) -> None:
+        for name in COMMANDS:
+            run = CliRunner().invoke(capacity, [name, "--help"])
+            self.assertEqual(run.exit_code, 0, run.output)
+
+    def test_serve_loads_nothing_of_it(self) -> None:
+        script = "import sys, pepperusher.__main__, pepperusher.company; print([m for m in sys.modules if m.startswith('pepperusher.capacity')])"
+        said = subprocess.run([sys.executable, "-c", script], capture_output=True, text=True, check=True, timeout=LIMIT)
+        self.assertEqual(said.stdout.strip(), "[]")
+
+
+class Stages(Limited):
+    def test_made_up_lists_have_what_the_target_says(self) -> None:
+        self.assertEqual(len(stage.ZONES), 13)
+        self.assertEqual(len({one["id"] for one in stage.listing(5000)["servers"]}), 5000)
+        self.assertEqual(len({one["addr"] for one in stage.listing(5000)["servers"]}), 5000)
+
+
+if __name__ == "__main__":
+    unittest.main()
