Each slope names its command and commit; rows for racks, zones and regions lost, and what is held

So that a cell can be taken again by itself, also where others were measured later. Rows are arithmetic on slopes that were measured; nothing is filled in where one was not.

--- a/pepperusher/capacity/latency.py
+++ b/pepperusher/capacity/latency.py
@@ -14,7 +14,7 @@
 
 # Calls a second of one proxy at the target: 360,000 over 5,000.
 RATE = 72.0
-LASTS = 20.0
+LASTS = 12.0
 WARM = 3.0
 WITHIN = 2.0
 
--- a/pepperusher/capacity/page.py
+++ b/pepperusher/capacity/page.py
@@ -77,7 +77,7 @@
         f"{_short(fit.base)} + {fit.slope:.3g} ({fit.low:.3g} to {fit.high:.3g}) {one.unit} by {curve}",
         f"{fit.residual:.1%}",
         f"{check.size:,.0f}: {_short(check.said)} said, {_short(check.measured)} measured, **{check.error:+.1%}**",
-        f"{', '.join(f'{size:,.0f}' for size, _ in one.points)}; {one.worth}, {one.repeats} each, seed {one.seed}{load}",
+        f"`{one.command}` at {one.commit}: {', '.join(f'{size:,.0f}' for size, _ in one.points)}; {one.worth}, {one.repeats} each{load}",
     ]
 
 
@@ -106,11 +106,12 @@
 
 SAID = {
     "largest": "backends of the largest of the 210 services (mean 24)", "called": "services that one proxy calls",
-    "listed": "backends on the list of one proxy", "group": "group size in a proxy's settings",
+    "listed": "backends on the list of one proxy (mild: of the services that it calls; harsh: all, since nothing is sent by name)",
+    "group": "group size in a proxy's settings",
     "callers": "proxies that call the service that most call", "zoned": "settings name all 13 zones",
     "released": "backends replaced in one release", "release_s": "within so many seconds", "members": "members of one group of proxies",
     "routes": "routes in an own file", "concerned": "part of the changes of configuration that concern one proxy",
-    "marked": "backends banned or drained by hand at once", "depth": "levels that the time added counts for",
+    "marked": "backends banned or drained by hand at once",
     "failing": "levels of a chain that fail at once", "share": "part of their calls that they fail",
 }
 
@@ -130,10 +131,10 @@
     for role in ROLES:
         there = {row.when for row in rows if row.role == role}
         gone = [when for when in OCCASIONS if when not in there]
-        if len(gone) == len(OCCASIONS):
+        if not there:
             yield f"- **{role}**: every occasion{': there is no such role on this commit' if role == 'control machine' else ''}."
         else:
-            yield f"- {role}: {', '.join(gone)}."
+            yield f"- {role}: nothing of its own for {', '.join(gone)}{', beside what holds always' if 'always' in there else ''}."
 
 
 def _at_all(book: Book) -> Iterator[str]:
@@ -178,8 +179,8 @@
         "",
         "Printed by `pepperusher capacity project --slopes docs/capacity.json --page docs/CAPACITY.md`; nothing here is written by hand but what"
         " stands between the marks of the after-figures. A slope is a least-squares fit over five sizes or more, checked at a size that was not"
-        f" fitted. Measured by `{book.command}` and its like, commit {book.commit}, {book.machine}; the machine was shared, so times (medians of"
-        " `time.process_time` where one process is measured) are worth what the load beside them says. Counts are exact.",
+        f" fitted. {book.machine}; the machine was shared, so times (medians, of `time.process_time` where one process is measured) are worth"
+        " what the load beside them says. Counts are exact. A commit with a plus had changes that were not committed.",
         "",
         f"The target: {target.proxies:,} backends, each with its proxy, in {target.services} services; {target.calls:,.0f} calls a second up to"
         f" {target.depth} deep; {target.added_us / 1000:g} ms added to a call for 99 in 100; {target.regions} regions, {target.zones} zones;"
@@ -221,7 +222,7 @@
         "",
         "## Attempts along a chain",
         "",
-        "The real decisions in virtual time, one call from the top at a time, 2 s of patience, 1 ms of work at each level, 24 backends. Without a"
+        "`pepperusher capacity slopes --only attempts`. The real decisions in virtual time, one call from the top at a time, 2 s of patience, 1 ms of work at each level, 24 backends. Without a"
         " bound three attempts at each of 30 levels come to 3^30. What stops it: SPARE_PART (0.2 further sends for each call taken) at each"
         " proxy, and the client's wait; SPARE_MOST (10 saved up) makes the first calls the dearest. A failure that is passed up as `full` never"
         " ran, and is not held to SPARE_PART.",
@@ -230,7 +231,7 @@
         "",
         "## A chain of whole proxies",
         "",
-        "Open loop, Poisson, latency from the intended moment of sending, against the same services without proxies.",
+        "`pepperusher capacity slopes --only nothing --chain`. Open loop, Poisson, latency from the intended moment of sending, against the same services without proxies.",
         "",
         *_chain(book),
         "",
--- a/pepperusher/capacity/projection.py
+++ b/pepperusher/capacity/projection.py
@@ -49,18 +49,17 @@
     routes: int  # in an own file
     concerned: float  # part of the changes of configuration that concern one proxy
     marked: int  # backends banned or drained by hand at once
-    depth: int  # how deep the calls go that the time added counts for
     failing: int  # levels of a chain that fail at once, and the part of their calls
     share: float
 
 
 MILD = Assumed(
     "mild", largest=150, called=3, listed=72, group=1_000, callers=1_000, zoned=False, released=24, release_s=600.0, members=150,
-    routes=20, concerned=4 / 210, marked=40, depth=1, failing=1, share=0.3,
+    routes=20, concerned=4 / 210, marked=40, failing=1, share=0.3,
 )
 HARSH = Assumed(
     "harsh", largest=400, called=12, listed=5_000, group=1, callers=5_000, zoned=True, released=400, release_s=180.0,
-    members=5_000, routes=200, concerned=1.0, marked=1_538, depth=30, failing=1, share=1.0,
+    members=5_000, routes=200, concerned=1.0, marked=1_538, failing=1, share=1.0,
 )
 
 
@@ -170,6 +169,31 @@
             role, "ordinary day", "bytes a second out for membership, at rest", "bytes/s", self._at("group.bytes", mild.members),
             self._at("group.bytes", harsh.members), wire, "`group/swim.py`", ("group.bytes",),
         )
+        yield Row(
+            role, "ordinary day", "messages a second out for membership, at rest", "messages/s", self._at("group.messages", mild.members),
+            self._at("group.messages", harsh.members), None, "`group/swim.py`", ("group.messages",),
+        )
+        yield Row(
+            role, "always", "state: its list, as the watch and the decisions hold it", "bytes", self._at("list.memory", mild.listed),
+            self._at("list.memory", harsh.listed), memory, "`net/discovery.py`, `policy.py`", ("list.memory",),
+        )
+        yield Row(
+            role, "always", "state: the members of its group", "bytes", self._at("group.state", mild.members),
+            self._at("group.state", harsh.members), memory, "`group/roll.py`", ("group.state",), "the roll itself ends at its bound",
+        )
+        day = 3 * t.restarts_a_day / 86_400  # a restart drains, goes and comes
+        each = self._at("discovery.change_bytes", 1)
+        for when, changes in (("ordinary day", (day, day)), ("release", (3 * mild.released / mild.release_s, 3 * harsh.released / harsh.release_s))):
+            yield Row(
+                role, when, "bytes a second in for changes of its list", "bytes/s", _times(changes[0] * mild.listed / t.proxies, each),
+                _times(changes[1], each), wire, "`net/discovery.py`", ("discovery.change_bytes",),
+            )
+        for when, lost in (("a rack lost", 40), ("a zone lost", t.proxies // t.zones), ("a region lost", t.proxies * 4 // t.zones)):
+            yield Row(
+                role, when, f"bytes in for {lost:,} changes of the list, of 12 s", "bytes", _times(lost * mild.listed / t.proxies, each),
+                _times(lost, each), Budget(t.proxy_wire * t.in_force_s, "target: 21 KB a second, over 12 s"), "`net/discovery.py`",
+                ("discovery.change_bytes",),
+            )
         most = self._single("roll.most")
         yield Row(
             role, "always", "members of one group, each proxy one", "members", float(mild.members), float(harsh.members),
@@ -280,11 +304,22 @@
             role, "every proxy started", "bytes out", "bytes", _times(t.proxies, self._at("list.bytes", mild.listed)),
             _times(t.proxies, self._at("list.bytes", harsh.listed)), line, missing, ("list.bytes",),
         )
+        each = self._at("discovery.change_bytes", t.proxies)
+        for when, lost in (("a rack lost", 40), ("a zone lost", t.proxies // t.zones), ("a region lost", t.proxies * 4 // t.zones)):
+            yield Row(
+                role, when, f"bytes out for {lost:,} changes, told to every proxy", "bytes", _times(lost * mild.listed / t.proxies, each),
+                _times(lost, each), line, missing, ("discovery.change_bytes",), "mild: a proxy hears of its own list alone",
+            )
+        yield Row(
+            role, "release", "bytes a second out for changes", "bytes/s",
+            _times(3 * mild.released / mild.release_s * mild.listed / t.proxies, each), _times(3 * harsh.released / harsh.release_s, each),
+            Budget(125 * MB, "own choice: one line of 1 Gbit/s"), missing, ("discovery.change_bytes",),
+        )
+        starts = self._at("discovery.start_calls", t.proxies)
         yield Row(
-            role, "a region lost", "bytes out: each lost backend one change, told to every proxy", "bytes",
-            _times(harsh.marked * mild.listed / t.proxies, self._at("discovery.change_bytes", t.proxies)),
-            _times(harsh.marked, self._at("discovery.change_bytes", t.proxies)), line, missing, ("discovery.change_bytes",),
-            "mild: a proxy hears of its own list alone",
+            role, "every proxy started", "calls, 4 ms a call, 64 waiting", "calls", starts, starts, Budget(2.0 * t.proxies, "own choice: two for each proxy"),
+            "doubled waits, up to half of the drain's grace where the list is pushed (`policy.py` list_failed, `facade.py`)",
+            ("discovery.start_calls",), "extrapolated 12 times beyond the check",
         )
         yield Row(
             role, "return after an outage of 3 s", "seconds until all proxies are told again, 4 ms a call, 64 waiting", "s",
--- a/pepperusher/capacity/slope_commands.py
+++ b/pepperusher/capacity/slope_commands.py
@@ -49,6 +49,10 @@
     path.write_bytes(msgspec.json.format(msgspec.json.encode(book), indent=1) + b"\n")
 
 
+def _load() -> float:
+    return os.getloadavg()[0]
+
+
 def _say(line: str) -> None:
     click.echo(f"{time.strftime('%H:%M:%S')} {line}", err=True)
 
@@ -83,17 +87,18 @@
     for place, one in enumerate(wanted, 1):
         _say(f"[{place} of {len(wanted)}] {one.name}")
         try:
-            book.measured.append(taken(one, seed, lambda: os.getloadavg()[0], _say))
+            book.measured.append(taken(one, seed, _load, _say, book.commit, f"pepperusher capacity slopes --only {one.name} --seed {seed}"))
         except (ProcessError, TimeoutError) as error:
             click.echo(f"{one.name}: not measured: {error}", err=True)
             continue
         keep()
     if with_singles:
-        book.singles += measurements.singles(seed, _say)
+        book.singles += [msgspec.structs.replace(one, commit=book.commit) for one in measurements.singles(seed, _say)]
         keep()
     if chain:
         try:
-            book.singles += measurements.chain(seed, _say)
+            book.singles += [msgspec.structs.replace(one, commit=book.commit, load=round(_load(), 1))
+                             for one in measurements.chain(seed, _say)]
         except ProcessError as error:
             raise click.ClickException(f"the chain: {error}") from None
         keep()
--- a/pepperusher/capacity/slopes.py
+++ b/pepperusher/capacity/slopes.py
@@ -85,7 +85,7 @@
         ("return_seconds", "seconds until all are told after its return", "s", TIMED),
     ):
         yield Measure(
-            f"discovery.{name}", DISCOVERY, what, "proxy", unit, worth, (100, 150, 200, 250, 300), 400, watching.played(name)
+            f"discovery.{name}", DISCOVERY, what, "proxy", unit, worth, (100, 150, 200, 250, 300), 400, watching.played(name), 3
         )
 
 
