--- a/pepperusher/__main__.py
+++ b/pepperusher/__main__.py
@@ -21,6 +21,7 @@
             for name in ("emulate", "load", "rehearse", "experiment", "report", "group-figures", "askers")},
          **{name: ("pepperusher.own.commands", "own") for name in ("explain", "schema")},
          "control": ("pepperusher.distribution.commands", "own"),
+         "capacity": ("pepperusher.capacity.commands", "rehearsal"),
          "ctl": ("pepperusher.control.commands", "own"), "store": ("pepperusher.store.commands", "store")}
 
 
