Hollow proxies: the real list, decision and file state of many proxies in one process

Need: no machine of ours holds 5,000 serve processes, and what control costs at that size could not be played. A hollow proxy is the Proxy itself with its watch at discovery, decisions, list of doors and own file's state, without listener, requests and the timers that serve those. Many stand in a process, under orders; each zone has a process of links between it and what control has elsewhere; one discovery with a view each tells them. Ruled out: a model of the watch, since then figures would be the model's.

--- /dev/null
+++ b/pepperusher/rehearsal/hollow.py
@@ -0,0 +1,374 @@
+"""Hollow proxies: everything of a proxy that control reaches, many in one process, without its requests.
+
+Real are the watch at discovery, the list and the decision state it is put into, the own file's state with its
+versions and marks, and whatever speaks for control over sockets. Left out are the listener, requests with
+their connections, and the timers that serve those alone (`docs/scale.md` says what that changes). Run as
+`python -m pepperusher.rehearsal.hollow NUMBER SPEC`, a process takes orders as `rehearsal.worker` has them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import os
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+from pepperusher.changes.ledger import LedgerError
+from pepperusher.changes.standing import Standing
+from pepperusher.facade import Entry, Facade
+from pepperusher.ground import ground
+from pepperusher.net import clock
+from pepperusher.net.backends import Backends
+from pepperusher.net.companion import Companion, Host, Narrow
+from pepperusher.net.discovery import GONE, Discovery, News, Source, news_of
+from pepperusher.net.log import Log
+from pepperusher.net.proxy import Proxy
+from pepperusher.net.told import Told
+from pepperusher.own import reading
+from pepperusher.own.reading import OwnError, Read
+from pepperusher.rehearsal.worker import Orders
+from pepperusher.terms import Ground
+
+# One that is slow has its loop held so long at a time.
+SLOW_TURN = 0.05
+NOWHERE = ("127.0.0.1", 1)
+Noted = Callable[[str, int], None]
+
+
+class NotedDiscovery(Discovery):
+    """Says when a version is in force: after the decisions have it."""
+
+    def __init__(
+        self,
+        noted: Noted,
+        address: tuple[str, int],
+        facade: Facade,
+        backends: Backends,
+        log: Log,
+        narrows: Sequence[Narrow],
+        seed: int,
+    ) -> None:
+        super().__init__(address, facade, backends, log, narrows, seed)
+        self._noted = noted
+
+    def take(self, news: News, source: Source | None = None) -> None:
+        super().take(news, source)
+        self._noted("list", news.version)
+
+
+class OwnState(Companion):
+    """The own file's state as a whole proxy has it. A text is taken whole, or not at all."""
+
+    def __init__(self, text: str, at: Ground, log: Log) -> None:
+        self._ground = at
+        self._host: Host | None = None
+        self.standing = Standing(self.read(text), clock.now(), self._list_again, log.tell)
+        self.narrow = self.standing.overlay.lines
+
+    def read(self, text: str) -> Read:
+        """Raises OwnError."""
+        return reading.parse(text, "what is told", self._ground)
+
+    def _list_again(self, lines: list[Entry]) -> None:
+        if self._host is not None:
+            self._host.narrowed(self, lines)
+
+    async def enter(self, host: Host) -> None:
+        self._host = host
+
+    def put(self, text: str) -> str | None:
+        """None where it is in force, else why not."""
+        now, standing = clock.now(), self.standing
+        try:
+            read = self.read(text)
+            if read.digest == standing.version.read.digest:
+                return None
+            change = standing.propose(read, "control", "told", now)
+        except (OwnError, LedgerError) as error:
+            return str(error)
+        standing.stage(change, now)
+        standing.apply(change, now)
+        standing.confirm(change, "control", "told", now)
+        change.what = None
+        return None
+
+
+class Hollow(Proxy):
+    """One of them. `services` are those whose lists it is told by name, where there is distribution."""
+
+    def __init__(self, told: Told, own: str | None, known: bool = False) -> None:
+        self.own: OwnState | None = None
+        # What was in force when: (what, version, microseconds on the machine's clock). Emptied as it is
+        # asked for.
+        self.books: list[tuple[str, int, int]] = []
+        self.latest: dict[str, int] = {}
+
+        def company(of: Told, log: Log) -> list[Companion]:
+            if own is None:
+                return []
+            self.own = OwnState(own, of.ground, log)
+            return [self.own]
+
+        super().__init__(told, lambda before: before, company)
+        self._discovery = NotedDiscovery(
+            self.note,
+            told.discovery,
+            self._facade,
+            self._backends,
+            self._log,
+            [one.narrow for one in self._company if one.narrow is not None],
+            told.ground.seed,
+        )
+        self._lists: dict[str, dict[str, Entry]] = (
+            {}
+        )  # by service, what distribution told last; replaced with each
+        self._parts: dict[str, str] = {}  # by name, the texts that make up its own file
+        self._told_version = 0
+        self.on = False
+
+    def note(self, what: str, version: int) -> None:
+        self.latest[what] = version
+        self.books.append((what, version, time.monotonic_ns() // 1000))
+
+    async def begin(self, watch: bool) -> None:
+        """As `serve` does it, without a listener."""
+        self.on = True
+        for one in self._company:
+            await one.enter(self)
+        if watch:
+            self._discovery.start()
+        for one in self._company:
+            await one.start()
+
+    async def end(self) -> None:
+        """In order."""
+        self.on = False
+        for one in reversed(self._company):
+            await one.stop()
+        self.cut_off()
+
+    def cut_off(self) -> None:
+        """As a process that was killed: gone without a word."""
+        self.on = False
+        if hasattr(self._discovery._source, "following"):
+            self._discovery.stop()
+
+    def take_configuration(self, name: str, text: str) -> str | None:
+        """A part of its own file; the parts in the order of their names are the file."""
+        assert self.own is not None
+        parts = {**self._parts, name: text}
+        refused = self.own.put("\n".join(parts[one] for one in sorted(parts)))
+        if refused is None:
+            self._parts = parts
+        return refused
+
+    def take_list(self, service: str, body: bytes) -> str | None:
+        """One service's list, whole, as a change of the whole list."""
+        try:
+            news = news_of(json.loads(body))
+        except ValueError as error:
+            return f"a list {error}"
+        fresh = {entry.id: entry for entry in news.entries}
+        before = self._lists.get(service, {})
+        changed = [
+            (entry, address)
+            for entry, address in zip(news.entries, news.addresses)
+            if before.get(entry.id) != entry
+        ]
+        gone = [
+            (entry._replace(ready=False, gone=True), GONE) for id, entry in before.items() if id not in fresh
+        ]
+        self._lists[service] = fresh
+        self._told_version += 1
+        Discovery.take(
+            self._discovery,
+            News(
+                self._told_version,
+                False,
+                [one for one, _ in changed + gone],
+                [address for _, address in changed + gone],
+            ),
+        )
+        return None
+
+    def state(self) -> Counter[str]:
+        """What it holds, by kind; each grows with what control tells, and with nothing else."""
+        backends = self._facade.backends()
+        made = Counter(
+            {
+                "told": len(self._discovery._told),
+                "backends": len(backends),
+                "ready": sum(1 for one in backends if one["ready"]),
+                "not closed": sum(1 for one in backends if one["state"] != "closed"),
+                "doors": len(self._backends._doors),
+                "requests": self._facade.in_hand,
+            }
+        )
+        if self.own is not None:
+            standing = self.own.standing
+            made.update(
+                {
+                    "versions": len(standing.versions),
+                    "routes": len(standing.version.read.own.routes),
+                    "marks": len(standing.version.marks),
+                    "changes": standing.version.number - 1,
+                    "history": len(standing.ledger.history),
+                }
+            )
+        return made
+
+
+def told_of(
+    settings: dict[str, Any],
+    name: str,
+    number: int,
+    zone: str,
+    discovery: tuple[str, int],
+    known: dict[str, Any] | None = None,
+) -> Told:
+    """What a whole proxy would read from its file."""
+    made = Told()
+    made.keys = {}
+    made.name, made.listen, made.discovery, made.console = name, NOWHERE, discovery, None
+    made.sockets, made.memory = 1024, 256 * 1024 * 1024
+    made.ground = ground(
+        {**settings, "zone": zone, "ordinal": number % max(1, int(settings["group-size"]))}, number
+    )
+    made.connect_within, made.idle_most = 500_000, 10_000_000
+    made.known = news_of(known) if known is not None else None
+    return made
+
+
+class Process:
+    """The hollow proxies of one process, and the orders they are under."""
+
+    def __init__(self, spec: dict[str, Any], number: int) -> None:
+        self._spec = spec
+        self._number = number
+        self._hollows: dict[int, Hollow] = {}  # by index, those that ever ran here
+        self._places: dict[int, dict[str, Any]] = {}
+        self._ended: Counter[str] = Counter()
+
+    async def _begin(self, place: dict[str, Any]) -> None:
+        spec = self._spec
+        told = told_of(
+            spec["settings"], place["name"], place["index"], place["zone"], tuple(place["discovery"])
+        )
+        hollow = Hollow(told, spec.get("own"))
+        self._places[place["index"]] = place
+        before = self._hollows.get(place["index"])
+        if before is not None:
+            hollow.books = before.books
+        self._hollows[place["index"]] = hollow
+        await hollow.begin(place.get("watch", True))
+
+    async def start(self, order: dict[str, Any]) -> dict[str, Any]:
+        for place in order["places"]:
+            await self._begin(place)
+            if order.get("spread"):
+                await asyncio.sleep(order["spread"])
+        return {"running": self._running()}
+
+    def _running(self) -> int:
+        return sum(1 for one in self._hollows.values() if one.on)
+
+    def _meant(self, order: dict[str, Any]) -> list[int]:
+        """Of the indices named, those here; all where none are named."""
+        named = order.get("indices")
+        return list(self._hollows) if named is None else [one for one in named if one in self._hollows]
+
+    async def kill(self, order: dict[str, Any]) -> dict[str, Any]:
+        for index in self._meant(order):
+            self._hollows[index].cut_off()
+        return {"running": self._running()}
+
+    async def again(self, order: dict[str, Any]) -> dict[str, Any]:
+        """Started anew in the place of those that are away."""
+        for index in self._meant(order):
+            if not self._hollows[index].on:
+                await self._begin(self._places[index])
+        return {"running": self._running()}
+
+    async def behind(self, order: dict[str, Any]) -> dict[str, Any]:
+        """How many that run have not in force what they ought to: `versions` by view, `config` by name."""
+        count = of = 0
+        for index, hollow in self._hollows.items():
+            wanted = order["versions"].get(str(self._places[index]["view"]))
+            if hollow.on and wanted is not None:
+                of += 1
+                count += hollow.latest.get("list", -1) < wanted
+        return {"behind": count, "of": of}
+
+    async def books(self, order: dict[str, Any]) -> dict[str, Any]:
+        """Who had what in force when, to a file, and forgotten here."""
+        path = Path(order["path"])
+        rows = [[index, self._places[index]["view"], hollow.books] for index, hollow in self._hollows.items()]
+        path.write_text(json.dumps(rows))
+        for hollow in self._hollows.values():
+            hollow.books = []
+        return {"books": str(path)}
+
+    async def configure(self, order: dict[str, Any]) -> dict[str, Any]:
+        """A text handed over by hand, as `ctl propose` does at a whole one."""
+        refused = [
+            self._hollows[index].take_configuration(order["name"], order["text"])
+            for index in self._meant(order)
+        ]
+        return {"refused": [why for why in refused if why is not None]}
+
+    async def state(self, order: dict[str, Any]) -> dict[str, Any]:
+        """The sum over those that run, and what the process holds beside."""
+        gc.collect()
+        made: Counter[str] = Counter()
+        for hollow in self._hollows.values():
+            if hollow.on:
+                made.update(hollow.state())
+        made["tasks"] = len(asyncio.all_tasks())
+        made["descriptors"] = len(os.listdir("/proc/self/fd"))
+        return {"state": dict(made), "running": self._running(), "objects": len(gc.get_objects())}
+
+    async def slow(self, order: dict[str, Any]) -> dict[str, Any]:
+        """Has its loop for a part of the time alone, for so many seconds."""
+        asyncio.get_running_loop().create_task(self._held(float(order["part"]), float(order["seconds"])))
+        return {"slow": True}
+
+    @staticmethod
+    async def _held(part: float, seconds: float) -> None:
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            time.sleep(SLOW_TURN)
+            await asyncio.sleep(SLOW_TURN * part / (1 - part))
+
+    async def run(self) -> None:
+        orders = await Orders.open()
+        orders.say(standing=True, number=self._number)
+        does = {
+            "start": self.start,
+            "kill": self.kill,
+            "again": self.again,
+            "behind": self.behind,
+            "books": self.books,
+            "configure": self.configure,
+            "state": self.state,
+            "slow": self.slow,
+        }
+        while (order := await orders.next()) is not None:
+            told = await does[order["do"]](order)
+            orders.say(did=order["do"], **told)
+        for hollow in self._hollows.values():
+            hollow.cut_off()
+
+
+def main(arguments: Sequence[str]) -> None:
+    number, spec = int(arguments[0]), json.loads(Path(arguments[1]).read_text())
+    asyncio.run(Process(spec, number).run())
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- /dev/null
+++ b/pepperusher/rehearsal/hollow_fidelity.py
@@ -0,0 +1,236 @@
+"""Whole and hollow proxies side by side under the same churn: what passed between them and control, and what
+they hold, by kind."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+import time
+from collections import Counter
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any, NamedTuple
+
+from pepperusher.control import client
+from pepperusher.rehearsal.hollow_plan import SETTINGS, Place, Plan, row
+from pepperusher.rehearsal.hollow_play import OWN, Play
+from pepperusher.rehearsal.worker import environment, with_parent
+
+BACKENDS = 60
+CHANGES = 30
+# Between two changes; after them it is quiet until each has had so many empty lines.
+APART = 0.2
+QUIET_LINES = 3
+READY_WITHIN = 60.0
+LOOK_EVERY = 0.05
+SETTLE_WITHIN = 30.0
+# Kinds whose counts must agree within this part.
+WITHIN = 0.10
+MESSAGES = ("calls", "lines", "empty lines")
+BYTES = ("bytes in", "bytes out")
+STATE = ("backends", "ready", "not closed", "requests", "changes")
+MARKED = '\n[[backends]]\nid = "s0-7"\ndrain = true\n'
+TICK = os.sysconf("SC_CLK_TCK")
+PAGE = os.sysconf("SC_PAGE_SIZE")
+
+
+class Compared(NamedTuple):
+    kind: str
+    whole: float
+    hollow: float
+
+    @property
+    def agrees(self) -> bool:
+        return abs(self.whole - self.hollow) <= WITHIN * max(self.whole, self.hollow)
+
+
+class Whole:
+    """One `serve` process."""
+
+    def __init__(self, work: Path, index: int) -> None:
+        self._work, self._index = work, index
+        self._socket = work / f"w{index}.socket"
+        self.process: asyncio.subprocess.Process
+
+    async def start(self, discovery: list[Any]) -> None:
+        config, own = self._work / f"w{self._index}.json", self._work / f"w{self._index}.toml"
+        config.write_text(
+            json.dumps(
+                {
+                    "name": f"w{self._index}",
+                    "listen": f"127.0.3.{self._index + 1}:7070",
+                    "discovery": f"{discovery[0]}:{discovery[1]}",
+                    "seed": f"{self._index:x}",
+                    "limits": {"sockets": 256, "memory_mb": 256},
+                    "settings": {**SETTINGS, "zone": "z0", "ordinal": self._index},
+                }
+            )
+        )
+        own.write_text(self.own(OWN))
+        with open(self._work / f"w{self._index}.log", "ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "pepperusher",
+                "serve",
+                "--config",
+                str(config),
+                "--own",
+                str(own),
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=environment(),
+                start_new_session=True,
+                preexec_fn=with_parent,
+            )
+
+    def own(self, text: str) -> str:
+        return f"{text}\n[control]\nsocket = {json.dumps(str(self._socket))}\n"
+
+    def _ask(self, do: str, **said: Any) -> dict[str, Any] | None:
+        try:
+            return client.ask(str(self._socket), do, **said)
+        except client.Refused:
+            return None
+
+    async def ask(self, do: str, **said: Any) -> dict[str, Any] | None:
+        return await asyncio.to_thread(self._ask, do, **said)
+
+    async def state(self) -> Counter[str]:
+        """In the kinds of `Hollow.state`, as far as a whole one tells them."""
+        backends, status = await self.ask("backends"), await self.ask("status")
+        if backends is None or status is None:
+            return Counter()
+        rows = backends["backends"]
+        return Counter(
+            {
+                "backends": len(rows),
+                "ready": sum(1 for one in rows if one["ready"]),
+                "not closed": sum(1 for one in rows if one["state"] != "closed"),
+                "requests": status["in_hand"],
+                "versions": len(status["versions"]),
+                "changes": status["version"] - 1,
+            }
+        )
+
+    def used(self) -> tuple[float, float]:
+        """Processor seconds and MB so far."""
+        stat = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
+        pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
+        return (int(stat[11]) + int(stat[12])) / TICK, pages * PAGE / 2**20
+
+    async def end(self) -> None:
+        if hasattr(self, "process") and self.process.returncode is None:
+            self.process.send_signal(signal.SIGKILL)
+            await self.process.wait()
+
+
+def layout(size: int) -> Plan:
+    """Two views of one service with the same lists: the first is for the whole ones."""
+    rows = [row(0, number, 0) for number in range(BACKENDS)]
+    places = [Place(index, f"h{index}", 0, 0, 1, 0) for index in range(size)]
+    return Plan([rows], [[0], [0]], places, [0])
+
+
+def churn(seed: int) -> list[list[dict[str, Any]]]:
+    """Changes of the list: drains, ends, returns, others in their place, several at once."""
+    chance = Random(seed)
+    made: list[list[dict[str, Any]]] = []
+    turns: Counter[int] = Counter()
+    state = ["ready"] * BACKENDS
+    for _ in range(CHANGES):
+        rows = []
+        for number in chance.sample(range(10, BACKENDS), chance.choice((1, 1, 1, 3, 8))):
+            follows = {"ready": "draining", "draining": "gone", "gone": "ready"}[state[number]]
+            if state[number] == "gone":
+                turns[number] += 1
+            state[number] = follows
+            rows.append({**row(0, number, 0, follows, turns[number]), "new_in": [0, 1]})
+        made.append(rows)
+    return made
+
+
+async def compare(size: int, seed: int, work: Path, say: Callable[[str], None]) -> dict[str, Any]:
+    """Raises WorkerError where a process of the play's own failed, RuntimeError where a whole proxy did."""
+    play = Play(layout(size), seed, work, say)
+    whole = [Whole(work, index) for index in range(size)]
+    try:
+        await play.stand()
+        await asyncio.gather(*(one.start(play.front(0, 0)) for one in whole))
+        await play.begin(play.plan.places)
+        say(f"{size} whole and {size} hollow ones start")
+        await _until_ready(whole)
+        if not await play.until_in_force({1: 1}, SETTLE_WITHIN):
+            raise RuntimeError("the hollow ones have no list")
+        await _both_watch(play, size)
+        await play.counts()
+        before = [one.used() for one in whole]
+        play.use()
+        began = time.monotonic()
+        for number, rows in enumerate(churn(seed)):
+            await play.change(rows)
+            await asyncio.sleep(APART)
+            if number == CHANGES // 2:
+                say("discovery goes away and comes back")
+                await play.away(True)
+                await asyncio.sleep(2 * APART)
+                await play.away(False)
+        await play.until_in_force(await play.versions(), SETTLE_WITHIN)
+        await _both_watch(play, size)
+        say("nothing changes for a while")
+        await _both_watch(play, size, QUIET_LINES * size)
+        say("a change of the own file, with a mark")
+        for one in whole:
+            await one.ask("propose", text=one.own(OWN + MARKED), who="play", why="churn")
+        told = await play.ask_all("configure", name="own", text=OWN + MARKED)
+        refused = [why for one in told for why in one["refused"]]
+        counts = await play.counts_by_view()
+        states: Counter[str] = Counter()
+        for one in whole:
+            states.update(await one.state())
+        hollow = await play.state()
+        spent = sum(one.used()[0] - was[0] for one, was in zip(whole, before))
+        use = play.use().get("proxies", {})
+        seconds = time.monotonic() - began
+    finally:
+        await asyncio.gather(*(one.end() for one in whole))
+        await play.end()
+    rows_ = [Compared(kind, counts[0].get(kind, 0), counts[1].get(kind, 0)) for kind in (*MESSAGES, *BYTES)]
+    rows_ += [Compared(kind, states[kind], hollow.get(kind, 0)) for kind in STATE]
+    return {
+        "size": size,
+        "seed": seed,
+        "changes": CHANGES,
+        "refused": refused,
+        "kinds": [{**one._asdict(), "agrees": one.agrees} for one in rows_],
+        "processor_seconds_each": {
+            "whole": round(spent / size, 3),
+            "hollow": round(use.get("cores_mean", 0.0) * seconds / size, 4),
+        },
+        "memory_mb_each": {
+            "whole": round(sum(was[1] for was in before) / size, 1),
+            "hollow": round(use.get("memory_mb", 0.0) / size, 2),
+        },
+        "verdict": "passed" if not refused and all(one.agrees for one in rows_) else "failed",
+    }
+
+
+async def _both_watch(play: Play, size: int, empty: int = 0) -> None:
+    for view in (0, 1):
+        if not await play.settled(view, size, SETTLE_WITHIN, empty):
+            raise RuntimeError("not all watch discovery")
+
+
+async def _until_ready(whole: list[Whole]) -> None:
+    """Until each of them has the list."""
+    until = time.monotonic() + READY_WITHIN
+    for one in whole:
+        while (await one.state())["ready"] < BACKENDS:
+            if time.monotonic() > until or one.process.returncode is not None:
+                raise RuntimeError(f"a whole proxy was not ready in {READY_WITHIN:g} s")
+            await asyncio.sleep(LOOK_EVERY)
--- /dev/null
+++ b/tests/test_hollow.py
@@ -0,0 +1,95 @@
+"""Hollow proxies beside whole ones, and what is reckoned from their books."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+from pepperusher.rehearsal import hollow_books, hollow_fidelity
+from pepperusher.rehearsal.hollow_books import Reached, Row
+from pepperusher.rehearsal.hollow_fidelity import Compared
+from pepperusher.rehearsal.hollow_plan import CALLS, VIEWS, ZONES, plan, sizes
+
+SECOND = 1_000_000
+WITHIN = 60.0
+
+
+class Fidelity(unittest.TestCase):
+    def test_whole_and_hollow_agree_in_messages_bytes_and_state(self) -> None:
+        async def run(work: Path) -> dict[str, object]:
+            async with asyncio.timeout(WITHIN):
+                return await hollow_fidelity.compare(3, 5, work, lambda line: None)
+
+        with tempfile.TemporaryDirectory() as work:
+            told = asyncio.run(run(Path(work)))
+        self.assertEqual(told["verdict"], "passed", told)
+        whole = {one["kind"]: one["whole"] for one in told["kinds"]}  # type: ignore[attr-defined]
+        # Each kind was played, or the two would agree in nothing.
+        for kind in (
+            "calls",
+            "lines",
+            "empty lines",
+            "bytes in",
+            "bytes out",
+            "backends",
+            "ready",
+            "changes",
+        ):
+            self.assertGreater(whole[kind], 0, kind)
+
+    def test_a_tenth_is_the_bound(self) -> None:
+        self.assertTrue(Compared("lines", 100, 90).agrees)
+        self.assertTrue(Compared("lines", 90, 100).agrees)
+        self.assertFalse(Compared("lines", 100, 89).agrees)
+        self.assertFalse(Compared("lines", 0, 1).agrees)
+        self.assertTrue(Compared("lines", 0, 0).agrees)
+
+
+class Books(unittest.TestCase):
+    def test_in_force_at_half_at_nearly_all_and_at_all(self) -> None:
+        rows: list[Row] = [
+            (index, 0, [("list", 4, 0), ("list", 5, (index + 1) * SECOND)]) for index in range(200)
+        ]
+        told = hollow_books.reached(rows, "list", {0: 5}, 0)
+        self.assertEqual(told, Reached(100.0, 198.0, 200.0, 200, 200))
+
+    def test_one_without_it_leaves_all_open(self) -> None:
+        rows: list[Row] = [
+            (0, 0, [("list", 5, SECOND)]),
+            (1, 0, [("list", 4, SECOND)]),
+            (2, 1, [("list", 9, SECOND)]),
+        ]
+        told = hollow_books.reached(rows, "list", {0: 5}, 0)
+        self.assertEqual((told.half, told.all, told.had, told.of), (1.0, None, 1, 2))
+
+    def test_older_after_newer_is_counted(self) -> None:
+        self.assertEqual(hollow_books.backwards([(0, 0, [("list", 2, 1), ("own", 1, 2), ("list", 1, 3)])]), 1)
+        self.assertEqual(hollow_books.backwards([(0, 0, [("list", 2, 1), ("own", 1, 2), ("list", 2, 3)])]), 0)
+
+    def test_processor_time_by_role_and_second(self) -> None:
+        samples = [
+            (0.0, {"proxies 0": (1.0, 10.0), "proxies 1": (1.0, 10.0)}),
+            (1.0, {"proxies 0": (1.5, 12.0), "proxies 1": (1.25, 10.0)}),
+            (2.0, {"proxies 0": (1.6, 12.0)}),
+        ]
+        use = hollow_books.used(samples)["proxies"]
+        self.assertEqual((use.worst, use.mean, use.processes, use.memory), (0.75, 0.425, 2, 22.0))
+
+
+class Plans(unittest.TestCase):
+    def test_services_of_the_target(self) -> None:
+        made = sizes(5000, 210)
+        self.assertEqual((sum(made), len(made)), (5000, 210))
+        self.assertTrue(300 <= made[0] <= 500 and min(made) >= 1, made[:3])
+
+    def test_all_have_a_place_and_the_same_seed_the_same(self) -> None:
+        made = plan(500, 3, 2)
+        self.assertEqual(made, plan(500, 3, 2))
+        self.assertNotEqual(made.views, plan(500, 4, 2).views)
+        self.assertEqual(len(made.views), VIEWS)
+        self.assertTrue(all(len(set(view)) == CALLS for view in made.views))
+        self.assertEqual({one.zone for one in made.places}, set(range(ZONES)))
+        self.assertEqual(sum(map(len, made.services)), 500)
+        self.assertTrue(all(made.workers[one.worker] == one.zone for one in made.places))
