--- a/pepperusher/__main__.py
+++ b/pepperusher/__main__.py
@@ -21,6 +21,7 @@
             for name in ("emulate", "load", "rehearse", "experiment", "report", "group-figures")},
          **{name: ("pepperusher.own.commands", "own") for name in ("explain", "schema")},
          "capacity": ("pepperusher.capacity.commands", "rehearsal"),
+         "control": ("pepperusher.distribution.commands", "own"),
          "ctl": ("pepperusher.control.commands", "own"), "store": ("pepperusher.store.commands", "store")}
 
 
