Scale tests: control machines in processes of their own, hollow proxies subscribe to them

Each proxy subscribes to its configuration and to each region's part of the lists it uses, by its zone's links; the origin and the owners of facts are written to as operators do. Books note what is in force, after it is.

--- a/pepperusher/rehearsal/hollow.py
+++ b/pepperusher/rehearsal/hollow.py
@@ -21,6 +21,8 @@
 
 from pepperusher.changes.ledger import LedgerError
 from pepperusher.changes.standing import Standing
+from pepperusher.distribution.client import Client
+from pepperusher.distribution.words import CONFIG, Resource
 from pepperusher.facade import Entry, Facade
 from pepperusher.ground import ground
 from pepperusher.net import clock
@@ -100,7 +102,7 @@
 
 
 class Hollow(Proxy):
-    """One of them. `services` are those whose lists it is told by name, where there is distribution."""
+    """One of them, told by discovery, by control machines, or by both."""
 
     def __init__(self, told: Told, own: str | None, known: bool = False) -> None:
         self.own: OwnState | None = None
@@ -130,8 +132,46 @@
         )  # by service, what distribution told last; replaced with each
         self._parts: dict[str, str] = {}  # by name, the texts that make up its own file
         self._told_version = 0
+        self.client: Client | None = None
+        self.most_in_second = 0  # bytes both ways in the worst second so far
+        self._bytes = 0
         self.on = False
 
+    def joins(self, place: dict[str, Any], key: bytes) -> None:
+        """Its subscription at the control machines, before it begins."""
+        keep = place.get("keep")
+        self.client = Client(
+            [tuple(one) for one in place["upstreams"]],
+            [tuple(one) for one in place["names"]],
+            self.take_resource,
+            key=key,
+            name=place["name"],
+            region=place["region"],
+            zone=place["zone"],
+            seed=place["index"],
+            keep=None if keep is None else Path(keep) / place["name"],
+            say=self._log.tell,
+        )
+
+    def take_resource(self, one: Resource) -> str | None:
+        """None for in force, else why it is refused."""
+        text = one.body
+        refused = (
+            self.take_configuration(one.name, text.decode("utf-8", "replace"))
+            if one.kind == CONFIG
+            else self.take_list(one.name, text)
+        )
+        if refused is None:
+            self.note(f"{one.kind}/{one.name}", number_of(*one.version))
+        return refused
+
+    def second(self) -> None:
+        """One has passed."""
+        if self.client is not None:
+            now = self.client.counts["bytes in"] + self.client.counts["bytes out"]
+            self.most_in_second = max(self.most_in_second, now - self._bytes)
+            self._bytes = now
+
     def note(self, what: str, version: int) -> None:
         self.latest[what] = version
         self.books.append((what, version, time.monotonic_ns() // 1000))
@@ -143,6 +183,8 @@
             await one.enter(self)
         if watch:
             self._discovery.start()
+        if self.client is not None:
+            self.client.start()
         for one in self._company:
             await one.start()
 
@@ -151,6 +193,8 @@
         self.on = False
         for one in reversed(self._company):
             await one.stop()
+        if self.client is not None:
+            await self.client.stop()
         self.cut_off()
 
     def cut_off(self) -> None:
@@ -158,6 +202,8 @@
         self.on = False
         if hasattr(self._discovery._source, "following"):
             self._discovery.stop()
+        if self.client is not None:
+            self.client.kill()
 
     def take_configuration(self, name: str, text: str) -> str | None:
         """A part of its own file; the parts in the order of their names are the file."""
@@ -208,6 +254,7 @@
                 "not closed": sum(1 for one in backends if one["state"] != "closed"),
                 "doors": len(self._backends._doors),
                 "requests": self._facade.in_hand,
+                "subscribed": 0 if self.client is None else len(self.client.in_force),
             }
         )
         if self.own is not None:
@@ -224,6 +271,11 @@
         return made
 
 
+def number_of(epoch: int, number: int) -> int:
+    """A version of distribution as one number, in the same order."""
+    return epoch << 40 | number
+
+
 def told_of(
     settings: dict[str, Any],
     name: str,
@@ -253,7 +305,9 @@
         self._number = number
         self._hollows: dict[int, Hollow] = {}  # by index, those that ever ran here
         self._places: dict[int, dict[str, Any]] = {}
-        self._ended: Counter[str] = Counter()
+        self._ended: Counter[str] = Counter()  # what those counted in whose place others stand now
+        self._counted: Counter[str] = Counter()
+        self._seconds: list[list[int]] = []  # emptied as they are asked for
 
     async def _begin(self, place: dict[str, Any]) -> None:
         spec = self._spec
@@ -261,10 +315,14 @@
             spec["settings"], place["name"], place["index"], place["zone"], tuple(place["discovery"])
         )
         hollow = Hollow(told, spec.get("own"))
+        if place.get("upstreams"):
+            hollow.joins(place, spec["key"].encode())
         self._places[place["index"]] = place
         before = self._hollows.get(place["index"])
         if before is not None:
             hollow.books = before.books
+            if before.client is not None:
+                self._ended.update(before.client.counts)
         self._hollows[place["index"]] = hollow
         await hollow.begin(place.get("watch", True))
 
@@ -296,15 +354,69 @@
         return {"running": self._running()}
 
     async def behind(self, order: dict[str, Any]) -> dict[str, Any]:
-        """How many that run have not in force what they ought to: `versions` by view, `config` by name."""
+        """How many that run have not in force what they ought to: `versions` by view, `resources` by name."""
         count = of = 0
+        versions, resources = order.get("versions", {}), order.get("resources", {})
         for index, hollow in self._hollows.items():
-            wanted = order["versions"].get(str(self._places[index]["view"]))
-            if hollow.on and wanted is not None:
+            if not hollow.on:
+                continue
+            place = self._places[index]
+            wanted = {}
+            if (version := versions.get(str(place["view"]))) is not None:
+                wanted["list"] = version
+            for kind, name in place.get("names", ()) if resources else ():
+                if (version := resources.get(f"{kind}/{name}")) is not None:
+                    wanted[f"{kind}/{name}"] = version
+            if wanted:
                 of += 1
-                count += hollow.latest.get("list", -1) < wanted
+                count += any(hollow.latest.get(what, -1) < version for what, version in wanted.items())
         return {"behind": count, "of": of}
 
+    async def traffic(self, order: dict[str, Any]) -> dict[str, Any]:
+        """Of control, since it was last asked for: sums, the worst second of all together and of any one."""
+        seconds, self._seconds = self._seconds, []
+        worst = max((hollow.most_in_second for hollow in self._hollows.values()), default=0)
+        for hollow in self._hollows.values():
+            hollow.most_in_second = 0
+        made, self._counted = self._counts() - self._counted, self._counts()
+        return {
+            "counts": dict(made),
+            "seconds": seconds,
+            "worst_one": worst,
+            "oldest_us": max(
+                (
+                    hollow.client.age(clock.now()) or 0
+                    for hollow in self._hollows.values()
+                    if hollow.on and hollow.client is not None
+                ),
+                default=0,
+            ),
+        }
+
+    def _counts(self) -> Counter[str]:
+        made: Counter[str] = Counter(self._ended)
+        for hollow in self._hollows.values():
+            if hollow.client is not None:
+                made.update(hollow.client.counts)
+        return made
+
+    async def _look(self) -> None:
+        """Once a second, what passed in it."""
+        before = self._counts()
+        while True:
+            await asyncio.sleep(1.0)
+            for hollow in self._hollows.values():
+                hollow.second()
+            now = self._counts()
+            self._seconds.append(
+                [
+                    int(time.monotonic()),
+                    now["bytes in"] + now["bytes out"] - before["bytes in"] - before["bytes out"],
+                    now["connects"] - before["connects"],
+                ]
+            )
+            before = now
+
     async def books(self, order: dict[str, Any]) -> dict[str, Any]:
         """Who had what in force when, to a file, and forgotten here."""
         path = Path(order["path"])
@@ -357,12 +469,15 @@
             "configure": self.configure,
             "state": self.state,
             "slow": self.slow,
+            "traffic": self.traffic,
         }
+        looking = asyncio.get_running_loop().create_task(self._look())
         while (order := await orders.next()) is not None:
             told = await does[order["do"]](order)
             orders.say(did=order["do"], **told)
         for hollow in self._hollows.values():
             hollow.cut_off()
+        looking.cancel()
 
 
 def main(arguments: Sequence[str]) -> None:
--- /dev/null
+++ b/pepperusher/rehearsal/hollow_control.py
@@ -0,0 +1,132 @@
+"""The control machines of a scale test: real control roles in processes of their own, struck as whole machines are."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import shutil
+import signal
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from pepperusher.distribution import operate
+from pepperusher.distribution.publisher import Rollout
+from pepperusher.rehearsal.hollow import number_of
+from pepperusher.rehearsal.hollow_plan import region_of
+from pepperusher.rehearsal.worker import Worker
+
+KEY = "a key of the scale tests, for all"
+START_WITHIN = 60.0
+# The origin begins to write once it has compared with half of the others.
+WRITES_WITHIN = 30.0
+AGAIN_EVERY = 0.1
+ORIGIN = 0
+
+
+class Controls:
+    """`fronts` are, for each zone, the addresses by which the machines are reached from there."""
+
+    def __init__(self, count: int, regions: int, work: Path) -> None:
+        self.count, self._regions, self._work = count, regions, work
+        self.workers: list[Worker] = []
+        self.addresses: list[tuple[str, int]] = []
+        self.versions: dict[str, int] = {}  # by kind/name, the newest that was written
+        self.bodies: dict[str, bytes] = {}
+        (work / "key").write_text(KEY + "\n")
+
+    @staticmethod
+    def zone(number: int) -> int:
+        """Each stands in a zone of its own."""
+        return number
+
+    def folder(self, number: int) -> Path:
+        return self._work / f"control-{number}"
+
+    def write_file(self, number: int, peers: Sequence[tuple[str, int]]) -> None:
+        at = [f"{host}:{port}" for host, port in peers]
+        owner = number < self._regions
+        self.folder(number).mkdir(exist_ok=True)
+        (self._work / f"control-{number}.toml").write_text(
+            f'name = "c{number}"\nlisten = "127.0.1.{number + 1}:0"\nkey_file = {json.dumps(str(self._work / "key"))}\n'
+            f'state_dir = {json.dumps(str(self.folder(number)))}\nregion = "r{region_of(self.zone(number))}"\n'
+            f'zone = "z{self.zone(number)}"\npeers = {json.dumps(at)}\nepoch = 1\n'
+            f"origin = {'true' if number == ORIGIN else 'false'}\nowns_facts = {'true' if owner else 'false'}\n"
+            "subscribers = 20000\n"
+        )
+
+    async def start(self, number: int) -> Worker:
+        """One process in its place, listening."""
+        worker = await Worker.start(
+            "pepperusher",
+            f"control {number}",
+            self._work / f"control-{number}.log",
+            "control",
+            "--config",
+            str(self._work / f"control-{number}.toml"),
+        )
+        port = (await worker.said("port", START_WITHIN))["port"]
+        address = f"127.0.1.{number + 1}", port
+        if number < len(self.workers):
+            self.workers[number], self.addresses[number] = worker, address
+        else:
+            self.workers.append(worker)
+            self.addresses.append(address)
+        return worker
+
+    async def kill(self, number: int) -> None:
+        self.workers[number].signal(signal.SIGKILL)
+        await self.workers[number].end()
+
+    def freeze(self, number: int, on: bool) -> None:
+        self.workers[number].signal(signal.SIGSTOP if on else signal.SIGCONT)
+
+    def keep_disk(self, number: int) -> None:
+        shutil.copytree(self.folder(number), self._work / f"old-{number}", dirs_exist_ok=True)
+
+    def old_disk(self, number: int) -> None:
+        """As from a backup; its process has ended."""
+        shutil.rmtree(self.folder(number))
+        shutil.copytree(self._work / f"old-{number}", self.folder(number))
+
+    async def end(self) -> None:
+        for worker in self.workers:
+            worker.signal(signal.SIGCONT)
+            worker.signal(signal.SIGTERM)
+        await asyncio.gather(*(worker.end() for worker in self.workers))
+
+    # --- what operators do --------------------------------------------------------------------------
+
+    async def publish(self, kind: str, name: str, body: bytes) -> int:
+        """The version as one number. Raises operate.NoAnswer where it is not taken."""
+        writer = ORIGIN if kind == "config" else int(name.partition("/")[0].removeprefix("r"))
+        version = await operate.publish(self.addresses[writer], KEY.encode(), kind, name, body)
+        made = self.versions[f"{kind}/{name}"] = number_of(*version)
+        self.bodies[f"{kind}/{name}"] = body
+        return made
+
+    async def can_write(self) -> None:
+        """Waits until the origin does. Raises operate.NoAnswer."""
+        async with asyncio.timeout(WRITES_WITHIN):
+            while True:
+                try:
+                    await self.publish("config", "probe", b"")
+                    return
+                except operate.NoAnswer as error:
+                    if "begins to write" not in str(error):
+                        raise
+                await asyncio.sleep(AGAIN_EVERY)
+
+    async def rollout(self, kind: str, name: str) -> Rollout:
+        return await operate.rollout(self.addresses[ORIGIN], KEY.encode(), kind, name)
+
+    async def figures(self) -> list[dict[str, Any]]:
+        """Of each, with its counts; those that do not answer have none."""
+
+        async def one(address: tuple[str, int]) -> dict[str, Any]:
+            try:
+                return dict(await operate.figures(address, KEY.encode()))
+            except operate.NoAnswer:
+                return {}
+
+        return list(await asyncio.gather(*map(one, self.addresses)))
--- a/pepperusher/rehearsal/hollow_plan.py
+++ b/pepperusher/rehearsal/hollow_plan.py
@@ -57,6 +57,9 @@
     ],
 }
 
+# Those of a proxy that lacks a use case: a file whose route names it is refused there.
+LACKING = {**SETTINGS, "use-cases": SETTINGS["use-cases"][:1]}
+
 
 class Place(NamedTuple):
     """One proxy's."""
@@ -132,3 +135,30 @@
     return Plan(
         services, called, places, [one // workers_per_zone for one in range(zones * workers_per_zone)]
     )
+
+
+TEAMS = 100
+
+
+def names_of(place: Place, plan: Plan, parts: int = REGIONS) -> list[list[str]]:
+    """What it subscribes to: all proxies' configuration, its team's, and each region's part of each list."""
+    made = [["config", "common"], ["config", f"t{place.number % TEAMS}"]]
+    return made + [
+        ["endpoints", f"r{part}/s{service}"] for service in plan.views[place.view] for part in range(parts)
+    ]
+
+
+def part_of(row: dict[str, Any], parts: int = REGIONS) -> int:
+    """Which region's part of a list a backend is in."""
+    return region_of(int(row["zone"][1:])) % parts
+
+
+def lists_of(plan: Plan, parts: int = REGIONS) -> dict[str, list[dict[str, Any]]]:
+    """Each region's part of each service, by name."""
+    made: dict[str, list[dict[str, Any]]] = {
+        f"r{part}/s{service}": [] for service in range(len(plan.services)) for part in range(parts)
+    }
+    for service, rows in enumerate(plan.services):
+        for one in rows:
+            made[f"r{part_of(one, parts)}/s{service}"].append(one)
+    return made
--- a/pepperusher/rehearsal/hollow_play.py
+++ b/pepperusher/rehearsal/hollow_play.py
@@ -14,13 +14,19 @@
 
 from pepperusher.rehearsal import hollow_books
 from pepperusher.rehearsal.hollow_books import Reached, Row
+from pepperusher.rehearsal.hollow_control import KEY, Controls
 from pepperusher.rehearsal.hollow_plan import (
     BETWEEN,
+    LACKING,
+    REGIONS,
     SETTINGS,
+    TEAMS,
     WITHIN_REGION,
     WITHIN_ZONE,
     Place,
     Plan,
+    lists_of,
+    names_of,
     region_of,
 )
 from pepperusher.rehearsal.worker import Worker
@@ -32,6 +38,9 @@
 LOOK_EVERY = 0.2
 SAMPLE_EVERY = 1.0
 DISCOVERY_ZONE = 0
+PUBLISHED_AT_ONCE = 16
+# Who tells lists: discovery, which all watch, or control machines, which tell configuration too.
+DISCOVERY, CONTROL = "discovery", "control"
 
 OWN = """
 [weights]
@@ -49,17 +58,34 @@
 """
 
 
+def body_of(rows: list[dict[str, Any]]) -> bytes:
+    """A list as a resource."""
+    return json.dumps({"version": 0, "full": True, "servers": rows}).encode()
+
+
 class Play:
     """`progress` is told what happens, a line at a time."""
 
     def __init__(
-        self, plan: Plan, seed: int, work: Path, progress: Callable[[str], None], own: str | None = OWN
+        self,
+        plan: Plan,
+        seed: int,
+        work: Path,
+        progress: Callable[[str], None],
+        own: str | None = OWN,
+        controls: int = 0,
+        keeps: bool = False,
     ) -> None:
         self.plan = plan
         self._seed = seed
         self._work = work
         self._say = progress
         self._own = own
+        # How many regions own a part of each list: with few control machines not all have one.
+        self.parts = min(REGIONS, controls)
+        self.controls = Controls(controls, self.parts, work) if controls else None
+        self._keep = work / "kept" if keeps else None
+        self.lacking: set[int] = set()  # numbers of those whose settings lack a use case
         self.discovery: Worker
         self.zones: list[Worker] = []
         self.workers: list[Worker] = []
@@ -83,6 +109,8 @@
                     "views": self.plan.views,
                     "settings": SETTINGS,
                     "own": self._own,
+                    "key": KEY,
+                    "lacking": LACKING,
                 }
             )
         )
@@ -99,6 +127,8 @@
             fronts = (await self._ask(worker, "open", names=list(names)))["fronts"]
             await self._ask(worker, "stands", at=names)
             self._fronts.append(fronts)
+        if self.controls is not None:
+            await self._stand_controls(self.controls)
         await self.shape()
         self.workers = [
             await self._start("hollow", f"proxies {number}", str(number), str(spec))
@@ -108,6 +138,40 @@
             await worker.said("standing", STAND_WITHIN)
         self._sampling = asyncio.get_running_loop().create_task(self._sample())
 
+    async def _stand_controls(self, controls: Controls) -> None:
+        """Each is told the others by its own zone's fronts; then every zone where they really listen."""
+        names = [f"control {number}" for number in range(controls.count)]
+        for zone, worker in enumerate(self.zones):
+            self._fronts[zone].update((await self._ask(worker, "open", names=names))["fronts"])
+        for number in range(controls.count):
+            near = self._fronts[controls.zone(number)]
+            controls.write_file(number, [tuple(near[name]) for name in names if name != names[number]])
+            await self.start_control(number)
+
+    async def start_control(self, number: int) -> None:
+        """Anew, or the first time."""
+        assert self.controls is not None
+        worker = await self.controls.start(number)
+        self._names[worker.pid] = f"control {number}"
+        at = {f"control {number}": list(self.controls.addresses[number])}
+        await asyncio.gather(*(self._ask(zone, "stands", at=at) for zone in self.zones))
+
+    async def publish_all(self) -> None:
+        """What there is before any proxy is: configuration for all and for each team, and every list."""
+        assert self.controls is not None
+        controls = self.controls
+        await controls.can_write()
+        rows = [("config", "common", (self._own or "").encode())]
+        rows += [
+            ("config", f"t{team}", b"# team %d\n" % team) for team in range(min(TEAMS, len(self.plan.places)))
+        ]
+        rows += [
+            ("endpoints", name, body_of(those)) for name, those in lists_of(self.plan, self.parts).items()
+        ]
+        for start in range(0, len(rows), PUBLISHED_AT_ONCE):
+            await asyncio.gather(*(controls.publish(*one) for one in rows[start : start + PUBLISHED_AT_ONCE]))
+        self._say(f"{len(rows)} resources are written")
+
     async def _start(self, module: str, name: str, *arguments: str) -> Worker:
         log = self._work / f"{name.replace(' ', '-')}.log"
         worker = await Worker.start(f"pepperusher.rehearsal.{module}", name, log, *arguments)
@@ -117,18 +181,29 @@
     async def shape(self) -> None:
         """Each zone's links to everything elsewhere as they are without trouble."""
         for zone, worker in enumerate(self.zones):
-            delay = (
-                WITHIN_ZONE
-                if zone == DISCOVERY_ZONE
-                else WITHIN_REGION if region_of(zone) == region_of(DISCOVERY_ZONE) else BETWEEN
-            )
-            await self._ask(worker, "shape", names=list(self._fronts[zone]), delay=delay / 1000)
+            there: dict[float, list[str]] = {}
+            for name in self._fronts[zone]:
+                there.setdefault(self._delay(zone, self._zone_of(name)), []).append(name)
+            for delay, names in there.items():
+                await self._ask(worker, "shape", names=names, delay=delay / 1000)
+
+    def _zone_of(self, front: str) -> int:
+        kind, _, number = front.partition(" ")
+        return DISCOVERY_ZONE if kind == "view" or self.controls is None else self.controls.zone(int(number))
+
+    @staticmethod
+    def _delay(zone: int, other: int) -> float:
+        if zone == other:
+            return WITHIN_ZONE
+        return WITHIN_REGION if region_of(zone) == region_of(other) else BETWEEN
 
     async def end(self) -> None:
         if self._sampling is not None:
             self._sampling.cancel()
         for number in self.stopped:
             self.workers[number].signal(signal.SIGCONT)
+        if self.controls is not None:
+            await self.controls.end()
         everyone = [*self.workers, *self.zones, *([self.discovery] if hasattr(self, "discovery") else [])]
         await asyncio.gather(*(worker.end() for worker in everyone))
 
@@ -149,19 +224,31 @@
             )
         )
 
-    async def begin(self, places: Iterable[Place], spread: float = 0.0) -> None:
+    def _order(self, place: Place, lists: str) -> dict[str, Any]:
+        fronts = self._fronts[place.zone]
+        told = {
+            "index": place.number,
+            "name": place.name,
+            "zone": f"z{place.zone}",
+            "view": place.view,
+            "region": f"r{place.region}",
+            "discovery": fronts[f"view {place.view}"],
+            "watch": lists == DISCOVERY,
+            "lacks": place.number in self.lacking,
+        }
+        if self.controls is not None and lists == CONTROL:
+            told["upstreams"] = [fronts[f"control {number}"] for number in range(self.controls.count)]
+            told["names"] = names_of(place, self.plan, self.parts)
+            told["keep"] = None if self._keep is None else str(self._keep)
+        return told
+
+    async def begin(self, places: Iterable[Place], lists: str = DISCOVERY, spread: float = 0.0) -> None:
         """These proxies start; `spread` seconds between two of one process."""
+        if self._keep is not None:
+            self._keep.mkdir(exist_ok=True)
         dealt: dict[int, list[dict[str, Any]]] = {}
         for place in places:
-            dealt.setdefault(place.worker, []).append(
-                {
-                    "index": place.number,
-                    "name": place.name,
-                    "zone": f"z{place.zone}",
-                    "view": place.view,
-                    "discovery": self._fronts[place.zone][f"view {place.view}"],
-                }
-            )
+            dealt.setdefault(place.worker, []).append(self._order(place, lists))
         await asyncio.gather(
             *(
                 self._ask(self.workers[number], "start", places=those, spread=spread)
@@ -176,20 +263,55 @@
         return {int(view): version for view, version in told["versions"].items()}
 
     async def until_in_force(self, versions: dict[int, int], within: float, spare: int = 0) -> bool:
-        """Until all that run and can answer have these, but for `spare` of them; False where they have not
-        in time."""
+        """Until all that run and can answer have these views' versions, but for `spare` of them; False where
+        they have not in time.
+        """
+        return await self._until(
+            {"versions": {str(view): one for view, one in versions.items()}}, within, spare
+        )
+
+    async def until_resources(self, versions: dict[str, int], within: float, spare: int = 0) -> bool:
+        """The same for resources by kind/name."""
+        return await self._until({"resources": versions}, within, spare)
+
+    async def _until(self, wanted: dict[str, Any], within: float, spare: int) -> bool:
         until = time.monotonic() + within
-        wanted = {str(view): version for view, version in versions.items()}
         while True:
-            told = await self.ask_all("behind", versions=wanted)
+            told = await self.ask_all("behind", **wanted)
             behind, of = sum(one["behind"] for one in told), sum(one["of"] for one in told)
             if behind <= spare:
                 return True
             if time.monotonic() >= until:
-                self._say(f"  {behind} of {of} have not the list")
+                self._say(f"  {behind} of {of} have not what they ought to")
                 return False
             await asyncio.sleep(LOOK_EVERY)
 
+    async def traffic(self) -> dict[str, Any]:
+        """What control cost the proxies since this was last asked for."""
+        total: Counter[str] = Counter()
+        seconds: Counter[int] = Counter()
+        connects: Counter[int] = Counter()
+        worst = oldest = 0
+        for told in await self.ask_all("traffic"):
+            total.update(told["counts"])
+            worst, oldest = max(worst, told["worst_one"]), max(oldest, told["oldest_us"])
+            for second, size, many in told["seconds"]:
+                seconds[second] += size
+                connects[second] += many
+        return {
+            **total,
+            "seconds": len(seconds),
+            "worst second bytes": max(seconds.values(), default=0),
+            "worst second connects": max(connects.values(), default=0),
+            "worst second of one bytes": worst,
+            "oldest_s": round(oldest / 1e6, 1),
+        }
+
+    def reached_resource(self, rows: list[Row], what: str, version: int, at: int, meant: set[int]) -> Reached:
+        return hollow_books.reached(
+            rows, what, {place.view: version for place in self.plan.places}, at, meant
+        )
+
     async def change(self, rows: list[dict[str, Any]]) -> tuple[int, dict[int, int]]:
         """At discovery; when, and what version each view has of it."""
         told = await self._ask(self.discovery, "change", rows=rows)
@@ -273,12 +395,18 @@
         """Discovery is gone for whoever watches it, or back."""
         await self._ask(self.discovery, "absent", on=on)
 
-    async def cut(self, zones: Iterable[int], on: bool) -> None:
-        """These zones from all that control has outside of them."""
-        for zone in zones:
-            await self._ask(
-                self.zones[zone], *(("cut",) if on else ("heal",)), names=list(self._fronts[zone])
-            )
+    async def cut(self, regions: set[int], on: bool) -> None:
+        """These regions from all that control has outside of them, or healed."""
+        for zone, worker in enumerate(self.zones):
+            if on:
+                far = [
+                    name
+                    for name in self._fronts[zone]
+                    if (region_of(self._zone_of(name)) in regions) != (region_of(zone) in regions)
+                ]
+                await self._ask(worker, "cut", names=far)
+            else:
+                await self._ask(worker, "heal")
         if not on:
             await self.shape()
 
