--- a/pepperusher/distribution/publisher.py
+++ b/pepperusher/distribution/publisher.py
@@ -41,9 +41,10 @@
 # to one of them at the least. A wave ends once all of it have answered, or after so long.
 WAVES = (0.02, 0.2, 1.0)
 WAVE_WITHIN = 1_500_000
-# It stops where at least a tenth of those that answered refused it: at once from so many on, else at the
-# end of its wave.
+# It stops where two or more refused it and these are at least a tenth of those that answered, at once from so
+# many on and else at the end of a wave; and where a wave ends with nobody but such as refused it.
 REFUSED_PART = 0.1
+REFUSED_LEAST = 2
 REFUSED_AT_ONCE = 3
 # Bodies before the newest that deltas are made from, and how much of them.
 BEFORE = 4
@@ -177,8 +178,12 @@
         ]
         held.bar = max(WAVES[held.wave], min(places, default=0.0))
 
-    def draft(self, kind: str, name: str, body: bytes) -> Resource:
-        """The version that a change would become here. Raises NotTaken."""
+    def draft(self, kind: str, name: str, body: bytes, now: int) -> Resource:
+        """The version that a change would become here. Raises NotTaken.
+
+        Its number is the time in milliseconds, or one more than the last where that is greater: an origin with
+        an old disk that nobody can tell of what it lost must not give a number twice.
+        """
         if kind not in KINDS:
             raise NotTaken(f"{kind!r} is none of {', '.join(KINDS)}")
         if not name or len(name) > 100 or not name.isprintable():
@@ -205,7 +210,7 @@
         if ahead > last and epoch == ahead.epoch:
             # Its number here would be one that others have with another content.
             raise NotTaken(f"{ahead} is in use and {self.name} has {last}: fetched, or raise the epoch")
-        return resource(kind, name, Version(epoch, ahead.number + 1), body)
+        return resource(kind, name, Version(epoch, max(ahead.number + 1, now // 1_000)), body)
 
     def take(self, one: Resource, now: int, halted: str = "", steady: bool = False) -> str | None:
         """A version from disk, from the origin or from another control machine. What is wrong with it, or
@@ -371,31 +376,41 @@
             if proxy.refused.get(one.key, (NEVER, ""))[0] < one.version:
                 proxy.refused[one.key] = one.version, one.reason
                 self.counts["refused"] += 1
+                if proxy.in_force.get(one.key) == one.version:
+                    # It was taken, did harm, and was undone.
+                    del proxy.in_force[one.key]
                 self._has_still(sub, one.key, proxy.in_force.get(one.key, NEVER))
-                if one.key in self._rolling:
+                held = self.held.get(one.key)
+                if held is not None and held.newest.version == one.version and not held.halted:
                     self._judge(one.key, now, False)
         else:
             # As it says and not the greatest: a process that was made anew may have less.
             proxy.in_force[one.key] = one.version
             self.counts["in force"] += 1
+            if one.version > sub.known.get(one.key, Mark(*NEVER, "")).version:
+                # By way of its other upstream: from here on deltas are made from that.
+                self._has_still(sub, one.key, one.version)
 
     def _has_still(self, sub: Subscriber, key: Key, version: Version) -> None:
         """One that refused what it was sent has the one before: deltas are made from that."""
         held = self.held.get(key)
-        there = [] if held is None else [*held.before.values(), *([held.steady] if held.steady else [])]
-        for old in there:
+        if held is None:
+            return
+        for old in (held.newest, *held.before.values(), *((held.steady,) if held.steady else ())):
             if old.version == version:
                 sub.known[key] = mark_of(old)
                 return
         sub.known.pop(key, None)
 
-    def want(self, id: int, key: Key, steady: bool) -> None:
+    def want(self, id: int, key: Key, steady: bool, base: Mark | None) -> None:
         sub = self.subscribers[id]
         if sub.names is not None and (key not in sub.names or steady):
             return
         sub.wants.add((key, steady))
         if key in self.held:
-            if not steady and sub.names is not None:
+            if not steady and base is not None:
+                sub.known[key] = base
+            elif not steady:
                 sub.known.pop(key, None)
             sub.dirty[key] = None
             self.pending[id] = None
@@ -448,8 +463,8 @@
                 return wire.encoded(Snapshot(*key, mark_of(held.steady), held.steady.body, True))
         if (key, False) in sub.wants:
             sub.wants.discard((key, False))
-            sub.known[key] = mark_of(held.newest)
-            return self._snapshot(held, held.newest)
+            known, sub.known[key] = sub.known.get(key), mark_of(held.newest)
+            return self._update(held, held.newest, known)
         return None
 
     def _to_proxy(self, sub: Subscriber, key: Key) -> bytes | None:
@@ -526,14 +541,17 @@
             proxy = self.proxies.get(name)
             if proxy is None or proxy.connection != id or place_of(name, version) > held.bar:
                 continue
+            if key in self.subscribers[id].dirty:
+                continue  # it does not take what it is sent: the others don't wait for it
             sent += 1
             no = proxy.refused.get(key)
             if no is not None and no[0] == version:
                 refused, reason = refused + 1, no[1]
             if proxy.in_force.get(key, NEVER) >= version or (no is not None and no[0] == version):
                 answered += 1
-        over = over or (answered == sent and sent > 0)
-        if refused >= REFUSED_PART * answered and refused and (over or refused >= REFUSED_AT_ONCE):
+        over = key in self._rolling and (over or (answered == sent and sent > 0))
+        many = refused >= REFUSED_LEAST and refused >= REFUSED_PART * answered
+        if (many and (over or refused >= REFUSED_AT_ONCE)) or (over and refused and refused == answered):
             self.halt(key, version, f"refused by {refused} of {answered} that answered at {self.name}: {reason}")
         elif over and held.wave < len(WAVES) - 1:
             held.wave += 1
--- a/pepperusher/distribution/server.py
+++ b/pepperusher/distribution/server.py
@@ -256,7 +256,7 @@
         elif isinstance(message, Ack):
             publisher.ack(id, message, now)
         elif isinstance(message, Want):
-            publisher.want(id, message.key, message.steady)
+            publisher.want(id, message.key, message.steady, message.base)
         elif isinstance(message, Bodies):
             publisher.bodies(id, message.on)
         elif isinstance(message, AskRollout) and one.hello.role == RELAY:
@@ -409,7 +409,7 @@
         publisher = self.publisher
         async with self._drafting:
             try:
-                made = publisher.draft(said.kind, said.name, said.body)
+                made = publisher.draft(said.kind, said.name, said.body, clock.now())
             except NotTaken as no:
                 self._say_to(one, Published(*NEVER, one_line(str(no))))
                 return
--- a/pepperusher/distribution/words.py
+++ b/pepperusher/distribution/words.py
@@ -35,8 +35,8 @@
 
 
 class Version(NamedTuple):
-    """The epoch is raised by hand with each new origin; the number by the origin with each change. They order
-    the versions of one resource, and say nothing across resources.
+    """The epoch is raised by hand with each new origin; the number by the origin with each change, to the time
+    in ms or by one. They order the versions of one resource, and say nothing across resources.
     """
 
     epoch: int
@@ -144,11 +144,14 @@
 
 
 class Want(_Message, tag=3):
-    """The body, whole: what came does not fit what is there, or this one was only offered it."""
+    """The body: what came does not fit what is there, or this one was only offered it. `base` is what a delta
+    may be made from; without one it comes whole.
+    """
 
     kind: Name
     name: Name
     steady: bool = False
+    base: Mark | None = None
 
     @property
     def key(self) -> Key:
