--- a/pepperusher/capacity/commands.py
+++ b/pepperusher/capacity/commands.py
@@ -9,6 +9,7 @@
 # Name of the command, and the module that has it under that name.
 COMMANDS = {
     "fidelity": "pepperusher.capacity.scenes",
+    "scene": "pepperusher.capacity.scenes",
     "project": "pepperusher.capacity.slope_commands",
     "slopes": "pepperusher.capacity.slope_commands",
 }
--- a/pepperusher/capacity/scenes.py
+++ b/pepperusher/capacity/scenes.py
@@ -12,7 +12,7 @@
 
 import click
 
-from pepperusher.rehearsal import hollow_fidelity
+from pepperusher.rehearsal import hollow_fidelity, hollow_scenes
 from pepperusher.rehearsal.worker import WorkerError
 
 
@@ -57,3 +57,43 @@
             click.echo(f"{what}: whole {told[what]['whole']}, hollow {told[what]['hollow']}")
         click.echo(told["verdict"])
     _ended(told)
+
+
+@click.command()
+@click.argument("names", nargs=-1, metavar="[SCENE]...")
+@click.option("--size", default=200, show_default=True, type=click.IntRange(20, 5000), help="Proxies.")
+@click.option("--controls", default=3, show_default=True, type=click.IntRange(2, 9), help="Control machines.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--quick", is_flag=True, help="Shorter spans, the same checks.")
+@click.option("--json", "as_json", is_flag=True, help="A line of JSON for each scene as it ends.")
+def scene(names: tuple[str, ...], size: int, controls: int, seed: int, quick: bool, as_json: bool) -> None:
+    """Play scenes at scale with hollow proxies: all where none is named; `before` has discovery alone."""
+    unknown = [name for name in names if name not in (*hollow_scenes.SCENES, "before")]
+    if unknown:
+        raise click.ClickException(
+            f"{unknown[0]!r} is none of {', '.join((*hollow_scenes.SCENES, 'before'))}"
+        )
+
+    def each(told: dict[str, Any]) -> None:
+        told = {**told, "size": size, "controls": controls, "seed": seed}
+        if as_json:
+            click.echo(json.dumps(told))
+            return
+        click.echo(f"{told['scene']}: {told['verdict']}, {told.get('seconds', '')} s")
+        for one in told.get("checks", ()):
+            click.echo(
+                f"  {'holds' if one['holds'] else 'DOES NOT HOLD'}: {one['what']}: {json.dumps(one['seen'])}"
+            )
+
+    async def run(work: Path) -> dict[str, Any]:
+        made: list[dict[str, Any]] = []
+        if "before" in names:
+            made += await hollow_scenes.before(size, seed, work, _say)
+            for one in made:
+                each(one)
+        if names != ("before",):
+            mine = [name for name in names if name != "before"] or list(hollow_scenes.SCENES)
+            made += await hollow_scenes.played(mine, size, controls, seed, quick, work, _say, each)
+        return {"verdict": "passed" if all(one["verdict"] == "passed" for one in made) else "failed"}
+
+    _ended(played(run))
--- a/pepperusher/rehearsal/hollow.py
+++ b/pepperusher/rehearsal/hollow.py
@@ -311,9 +311,8 @@
 
     async def _begin(self, place: dict[str, Any]) -> None:
         spec = self._spec
-        told = told_of(
-            spec["settings"], place["name"], place["index"], place["zone"], tuple(place["discovery"])
-        )
+        settings = spec["lacking"] if place.get("lacks") else spec["settings"]
+        told = told_of(settings, place["name"], place["index"], place["zone"], tuple(place["discovery"]))
         hollow = Hollow(told, spec.get("own"))
         if place.get("upstreams"):
             hollow.joins(place, spec["key"].encode())
--- a/pepperusher/rehearsal/hollow_plan.py
+++ b/pepperusher/rehearsal/hollow_plan.py
@@ -141,24 +141,16 @@
 
 
 def names_of(place: Place, plan: Plan, parts: int = REGIONS) -> list[list[str]]:
-    """What it subscribes to: all proxies' configuration, its team's, and each region's part of each list."""
+    """What it subscribes to: all proxies' configuration, its team's, and the lists of the services it calls."""
     made = [["config", "common"], ["config", f"t{place.number % TEAMS}"]]
-    return made + [
-        ["endpoints", f"r{part}/s{service}"] for service in plan.views[place.view] for part in range(parts)
-    ]
+    return made + [["endpoints", list_of(service, parts)] for service in plan.views[place.view]]
 
 
-def part_of(row: dict[str, Any], parts: int = REGIONS) -> int:
-    """Which region's part of a list a backend is in."""
-    return region_of(int(row["zone"][1:])) % parts
+def list_of(service: int, parts: int = REGIONS) -> str:
+    """The name of its list. Each is a fact of one region; the services are dealt to the regions in turn."""
+    return f"r{service % parts}/s{service}"
 
 
 def lists_of(plan: Plan, parts: int = REGIONS) -> dict[str, list[dict[str, Any]]]:
-    """Each region's part of each service, by name."""
-    made: dict[str, list[dict[str, Any]]] = {
-        f"r{part}/s{service}": [] for service in range(len(plan.services)) for part in range(parts)
-    }
-    for service, rows in enumerate(plan.services):
-        for one in rows:
-            made[f"r{part_of(one, parts)}/s{service}"].append(one)
-    return made
+    """Every list, by name."""
+    return {list_of(service, parts): rows for service, rows in enumerate(plan.services)}
