A cold backend's budget goes over what was listed while the flow came, for all that share it

Cause: _may_warm divided the flow of the last calls by the weight listed now (`side.grown`). When most of a list goes at once that flow is of all who were there and the weight of the few left, so the first cold backend was allowed the calls of all; calls that the gone ones finished counted as done by those listed (`side.took`); and an arc covers more of a shorter list, so three times as many proxies each allowed the old part.

Change: the flow goes over the weight listed while it came, or now, whichever is more; only backends that are still this proxy's count; both are kept for all that share a backend; the average is corrected for a young proxy as the flow was.

tests: cold_budget let the clock pass only for what was sent, so its note (in 2.4 s) was not what it played; each of the 40 now takes its 60 ms.

--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -201,7 +201,7 @@
 
     def _has_room(self, backend: Backend, now: int) -> bool:
         room = now >= backend.full_until or backend.in_flight < backend.full_at
-        return room and (not backend.cold or self._may_warm(backend, now))
+        return room and (not backend.cold or backend.near and self._may_warm(backend, now))
 
     @staticmethod
     def _turn(choice: list[Backend], now: int) -> Backend | None:
@@ -359,9 +359,10 @@
             side.done_at = now
             side.span = max(FLOW_SPAN, FLOW_LEAST * side.gap)
             side.flow += SECOND / side.span
-            side.took *= exp((side.took_at - now) / self._warm_after)
-            side.took += SECOND / self._warm_after / side.grown
-            side.took_at = now
+            if backend.near:   # Not those that have gone and finish what they hold.
+                side.grown_then += (side.grown / side.sharing - side.grown_then) * side.gap / side.span
+                side.took = self._took_now(side, now) + SECOND / self._warm_after / side.grown * side.sharing
+                side.took_at = now
             self._usual += (took - self._usual) // 16 if self._usual else took
         current = sent.generation == backend.generation
         if current and sent.trial:
@@ -436,6 +437,8 @@
             backend.zone, backend.kind, backend.cell = line.zone, line.kind, line.cell
             backend.weight, backend.born = line.weight, line.born
             kept[id(backend)] = backend
+        for backend in self._backends:
+            backend.near = False
         self._backends = list(kept.values())
         self._lay(now)
         if self._list_lost:
@@ -528,13 +531,12 @@
     def learned(self, now: int) -> tuple[int, float, float]:
         """What another process of the same proxy is `taught`: else it takes the jam for its doing."""
         home = self._sides[self._home]
-        fade = exp((home.took_at - now) / self._warm_after)
-        return self._usual, self._flow_now(home, now), home.took * fade
+        return self._usual, self._flow_now(home, now), self._took_now(home, now)
 
     def taught(self, usual: int, flow: float, took: float, now: int) -> None:
         self._usual, self._started = usual, min(self._started, now - 9 * FLOW_SPAN)
         for side in self._sides.values():
-            side.flow, side.took, side.started = flow, took, self._started
+            side.flow, side.took, side.started = flow, took, min(self._started, now - 9 * self._warm_after)
             side.flow_at = side.took_at = side.done_at = now
             flow = took = 0.0   # the first is the home's, whose they are
 
@@ -603,9 +605,7 @@
         """The operators' carry-over: a fresh backend counts for less, by its age. Returns the fresh."""
         for backend in backends:
             backend.cold = backend.born != 0 and now - backend.born < self._warm_after
-            backend.share = backend.portion
-            if backend.cold:
-                backend.share *= self._grown(backend, now)
+            backend.share = backend.portion * (self._grown(backend, now) if backend.cold else 1.0)
         # Asked with each ticket while one is fresh: no further than the near ones, which come first.
         for side in self._sides.values():
             side.grown = sum(b.share for b in takewhile(attrgetter("near"), side.ring)) or 1.0
@@ -613,27 +613,28 @@
 
     def _may_warm(self, backend: Backend, now: int) -> bool:
         """The cold rule's budget, by what warm backends of like size take from this proxy, spent evenly."""
-        if not backend.near:
-            return False
         size = backend.portion * self._grown(backend, now)
-        # By what one took over as long as a backend is cold, if that is more than now: where most are fresh
-        # the few warm ones choke, and by what they then take the fresh stood idle beside bounced tickets.
+        # Over what was listed while it came: else one fresh backend gets the calls of all that have just gone.
+        # Or by what one took while a backend warms, if that is more: jammed warm ones take little.
         side = self._side(backend)
-        before = side.took * exp((side.took_at - now) / self._warm_after)
-        rate = max(self._flow_now(side, now) / side.grown, before) * size * self._cold_rate
+        known = 1.0 - exp(min(-1, side.started - now) / self._warm_after)
+        rate = self._flow_now(side, now) / max(side.grown / side.sharing, side.grown_then)
+        rate = max(rate, self._took_now(side, now) / known) / side.sharing * size * self._cold_rate
         rate = max(rate, self._cold_least / self.sharers)
         backend.allowance += rate * (now - backend.counted_at) / SECOND
         backend.allowance, backend.counted_at = min(max(1.0, rate / 4), backend.allowance), now
         return backend.allowance >= 1.0
 
+    def _took_now(self, side: Side, now: int) -> float:
+        return side.took * exp((side.took_at - now) / self._warm_after)
+
     @staticmethod
     def _flow_now(side: Side, now: int) -> float:
         if now > side.flow_at:
             side.flow *= exp((side.flow_at - now) / side.span)
             side.flow_at = now
         # The first moments count as short as they are: else a proxy just started takes itself for slow.
-        since = side.started - now
-        return side.flow / (1.0 - exp(since / side.span)) if since < 0 else 0.0
+        return side.flow / (1.0 - exp(min(-1, side.started - now) / side.span))
 
     # --- what a ticket still allows ---------------------------------------------------------------
 
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -152,7 +152,7 @@
 class Side:
     """One location's backends as one proxy knows them, and its flow there."""
 
-    __slots__ = ("part", "reach", "ring", "weight", "grown", "sharing", "mean", "held", "flow", "flow_at",
+    __slots__ = ("part", "reach", "ring", "weight", "grown", "grown_then", "sharing", "mean", "held", "flow", "flow_at",
                  "started", "span", "gap", "done_at", "took", "took_at")
 
     def __init__(self, started: int, span: int, gap: int) -> None:
@@ -161,6 +161,7 @@
         self.reach = 1.0                       # how many times as wide as others' this proxy's arc is
         self.weight = 0.0
         self.grown = 1.0
+        self.grown_then = 0.0                  # over `sharing`, as it was while what makes up the flow came
         self.sharing = 1.0
         self.mean = 0.0
         self.held = 0.0
@@ -168,7 +169,7 @@
         self.started = self.flow_at = self.done_at = self.took_at = started
         self.span = span
         self.gap = gap
-        self.took = 0.0                        # a second, by one of weight 1
+        self.took = 0.0                        # a second, by one of weight 1 from all that share it
 
 
 class Listing:
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -103,8 +103,9 @@
         self.list("c1", born=self.now)
         self.list("a1", "b1", ready=False)
         for _ in range(40):
+            at = self.now
             self.call(DONE, 0.05, quiet=True)
-            self.pass_time(0.01)
+            self.now = at + SECOND * 6 // 100
         sent = len(self.backends["c1"].results)
         self.note(f"in 2.4 s a backend just started was sent {sent} of 40")
         self.kept("cold_budget")
