--- a/pepperusher/__main__.py
+++ b/pepperusher/__main__.py
@@ -18,7 +18,7 @@
 REPORTED_BY = {BY_NOBODY: "nobody", BY_ANSWERS: "answers", BY_PROBES: "probes, which are not sent"}
 # Commands that live in packages of their own, loaded when they are asked for: `serve` must not grow by them.
 LATER = {**{name: ("pepperusher.rehearsal.commands", "rehearsal")
-            for name in ("emulate", "load", "rehearse", "experiment", "report", "group-figures")},
+            for name in ("emulate", "load", "rehearse", "experiment", "report", "group-figures", "cold-figures")},
          **{name: ("pepperusher.own.commands", "own") for name in ("explain", "schema")},
          "ctl": ("pepperusher.control.commands", "own"), "store": ("pepperusher.store.commands", "store")}
 
--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -614,8 +614,8 @@
     def _may_warm(self, backend: Backend, now: int) -> bool:
         """The cold rule's budget, by what warm backends of like size take from this proxy, spent evenly."""
         size = backend.portion * self._grown(backend, now)
-        # Over what was listed while it came: else one fresh backend gets the calls of all that have just gone.
-        # Or by what one took while a backend warms, if that is more: jammed warm ones take little.
+        # Over what was listed while it came: else one fresh backend gets the calls of all that just went.
+        # And by what one took while a backend warms, if that is more: the warm ones choke and take little.
         side = self._side(backend)
         known = 1.0 - exp(min(-1, side.started - now) / self._warm_after)
         rate = self._flow_now(side, now) / max(side.grown / side.sharing, side.grown_then)
--- a/pepperusher/rehearsal/coldsum.py
+++ b/pepperusher/rehearsal/coldsum.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from heapq import heappop, heappush
 from itertools import count
 from math import sqrt
@@ -367,7 +367,18 @@
                    sum(one.first for one in readings) / len(readings), sum(one.served for one in readings) / len(readings))
 
 
-def rows(proxies: int, seeds: range) -> Iterator[tuple[Deployment, Case, Reading]]:
-    for deployment in DEPLOYMENTS:
+def rows(proxies: int, seeds: Iterable[int], names: Sequence[str]) -> Iterator[tuple[Deployment, Case, Reading]]:
+    """Each case at each of the deployments named, as it is read."""
+    for deployment in (one for one in DEPLOYMENTS if one.name in names):
         for case in CASES:
-            yield deployment, case, joined([Model(deployment, case, proxies, seed).play() for seed in seeds])
+            if proxies >= max(case.restarted, case.stale):
+                yield deployment, case, joined([Model(deployment, case, proxies, seed).play() for seed in seeds])
+
+
+HEAD = ("| deployment | case | windows | over | worst, of N + 2 x root of N + 2 | by work | first window, of N | served |\n"
+        "| --- | --- | --- | --- | --- | --- | --- | --- |")
+
+
+def line(deployment: Deployment, case: Case, read: Reading) -> str:
+    return (f"| {deployment.name} | {case.name} | {read.windows} | {read.over} | {read.worst:.2f} ({read.count} of N {read.allowed:.1f})"
+            f" | {read.over_by_work} over, {read.worst_by_work:.2f} | {read.first:.2f} | {read.served:.3f} |")
--- a/pepperusher/rehearsal/commands.py
+++ b/pepperusher/rehearsal/commands.py
@@ -204,3 +204,29 @@
     with one_line():
         made = list(groupfigures.rows([int(one) for one in sizes.split(",")], plays, lambda line: click.echo(line, err=True)))
         click.echo(groupfigures.table(made))
+
+
+@click.command("cold-figures")
+@click.option("--proxies", default=30, show_default=True, help="How many proxies.")
+@click.option("--seeds", default=2, show_default=True, help="Runs of each case, by seed.")
+@click.option("--deployment", "deployments", multiple=True, help="One of those, by name; several times for several. All if none.")
+def cold_figures(proxies: int, seeds: int, deployments: tuple[str, ...]) -> None:
+    """Read what all proxies together send to cold backends, in virtual time, against the rule's budget.
+
+    Ends with 1 if a window was over it.
+    """
+    from pepperusher.rehearsal import coldsum
+
+    names = [one.name for one in coldsum.DEPLOYMENTS]
+    if unknown := [one for one in deployments if one not in names]:
+        raise click.ClickException(f"--deployment {unknown[0]} is none of {', '.join(names)}")
+    if not 2 <= proxies <= 1000 or seeds < 1:
+        raise click.ClickException("--proxies are 2 to 1000, and --seeds is 1 or more")
+    with one_line():
+        kept = True
+        click.echo(coldsum.HEAD)
+        for row in coldsum.rows(proxies, range(seeds), deployments or names):
+            click.echo(coldsum.line(*row))
+            kept = kept and not row[2].over
+    if not kept:
+        sys.exit(RULE_BROKEN)
