Tests' own discovery says that it is alive, as the real one does every two seconds

Cause of tests that failed on a busy machine with "discovery gets ..." too often or "watch ended: silent" (net_crowd, net_stop, net_outcomes, streams_up, bad input): the stand-in said one word and fell silent, so that any test that took over 2.5 s saw its watch asked for anew. Now an empty line goes out every half second; the tests of silences and of lines in parts say that they want none.

--- a/tests/scene.py
+++ b/tests/scene.py
@@ -192,6 +192,8 @@
 class Street(Kept, unittest.IsolatedAsyncioTestCase):
     """A whole proxy on loopback between a toy client, toy backends and a toy discovery."""
 
+    beats = True   # False where a watch is to be silent, or a line of it to come in parts
+
     async def open(self, *names: str, own: str | None = None, passed: str | None = None, **changes: object) -> None:
         """`own` is the text of the proxy's own file, at `own_file`; `passed` the folder for what processes pass on."""
         if passed is None and "console" in changes:
@@ -252,6 +254,15 @@
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
         self.watches.append(writer)
         self.heard.append(reader)
+        if self.beats:
+            beating = asyncio.create_task(self.beat(writer))
+            self.addCleanup(beating.cancel)   # and so it is kept
+
+    async def beat(self, writer: asyncio.StreamWriter) -> None:
+        """As discovery does, every 2 s at the latest: a test that took longer, on a busy machine, saw its watch asked for anew."""
+        while not writer.is_closing():
+            await asyncio.sleep(0.5)
+            writer.write(b"1\r\n\n\r\n")
 
     def news(self, version: int, *servers: dict[str, object], full: bool = False, watch: int = -1) -> None:
         text = json.dumps({"version": version, "full": full, "servers": servers}) + "\n"
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -589,6 +589,8 @@
 
 
 class Watches(Crossing):
+    beats = False
+
     def tell(self, text: bytes, watch: int = -1) -> None:
         self.watches[watch].write(b"%x\r\n%s\r\n" % (len(text), text))
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,6 +11,8 @@
 
 
 class Lists(Street):
+    beats = False
+
     def listed(self) -> str:
         return ", ".join(sorted(one["id"] for one in self.proxy._facade.backends() if one["ready"])) or "nobody"
 
