--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -14,6 +14,8 @@
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
+import pytest
+
 from pepperusher.net.buffers import HELD
 
 from tests.scene import Street
@@ -288,6 +290,7 @@
         self.assertLess(most, 40 + 10 * 5)
         await self.until(lambda: pool._lent == 0)
 
+    @pytest.mark.timeout(240)
     async def test_fifty_slow_peers_both_ways_in_little_memory(self) -> None:
         """A process of its own: bodies and answers of 2 MB by fifty peers at once, then 32 MB both ways."""
         async def echoes(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
