--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -592,6 +592,8 @@
 
 
 class Watches(Crossing):
+    beats = False
+
     @property
     def discovery_port(self) -> int:
         return int(json.loads(self.given)["discovery"].split(":")[1])
