--- a/pepperusher/capacity/slopes.py
+++ b/pepperusher/capacity/slopes.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 
 from pepperusher.capacity import attempts, decisions, latency, membership, processes, watching
-from pepperusher.capacity.measures import COUNTED, TIMED, Measure, Single
+from pepperusher.capacity.measures import CLOCKED, COUNTED, TIMED, Measure, Single
 from pepperusher.capacity.stage import ZONES
 
 BESIDE, FRONT, CONTROL, DISCOVERY, BACKEND, OPERATOR = (
@@ -93,7 +93,7 @@
         ("return_calls", "calls as it returns after 3 s, a call worked through in 4 ms, 64 waiting", "calls",
             COUNTED),
         ("return_bytes", "bytes out as it returns, a list of 24", "bytes", COUNTED),
-        ("return_seconds", "seconds until all are told after its return", "s", TIMED),
+        ("return_seconds", "seconds until all are told after its return", "s", CLOCKED),
     ):
         yield Measure(
             f"discovery.{name}", DISCOVERY, what, "proxy", unit, worth, (100, 150, 200, 250, 300), 400,
@@ -144,9 +144,8 @@
         connections, most, processes.by_connections("descriptors"),
     )
     yield Measure(
-        "operator.change", OPERATOR, "until a change is in force everywhere, `ctl propose` at one proxy"
-        " after another",
-        "proxy", "s", TIMED, (1, 2, 3, 4, 6), 8, processes.told_one_by_one, 3,
+        "operator.change", OPERATOR, "processor time until a change is in force everywhere, `ctl propose` at"
+        " one proxy after another", "proxy", "s", TIMED, (1, 2, 3, 4, 6), 8, processes.told_one_by_one, 3,
     )
 
 
@@ -154,12 +153,15 @@
     sizes, most = (24, 100, 250, 500, 1000), 2500
     for group, changes, said in ((1000, 0.0, "calm"), (1000, RELEASE, "release"), (1, 0.0, "group1")):
         with_changes = f", {changes:.1f} changes of the list a second" if changes else ""
-        for which, what in (("p99", "time added at the 99th of 100"), ("p50", "time added at the middle"),
-            ("cpu", "processor time of a call")):
+        for which, what in (
+            ("p99", "time added at the 99th of 100"),
+            ("p50", "time added at the middle"),
+            ("cpu", "processor time of a call"),
+        ):
             yield Measure(
                 f"added.{said}.{which}", BESIDE, f"{what}, one proxy, 72 calls a second, group size"
                 f" {group}{with_changes}", "backend listed",
-                "us", TIMED, sizes, most, latency.added(group, which, changes),
+                "us", TIMED if which == "cpu" else CLOCKED, sizes, most, latency.added(group, which, changes),
             )
 
 
@@ -204,7 +206,7 @@
 
 def chain(seed: int, say: Callable[[str], None], depth: int = DEPTH) -> Iterator[Single]:
     """A chain of whole proxies, by list size, and with a release's changes."""
-    for listed, changes in ((24, 0.0), (250, 0.0), (1000, 0.0), (250, RELEASE)):
+    for listed, changes in ((24, 0.0), (1000, 0.0), (250, RELEASE), (250, 0.0)):
         added = latency.through_chain(depth, listed, 1000, seed, changes)
         with_changes = f", {changes:.1f} changes a second" if changes else ""
         said = f"{depth} proxies in a row, {listed} listed{with_changes}"
