Distribution: what is offered costs by itself, not by all that is offered; 8,000 resources

With 941 resources at nine control machines each offer walked all offers of all upstreams, and publishing ended in no answer. What is behind is a set now; a body that does not come is wanted of another machine than before; what is steady is no news of its own to relays.

--- a/pepperusher/distribution/publisher.py
+++ b/pepperusher/distribution/publisher.py
@@ -482,7 +482,9 @@
     def _to_relay(self, sub: Subscriber, key: Key) -> bytes | None:
         """Offers, and the bodies that it wants."""
         held = self.held[key]
-        said = (held.newest.version, held.halted, held.steady and held.steady.version)
+        # What is steady goes along, and is no news of its own: it counts where a version is halted, and to one
+        # that comes anew.
+        said = (held.newest.version, held.halted)
         if sub.offered.get(key) != said:
             sub.offered[key] = said
             return wire.encoded(
--- a/pepperusher/distribution/server.py
+++ b/pepperusher/distribution/server.py
@@ -24,6 +24,7 @@
 from pepperusher.distribution.words import (
     LONGEST_ANSWER,
     LONGEST_MESSAGE,
+    LONGEST_WORD,
     NEVER,
     OPERATOR,
     PROXY,
@@ -298,12 +299,9 @@
         self._strangers.pop(id, None)
         self._roles[hello.role] += 1
         one.hello = hello
+        one.link.session.longest = LONGEST_WORD if hello.role == PROXY else LONGEST_MESSAGE
         if hello.role != OPERATOR:
-            if hello.role == RELAY:
-                one.link.session.longest = LONGEST_MESSAGE
             self.publisher.join(id, hello, now)
-        else:
-            one.link.session.longest = LONGEST_MESSAGE
         one.beat_at = now
         if hello.role != OPERATOR:
             self._say_to(one, self.publisher.beat(now))
--- a/pepperusher/distribution/subscriber.py
+++ b/pepperusher/distribution/subscriber.py
@@ -107,6 +107,8 @@
 Effect = Connect | Close | Send | Apply | Say
 
 DOWN, CONNECTING, UP = range(3)
+# A resource's newest, or with True its steady version.
+Slot = tuple[Key, bool]
 
 
 class _Upstream:
@@ -117,7 +119,7 @@
         self.state = DOWN
         self.since = self.again_at = self.heard_at = self.beat_at = now
         self.wait = AGAIN_LEAST
-        self.offers: dict[tuple[Key, bool], tuple[Mark, int, str]] = {}  # as many as are subscribed to
+        self.offers: dict[Slot, tuple[Mark, int, str]] = {}  # as many as are subscribed to
         self.bodies = False
 
 
@@ -149,7 +151,8 @@
         self.refused: dict[Key, tuple[Mark, str]] = {}  # as many
         self._applying: dict[Key, Resource] = {}  # as many
         self._next: dict[Key, tuple[Resource, str]] = {}  # the newest behind what is being applied
-        self._wants: dict[tuple[Key, bool], tuple[int, int]] = {}  # (when asked again, how long then)
+        self._behind: set[Slot] = set()  # what somebody offered that is newer than what is here
+        self._wants: dict[Slot, tuple[int, int, str]] = {}  # when asked again, how long then, whom last
         self._steady: dict[Key, Version] = {}  # a relay's, as many as it holds
         self._misfits: set[Key] = set()  # to be had whole
         self.confirmed: tuple[int, int] = (0, 0)
@@ -269,7 +272,7 @@
                 due = min(due, one.since + (CONNECT_WITHIN if late else CONNECT_FIRST))
             elif up < self._links:
                 due = min(due, max(one.again_at, self._next_at, now + 5_000))
-        for at, _ in self._wants.values():
+        for at, _, _ in self._wants.values():
             due = min(due, max(at, now + 5_000))
         return due
 
@@ -301,7 +304,9 @@
         if (beat.epoch, beat.stamp) <= self.confirmed:
             return
         behind = any(
-            mark.version > self._last(key) and not steady for (key, steady), (mark, _, _) in one.offers.items()
+            one.offers[slot][0].version > self._last(slot[0])
+            for slot in self._behind
+            if not slot[1] and slot in one.offers
         )
         if not behind and not self._applying:
             self.confirmed = beat.epoch, beat.stamp
@@ -338,37 +343,39 @@
             held = self.held.get(key)
             if offer.halted and held is not None and held.version == offer.mark.version:
                 self.out.append(Apply(held, offer.halted, False))
-        self._ask(now)
+            self._ask_for((key, True), now)
+        self._ask_for((key, False), now)
 
     def _ask(self, now: int) -> None:
-        """Wants what is offered and not sent: a relay at once, a proxy where its first upstream did not."""
-        late = OFFERED_WITHIN if self._role == PROXY else 0
-        for one in self._upstreams.values():
-            if one.state != UP:
-                continue
-            for (key, steady), (mark, at, _) in one.offers.items():
-                last = self._steady.get(key, NEVER) if steady else self._last(key)
-                if mark.version <= last:
-                    continue
-                due, wait = self._wants.get((key, steady), (at + late, WANT_AGAIN))
-                if now < due:
-                    self._wants[key, steady] = due, wait
-                    continue
-                self._wants[key, steady] = now + wait, min(2 * wait, WANT_MOST)
-                held = None if steady or key in self._misfits else self.held.get(key)
-                self.out.append(Send(one.name, Want(*key, steady, held and mark_of(held))))
-                self.counts["wants"] += 1
-        for slot in [slot for slot in self._wants if not self._missing(slot)]:
-            del self._wants[slot]
-
-    def _missing(self, slot: tuple[Key, bool]) -> bool:
-        """Whether anything newer is offered still."""
+        """Wants what is offered and was not sent, where that is due."""
+        for slot in list(self._behind):
+            self._ask_for(slot, now)
+
+    def _ask_for(self, slot: Slot, now: int) -> None:
+        """A relay at once, of the first that offers it; a proxy where its first upstream did not send it."""
         key, steady = slot
         last = self._steady.get(key, NEVER) if steady else self._last(key)
-        return any(
-            one.state == UP and slot in one.offers and one.offers[slot][0].version > last
+        offers = [
+            (one, *one.offers[slot][:2])
             for one in self._upstreams.values()
-        )
+            if one.state == UP and slot in one.offers and one.offers[slot][0].version > last
+        ]
+        if not offers:
+            self._behind.discard(slot)
+            self._wants.pop(slot, None)
+            return
+        self._behind.add(slot)
+        first = min(at for _, _, at in offers) + (OFFERED_WITHIN if self._role == PROXY else 0)
+        due, wait, asked = self._wants.get(slot, (first, WANT_AGAIN, ""))
+        if now < due:
+            self._wants[slot] = due, wait, asked
+            return
+        # Another than the last time where there is one: that one may have stopped.
+        one = next((one for one, _, _ in offers if one.name != asked), offers[0][0])
+        self._wants[slot] = now + wait, min(2 * wait, WANT_MOST), one.name
+        held = None if steady or key in self._misfits else self.held.get(key)
+        self.out.append(Send(one.name, Want(*key, steady, held and mark_of(held))))
+        self.counts["wants"] += 1
 
     def _snapshot(self, one: _Upstream, said: Snapshot, now: int) -> None:
         if not self._known(said.key):
@@ -415,7 +422,7 @@
             self.counts["misfits"] += 1
             self._misfits.add(said.key)
             one.offers[said.key, False] = said.mark, now - OFFERED_WITHIN, ""
-            self._ask(now)
+            self._ask_for((said.key, False), now)
             return
         self._take(
             Resource(said.kind, said.name, said.mark.version, said.mark.digest, body, KINDS[said.kind]), "", now
--- a/pepperusher/distribution/wire.py
+++ b/pepperusher/distribution/wire.py
@@ -52,7 +52,7 @@
     use from then on. `longest` is how long a message from there may be; raised once it is known who it is.
     """
 
-    def __init__(self, key: bytes, calls: bool, longest: int = words.LONGEST_WORD) -> None:
+    def __init__(self, key: bytes, calls: bool, longest: int = words.LONGEST_HELLO) -> None:
         self._key = hashlib.sha256(b"distribution " + key).digest()
         self._chance = os.urandom(CHANCE)
         self._calls = calls
--- a/pepperusher/distribution/words.py
+++ b/pepperusher/distribution/words.py
@@ -24,9 +24,11 @@
 LONGEST_ANSWER = 16 * 1024 * 1024
 # What one that is no control machine and no operator may say at once.
 LONGEST_WORD = 128 * 1024
+# A control machine's greeting, with what it has.
+LONGEST_HELLO = 2 * 1024 * 1024
 # How much one proxy may subscribe to, and how much there is for a control machine to keep.
 MOST_NAMES = 256
-MOST_RESOURCES = 1_000
+MOST_RESOURCES = 8_000
 LONGEST_REASON = 300
 
 Name = Annotated[str, Meta(min_length=1, max_length=100)]
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -473,6 +473,45 @@
         self.assertLess(max(to.values()) / (sum(to.values()) / 8), 1.4)
 
 
+class Relaying(unittest.TestCase):
+    def setUp(self) -> None:
+        self.peers = [f"c{number}:1" for number in range(8)]
+        self.one = Subscriber("r", 1, "east", "", self.peers, (), [], Random(1), 0, RELAY)
+        self.now = S
+        self.one.wake(self.now)
+        for peer in self.peers:
+            self.one.connected(peer, self.now)
+        self.one.out.clear()
+
+    def wants(self) -> list[Send]:
+        out, self.one.out = self.one.out, []
+        return [one for one in out if isinstance(one, Send) and isinstance(one.message, Want)]
+
+    def test_each_is_wanted_once_of_whoever_offers_it_first_and_then_of_another(self) -> None:
+        many = [made(1, key=(CONFIG, f"n{number}")) for number in range(300)]
+        for peer in self.peers:
+            for one in many:
+                self.one.received(peer, Offer(*one.key, mark_of(one)), self.now)
+        first = self.wants()
+        self.assertEqual(300, len(first))
+        self.assertEqual({self.peers[0]}, {one.upstream for one in first})
+        self.one.wake(self.now + WANT_AGAIN // 2)
+        self.assertEqual([], self.wants())
+        self.one.wake(self.now + WANT_AGAIN)
+        again = self.wants()
+        self.assertEqual(300, len(again))
+        self.assertNotIn(self.peers[0], {one.upstream for one in again})
+
+    def test_a_steady_version_is_had_too_where_the_newest_is_halted(self) -> None:
+        offer = Offer(*KEY, mark_of(made(2)), "refused", mark_of(made(1)))
+        self.one.received(self.peers[0], offer, self.now)
+        self.assertEqual([True, False], [one.message.steady for one in self.wants()])  # type: ignore[union-attr]
+        self.one.received(self.peers[0], Snapshot(*KEY, mark_of(made(1)), made(1).body, True), self.now)
+        self.one.received(self.peers[0], Snapshot(*KEY, mark_of(made(2)), made(2).body), self.now)
+        applies = [one for one in self.one.out if isinstance(one, Apply)]
+        self.assertEqual([("", True), ("refused", False)], [(one.halted, one.steady) for one in applies])
+
+
 class World:
     """Control machines and proxies without I/O, under one clock, with connections that are cut, delayed and
     made anew. A disk is what the machine had at some moment.
