--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # On a fresh clone each of these works alone.
 PYTHON = .venv/bin/python
 
-.PHONY: all demo group-demo test clean
+.PHONY: all demo group-demo scale test clean
 
 all: .venv/rehearsal.txt
 
@@ -17,6 +17,10 @@
 group-demo: all
 	$(PYTHON) -m pepperusher rehearse examples/rehearsals/group-demo.toml --report group-demo.html
 
+# 5,000 hollow proxies and 9 control machines on this machine, all scenes: minutes, some 5 GB and every core.
+scale: all
+	$(PYTHON) -m pepperusher capacity scene --size 5000 --controls 9 --seed 1
+
 # They mostly wait: half as many again as eight cores.
 test: all
 	$(PYTHON) -m pytest -q -n 12 --dist worksteal -p no:cacheprovider tests
