--- a/pepperusher/capacity/scenes.py
+++ b/pepperusher/capacity/scenes.py
@@ -40,11 +40,13 @@
 @click.command()
 @click.option("--size", default=20, show_default=True, type=click.IntRange(1, 100), help="Of each kind.")
 @click.option("--seed", default=1, show_default=True)
+@click.option("--control", is_flag=True, help="Configuration from control machines, in place of lists.")
 @click.option("--json", "as_json", is_flag=True, help="The figures as JSON.")
-def fidelity(size: int, seed: int, as_json: bool) -> None:
+def fidelity(size: int, seed: int, control: bool, as_json: bool) -> None:
     """Play whole and hollow proxies side by side, and hold what passed and what they hold against each
     other."""
-    told = played(lambda work: hollow_fidelity.compare(size, seed, work, _say))
+    compare = hollow_fidelity.compare_control if control else hollow_fidelity.compare
+    told = played(lambda work: compare(size, seed, work, _say))
     if as_json:
         click.echo(json.dumps(told))
     else:
@@ -54,7 +56,8 @@
                 f"  {'agrees' if one['agrees'] else 'DIFFERS'}"
             )
         for what in ("processor_seconds_each", "memory_mb_each"):
-            click.echo(f"{what}: whole {told[what]['whole']}, hollow {told[what]['hollow']}")
+            if what in told:
+                click.echo(f"{what}: whole {told[what]['whole']}, hollow {told[what]['hollow']}")
         click.echo(told["verdict"])
     _ended(told)
 
--- a/pepperusher/rehearsal/hollow.py
+++ b/pepperusher/rehearsal/hollow.py
@@ -273,7 +273,7 @@
 
 def number_of(epoch: int, number: int) -> int:
     """A version of distribution as one number, in the same order."""
-    return epoch << 40 | number
+    return epoch << 53 | number
 
 
 def told_of(
--- a/pepperusher/rehearsal/hollow_control.py
+++ b/pepperusher/rehearsal/hollow_control.py
@@ -6,6 +6,7 @@
 import json
 import shutil
 import signal
+from collections import Counter
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
@@ -27,18 +28,17 @@
 class Controls:
     """`fronts` are, for each zone, the addresses by which the machines are reached from there."""
 
-    def __init__(self, count: int, regions: int, work: Path) -> None:
-        self.count, self._regions, self._work = count, regions, work
+    def __init__(self, count: int, regions: int, zones: int, work: Path) -> None:
+        self.count, self._regions, self._zones, self._work = count, regions, zones, work
         self.workers: list[Worker] = []
         self.addresses: list[tuple[str, int]] = []
         self.versions: dict[str, int] = {}  # by kind/name, the newest that was written
         self.bodies: dict[str, bytes] = {}
         (work / "key").write_text(KEY + "\n")
 
-    @staticmethod
-    def zone(number: int) -> int:
-        """Each stands in a zone of its own."""
-        return number
+    def zone(self, number: int) -> int:
+        """Each stands in a zone of its own, as far as there are so many."""
+        return number % self._zones
 
     def folder(self, number: int) -> Path:
         return self._work / f"control-{number}"
@@ -120,6 +120,13 @@
     async def rollout(self, kind: str, name: str) -> Rollout:
         return await operate.rollout(self.addresses[ORIGIN], KEY.encode(), kind, name)
 
+    async def sums(self) -> Counter[str]:
+        """Counts of all together."""
+        made: Counter[str] = Counter()
+        for one in await self.figures():
+            made.update({what: count for what, count in one.items() if isinstance(count, int)})
+        return made
+
     async def figures(self) -> list[dict[str, Any]]:
         """Of each, with its counts; those that do not answer have none."""
 
--- a/pepperusher/rehearsal/hollow_fidelity.py
+++ b/pepperusher/rehearsal/hollow_fidelity.py
@@ -17,7 +17,7 @@
 
 from pepperusher.control import client
 from pepperusher.rehearsal.hollow_plan import SETTINGS, Place, Plan, row
-from pepperusher.rehearsal.hollow_play import OWN, Play
+from pepperusher.rehearsal.hollow_play import BOTH, OWN, Play
 from pepperusher.rehearsal.worker import environment, with_parent
 
 BACKENDS = 60
@@ -56,8 +56,8 @@
         self._socket = work / f"w{index}.socket"
         self.process: asyncio.subprocess.Process
 
-    async def start(self, discovery: list[Any]) -> None:
-        config, own = self._work / f"w{self._index}.json", self._work / f"w{self._index}.toml"
+    async def start(self, discovery: list[Any], own: str = OWN) -> None:
+        config, path = self._work / f"w{self._index}.json", self._work / f"w{self._index}.toml"
         config.write_text(
             json.dumps(
                 {
@@ -70,7 +70,7 @@
                 }
             )
         )
-        own.write_text(self.own(OWN))
+        path.write_text(self.own(own))
         with open(self._work / f"w{self._index}.log", "ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -80,7 +80,7 @@
                 "--config",
                 str(config),
                 "--own",
-                str(own),
+                str(path),
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -234,3 +234,85 @@
             if time.monotonic() > until or one.process.returncode is not None:
                 raise RuntimeError(f"a whole proxy was not ready in {READY_WITHIN:g} s")
             await asyncio.sleep(LOOK_EVERY)
+
+
+# What control machines carry in the second comparison, and how often it changes.
+CONFIG_CHANGES = 4
+CONTROL_MESSAGES = ("accepted", "messages in", "messages out", "snapshots", "deltas", "in force")
+AT_START = ("accepted", "snapshots")
+CONTROL_BYTES = ("bytes in", "bytes out")
+# Beats come by the clock: both are counted over the same span, so many seconds.
+COUNTED = 20.0
+QUICK_WATCH = '[changes]\nwatch = "1s"\n'
+
+
+async def compare_control(size: int, seed: int, work: Path, say: Callable[[str], None]) -> dict[str, Any]:
+    """The same for configuration from two control machines: first whole ones alone, then hollow ones alone, since
+    a control machine counts for all that are connected to it.
+    """
+    counted = {}
+    for kind in ("whole", "hollow"):
+        folder = work / kind
+        folder.mkdir()
+        counted[kind] = await _counted(kind, size, seed, folder, say)
+    kinds = (*CONTROL_MESSAGES, *CONTROL_BYTES)
+    rows = [Compared(kind, counted["whole"][kind], counted["hollow"][kind]) for kind in kinds]
+    return {
+        "size": size,
+        "seed": seed,
+        "changes": CONFIG_CHANGES,
+        "refused": [],
+        "kinds": [{**one._asdict(), "agrees": one.agrees} for one in rows],
+        "verdict": "passed" if all(one.agrees for one in rows) else "failed",
+    }
+
+
+async def _counted(kind: str, size: int, seed: int, work: Path, say: Callable[[str], None]) -> Counter[str]:
+    play = Play(layout(size), seed, work, say, controls=2, names=[["config", "common"]])
+    whole = [Whole(work, index) for index in range(size if kind == "whole" else 0)]
+    try:
+        await play.stand()
+        controls = play.controls
+        assert controls is not None
+        await controls.can_write()
+        version = await controls.publish("config", "common", OWN.encode())
+        before = await controls.sums()
+        said = (
+            f"{QUICK_WATCH}[distribution]\nmachines = {json.dumps(play.machines(0))}\n"
+            f'key_file = {json.dumps(str(work / "key"))}\nconfig = "common"\nregion = "r0"\n'
+        )
+        await asyncio.gather(*(one.start(play.front(0, 0), said) for one in whole))
+        if not whole:
+            await play.begin(play.plan.places, BOTH)
+        await _in_force(play, whole, version)
+        # From here on all are connected, however long their start took.
+        connected, began = await controls.sums(), time.monotonic()
+        for number in range(CONFIG_CHANGES):
+            await _in_force(play, whole, version)
+            mark = f'\n[[backends]]\nid = "s0-{number}"\nweight = 0.5\n'
+            version = await controls.publish("config", "common", (OWN + mark).encode())
+        await _in_force(play, whole, version)
+        say(f"{size} {kind} ones have {CONFIG_CHANGES} changes in force")
+        if (left := COUNTED - (time.monotonic() - began)) < 0:
+            raise RuntimeError(f"the changes took longer than {COUNTED:g} s: nothing to compare")
+        await asyncio.sleep(left)
+        after = await controls.sums()
+        return Counter(
+            {kind: after[kind] - (before if kind in AT_START else connected)[kind] for kind in after}
+        )
+    finally:
+        await asyncio.gather(*(one.end() for one in whole))
+        await play.end()
+
+
+async def _in_force(play: Play, whole: list[Whole], version: int) -> None:
+    """Until this is in force at all, as they say themselves: control machines are not asked, since that counts."""
+    until = time.monotonic() + READY_WITHIN
+    wanted = f"{version >> 53}.{version & (1 << 53) - 1}"
+    if not whole and not await play.until_resources({"config/common": version}, READY_WITHIN):
+        raise RuntimeError("a change was not in force at all hollow ones in time")
+    for one in whole:
+        while ((await one.ask("status") or {}).get("distribution") or {}).get("version") != wanted:
+            if time.monotonic() > until or one.process.returncode is not None:
+                raise RuntimeError("a change was not in force at all whole ones in time")
+            await asyncio.sleep(LOOK_EVERY)
--- a/pepperusher/rehearsal/hollow_play.py
+++ b/pepperusher/rehearsal/hollow_play.py
@@ -39,8 +39,8 @@
 SAMPLE_EVERY = 1.0
 DISCOVERY_ZONE = 0
 PUBLISHED_AT_ONCE = 16
-# Who tells lists: discovery, which all watch, or control machines, which tell configuration too.
-DISCOVERY, CONTROL = "discovery", "control"
+# Who is listened to: discovery with its lists, control machines with lists and configuration, or both.
+DISCOVERY, CONTROL, BOTH = "discovery", "control", "both"
 
 OWN = """
 [weights]
@@ -75,6 +75,7 @@
         own: str | None = OWN,
         controls: int = 0,
         keeps: bool = False,
+        names: list[list[str]] | None = None,
     ) -> None:
         self.plan = plan
         self._seed = seed
@@ -83,7 +84,8 @@
         self._own = own
         # How many regions own a part of each list: with few control machines not all have one.
         self.parts = min(REGIONS, controls)
-        self.controls = Controls(controls, self.parts, work) if controls else None
+        self.controls = Controls(controls, self.parts, max(plan.workers) + 1, work) if controls else None
+        self._names_of_all = names  # in place of what the plan has each subscribe to
         self._keep = work / "kept" if keeps else None
         self.lacking: set[int] = set()  # numbers of those whose settings lack a use case
         self.discovery: Worker
@@ -233,12 +235,12 @@
             "view": place.view,
             "region": f"r{place.region}",
             "discovery": fronts[f"view {place.view}"],
-            "watch": lists == DISCOVERY,
+            "watch": lists != CONTROL,
             "lacks": place.number in self.lacking,
         }
-        if self.controls is not None and lists == CONTROL:
+        if self.controls is not None and lists != DISCOVERY:
             told["upstreams"] = [fronts[f"control {number}"] for number in range(self.controls.count)]
-            told["names"] = names_of(place, self.plan, self.parts)
+            told["names"] = self._names_of_all or names_of(place, self.plan, self.parts)
             told["keep"] = None if self._keep is None else str(self._keep)
         return told
 
@@ -385,6 +387,14 @@
         address: list[Any] = self._fronts[zone][f"view {view}"]
         return address
 
+    def machines(self, zone: int) -> list[str]:
+        """Where the control machines are."""
+        fronts = [
+            self._fronts[zone][f"control {number}"]
+            for number in range(self.controls.count if self.controls else 0)
+        ]
+        return [f"{host}:{port}" for host, port in fronts]
+
     @staticmethod
     def reached(rows: list[Row], versions: dict[int, int], at: int, meant: set[int] | None = None) -> Reached:
         return hollow_books.reached(rows, "list", versions, at, meant)
