Cold sums: thirty real proxies read against the budget, cold-figures, uneven traffic and late lists

Need: the rule on cold backends holds for the sum of all proxies, and nothing read that sum: books know a fall only, by the stand-in's own multiple.

`coldsum.of_run` reads a run's records, start by start: each window against N + 2 x root of N + 2, by the told and untold. `pepperusher cold-figures` prints the same of 34 cases at 5 deployments in virtual time. Scripts can deal traffic unevenly ([load] uneven: one proxy in fifteen gets so many times the mean) and tell proxies at different times ([discovery] spread).

--- a/pepperusher/rehearsal/coldsum.py
+++ b/pepperusher/rehearsal/coldsum.py
@@ -12,13 +12,16 @@
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from heapq import heappop, heappush
 from itertools import count
-from math import sqrt
+from math import ceil, sqrt
 from random import Random
 from typing import NamedTuple
 
 from pepperusher import terms
 from pepperusher.policy import Balancer
-from pepperusher.terms import AGAIN, DONE, FULL, TIMED_OUT, UNREACHED, Backend, Ground, Listing, Ticket, UseCase
+from pepperusher.rehearsal.books import Records
+from pepperusher.rehearsal.script import Script
+from pepperusher.terms import (
+    AGAIN, DONE, FULL, TIMED_OUT, UNREACHED, Backend, Ground, Listing, Ticket, UseCase)
 
 SECOND = 1_000_000
 STEP = 5_000
@@ -65,7 +68,7 @@
     restarted: int = 0
     burst: float = 1.0
     load: float = 0.7           # of what the warm backends can do
-    away: float = 3.0           # from the end to the start (s); 0 where others take their places as they drain
+    away: float = 3.0           # from the end to the start (s); 0 where others take their places
     slow: float = 1.0           # the speed of those that start cold, where no list tells it
     lost: float = 0.0           # the part of the others that is gone for good, 1.5 s after the start
 
@@ -86,6 +89,10 @@
     served: float
 
 
+# A request as it came to a backend: when, whether its proxy had been told of the start, and its work (s).
+Arrived = tuple[int, bool, float]
+
+
 class Server:
     """One backend as it is: a core shared evenly by what it holds."""
 
@@ -93,8 +100,8 @@
         self.name, self.zone = name, zone
         self.up, self.ready, self.born, self.speed = True, True, 0, 1.0
         self.work: dict[Ticket, float] = {}
-        # Since it started: when, whether its proxy had been told of the start, and the work; emptied by a start.
-        self.sent: list[tuple[int, bool, float]] = []
+        # Since it started; emptied by a start.
+        self.sent: list[Arrived] = []
 
 
 class Proxy:
@@ -112,7 +119,8 @@
         self.now = 1_000 * SECOND
         self.chance = Random(f"{deployment.name}:{case.name}:{seed}")
         zones = [f"z{one}" for one in range(case.zones)]
-        self.servers = {f"b{one:02}": Server(f"b{one:02}", zones[one % len(zones)]) for one in range(deployment.backends)}
+        servers = [Server(f"b{one:02}", zones[one % len(zones)]) for one in range(deployment.backends)]
+        self.servers = {one.name: one for one in servers}
         self.seed, self.zones = seed, zones
         self.proxies = [self._proxy(one, proxies) for one in range(proxies)]
         self.size = proxies
@@ -132,12 +140,14 @@
         told, deployment = Ground(), self.deployment
         most = round(20 * deployment.work * SECOND)
         given = {
-            "seed": self.seed * 1000 + number + self.now, "customers": [], "group_size": size, "ordinal": number, "stage": 0,
-            "last_tier": True, "zone": self.zones[number % len(self.zones)], "zones": self.zones, "most_transmissions": 3,
-            "may_call_off": True, "may_advise": False, "longest_advice": 0, "must_ask": False, "ask_within": 10 * SECOND,
+            "seed": self.seed * 1000 + number + self.now, "customers": [], "group_size": size,
+            "ordinal": number, "stage": 0, "last_tier": True, "zone": self.zones[number % len(self.zones)],
+            "zones": self.zones, "most_transmissions": 3, "may_call_off": True, "may_advise": False,
+            "longest_advice": 0, "must_ask": False, "ask_within": 10 * SECOND,
             "cold_share": deployment.share, "warm_after": round(deployment.warm * SECOND),
-            "tip_multiple": deployment.multiple, "overload_for": round(deployment.window * SECOND), "passes_limit": True,
-            "importance_by_work": False, "reported_by": terms.BY_NOBODY, "beside_client": False, "drain_binds_alone": False,
+            "tip_multiple": deployment.multiple, "overload_for": round(deployment.window * SECOND),
+            "passes_limit": True, "importance_by_work": False, "reported_by": terms.BY_NOBODY,
+            "beside_client": False, "drain_binds_alone": False, "pushed": False, "drain_within": SECOND // 2,
             "use_cases": [UseCase("look", most, 2 * most, 1.0)]}
         for name, value in given.items():
             setattr(told, name, value)
@@ -149,15 +159,17 @@
         heappush(self.due, (when, next(self.order), what))
 
     def _tell(self, proxy: Proxy, servers: list[Server]) -> None:
-        proxy.balancer.listed([Listing(proxy.known.setdefault(one.name, Backend(one.name)), one.zone, 0, 1.0, one.born, one.ready)
-                               for one in servers], False, self.now)
+        lines = [Listing(proxy.known.setdefault(one.name, Backend(one.name)), one.zone, 0, 1.0, one.born,
+                         one.ready) for one in servers]
+        proxy.balancer.listed(lines, False, self.now)
 
     def _spoken(self, server: Server, stale: set[int]) -> None:
         """Every proxy is told how it stands now, each in its own time."""
         for proxy in self.proxies:
             wait = STALE_FOR if proxy.number in stale else \
                 self.chance.random() * TOLD_LATEST if self.case.late else 0
-            self.at(self.now + int(wait), lambda number=proxy.number: self._tell(self.proxies[number], [server]))
+            self.at(self.now + int(wait),
+                    lambda number=proxy.number: self._tell(self.proxies[number], [server]))
 
     def _ends(self, server: Server, stale: set[int]) -> None:
         server.up = server.ready = False
@@ -191,9 +203,11 @@
 
     def play(self) -> Reading:
         case, deployment = self.case, self.deployment
-        cold = list(self.servers.values())[:1] if not case.cold else \
-            [one for place, one in enumerate(self.servers.values()) if case.zones == 1 and place < case.cold * len(self.servers)
-             or case.zones > 1 and one.zone == self.zones[0]]
+        cold = list(self.servers.values())
+        if case.zones > 1:
+            cold = [one for one in cold if one.zone == self.zones[0]]
+        else:
+            cold = cold[:max(1, ceil(case.cold * len(cold)))]
         stale = set(self.chance.sample(range(self.size), case.stale))
         start = self.now + BEFORE
         for place, server in enumerate(cold):
@@ -283,35 +297,62 @@
         if proxy.balancer.after(ticket.transmissions[-1], how, how == DONE, self.now) == AGAIN:
             self._place(proxy, ticket)
 
-    # --- the books --------------------------------------------------------------------------------
-
     def _read(self, cold: list[Server]) -> Reading:
-        span = self.deployment.window * SECOND
-        windows = over = over_by_work = most_sent = 0
-        worst = worst_by_work = allowed = first = 0.0
-        for server in cold:
-            sent, ends = server.sent, 0
-            in_first = sum(at < server.born + span for at, _, _ in sent)
-            first += in_first / self.deployment.allowed(0.0) / len(cold)
-            for begins, (since, _, _) in enumerate(sent):
-                if since >= server.born + self.deployment.warm * SECOND:
-                    break
-                while ends < len(sent) and sent[ends][0] < since + span:
-                    ends += 1
-                got = sent[begins:ends]
-                # As the rule has it: a fall counts where over two thirds came from those told of the start.
-                if 3 * sum(told for _, told, _ in got) <= 2 * len(got):
-                    continue
-                windows += 1
-                may = server.speed * self.deployment.allowed((since - server.born) / SECOND)
-                most = may + 2 * sqrt(may) + 2
-                work = sum(one for _, _, one in got) / self.deployment.work
-                over, over_by_work = over + (len(got) > most), over_by_work + (work > most)
-                worst_by_work = max(worst_by_work, work / most)
-                if len(got) / most > worst:
-                    worst, most_sent, allowed = len(got) / most, len(got), may
-        return Reading(windows, over, worst, most_sent, allowed, over_by_work, worst_by_work, first,
-                       self.tally["done"] / max(1, self.tally["asked"]))
+        served = self.tally["done"] / max(1, self.tally["asked"])
+        return joined([read(self.deployment, one.sent, one.born, one.speed, served) for one in cold])
+
+
+def read(
+    deployment: Deployment, sent: list[Arrived], born: int, speed: float = 1.0, served: float = 0.0
+) -> Reading:
+    """What came to one backend from its start on, in order of time, window by window; `born` in us."""
+    span = deployment.window * SECOND
+    windows = over = over_by_work = most_sent = ends = 0
+    worst = worst_by_work = allowed = 0.0
+    first = sum(at < born + span for at, _, _ in sent) / deployment.allowed(0.0)
+    for begins, (since, _, _) in enumerate(sent):
+        if since >= born + deployment.warm * SECOND:
+            break
+        while ends < len(sent) and sent[ends][0] < since + span:
+            ends += 1
+        got = sent[begins:ends]
+        # As the rule has it: a fall counts where over two thirds came from those told of the start.
+        if 3 * sum(told for _, told, _ in got) <= 2 * len(got):
+            continue
+        windows += 1
+        may = speed * deployment.allowed((since - born) / SECOND)
+        most = may + 2 * sqrt(may) + 2
+        work = sum(one for _, _, one in got) / deployment.work
+        over, over_by_work = over + (len(got) > most), over_by_work + (work > most)
+        worst_by_work = max(worst_by_work, work / most)
+        if len(got) / most > worst:
+            worst, most_sent, allowed = len(got) / most, len(got), may
+    return Reading(windows, over, worst, most_sent, allowed, over_by_work, worst_by_work, first, served)
+
+
+def of_run(script: Script, records: Records) -> list[Reading]:
+    """The same of a scenario run with whole processes, one for each start of a cold backend while it ran. The
+    script has one tier, one kind of backend, and one mean work."""
+    kind, rules = script.tiers[0].kinds[0], script.rules
+    speed = kind.speed * kind.cores
+    deployment = Deployment(script.title, kind.cold_from, kind.warm_for / SECOND, rules.tip_multiple,
+                            rules.tip_for / SECOND, script.use_cases[0].work.mean / SECOND, kind.count)
+    proxy = {one.name: one.proxy for one in records.tries}
+    readings = []
+    for stood in records.stood:
+        if stood.born < 0:
+            continue
+        told: dict[int, int] = {}
+        for word in records.told:
+            if word.id == stood.id and word.state == "ready" and word.at >= stood.born:
+                told[word.proxy] = min(word.at, told.get(word.proxy, word.at))
+        ends = stood.ends if stood.ends >= 0 else script.span + SECOND
+        never = script.span * 2
+        sent = sorted((one.first, one.first >= told.get(proxy.get(one.name, -1), never), deployment.work)
+                      for one in records.sent if one.id == stood.id and one.place == stood.place
+                      and stood.born <= one.first < ends)
+        readings.append(read(deployment, sent, stood.born, speed))
+    return readings
 
 
 DEPLOYMENTS = [
@@ -362,23 +403,29 @@
 def joined(readings: list[Reading]) -> Reading:
     """Several runs as one."""
     worst = max(readings, key=lambda one: one.worst)
-    return Reading(sum(one.windows for one in readings), sum(one.over for one in readings), worst.worst, worst.count,
-                   worst.allowed, sum(one.over_by_work for one in readings), max(one.worst_by_work for one in readings),
-                   sum(one.first for one in readings) / len(readings), sum(one.served for one in readings) / len(readings))
+    return Reading(
+        sum(one.windows for one in readings), sum(one.over for one in readings), worst.worst, worst.count,
+        worst.allowed, sum(one.over_by_work for one in readings), max(one.worst_by_work for one in readings),
+        sum(one.first for one in readings) / len(readings),
+        sum(one.served for one in readings) / len(readings))
 
 
-def rows(proxies: int, seeds: Iterable[int], names: Sequence[str]) -> Iterator[tuple[Deployment, Case, Reading]]:
+def rows(
+    proxies: int, seeds: Iterable[int], names: Sequence[str]
+) -> Iterator[tuple[Deployment, Case, Reading]]:
     """Each case at each of the deployments named, as it is read."""
     for deployment in (one for one in DEPLOYMENTS if one.name in names):
         for case in CASES:
             if proxies >= max(case.restarted, case.stale):
-                yield deployment, case, joined([Model(deployment, case, proxies, seed).play() for seed in seeds])
+                runs = [Model(deployment, case, proxies, seed).play() for seed in seeds]
+                yield deployment, case, joined(runs)
 
 
-HEAD = ("| deployment | case | windows | over | worst, of N + 2 x root of N + 2 | by work | first window, of N | served |\n"
-        "| --- | --- | --- | --- | --- | --- | --- | --- |")
+HEAD = ("| deployment | case | windows | over | worst, of N + 2 x root of N + 2 | by work"
+        " | first window, of N | served |\n| --- | --- | --- | --- | --- | --- | --- | --- |")
 
 
-def line(deployment: Deployment, case: Case, read: Reading) -> str:
-    return (f"| {deployment.name} | {case.name} | {read.windows} | {read.over} | {read.worst:.2f} ({read.count} of N {read.allowed:.1f})"
-            f" | {read.over_by_work} over, {read.worst_by_work:.2f} | {read.first:.2f} | {read.served:.3f} |")
+def line(deployment: Deployment, case: Case, got: Reading) -> str:
+    return (f"| {deployment.name} | {case.name} | {got.windows} | {got.over}"
+            f" | {got.worst:.2f} ({got.count} of N {got.allowed:.1f})"
+            f" | {got.over_by_work} over, {got.worst_by_work:.2f} | {got.first:.2f} | {got.served:.3f} |")
--- a/pepperusher/rehearsal/commands.py
+++ b/pepperusher/rehearsal/commands.py
@@ -209,7 +209,7 @@
 @click.command("cold-figures")
 @click.option("--proxies", default=30, show_default=True, help="How many proxies.")
 @click.option("--seeds", default=2, show_default=True, help="Runs of each case, by seed.")
-@click.option("--deployment", "deployments", multiple=True, help="One of those, by name; several times for several. All if none.")
+@click.option("--deployment", "deployments", multiple=True, help="By name, once or more. All if none.")
 def cold_figures(proxies: int, seeds: int, deployments: tuple[str, ...]) -> None:
     """Read what all proxies together send to cold backends, in virtual time, against the rule's budget.
 
--- a/pepperusher/rehearsal/fleetplan.py
+++ b/pepperusher/rehearsal/fleetplan.py
@@ -72,6 +72,7 @@
     127.net.x.y."""
 
     def __init__(self, script: Script, net: int) -> None:
+        self.script = script
         self.net = net
         self.places: list[Place] = []
         self.gates: list[Gate] = []
--- a/pepperusher/rehearsal/generator.py
+++ b/pepperusher/rehearsal/generator.py
@@ -34,12 +34,20 @@
 BEYOND = 1_000_000
 
 
+# Of so many proxies one gets more than its part where traffic is uneven.
+ONE_OF = 15
+
+
 class Front:
     """Deals tickets out among the proxies of a client's zone that are in, in turn; those kept open go
-    first."""
+    first. One of ONE_OF gets `uneven` times the mean."""
 
-    def __init__(self, clients: list[tuple[str, Client]]) -> None:
+    def __init__(self, clients: list[tuple[str, Client]], uneven: float = 1.0, seed: int = 0) -> None:
         self._clients = clients
+        busy = len(clients) // ONE_OF if uneven > 1.0 else 0
+        rest = (len(clients) - uneven * busy) / (len(clients) - busy) if busy else 1.0
+        self._weights = {id(one): uneven if place < busy else rest for place, (_, one) in enumerate(clients)}
+        self._chance = Random(f"{seed}:front") if busy else None
         self._in = list(clients)
         self._last = list(clients)
         self._turn = 0
@@ -55,6 +63,8 @@
         near = [one for one in those if one[0] == zone] or those
         if not near:
             return None
+        if self._chance is not None:
+            return self._chance.choices(near, [self._weights[id(one)] for _, one in near])[0][1]
         self._turn += 1
         return near[self._turn % len(near)][1]
 
@@ -219,7 +229,7 @@
         (str(one["zone"]), Client((str(one["host"]), int(str(one["port"]))), int(str(one["number"])), kept))
         for one in targets
     ]
-    front = Front(clients)
+    front = Front(clients, script.load.uneven, script.seed)
     writer = Writer(work / f"load-{process}.records")
     zones = sorted({zone for zone, _ in clients}) or [""]
     generator = Generator(script, process, front, zones, writer)
--- a/pepperusher/rehearsal/listing.py
+++ b/pepperusher/rehearsal/listing.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import time
+from random import Random
 from urllib.parse import parse_qs
 
 import h11
@@ -30,6 +31,9 @@
         self._roster = roster
         self._writer = writer
         self._start = start
+        chance, spread = Random(f"{plan.script.seed}:discovery"), plan.script.discovery.spread
+        # How much later than others each is told; it stays the same, so that no word overtakes another.
+        self._later = {gate.number: int(chance.random() * spread) for gate in plan.gates}
         self.moves = [one.at for one in line.strikes if one.what == "discovery-moved"]
         self._servers: list[asyncio.Server] = []
         self._serving: set[asyncio.Task[None]] = set()  # emptied as connections end
@@ -68,6 +72,10 @@
     def _now(self) -> int:
         return max(-1, clock() - self._start.at) if self._begun else -1
 
+    def _heard(self, gate: Gate) -> int:
+        """Up to when this proxy is told."""
+        return max(-1, self._now() - self._later[gate.number])
+
     def _began_ms(self) -> float:
         return time.time() * 1000 - (clock() - self._start.at) / 1000
 
@@ -95,7 +103,7 @@
                     await self._watch(peer, gate, turn, int(after) if after.isdecimal() else None)
                     break
                 else:
-                    body = self._line(gate, self._roster.version(self._now()), None)
+                    body = self._line(gate, self._roster.version(self._heard(gate)), None)
                     peer.send(
                         h11.Response(status_code=200, headers=[(b"content-length", b"%d" % len(body))]), body
                     )
@@ -116,15 +124,15 @@
 
     async def _watch(self, peer: Peer, gate: Gate, turn: int, after: int | None) -> None:
         peer.writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
-        version = self._roster.version(self._now())
+        version = self._roster.version(self._heard(gate))
         data = self._line(gate, version, after)
         while not peer.ended:
             peer.writer.write(b"%x\r\n%b\r\n" % (len(data), data))
             await peer.writer.drain()
             empty_at = clock() + EMPTY_EVERY
             while True:
-                now = self._now()
-                if peer.ended or self._away(turn, now, True) or self._roster.version(now) < version:
+                now = self._heard(gate)
+                if peer.ended or self._away(turn, self._now(), True) or self._roster.version(now) < version:
                     return
                 if self._roster.version(now) > version:
                     before, version = version, self._roster.version(now)
--- a/pepperusher/rehearsal/script.py
+++ b/pepperusher/rehearsal/script.py
@@ -153,12 +153,15 @@
     notice: Span = Span(1_000_000)
     late: Span = Span(1_000)
     stall: Span = Span(50_000)
+    # One in fifteen proxies gets so many times the mean, of what is left the others get even parts.
+    uneven: float = 1.0
 
 
 class Discovery(Table, kw_only=True):
-    """How late the list tells of a change."""
+    """How late the list tells of a change; each proxy at a time of its own, up to `spread` later still."""
 
     notice: Span = Span(500_000)
+    spread: Span = Span(0)
     silent: Span = Span(0)
 
 
@@ -521,6 +524,7 @@
     _need(0 < load.patience <= 1, "load.patience", "is not over 0 and up to 1")
     _need(0 <= load.honours <= 1, "load.honours", "is not from 0 to 1")
     _need(0 <= load.leave <= 1, "load.leave", "is not from 0 to 1")
+    _need(1 <= load.uneven < 15, "load.uneven", "is not from 1 to under 15")
     _need(1 <= load.processes <= 16, "load.processes", "is not from 1 to 16")
     _need(0 <= load.users <= 10_000, "load.users", "is not from 0 to 10000")
     _need(load.trace is None or load.trace.speed > 0, "load.trace.speed", "is not over 0")
