--- /dev/null
+++ b/pepperusher/capacity/scenes.py
@@ -0,0 +1,102 @@
+"""The commands that play scenes at scale with hollow proxies, and compare these with whole ones."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+import tempfile
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import click
+
+from pepperusher.rehearsal import hollow_fidelity, hollow_scenes
+from pepperusher.rehearsal.worker import WorkerError
+
+
+def _say(line: str) -> None:
+    click.echo(line, err=True)
+
+
+def played(play: Callable[[Path], Awaitable[dict[str, Any]]]) -> dict[str, Any]:
+    """In a folder that goes with it. Raises ClickException where a process of the play failed."""
+
+    async def run(work: Path) -> dict[str, Any]:
+        return await play(work)
+
+    with tempfile.TemporaryDirectory(prefix="scale-") as work:
+        try:
+            return asyncio.run(run(Path(work)))
+        except (WorkerError, RuntimeError) as error:
+            raise click.ClickException(str(error)) from None
+
+
+def _ended(told: dict[str, Any]) -> None:
+    sys.exit(0 if told["verdict"] == "passed" else 1)
+
+
+@click.command()
+@click.option("--size", default=20, show_default=True, type=click.IntRange(1, 100), help="Of each kind.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--control", is_flag=True, help="Configuration from control machines, in place of lists.")
+@click.option("--json", "as_json", is_flag=True, help="The figures as JSON.")
+def fidelity(size: int, seed: int, control: bool, as_json: bool) -> None:
+    """Play whole and hollow proxies side by side, and hold what passed and what they hold against each
+    other."""
+    compare = hollow_fidelity.compare_control if control else hollow_fidelity.compare
+    told = played(lambda work: compare(size, seed, work, _say))
+    if as_json:
+        click.echo(json.dumps(told))
+    else:
+        for one in told["kinds"]:
+            click.echo(
+                f"{one['kind']:<12} whole {one['whole']:>9} hollow {one['hollow']:>9}"
+                f"  {'agrees' if one['agrees'] else 'DIFFERS'}"
+            )
+        for what in ("processor_seconds_each", "memory_mb_each"):
+            if what in told:
+                click.echo(f"{what}: whole {told[what]['whole']}, hollow {told[what]['hollow']}")
+        click.echo(told["verdict"])
+    _ended(told)
+
+
+@click.command()
+@click.argument("names", nargs=-1, metavar="[SCENE]...")
+@click.option("--size", default=200, show_default=True, type=click.IntRange(20, 5000), help="Proxies.")
+@click.option("--controls", default=3, show_default=True, type=click.IntRange(2, 9), help="Control machines.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--quick", is_flag=True, help="Shorter spans, the same checks.")
+@click.option("--json", "as_json", is_flag=True, help="A line of JSON for each scene as it ends.")
+def scene(names: tuple[str, ...], size: int, controls: int, seed: int, quick: bool, as_json: bool) -> None:
+    """Play scenes at scale with hollow proxies: all where none is named; `before` has discovery alone."""
+    unknown = [name for name in names if name not in (*hollow_scenes.SCENES, "before")]
+    if unknown:
+        raise click.ClickException(
+            f"{unknown[0]!r} is none of {', '.join((*hollow_scenes.SCENES, 'before'))}"
+        )
+
+    def each(told: dict[str, Any]) -> None:
+        told = {**told, "size": size, "controls": controls, "seed": seed}
+        if as_json:
+            click.echo(json.dumps(told))
+            return
+        click.echo(f"{told['scene']}: {told['verdict']}, {told.get('seconds', '')} s")
+        for one in told.get("checks", ()):
+            click.echo(
+                f"  {'holds' if one['holds'] else 'DOES NOT HOLD'}: {one['what']}: {json.dumps(one['seen'])}"
+            )
+
+    async def run(work: Path) -> dict[str, Any]:
+        made: list[dict[str, Any]] = []
+        if "before" in names:
+            made += await hollow_scenes.before(size, seed, work, _say)
+            for one in made:
+                each(one)
+        if names != ("before",):
+            mine = [name for name in names if name != "before"] or list(hollow_scenes.SCENES)
+            made += await hollow_scenes.played(mine, size, controls, seed, quick, work, _say, each)
+        return {"verdict": "passed" if all(one["verdict"] == "passed" for one in made) else "failed"}
+
+    _ended(played(run))
