Tickets in hand and clients that go on have room before new or half-sent ones, oldest first

What failed: where the crowd sent half a head each and stopped, none of 10 useful requests was answered within 6 s, since each place was kept for the 2.4 s that a message may take and all others stood in the kernel's queue; in one process, 50 requests at once beside 21 silent connections that were new, 19 were bounced for want of a descriptor that a silent one held. Two causes of the latter: a new connection was spared for 250 ms also where a ticket in hand needed the place, and no more were closed in one turn of the loop than the reserve bears, the rest refused. Ruled out: the reserve (118 of 128 at the most), the console's places, discovery's own connection.

A ticket in hand that needs a connection now has idle clients closed down to those newer than 50 ms, and waits the turn in which closed ones are let go. Where descriptors run out, after all that is idle, whoever began a message and stopped for 0.5 s hears 408 and makes room; one that goes on does not. Of those told to close the oldest goes first; it was the newest.

Not changed: where nobody is idle and all hold tickets, some are bounced.

--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -118,7 +118,7 @@
             door.idle.remove(link)
         link.line.abort()
 
-    def _close_oldest(self) -> bool:
+    def _close_oldest(self, needed: bool = False) -> bool:
         door = min((door for door in self._doors.values() if door.idle), default=None,
                    key=lambda one: one.idle[0].idle_since)
         if door is None:
@@ -181,8 +181,11 @@
             self._kept_most = min(self._idle_most, self._kept_most + self._kept_most // 128)
 
     async def _connect(self, door: Door, out: Transmission, within: float) -> Link | str:
-        if not self._budget.take(PART):
-            return "moot"
+        while not self._budget.take(PART, True):
+            if not self._budget.busy or out.how is not None:
+                return "moot"
+            # Of many that came in one turn of the loop the last were refused, beside idle clients that could be closed.
+            await asyncio.sleep(0)
         address = door.address
         reaching = asyncio.ensure_future(reach(address))
         reaching.add_done_callback(self._connected)
--- a/pepperusher/net/budget.py
+++ b/pepperusher/net/budget.py
@@ -27,7 +27,7 @@
         self.share(1.0)
         self.open = 0
         self._closing = 0
-        self._makers: list[Callable[[], bool]] = []   # one for each side, as the proxy is put together
+        self._makers: list[Callable[[bool], bool]] = []   # one for each side, as the proxy is put together
         self._freed = Event()
 
     def share(self, part: float) -> None:
@@ -36,17 +36,26 @@
 
     def trim(self) -> None:
         """After its part has become less: closes what stands idle above it."""
-        while self.above(1.0) and self._closing < self._reserve // 2 and any(maker() for maker in self._makers):
+        while self.above(1.0) and self._closing < self._reserve // 2 and self._made(False):
             self._closing += 1
 
-    def may_close_idle(self, closes_one: Callable[[], bool]) -> None:
+    def may_close_idle(self, closes_one: Callable[[bool], bool]) -> None:
+        """It is asked with whether a ticket in hand needs the room, which goes before what may be spared else."""
         self._makers.append(closes_one)
 
-    def take(self, part: float = 1.0) -> bool:
-        """One more, up to a part of all; makes room by closing what stands idle."""
+    def _made(self, needed: bool) -> bool:
+        return any(maker(False) for maker in self._makers) or needed and any(maker(True) for maker in self._makers)
+
+    @property
+    def busy(self) -> bool:
+        """Whether as many are closed already, and not let go by the loop, as the reserve bears: there is room again when it
+        has come round."""
+        return self._closing >= self._reserve // 2
+
+    def take(self, part: float = 1.0, needed: bool = False) -> bool:
+        """One more, up to a part of all; makes room by closing what stands idle. `needed` by a ticket in hand."""
         if self.above(part):
-            # A closed connection holds its descriptor until the loop comes round: the reserve bears that.
-            if self._closing >= self._reserve // 2 or not any(maker() for maker in self._makers):
+            if self.busy or not self._made(needed):
                 return False
             self._closing += 1
         self.open += 1
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -31,6 +31,10 @@
 # Where descriptors run out, or the proxy ends, a new connection that has said nothing for so long is closed: whoever
 # opens one to send does so at once.
 SHY = 250_000
+# And where a ticket in hand would be refused, whoever is as new as that: what it sends may be on its way.
+JUST_NOW = 50_000
+# Where descriptors run out, a message that has begun and stopped for so long is answered as one that took too long.
+STOPPED = 500_000
 # Callers get no more than this part of all descriptors: a ticket in hand takes one of its caller's and one to a backend,
 # and a crowd that says nothing left none for the second, so that those who asked were bounced.
 PART = 2 / 3
@@ -395,10 +399,15 @@
         # A message's first byte.
         caller.waiting_since, caller.spent = clock.now(), 0
 
-    def _close_oldest(self) -> bool:
-        """Where descriptors run out: first whose answer said so already. What is in the kernel, and so may be a whole ticket, is left alone."""
+    def _close_oldest(self, needed: bool = False) -> bool:
+        """Where descriptors run out: first whose answer said so already. What is in the kernel, and so may be a whole ticket, is left alone.
+
+        `needed` by a ticket in hand, which would be refused: then whoever is new, or asked of late, is not spared either.
+        """
         while self._ending:
-            line = self._ending.popitem()[0].line
+            caller = next(iter(self._ending))
+            del self._ending[caller]
+            line = caller.line
             if not line.transport.is_closing():
                 line.abort()
                 return True
@@ -410,13 +419,28 @@
         # One that has had no answer may carry a ticket that crossed a close and is sent once more: it is
         # given time.
         shy = [caller for caller in self._idle if not caller.answered]
+        if needed:
+            return any(self._closed(caller) for caller in chain(
+                (one for one in shy if stood(one, JUST_NOW)), (one for one in self._idle if one.answered)))
         # While most are silent, their time is waited for: whoever asked of late asks again, and opens one for
         # it.
         spared = BEGUN if 2 * len(shy) > len(self._idle) else 0
         return any(self._closed(caller) for caller in chain(
             (one for one in shy if stood(one, SHY)),
             (one for one in self._idle if one.answered and not one.useful),
-            (one for one in self._idle if one.useful and stood(one, spared))))
+            (one for one in self._idle if one.useful and stood(one, spared)))) or self._close_half(now)
+
+    def _close_half(self, now: int) -> bool:
+        """The oldest that began a message and says no more. An honest one goes on; of a crowd that stops half way each kept
+        its place for as long as a message may take, and all others stood in the kernel's queue."""
+        for caller in self._callers:
+            line = caller.line
+            if (caller.waiting_since is not None and caller not in self._idle and now - line.heard_at >= STOPPED
+                    and line.on_end is None and caller.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE) and line.quiet()):
+                line.send(framed_answer(caller.parser, LATE, True))
+                line.close()
+                return True
+        return False
 
     def _closed(self, caller: Caller) -> bool:
         """Closed, unless the kernel holds something of its."""
--- a/tests/leavers.py
+++ b/tests/leavers.py
@@ -87,7 +87,10 @@
 class Ground:
     """A proxy's process with its backends, and a discovery that says nothing after its first word."""
 
-    def __init__(self, backends: int = 8, own: str | None = None, **changes: Any) -> None:
+    def __init__(self, backends: int = 8, own: str | None = None, before: Callable[[], None] | None = None,
+                 **changes: Any) -> None:
+        """`before` runs in the proxy's process before its program does."""
+        self.before = before
         self.began: dict[str, list[float]] = defaultdict(list)
         self.plan: dict[str, list[tuple[float, str]]] = {}
         self.left: dict[str, tuple[str, float]] = {}   # by request: the kind, and when its client went
@@ -117,8 +120,8 @@
             more = ["--own", own]
         self.process = await asyncio.create_subprocess_exec(
             sys.executable, "-O", "-m", "pepperusher", "serve", "--config", path, *more, stderr=asyncio.subprocess.PIPE,
-            env={**os.environ, "TMPDIR": self.folder.name})
-        self._reading = asyncio.create_task(self._read())
+            env={**os.environ, "TMPDIR": self.folder.name}, preexec_fn=self.before)
+        self.reading = asyncio.create_task(self._read())
         async with asyncio.timeout(20):
             while not any("serving at" in line for line in self.said):
                 await asyncio.sleep(0.005)
@@ -138,9 +141,10 @@
                 await asyncio.sleep(1)
 
     async def __aexit__(self, *_: object) -> None:
-        self.process.kill()
+        if self.process.returncode is None:
+            self.process.kill()
         await self.process.wait()
-        self._reading.cancel()
+        self.reading.cancel()
         for one in self.backends:
             one.close()
         self.discovery.close()
