--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -181,8 +181,10 @@
             self._kept_most = min(self._idle_most, self._kept_most + self._kept_most // 128)
 
     async def _connect(self, door: Door, out: Transmission, within: float) -> Link | str:
-        while not self._budget.take(PART, True):
-            if not self._budget.busy or out.how is not None:
+        for turn in range(TURNS, -1, -1):
+            if self._budget.take(PART, True):
+                break
+            if not turn or not self._budget.busy or out.how is not None:
                 return "moot"
             # Of many that came in one turn of the loop the last were refused, beside idle clients that could be closed.
             await asyncio.sleep(0)
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -437,8 +437,10 @@
             line = caller.line
             if (caller.waiting_since is not None and caller not in self._idle and now - line.heard_at >= STOPPED
                     and line.on_end is None and caller.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE) and line.quiet()):
-                line.send(framed_answer(caller.parser, LATE, True))
-                line.close()
+                if line.send(framed_answer(caller.parser, LATE, True)):
+                    line.close()
+                else:
+                    line.abort()   # its descriptor is wanted now, and it takes nothing
                 return True
         return False
 
