--- a/pepperusher/capacity/page.py
+++ b/pepperusher/capacity/page.py
@@ -110,7 +110,7 @@
     yield "Not chosen, over budget and without a mechanism, in this order:"
     yield ""
     for row in of.over():
-        if row.missing and row is not first:
+        if row.missing and row != first:
             yield _in_short(row)
     yield ""
     yield "Over budget with a mechanism that is there and does not suffice:"
--- a/pepperusher/capacity/slopes.py
+++ b/pepperusher/capacity/slopes.py
@@ -91,14 +91,14 @@
         ("start_calls", "calls as all proxies start at once", "calls", COUNTED),
         ("start_bytes", "bytes out as all start, a list of 24", "bytes", COUNTED),
         ("change_bytes", "bytes out for one change", "bytes", COUNTED),
-        ("return_calls", "calls as it returns after 3 s, a call worked through in 4 ms, 64 waiting", "calls",
+        ("return_calls", "calls as it returns after 3 s, a call worked through in 10 ms, 32 waiting", "calls",
             COUNTED),
         ("return_bytes", "bytes out as it returns, a list of 24", "bytes", COUNTED),
         ("return_seconds", "seconds until all are told after its return", "s", CLOCKED),
     ):
         yield Measure(
-            f"discovery.{name}", DISCOVERY, what, "proxy", unit, worth, (100, 150, 200, 250, 300), 400,
-            watching.played(name), 3
+            f"discovery.{name}", DISCOVERY, what, "proxy", unit, worth, (60, 90, 120, 150, 180), 240,
+            watching.played(name),
         )
 
 
