--- a/pepperusher/capacity/projection.py
+++ b/pepperusher/capacity/projection.py
@@ -379,11 +379,11 @@
         )
         starts = self._at("discovery.start_calls", t.proxies)
         yield Row(
-            role, "every proxy started", "calls, 10 ms a call, 32 waiting", "calls", starts, starts,
+            role, "every proxy started", "calls, 4 ms a call, 64 waiting", "calls", starts, starts,
             Budget(2.0 * t.proxies, "own choice: two for each proxy"),
             "doubled waits, up to half of the drain's grace where the list is pushed (`policy.py`"
             " list_failed, `facade.py`)",
-            ("discovery.start_calls",), "extrapolated 20 times beyond the check; every watch asks again until its turn comes",
+            ("discovery.start_calls",), "simulated; every watch asks again until its turn comes",
         )
         yield Row(
             role, "return after an outage of 3 s", "seconds until all proxies are told again, 4 ms a call,"
@@ -391,15 +391,15 @@
             self._at("discovery.return_seconds", t.proxies), self._at("discovery.return_seconds", t.proxies),
             Budget(t.told_s, "term in force: told 6 s after discovery could be reached"), missing,
             ("discovery.return_seconds",),
-            "extrapolated; the stand-in and all watches are one process",
+            "simulated",
         )
         yield Row(
-            role, "return after an outage of 3 s", "calls, 10 ms a call, 32 waiting", "calls",
+            role, "return after an outage of 3 s", "calls, 4 ms a call, 64 waiting", "calls",
             self._at("discovery.return_calls", t.proxies),
             self._at("discovery.return_calls", t.proxies),
             Budget(2.0 * t.proxies, "own choice: two for each proxy"),
             f"doubled waits up to half of ask-within (`policy.py` list_failed); {missing}",
-            ("discovery.return_calls",), "extrapolated",
+            ("discovery.return_calls",), "simulated",
         )
 
     def _backend(self) -> Iterator[Row]:
--- a/pepperusher/capacity/slopes.py
+++ b/pepperusher/capacity/slopes.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterator
 
-from pepperusher.capacity import attempts, decisions, latency, membership, processes, watching
+from pepperusher.capacity import attempts, decisions, latency, membership, processes, storms, watching
 from pepperusher.capacity.measures import CLOCKED, COUNTED, TIMED, Measure, Single
 from pepperusher.capacity.processes import ProcessError
 from pepperusher.capacity.stage import ZONES
@@ -87,19 +87,22 @@
 
 
 def _discovery() -> Iterator[Measure]:
-    for name, what, unit, worth in (
-        ("start_calls", "calls as all proxies start at once", "calls", COUNTED),
-        ("start_bytes", "bytes out as all start, a list of 24", "bytes", COUNTED),
-        ("change_bytes", "bytes out for one change", "bytes", COUNTED),
-        ("return_calls", "calls as it returns after 3 s, a call worked through in 10 ms, 32 waiting", "calls",
-            COUNTED),
-        ("return_bytes", "bytes out as it returns, a list of 24", "bytes", COUNTED),
-        ("return_seconds", "seconds until all are told after its return", "s", CLOCKED),
+    stood = "a call worked through in 4 ms, 64 waiting"
+    for name, what, unit, figure, back in (
+        ("start_calls", f"calls as all start within a second, {stood}", "calls", "calls", False),
+        ("start_seconds", f"until all are told, {stood}", "s", "seconds", False),
+        ("return_calls", f"calls as it returns after 3 s, {stood}", "calls", "calls", True),
+        ("return_seconds", f"from its return until all are told, {stood}", "s", "seconds", True),
     ):
         yield Measure(
-            f"discovery.{name}", DISCOVERY, what, "proxy", unit, worth, (60, 90, 120, 150, 180), 240,
-            watching.played(name),
+            f"discovery.{name}", DISCOVERY, f"{what} (simulated)", "proxy", unit, COUNTED, LISTS, LIST_MOST,
+            storms.played(figure, back),
         )
+    yield Measure(
+        "discovery.change_bytes", DISCOVERY, "bytes out for one change, over sockets", "proxy", "bytes",
+        COUNTED,
+        (10, 20, 30, 40, 50), 100, watching.played("change_bytes"),
+    )
 
 
 def _config() -> Iterator[Measure]:
--- a/pepperusher/capacity/watching.py
+++ b/pepperusher/capacity/watching.py
@@ -15,8 +15,8 @@
 from pepperusher.net.discovery import Discovery
 
 LISTED = 24
-# The stand-in works through a call in so long, and has room for so many that wait. Slower than a real one, so that
-# it and not this process's processor is what the watches wait for.
+# The stand-in works through a call in so long, and has room for so many that wait. Slower than a real one,
+# so that it and not this process's processor is what the watches wait for.
 TAKES, QUEUE = 0.010, 32
 AWAY = 3.0
 # An empty line says so often that a watch lives.
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -14,7 +14,8 @@
 import msgspec
 from click.testing import CliRunner
 
-from pepperusher.capacity import attempts, decisions, latency, membership, page, processes, stage, watching
+from pepperusher.capacity import attempts, decisions, latency, membership, page, processes, stage, storms
+from pepperusher.capacity import watching
 from pepperusher.capacity.commands import COMMANDS, capacity
 from pepperusher.capacity.fit import Point, best, checked, fitted
 from pepperusher.capacity.measures import CLOCKED, COUNTED, TIMED, Book, Measure, Measured, Single
@@ -217,6 +218,16 @@
         change = watching.played("change_bytes")
         self.assertEqual(change(6, 1) * 2, change(12, 1))
 
+    def test_beyond_discoverys_queue_calls_grow_with_the_square(self) -> None:
+        """As many as wait there ask once each; of more each asks again until its turn comes, twice a second
+        or so.
+        """
+        for back in (False, True):
+            self.assertEqual(storms.storm(40, 1, back).calls, 40)
+            some, more = (storms.storm(size, 1, back).calls for size in (400, 1600))
+            self.assertTrue(6 * some < more < 24 * some, f"{some} and {more}")
+            self.assertEqual(storms.storm(400, 1, back).calls, some)
+
     def test_an_idle_connection_is_one_descriptor(self) -> None:
         at = processes.by_connections("descriptors")
         self.assertEqual(at(25, 1) - at(5, 1), 20)
