--- a/pepperusher/distribution/publisher.py
+++ b/pepperusher/distribution/publisher.py
@@ -214,7 +214,8 @@
             raise NotTaken(f"there are {MOST_RESOURCES} resources already")
         last = held.newest.version if held is not None else NEVER
         ahead = max(last, self._ahead.get((kind, name), NEVER))
-        epoch = self.epoch if self.epoch is not None else 1
+        # A fact has the one owner and no origin: whichever machine that is goes on from what there is.
+        epoch = (ahead.epoch or 1) if fact or self.epoch is None else self.epoch
         if epoch < ahead.epoch:
             raise NotTaken(f"epoch {epoch} of {self.name} is below {ahead.epoch}, which is in use")
         if self._fetched.get((kind, name), NEVER) > last and epoch == ahead.epoch:
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -41,6 +41,7 @@
     got = []
     while (data := publisher.next_for(id)) is not None:
         got.append(wire.decoded(data))
+        assert len(got) < 1_000, "one thing is sent again and again"
     return got
 
 
@@ -226,6 +227,11 @@
         self.assertTrue(fact.fact)
         self.assertFalse(made(1).fact)
 
+    def test_facts_go_on_under_another_origins_epoch(self) -> None:
+        owner = Publisher("c2", "west", None, True, 0, 0)
+        owner.take(resource(ENDPOINTS, "west/shop", Version(7, 3), b"x"), 0)
+        self.assertEqual(Version(7, 4), owner.draft(ENDPOINTS, "west/shop", b"y", 0).version)
+
     def test_two_contents_under_one_version_replace_neither(self) -> None:
         self.put(1)
         self.assertIsNotNone(self.one.take(resource(*KEY, Version(1, 1), b"other"), 0))
@@ -332,6 +338,22 @@
         self.settle(10 * S)
         self.assertEqual(100, len(self.sent(100)))
 
+    def test_one_whose_socket_takes_nothing_is_not_waited_for(self) -> None:
+        self.put(1)
+        self.settle(0)
+        self.crowd(100)
+        self.put(2, 10 * S)
+        now, had, frozen = 10 * S, set(), set(range(0, 100, 2))
+        for _ in range(5):
+            for number in set(range(100)) - frozen - had:
+                if read(self.one, number):
+                    had.add(number)
+                    self.one.ack(number, Ack(*KEY, 1, 2), now)
+            now += S // 10
+            self.one.tick(now)
+        self.assertEqual(50, len(had))
+        self.assertTrue(self.one.held[KEY].done)
+
     def test_a_halt_elsewhere_is_one_here(self) -> None:
         self.put(1)
         self.settle(0)
