--- a/pepperusher/capacity/scenes.py
+++ b/pepperusher/capacity/scenes.py
@@ -29,7 +29,7 @@
     with tempfile.TemporaryDirectory(prefix="scale-") as work:
         try:
             return asyncio.run(run(Path(work)))
-        except (WorkerError, RuntimeError) as error:
+        except (WorkerError, RuntimeError, TimeoutError) as error:
             raise click.ClickException(str(error)) from None
 
 
--- a/pepperusher/rehearsal/hollow_control.py
+++ b/pepperusher/rehearsal/hollow_control.py
@@ -120,6 +120,15 @@
     async def rollout(self, kind: str, name: str) -> Rollout:
         return await operate.rollout(self.addresses[ORIGIN], KEY.encode(), kind, name)
 
+    async def settled(self, within: float) -> None:
+        """Until all hold all that was written, and nothing is on its way. Raises TimeoutError."""
+        async with asyncio.timeout(within):
+            while not all(
+                one.get("resources", 0) >= len(self.versions) and one.get("rolling") == 0
+                for one in await self.figures()
+            ):
+                await asyncio.sleep(AGAIN_EVERY)
+
     async def sums(self) -> Counter[str]:
         """Counts of all together."""
         made: Counter[str] = Counter()
--- a/pepperusher/rehearsal/hollow_fidelity.py
+++ b/pepperusher/rehearsal/hollow_fidelity.py
@@ -276,6 +276,7 @@
         assert controls is not None
         await controls.can_write()
         version = await controls.publish("config", "common", OWN.encode())
+        await controls.settled(READY_WITHIN)
         before = await controls.sums()
         said = (
             f"{QUICK_WATCH}[distribution]\nmachines = {json.dumps(play.machines(0))}\n"
--- a/pepperusher/rehearsal/hollow_play.py
+++ b/pepperusher/rehearsal/hollow_play.py
@@ -85,6 +85,7 @@
         # How many regions own a part of each list: with few control machines not all have one.
         self.parts = min(REGIONS, controls)
         self.controls = Controls(controls, self.parts, max(plan.workers) + 1, work) if controls else None
+        self._turns: dict[int, asyncio.Lock] = {}  # by process
         self._names_of_all = names  # in place of what the plan has each subscribe to
         self._keep = work / "kept" if keeps else None
         self.lacking: set[int] = set()  # numbers of those whose settings lack a use case
@@ -209,10 +210,11 @@
         everyone = [*self.workers, *self.zones, *([self.discovery] if hasattr(self, "discovery") else [])]
         await asyncio.gather(*(worker.end() for worker in everyone))
 
-    @staticmethod
-    async def _ask(worker: Worker, what: str, **order: Any) -> dict[str, Any]:
-        worker.tell(do=what, **order)
-        return await worker.said("did", ANSWER_WITHIN)
+    async def _ask(self, worker: Worker, what: str, **order: Any) -> dict[str, Any]:
+        """One question at a time to each process."""
+        async with self._turns.setdefault(worker.pid, asyncio.Lock()):
+            worker.tell(do=what, **order)
+            return await worker.said("did", ANSWER_WITHIN)
 
     async def ask_all(self, what: str, **order: Any) -> list[dict[str, Any]]:
         """Every process of proxies that can answer."""
--- a/pepperusher/rehearsal/hollow_scenes.py
+++ b/pepperusher/rehearsal/hollow_scenes.py
@@ -144,7 +144,7 @@
         self.checks, self.figures = [], {}
         await self.play.stand()
         await self.play.publish_all()
-        await self.controls_settled()
+        await self.controls.settled(PATIENCE)
         self.play.use()
         at = clock()
         self.say(f"{self.size} proxies start at once")
@@ -164,17 +164,6 @@
             self.figures["connects"],
         )
 
-    async def controls_settled(self) -> None:
-        """Until all control machines hold all that was written."""
-        until = time.monotonic() + PATIENCE
-        wanted = len(self.controls.versions)
-        while time.monotonic() < until:
-            told = await self.controls.figures()
-            if all(one.get("resources", 0) >= wanted and one.get("rolling") == 0 for one in told):
-                return
-            await asyncio.sleep(LOOK_EVERY)
-        raise RuntimeError("the control machines do not hold all that was written")
-
 
 # --- the scenes --------------------------------------------------------------------------------------
 
