Standing still is noticed also where the pace was due just as it began

The fault is the program's: the pace's timer, fired in the turn before the loop stood, has its turn ahead of the requests that waited, and set the time by which they see that it stood. Now the pace looks itself. *Ruled out:* that 2 ms are too short to read the list: counting turns of the loop beside them changed nothing, and was taken back.

--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -582,6 +582,9 @@
             await asyncio.sleep(PACE / 1e6)
             # Forgotten by half in 7 s, a few times as long as a ticket lasts: what runs late does so in
             # spells.
+            if clock.now() - self._paced_at > STOOD:
+                # It was due just as the loop began to stand, and has its turn ahead of what waited: that would go unnoticed.
+                self._woke()
             self._paced_at = clock.now()
             self._late = max(self._paced_at - due, self._late - self._late // 200)
 
