--- a/pepperusher/capacity/slope_commands.py
+++ b/pepperusher/capacity/slope_commands.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from pepperusher.capacity import page, slopes as measurements
+from pepperusher.capacity.fit import LEAST_SIZES
 from pepperusher.capacity.measures import Book, Measured, merged, only, taken
 from pepperusher.capacity.processes import ProcessError
 from pepperusher.capacity.projection import Projection
@@ -56,6 +57,16 @@
     return os.getloadavg()[0]
 
 
+def _sizes(_: click.Context, __: click.Parameter, given: str | None) -> list[int] | None:
+    if given is None:
+        return None
+    found = [int(one) for one in given.split(",") if one.isdecimal()]
+    if len(found) != len(given.split(",")) or len(found) <= LEAST_SIZES or sorted({*found, 0}) != [0, *found]:
+        raise click.BadParameter(f"{given!r} is not {LEAST_SIZES + 1} or more whole numbers, each over the"
+            f" one before")
+    return found
+
+
 def _say(line: str) -> None:
     click.echo(f"{time.strftime('%H:%M:%S')} {line}", err=True)
 
@@ -63,19 +74,24 @@
 @click.command()
 @click.option("--only", "names", multiple=True, help="Measure what begins with this; several times for"
     " several.")
+@click.option("--sizes", callback=_sizes, help="In place of each one's own: six or more by commas, the"
+    " last one held out.")
 @click.option("--chain", is_flag=True, help="Also a chain of 30 whole proxies (31 processes, some minutes).")
 @click.option("--seed", default=1, show_default=True, help="Of everything that hangs on chance.")
 @click.option("--out", type=click.Path(path_type=Path, dir_okay=False),
     help="Keep the figures here, beside those that are there.")
 @click.option("--json", "as_json", is_flag=True, help="Print the figures as JSON.")
 @click.option("--list", "listing", is_flag=True, help="Print what can be measured, and measure nothing.")
-def slopes(names: tuple[str, ...], chain: bool, seed: int, out: Path | None, as_json: bool,
+def slopes(names: tuple[str, ...], sizes: list[int] | None, chain: bool, seed: int, out: Path | None,
+    as_json: bool,
     listing: bool) -> None:
     """Measure how each cost grows with its size.
 
     Each is measured at five sizes or more, fitted, and checked at a size that was not fitted.
     """
     wanted = only(measurements.measures(), names)
+    if sizes is not None:
+        wanted = [one._replace(sizes=tuple(sizes[:-1]), held_out=sizes[-1]) for one in wanted]
     if listing:
         for one in wanted:
             click.echo(f"{one.name}: {one.what} ({one.unit} by {one.per};"
@@ -97,8 +113,10 @@
     for place, one in enumerate(wanted, 1):
         _say(f"[{place} of {len(wanted)}] {one.name}")
         try:
-            book.measured.append(taken(one, seed, _load, _say, book.commit, f"pepperusher capacity slopes"
-                f" --only {one.name} --seed {seed}"))
+            again = f"pepperusher capacity slopes --only {one.name} --seed {seed}"
+            if sizes is not None:
+                again += f" --sizes {','.join(map(str, sizes))}"
+            book.measured.append(taken(one, seed, _load, _say, book.commit, again))
         except (ProcessError, TimeoutError) as error:
             click.echo(f"{one.name}: not measured: {error}", err=True)
             continue
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -312,6 +312,19 @@
                 self.assertEqual(len(run.output.strip().splitlines()), 1, run.output)
                 self.assertIn(said, run.output)
 
+    def test_sizes_can_be_given_and_the_last_is_held_out(self) -> None:
+        words = ["slopes", "--only", "list.bytes", "--json", "--sizes"]
+        run = CliRunner().invoke(capacity, [*words, "3,4,5,6,7,9"])
+        self.assertEqual(run.exit_code, 0, run.output)
+        one = json.loads(run.stdout.splitlines()[-1])["measured"][0]
+        self.assertEqual([size for size, _ in one["points"]], [3, 4, 5, 6, 7])
+        self.assertEqual(one["held_out"][0], 9)
+        self.assertIn("--sizes 3,4,5,6,7,9", one["command"])
+        for bad in ("3,4,5", "1,2,3,4,5,x", "0,1,2,3,4,5", "5,4,3,2,1,9", "1,2,3,4,5,5"):
+            run = CliRunner().invoke(capacity, [*words, bad])
+            self.assertEqual(run.exit_code, 2, f"{bad}: {run.output}")
+            self.assertIn("6 or more whole numbers", run.output)
+
     def test_each_command_is_there(self) -> None:
         for name in COMMANDS:
             run = CliRunner().invoke(capacity, [name, "--help"])
