--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -118,7 +118,7 @@
             door.idle.remove(link)
         link.line.abort()
 
-    def _close_oldest(self) -> bool:
+    def _close_oldest(self, needed: bool = False) -> bool:
         door = min((door for door in self._doors.values() if door.idle), default=None,
                    key=lambda one: one.idle[0].idle_since)
         if door is None:
@@ -181,8 +181,13 @@
             self._kept_most = min(self._idle_most, self._kept_most + self._kept_most // 128)
 
     async def _connect(self, door: Door, out: Transmission, within: float) -> Link | str:
-        if not self._budget.take(PART):
-            return "moot"
+        for turn in range(TURNS, -1, -1):
+            if self._budget.take(PART, True):
+                break
+            if not turn or not self._budget.busy or out.how is not None:
+                return "moot"
+            # Of many that came in one turn of the loop the last were refused, beside idle clients that could be closed.
+            await asyncio.sleep(0)
         address = door.address
         reaching = asyncio.ensure_future(reach(address))
         reaching.add_done_callback(self._connected)
@@ -250,10 +255,11 @@
                 return "unreached", None
         link.answered = True
         began = clock.now()
-        exchange = Exchange(link.line, link.parser, self._pool, out, max(0, until - began), self._connect_within)
+        exchange = Exchange(link.line, link.parser, self._pool, out, max(0, until - began), self._connect_within,
+                            placed)
         kept = False
         try:
-            how, answer = await exchange.run(request, placed, onward)
+            how, answer = await exchange.run(request, onward)
             if exchange.heard:
                 door.heard_at = clock.now()
                 if stood is not None:
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -31,6 +31,10 @@
 # Where descriptors run out, or the proxy ends, a new connection that has said nothing for so long is closed: whoever
 # opens one to send does so at once.
 SHY = 250_000
+# And where a ticket in hand would be refused, whoever is as new as that: what it sends may be on its way.
+JUST_NOW = 50_000
+# Where descriptors run out, a message that has begun and stopped for so long is answered as one that took too long.
+STOPPED = 500_000
 # Callers get no more than this part of all descriptors: a ticket in hand takes one of its caller's and one to a backend,
 # and a crowd that says nothing left none for the second, so that those who asked were bounced.
 PART = 2 / 3
@@ -44,6 +48,9 @@
 # What is no ticket costs as much as one to read. Whoever sends it is heard again after so long.
 PAUSE = 0.1
 
+# What is read ahead of its turn, lest an end stand behind it, is this part of what is held of bodies.
+AHEAD_PART = 2
+
 # Of two processes at one address, which came after the other.
 SECOND = 1
 # Over all that the budget holds, where nothing else would do.
@@ -168,7 +175,7 @@
         self._ending: dict[Caller, None] = {}
         self._closing = False
         self._listener: socket.socket | None = None
-        self._lookout = Lookout()
+        self._lookout = Lookout(pool.most // AHEAD_PART)
         self._accepting: asyncio.Task[None]
         budget.may_close_idle(self._close_oldest)
 
@@ -287,11 +294,14 @@
             await asyncio.sleep(0)
         caller.before = line.received - line.unread - len(parser.trailing_data[0])
         line.on_data = lambda: self._rest(caller, False)
+        line.may_read_ahead = True
         whole = False
         try:
             head = await read_head(parser, line)
             if head is not None:
                 whole = await read_held(parser, line, body)
+                if whole:   # else what is behind is of its own body, which is passed on as it comes
+                    await line.looked_ahead()
         except BadMessage as bad:
             caller.waiting_since = None   # it has a limit of its own
             await self._turn_away(caller, bad)
@@ -389,10 +399,15 @@
         # A message's first byte.
         caller.waiting_since, caller.spent = clock.now(), 0
 
-    def _close_oldest(self) -> bool:
-        """Where descriptors run out: first whose answer said so already. What is in the kernel, and so may be a whole ticket, is left alone."""
+    def _close_oldest(self, needed: bool = False) -> bool:
+        """Where descriptors run out: first whose answer said so already. What is in the kernel, and so may be a whole ticket, is left alone.
+
+        `needed` by a ticket in hand, which would be refused: then whoever is new, or asked of late, is not spared either.
+        """
         while self._ending:
-            line = self._ending.popitem()[0].line
+            caller = next(iter(self._ending))
+            del self._ending[caller]
+            line = caller.line
             if not line.transport.is_closing():
                 line.abort()
                 return True
@@ -404,13 +419,30 @@
         # One that has had no answer may carry a ticket that crossed a close and is sent once more: it is
         # given time.
         shy = [caller for caller in self._idle if not caller.answered]
+        if needed:
+            return any(self._closed(caller) for caller in chain(
+                (one for one in shy if stood(one, JUST_NOW)), (one for one in self._idle if one.answered)))
         # While most are silent, their time is waited for: whoever asked of late asks again, and opens one for
         # it.
         spared = BEGUN if 2 * len(shy) > len(self._idle) else 0
         return any(self._closed(caller) for caller in chain(
             (one for one in shy if stood(one, SHY)),
             (one for one in self._idle if one.answered and not one.useful),
-            (one for one in self._idle if one.useful and stood(one, spared))))
+            (one for one in self._idle if one.useful and stood(one, spared)))) or self._close_half(now)
+
+    def _close_half(self, now: int) -> bool:
+        """The oldest that began a message and says no more. An honest one goes on; of a crowd that stops half way each kept
+        its place for as long as a message may take, and all others stood in the kernel's queue."""
+        for caller in self._callers:
+            line = caller.line
+            if (caller.waiting_since is not None and caller not in self._idle and now - line.heard_at >= STOPPED
+                    and line.on_end is None and caller.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE) and line.quiet()):
+                if line.send(framed_answer(caller.parser, LATE, True)):
+                    line.close()
+                else:
+                    line.abort()   # its descriptor is wanted now, and it takes nothing
+                return True
+        return False
 
     def _closed(self, caller: Caller) -> bool:
         """Closed, unless the kernel holds something of its."""
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -286,7 +286,8 @@
         if call.onward is not None:
             call.onward.dress = dress
         placed = Placed(lambda: not call.gone() and self._facade.stands(ticket, clock.now()), lambda: call.left,
-                        lambda: self._facade.aside(ticket, clock.now()), lambda: self._facade.back(ticket, clock.now()))
+                        lambda: self._facade.aside(ticket, clock.now()), lambda: self._facade.back(ticket, clock.now()),
+                        lambda: self._facade.remaining(ticket, clock.now()))
         how, answer, end = "", None, "left"
         try:
             step = self._facade.pick(ticket, clock.now())
@@ -305,7 +306,7 @@
                 if shelf is not None and shelf.on:
                     kept = await shelf.sending(use_case, mark, step.backend, self._facade.cell_of(step.backend),
                                                self._facade.remembered(use_case))
-                    if kept is None or not self._facade.stands(ticket, clock.now()):
+                    if kept is None or not placed.stands():
                         how = "moot"
                         if kept is not None:
                             shelf.ended(use_case, mark, kept, how)
