Distribution: the 12 s held to in the time of a play; tests between processes wait for what must come

On a machine at eight times its load a test between processes failed by its own time limit: these wait for what must come now, and what must be quick is held to where time is the play's.

--- a/pepperusher/distribution/publisher.py
+++ b/pepperusher/distribution/publisher.py
@@ -598,11 +598,10 @@
             self.keep[key] = None
             self._mark(held)
 
-    def confirm(self, beat: Beat, now: int) -> None:
-        """Another control machine has it, at one remove or more, from the origin that it spoke."""
-        if self.epoch is None and (beat.epoch, beat.stamp) > self.confirmed:
-            self.confirmed = beat.epoch, beat.stamp
-            self.confirmed_at = now - beat.age
+    def follow(self, confirmed: tuple[int, int], at: int | None) -> None:
+        """A relay has the origin's word as the subscriber beside it has it, and is as old as that."""
+        if self.epoch is None and at is not None:
+            self.confirmed, self.confirmed_at = confirmed, at
 
     def beat(self, now: int) -> Beat:
         if not self.confirmed[1]:
--- a/pepperusher/distribution/server.py
+++ b/pepperusher/distribution/server.py
@@ -259,6 +259,7 @@
         one.allowance = min(most, one.allowance + most * (now - one.heard_at) / 10e6)
         one.heard_at = now
         if one.allowance < 1.0:
+            self.counts["floods"] += 1
             raise BadPacket("too many messages")
         one.allowance -= 1.0
         publisher = self.publisher
@@ -593,7 +594,6 @@
         self._done()
         subscriber, publisher = self._subscriber, self.publisher
         assert subscriber is not None
-        if publisher.epoch is None and subscriber.confirmed_at is not None:
-            publisher.confirmed, publisher.confirmed_at = subscriber.confirmed, subscriber.confirmed_at
+        publisher.follow(subscriber.confirmed, subscriber.confirmed_at)
         self._wake()
         self._pump_soon()
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -703,6 +703,7 @@
             self.deliver(link)
         for name, machine in self.machines.items():
             if machine is not None:
+                machine.follow(self.relays[name].confirmed, self.relays[name].confirmed_at)
                 machine.tick(self.now)
                 machine.lines.clear()
                 machine.keep.clear()
@@ -767,6 +768,58 @@
                 self.assertEqual({last}, {one.held[KEY].version for one in world.proxies.values()})
                 self.assertEqual({last}, {one.held[KEY].newest.version for one in world.machines.values() if one})
 
+    def until(self, world: World, version: Version, names: set[str]) -> float:
+        """How long until it is in force at all of these, in s of the play."""
+        begun = world.now
+        while any(KEY not in (held := world.proxies[name].held) or held[KEY].version != version for name in names):
+            world.step()
+            self.assertLess((world.now - begun) / S, 60, "not within a minute")
+        return (world.now - begun) / S
+
+    def test_in_force_within_twelve_seconds_with_machines_lost_and_of_a_healing(self) -> None:
+        """Of a change; of one with machines killed just before; of the end of a cut of some minutes."""
+        longest: dict[str, float] = {}
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                world = World(seed, 5, 30)
+                for _ in range(60):
+                    world.step()
+                every = set(world.proxies)
+
+                def took(what: str, version: Version | None, names: set[str]) -> None:
+                    assert version is not None
+                    longest[what] = max(longest.get(what, 0.0), self.until(world, version, names))  # noqa: B023
+
+                took("a change", world.publish(), every)
+                for name in world.names[3:]:
+                    world.kill(name)
+                took("two of five killed", world.publish(), every)
+                for name in world.names[3:]:
+                    world.start(name)
+                there = {f"p{number}" for number in range(0, 30, 2)}
+                away = {world.names[1], world.names[2]}
+                for near in [*there, *away]:
+                    for far in set(world.names) - away:
+                        world.cut.add((near, far))
+                for far in set(world.names) - away:
+                    for near in away:
+                        world.cut.add((far, near))
+                for near in every - there:
+                    for far in away:
+                        world.cut.add((near, far))
+                last = world.publish()
+                begun = world.now
+                while world.now - begun < 180 * S:
+                    world.step()
+                self.assertEqual({last}, {world.proxies[name].held[KEY].version for name in every - there})
+                self.assertNotIn(last, {world.proxies[name].held[KEY].version for name in there})
+                for name in there:
+                    age = world.proxies[name].age(world.now)
+                    self.assertGreater(age or 0, 170 * S, "a region that is cut off ages")
+                world.cut.clear()
+                took("a healing", last, every)
+        self.assertLess(max(longest.values()), 12, longest)
+
     def test_a_change_that_many_refuse_stops_and_the_next_goes_out(self) -> None:
         for seed in range(6):
             with self.subTest(seed=seed):
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -24,7 +24,7 @@
 from pepperusher.distribution import operate, publish, rollout, wire
 from pepperusher.distribution.client import Client
 from pepperusher.distribution.operate import NoAnswer
-from pepperusher.distribution.server import HELLO_WITHIN, Server, Terms
+from pepperusher.distribution.server import HELLO_WITHIN, SILENT_AFTER, Server, Terms
 from pepperusher.distribution.wire import Session
 from pepperusher.distribution.words import CONFIG, ENDPOINTS, MOST_NAMES, PROXY, Beat, Hello, Key, Resource, Version
 from pepperusher.net import clock
@@ -36,8 +36,9 @@
 
 SECRET = b"a key for the tests alone"
 KEY: Key = (CONFIG, "shop")
-# What the target allows from a change, or a healing, to in force everywhere.
-WITHIN = 12.0
+# For what must come: what it takes on a busy machine is no verdict. The target's 12 s are held to in the time of
+# test_distribution.py's plays.
+WITHIN = 60.0
 
 
 def free_ports(many: int) -> list[int]:
@@ -197,7 +198,7 @@
         await self.clients["p1"].stop()
         for name in ("p0", "p1"):
             again = self.client(name)
-            await until(lambda: again.in_force.get(KEY) == third, 3.0, "what was kept")
+            await until(lambda: again.in_force.get(KEY) == third, what="what was kept")
             age = again.age(clock.now())
             assert age is not None
             self.assertLess(0, age)
@@ -438,6 +439,7 @@
         self.assertTrue(any("another key" in str(line.get("why")) for line in lines))
         counts = await operate.figures(("127.0.0.1", port), SECRET)
         self.assertGreater(counts["ended"], 200)  # type: ignore[operator]
+        self.assertEqual(1, counts["floods"])
 
 
 class Slow(unittest.IsolatedAsyncioTestCase):
@@ -576,7 +578,7 @@
             sys.executable, "-m", "pepperusher", "ctl", *words, stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
         )  # fmt: skip
-        async with asyncio.timeout(20):
+        async with asyncio.timeout(WITHIN):
             return (await made.communicate())[0].decode()
 
     async def serve_again(self) -> None:
@@ -585,7 +587,7 @@
         await self.open("a1", own=self.own)
 
     async def test_taken_as_a_change_refused_kept_and_told(self) -> None:
-        async with asyncio.timeout(60):
+        async with asyncio.timeout(2 * WITHIN):
             await self.open("a1", own=self.own)
             self.assertEqual(["own"], self.names())
             machine = ("--machine", f"127.0.0.1:{self.machine.port}", "--key-file", str(self.folder / "key"))
@@ -634,7 +636,7 @@
             await until(lambda: self.house.own.routes[-1].transmissions == 1, what="taken once it is back")
 
     async def test_one_that_does_harm_is_undone_and_counts_as_refused(self) -> None:
-        async with asyncio.timeout(60):
+        async with asyncio.timeout(2 * WITHIN):
             await self.open("a1", own=self.own)
             first = await publish(self.at, SECRET, *KEY, (SHARED % 2).encode())
             await until(lambda: self.distributed.said()["version"] == str(first), what="in force")
@@ -645,7 +647,10 @@
             await until(lambda: bool(self.distributed.said()["refused"]), what="told")
             self.assertEqual(str(first), self.distributed.said()["version"])
             self.assertEqual(2, self.house.own.routes[-1].transmissions)
-            async with asyncio.timeout(10):
+            # What is changed by hand from here on stands beside what was confirmed, not beside what was undone.
+            await self.house.drain("a1", False, "test", "by hand")
+            self.assertEqual(2, self.house.own.routes[-1].transmissions)
+            async with asyncio.timeout(WITHIN):
                 while not (told := await rollout(self.at, SECRET, *KEY)).refused:
                     await asyncio.sleep(0.05)
             self.assertIn("it does harm", told.refused["p1"])
@@ -672,7 +677,7 @@
             sys.executable, "-m", "pepperusher", "control", *words, stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
         )  # fmt: skip
-        async with asyncio.timeout(20):
+        async with asyncio.timeout(WITHIN):
             out, _ = await made.communicate()
         return made.returncode or 0, out.decode()
 
