--- a/pepperusher/capacity/scenes.py
+++ b/pepperusher/capacity/scenes.py
@@ -91,9 +91,7 @@
     async def run(work: Path) -> dict[str, Any]:
         made: list[dict[str, Any]] = []
         if "before" in names:
-            made += await hollow_scenes.before(size, seed, work, _say)
-            for one in made:
-                each(one)
+            made += await hollow_scenes.before(size, seed, work, _say, each)
         if names != ("before",):
             mine = [name for name in names if name != "before"] or list(hollow_scenes.SCENES)
             made += await hollow_scenes.played(mine, size, controls, seed, quick, work, _say, each)
--- a/pepperusher/rehearsal/hollow_scenes.py
+++ b/pepperusher/rehearsal/hollow_scenes.py
@@ -553,7 +553,13 @@
     return made
 
 
-async def before(size: int, seed: int, work: Path, say: Callable[[str], None]) -> list[dict[str, Any]]:
+async def before(
+    size: int,
+    seed: int,
+    work: Path,
+    say: Callable[[str], None],
+    each: Callable[[dict[str, Any]], None] = lambda told: None,
+) -> list[dict[str, Any]]:
     """One discovery that all proxies watch, and nothing else: the start of all, one change, and the largest
     service replaced. Without checks: these are the figures that control machines are held against.
     """
@@ -571,6 +577,10 @@
             "memory_mb_all": play.memory(),
         }
 
+    def told_of(one: dict[str, Any]) -> None:
+        made.append(one)
+        each(one)
+
     try:
         await play.stand()
         play.use()
@@ -579,7 +589,7 @@
         versions = await play.versions()
         had = await play.until_in_force(versions, START_WITHIN)
         told = play.reached(await play.books(), versions, at)
-        made.append(
+        told_of(
             {
                 "scene": "before: start",
                 "verdict": "passed" if had else "failed",
@@ -591,7 +601,7 @@
         at, versions = await play.change([{**play.plan.services[0][1], "state": "draining"}])
         had = await play.until_in_force(versions, PATIENCE)
         told = play.reached(await play.books(), versions, at)
-        made.append(
+        told_of(
             {
                 "scene": "before: one change",
                 "verdict": "passed" if had else "failed",
@@ -606,7 +616,7 @@
             at, versions = await play.change([{**one, "state": "gone"}, {**fresh, "new_in": views}])
         had = await play.until_in_force(versions, PATIENCE)
         told = play.reached(await play.books(), versions, at)
-        made.append(
+        told_of(
             {
                 "scene": "before: release",
                 "verdict": "passed" if had else "failed",
