--- a/pepperusher/rehearsal/hollow_control.py
+++ b/pepperusher/rehearsal/hollow_control.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import resource
 import shutil
 import signal
 from collections import Counter
@@ -89,6 +90,11 @@
     def freeze(self, number: int, on: bool) -> None:
         self.workers[number].signal(signal.SIGSTOP if on else signal.SIGCONT)
 
+    def full_disk(self, number: int, on: bool) -> None:
+        """No file of its process may grow: writes fail as on a full disk, with another number (EFBIG)."""
+        most = 0 if on else resource.RLIM_INFINITY
+        resource.prlimit(self.workers[number].pid, resource.RLIMIT_FSIZE, (most, resource.RLIM_INFINITY))
+
     def keep_disk(self, number: int) -> None:
         shutil.copytree(self.folder(number), self._work / f"old-{number}", dirs_exist_ok=True)
 
--- a/pepperusher/rehearsal/hollow_play.py
+++ b/pepperusher/rehearsal/hollow_play.py
@@ -422,6 +422,23 @@
         if not on:
             await self.shape()
 
+    async def cut_control(self, number: int, way: str) -> None:
+        """One control machine from every zone: what they say ("out") or what they hear ("in") is lost."""
+        await asyncio.gather(
+            *(self._ask(zone, "cut", names=[f"control {number}"], way=way) for zone in self.zones)
+        )
+
+    async def heal(self) -> None:
+        """Every cut, and the links as they are without trouble."""
+        await asyncio.gather(*(self._ask(zone, "heal") for zone in self.zones))
+        await self.shape()
+
+    async def slow(self, numbers: Iterable[int], part: float, seconds: float) -> None:
+        """Processes of proxies have their loop for a part of the time."""
+        await asyncio.gather(
+            *(self._ask(self.workers[one], "slow", part=part, seconds=seconds) for one in numbers)
+        )
+
     def freeze(self, numbers: Iterable[int], on: bool) -> None:
         """Processes of proxies stand still, or go on."""
         for number in numbers:
--- a/pepperusher/rehearsal/hollow_scenes.py
+++ b/pepperusher/rehearsal/hollow_scenes.py
@@ -29,6 +29,8 @@
 # Every so many lack a use case that a refused change names.
 LACKS_EVERY = 5
 REFUSED = '\n[[routes]]\nname = "book"\nuse_case = "book"\nmatch = {path = "/book/{any*}"}\n'
+# A slow one has its loop for a fifth of the time.
+SLOW_PART, SLOW_FOR = 0.2, 10.0
 SMALL, SMALL_ZONES = 300, 5
 LOOK_EVERY = 0.1
 
@@ -429,6 +431,23 @@
     return made
 
 
+async def troubled(ground: Ground) -> dict[str, Any]:
+    """A control machine that hears nobody and is heard; one whose disk is full; a tenth of the proxies slow."""
+    made: dict[str, Any] = {}
+    victim = ground.controls.count - 1
+    await ground.play.cut_control(victim, "out")
+    made["hears_nobody"] = await ground.taken(await ground.publish(), "a control machine hears nobody")
+    await ground.play.heal()
+    ground.controls.full_disk(victim, True)
+    made["disk_full"] = await ground.taken(await ground.publish(), "a control machine's disk is full")
+    ground.controls.full_disk(victim, False)
+    slow_ones = range(0, len(ground.play.workers), 10)
+    await ground.play.slow(slow_ones, SLOW_PART, SLOW_FOR)
+    made["a_tenth_slow"] = await ground.taken(await ground.publish(), "a tenth slow: all, those too")
+    made.update(await ground.costs())
+    return made
+
+
 async def refused(ground: Ground) -> dict[str, Any]:
     """A change that a fifth of the proxies refuse stops, and the next one goes on from what stands."""
     what, version, at = await ground.publish(more=REFUSED)
@@ -506,6 +525,7 @@
     "region": region,
     "release": release,
     "slow": slow,
+    "troubled": troubled,
     "refused": refused,
     "zone": zone,
 }
