--- a/pepperusher/rehearsal/hollow_scenes.py
+++ b/pepperusher/rehearsal/hollow_scenes.py
@@ -29,6 +29,8 @@
 # Every so many lack a use case that a refused change names.
 LACKS_EVERY = 5
 REFUSED = '\n[[routes]]\nname = "book"\nuse_case = "book"\nmatch = {path = "/book/{any*}"}\n'
+# A slow one has its loop for a fifth of the time.
+SLOW_PART, SLOW_FOR = 0.2, 10.0
 SMALL, SMALL_ZONES = 300, 5
 LOOK_EVERY = 0.1
 
@@ -429,6 +431,23 @@
     return made
 
 
+async def troubled(ground: Ground) -> dict[str, Any]:
+    """A control machine that hears nobody and is heard; one whose disk is full; a tenth of the proxies slow."""
+    made: dict[str, Any] = {}
+    victim = ground.controls.count - 1
+    await ground.play.cut_control(victim, "out")
+    made["hears_nobody"] = await ground.taken(await ground.publish(), "a control machine hears nobody")
+    await ground.play.heal()
+    ground.controls.full_disk(victim, True)
+    made["disk_full"] = await ground.taken(await ground.publish(), "a control machine's disk is full")
+    ground.controls.full_disk(victim, False)
+    slow_ones = range(0, len(ground.play.workers), 10)
+    await ground.play.slow(slow_ones, SLOW_PART, SLOW_FOR)
+    made["a_tenth_slow"] = await ground.taken(await ground.publish(), "a tenth slow: all, those too")
+    made.update(await ground.costs())
+    return made
+
+
 async def refused(ground: Ground) -> dict[str, Any]:
     """A change that a fifth of the proxies refuse stops, and the next one goes on from what stands."""
     what, version, at = await ground.publish(more=REFUSED)
@@ -506,6 +525,7 @@
     "region": region,
     "release": release,
     "slow": slow,
+    "troubled": troubled,
     "refused": refused,
     "zone": zone,
 }
@@ -553,7 +573,13 @@
     return made
 
 
-async def before(size: int, seed: int, work: Path, say: Callable[[str], None]) -> list[dict[str, Any]]:
+async def before(
+    size: int,
+    seed: int,
+    work: Path,
+    say: Callable[[str], None],
+    each: Callable[[dict[str, Any]], None] = lambda told: None,
+) -> list[dict[str, Any]]:
     """One discovery that all proxies watch, and nothing else: the start of all, one change, and the largest
     service replaced. Without checks: these are the figures that control machines are held against.
     """
@@ -571,6 +597,10 @@
             "memory_mb_all": play.memory(),
         }
 
+    def told_of(one: dict[str, Any]) -> None:
+        made.append(one)
+        each(one)
+
     try:
         await play.stand()
         play.use()
@@ -579,7 +609,7 @@
         versions = await play.versions()
         had = await play.until_in_force(versions, START_WITHIN)
         told = play.reached(await play.books(), versions, at)
-        made.append(
+        told_of(
             {
                 "scene": "before: start",
                 "verdict": "passed" if had else "failed",
@@ -591,7 +621,7 @@
         at, versions = await play.change([{**play.plan.services[0][1], "state": "draining"}])
         had = await play.until_in_force(versions, PATIENCE)
         told = play.reached(await play.books(), versions, at)
-        made.append(
+        told_of(
             {
                 "scene": "before: one change",
                 "verdict": "passed" if had else "failed",
@@ -606,7 +636,7 @@
             at, versions = await play.change([{**one, "state": "gone"}, {**fresh, "new_in": views}])
         had = await play.until_in_force(versions, PATIENCE)
         told = play.reached(await play.books(), versions, at)
-        made.append(
+        told_of(
             {
                 "scene": "before: release",
                 "verdict": "passed" if had else "failed",
