--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -52,8 +52,9 @@
         self.hold(many, "change", "refused")
         self.slopes(many, 200)
 
-    def test_control_machines_and_a_region_lost_and_back(self) -> None:
-        self.hold(play(["control-lost", "region"], 100, 3), "control-lost", "region")
+    def test_control_machines_and_a_region_lost_and_back_and_in_trouble(self) -> None:
+        names = ["control-lost", "region", "troubled"]
+        self.hold(play(names, 100, 3), *names)
 
 
 if __name__ == "__main__":
