--- a/pepperusher/rehearsal/hollow_play.py
+++ b/pepperusher/rehearsal/hollow_play.py
@@ -39,6 +39,8 @@
 SAMPLE_EVERY = 1.0
 DISCOVERY_ZONE = 0
 PUBLISHED_AT_ONCE = 16
+# An order is a line, and a process reads lines of up to 64 kB.
+PLACES_AT_ONCE = 40
 # Who is listened to: discovery with its lists, control machines with lists and configuration, or both.
 DISCOVERY, CONTROL, BOTH = "discovery", "control", "both"
 
@@ -253,12 +255,13 @@
         dealt: dict[int, list[dict[str, Any]]] = {}
         for place in places:
             dealt.setdefault(place.worker, []).append(self._order(place, lists))
-        await asyncio.gather(
-            *(
-                self._ask(self.workers[number], "start", places=those, spread=spread)
-                for number, those in dealt.items()
-            )
-        )
+
+        async def start(number: int, those: list[dict[str, Any]]) -> None:
+            for first in range(0, len(those), PLACES_AT_ONCE):
+                part = those[first : first + PLACES_AT_ONCE]
+                await self._ask(self.workers[number], "start", places=part, spread=spread)
+
+        await asyncio.gather(*(start(number, those) for number, those in dealt.items()))
 
     # --- what is observed ---------------------------------------------------------------------------
 
