--- a/pepperusher/distribution/server.py
+++ b/pepperusher/distribution/server.py
@@ -51,8 +51,8 @@
 from pepperusher.store.disk import Disk
 
 # Connections taken a second in the long run, and at once: the rest waits in the kernel.
-ACCEPTED_A_SECOND = 400.0
-ACCEPTED_AT_ONCE = 200.0
+ACCEPTED_A_SECOND = 800.0
+ACCEPTED_AT_ONCE = 400.0
 BACKLOG = 4096
 # Who has not shown the key by then goes, and so many may be about it at once.
 HELLO_WITHIN = 5.0
--- a/pepperusher/distribution/subscriber.py
+++ b/pepperusher/distribution/subscriber.py
@@ -56,7 +56,7 @@
 # At once under way, of a proxy.
 CONNECTING_MOST = 6
 # One that is being connected to keeps the next in order from being tried for so long.
-CONNECT_FIRST = 500_000
+CONNECT_FIRST = 1_000_000
 # After a loss the next is tried within this, drawn, and after each further failure no sooner than that: all
 # that lost the same machine, or all machines, at one moment must not come at one moment.
 NEXT_WITHIN = 400_000
