--- a/pepperusher/capacity/latency.py
+++ b/pepperusher/capacity/latency.py
@@ -6,8 +6,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
-from contextlib import ExitStack
+from collections.abc import Callable, Iterator
+from contextlib import ExitStack, contextmanager
 from random import Random
 from typing import NamedTuple
 
@@ -112,6 +112,14 @@
     return asyncio.run(_load(host, port, rate, lasts, seed, 1 + seed * 1_000_000))
 
 
+class Failing(ProcessError):
+    """Too many calls failed in each round; `share` of all."""
+
+    def __init__(self, rounds: list[Told]) -> None:
+        super().__init__("; ".join(f"{one.failed} of {one.calls} calls failed" for one in rounds))
+        self.share = sum(one.failed for one in rounds) / sum(one.calls for one in rounds)
+
+
 class Added(NamedTuple):
     """us that the proxies add: at the middle and at the 99th of 100, with what the calls took beside them;
     `cpu` is what one of the proxies spent for a call, in us.
@@ -139,7 +147,7 @@
     spent = (cpu() - before) / sum(two.calls for _, two in made)
     sound = [one for one in made if all(100 * told.failed <= told.calls for told in one)]
     if not sound:
-        raise ProcessError("; ".join(f"{two.failed} of {two.calls} calls failed" for _, two in made))
+        raise Failing([two for _, two in made])
     bare, with_them = min(sound, key=lambda one: one[0].p99)
     return Added(with_them.p50 - bare.p50, with_them.p99 - bare.p99, bare, with_them, spent)
 
@@ -160,17 +168,11 @@
             )
 
 
-def through_chain(
-    depth: int,
-    listed: int,
-    group: int,
-    seed: int,
-    changes: float = 0.0,
-    lasts: float = CHAIN_LASTS,
-    rounds: int = ROUNDS,
-) -> Added:
-    """`depth` services, each calling the next through a proxy of its own, against the same with none. The
-    chain's proxies are warmed from its end, since none of them knows yet how long a call takes.
+@contextmanager
+def chain(depth: int, listed: int, group: int, changes: float = 0.0) -> Iterator[tuple[int, list[Proxied]]]:
+    """`depth` services twice: each calling the next, from the port that is given; and each calling the next
+    through a proxy of its own, from the first of these proxies. They are warmed from the chain's end, since
+    none of them knows yet how long a call takes.
     """
     with ExitStack() as held:
         others = held.enter_context(standins())
@@ -178,15 +180,29 @@
         ports = others.do(do="open", services=depth)["ports"]
         proxies: list[Proxied] = []
         for port in ports:
-            address = f"127.0.0.1:{port}"
+            address = f"{BARE}:{port}"
             discovery = others.do(do="discovery", entries=listed, address=address, changes=changes)["port"]
             proxies.append(held.enter_context(proxy(listed, group, discovery, address)))
         to = [(BARE, port) for port in bare[1:]], [(HOST, one.port) for one in proxies[1:]]
         others.do(do="forwards", to=[*to[0], None, *to[1], None])
         for place in reversed(range(depth)):
             asyncio.run(_warmed(HOST, proxies[place].port, 10_000_000 * (place + 1)))
+        yield bare[0], proxies
+
+
+def through_chain(
+    depth: int,
+    listed: int,
+    group: int,
+    seed: int,
+    changes: float = 0.0,
+    lasts: float = CHAIN_LASTS,
+    rounds: int = ROUNDS,
+) -> Added:
+    """A chain of services with proxies against the same with none."""
+    with chain(depth, listed, group, changes) as (bare, proxies):
         return _rounds(
-            lambda place: load(BARE, bare[0], place, CHAIN_RATE, lasts),
+            lambda place: load(BARE, bare, place, CHAIN_RATE, lasts),
             lambda place: load(HOST, proxies[0].port, place, CHAIN_RATE, lasts), proxies[-1].spent,
             seed + 1, rounds,
         )
--- a/pepperusher/capacity/page.py
+++ b/pepperusher/capacity/page.py
@@ -193,12 +193,14 @@
     for key, said in (("24", "24 listed"), ("250", "250 listed"), ("1000", "1,000 listed"),
         ("250.release", "250 listed, a release's changes")):
         found = [book.single(f"chain.30.{key}.{which}")
-            for which in ("bare99", "through99", "added99", "added50", "cpu")]
+            for which in ("bare99", "through99", "added99", "added50", "cpu", "failed")]
         load = next((f"{one.load:g}" for one in found if one is not None and one.load is not None), "-")
-        rows.append([said, *(figure(one.value if one else None, "us") for one in found), load])
+        failed = "not measured" if found[-1] is None else f"{found[-1].value:.0%}"
+        rows.append([said, *(figure(one.value if one else None, "us") for one in found[:-1]), failed, load])
     yield from _table(
         ("30 in a row, 24 calls a second", "99th without proxies", "99th with them", "added at the 99th",
-            "added at the middle", "processor time of the last proxy, a call", "load beside it"), rows)
+            "added at the middle", "processor time of the last proxy, a call",
+            "calls failed, where over 1 in 100 in each round", "load beside it"), rows)
 
 
 def printed(of: Projection, book: Book, after: str = NOTHING_YET) -> str:
--- a/pepperusher/capacity/slopes.py
+++ b/pepperusher/capacity/slopes.py
@@ -213,6 +213,14 @@
     for listed, changes in ((24, 0.0), (1000, 0.0), (250, RELEASE), (250, 0.0)):
         try:
             added = latency.through_chain(depth, listed, 1000, seed, changes)
+        except latency.Failing as error:
+            say(f"a chain of {depth}, {listed} listed: no time added: {error}")
+            yield Single(
+                name=f"chain.{depth}.{listed}{'.release' if changes else ''}.failed",
+                what=f"part of calls that failed along {depth} proxies", unit="", worth=CLOCKED, seed=seed,
+                value=error.share,
+            )
+            continue
         except ProcessError as error:
             say(f"a chain of {depth}, {listed} listed: not measured: {error}")
             continue
