Hollow proxies connect from an address of their process: one address ran out of ports at 5,000

59,905 connections stood in TIME-WAIT after the play at 5,000, and a test beside it could bind no port: its storms were in part the play's own.

--- a/pepperusher/rehearsal/hollow.py
+++ b/pepperusher/rehearsal/hollow.py
@@ -150,6 +150,7 @@
             zone=place["zone"],
             seed=place["index"],
             keep=None if keep is None else Path(keep) / place["name"],
+            local=place.get("local", "127.0.0.1"),
             say=self._log.tell,
         )
 
--- a/pepperusher/rehearsal/hollow_play.py
+++ b/pepperusher/rehearsal/hollow_play.py
@@ -244,6 +244,9 @@
         }
         if self.controls is not None and lists != DISCOVERY:
             told["upstreams"] = [fronts[f"control {number}"] for number in range(self.controls.count)]
+            # The client binds before it connects, and one address has 28,000 ports for all its connections,
+            # those just closed among them.
+            told["local"] = f"127.{10 + place.zone}.{place.worker}.1"
             told["names"] = self._names_of_all or names_of(place, self.plan, self.parts)
             told["keep"] = None if self._keep is None else str(self._keep)
         return told
