Distribution between processes: the tests' machines listen at an address of their own

Four of these tests failed on a machine with some 71,000 sockets: a port that the kernel gave and that was free again was taken by somebody's outgoing connection before the control machine listened there ("Address already in use" in a trial of the same kind). Each run now has an address under 127/8 that no outgoing connection is bound to; nothing else is changed.

--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -36,6 +36,10 @@
 
 SECRET = b"a key for the tests alone"
 KEY: Key = (CONFIG, "shop")
+# An address of its own for each run: a port that the kernel gave and that is free a moment later is taken there by
+# nobody's outgoing connection meanwhile.
+HOST = f"127.{os.getpid() % 199 + 20}.{os.getpid() // 199 % 250 + 1}.1"
+LOCAL = "127.0.0.1"
 # For what must come: what it takes on a busy machine is no verdict. The target's 12 s are held to in the time of
 # test_distribution.py's plays.
 WITHIN = 60.0
@@ -44,7 +48,7 @@
 def free_ports(many: int) -> list[int]:
     taken = [socket.socket() for _ in range(many)]
     for one in taken:
-        one.bind(("127.0.0.1", 0))
+        one.bind((HOST, 0))
     ports = [one.getsockname()[1] for one in taken]
     for one in taken:
         one.close()
@@ -69,9 +73,9 @@
         self.state = folder / f"state{number}"
         self.file = folder / f"c{number}.toml"
         rows = {
-            "name": f"c{number}", "listen": f"127.0.0.1:{port}", "key_file": str(folder / "key"),
+            "name": f"c{number}", "listen": f"{HOST}:{port}", "key_file": str(folder / "key"),
             "state_dir": str(self.state), "region": "east" if number % 2 == 0 else "west",
-            "peers": [f"127.0.0.1:{one}" for one in peers], "origin": number == 0, "local": "127.0.0.1", **more,
+            "peers": [f"{HOST}:{one}" for one in peers], "origin": number == 0, "local": LOCAL, **more,
         }  # fmt: skip
         self.file.write_text("".join(f"{name} = {json.dumps(value)}\n" for name, value in rows.items()))
         self.errors = folder / f"c{number}.err"
@@ -155,7 +159,7 @@
 
     @property
     def upstreams(self) -> list[tuple[str, int]]:
-        return [("127.0.0.1", one.port) for one in self.machines]
+        return [(HOST, one.port) for one in self.machines]
 
     async def publish(self, body: bytes) -> Version:
         """As soon as the origin may write."""
@@ -224,7 +228,7 @@
             shutil.move(f"{machine.state}.old", machine.state)
             await machine.start()
             # A proxy that knows this machine alone is brought to the newest by way of the others.
-            alone = self.client(f"alone{number}", [("127.0.0.1", machine.port)])
+            alone = self.client(f"alone{number}", [(HOST, machine.port)])
             await until(lambda: alone.in_force.get(KEY) == second, what="the newest from an old disk")
             self.assertTrue(self.has(second)())
         third = await self.publish(b"three\n")
@@ -290,13 +294,13 @@
         self._tasks: set[asyncio.Task[None]] = set()
 
     async def start(self) -> int:
-        self._server = await asyncio.start_server(self._accepted, "127.0.0.1", 0)
+        self._server = await asyncio.start_server(self._accepted, HOST, 0)
         port: int = self._server.sockets[0].getsockname()[1]
         return port
 
     async def _accepted(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
-            there = await asyncio.open_connection("127.0.0.1", self._to)
+            there = await asyncio.open_connection(HOST, self._to)
         except OSError:
             writer.transport.abort()
             return
@@ -337,8 +341,8 @@
         ]
         for machine in self.machines:
             await machine.start()
-        there = self.client("there", [("127.0.0.1", ports[1]), ("127.0.0.1", seen[0])])
-        here = self.client("here", [("127.0.0.1", ports[0])])
+        there = self.client("there", [(HOST, ports[1]), (HOST, seen[0])])
+        here = self.client("here", [(HOST, ports[0])])
         await until(self.has(first := await self.publish(b"one\n")), what="before the cut")
         await until(lambda: (there.age(clock.now()) or 1 << 60) < 5_000_000, what="confirmed there")
         for one in cuts:
@@ -346,10 +350,10 @@
         second = await self.publish(b"two\n")
         await until(lambda: here.in_force[KEY] == second, what="on the origin's side")
         # What has one owner goes on within its region: facts, by who owns them.
-        fact = await publish(("127.0.0.1", ports[1]), SECRET, ENDPOINTS, "west/shop", b"[]")
+        fact = await publish((HOST, ports[1]), SECRET, ENDPOINTS, "west/shop", b"[]")
         self.assertEqual(1, fact.epoch)
         with self.assertRaises(NoAnswer):
-            await publish(("127.0.0.1", ports[1]), SECRET, *KEY, b"a decision of the region's own")
+            await publish((HOST, ports[1]), SECRET, *KEY, b"a decision of the region's own")
         await until(lambda: (there.age(clock.now()) or 0) > 6_000_000, what="ages")
         self.assertEqual(first, there.in_force[KEY])
         for one in cuts:
@@ -372,7 +376,7 @@
 
         async def told(data: list[Callable[[Session], bytes]], key: bytes = SECRET) -> bool:
             """Says it behind a sound opening; whether the connection ended."""
-            reader, writer = await asyncio.open_connection("127.0.0.1", port)
+            reader, writer = await asyncio.open_connection(HOST, port)
             try:
                 session = Session(key, True)
                 list(session.feed(await reader.readexactly(wire.OPENING)))
@@ -430,14 +434,14 @@
         self.assertEqual([True, True], await ending)
         self.assertTrue(all(await asyncio.gather(*(told(cases["noise"]) for _ in range(200)))))
         with self.assertRaises(NoAnswer):
-            await publish(("127.0.0.1", port), b"another key, as long", *KEY, b"x")
+            await publish((HOST, port), b"another key, as long", *KEY, b"x")
         with self.assertRaises(NoAnswer):
-            await publish(("127.0.0.1", port), SECRET, "no kind", "shop", b"x")
+            await publish((HOST, port), SECRET, "no kind", "shop", b"x")
         await until(self.has(await self.publish(b"two\n")), what="served on")
         lines = self.machines[0].lines()
         self.assertLess(len(lines), 100)
         self.assertTrue(any("another key" in str(line.get("why")) for line in lines))
-        counts = await operate.figures(("127.0.0.1", port), SECRET)
+        counts = await operate.figures((HOST, port), SECRET)
         self.assertGreater(counts["ended"], 200)  # type: ignore[operator]
         self.assertEqual(1, counts["floods"])
 
@@ -449,13 +453,13 @@
         folder = Path(tempfile.mkdtemp())
         self.addCleanup(shutil.rmtree, folder)
         server = Server(
-            Terms("c", "east", "", ("127.0.0.1", 0), [], None, True, 100, "127.0.0.1"), SECRET, Disk(folder),
+            Terms("c", "east", "", (HOST, 0), [], None, True, 100, "127.0.0.1"), SECRET, Disk(folder),
             lambda *_, **__: None, 1,
         )  # fmt: skip
         port = await server.start()
         frozen = []
         for number in range(20):
-            reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=1024)
+            reader, writer = await asyncio.open_connection(HOST, port, limit=1024)
             session = Session(SECRET, True)
             list(session.feed(await reader.readexactly(wire.OPENING)))
             writer.write(session.opening())
@@ -464,7 +468,7 @@
             writer.transport.pause_reading()  # type: ignore[attr-defined]
             frozen.append((session, writer))
         chance = Random(1)
-        client = Client([("127.0.0.1", port)], [key], lambda _: None, key=SECRET, name="p", region="", zone="", seed=1)
+        client = Client([(HOST, port)], [key], lambda _: None, key=SECRET, name="p", region="", zone="", seed=1)
         client.start()
         try:
             await until(lambda: len(client.upstreams) == 1 and len(server.publisher.subscribers) == 21)
@@ -472,7 +476,7 @@
             for _ in range(12):
                 for session, writer in frozen:
                     writer.write(session.part(wire.encoded(Beat()), 0)[0])  # they speak, and read nothing
-                version = await publish(("127.0.0.1", port), SECRET, *key, chance.randbytes(1_000_000))
+                version = await publish((HOST, port), SECRET, *key, chance.randbytes(1_000_000))
                 if number == 0:
                     await until(lambda: client.in_force.get(key) == version)
                     server.publisher.held[key].steady = server.publisher.held[key].newest
@@ -503,16 +507,16 @@
 
         folder = Path(tempfile.mkdtemp())
         self.addCleanup(shutil.rmtree, folder)
-        terms = Terms("c", "east", "", ("127.0.0.1", 0), [], 1, False, 100, "127.0.0.1")
+        terms = Terms("c", "east", "", (HOST, 0), [], 1, False, 100, "127.0.0.1")
         disk = Full(folder)
         server = Server(terms, SECRET, disk, lambda *_, **__: None, 1)
         port = await server.start()
-        first = await publish(("127.0.0.1", port), SECRET, *KEY, b"one\n" * 1_000)
+        first = await publish((HOST, port), SECRET, *KEY, b"one\n" * 1_000)
         disk.full = True
         with self.assertRaises(NoAnswer) as refused:
-            await publish(("127.0.0.1", port), SECRET, *KEY, b"two\n" * 1_000)
+            await publish((HOST, port), SECRET, *KEY, b"two\n" * 1_000)
         self.assertIn(os.strerror(errno.ENOSPC), str(refused.exception))
-        self.assertEqual(first, (await rollout(("127.0.0.1", port), SECRET, *KEY)).version)
+        self.assertEqual(first, (await rollout((HOST, port), SECRET, *KEY)).version)
         await server.stop()
         again = Server(terms, SECRET, Disk(folder), lambda *_, **__: None, 1)
         await again.start()
@@ -527,7 +531,7 @@
 [control]
 socket = "HERE/control"
 [distribution]
-machines = ["127.0.0.1:PORT"]
+machines = ["HOST:PORT"]
 key_file = "HERE/../KEY"
 config = "shop"
 keep = "KEPT"
@@ -554,8 +558,8 @@
         (self.folder / "key").write_bytes(SECRET)
         self.machine = Machine(self.folder, 0, free_ports(1)[0], [])
         await self.machine.start()
-        self.at = "127.0.0.1", self.machine.port
-        self.own = OWN.replace("PORT", str(self.machine.port)).replace("HERE/../KEY", str(self.folder / "key")).replace(
+        self.at = HOST, self.machine.port
+        self.own = OWN.replace("HOST:PORT", f"{HOST}:{self.machine.port}").replace("HERE/../KEY", str(self.folder / "key")).replace(
             "KEPT", str(self.folder / "kept"))  # fmt: skip
 
     async def asyncTearDown(self) -> None:
@@ -590,7 +594,7 @@
         async with asyncio.timeout(2 * WITHIN):
             await self.open("a1", own=self.own)
             self.assertEqual(["own"], self.names())
-            machine = ("--machine", f"127.0.0.1:{self.machine.port}", "--key-file", str(self.folder / "key"))
+            machine = ("--machine", f"{HOST}:{self.machine.port}", "--key-file", str(self.folder / "key"))
             (self.folder / "shop.toml").write_text(SHARED % 2)
             said = await self.ctl("publish", "shop", str(self.folder / "shop.toml"), *machine)
             self.assertRegex(said, r"^config/shop 1\.\d+ is written\n$")
