--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -19,20 +19,16 @@
 from pepperusher.net.message import HEAD, Request, framed_request
 
 CONNECT_WITHIN = 1.5
+# Calls wait in turn at discovery; the first word may take so long. A watch that is silent from its first byte looks the
+# same, so it is not longer at once: half as much again after each call that had none, up to the second figure.
+FIRST_WITHIN = 3.5
+FIRST_MOST = 10.0
 # An empty line comes every 2 s: a watch with no line for longer is dead, whatever its connection says. What it
 # misses is held against this proxy 6 s after its last line, and by then another watch has to have told it: after
 # 4.5 s, and a wait of up to 500 ms, a call that stood 2.8 s in discovery's queue was too late. The second figure is
 # spread over proxies, since all watches may fall silent at once; asked is then without a further wait.
 SILENT = 2.5
 SPREAD = 0.5
-# The same for a call without a word: a change counts 6 s after discovery had it and could be reached, and a call
-# that is lost looks like one that waits its turn. Another goes out beside it then, and it keeps its place in the
-# queue. So from one call to the next it is never longer than this and the spread, whatever became of the first.
-FIRST_WITHIN = 2.5
-# It is given up after so long. Two stand at once, the oldest, which is the next in discovery's queue, and the
-# newest, which shows whether discovery hears by now; each more would be one more in that queue.
-FIRST_MOST = 10.0
-ABREAST = 2
 # A line that has begun is whole as soon as that, and a second later for each so many bytes that came: discovery may
 # drip, or stop in the middle, and each byte alone is in time.
 SLOWEST = 128 * 1024
@@ -115,44 +111,22 @@
 class Source:
     """Discovery at one address. Each counts versions of its own; None is one that has told nothing yet."""
 
-    __slots__ = ("address", "version", "begun_anew", "following", "calls", "watch")
+    __slots__ = ("address", "version", "begun_anew", "following")
 
     def __init__(self, address: tuple[str, int], version: int | None) -> None:
         self.address = address
         self.version = version
         self.begun_anew = False   # its versions start again: what came after ours means nothing there
         self.following: asyncio.Task[None]
-        # Out and not over, the oldest first; several only while none has spoken, and then that one is the watch.
-        self.calls: list[asyncio.Task[str]] = []
-        self.watch: asyncio.Task[str] | None = None
-
-    def spoken_by(self, call: asyncio.Task[str]) -> None:
-        """It is the watch from here on. The others end before a word of theirs is read: it might be older."""
-        if self.watch is None:
-            self.watch = call
-            for other in self.calls:
-                if other is not call:
-                    _drop(other)
-            self.calls = [call]
-
-    def over(self, call: asyncio.Task[str]) -> bool:
-        """Whether it was still counted on."""
-        if call not in self.calls:
-            return False
-        self.calls.remove(call)
-        if call is self.watch:
-            self.watch = None
-        return True
 
 
 class Discovery:
     def __init__(self, address: tuple[str, int], facade: Facade, backends: Backends, log: Log,
                  narrows: Sequence[Narrow] = (), seed: int = 0) -> None:
         self._spread = SPREAD * Random(seed).random()
+        self._longer = 1.0              # how many times the first word is waited for by now
         self._heard = asyncio.Event()   # once any watch has spoken
         self._lost = False              # since a watch ended, until another speaks
-        # Whether a call failed without an answer since a watch ended; None once one was refused after that.
-        self._unreached: bool | None = False
         # What companions make of each line, in this order: the last has the last word.
         self._narrows = narrows
         # What the list says of each, and where it is reached; emptied with the list.
@@ -269,67 +243,27 @@
             self._replaced.pop().following.cancel()
 
     async def _follow(self, source: Source, at_once: bool) -> None:
-        """Watches for as long as the proxy lives, asking again when the decisions say, and beside a call that has
-        had no word for long."""
-        loop = asyncio.get_running_loop()
-        # When another goes out at the latest; None where the decisions alone say.
-        due = loop.time() if at_once else None
-        try:
-            while source is self._source or source.calls:
-                wait = None
-                if source is self._source and source.watch is None:
-                    wait = self._wait(due)
-                    if wait <= 0:
-                        due = loop.time() + FIRST_WITHIN + self._spread
-                        self._call(source)
-                        continue
-                if not source.calls:
-                    await asyncio.sleep(wait or 0)
-                    continue
-                ended, _ = await asyncio.wait(source.calls, timeout=wait, return_when=asyncio.FIRST_COMPLETED)
-                for call in ended:
-                    if source.over(call):
-                        due = self._after(call, source, due)
-        finally:
-            for call in source.calls:
-                _drop(call)
-
-    def _wait(self, due: float | None) -> float:
-        """Seconds till the next call."""
-        if due is not None:
-            return due - asyncio.get_running_loop().time()
-        wait = self._facade.tick(clock.now())
-        return wait / 1e6 if wait >= 0 else 1.0
-
-    def _call(self, source: Source) -> None:
-        for call in source.calls[ABREAST - 1:]:
-            source.over(call)
-            _drop(call)
-        source.calls.append(asyncio.get_running_loop().create_task(self._watch(source)))
-
-    def _after(self, call: asyncio.Task[str], source: Source, due: float | None) -> float | None:
-        """Its end, and when another goes out then at the latest."""
-        now = asyncio.get_running_loop().time()
-        error = call.exception()
-        self._log.say(f"watch ended: {call.result() if error is None else _words(error)}")
-        # The end of one that is replaced is expected, and says nothing of the new one.
-        if source is not self._source:
-            return due
-        lost, self._lost = self._lost, True
-        if isinstance(error, Silent):
-            return now   # not a call that failed
-        # Refused by one that is just back: its queue is full of all that waited for it, and soon is no more.
-        # Once only, or the waits of one that comes and goes would never grow.
-        anew = error is None and self._unreached is True
-        if anew:
-            self._unreached = None
-        elif error is not None and lost and self._unreached is False:
-            self._unreached = True
-        # Whatever discovery says or does: without a watch drains are not kept.
-        self._facade.list_failed(clock.now(), anew)
-        after = now + self._wait(None)
-        # Never later for having failed: what keeps a call for long and fails it then would be asked too seldom.
-        return after if due is None or due < now else min(due, after)
+        """Watches for as long as the proxy lives, asking again when the decisions say."""
+        while source is self._source:
+            wait = 0 if at_once else self._facade.tick(clock.now())
+            at_once = False
+            if wait != 0:
+                await asyncio.sleep(wait / 1e6 if wait >= 0 else 1.0)
+                continue
+            try:
+                why = await self._watch(source)
+            except Silent as silent:
+                # Not a call that failed: the next goes out at once.
+                self._log.say(f"watch ended: {silent}")
+                at_once, self._lost = True, self._lost or source is self._source
+                continue
+            except Exception as error:   # whatever discovery says or does: without a watch drains are not kept
+                why = f"{type(error).__name__} {error}".strip()
+            self._log.say(f"watch ended: {why}")
+            # The end of one that is replaced is expected, and says nothing of the new one.
+            if source is self._source:
+                self._lost = True
+                self._facade.list_failed(clock.now())
 
     async def _watch(self, source: Source) -> str:
         async with asyncio.timeout(CONNECT_WITHIN):
@@ -351,10 +285,8 @@
         text = bytearray()
         first = True
         loop = asyncio.get_running_loop()
-        until = loop.time() + FIRST_MOST
+        until = loop.time() + FIRST_WITHIN * self._longer
         spoken, spoke_at = False, 0.0   # its last line; a part of one is no word
-        call = asyncio.current_task()
-        assert call is not None
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
@@ -364,6 +296,7 @@
                 except TimeoutError:
                     if spoken:
                         raise Silent("silent") from None
+                    self._longer = min(FIRST_MOST / FIRST_WITHIN, 1.5 * self._longer)
                     raise
             elif isinstance(event, h11.Response):
                 if event.status_code != 200:
@@ -378,8 +311,6 @@
                     raise BadList("a line is too long")
                 if b"\n" in event.data:
                     told, rest, bad = _whole(text)
-                    if told or not rest and bad is None:
-                        source.spoken_by(call)
                     for news in _together(map(self._news, told)):
                         self._speaks(news, source, first, asked)
                         first = False
@@ -410,7 +341,7 @@
         """The watch lives. Where it has nothing new that has to be told all the same: the decisions ask later after each
         watch that ended, and would go on from the failures of days ago."""
         self._heard.set()
-        self._unreached = False
+        self._longer = 1.0
         if self._lost:
             self._lost = False
             self._facade.listed((), False, clock.now())
@@ -423,16 +354,6 @@
             raise BadList(f"a line {error}") from None
 
 
-def _drop(call: asyncio.Task[str]) -> None:
-    call.cancel()
-    # It may have failed in the same turn of the loop: nobody asks with what.
-    call.add_done_callback(lambda over: over.cancelled() or over.exception())
-
-
-def _words(error: BaseException) -> str:
-    return f"{error}" if isinstance(error, Silent) else f"{type(error).__name__} {error}".strip()
-
-
 def _whole(text: bytes | bytearray) -> tuple[list[Any], bytes, BadList | None]:
     """What stands whole in `text`, the rest that has no end yet, and what is wrong behind what came whole. An object may stand
     in several lines, none of them empty: an empty one says that the watch lives, and so that the object was cut short."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -703,101 +703,26 @@
         self.assertLessEqual(balancer._ask_step, 4_000_000)
         self.assertEqual(0, sum("list lost" in line for line in self.logged))
 
-    async def test_a_call_without_a_word_keeps_its_place_and_another_goes_out_beside_it(self) -> None:
-        """Left too soon, a call that only waits in discovery's queue begins anew at its end, for good; waited for
-        alone, one that is lost kept every change away for 10 s. Two stand at the most, and what either says
-        first is taken."""
-        await self.open("a1", "b1")
-        calls: list[asyncio.StreamWriter] = []
-        ended: list[int] = []
-        most = 0
+    async def test_a_call_without_a_word_has_longer_the_next_time(self) -> None:
+        """Left too soon, a call that only waits in discovery's queue begins anew at its end, for good."""
+        calls: list[float] = []
+        await self.open("a1")
 
         async def mute(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            nonlocal most
-            calls.append(writer)
-            number = len(calls)
-            most = max(most, number - len(ended))
-            await reader.readuntil(b"\r\n\r\n")
+            began = time.monotonic()
             await reader.read()   # till it is left
-            ended.append(number)
+            calls.append(time.monotonic() - began)
             writer.close()
 
-        with mock.patch.multiple("pepperusher.net.discovery", FIRST_WITHIN=0.1, FIRST_MOST=60.0):
-            self.proxy._discovery._spread = 0.05
-            self.server.close()
-            server = await asyncio.start_server(mute, "127.0.0.1", self.discovery_port)
-            self.watches[-1].close()
-            await self.until(lambda: len(calls) == 5 and len(ended) >= 3)
-            self.assertEqual([2, 3, 4], ended[:3])   # the oldest stays, and of the others the newest
-            self.assertLessEqual(most, 3)            # of one that was just left the end may be still to read
-            calls[0].write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            self.watches.append(calls[0])
-            servers = [self.line("b1", "draining")]
-            self.tell(json.dumps({"version": 2, "full": False, "servers": servers}).encode() + b"\n")
-            await self.until(lambda: self.ready() == ["a1"])
-            asked = len(calls)
-            await self.until(lambda: len(ended) == asked - 1)
-            await asyncio.sleep(0.5)   # longer than three calls without a word
-            self.assertEqual((asked, 1), (len(calls), len(self.proxy._discovery._source.calls)))
-        server.close()
-
-    async def test_of_two_calls_only_the_first_to_speak_is_heard(self) -> None:
-        """What the other had to say may be older, in the very same turn of the loop: it would lift a drain."""
-        await self.open("a1", "b1")
-        calls: list[asyncio.StreamWriter] = []
-
-        async def late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            await reader.readuntil(b"\r\n\r\n")
-            calls.append(writer)
-
-        def line(version: int, state: str) -> bytes:
-            servers = [self.line("a1"), self.line("b1", state)]
-            text = json.dumps({"version": version, "full": True, "servers": servers}).encode() + b"\n"
-            return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(text), text)
-
-        with mock.patch.multiple("pepperusher.net.discovery", FIRST_WITHIN=0.1, FIRST_MOST=60.0):
-            self.proxy._discovery._spread = 0.0
+        self.watched = mute
+        with mock.patch.multiple("pepperusher.net.discovery", FIRST_WITHIN=0.1, FIRST_MOST=0.2):
+            self.proxy._discovery._lost = False
             self.server.close()
-            server = await asyncio.start_server(late, "127.0.0.1", self.discovery_port)
+            port = int(json.loads(self.given)["discovery"].split(":")[1])
+            server = await asyncio.start_server(mute, "127.0.0.1", port)
             self.watches[-1].close()
-            await self.until(lambda: len(calls) == 2)
-            calls[1].write(line(9, "draining"))
-            calls[0].write(line(8, "ready"))
-            await self.until(lambda: self.proxy._discovery._source.version in (8, 9))
-            source = self.proxy._discovery._source
-            first = source.version
-            self.assertIs(source.calls[0], source.watch)
-            await asyncio.sleep(0.3)
-            self.assertEqual((first, 1), (source.version, len(source.calls)))
-            self.assertEqual(["a1"] if first == 9 else ["a1", "b1"], self.ready())
-        server.close()
-
-    async def test_refused_by_one_that_is_just_back_the_waits_begin_again_once(self) -> None:
-        """Its queue is full of all that waited for it: after the long waits of an outage two refusals made it over
-        6 s. One that comes and goes is asked as seldom as ever."""
-        await self.open("a1")
-        balancer = self.proxy._facade._balancer
-        steps: list[int] = []
-
-        async def full(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            steps.append(balancer._ask_step)
-            writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
-            writer.close()
-
-        def refused() -> int:
-            return sum("ConnectionRefused" in line for line in self.logged)
-
-        self.server.close()
-        self.watches[-1].close()
-        await self.until(lambda: refused() == 2)
-        balancer._ask_step = 4_000_000   # as after an outage that was longer
-        server = await asyncio.start_server(full, "127.0.0.1", self.discovery_port)
-        await self.until(lambda: len(steps) == 3)
-        self.assertEqual([4_000_000, 500_000, 1_000_000], steps)
-        server.close()
-        seen = refused()
-        await self.until(lambda: refused() > seen)
-        server = await asyncio.start_server(full, "127.0.0.1", self.discovery_port)
-        await self.until(lambda: len(steps) == 5)
-        self.assertEqual([2_500_000, 2_500_000], steps[3:])
+            await self.until(lambda: len(calls) >= 1)
+            self.assertEqual(1.5, self.proxy._discovery._longer)
+            await self.until(lambda: len(calls) >= 3)
+            self.assertEqual(2.0, self.proxy._discovery._longer)
         server.close()
