--- a/pepperusher/capacity/attempts.py
+++ b/pepperusher/capacity/attempts.py
@@ -15,7 +15,7 @@
 from pepperusher.capacity.stage import SECOND
 from pepperusher.facade import SEND, Facade
 from pepperusher.ground import ground
-from pepperusher.net.discovery import news_of
+from pepperusher.net.discovery import endpoint_update_of
 
 # A service's own work, and how long a client at the top waits.
 WORK, WAITS = 1_000, 2 * SECOND
@@ -54,7 +54,7 @@
             told["tiers"] = [f"tier-{number}" for number in range(depth)]
             told["stage"] = level
             facade = Facade(ground(told, seed + level), NOW, quiet)
-            facade.listed(news_of(stage.listing(BACKENDS)).entries, True, NOW)
+            facade.listed(endpoint_update_of(stage.listing(BACKENDS)).entries, True, NOW)
             self._facades.append(facade)
 
     def call(self, level: int = 0, until: int | None = None) -> bool:
--- a/pepperusher/capacity/decisions.py
+++ b/pepperusher/capacity/decisions.py
@@ -21,7 +21,7 @@
 from pepperusher.net.backends import Backends
 from pepperusher.net.budget import Budget
 from pepperusher.net.buffers import Pool
-from pepperusher.net.discovery import Discovery, news_of
+from pepperusher.net.discovery import Discovery, endpoint_update_of
 from pepperusher.net.log import Log
 from pepperusher.own import reading
 from pepperusher.policy import Balancer
@@ -72,7 +72,7 @@
 
 def facade_with(size: int, group: int, seed: int, ordinal: int = 0, zones: list[str] | None = None) -> Facade:
     facade = Facade(stage.ground_of(group, seed, ordinal, zones=zones), NOW, quiet)
-    facade.listed(news_of(stage.listing(size, zones)).entries, True, NOW)
+    facade.listed(endpoint_update_of(stage.listing(size, zones)).entries, True, NOW)
     return facade
 
 
@@ -118,13 +118,13 @@
 
 def list_parse(size: int, _: int) -> float:
     text = stage.text_of(stage.listing(size, stage.ZONES))
-    return cost(lambda: news_of(json.loads(text.decode())) and None)
+    return cost(lambda: endpoint_update_of(json.loads(text.decode())) and None)
 
 
 def list_take(size: int, seed: int) -> float:
     watch = watch_of(GROUP, seed)
-    news = news_of(stage.listing(size))
-    return cost(lambda: watch.take(news))
+    update = endpoint_update_of(stage.listing(size))
+    return cost(lambda: watch.take(update))
 
 
 def list_change(size: int, seed: int) -> float:
@@ -132,12 +132,12 @@
     in.
     """
     watch = watch_of(GROUP, seed)
-    watch.take(news_of(stage.listing(size)))
+    watch.take(endpoint_update_of(stage.listing(size)))
     texts = [stage.text_of(stage.change(size, size // 2, state, 2)) for state in ("draining", "ready")]
 
     def both() -> None:
         for text in texts:
-            watch.take(news_of(json.loads(text.decode())))
+            watch.take(endpoint_update_of(json.loads(text.decode())))
 
     return cost(both) / 2
 
@@ -145,7 +145,7 @@
 def list_memory(size: int, seed: int) -> float:
     def makes() -> object:
         watch = watch_of(GROUP, seed)
-        watch.take(news_of(json.loads(stage.text_of(stage.listing(size)))))
+        watch.take(endpoint_update_of(json.loads(stage.text_of(stage.listing(size)))))
         return watch
 
     return held_by(makes)
@@ -157,7 +157,7 @@
 def near_of(backends: int, callers: int, ordinal: int, zones: list[str] | None) -> list[str]:
     """The backends that the proxy at that place sends to as a rule."""
     balancer = Balancer(stage.ground_of(callers, 0, ordinal, zones=zones), NOW, quiet)
-    told = news_of(stage.listing(backends, zones))
+    told = endpoint_update_of(stage.listing(backends, zones))
     balancer.listed(
         [Listing(Backend(one.id), one.zone, one.cell, one.weight, 0, True) for one in told.entries], True, NOW
     )
--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -65,7 +65,7 @@
         self._balancer = Balancer(ground, now, say)
         self._take_up(ground)
         self._sharers: int | None = None
-        self._backends: dict[str, Backend] = {}     # emptied by the list's news, long after they left it
+        self._backends: dict[str, Backend] = {}     # emptied by endpoint updates, long after they left it
         self._unlisted: dict[str, int] = {}         # since when; emptied likewise, and when they come back
         self._latest: int | None = None
         self._tickets: set[Ticket] = set()          # in hand; emptied as they are settled
--- a/pepperusher/narrowed.py
+++ b/pepperusher/narrowed.py
@@ -17,7 +17,7 @@
         self._told: dict[str, Entry] = {}
 
     def lines(self, entries: Iterable[Entry], whole: bool) -> list[Entry]:
-        """News of discovery's, as the decisions are to have it: a line for each, in the same order."""
+        """An endpoint update, as the decisions are to have it: a line for each, in the same order."""
         if whole:
             self._told.clear()
         made = []
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -15,7 +15,7 @@
 from pepperusher.net.line import Line, adopt
 from pepperusher.net.listening import NOBODY, listener, steer
 from pepperusher.net.log import Log
-from pepperusher.net.lookout import Lookout
+from pepperusher.net.disconnect_watcher import DisconnectWatcher
 from pepperusher.net.flows import Inflow, Onward
 from pepperusher.net.message import (
     HEAD, MOST, Answer, BadMessage, Request, framed_answer, length_of, plain, read_head, read_held)
@@ -175,7 +175,7 @@
         self._ending: dict[Caller, None] = {}
         self._closing = False
         self._listener: socket.socket | None = None
-        self._lookout = Lookout(pool.most // AHEAD_PART)
+        self._disconnect_watcher = DisconnectWatcher(pool.most // AHEAD_PART)
         self._accepting: asyncio.Task[None]
         budget.may_close_idle(self._close_oldest)
 
@@ -265,7 +265,7 @@
             self._log.say(f"a connection was not taken: {error}")
             return
         line.when_let_go(self._budget.give)
-        line.lookout = self._lookout
+        line.disconnect_watcher = self._disconnect_watcher
         caller = Caller(line)
         self._callers[caller] = None
         body = Body(self._pool)
@@ -490,4 +490,4 @@
                 self._closed(caller)
 
     def over(self) -> None:
-        self._lookout.close()
+        self._disconnect_watcher.close()
--- a/pepperusher/net/lookout.py
+++ b/pepperusher/net/disconnect_watcher.py
@@ -19,7 +19,7 @@
         """Its other side has ended; told once."""
 
 
-class Lookout:
+class DisconnectWatcher:
     """The loop's own selector reports an end with what is to be read, and so not while nothing is: whoever sent more than is
     held ahead of its answer, and left, was served on. And an end that is behind more than the kernel takes stays with the other
     side, where nothing tells of it: so what comes is read ahead, until its bound.
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -47,7 +47,7 @@
     """A watch that has spoken says no more."""
 
 
-class News(NamedTuple):
+class EndpointUpdate(NamedTuple):
     version: int
     whole: bool
     entries: list[Entry]
@@ -65,7 +65,7 @@
     return f"[{address[0]}]:{address[1]}" if ":" in address[0] else f"{address[0]}:{address[1]}"
 
 
-def news_of(told: Any) -> News:
+def endpoint_update_of(told: Any) -> EndpointUpdate:
     if not isinstance(told, dict) or not isinstance(told.get("servers"), list):
         raise BadList("is not an object with servers")
     entries, addresses = [], []
@@ -84,21 +84,22 @@
     version = told.get("version", 0)
     if not isinstance(version, int):
         raise BadList("has a version that is not a number")
-    return News(version, told.get("full") is True, entries, addresses)
+    return EndpointUpdate(version, told.get("full") is True, entries, addresses)
 
 
-def _together(lines: Iterable[News]) -> Iterator[News]:
+def _together(lines: Iterable[EndpointUpdate]) -> Iterator[EndpointUpdate]:
     """Changes that came at once, as one: each alone would lay the ring anew. A whole list stands by
     itself."""
-    held: News | None = None
+    held: EndpointUpdate | None = None
     try:
-        for news in lines:
-            if held is not None and not news.whole and news.version >= held.version:
-                held = News(news.version, held.whole, [*held.entries, *news.entries], [*held.addresses, *news.addresses])
+        for update in lines:
+            if held is not None and not update.whole and update.version >= held.version:
+                held = EndpointUpdate(update.version, held.whole, [*held.entries, *update.entries],
+                                      [*held.addresses, *update.addresses])
                 continue
             if held is not None:
                 yield held
-            held = news
+            held = update
     except BadList:
         # What came whole before it counts.
         if held is not None:
@@ -143,20 +144,20 @@
         self.confirmed_at: int | None = None
         self._borrowed = False
 
-    def take(self, news: News, source: Source | None = None) -> None:
+    def take(self, update: EndpointUpdate, source: Source | None = None) -> None:
         source = source or self._source
         if self._borrowed:
             # Also where it tells changes alone, since it was asked before: they are all that it has, and what another had
             # beside them is gone.
-            news, self._borrowed = news._replace(whole=True), False
-        source.version = news.version
-        if news.whole:
+            update, self._borrowed = update._replace(whole=True), False
+        source.version = update.version
+        if update.whole:
             self._told.clear()
-        for entry, address in zip(news.entries, news.addresses):
+        for entry, address in zip(update.entries, update.addresses):
             self._told[entry.id] = entry, address
-        if news.entries or news.whole:
-            self.put(news.entries, news.whole)
-        for entry, address in zip(news.entries, news.addresses):
+        if update.entries or update.whole:
+            self.put(update.entries, update.whole)
+        for entry, address in zip(update.entries, update.addresses):
             if address == GONE:
                 self._told.pop(entry.id, None)
 
@@ -196,12 +197,12 @@
         """Whether there is no list at all."""
         return not self._told
 
-    def borrow(self, news: News, confirmed_at: int) -> None:
+    def borrow(self, update: EndpointUpdate, confirmed_at: int) -> None:
         """Another proxy's list, for as long as discovery has told nothing: its own first word then replaces it, and it is asked
         on as before."""
         if not self._told:
             self.confirmed_at = confirmed_at
-            self.take(news)
+            self.take(update)
             self._source.version, self._borrowed = None, True
             self._facade.list_failed(clock.now())
 
@@ -220,10 +221,10 @@
         self._source.following.cancel()
         self._let_go()
 
-    def go_on(self, address: tuple[str, int], news: News) -> None:
+    def go_on(self, address: tuple[str, int], update: EndpointUpdate) -> None:
         """Before its start: from another process's list, told at that address."""
         self._source = Source(address, 0)
-        self.take(news)
+        self.take(update)
 
     def turn_to(self, address: tuple[str, int]) -> None:
         """A new configuration: asked there at once, while the list and the old watch stand till it has
@@ -311,8 +312,8 @@
                     raise BadList("a line is too long")
                 if b"\n" in event.data:
                     told, rest, bad = _whole(text)
-                    for news in _together(map(self._news, told)):
-                        self._speaks(news, source, first, asked)
+                    for update in _together(map(self._update, told)):
+                        self._speaks(update, source, first, asked)
                         first = False
                     if bad is not None:
                         raise bad
@@ -325,14 +326,14 @@
             else:
                 return "closed"
 
-    def _speaks(self, news: News, source: Source, first: bool, asked: int | None) -> None:
+    def _speaks(self, update: EndpointUpdate, source: Source, first: bool, asked: int | None) -> None:
         """One word of a watch. Within one versions only rise: what is older came late, and would lift a drain. With its first
         word a discovery that has started again may well be behind; then only a whole list tells where it stands."""
-        if first and not news.whole and asked is not None and news.version < asked:
+        if first and not update.whole and asked is not None and update.version < asked:
             source.begun_anew = True
-            raise BadList(f"its versions begin anew: {news.version} after {asked}")
-        if first or source.version is None or news.version >= source.version:
-            self.take(news, source)
+            raise BadList(f"its versions begin anew: {update.version} after {asked}")
+        if first or source.version is None or update.version >= source.version:
+            self.take(update, source)
             source.begun_anew = False
         if source is self._source:
             self._let_go()
@@ -347,9 +348,9 @@
             self._facade.listed((), False, clock.now())
 
     @staticmethod
-    def _news(told: Any) -> News:
+    def _update(told: Any) -> EndpointUpdate:
         try:
-            return news_of(told)
+            return endpoint_update_of(told)
         except ValueError as error:
             raise BadList(f"a line {error}") from None
 
--- a/pepperusher/net/line.py
+++ b/pepperusher/net/line.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from pepperusher.net import clock
-from pepperusher.net.lookout import Lookout
+from pepperusher.net.disconnect_watcher import DisconnectWatcher
 
 # Where the kernel's figures of a connection hold the time since data last came in, and how coarse it may be.
 INFO = struct.Struct("=52xI")
@@ -37,7 +37,7 @@
         self._let_go = False
         self._unwritten = False
         # Who sees to its end while so much has come unread that the reader takes no more; None where that need not be known.
-        self.lookout: Lookout | None = None
+        self.disconnect_watcher: DisconnectWatcher | None = None
         self._minded = False
         # Whether it may be read on then, since the end may stand behind it; whether it is, and what came so, which empties as
         # it is read and with the connection; and whether the end came, of which the reader is told behind that.
@@ -67,26 +67,27 @@
         self.heard_at = clock.now()
         self.unread += len(data)
         self.received += len(data)
-        if self._reads_ahead and self.lookout is not None:
+        if self._reads_ahead and self.disconnect_watcher is not None:
             self._ahead += data
-            self.lookout.held += len(data)
+            self.disconnect_watcher.held += len(data)
         else:
             super().data_received(data)
         if self.on_data is not None:
             self.on_data()
-        if self.lookout is not None and not self._minded and (self._reads_ahead or not self.transport.is_reading()):
-            self._go_on(self.lookout)
+        if (self.disconnect_watcher is not None and not self._minded
+                and (self._reads_ahead or not self.transport.is_reading())):
+            self._go_on(self.disconnect_watcher)
 
-    def _go_on(self, lookout: Lookout) -> None:
+    def _go_on(self, disconnect_watcher: DisconnectWatcher) -> None:
         """The reader takes no more."""
-        if self.may_read_ahead and lookout.room(len(self._ahead)):
+        if self.may_read_ahead and disconnect_watcher.room(len(self._ahead)):
             if not self._reads_ahead:
                 self._reads_ahead = True
                 self.transport.resume_reading()
         else:
             self.transport.pause_reading()
             self._minded = True
-            lookout.mind(self)
+            disconnect_watcher.mind(self)
 
     def _taken(self) -> None:
         """Some of what came is read: where more is taken again, its end is told with it."""
@@ -109,13 +110,13 @@
 
     def _dropped(self, size: int) -> None:
         del self._ahead[:size]
-        if self.lookout is not None:
-            self.lookout.held -= size
+        if self.disconnect_watcher is not None:
+            self.disconnect_watcher.held -= size
 
     def _unminded(self) -> None:
-        if self._minded and self.lookout is not None:
+        if self._minded and self.disconnect_watcher is not None:
             self._minded = False
-            self.lookout.leave(self)
+            self.disconnect_watcher.leave(self)
 
     def fileno(self) -> int:
         number: int = self.transport.get_extra_info("socket").fileno()
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -20,7 +20,7 @@
 from pepperusher.net.buffers import Pool
 from pepperusher.net.callers import SHY, Call, Callers
 from pepperusher.net.companion import Companion
-from pepperusher.net.discovery import Discovery, address_of, news_of, text_of_address
+from pepperusher.net.discovery import Discovery, address_of, endpoint_update_of, text_of_address
 from pepperusher.net.exchange import PASSED_ON, Placed, Transmission
 from pepperusher.net.log import Log
 from pepperusher.net.message import Answer, Headers, Request, end_to_end, plain
@@ -410,7 +410,7 @@
         """Goes on from what the process before passed on, as far as it can be read."""
         try:
             if listed is not None and source in (self._discovery.source, self._newest_discovery()):
-                self._discovery.go_on(address_of(source), news_of(listed))
+                self._discovery.go_on(address_of(source), endpoint_update_of(listed))
             if learned is not None:
                 self._facade.taught(learned, clock.now())
         except ValueError as error:
@@ -444,7 +444,7 @@
         return (confirmed_at, listed) if listed is not None and confirmed_at is not None and listed["servers"] else None
 
     def borrow(self, listed: dict[str, Any], confirmed_at: int) -> None:
-        self._discovery.borrow(news_of(listed), confirmed_at)
+        self._discovery.borrow(endpoint_update_of(listed), confirmed_at)
 
     def steer(self, to: int | None) -> bool:
         return self._callers.steer(to)
--- a/pepperusher/net/told.py
+++ b/pepperusher/net/told.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from pepperusher.ground import GroundError, ground, part, span
-from pepperusher.net.discovery import BadList, News, address_of, news_of
+from pepperusher.net.discovery import BadList, EndpointUpdate, address_of, endpoint_update_of
 from pepperusher.terms import Ground
 
 SOCKETS = 1024
@@ -33,7 +33,7 @@
     listen: tuple[str, int]
     discovery: tuple[str, int]
     sockets: int
-    known: News | None
+    known: EndpointUpdate | None
     ground: Ground
     connect_within: int
     idle_most: int
@@ -132,7 +132,7 @@
     except GroundError as error:
         raise ToldError(f"settings: {error}") from None
     try:
-        made.known = news_of(of["known"]) if of.get("known") else None
+        made.known = endpoint_update_of(of["known"]) if of.get("known") else None
     except BadList as error:
         raise ToldError(f"known: {error}") from None
     return made
--- a/pepperusher/rehearsal/hollow.py
+++ b/pepperusher/rehearsal/hollow.py
@@ -28,7 +28,7 @@
 from pepperusher.net import clock
 from pepperusher.net.backends import Backends
 from pepperusher.net.companion import Companion, Host, Narrow
-from pepperusher.net.discovery import GONE, Discovery, News, Source, news_of
+from pepperusher.net.discovery import GONE, Discovery, EndpointUpdate, Source, endpoint_update_of
 from pepperusher.net.log import Log
 from pepperusher.net.proxy import Proxy
 from pepperusher.net.told import Told
@@ -59,9 +59,9 @@
         super().__init__(address, facade, backends, log, narrows, seed)
         self._noted = noted
 
-    def take(self, news: News, source: Source | None = None) -> None:
-        super().take(news, source)
-        self._noted("list", news.version)
+    def take(self, update: EndpointUpdate, source: Source | None = None) -> None:
+        super().take(update, source)
+        self._noted("list", update.version)
 
 
 class OwnState(Companion):
@@ -218,14 +218,14 @@
     def take_list(self, service: str, body: bytes) -> str | None:
         """One service's list, whole, as a change of the whole list."""
         try:
-            news = news_of(json.loads(body))
+            update = endpoint_update_of(json.loads(body))
         except ValueError as error:
             return f"a list {error}"
-        fresh = {entry.id: entry for entry in news.entries}
+        fresh = {entry.id: entry for entry in update.entries}
         before = self._lists.get(service, {})
         changed = [
             (entry, address)
-            for entry, address in zip(news.entries, news.addresses)
+            for entry, address in zip(update.entries, update.addresses)
             if before.get(entry.id) != entry
         ]
         gone = [
@@ -235,7 +235,7 @@
         self._told_version += 1
         Discovery.take(
             self._discovery,
-            News(
+            EndpointUpdate(
                 self._told_version,
                 False,
                 [one for one, _ in changed + gone],
@@ -294,7 +294,7 @@
         {**settings, "zone": zone, "ordinal": number % max(1, int(settings["group-size"]))}, number
     )
     made.connect_within, made.idle_most = 500_000, 10_000_000
-    made.known = news_of(known) if known is not None else None
+    made.known = endpoint_update_of(known) if known is not None else None
     return made
 
 
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -268,7 +268,8 @@
             await asyncio.sleep(0.5)
             writer.write(b"1\r\n\n\r\n")
 
-    def news(self, version: int, *servers: dict[str, object], full: bool = False, watch: int = -1) -> None:
+    def endpoint_update(self, version: int, *servers: dict[str, object], full: bool = False,
+                        watch: int = -1) -> None:
         text = json.dumps({"version": version, "full": full, "servers": servers}) + "\n"
         self.watches[watch].write(f"{len(text):x}\r\n{text}\r\n".encode())
 
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -100,8 +100,8 @@
         await self.call("out, while it has a ticket", f"/-/backends/{out_at}/disable")
         await under_way
         self.toys[other].does = []
-        self.news(2, self.line("a1"), self.line("b1"), full=True)
-        self.news(3, dict(self.line(out_at), started_ms=1))
+        self.endpoint_update(2, self.line("a1"), self.line("b1"), full=True)
+        self.endpoint_update(3, dict(self.line(out_at), started_ms=1))
         await asyncio.sleep(0.05)
         for number in range(5, 11):
             await self.ask("look", self.request("look", number), at)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -171,11 +171,11 @@
                 at.close()
                 await self.closed()
                 await self.until(lambda: not self.proxy._facade.in_hand and not self.proxy._callers.open)
-                self.assertEqual({}, self.proxy._callers._lookout._watched)
+                self.assertEqual({}, self.proxy._callers._disconnect_watcher._watched)
                 self.assertEqual({"called off": 1, "left": 1}, self.proxy._counts)
                 await self.asyncTearDown()
 
-    @mock.patch("pepperusher.net.lookout.EACH", 0)
+    @mock.patch("pepperusher.net.disconnect_watcher.EACH", 0)
     async def test_reading_that_goes_on_is_no_longer_watched(self) -> None:
         """Where nothing more may be read ahead: until then there is nothing to watch for."""
         await self.open("a1")
@@ -187,10 +187,10 @@
         ahead = b"".join(self.request("pay", number, "x" * 4000) for number in range(2, 22))
         sending = asyncio.get_running_loop().run_in_executor(None, at.sendall, ahead)
         await self.until(lambda: not caller.line.transport.is_reading())
-        self.assertEqual([caller.line], list(self.proxy._callers._lookout._watched.values()))
+        self.assertEqual([caller.line], list(self.proxy._callers._disconnect_watcher._watched.values()))
         await sending
         await self.until(lambda: self.proxy._counts.get("done") == 21)
-        self.assertEqual({}, self.proxy._callers._lookout._watched)
+        self.assertEqual({}, self.proxy._callers._disconnect_watcher._watched)
 
     async def test_whoever_ends_its_sending_alone_is_told_what_became_of_it(self) -> None:
         """An end of sending counts as leaving, and where only that ended the client still hears its answer."""
@@ -285,14 +285,14 @@
     async def test_a_backend_that_moved_has_nothing_sent_where_it_was(self) -> None:
         """Another may stand there by now. A connection in use meanwhile came back to those kept for the new address."""
         await self.open("a1", "z1")
-        self.news(2, {**self.line("z1"), "state": "draining"})
+        self.endpoint_update(2, {**self.line("z1"), "state": "draining"})
         await self.until(lambda: "z1" not in self.proxy._backends._doors)
         moved = {**self.line("a1"), "addr": self.line("z1")["addr"]}
         self.toys["a1"].does = ["slow"]
         at = await self.connect()
         at[1].write(self.request("look", 1))
         await self.until(lambda: self.got(1))
-        self.news(3, moved)
+        self.endpoint_update(3, moved)
         await self.until(lambda: self.proxy._discovery.version == 3)
         self.assertIn("200", await self.hear(at[0]))
         await self.ask("look 2", self.request("look", 2))
@@ -302,7 +302,7 @@
             self.proxy._backends._close_idle(door)
 
         async def moves() -> None:
-            self.news(4, self.line("a1"))
+            self.endpoint_update(4, self.line("a1"))
             await self.until(lambda: self.proxy._discovery.version == 4)
 
         await self.met(moves)
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -73,7 +73,7 @@
             await one.open()
         self.toys = self.backends  # type: ignore[assignment]
         await self.until(lambda: self.watches)
-        self.news(2, *(self.line(name) for name in self.backends), full=True)
+        self.endpoint_update(2, *(self.line(name) for name in self.backends), full=True)
         await self.until(lambda: len(self.proxy._facade.backends()) == len(self.backends))
         assert self.proxy._gate is not None
         self.house = self.proxy._gate
@@ -179,7 +179,7 @@
         ends: list[tuple[float, str]] = []
         going = asyncio.create_task(self.traffic(ends, 0.005))
         await asyncio.sleep(0.3)
-        self.news(3, self.line("a1", "draining"))
+        self.endpoint_update(3, self.line("a1", "draining"))
         told = time.monotonic()
         await asyncio.sleep(0.01)
         change = await self.house.propose_text(
--- a/tests/test_leavers.py
+++ b/tests/test_leavers.py
@@ -8,7 +8,7 @@
 import unittest
 from unittest import mock
 
-from pepperusher.net import lookout
+from pepperusher.net import disconnect_watcher
 from pepperusher.net.line import READ
 from pepperusher.net.shelf import Shelf
 
@@ -94,27 +94,28 @@
 
     async def test_what_is_read_ahead_is_served_in_its_order_and_counted_down(self) -> None:
         """With room for all of it, for some, and for none."""
-        for each in (lookout.EACH, 100_000, 0):
-            with self.subTest(each), mock.patch("pepperusher.net.lookout.EACH", each):
+        for each in (disconnect_watcher.EACH, 100_000, 0):
+            with self.subTest(each), mock.patch("pepperusher.net.disconnect_watcher.EACH", each):
                 await self.open("a1")
                 at, sending = await self.much(1, 40, 10_000)
                 line = next(iter(self.proxy._callers._callers)).line
                 if each:
-                    await self.until(lambda: self.proxy._callers._lookout.held)
+                    await self.until(lambda: self.proxy._callers._disconnect_watcher.held)
                 await sending
                 await self.until(lambda: self.proxy._counts.get("done") == 41)
                 self.assertEqual([f"{number}" for number in range(1, 42)],
                                  [one.split(" id ")[1].split()[0] for one in self.lines if " id " in one])
-                self.assertEqual((0, 0, True), (self.proxy._callers._lookout.held, line.unread, line.transport.is_reading()))
-                self.assertEqual({}, self.proxy._callers._lookout._watched)
+                watcher = self.proxy._callers._disconnect_watcher
+                self.assertEqual((0, 0, True), (watcher.held, line.unread, line.transport.is_reading()))
+                self.assertEqual({}, self.proxy._callers._disconnect_watcher._watched)
                 await self.asyncTearDown()
 
     async def test_it_has_a_bound_for_each_and_for_all(self) -> None:
         """And what one holds is given back with its end, in order or not."""
         for how in ("ends", "resets"):
-            with self.subTest(how), mock.patch("pepperusher.net.lookout.EACH", 300_000):
+            with self.subTest(how), mock.patch("pepperusher.net.disconnect_watcher.EACH", 300_000):
                 await self.open("a1", "b1", "c1")
-                watch = self.proxy._callers._lookout
+                watch = self.proxy._callers._disconnect_watcher
                 watch._most = 500_000
                 for toy in self.toys.values():
                     toy.does = ["silent"] * 3
@@ -175,7 +176,7 @@
         stalled = asyncio.Event()
         server = await asyncio.start_server(stalls, "127.0.0.1", 0, limit=READ)
         self.toys["a1"].port = server.sockets[0].getsockname()[1]
-        self.news(2, self.line("a1"))
+        self.endpoint_update(2, self.line("a1"))
         await self.until(lambda: self.proxy._discovery.version == 2)
         at = self.dial()
         at.setblocking(False)
@@ -185,7 +186,7 @@
         line = next(iter(self.proxy._callers._callers)).line
         # Read ahead it may have been before its first byte went out; that is used, and nothing more comes.
         await self.until(lambda: not line.transport.is_reading() and not line.may_read_ahead)
-        self.assertLess(line.unread, lookout.EACH)
+        self.assertLess(line.unread, disconnect_watcher.EACH)
         self.assertLess(line.received, 12_000_000)
         sending.cancel()
         stalled.set()
--- a/tests/test_mixed.py
+++ b/tests/test_mixed.py
@@ -162,7 +162,7 @@
                 answers[which, (await self.hear(reader)).split()[0]] += 1
                 if number == 30 and which == 1:
                     for watch in (0, 1):
-                        self.news(2, self.line("c1", "draining"), watch=watch)
+                        self.endpoint_update(2, self.line("c1", "draining"), watch=watch)
                     await asyncio.sleep(0.25)
                     at_drain.append(len(self.lines))
             writer.close()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -234,7 +234,7 @@
             await self.ask("look", self.request("look", number), at)
         for number, (_, writer) in enumerate(kept, 10):
             writer.write(self.request("look", number))
-        self.news(2, self.line("a1", "draining"))
+        self.endpoint_update(2, self.line("a1", "draining"))
         del self.lines[:]
         time.sleep(0.4)   # the whole loop, with proxy and all
         for reader, _ in kept:
@@ -252,7 +252,7 @@
         def stand() -> None:
             for number, (_, writer) in enumerate(kept, 10):
                 writer.write(self.request("look", number))
-            self.news(2, self.line("a1", "draining"))
+            self.endpoint_update(2, self.line("a1", "draining"))
             del self.lines[:]
             time.sleep(0.4)
 
@@ -553,19 +553,19 @@
 
     async def test_the_list_is_followed_and_asked_for_again(self) -> None:
         await self.open("a1", "b1")
-        self.news(5, self.line("a1", "draining"))
+        self.endpoint_update(5, self.line("a1", "draining"))
         await self.until(lambda: not self.proxy._backends._doors.get("a1"))
         for number in range(3):
             await self.ask(f"look {number}", self.request("look", number))
         self.watches[-1].close()
         await self.until(lambda: len(self.watches) == 2)
-        self.news(6, self.line("a1"), full=True)
+        self.endpoint_update(6, self.line("a1"), full=True)
         await self.until(lambda: not self.proxy._backends._doors.get("b1"))
         await self.ask("look 4", self.request("look", 4))
         self.watches[-1].write(b"4\r\nhey\n\r\n")
         await self.until(lambda: len(self.watches) == 3)
         # Not a number: it once ended the watch for good.
-        self.news(7, {**self.line("a1"), "started_ms": float("inf")})
+        self.endpoint_update(7, {**self.line("a1"), "started_ms": float("inf")})
         await self.until(lambda: len(self.watches) == 4)
         await self.ask("look 5", self.request("look", 5))
         self.kept("net_list")
@@ -583,10 +583,10 @@
             os.kill(os.getpid(), signal.SIGHUP)
             await self.until(lambda: len(self.watches) == watches and any("new" in line for line in self.logged[said:]))
         await asyncio.wait_for(self.heard[1].read(), 5)
-        self.news(5, self.line("a1", "draining"), watch=0)
+        self.endpoint_update(5, self.line("a1", "draining"), watch=0)
         await self.until(lambda: not self.proxy._backends._doors.get("a1"))
         self.lines.append("the second is left, the old one still heard")
-        self.news(2, self.line("a1"), full=True)
+        self.endpoint_update(2, self.line("a1"), full=True)
         await asyncio.wait_for(self.heard[0].read(), 5)
         self.lines.append(f"the old one is left, version {self.proxy._discovery._source.version}")
         await self.ask("look 1", self.request("look", 1))
@@ -618,7 +618,7 @@
         async def drains_meanwhile(*given: object) -> object:
             made = await connect(*given)
             version = self.proxy._discovery._source.version + 1
-            self.news(version, self.line("a1", "draining"), self.line("b1"))
+            self.endpoint_update(version, self.line("a1", "draining"), self.line("b1"))
             await self.until(lambda: self.proxy._discovery._source.version == version)
             return made
 
