--- a/pepperusher/capacity/stage.py
+++ b/pepperusher/capacity/stage.py
@@ -110,7 +110,7 @@
     """So many routes, each with terms, a rate and a limit."""
     return "\n".join(
         f'[[routes]]\nname = "route-{place:04d}"\nmatch.path = "/service-{place:04d}/{{rest*}}"\n'
-        f'time_out = "{200 + place % 50}ms"\ntransmissions = 2\nretry_on = ["unreached", "full"]\n'
+        f'time_out = "{200 + place % 50}ms"\nattempts = 2\nretry_on = ["unreached", "full"]\n'
         f"retry_budget = {{ share = 0.1, floor = 1.0 }}\nrate = {{ per_customer = 50.0, burst = 20.0 }}\n"
         f"concurrency = {{ most = {20 + place % 7}, queue = 10 }}\n"
         for place in range(number)
--- a/pepperusher/changes/standing.py
+++ b/pepperusher/changes/standing.py
@@ -176,7 +176,7 @@
         return held.gate.usual if held is not None and held.gate is not None else 0
 
     def first(self, made: Pass, now: int) -> None:
-        """It goes out; the first time counts for the retry budget. Not told from the ticket's transmissions: those that a
+        """It goes out; the first time counts for the retry budget. Not told from the ticket's attempts: those that a
         store remembers stand among them."""
         if made.out:
             return
@@ -186,7 +186,7 @@
             held.budget.first(now)
 
     def again(self, made: Pass, how: str, now: int) -> bool:
-        """Whether it may go out once more after a transmission that ended so."""
+        """Whether it may go out once more after an attempt that ended so."""
         if how == "done" or not made.terms.again(how):
             return False
         held = self._held.get(made.terms.name)
--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -16,7 +16,7 @@
 
 # What to do next with a ticket.
 SEND, HOLD, BOUNCE, SCRAP, NOTHING = "send", "hold", "bounce", "scrap", "nothing"
-# How a transmission ended.
+# How an attempt ended.
 HOW = {"done": terms.DONE, "error": terms.ERROR, "full": terms.FULL, "timed out": terms.TIMED_OUT,
        "unreached": terms.UNREACHED, "reset": terms.RESET, "called off": terms.CALLED_OFF, "moot": terms.MOOT,
        "turned away": terms.MOOT, "unknown": terms.UNKNOWN}
@@ -81,7 +81,7 @@
     def _take_up(self, ground: Ground) -> None:
         self._use_cases = {use.name: use for use in ground.use_cases}
         self._customers = {customer.name: customer for customer in ground.customers}
-        self._most = ground.most_transmissions
+        self._most = ground.most_attempts
         self._by_answers = ground.reported_by == terms.BY_ANSWERS
         # A backend off the list may come back under its id. Its breaker tells something while it could still
         # be open
@@ -154,33 +154,33 @@
         return Step(FINAL[answer], "", wait)
 
     def stands(self, ticket: Ticket, now: int) -> bool:
-        """Whether the transmission just picked may still be sent: a list or a client may have changed
+        """Whether the attempt just picked may still be sent: a list or a client may have changed
         meanwhile."""
-        sent = ticket.transmissions[-1]
+        sent = ticket.attempts[-1]
         if ticket.over or sent.backend.address in self._unlisted or now - sent.sent >= sent.patience:
             return False
         # Its group may have forgotten an earlier one in the time that the connection took to come up.
-        ran = [one.sent for one in ticket.transmissions[:-1] if one.ended not in terms.NEVER_RAN]
+        ran = [one.sent for one in ticket.attempts[:-1] if one.ended not in terms.NEVER_RAN]
         use = ticket.use_case
         return not ran or use.repeat == terms.REPLAYABLE or not 0 < use.remembered <= now - ran[0]
 
     def remaining(self, ticket: Ticket, now: int) -> int:
-        """How long its client waits yet; under 0 once its time is over. While the transmission is aside that time stands."""
-        aside = ticket.transmissions[-1].aside if ticket.transmissions else None
+        """How long its client waits yet; under 0 once its time is over. While the attempt is aside that time stands."""
+        aside = ticket.attempts[-1].aside if ticket.attempts else None
         return ticket.until - (now if aside is None else aside)
 
     def remember(self, ticket: Ticket, backend: str, cell: int, sent: int, ran: bool) -> None:
         """One that went out under the same mark before this ticket was taken, and may have run, or is known
         never to
-        have: the rules on further transmissions then hold for the mark. Before the first `pick`."""
+        have: the rules on further attempts then hold for the mark. Before the first `pick`."""
         known = self._backends.get(backend)
         if known is None:
             # Off the list, and its group may stand: that alone is known of it.
             known = Backend(backend)
             known.cell = cell
-        before = terms.Transmission(ticket, known, sent, 0, False)
+        before = terms.Attempt(ticket, known, sent, 0, False)
         before.ended = terms.UNKNOWN if ran else terms.FULL
-        ticket.transmissions.append(before)
+        ticket.attempts.append(before)
 
     def cell_of(self, backend: str) -> int:
         known = self._backends.get(backend)
@@ -199,7 +199,7 @@
         """Its body still comes, or its answer is passed on: a slow client, of which the backend's calls in
         flight, its time
         and its breaker must tell nothing. Until `back`, or the report."""
-        sent = ticket.transmissions[-1]
+        sent = ticket.attempts[-1]
         if sent.aside is None and sent.ended is None:
             sent.aside = now
             sent.backend.in_flight -= 1
@@ -207,11 +207,11 @@
                 sent.backend.trial_due = now + FOR_NOW
 
     def back(self, ticket: Ticket, now: int) -> None:
-        """Its last byte is written: the ticket's time and the transmission's run from here."""
-        self._back(ticket.transmissions[-1], now)
+        """Its last byte is written: the ticket's time and the attempt's run from here."""
+        self._back(ticket.attempts[-1], now)
 
     @staticmethod
-    def _back(sent: terms.Transmission, now: int) -> None:
+    def _back(sent: terms.Attempt, now: int) -> None:
         if sent.aside is None:
             return
         ticket, stood = sent.ticket, now - sent.aside
@@ -225,19 +225,19 @@
 
     def begun(self, ticket: Ticket, now: int) -> None:
         """Its answer is passed on from here: no other can be its answer any more."""
-        self._balancer.begun(ticket.transmissions[-1])
+        self._balancer.begun(ticket.attempts[-1])
         self.aside(ticket, now)
 
     def report(self, ticket: Ticket, how: str, now: int, again: bool = True) -> Step:
-        """The transmission that was out has ended; tells what to do next. Not `again`: whatever it was, it
+        """The attempt that was out has ended; tells what to do next. Not `again`: whatever it was, it
         was the last."""
-        sent = ticket.transmissions[-1]
-        must_hold(sent.ended is None, "a transmission ends once")
+        sent = ticket.attempts[-1]
+        must_hold(sent.ended is None, "an attempt ends once")
         if sent.ended is not None:
             return OVER
         self._back(sent, now)
         if not again:
-            ticket.most = min(ticket.most, len(ticket.transmissions))
+            ticket.most = min(ticket.most, len(ticket.attempts))
         answer = self._balancer.after(sent, HOW[how], how == "done", now)
         must_hold(sent.backend.in_flight >= 0, "calls in flight are never under none")
         if answer == terms.AGAIN:
@@ -255,13 +255,13 @@
 
     def settle(self, ticket: Ticket, now: int) -> None:
         """The last word on a ticket, whatever became of it: nothing of it may stay in flight."""
-        for sent in ticket.transmissions:
+        for sent in ticket.attempts:
             if sent.ended is None:
                 self._back(sent, now)
                 self._balancer.after(sent, terms.UNKNOWN, True, now)
         ticket.over = True
         # Each points to its ticket: they would stay until a collection.
-        ticket.transmissions.clear()
+        ticket.attempts.clear()
         must_hold(ticket in self._tickets, "a ticket is settled once")
         self._tickets.discard(ticket)
 
@@ -347,8 +347,8 @@
         """Each in hand, the oldest first."""
         return [{"use_case": one.use_case.name, "customer": one.customer.name if one.customer else "",
                  "age_ms": (now - one.came) // 1000, "left_ms": (one.until - now) // 1000,
-                 "transmissions": len(one.transmissions),
-                 "at": next((sent.backend.address for sent in one.transmissions if sent.ended is None), "")}
+                 "attempts": len(one.attempts),
+                 "at": next((sent.backend.address for sent in one.attempts if sent.ended is None), "")}
                 for one in sorted(self._tickets, key=lambda one: one.came)]
 
     def list_failed(self, now: int, anew: bool = False) -> None:
--- a/pepperusher/ground.py
+++ b/pepperusher/ground.py
@@ -115,7 +115,7 @@
     made.stage = int(figure(told, "stage", 0))
     made.last_tier = made.stage >= len(part(told, "tiers", list)) - 1
     made.zone = str(told.get("zone", ""))
-    made.most_transmissions = int(figure(limits, "most-transmissions", 1))
+    made.most_attempts = int(figure(limits, "most-transmissions", 1))
     made.may_call_off = bool(limits.get("cancel", False))
     made.may_advise = bool(limits.get("retry-after", False))
     made.longest_advice = span(limits, "max-retry-after", 0.0)
--- a/pepperusher/limits/rate.py
+++ b/pepperusher/limits/rate.py
@@ -77,9 +77,9 @@
 
 
 class RetryBudget:
-    """Further transmissions are held to `share` of first ones, and `floor` a second in any case.
+    """Further attempts are held to `share` of first ones, and `floor` a second in any case.
 
-    As Finagle's RetryBudget has it: each first transmission puts in `share`, each further one takes out 1,
+    As Finagle's RetryBudget has it: each first attempt puts in `share`, each further one takes out 1,
     and what is put in is gone after `span`. Kept by tenths of the span, so it holds ten figures.
     """
 
--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -1,4 +1,4 @@
-"""Connections to backends, kept and used again, and one transmission on one of them."""
+"""Connections to backends, kept and used again, and one attempt on one of them."""
 
 from __future__ import annotations
 
@@ -9,7 +9,7 @@
 from pepperusher.net import clock
 from pepperusher.net.buffers import Pool
 from pepperusher.net.budget import Budget
-from pepperusher.net.exchange import Exchange, Placed, Transmission
+from pepperusher.net.exchange import Attempt, Exchange, Placed
 from pepperusher.net.flows import Onward
 from pepperusher.net.line import Line, reach
 from pepperusher.net.message import HEAD, Answer, Request
@@ -50,7 +50,7 @@
         self.idle: list[Link] = []   # emptied by use, by age, when the other side leaves, and with the list
         self.listed = True
         self.heard_at = 0
-        self.out: set[Transmission] = set()   # under way there; emptied as they end
+        self.out: set[Attempt] = set()   # under way there; emptied as they end
 
 
 class Backends:
@@ -180,7 +180,7 @@
         elif 2 * stood >= self._kept_most:
             self._kept_most = min(self._idle_most, self._kept_most + self._kept_most // 128)
 
-    async def _connect(self, door: Door, out: Transmission, within: float) -> Link | str:
+    async def _connect(self, door: Door, out: Attempt, within: float) -> Link | str:
         for turn in range(TURNS, -1, -1):
             if self._budget.take(PART, True):
                 break
@@ -211,9 +211,9 @@
         else:
             reaching.result().when_let_go(self._budget.give)
 
-    # --- one transmission -------------------------------------------------------------------------
+    # --- one attempt -------------------------------------------------------------------------
 
-    async def transmit(self, backend: str, request: Request, out: Transmission, patience: int, placed: Placed,
+    async def attempt(self, backend: str, request: Request, out: Attempt, patience: int, placed: Placed,
                        onward: Onward | None = None) -> tuple[str, Answer | None]:
         """How it ended, and the answer if a whole one came and was not passed on. Never sends a second
         time."""
@@ -223,7 +223,7 @@
         door.out.add(out)
         began = clock.now()
         try:
-            how, answer = await self._transmit(door, request, out, patience, placed, onward)
+            how, answer = await self._attempt(door, request, out, patience, placed, onward)
         finally:
             door.out.discard(out)
             self._forget(backend, door)
@@ -233,7 +233,7 @@
             self._close_idle(door)
         return how, answer
 
-    async def _transmit(self, door: Door, request: Request, out: Transmission, patience: int, placed: Placed,
+    async def _attempt(self, door: Door, request: Request, out: Attempt, patience: int, placed: Placed,
                         onward: Onward | None) -> tuple[str, Answer | None]:
         until = clock.now() + patience
         link = self._latest(door)
--- a/pepperusher/net/disconnect_watcher.py
+++ b/pepperusher/net/disconnect_watcher.py
@@ -24,7 +24,7 @@
     held ahead of its answer, and left, was served on. And an end that is behind more than the kernel takes stays with the other
     side, where nothing tells of it: so what comes is read ahead, until its bound.
 
-    One descriptor, opened when it is first needed; where the platform has no epoll, such an end is seen when a transmission
+    One descriptor, opened when it is first needed; where the platform has no epoll, such an end is seen when an attempt
     is about to go out, and no sooner. `most` is the bound in bytes on what all connections hold read ahead.
     """
 
--- a/pepperusher/net/exchange.py
+++ b/pepperusher/net/exchange.py
@@ -1,4 +1,4 @@
-"""One transmission on one connection to a backend: what is sent, how it ended, and the answer, held or passed
+"""One attempt on one connection to a backend: what is sent, how it ended, and the answer, held or passed
 on."""
 
 from __future__ import annotations
@@ -34,7 +34,7 @@
 PASSED_ON = ("done", "turned away")
 
 
-class Transmission:
+class Attempt:
     """One sending of a ticket to one backend. `how` is set once it is given up from outside, `written` once the kernel has its
     last byte: before that it never ran, and may always be given up."""
 
@@ -60,7 +60,7 @@
 
 
 class Placed:
-    """What the decisions are told of a transmission under way: set aside while its body comes, and back in
+    """What the decisions are told of an attempt under way: set aside while its body comes, and back in
     its place."""
 
     __slots__ = ("stands", "left", "aside", "back", "remaining")
@@ -77,7 +77,7 @@
 class Exchange:
     """`patience` starts with it, or with the body's last byte where that is still to come."""
 
-    def __init__(self, line: Line, parser: h11.Connection, pool: Pool, out: Transmission, patience: int,
+    def __init__(self, line: Line, parser: h11.Connection, pool: Pool, out: Attempt, patience: int,
                  connect_within: float, placed: Placed) -> None:
         self._placed = placed
         self._line = line
--- a/pepperusher/net/flows.py
+++ b/pepperusher/net/flows.py
@@ -14,7 +14,7 @@
 class Inflow:
     """The rest of a request's body. `waits` is told while it is its caller's turn.
 
-    Once `touched`, what was read is gone: there is no second transmission.
+    Once `touched`, what was read is gone: there is no second attempt.
     """
 
     __slots__ = ("_parser", "_line", "_waits", "_length", "touched", "bad")
--- a/pepperusher/net/line.py
+++ b/pepperusher/net/line.py
@@ -51,7 +51,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:   # type: ignore[override]
         super().connection_made(transport)
         self.transport = transport
-        # Written is what the kernel has: by it a transmission is known to have gone or not.
+        # Written is what the kernel has: by it an attempt is known to have gone or not.
         transport.set_write_buffer_limits(high=0)
         self.writer = asyncio.StreamWriter(transport, self, self.reader, asyncio.get_running_loop())
 
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -21,7 +21,7 @@
 from pepperusher.net.callers import SHY, Call, Callers
 from pepperusher.net.companion import Companion
 from pepperusher.net.discovery import Discovery, address_of, endpoint_update_of, text_of_address
-from pepperusher.net.exchange import PASSED_ON, Placed, Transmission
+from pepperusher.net.exchange import PASSED_ON, Attempt, Placed
 from pepperusher.net.log import Log
 from pepperusher.net.message import Answer, Headers, Request, end_to_end, plain
 from pepperusher.net.told import Told, ToldError
@@ -60,7 +60,7 @@
 HELD_PART = 8
 # What a new configuration can't change in a process that serves.
 AT_A_START = ("name", "listen", "sockets", "memory", "console")
-# The ends of a transmission that tell of the time that work takes.
+# The ends of an attempt that tell of the time that work takes.
 WORKED = ("done", "error", "timed out", "reset")
 ENDS = {BOUNCE: "bounced", SCRAP: "scrapped"}
 NUMBER = re.compile(rb"[0-9]{1,16}(\.[0-9]{1,16})?")
@@ -259,7 +259,7 @@
             # Nobody knows any more how often it went out.
             self._facade.narrow(ticket, 1)
         onward = [pair for pair in end_to_end(headers) if pair[0] != b"request-timeout"]
-        out: Transmission | None = None
+        out: Attempt | None = None
 
         def leave() -> None:
             off = self._facade.gone(ticket, clock.now()) or call.begun
@@ -312,12 +312,12 @@
                             shelf.ended(use_case, mark, kept, how)
                         step = self._facade.report(ticket, how, clock.now(), False)
                         continue
-                out = Transmission()
+                out = Attempt()
                 patience = step.wait
                 if passed is not None and self._gate is not None:
                     patience = self._gate.goes(passed, step.wait)
                 wait_on = (b"request-timeout", b"%du" % max(1, patience))
-                how, answer = await self._backends.transmit(
+                how, answer = await self._backends.attempt(
                     step.backend, Request(method, target, [*onward, wait_on], body, rest, length), out, patience, placed,
                     call.onward)
                 self._count(how)
--- a/pepperusher/net/shelf.py
+++ b/pepperusher/net/shelf.py
@@ -1,7 +1,7 @@
-"""The store beside the proxy: each referenced ticket's transmissions, on disk before their first byte goes out.
+"""The store beside the proxy: each referenced ticket's attempts, on disk before their first byte goes out.
 
 Loaded only where the own file names a folder. It decides nothing: what was sent before is handed to the decisions as
-transmissions of the ticket, and their own rules then hold for a mark as for a ticket.
+attempts of the ticket, and their own rules then hold for a mark as for a ticket.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 from pepperusher.store.recovery import RefusedError
 from pepperusher.store.tables import NEVER_RAN, SENT, Past, Tables
 
-# What proves that a transmission never ran.
+# What proves that an attempt never ran.
 NEVER = ("unreached", "full", "moot")
 
 
--- a/pepperusher/own/rules.py
+++ b/pepperusher/own/rules.py
@@ -14,7 +14,7 @@
 from pepperusher.routes.match import Pattern, TemplateError
 from pepperusher.terms import REPLAYABLE, SINGLE_USE, Ground, UseCase
 
-MOST_TRANSMISSIONS = 3
+MOST_ATTEMPTS = 3
 LONGEST_HISTORY = 10_000
 # What no answer can be in: the network alone takes more.
 SHORTEST_TIME_OUT = 1_000
@@ -26,11 +26,11 @@
     "form": "the file is TOML, and each value has its key's form",
     "known key": "no key stands in it that is not known",
     "known use case": "a use case that it names is one of the platform's settings",
-    "three transmissions": "a ticket goes out three times at the most, and never more often than the settings allow",
-    "one at a time": "no ticket has two transmissions out at once",
+    "three attempts": "a ticket goes out three times at the most, and never more often than the settings allow",
+    "one at a time": "no ticket has two attempts out at once",
     "single-use once": "a single-use ticket that may have run is not sent again",
     "within memory": "a referenced ticket is sent again only while its group knows the repeat",
-    "within the client's wait": "a transmission ends before its client gives up",
+    "within the client's wait": "an attempt ends before its client gives up",
     "within the settings": "a term narrows what the settings allow, and never widens it",
     "no conflict": "of two routes that could match the same ticket one is the more exact",
     "sound limits": "a limit lets something through, and its figures agree",
@@ -71,7 +71,7 @@
             use = uses.get(route.use_case)
             if use is None:
                 tell(f"{at}.use_case", "known use case", f"the settings have no {route.use_case}")
-        _transmissions(route, at, use, ground, tell)
+        _attempts(route, at, use, ground, tell)
         _times(route, at, use, uses, tell)
         _limits(route, at, tell)
         if not 0 <= route.priority <= 9:
@@ -112,22 +112,22 @@
         seen.add(name)
 
 
-def _transmissions(route: Route, at: str, use: UseCase | None, ground: Ground | None, tell: Tell) -> None:
-    wanted = route.transmissions
+def _attempts(route: Route, at: str, use: UseCase | None, ground: Ground | None, tell: Tell) -> None:
+    wanted = route.attempts
     if route.second_copy:
         tell(f"{at}.second_copy", "one at a time", "the rules allow no second copy while a first is out")
     if wanted is not None:
-        if not 1 <= wanted <= MOST_TRANSMISSIONS:
+        if not 1 <= wanted <= MOST_ATTEMPTS:
             tell(
-                f"{at}.transmissions",
-                "three transmissions",
-                f"{wanted} is not from 1 to {MOST_TRANSMISSIONS}",
+                f"{at}.attempts",
+                "three attempts",
+                f"{wanted} is not from 1 to {MOST_ATTEMPTS}",
             )
-        elif ground is not None and wanted > ground.most_transmissions:
+        elif ground is not None and wanted > ground.most_attempts:
             tell(
-                f"{at}.transmissions",
+                f"{at}.attempts",
                 "within the settings",
-                f"{wanted} is over the settings' most-transmissions, {ground.most_transmissions}",
+                f"{wanted} is over the settings' most-transmissions, {ground.most_attempts}",
             )
         if (
             use is not None
@@ -136,9 +136,9 @@
             and (route.retry_on is None or set(route.retry_on) - {"unreached", "full"})
         ):
             tell(
-                f"{at}.transmissions",
+                f"{at}.attempts",
                 "single-use once",
-                f"{use.name} is single-use: with {wanted} transmissions retry_on may hold unreached and full alone",
+                f"{use.name} is single-use: with {wanted} attempts retry_on may hold unreached and full alone",
             )
     if (
         use is not None
@@ -182,7 +182,7 @@
             tell(
                 f"{at}.time_out",
                 "within the client's wait",
-                f"a transmission could outlive its client, who waits {wait // 1000}ms at the most for {whose}",
+                f"an attempt could outlive its client, who waits {wait // 1000}ms at the most for {whose}",
             )
     if route.patience is not None and route.outer is not None and route.patience < route.outer:
         tell(
@@ -193,7 +193,7 @@
     if (
         use is not None
         and use.repeat not in (REPLAYABLE, SINGLE_USE)
-        and (route.transmissions or MOST_TRANSMISSIONS) > 1
+        and (route.attempts or MOST_ATTEMPTS) > 1
         and route.time_out is not None
         and use.remembered
         and route.time_out >= use.remembered
--- a/pepperusher/own/tables.py
+++ b/pepperusher/own/tables.py
@@ -56,8 +56,8 @@
 
 
 class Budget(Table, kw_only=True, frozen=True):
-    share: Annotated[float, _said("further transmissions for each first one")] = 0.2
-    floor: Annotated[float, _said("further transmissions a second in any case")] = 1.0
+    share: Annotated[float, _said("further attempts for each first one")] = 0.2
+    floor: Annotated[float, _said("further attempts a second in any case")] = 1.0
     span: Annotated[Span, _said("over how long both are counted")] = _span(10_000_000)
 
 
@@ -69,15 +69,15 @@
     match: Annotated[Match, _said("which tickets it is for")] = msgspec.field(default_factory=Match)
     use_case: Annotated[str | None, _said("the use case it is for; needed for terms that hang on one")] = None
     time_out: Annotated[
-        Span | None, _said("after this a transmission is given up, if the decisions have not before")
+        Span | None, _said("after this an attempt is given up, if the decisions have not before")
     ] = None
-    transmissions: Annotated[int | None, _said("how often a ticket may go out, 1 to 3")] = None
+    attempts: Annotated[int | None, _said("how often a ticket may go out, 1 to 3")] = None
     retry_on: Annotated[
         list[ENDS] | None, _said("after which ends a ticket may go out again; all if left out")
     ] = None
-    retry_budget: Annotated[Budget | None, _said("how many further transmissions the route may make")] = None
+    retry_budget: Annotated[Budget | None, _said("how many further attempts the route may make")] = None
     second_copy: Annotated[
-        bool, _said("a second transmission while the first is out; the rules forbid it")
+        bool, _said("a second attempt while the first is out; the rules forbid it")
     ] = False
     concurrency: Annotated[Concurrency | None, _said("how many tickets at once")] = None
     rate: Annotated[Rate | None, _said("how often")] = None
--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -2,8 +2,8 @@
 
 The caller keeps the tickets and the timers, and asks three things:
     where(ticket, now)          a Backend to send to, or NOT_YET, BOUNCE or SCRAP
-    after(sent, how, over, now) for a transmission that ended: AGAIN (ask where), BOUNCE, SCRAP or NOTHING
-    wait(ticket, now)           the patience of the transmission just placed, how long until where is asked
+    after(sent, how, over, now) for an attempt that ended: AGAIN (ask where), BOUNCE, SCRAP or NOTHING
+    wait(ticket, now)           the patience of the attempt just placed, how long until where is asked
                                 again, or the advice with a bounce; for None, when to ask for the list
 and gives notice by listed(), list_failed(), begun() and gone(). The interface is described in
 docs/interface.md, the design and each departure from it in docs/design.md. Times are whole microseconds.
@@ -20,8 +20,8 @@
 
 from pepperusher.terms import (
     AGAIN, BOUNCE, CALLED_OFF, CLOSED, DONE, ERROR, FULL, HALF_OPEN, HELD, MOOT, NEVER_RAN, NOTHING, OPEN,
-    REFERENCED, REPLAYABLE, SCOPE_ALL, SCOPE_CELL, SCOPE_ZONE, SCRAP, SINGLE_USE, TIMED_OUT, WAITING, Backend,
-    Customer, Ground, Listing, Side, Ticket, Transmission, UseCase)
+    REFERENCED, REPLAYABLE, SCOPE_ALL, SCOPE_CELL, SCOPE_ZONE, SCRAP, SINGLE_USE, TIMED_OUT, WAITING,
+    Attempt, Backend, Customer, Ground, Listing, Side, Ticket, UseCase)
 
 SECOND = 1_000_000
 # The breaker's figures; docs/design.md says what was tried for each.
@@ -38,7 +38,7 @@
 # A customer's share saves up so many tickets at the least: chance brings several at once.
 SHARE_LEAST = 4.0
 ASKED_SPAN = 4 * SECOND   # and what the others ask for is counted over about so long
-# Further transmissions for tickets that may have run, as a part of the tickets taken, and the most saved up.
+# Further attempts for tickets that may have run, as a part of the tickets taken, and the most saved up.
 SPARE_PART = 0.2
 SPARE_MOST = 10.0
 # A proxy speaks to a part of the list: REACH at the least, for a choice, each in that of about HEARD proxies.
@@ -76,7 +76,7 @@
         self._beside, self._shared_out = ground.beside_client, ground.stage == 0 and not ground.beside_client
         self._first_tier, self._limit_passed = ground.stage == 0, ground.passes_limit
         self._by_work, self._last_tier = ground.importance_by_work, ground.last_tier
-        self._most, self._calls_off = ground.most_transmissions, ground.may_call_off
+        self._most, self._calls_off = ground.most_attempts, ground.may_call_off
         self._longest_advice = ground.longest_advice if ground.may_advise else 0
         self._zones, self._home = len(ground.zones), ground.zone if len(ground.zones) > 1 else ""
         self._customers = ground.customers
@@ -101,9 +101,9 @@
     # --- where to send this ticket ----------------------------------------------------------------
 
     def where(self, ticket: Ticket, now: int) -> Backend | int:
-        if ticket.over or ticket.until <= now or len(ticket.transmissions) >= min(self._most, ticket.most):
+        if ticket.over or ticket.until <= now or len(ticket.attempts) >= min(self._most, ticket.most):
             return self._no(ticket, now)
-        first, use = not ticket.transmissions, ticket.use_case
+        first, use = not ticket.attempts, ticket.use_case
         use.work += (int(ticket.cost) - use.work) // 16 if use.work else int(ticket.cost)
         self._young = self._young and self._age(self._young, now)
         anchor = None if first else self._anchor(ticket)
@@ -112,7 +112,7 @@
         # What may have run stays with its group, and so with the location of that.
         bound_to = anchor is not None and use.scope != SCOPE_ALL
         sides = [self._side(anchor.backend)] if bound_to else self._in_turn()
-        # Asked of further transmissions too: in a jam they are the last thing the backends need.
+        # Asked of further attempts too: in a jam they are the last thing the backends need.
         within = not first or self._within_share(ticket, now)
         refused = False
         for side in sides:
@@ -136,7 +136,7 @@
             choice = [b for b in self._backends
                       if _drops_repeats(anchor.backend, b, use.scope) and _may_run(use, b)
                       and (b.state == CLOSED or self._admits(b, now)) and self._has_room(b, now)]
-        tried = [sent.backend for sent in ticket.transmissions]
+        tried = [sent.backend for sent in ticket.attempts]
         choice = [b for b in choice if b not in tried] or choice
         if ticket.cost and self._first_tier and self._last_tier:
             # Against heavy tickets at slow machines, where list weights tell nothing of the cores' speed.
@@ -224,7 +224,7 @@
             best.turn -= total
         return best
 
-    def _last_resort(self, ticket: Ticket, anchor: Transmission | None, now: int) -> Backend | None:
+    def _last_resort(self, ticket: Ticket, anchor: Attempt | None, now: int) -> Backend | None:
         """No breaker admits: a trial to the server whose open period ends first, as the design has it."""
         use = ticket.use_case
         shut = [b for b in self._backends if b.state == OPEN and self._has_room(b, now) and _may_run(use, b)
@@ -236,8 +236,8 @@
 
     def _place(self, ticket: Ticket, backend: Backend, now: int) -> None:
         trial = backend.state == HALF_OPEN
-        sent = Transmission(ticket, backend, now, self._patience(ticket, now), trial)
-        ticket.transmissions.append(sent)
+        sent = Attempt(ticket, backend, now, self._patience(ticket, now), trial)
+        ticket.attempts.append(sent)
         backend.in_flight += 1
         if ticket.use_case in backend.shut:
             backend.shut[ticket.use_case] = now + sent.patience
@@ -316,17 +316,17 @@
 
     # --- after an outcome -------------------------------------------------------------------------
 
-    def after(self, sent: Transmission, how: int, over: bool, now: int) -> int:
+    def after(self, sent: Attempt, how: int, over: bool, now: int) -> int:
         ticket = sent.ticket
         sent.ended = how
         self._count(sent, how, now)
         ticket.over = ticket.over or over
-        if ticket.over or any(other.ended is None for other in ticket.transmissions):
+        if ticket.over or any(other.ended is None for other in ticket.attempts):
             return NOTHING
         if how == MOOT or not self._may_repeat(ticket, now):
             return self._no(ticket, now)
         if how not in NEVER_RAN:
-            # Further transmissions feed a jam: beyond a part of the tickets taken they are not sent.
+            # Further attempts feed a jam: beyond a part of the tickets taken they are not sent.
             if self._spare < 1.0:
                 return self._no(ticket, now)
             self._spare -= 1.0
@@ -334,11 +334,11 @@
 
     def _may_repeat(self, ticket: Ticket, now: int) -> bool:
         use, left = ticket.use_case, self._useful_until(ticket) - now
-        if left < use.usual // 2 or left <= 0 or len(ticket.transmissions) >= min(self._most, ticket.most):
+        if left < use.usual // 2 or left <= 0 or len(ticket.attempts) >= min(self._most, ticket.most):
             return False
         return use.repeat != SINGLE_USE or self._anchor(ticket) is None
 
-    def _count(self, sent: Transmission, how: int, now: int) -> None:
+    def _count(self, sent: Attempt, how: int, now: int) -> None:
         backend = sent.backend
         use = sent.ticket.use_case
         backend.in_flight -= 1
@@ -392,14 +392,14 @@
                 return -1
             self._asked = now >= self._ask_at
             return max(0, self._ask_at - now)
-        if not ticket.over and ticket.transmissions and ticket.transmissions[-1].ended is None:
-            return ticket.transmissions[-1].patience
+        if not ticket.over and ticket.attempts and ticket.attempts[-1].ended is None:
+            return ticket.attempts[-1].patience
         return ticket.pause
 
     def _patience(self, ticket: Ticket, now: int) -> int:
         use = ticket.use_case
         left = max(1, self._useful_until(ticket) - now)
-        if len(ticket.transmissions) + 1 >= min(self._most, ticket.most) or use.repeat == SINGLE_USE:
+        if len(ticket.attempts) + 1 >= min(self._most, ticket.most) or use.repeat == SINGLE_USE:
             return left
         # Never under half of what is left: a call carries what its caller allows, so a short patience here
         # becomes time-outs and errors at every tier below, and where nothing stops the work it is done twice.
@@ -521,7 +521,7 @@
         if told is not None:
             backend.told, backend.told_at = told, now
 
-    def begun(self, sent: Transmission) -> None:
+    def begun(self, sent: Attempt) -> None:
         sent.ticket.over = True
 
     def gone(self, ticket: Ticket) -> None:
@@ -638,11 +638,11 @@
 
     # --- what a ticket still allows ---------------------------------------------------------------
 
-    def _anchor(self, ticket: Ticket) -> Transmission | None:
-        """The first transmission that may have run: it binds a referenced ticket to its group and time."""
+    def _anchor(self, ticket: Ticket) -> Attempt | None:
+        """The first attempt that may have run: it binds a referenced ticket to its group and time."""
         if ticket.use_case.repeat == REPLAYABLE:
             return None
-        return next((sent for sent in ticket.transmissions if sent.ended not in NEVER_RAN), None)
+        return next((sent for sent in ticket.attempts if sent.ended not in NEVER_RAN), None)
 
     def _no(self, ticket: Ticket, now: int) -> int:
         ticket.over = True
@@ -658,6 +658,6 @@
 
 
 def _may_run(use: UseCase, backend: Backend) -> bool:
-    """Placement: kept at each transmission, a trial's and a last resort's too."""
+    """Placement: kept at each attempt, a trial's and a last resort's too."""
     return ((use.zones is None or backend.zone in use.zones)
             and (use.kinds is None or backend.kind in use.kinds))
--- a/pepperusher/rehearsal/books.py
+++ b/pepperusher/rehearsal/books.py
@@ -190,9 +190,9 @@
 
 
 def _check_twice(script: Script, records: Records, sent_of: dict[str, list[Sent]], book: RuleBook) -> None:
-    """Never two transmissions at once, never more than allowed, and none that may repeat an effect where the
+    """Never two attempts at once, never more than allowed, and none that may repeat an effect where the
     use case does not let it. What never began, and what was turned away, has not run."""
-    most = script.rules.most_transmissions
+    most = script.rules.most_attempts
     places = FleetPlan(script, 0).places
     bounced = {one.name: one for one in records.tries if one.how == BOUNCED}
     crossed = {one.name: one.crossed for one in records.tries if one.crossed >= 0}
@@ -201,7 +201,7 @@
     ):
         if len(those) > most:
             book.against(
-                TWICE, name, those[most].first, those[most].id, f"{len(those)} transmissions, {most} allowed"
+                TWICE, name, those[most].first, those[most].id, f"{len(those)} attempts, {most} allowed"
             )
         for before, after in zip(those, those[1:]):
             over = before.ended if before.gone < 0 else before.gone
@@ -221,7 +221,7 @@
 
 
 def _asked(those: list[Sent], crossed: int) -> list[list[Sent]]:
-    """Transmissions by each time that the client asked: one that sent a ticket once more on a new connection
+    """Attempts by each time that the client asked: one that sent a ticket once more on a new connection
     asked for what comes after that itself."""
     parts = [[one for one in those if one.first < crossed], [one for one in those if one.first >= crossed]]
     return [part for part in parts if part]
@@ -324,7 +324,7 @@
 
 
 class Use(NamedTuple):
-    """How the fleet's work was used: transmissions and what became of their work (us on a core of speed 1).
+    """How the fleet's work was used: attempts and what became of their work (us on a core of speed 1).
 
     `wasted` is work that no client had anything of: it was stopped, or its answer did not count. `lived_on`
     are, for each piece of work in whatever tier, how long it went on after its client outside had left or had
@@ -333,7 +333,7 @@
     """
 
     tickets: int
-    transmissions: int
+    attempts: int
     away: int
     worked: int
     wasted: int
--- a/pepperusher/rehearsal/coldsum.py
+++ b/pepperusher/rehearsal/coldsum.py
@@ -142,7 +142,7 @@
         given = {
             "seed": self.seed * 1000 + number + self.now, "customers": [], "group_size": size,
             "ordinal": number, "stage": 0, "last_tier": True, "zone": self.zones[number % len(self.zones)],
-            "zones": self.zones, "most_transmissions": 3, "may_call_off": True, "may_advise": False,
+            "zones": self.zones, "most_attempts": 3, "may_call_off": True, "may_advise": False,
             "longest_advice": 0, "must_ask": False, "ask_within": 10 * SECOND,
             "cold_share": deployment.share, "warm_after": round(deployment.warm * SECOND),
             "tip_multiple": deployment.multiple, "overload_for": round(deployment.window * SECOND),
@@ -294,7 +294,7 @@
         server.work.pop(ticket, None)
         if how == DONE:
             self.tally["done"] += self.now - ticket.came <= ticket.use_case.promised
-        if proxy.balancer.after(ticket.transmissions[-1], how, how == DONE, self.now) == AGAIN:
+        if proxy.balancer.after(ticket.attempts[-1], how, how == DONE, self.now) == AGAIN:
             self._place(proxy, ticket)
 
     def _read(self, cold: list[Server]) -> Reading:
--- a/pepperusher/rehearsal/compare.py
+++ b/pepperusher/rehearsal/compare.py
@@ -28,7 +28,7 @@
     "p99": (lambda of: of.intended.percentiles["99"] / 1000, False),
     "p99.9": (lambda of: of.intended.percentiles["99.9"] / 1000, False),
     "tries": (lambda of: of.tries / max(1, of.wishes), False),
-    "transmissions": (lambda of: of.transmissions / max(1, of.tickets), False),
+    "attempts": (lambda of: of.attempts / max(1, of.tickets), False),
     "wasted": (lambda of: of.wasted_share, False),
     "worst customer": (
         lambda of: min((one.goodput for one in of.customers if one.wishes), default=1.0),
--- a/pepperusher/rehearsal/proxies.py
+++ b/pepperusher/rehearsal/proxies.py
@@ -72,7 +72,7 @@
             "cancel": rules.cancel,
             "connect-timeout": rules.connect_within / 1000,
             "keepalive": min(kind.idle for kind in kinds) / 1000,
-            "most-transmissions": rules.most_transmissions,
+            "most-transmissions": rules.most_attempts,
             "retry-after": rules.advice,
             "max-retry-after": rules.longest_advice / 1000,
         },
--- a/pepperusher/rehearsal/records.py
+++ b/pepperusher/rehearsal/records.py
@@ -1,4 +1,4 @@
-"""The records that the books are kept in: one for each try of a ticket, one for each transmission that came.
+"""The records that the books are kept in: one for each try of a ticket, one for each attempt that came.
 
 Times are us after the start of the rehearsal. Records go to files as MessagePack, each behind its length, so
 that what a killed process had written is read to its last whole record.
@@ -53,7 +53,7 @@
 
 
 class Sent(msgspec.Struct, array_like=True, gc=False):
-    """One transmission as its backend saw it; -1 stands for never.
+    """One attempt as its backend saw it; -1 stands for never.
 
     `first` and `last` are when its first and its last byte came, `begun` when its work began, `ended` when it
     was over here, `gone` when its sender closed before that. `effect` is when the work had been done whole.
--- a/pepperusher/rehearsal/script.py
+++ b/pepperusher/rehearsal/script.py
@@ -19,7 +19,7 @@
 Share = float
 MOST_BACKENDS = 2000
 MOST_PROXIES = 500
-MOST_TRANSMISSIONS = 3
+MOST_ATTEMPTS = 3
 
 
 class ScriptError(ValueError):
@@ -172,7 +172,7 @@
     tip_multiple: float = 3.0
     tip_for: Span = Span(3_000_000)
     slack: Span = Span(50_000)
-    most_transmissions: int = 3
+    most_attempts: int = 3
     cancel: bool = True
     advice: bool = True
     longest_advice: Span = Span(2_000_000)
@@ -456,9 +456,9 @@
     _check_load(script)
     _check_faults(script)
     _need(
-        1 <= script.rules.most_transmissions <= MOST_TRANSMISSIONS,
-        "rules.most_transmissions",
-        f"is not from 1 to {MOST_TRANSMISSIONS}: the brief allows no more",
+        1 <= script.rules.most_attempts <= MOST_ATTEMPTS,
+        "rules.most_attempts",
+        f"is not from 1 to {MOST_ATTEMPTS}: the brief allows no more",
     )
     _need(64 <= script.proxies.sockets <= 1_000_000, "proxies.sockets", "is not from 64 to 1000000")
 
--- a/pepperusher/rehearsal/spoken.py
+++ b/pepperusher/rehearsal/spoken.py
@@ -52,7 +52,7 @@
 
 def _fleet(figures: Figures) -> list[str]:
     lines = [
-        f"  {figures.transmissions / max(1, figures.tickets):.3f} transmissions a ticket,"
+        f"  {figures.attempts / max(1, figures.tickets):.3f} attempts a ticket,"
         f" {figures.turned_away} turned away; {100 * figures.wasted_share:.2f}% of the work wasted;"
         f" work lived on after its sender left: most {said(figures.lived_on.percentiles['100'])}"
     ]
--- a/pepperusher/rehearsal/tally.py
+++ b/pepperusher/rehearsal/tally.py
@@ -91,7 +91,7 @@
     use_cases: list[Group]
     customers: list[Group]
     tickets: int
-    transmissions: int
+    attempts: int
     turned_away: int
     wasted_share: float
     lived_on: Times
@@ -300,7 +300,7 @@
             _group(one.name, by_customer.get(number, [])) for number, one in enumerate(script.customers)
         ],
         tickets=used.tickets,
-        transmissions=used.transmissions,
+        attempts=used.attempts,
         turned_away=used.away,
         wasted_share=used.wasted / used.worked if used.worked else 0.0,
         lived_on=times_of(_times(used.lived_on)),
--- a/pepperusher/routes/terms.py
+++ b/pepperusher/routes/terms.py
@@ -1,7 +1,7 @@
 """The terms of a route as a ticket goes by them, and versions of all of them; free of I/O.
 
 A ticket has one `Version` from its first look to its end, whatever is applied meanwhile. Terms narrow: less
-time, fewer transmissions, fewer ends after which one more may go. They never choose a server and never allow
+time, fewer attempts, fewer ends after which one more may go. They never choose a server and never allow
 what the decisions would not.
 """
 
@@ -40,11 +40,11 @@
         return min(given, self.patience)
 
     def patient(self, wait: int) -> int:
-        """How long a transmission may take, of what the decisions would give it."""
+        """How long an attempt may take, of what the decisions would give it."""
         return min(wait, self.time_out)
 
     def again(self, how: str) -> bool:
-        """Whether a ticket may go out again after a transmission that ended so, as far as these terms go."""
+        """Whether a ticket may go out again after an attempt that ended so, as far as these terms go."""
         return self.ends is None or how in self.ends or how == "moot"
 
 
@@ -57,7 +57,7 @@
         route.name,
         route.use_case,
         route.time_out or NO_LIMIT,
-        route.transmissions or MOST,
+        route.attempts or MOST,
         None if route.retry_on is None else frozenset(route.retry_on),
         route.outer or NO_LIMIT,
         route.patience or NO_LIMIT,
--- a/pepperusher/simhost/host.py
+++ b/pepperusher/simhost/host.py
@@ -25,7 +25,7 @@
         self.use_cases = {use.name: use for use in ground.use_cases}
         self.customers = {customer.name: customer for customer in ground.customers}
         self.backends: dict[str, Backend] = {}     # grows with the fleet, not with tickets; dies with the instance
-        self.tickets: dict[int, Ticket] = {}       # emptied when a ticket is over and no transmission is out
+        self.tickets: dict[int, Ticket] = {}       # emptied when a ticket is over and no attempt is out
         self.held: dict[int, int] = {}             # timer to ticket, emptied as timers fall due
         self.last_ref = LIST_TIMER
         self.list_timer_set = False
@@ -69,7 +69,7 @@
         self._settle(xid, ticket)
 
     def _settle(self, xid: int, ticket: Ticket) -> None:
-        if ticket.over and all(sent.ended is not None for sent in ticket.transmissions):
+        if ticket.over and all(sent.ended is not None for sent in ticket.attempts):
             self.tickets.pop(xid, None)
 
     def settled(self, fields: dict[str, str], now: int) -> None:
@@ -77,9 +77,9 @@
         number = whole("settled", fields, "round-no")
         how = wire.HOW.get(text("settled", fields, "how"), UNKNOWN)
         ticket = self.tickets.get(xid)
-        if ticket is None or number >= len(ticket.transmissions):
+        if ticket is None or number >= len(ticket.attempts):
             return
-        sent = ticket.transmissions[number]
+        sent = ticket.attempts[number]
         if sent.ended is None:
             if "load" in fields:
                 self.balancer.reported(sent.backend, wire.load(fields["load"]), now)
@@ -88,8 +88,8 @@
     def first(self, fields: dict[str, str], now: int) -> None:
         ticket = self.tickets.get(whole("first", fields, "xid"))
         number = whole("first", fields, "round-no")
-        if ticket is not None and number < len(ticket.transmissions):
-            self.balancer.begun(ticket.transmissions[number])
+        if ticket is not None and number < len(ticket.attempts):
+            self.balancer.begun(ticket.attempts[number])
 
     def dropped(self, fields: dict[str, str], now: int) -> None:
         xid = whole("dropped", fields, "xid")
@@ -98,7 +98,7 @@
             return
         self.balancer.gone(ticket)
         if self.balancer.wait(ticket, now) == 0:
-            for number, sent in enumerate(ticket.transmissions):
+            for number, sent in enumerate(ticket.attempts):
                 if sent.ended is None:
                     self.out.append(f"revoke\txid={xid}\tround-no={number}")
         self._settle(xid, ticket)
--- a/pepperusher/store/salvage.py
+++ b/pepperusher/store/salvage.py
@@ -1,7 +1,7 @@
 """What can be kept of a store that refuses: the longest prefix whose every group is sound, and what is dropped; free of I/O.
 
 It never invents. Behind a flaw nothing is taken even where it is sound, since what it says may hang on what the flaw
-held: a transmission that is known never to have run, say, whose sending is gone.
+held: an attempt that is known never to have run, say, whose sending is gone.
 """
 
 from __future__ import annotations
--- a/pepperusher/store/tables.py
+++ b/pepperusher/store/tables.py
@@ -20,7 +20,7 @@
 
 
 class Past(NamedTuple):
-    """One transmission of a mark: to whom, of which cell, when; `ran` is false once it is known never to have
+    """One attempt of a mark: to whom, of which cell, when; `ran` is false once it is known never to have
     run."""
 
     backend: str
@@ -30,7 +30,7 @@
 
 
 class Marks:
-    """The transmissions made for each referenced ticket, by use case and mark, until its group's memory has
+    """The attempts made for each referenced ticket, by use case and mark, until its group's memory has
     passed since the last. `most` marks at once; one more is turned away, for to forget one is to let it go
     out a fourth time."""
 
@@ -40,7 +40,7 @@
         self._until: dict[tuple[str, str], int] = {}  # likewise
         self._ends: list[
             tuple[int, tuple[str, str]]
-        ] = []  # a heap, an entry a transmission; emptied by `sweep`
+        ] = []  # a heap, an entry an attempt; emptied by `sweep`
 
     def __len__(self) -> int:
         return len(self._held)
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -7,7 +7,7 @@
 
 from collections import deque
 
-# How a transmission ended.
+# How an attempt ended.
 DONE = 0
 ERROR = 1
 FULL = 2
@@ -192,7 +192,7 @@
         self.ready = ready
 
 
-class Transmission:
+class Attempt:
     """One sending of a ticket to a backend. `ended` is None while it is out."""
 
     __slots__ = ("ticket", "backend", "sent", "patience", "generation", "trial", "ended", "aside")
@@ -216,7 +216,7 @@
     `most` is how often it may go out, where that is less than the ground allows.
     """
 
-    __slots__ = ("use_case", "customer", "came", "until", "cost", "transmissions", "over", "pause", "most")
+    __slots__ = ("use_case", "customer", "came", "until", "cost", "attempts", "over", "pause", "most")
 
     def __init__(self, use_case: UseCase, customer: Customer | None, came: int, until: int, cost: float = 0.0) -> None:
         self.use_case = use_case
@@ -224,7 +224,7 @@
         self.came = came
         self.until = until
         self.cost = cost
-        self.transmissions: list[Transmission] = []
+        self.attempts: list[Attempt] = []
         self.over = False
         self.pause = 0
         self.most = MOST
@@ -234,7 +234,7 @@
     """What a proxy is told once, at its start: the use cases, the customers and the limits it works under."""
 
     __slots__ = ("seed", "use_cases", "customers", "group_size", "ordinal", "stage", "last_tier", "zone", "zones",
-                 "most_transmissions", "may_call_off", "may_advise", "longest_advice", "must_ask", "ask_within",
+                 "most_attempts", "may_call_off", "may_advise", "longest_advice", "must_ask", "ask_within",
                  "cold_share", "warm_after", "tip_multiple", "overload_for", "passes_limit", "importance_by_work",
                  "drain_binds_alone", "reported_by", "beside_client", "pushed", "drain_within")
 
@@ -247,7 +247,7 @@
     last_tier: bool
     zone: str
     zones: list[str]
-    most_transmissions: int
+    most_attempts: int
     may_call_off: bool
     may_advise: bool
     longest_advice: int
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -65,7 +65,7 @@
                     self._end(name, ticket, DONE)
             for ticket, (_, until) in list(self.out.items()):
                 if self.now >= until:
-                    self._end(ticket.transmissions[-1].backend.address, ticket, TIMED_OUT)
+                    self._end(ticket.attempts[-1].backend.address, ticket, TIMED_OUT)
             if self.chance.random() < rate * STEP / SECOND:
                 one = self.chance.randrange(len(self.balancers))
                 use = self.grounds[one].use_cases[0]
@@ -84,4 +84,4 @@
         del self.cores[name].work[ticket]
         one, _ = self.out.pop(ticket)
         self.tally["done" if how == DONE else "timed out"] += 1
-        self.balancers[one].after(ticket.transmissions[-1], how, True, self.now)
+        self.balancers[one].after(ticket.attempts[-1], how, True, self.now)
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -31,7 +31,7 @@
     made = Ground()
     given = {
         "seed": 7, "customers": [], "group_size": 1, "ordinal": 0, "stage": 0, "last_tier": True, "zone": "here", "zones": ["here"],
-        "most_transmissions": 3, "may_call_off": True, "may_advise": False, "longest_advice": 0, "must_ask": False,
+        "most_attempts": 3, "may_call_off": True, "may_advise": False, "longest_advice": 0, "must_ask": False,
         "ask_within": 10 * SECOND, "cold_share": 0.2, "warm_after": 10 * SECOND, "tip_multiple": 3.0,
         "overload_for": 2 * SECOND, "passes_limit": True, "importance_by_work": False, "reported_by": terms.BY_NOBODY, "beside_client": False,
         "drain_binds_alone": False,
@@ -101,7 +101,7 @@
 
     def after(self, ticket: Ticket, how: int, took: float = 0.0, over: bool = False, quiet: bool = False) -> int:
         self.pass_time(took)
-        sent = ticket.transmissions[-1]
+        sent = ticket.attempts[-1]
         if not quiet:
             self.note(f"{ticket.use_case.name} at {sent.backend.address} {WORDS[how]}")
         answer = self.balancer.after(sent, how, over or how == terms.DONE, self.now)
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -184,7 +184,7 @@
         standing = self.standing(WATCH + '[[routes]]\nname = "r"\ntime_out = "400ms"\n')
         old = self.ask(standing, 0)
         change = self.applied(
-            standing, WATCH + '[[routes]]\nname = "r"\ntime_out = "200ms"\ntransmissions = 1\n', SECOND
+            standing, WATCH + '[[routes]]\nname = "r"\ntime_out = "200ms"\nattempts = 1\n', SECOND
         )
         new = self.ask(standing, SECOND)
         standing.undo(change, "ops", "no", 2 * SECOND)
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -92,7 +92,7 @@
         self.assertEqual([], [self.got(number) for number in (1, 2, 3) if self.got(number)])
         self.assertEqual({"left": 3}, self.proxy._counts)
 
-    async def test_one_that_left_between_two_transmissions_goes_out_once(self) -> None:
+    async def test_one_that_left_between_two_attempts_goes_out_once(self) -> None:
         """Its end and the outcome of the first come in one turn; where nothing is called off it was read later."""
         await self.open("a1", "b1", settings=PATIENT)
         leaver: list[socket.socket] = []
@@ -311,7 +311,7 @@
 
     async def test_a_head_that_comes_with_its_time_out_has_its_answer(self) -> None:
         """The timer's last looks went on after the head had called it off, and cut off an answer that was on its way. Its
-        client waits longer than the transmission may take: at the end of its own time it has its answer."""
+        client waits longer than the attempt may take: at the end of its own time it has its answer."""
         await self.open("a1")
 
         async def late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
@@ -495,7 +495,7 @@
         self.assertEqual([1] * 6, [len(self.got(number)) for number in range(1, 7)])
 
     async def test_an_outcome_and_its_client_s_end_in_one_turn_are_told_once(self) -> None:
-        """Each order; the transmission would be counted twice, or never come off those in flight."""
+        """Each order; the attempt would be counted twice, or never come off those in flight."""
         for does in ("ok", "break", "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"):
             await self.open("a1")
             toy = self.toys["a1"]
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -543,7 +543,7 @@
 SHARED = """[[routes]]
 name = "shared"
 match = { path = "/look/{any*}" }
-transmissions = %d
+attempts = %d
 [weights]
 north = 2.0
 """
@@ -606,13 +606,13 @@
             await until(lambda: (self.folder / "kept").exists(), what="kept")
             said = await self.ctl("rollout", "shop", *machine)
             self.assertIn("in force at 1, pending 0, refused 0", said)
-            # Not one that the rules refuse: three transmissions are the most.
+            # Not one that the rules refuse: three attempts are the most.
             refused = await publish(self.at, SECRET, *KEY, (SHARED % 9).encode())
             await until(lambda: bool(self.distributed.said()["refused"]), what="refused")
-            self.assertEqual((["own", "shared"], 2), (self.names(), self.house.own.routes[1].transmissions))
+            self.assertEqual((["own", "shared"], 2), (self.names(), self.house.own.routes[1].attempts))
             said = json.loads(await self.ctl("rollout", "shop", "--json", *machine))
             self.assertEqual(list(refused), said["version"])
-            self.assertIn("three transmissions", said["refused"]["p1"])
+            self.assertIn("three attempts", said["refused"]["p1"])
             self.assertIn("refused by 1 of 1", said["halted"])
             # Nor what is a proxy's own; the operator is told before it is sent.
             (self.folder / "bad.toml").write_text('[control]\nsocket = "/elsewhere"\n')
@@ -637,7 +637,7 @@
             # And back: the next one is taken.
             await self.machine.start()
             await publish(self.at, SECRET, *KEY, (SHARED % 1).encode())
-            await until(lambda: self.house.own.routes[-1].transmissions == 1, what="taken once it is back")
+            await until(lambda: self.house.own.routes[-1].attempts == 1, what="taken once it is back")
 
     async def test_one_that_does_harm_is_undone_and_counts_as_refused(self) -> None:
         async with asyncio.timeout(2 * WITHIN):
@@ -646,14 +646,14 @@
             await until(lambda: self.distributed.said()["version"] == str(first), what="in force")
             await until(lambda: (self.folder / "kept").exists(), what="kept")
             await publish(self.at, SECRET, *KEY, (SHARED % 1).encode())
-            await until(lambda: self.house.own.routes[-1].transmissions == 1, what="in force")
+            await until(lambda: self.house.own.routes[-1].attempts == 1, what="in force")
             await self.house.undo(None, "test", "it does harm")
             await until(lambda: bool(self.distributed.said()["refused"]), what="told")
             self.assertEqual(str(first), self.distributed.said()["version"])
-            self.assertEqual(2, self.house.own.routes[-1].transmissions)
+            self.assertEqual(2, self.house.own.routes[-1].attempts)
             # What is changed by hand from here on stands beside what was confirmed, not beside what was undone.
             await self.house.drain("a1", False, "test", "by hand")
-            self.assertEqual(2, self.house.own.routes[-1].transmissions)
+            self.assertEqual(2, self.house.own.routes[-1].attempts)
             async with asyncio.timeout(WITHIN):
                 while not (told := await rollout(self.at, SECRET, *KEY)).refused:
                     await asyncio.sleep(0.05)
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -110,7 +110,7 @@
         await asyncio.sleep(1.0)
         began = time.monotonic()
         change = await self.house.propose_text(
-            WATCH + '[[routes]]\nname = "all"\ntime_out = "5ms"\ntransmissions = 1\n', "ops", "faster"
+            WATCH + '[[routes]]\nname = "all"\ntime_out = "5ms"\nattempts = 1\n', "ops", "faster"
         )
         self.assertEqual(change.state, "applied")
         async with asyncio.timeout(5):
@@ -264,7 +264,7 @@
 
     async def test_sighup_proposes_the_file_and_a_bad_one_is_not_taken(self) -> None:
         await self.stand(WATCH)
-        self.own_file.write_text(WATCH + "[[routes]]\nname = 'r'\ntransmissions = 5\nsecond_copy = true\n")
+        self.own_file.write_text(WATCH + "[[routes]]\nname = 'r'\nattempts = 5\nsecond_copy = true\n")
         self.proxy.tell_anew()
         await self.until(lambda: sum("not taken" in line for line in self.logged) >= 2)
         self.own_file.write_text(SLOW)
@@ -447,10 +447,10 @@
         for listing in ("backends", "tickets", "history"):
             self.assertEqual(self.ctl(listing), "none\n")
         bad = self.at / "bad.toml"
-        bad.write_text("[[routes]]\nname = 'r'\ntransmissions = 9\nsecond_copy = true\n")
+        bad.write_text("[[routes]]\nname = 'r'\nattempts = 9\nsecond_copy = true\n")
         said = self.ctl("propose", str(bad), ends=1)
         self.assertIn(
-            "what is proposed:3: routes[0].transmissions: 9 is not from 1 to 3 [three transmissions]", said
+            "what is proposed:3: routes[0].attempts: 9 is not from 1 to 3 [three attempts]", said
         )
         self.assertIn("what is proposed:4: routes[0].second_copy", said)
         self.assertIn("none.toml: No such file", self.ctl("propose", "none.toml", ends=1))
@@ -504,7 +504,7 @@
             "own.toml:3: routes[0].use_case: the settings have no loock [known use case]", done.output
         )
         self.assertIn("2 wrong", done.output)
-        self.assertIn("a whole number; default none", call(main, ["explain", "routes.transmissions"]).output)
+        self.assertIn("a whole number; default none", call(main, ["explain", "routes.attempts"]).output)
         self.assertIn("did you mean routes.rate", call(main, ["explain", "routes.rat"]).output)
         self.assertIn('rule "one at a time"', call(main, ["explain"]).output)
         self.assertEqual(json.loads(call(main, ["schema"]).output)["title"], "pepperusher's own file")
--- a/tests/test_mixed.py
+++ b/tests/test_mixed.py
@@ -58,7 +58,7 @@
                     self._end(name, ticket, DONE)
             for ticket, (_, until) in list(self.out.items()):
                 if self.now >= until:
-                    self._end(ticket.transmissions[-1].backend.address, ticket, TIMED_OUT)
+                    self._end(ticket.attempts[-1].backend.address, ticket, TIMED_OUT)
             for kind in (OLD, NEW):
                 if self.chance.random() < rate / 2 * STEP / SECOND:
                     self._ask(kind, work)
@@ -81,7 +81,7 @@
     def _end(self, name: str, ticket: Ticket, how: int) -> None:
         one = self.out[ticket][0]
         if self.kinds[one] == NEW:
-            self.balancers[one].reported(ticket.transmissions[-1].backend, {terms.HELD: self.told.get(name, 0)}, self.now)
+            self.balancers[one].reported(ticket.attempts[-1].backend, {terms.HELD: self.told.get(name, 0)}, self.now)
         in_time = self.now - ticket.came <= ticket.use_case.promised
         self.tally[self.kinds[one], "in time" if how == DONE and in_time else "late"] += 1
         super()._end(name, ticket, how)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -15,7 +15,7 @@
 
 from pepperusher.facade import Entry
 from pepperusher.net import clock
-from pepperusher.net.exchange import Placed, Transmission
+from pepperusher.net.exchange import Attempt, Placed
 from pepperusher.net.buffers import Body, Pool
 from pepperusher.net.callers import Call
 from pepperusher.net.line import adopt
@@ -80,7 +80,7 @@
             await self.ask(f"pay {number}", self.request("pay", number))
         self.kept("net_again")
 
-    async def test_a_garbled_transmission_is_closed_before_the_next(self) -> None:
+    async def test_a_garbled_attempt_is_closed_before_the_next(self) -> None:
         """Out on an open connection still, it would be a second copy at the same time."""
         await self.open("a1", "b1")
         for number in (1, 2):
@@ -105,7 +105,7 @@
         self.kept("net_remembered")
 
     async def test_written_is_what_the_kernel_took(self) -> None:
-        """A transmission given up before its last byte was written never ran, however the wait for it ended."""
+        """An attempt given up before its last byte was written never ran, however the wait for it ended."""
         await self.open()
         said = []
         for what in ("reads all", "is given up", "breaks"):
@@ -364,15 +364,15 @@
         """A ticket of HTTP/1.0 without a host ended by an exception, which counted against the backend's breaker."""
         await self.open("a1")
         sent = Request(b"GET", b"/", [], b"")
-        how, _ = await self.proxy._backends.transmit("a1", sent, Transmission(), 10**6, Placed(lambda: True, lambda: False, lambda: None, lambda: None, lambda: 10**6))
+        how, _ = await self.proxy._backends.attempt("a1", sent, Attempt(), 10**6, Placed(lambda: True, lambda: False, lambda: None, lambda: None, lambda: 10**6))
         self.lines.append(how)
         self.kept("net_unframed")
 
     async def test_an_exception_ends_its_ticket_alone(self) -> None:
         await self.open("a1")
-        sound, self.proxy._backends.transmit = self.proxy._backends.transmit, None
+        sound, self.proxy._backends.attempt = self.proxy._backends.attempt, None
         await self.ask("look 1", self.request("look", 1))
-        self.proxy._backends.transmit = sound
+        self.proxy._backends.attempt = sound
         await self.ask("look 2", self.request("look", 2))
         self.lines.append(f"calls in flight: {self.proxy._facade._backends['a1'].in_flight}")
         self.kept("net_exception")
@@ -400,7 +400,7 @@
         self.kept("net_limits")
 
     async def test_what_is_over_is_let_go_without_a_collection(self) -> None:
-        """Tickets and transmissions pointed to each other, and each connection to itself: memory grew by the hour."""
+        """Tickets and attempts pointed to each other, and each connection to itself: memory grew by the hour."""
         await self.open("a1")
         gc.collect()
         gc.disable()
@@ -415,7 +415,7 @@
         finally:
             gc.enable()
         self.lines = [f"kept of 5 tickets on as many connections: Ticket {kept['Ticket']},"
-                      f" Transmission {kept['Transmission']}, Caller {kept['Caller']}, Line {kept['Line']}"]
+                      f" Attempt {kept['Attempt']}, Caller {kept['Caller']}, Line {kept['Line']}"]
         self.kept("net_let_go")
 
     async def test_a_flood_on_one_connection_leaves_the_others_their_turn(self) -> None:
--- a/tests/test_own.py
+++ b/tests/test_own.py
@@ -39,8 +39,8 @@
         ("form", f'{ROUTE}time_out = "soon"\n'),
         ("form", f'{ROUTE}time_out = "1e3s"\n'),
         ("form", f'{ROUTE}time_out = "-1s"\n'),
-        ("form", f"{ROUTE}transmissions = 2.5\n"),
-        ("form", f'{ROUTE}transmissions = "2"\n'),
+        ("form", f"{ROUTE}attempts = 2.5\n"),
+        ("form", f'{ROUTE}attempts = "2"\n'),
         ("form", f'{ROUTE}retry_on = "error"\n'),
         ("form", f'{ROUTE}retry_on = ["errors"]\n'),
         ("form", f'{ROUTE}match = "x"\n'),
@@ -61,22 +61,22 @@
         ("form", "[changes]\nconfirm = true\n"),
         ("form", "[[backends]]\nweight = 1\n"),
         ("form", "[weights]\nnorth = 'much'\n"),
-        ("known key", f"{ROUTE}transmisions = 2\n"),
+        ("known key", f"{ROUTE}atempts = 2\n"),
         ("known key", "[chnages]\n"),
         ("known key", f"{ROUTE}match = {{ pth = '/' }}\n"),
         ("known key", f"{ROUTE}[routes.concurrency]\nmost = 3\nadaptve = true\n"),
         ("known key", "[[backends]]\nid = 'x'\ndrained = true\n"),
         ("known use case", f'{ROUTE}use_case = "loock"\n'),
-        ("three transmissions", f"{ROUTE}transmissions = 4\n"),
-        ("three transmissions", f"{ROUTE}transmissions = 0\n"),
-        ("three transmissions", f"{ROUTE}transmissions = -1\n"),
+        ("three attempts", f"{ROUTE}attempts = 4\n"),
+        ("three attempts", f"{ROUTE}attempts = 0\n"),
+        ("three attempts", f"{ROUTE}attempts = -1\n"),
         ("one at a time", f"{ROUTE}second_copy = true\n"),
-        ("single-use once", f"{PAY}transmissions = 2\n"),
-        ("single-use once", f'{PAY}transmissions = 3\nretry_on = ["error"]\n'),
+        ("single-use once", f"{PAY}attempts = 2\n"),
+        ("single-use once", f'{PAY}attempts = 3\nretry_on = ["error"]\n'),
         ("single-use once", f'{PAY}retry_on = ["timed out"]\n'),
-        ("single-use once", f'{PAY}transmissions = 2\nretry_on = ["full", "reset"]\n'),
+        ("single-use once", f'{PAY}attempts = 2\nretry_on = ["full", "reset"]\n'),
         ("within memory", f'{BOOK}time_out = "1s"\n'),
-        ("within memory", f'{BOOK}time_out = "3s"\ntransmissions = 2\nretry_on = ["timed out"]\n'),
+        ("within memory", f'{BOOK}time_out = "3s"\nattempts = 2\nretry_on = ["timed out"]\n'),
         ("within the client's wait", f'{LOOK}time_out = "2s"\n'),
         ("within the client's wait", f'{LOOK}time_out = "5s"\n'),
         ("within the client's wait", f'{PAY}time_out = "1m"\n'),
@@ -133,7 +133,7 @@
         for rule, text in self.BROKEN:
             with self.subTest(text=text):
                 with self.assertRaises(OwnError) as caught:
-                    reading.parse(text, "own.toml", ground(most_transmissions=3))
+                    reading.parse(text, "own.toml", ground(most_attempts=3))
                 self.assertEqual([one.rule for one in caught.exception.faults], [rule])
                 self.lines.append(str(caught.exception.faults[0]))
         self.assertEqual({rule for rule, _ in self.BROKEN}, set(rules.RULES))
@@ -142,25 +142,25 @@
     def test_all_that_is_wrong_is_said_at_once(self) -> None:
         with self.assertRaises(OwnError) as caught:
             reading.parse(
-                f"{ROUTE}transmissions = 9\nsecond_copy = true\n\n[changes]\nleast = 0\n",
+                f"{ROUTE}attempts = 9\nsecond_copy = true\n\n[changes]\nleast = 0\n",
                 "own.toml",
                 ground(),
             )
         self.assertEqual(
             [(one.line, one.key) for one in caught.exception.faults],
-            [(3, "routes[0].transmissions"), (4, "routes[0].second_copy"), (7, "changes.least")],
+            [(3, "routes[0].attempts"), (4, "routes[0].second_copy"), (7, "changes.least")],
         )
 
     def test_settings_that_allow_less_hold(self) -> None:
         with self.assertRaisesRegex(OwnError, "within the settings"):
-            reading.parse(f"{ROUTE}transmissions = 3\n", ground=ground(most_transmissions=2))
+            reading.parse(f"{ROUTE}attempts = 3\n", ground=ground(most_attempts=2))
 
     def test_what_is_sound_is_taken(self) -> None:
         for text in (
             "",
             ROUTE,
-            f'{LOOK}time_out = "1900ms"\ntransmissions = 2\n',
-            f'{PAY}transmissions = 2\nretry_on = ["unreached", "full"]\n',
+            f'{LOOK}time_out = "1900ms"\nattempts = 2\n',
+            f'{PAY}attempts = 2\nretry_on = ["unreached", "full"]\n',
             f'{BOOK}time_out = "2s"\nretry_on = ["error"]\n',
             f'{BOOK}time_out = "900ms"\n',
             TWO % ('path = "/a/{x}"', 'path = "/a/b"'),
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,4 +1,4 @@
-"""Where a use case may run: kept at each transmission, whatever the breakers, the list and the load say."""
+"""Where a use case may run: kept at each attempt, whatever the breakers, the list and the load say."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
         self.call(DONE, use="card")
         self.kept("placement")
 
-    def test_a_further_transmission_keeps_it_too(self) -> None:
+    def test_a_further_attempt_keeps_it_too(self) -> None:
         """Its cell holds one of another kind, which drops repeats as well and may not run it."""
         self.stand()
         for use in ("card", "look"):
@@ -74,7 +74,7 @@
                         self.assertEqual(("there", "big"), (answer.zone, answer.kind))
                     self.now += chance.randrange(20_000)
                     how = chance.choice((DONE, terms.ERROR, terms.FULL, TIMED_OUT, UNREACHED, RESET))
-                    answer = self.balancer.after(ticket.transmissions[-1], how, how == DONE, self.now)
+                    answer = self.balancer.after(ticket.attempts[-1], how, how == DONE, self.now)
                     if answer == terms.AGAIN:
                         answer = self.balancer.where(ticket, self.now)
 
--- a/tests/test_rehearsal_parts.py
+++ b/tests/test_rehearsal_parts.py
@@ -400,7 +400,7 @@
                 ]
             ),
         )
-        self.assertEqual((used.tickets, used.transmissions, used.away), (2, 3, 1))
+        self.assertEqual((used.tickets, used.attempts, used.away), (2, 3, 1))
         self.assertEqual((used.worked, used.wasted, used.lived_on), (10_000, 5000, [40_000]))
 
 
--- a/tests/test_rehearsal_plan.py
+++ b/tests/test_rehearsal_plan.py
@@ -290,7 +290,7 @@
             {"load": {"surges": [{"at": "1s", "span": "1s", "times": 2, "customer": "nort"}]}},
             r"load.surges\[0\].customer: there is no nort; did you mean north",
         ),
-        ({"rules": {"most_transmissions": 4}}, "rules.most_transmissions: is not from 1 to 3"),
+        ({"rules": {"most_attempts": 4}}, "rules.most_attempts: is not from 1 to 3"),
         ({"faults": [{"what": "frieze", "at": "1s"}]}, r"faults\[0\].what: invalid enum"),
         ({"faults": [{"what": "freeze", "at": "1s"}]}, r"faults\[0\].span: missing"),
         ({"faults": [{"what": "freeze", "at": "9s", "span": "1s"}]}, r"faults\[0\].at: is after the end"),
--- a/tests/test_rehearsal_play.py
+++ b/tests/test_rehearsal_play.py
@@ -118,7 +118,7 @@
         self.assertTrue(any("single-use" in one.what for one in entries))
         self.assertTrue(any("whose group alone" in one.what for one in entries))
 
-    def test_two_transmissions_at_once(self) -> None:
+    def test_two_attempts_at_once(self) -> None:
         entries = self.broken(
             "overlaps",
             books.TWICE,
@@ -200,7 +200,7 @@
         )
         self.assertTrue(result.kept, result.entries)
         self.assertGreater(result.figures.goodput, 0.4)
-        self.assertGreater(result.figures.transmissions, result.figures.tickets)
+        self.assertGreater(result.figures.attempts, result.figures.tickets)
 
 
 if __name__ == "__main__":
--- a/tests/test_retuned.py
+++ b/tests/test_retuned.py
@@ -40,7 +40,7 @@
                                              s["policy-limits"].update({"most-transmissions": most}))), 5)
 
         def ends(facade: Facade, use: str, how: str, most: int | None) -> str:
-            """What becomes of a ticket whose transmissions all end so; the settings change before the first has."""
+            """What becomes of a ticket whose attempts all end so; the settings change before the first has."""
             ticket = facade.take(use, "", now, 2 * SECOND, 0)
             step, out = facade.pick(ticket, now), 0
             if most is not None:
@@ -110,7 +110,7 @@
                       "settings/use-cases/0/effect"):
             said.append((f"no {where}", await self.hang_up(file(where))))
         for value in (0, -1, True, "3", float("nan"), 1e999, 2.5, [2]):
-            said.append((f"{value!r} transmissions", await self.hang_up(file("settings/policy-limits/most-transmissions", value))))
+            said.append((f"{value!r} attempts", await self.hang_up(file("settings/policy-limits/most-transmissions", value))))
         for value in (0, -5.0, False, "2000", float("inf"), 1e-9):
             said.append((f"an outer limit of {value!r}", await self.hang_up(file("settings/use-cases/2/outer-limit", value))))
         said.append(("no use cases", await self.hang_up(file("settings/use-cases", []))))
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -333,7 +333,7 @@
             [marks.room("submit", "o", 89), marks.room("submit", "n", 89), marks.room("submit", "o", 91)],
             [False, True, True],
         )
-        # Known until its last transmission is forgotten, not its first.
+        # Known until its last attempt is forgotten, not its first.
         self.assertEqual(len(marks.past("release", "m", 129)), 3)
         self.assertEqual(marks.past("release", "m", 130), [])
         self.assertEqual((len(marks), len(marks._ends), len(marks._until)), (0, 0, 0))
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -154,7 +154,7 @@
         self.after(gone, ERROR, 0.1)
         self.kept("outer_limit")
 
-    def test_further_transmissions_are_a_part_of_the_tickets(self) -> None:
+    def test_further_attempts_are_a_part_of_the_tickets(self) -> None:
         """What a jam is fed with: with its saved part spent, a ticket that may have run is bounced."""
         self.open("a1", "b1", "c1")
         self.balancer._spare = 1.0
@@ -254,7 +254,7 @@
         self.open("a1", "b1", "c2", "d2")
         bound = self.ticket("book", left=4.0)
         self.where(bound)
-        cell = bound.transmissions[0].backend.cell
+        cell = bound.attempts[0].backend.cell
         for backend in self.backends.values():
             backend.in_flight += 2 * (backend.cell == cell)
         self.after(bound, ERROR, 0.01)
