Former names of attempts are read for one more version: own file, scripts, kept results

Need: `routes.transmissions` and a rehearsal's `rules.most_transmissions` stand in operators' files. Their tables name them in `FORMER`; they are read under the name of today before anything is checked, so what is wrong, what is in force and the schema say that one alone. A key under both names is unknown, as any other that is not. Results of rehearsals have a version 2, with a step from the first.

Tests: test_a_key_under_its_former_name_is_read_and_shown_under_the_one_of_today, test_a_key_under_its_former_name_is_read, and a result of version 1 in test_results_are_kept_and_read. Without `FORMER` and the step each fails by an unknown key or version. A document of version 0 is no result; before, it was a KeyError.

--- a/pepperusher/own/reading.py
+++ b/pepperusher/own/reading.py
@@ -126,6 +126,7 @@
         raise OwnError([Fault(source, _line_of(error), "", "form", f"is not TOML: {error}")]) from None
     except RecursionError:
         raise OwnError([Fault(source, 0, "", "form", "is nested too deep")]) from None
+    raw = typed.renamed(raw, Own)
     lines = Lines(text)
     origins = dict.fromkeys(_leaves(raw), FILE)
     faults: list[Fault] = []
--- a/pepperusher/own/tables.py
+++ b/pepperusher/own/tables.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from functools import partial
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, ClassVar, Literal
 
 import msgspec
 from msgspec import Meta
@@ -65,6 +65,8 @@
 
 
 class Route(Table, kw_only=True, frozen=True):
+    FORMER: ClassVar[dict[str, str]] = {"transmissions": "attempts"}  # for one more version
+
     name: Annotated[str, _said("what logs, answers and ctl call it")]
     match: Annotated[Match, _said("which tickets it is for")] = msgspec.field(default_factory=Match)
     use_case: Annotated[str | None, _said("the use case it is for; needed for terms that hang on one")] = None
--- a/pepperusher/rehearsal/results.py
+++ b/pepperusher/rehearsal/results.py
@@ -14,7 +14,7 @@
 from pepperusher.rehearsal.books import Entry
 from pepperusher.rehearsal.tally import Figures
 
-VERSION = 1
+VERSION = 2
 SUFFIX = ".rehearsal"
 
 
@@ -48,8 +48,16 @@
         return not any(self.rules.values())
 
 
-# From a version to the one after it, over the plain document; none yet.
-STEPS: dict[int, Callable[[dict[str, Any]], dict[str, Any]]] = {}
+def _attempts(document: dict[str, Any]) -> dict[str, Any]:
+    """Attempts had another name; what else is wrong is found as the document is typed."""
+    figures = document.get("figures")
+    if isinstance(figures, dict) and "transmissions" in figures:
+        figures["attempts"] = figures.pop("transmissions")
+    return {**document, "version": 2}
+
+
+# From a version to the one after it, over the plain document.
+STEPS: dict[int, Callable[[dict[str, Any]], dict[str, Any]]] = {1: _attempts}
 
 
 def write(path: Path, result: Result) -> None:
@@ -72,6 +80,8 @@
         raise ResultError(f"{path}: is no result of a rehearsal")
     if version > VERSION:
         raise ResultError(f"{path}: version {version} is of a later program; this one reads up to {VERSION}")
+    if version < min(STEPS):
+        raise ResultError(f"{path}: is no result of a rehearsal")
     while version < VERSION:
         document = STEPS[version](document)
         version = document["version"]
--- a/pepperusher/rehearsal/script.py
+++ b/pepperusher/rehearsal/script.py
@@ -9,7 +9,7 @@
 import re
 import tomllib
 from pathlib import Path
-from typing import Any, Literal
+from typing import Any, ClassVar, Literal
 
 import msgspec
 
@@ -168,6 +168,8 @@
 class Rules(Table, kw_only=True):
     """The figures of the four rules and what proxies are allowed, as in their settings."""
 
+    FORMER: ClassVar[dict[str, str]] = {"most_transmissions": "most_attempts"}  # for one more version
+
     drain_grace: Span = Span(500_000)
     tip_multiple: float = 3.0
     tip_for: Span = Span(3_000_000)
@@ -345,7 +347,7 @@
 
 def converted(raw: Any, kind: type) -> Any:
     """A table from what a TOML file holds. Raises ScriptError naming the first key that is wrong."""
-    made, wrong = typed.converted(raw, kind)
+    made, wrong = typed.converted(typed.renamed(raw, kind), kind)
     if wrong:
         raise ScriptError(f"{wrong[0].key or 'the file'}: {wrong[0].what}")
     return made
--- a/pepperusher/typed.py
+++ b/pepperusher/typed.py
@@ -74,6 +74,25 @@
     return text[:1].lower() + text[1:], "" if where.startswith("key") else where
 
 
+def renamed(raw: Any, kind: type) -> Any:
+    """The same with keys that stand under a former name, the table's `FORMER`, under the one of today.
+
+    A key that stands under both is left as it is, and then found to be unknown."""
+    if not isinstance(raw, dict):
+        return raw
+    former: dict[str, str] = getattr(kind, "FORMER", {})
+    made = {(name if former.get(name, name) in raw else former.get(name, name)): value
+            for name, value in raw.items()}
+    for field in msgspec.structs.fields(kind):
+        table, listed = table_of(field.type)
+        value = made.get(field.encode_name)
+        if table is not None and listed and isinstance(value, list):
+            made[field.encode_name] = [renamed(one, table) for one in value]
+        elif table is not None and not listed and value is not None:
+            made[field.encode_name] = renamed(value, table)
+    return made
+
+
 def converted(raw: Any, kind: type, at: str = "") -> tuple[Any, list[Wrong]]:
     """The table, or None with all that is wrong."""
     if not isinstance(raw, dict):
--- a/tests/test_own.py
+++ b/tests/test_own.py
@@ -171,6 +171,16 @@
             with self.subTest(text=text):
                 reading.parse(text, ground=ground())
 
+    def test_a_key_under_its_former_name_is_read_and_shown_under_the_one_of_today(self) -> None:
+        read = reading.parse(f"{LOOK}transmissions = 2\n", ground=ground())
+        self.assertEqual(2, read.own.routes[0].attempts)
+        self.assertIn(("routes[0].attempts", "2", "file"), reading.effective(read))
+        self.assertNotIn("transmissions", json.dumps(reading.schema()))
+        with self.assertRaisesRegex(OwnError, "attempts: 4 is not from 1 to 3"):
+            reading.parse(f"{LOOK}transmissions = 4\n", ground=ground())
+        with self.assertRaisesRegex(OwnError, "transmissions: not known here"):
+            reading.parse(f"{LOOK}transmissions = 2\nattempts = 2\n", ground=ground())
+
     def test_layers_and_where_each_value_came_from(self) -> None:
         read = reading.parse(
             '[changes]\nwatch = "20s"\nleast = 40\nerrors = 0.2\n',
--- a/tests/test_rehearsal_parts.py
+++ b/tests/test_rehearsal_parts.py
@@ -3,6 +3,7 @@
 
 from __future__ import annotations
 
+import gzip
 import tempfile
 import unittest
 from pathlib import Path
@@ -503,6 +504,15 @@
                 .replace("http://purl.org", ""),
             )
             data = path.read_bytes()
+            document = msgspec.json.decode(gzip.decompress(data))
+            document["version"] = 1
+            document["figures"]["transmissions"] = document["figures"].pop("attempts")
+            path.write_bytes(gzip.compress(msgspec.json.encode(document)))
+            self.assertEqual(msgspec.json.encode(results.read(path)), msgspec.json.encode(made))
+            document["version"] = 0
+            path.write_bytes(gzip.compress(msgspec.json.encode(document)))
+            with self.assertRaisesRegex(results.ResultError, "no result"):
+                results.read(path)
             for broken, words in ((data[:-9], "no result"), (b"{}", "no result"), (b"", "no result")):
                 path.write_bytes(broken)
                 with self.assertRaisesRegex(results.ResultError, words):
--- a/tests/test_rehearsal_plan.py
+++ b/tests/test_rehearsal_plan.py
@@ -330,6 +330,11 @@
                 script.made(raw(**change))
             self.assertNotIn("\n", str(caught.exception))
 
+    def test_a_key_under_its_former_name_is_read(self) -> None:
+        self.assertEqual(2, script.made(raw(rules={"most_transmissions": 2})).rules.most_attempts)
+        with self.assertRaisesRegex(ScriptError, "rules.most_transmissions: not known here"):
+            script.made(raw(rules={"most_transmissions": 2, "most_attempts": 2}))
+
     def test_broken_files(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "x.toml"
