A message that is too late hears its 408 also where its client writes on

What had come by then and was unread, or came after, turned that close into a reset, and the client that still wrote lost its answer (RFC 9112, section 9.6). Bad input and early answers were read on after their answer already; this end alone was not.

Now the line says its last word, ends its sending and drops what still comes: till the other side ends, for 1 s, or 256 kB (LINGER, LINGER_MOST, as after bad input). Whoever reads there finds an end at once, so none of what comes behind the answer is a request, and a body on its way to a backend is broken off in the same turn. Such a connection counts with those that are closed first where a descriptor is wanted. Left as it is: the close for want of a descriptor of one that has stopped for 0.5 s (_close_half), since that descriptor is wanted at once.

A toy backend whose request breaks off in its body says nothing of it to the log, as with a head.

--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -272,6 +272,8 @@
         try:
             while await self._serve_one(caller, body):
                 body.give_back()
+            body.give_back()
+            await line.dropped(LINGER)
         except Exception as error:   # this connection's trouble, and nobody else's
             self._log.say(f"connection ended: {type(error).__name__}: {error}")
         finally:
@@ -309,7 +311,7 @@
         finally:
             line.on_data = None
             self._rest(caller, False)
-        if head is None or line.transport.is_closing():
+        if head is None or line.closing:
             return False
         assert isinstance(head, h11.Request)
         caller.waits(False)
@@ -331,7 +333,7 @@
         if onward.begun and not onward.ended:
             line.reset()   # broken off: it must not look like an end
         # Whoever ended its sending alone, and reads on, is told; nobody else is there to be.
-        if line.transport.is_closing() or onward.begun and not onward.ended:
+        if line.closing or onward.begun and not onward.ended:
             return False
         if not onward.begun:
             if parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
@@ -473,8 +475,10 @@
             if idle or taking:
                 self._closed(caller)
             elif caller.line.quiet():
-                caller.line.send(framed_answer(caller.parser, LATE, True))
-                caller.line.close()
+                # It may be sending still, and would lose the answer in a reset; for room it goes first.
+                caller.waiting_since = None
+                self._ending[caller] = None
+                caller.line.end_with(framed_answer(caller.parser, LATE, True), LINGER_MOST)
 
     # --- the end ----------------------------------------------------------------------------------
 
--- a/pepperusher/net/line.py
+++ b/pepperusher/net/line.py
@@ -47,6 +47,9 @@
         self._end_due = False
         # Come and not yet read; what is left after an answer belongs to no ticket.
         self.unread = 0
+        # Once our last word is out: done when the other side ends too, or has sent `_droppable` bytes more.
+        self._dropped_all: asyncio.Future[None] | None = None
+        self._droppable = 0
 
     def connection_made(self, transport: asyncio.Transport) -> None:   # type: ignore[override]
         super().connection_made(transport)
@@ -64,6 +67,11 @@
         super().resume_writing()
 
     def data_received(self, data: bytes) -> None:
+        if self._dropped_all is not None:
+            self._droppable -= len(data)
+            if self._droppable <= 0:
+                self._drop_no_more()
+            return
         self.heard_at = clock.now()
         self.unread += len(data)
         self.received += len(data)
@@ -127,6 +135,7 @@
         self._end()
 
     def eof_received(self) -> bool | None:
+        self._drop_no_more()
         self.ended_in_order = True
         if self._reads_ahead:
             self._end_due = True
@@ -138,6 +147,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
+        self._drop_no_more()
         self._unminded()
         self._reads_ahead = False
         self._dropped(len(self._ahead))
@@ -208,7 +218,7 @@
 
     def send(self, data: bytes) -> bool:
         """Whether the kernel took all of it at once."""
-        if self.transport.is_closing():
+        if self.closing:
             self._unwritten = True
             return False
         self.writer.write(data)
@@ -230,6 +240,34 @@
         if not self.transport.is_closing() and self.transport.can_write_eof():
             self.transport.write_eof()
 
+    @property
+    def closing(self) -> bool:
+        """Whether it ends by our will: closed, or with our last word said."""
+        return self._dropped_all is not None or self.transport.is_closing()
+
+    def end_with(self, last: bytes, most: int) -> None:
+        """Sends the last that we say, and ends our sending: whoever reads here finds an end at once.
+
+        What still comes, up to `most` bytes, is dropped for as long as `dropped` is waited for: a close over
+        unread bytes resets the connection, and whoever writes on would lose our last word (RFC 9112, 9.6)."""
+        if self.closing:
+            return
+        self.send(last)
+        self.send_end()
+        self._droppable = most
+        self._dropped_all = asyncio.get_running_loop().create_future()
+        self.reader.feed_eof()
+        self._end()
+
+    async def dropped(self, within: float) -> None:
+        """After `end_with`: till the other side ends too or has sent more than it may, or for `within` seconds."""
+        if self._dropped_all is not None:
+            await asyncio.wait((self._dropped_all,), timeout=within)
+
+    def _drop_no_more(self) -> None:
+        if self._dropped_all is not None and not self._dropped_all.done():
+            self._dropped_all.set_result(None)
+
     def close(self) -> None:
         """Once what was sent is with the kernel."""
         self.transport.close()
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -162,11 +162,11 @@
     async def answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         try:
             head = (await reader.readuntil(b"\r\n\r\n")).decode()
+            first, *rest = head.strip().split("\r\n")
+            fields = dict(line.lower().split(": ", 1) for line in rest)
+            body = await reader.readexactly(int(fields.get("content-length", 0)))
         except (asyncio.IncompleteReadError, ConnectionError):
             return False
-        first, *rest = head.strip().split("\r\n")
-        fields = dict(line.lower().split(": ", 1) for line in rest)
-        body = await reader.readexactly(int(fields.get("content-length", 0)))
         wait = "with" if fields.get("request-timeout", "").endswith("u") else "without"
         key = f" key {fields['idempotency-key']}" if "idempotency-key" in fields else ""
         self.said.append(f"    {self.name} gets {first} id {fields.get('request-id')}{key} {len(body)} bytes, {wait} a wait")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -1,6 +1,7 @@
 import asyncio
 import collections
 import contextlib
+import fcntl
 import gc
 import io
 import json
@@ -10,6 +11,7 @@
 import subprocess
 import sys
 import tempfile
+import termios
 import time
 from unittest import mock
 
@@ -17,8 +19,8 @@
 from pepperusher.net import clock
 from pepperusher.net.exchange import Placed, Transmission
 from pepperusher.net.buffers import Body, Pool
-from pepperusher.net.callers import Call
-from pepperusher.net.line import adopt
+from pepperusher.net.callers import LINGER_MOST, Call
+from pepperusher.net.line import Line, adopt
 from pepperusher.net.log import SAVED, Log
 from pepperusher.net.message import Answer, Request
 from pepperusher.net.proxy import READY
@@ -28,6 +30,11 @@
 NOT_STARTED = "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
 
 
+def in_kernel(line: Line) -> int:
+    """Bytes that have come to a connection and are not read."""
+    return int.from_bytes(fcntl.ioctl(line.fileno(), termios.FIONREAD, bytes(4)), sys.byteorder)
+
+
 class Net(Street):
     async def test_tickets_go_on_unchanged_over_kept_connections(self) -> None:
         await self.open("a1")
@@ -378,27 +385,98 @@
         self.kept("net_exception")
 
     async def test_limits_run_from_the_connect_or_the_first_byte(self) -> None:
-        """They once ran 30 s and from the last step, so whoever says nothing or drips could stay for good."""
-        with mock.patch.multiple("pepperusher.net.callers", BEGUN=300_000, WHOLE=300_000):
+        """They once ran 30 s and from the last step, so whoever says nothing or drips could stay for good.
+
+        Time goes on as it is told here: on a busy machine the same code passed and failed.
+        """
+        began = clock.now()
+        with (mock.patch.multiple("pepperusher.net.callers", BEGUN=300_000, WHOLE=300_000),
+              mock.patch("pepperusher.net.clock.now", return_value=began) as now):
             await self.open("a1")
-            self.proxy._callers._longest_wait = 600_000
-            silent, dripping, asked = [await self.connect() for _ in range(3)]
-            began = time.monotonic()
-
-            async def drip() -> None:
-                for byte in self.request("look", 1):
-                    dripping[1].write(bytes([byte]))
-                    await asyncio.sleep(0.05)
-
-            drips = asyncio.create_task(drip())
-            await self.ask("look 2", self.request("look", 2), asked)
-            for what, at, after in (("silent", silent, 0.3), ("dripping", dripping, 0.3), ("asked once", asked, 0.6)):
-                said = await asyncio.wait_for(self.hear(at[0]), 5)
-                early, late = time.monotonic() - began < after, time.monotonic() - began > after + 1.5
-                self.lines.append(f"{what} -> {said}, too early {early}, too late {late}")
-            drips.cancel()
+            callers = self.proxy._callers
+            callers._longest_wait = 600_000
+            at = {what: await self.connect() for what in ("silent", "dripping", "asked once")}
+            sent = self.request("look", 1)
+            at["dripping"][1].write(sent[:1])
+            await self.ask("look 2", self.request("look", 2), at["asked once"])
+            await self.until(lambda: 1 in [one.line.received for one in callers._callers])
+            await self.until(lambda: len(callers._idle) == 2)
+            for step in range(1, 6):   # a byte now and then, the last of them just before
+                now.return_value = began + step * 59_800
+                at["dripping"][1].write(sent[step:step + 1])
+                await self.until(lambda: step + 1 in [one.line.received for one in callers._callers])
+            for after, whose in ((300, ("silent", "dripping")), (600, ("asked once",))):
+                now.return_value = began + after * 1000 - 1000
+                callers.sweep(now.return_value)
+                stay = len([one for one in callers._callers if not one.line.closing])
+                self.lines.append(f"open 1 ms before {after} ms: {stay}")
+                now.return_value = began + after * 1000 + 1000
+                for what in whose:
+                    self.lines.append(f"{what} -> {await asyncio.wait_for(self.hear(at[what][0]), 10)}")
         self.kept("net_limits")
 
+    async def dripping(self, first: bytes) -> tuple[socket.socket, Line]:
+        """A client outside the loop, whose first part the proxy has, and the proxy's end of its connection."""
+        made = socket.create_connection(("127.0.0.1", self.proxy.port), timeout=10)
+        self.addCleanup(made.close)
+        made.sendall(first)
+        callers = self.proxy._callers._callers
+        await self.until(lambda: [one for one in callers if one.waiting_since is not None
+                                  and one.line.received == len(first) and not one.line.unread])
+        return made, next(iter(callers)).line
+
+    async def all_heard(self, at: socket.socket) -> str:
+        """What a client that reads at last hears till the end, and how it ended."""
+        at.setblocking(False)
+        heard = b""
+        try:
+            async with asyncio.timeout(10):
+                while part := await asyncio.get_running_loop().sock_recv(at, 65536):
+                    heard += part
+        except ConnectionError as error:
+            return f"{heard[9:12].decode()}, {type(error).__name__}"
+        return f"{heard[9:12].decode()}, the end"
+
+    async def test_a_message_too_late_is_told_so_though_its_client_writes_on(self) -> None:
+        """Closed at once over what was unread, or had yet to come, its connection was reset and the answer lost.
+
+        None of what comes behind the answer is a request, were it whole.
+        """
+        await self.open("a1")
+        short, long = self.request("look", 1), self.request("pay", 2, "x" * 70_000, more="X-Long: 1\r\n")
+        for what, sent, first in (("a head", short, 20),
+                                  ("a body held", self.request("pay", 3, "x" * 999), 500),
+                                  ("a body passed on", long, len(long) - 500)):
+            at, line = await self.dripping(sent[:first])
+            self.proxy._callers.sweep(clock.now() + 60_000_000)
+            at.sendall(sent[first:first + 10])   # with the kernel before the loop comes round
+            for more in (sent[first + 10:] + short, short):
+                await self.until(lambda: line.fileno() < 0 or not in_kernel(line))
+                at.sendall(more)
+            self.lines.append(f"{what} -> {await self.all_heard(at)}")
+            self.assertEqual((1, True), (self.proxy._callers.open, line.closing))
+            at.close()
+            await self.until(lambda: not self.proxy._callers.open)
+        self.assertEqual([], [line for line in self.logged if "serving" not in line])
+        self.kept("net_late")
+
+    async def test_what_is_read_on_behind_such_an_answer_has_a_bound(self) -> None:
+        """In time, in bytes, and by the need of others for its descriptor."""
+        await self.open("a1")
+        first = self.request("look", 1)[:20]
+        for what in ("time", "bytes", "need"):
+            with mock.patch("pepperusher.net.callers.LINGER", 0.05 if what == "time" else 60):
+                at, line = await self.dripping(first)
+                self.proxy._callers.sweep(clock.now() + 60_000_000)
+                if what == "bytes":
+                    at.sendall(b"x" * LINGER_MOST)
+                elif what == "need":
+                    await self.until(lambda: line.reader.at_eof())
+                    self.assertTrue(self.proxy._callers._close_oldest())
+                await self.until(lambda: not self.proxy._callers.open)
+                self.assertTrue(line.transport.is_closing())
+                self.assertEqual({}, self.proxy._callers._ending)
+
     async def test_what_is_over_is_let_go_without_a_collection(self) -> None:
         """Tickets and transmissions pointed to each other, and each connection to itself: memory grew by the hour."""
         await self.open("a1")
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -146,6 +146,8 @@
             self.lines.append(f"half a head -> {await self.hear(half[0])}")
         async with asyncio.timeout(9):
             self.lines.append(f"a body that stops -> {await self.hear(stopped[0])}")
+        # Its backend is given up at once with the answer, and hears of it when the loop comes round.
+        await self.until(lambda: self.lines[-1] == "    a backend's connection ends")
         await self.until(lambda: not self.proxy._facade.in_hand)
         self.lines.append(f"in flight {self.proxy._facade._backends['a1'].in_flight}")
         self.lines = [line for line in self.lines if "gets" not in line and "discovery" not in line]
