Discovery: a call without a word keeps its place, and what was met says when another goes out

Cause: a call that waits in discovery's queue looks like one that is lost. It was left after 3.5 to 10 s and began anew at the queue's end, behind calls worked through for nobody; one that was lost kept changes away as long. Ruled out: one wait for both. Now silence and a queue are told apart by what was met since the last word: where a watch ended by silence the next goes out beside the call after 2.5 to 3 s; after a refusal, a reset or a 503, and at a start, after 4 to 4.5 s, which is later than the old asking's 3.5 s, and none goes out for one that fails while another is out. No call is left for its age: four stand at the most, and the oldest is given up for a fifth. A head without a line is a silence too.

The test on a call that has longer each time is replaced: calls are no longer left and begun anew, so nothing is waited for longer. In its place: the oldest stays and ends only for a fifth, after a reset each goes out no sooner than the wait says, after a silence sooner, after a 503 late again; of two calls only the first to speak is heard.

--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -19,16 +19,21 @@
 from pepperusher.net.message import HEAD, Request, framed_request
 
 CONNECT_WITHIN = 1.5
-# Calls wait in turn at discovery; the first word may take so long. A watch that is silent from its first byte looks the
-# same, so it is not longer at once: half as much again after each call that had none, up to the second figure.
-FIRST_WITHIN = 3.5
-FIRST_MOST = 10.0
 # An empty line comes every 2 s: a watch with no line for longer is dead, whatever its connection says. What it
 # misses is held against this proxy 6 s after its last line, and by then another watch has to have told it: after
 # 4.5 s, and a wait of up to 500 ms, a call that stood 2.8 s in discovery's queue was too late. The second figure is
 # spread over proxies, since all watches may fall silent at once; asked is then without a further wait.
 SILENT = 2.5
 SPREAD = 0.5
+# Calls wait in turn at discovery, and one that waits looks like one that is lost: it is never left to begin anew
+# at the queue's end. Another goes out beside it, since a change counts 6 s after discovery had it and could be
+# reached. After a silence the call is most likely lost as well: the next goes out when that has lasted as long
+# as makes a watch dead. After a failure, or where nothing is known, a queue of many callers is as likely, and
+# each call more makes it longer for all: the next goes out so late that it leaves 1.5 s for the answer, and the
+# spread is added to either.
+FIRST_WITHIN = 4.0
+# As many stand at once: for a fifth the oldest is given up, some 10 s old after a silence, otherwise some 16 s.
+ABREAST = 4
 # A line that has begun is whole as soon as that, and a second later for each so many bytes that came: discovery may
 # drip, or stop in the middle, and each byte alone is in time.
 SLOWEST = 128 * 1024
@@ -44,7 +49,7 @@
 
 
 class Silent(Exception):
-    """A watch that has spoken says no more."""
+    """A watch that was answered says no more."""
 
 
 class EndpointUpdate(NamedTuple):
@@ -112,20 +117,50 @@
 class Source:
     """Discovery at one address. Each counts versions of its own; None is one that has told nothing yet."""
 
-    __slots__ = ("address", "version", "begun_anew", "following")
+    __slots__ = ("address", "version", "begun_anew", "following", "calls", "watch", "asked_at", "silent")
 
     def __init__(self, address: tuple[str, int], version: int | None) -> None:
         self.address = address
         self.version = version
         self.begun_anew = False   # its versions start again: what came after ours means nothing there
         self.following: asyncio.Task[None]
+        # Out and not over, the oldest first, `ABREAST` at the most; several only while none has spoken, and then
+        # that one is the watch.
+        self.calls: list[asyncio.Task[str]] = []
+        self.watch: asyncio.Task[str] | None = None
+        self.asked_at = 0.0   # when the newest call went out, in seconds of the loop's clock
+        # Since the last word it was silence that ended a watch, and no call was refused, reset or failed.
+        self.silent = False
+
+    @property
+    def next_at(self) -> float:
+        """When another call goes out beside those without a word, before the spread over proxies."""
+        return self.asked_at + (SILENT if self.silent else FIRST_WITHIN)
+
+    def spoken_by(self, call: asyncio.Task[str]) -> None:
+        """It is the watch from here on. The others end before a word of theirs is read: it might be older."""
+        self.silent = False
+        if self.watch is None:
+            self.watch = call
+            for other in self.calls:
+                if other is not call:
+                    _drop(other)
+            self.calls = [call]
+
+    def over(self, call: asyncio.Task[str]) -> bool:
+        """Whether it was still counted on."""
+        if call not in self.calls:
+            return False
+        self.calls.remove(call)
+        if call is self.watch:
+            self.watch = None
+        return True
 
 
 class Discovery:
     def __init__(self, address: tuple[str, int], facade: Facade, backends: Backends, log: Log,
                  narrows: Sequence[Narrow] = (), seed: int = 0) -> None:
         self._spread = SPREAD * Random(seed).random()
-        self._longer = 1.0              # how many times the first word is waited for by now
         self._heard = asyncio.Event()   # once any watch has spoken
         self._lost = False              # since a watch ended, until another speaks
         # What companions make of each line, in this order: the last has the last word.
@@ -244,27 +279,61 @@
             self._replaced.pop().following.cancel()
 
     async def _follow(self, source: Source, at_once: bool) -> None:
-        """Watches for as long as the proxy lives, asking again when the decisions say."""
-        while source is self._source:
-            wait = 0 if at_once else self._facade.tick(clock.now())
-            at_once = False
-            if wait != 0:
-                await asyncio.sleep(wait / 1e6 if wait >= 0 else 1.0)
-                continue
-            try:
-                why = await self._watch(source)
-            except Silent as silent:
-                # Not a call that failed: the next goes out at once.
-                self._log.say(f"watch ended: {silent}")
-                at_once, self._lost = True, self._lost or source is self._source
-                continue
-            except Exception as error:   # whatever discovery says or does: without a watch drains are not kept
-                why = f"{type(error).__name__} {error}".strip()
-            self._log.say(f"watch ended: {why}")
-            # The end of one that is replaced is expected, and says nothing of the new one.
-            if source is self._source:
-                self._lost = True
-                self._facade.list_failed(clock.now())
+        """Watches for as long as the proxy lives, asking again when the decisions say, and beside calls that have
+        had no word for long."""
+        try:
+            while source is self._source or source.calls:
+                wait = None
+                if source is self._source and source.watch is None:
+                    wait = 0.0 if at_once else self._wait(source)
+                    if wait <= 0:
+                        at_once = False
+                        self._call(source)
+                        continue
+                if not source.calls:
+                    await asyncio.sleep(wait or 0.0)
+                    continue
+                ended, _ = await asyncio.wait(source.calls, timeout=wait, return_when=asyncio.FIRST_COMPLETED)
+                for call in ended:
+                    if source.over(call):
+                        at_once = self._ended(call, source)
+        finally:
+            for call in source.calls:
+                _drop(call)
+
+    def _wait(self, source: Source) -> float:
+        """Seconds till the next call."""
+        if source.calls:
+            return source.next_at + self._spread - asyncio.get_running_loop().time()
+        wait = self._facade.tick(clock.now())
+        return wait / 1e6 if wait >= 0 else 1.0
+
+    def _call(self, source: Source) -> None:
+        if source.calls:
+            self._log.say(f"no word of the watch, calls out: {len(source.calls)}")
+        for call in source.calls[:max(0, len(source.calls) - ABREAST + 1)]:
+            source.over(call)
+            _drop(call)
+        loop = asyncio.get_running_loop()
+        source.asked_at = loop.time()
+        source.calls.append(loop.create_task(self._watch(source)))
+
+    def _ended(self, call: asyncio.Task[str], source: Source) -> bool:
+        """Whether the next is to go out at once."""
+        error = call.exception()
+        self._log.say(f"watch ended: {call.result() if error is None else _words(error)}")
+        source.silent = isinstance(error, Silent)
+        # The end of one that is replaced is expected, and says nothing of the new one.
+        if source is not self._source:
+            return False
+        self._lost = True
+        # Those that are still out keep their places, and none goes out for the one that ended.
+        if source.calls:
+            return False
+        if not source.silent:
+            # Whatever discovery says or does: without a watch drains are not kept.
+            self._facade.list_failed(clock.now())
+        return source.silent
 
     async def _watch(self, source: Source) -> str:
         async with asyncio.timeout(CONNECT_WITHIN):
@@ -286,8 +355,10 @@
         text = bytearray()
         first = True
         loop = asyncio.get_running_loop()
-        until = loop.time() + FIRST_WITHIN * self._longer
-        spoken, spoke_at = False, 0.0   # its last line; a part of one is no word
+        until: float | None = None   # a call waits its turn till it is given up for another
+        spoke_at = 0.0               # its head or last line; a part of one is no word
+        call = asyncio.current_task()
+        assert call is not None
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
@@ -295,10 +366,7 @@
                     async with asyncio.timeout_at(until):
                         parser.receive_data(await line.read())
                 except TimeoutError:
-                    if spoken:
-                        raise Silent("silent") from None
-                    self._longer = min(FIRST_MOST / FIRST_WITHIN, 1.5 * self._longer)
-                    raise
+                    raise Silent("silent") from None
             elif isinstance(event, h11.Response):
                 if event.status_code != 200:
                     return f"answered {event.status_code}"
@@ -312,6 +380,8 @@
                     raise BadList("a line is too long")
                 if b"\n" in event.data:
                     told, rest, bad = _whole(text)
+                    if told or not rest and bad is None:
+                        source.spoken_by(call)
                     for update in _together(map(self._update, told)):
                         self._speaks(update, source, first, asked)
                         first = False
@@ -319,7 +389,7 @@
                         raise bad
                     text = bytearray(rest)
                     if told or not text:
-                        spoken, spoke_at = True, loop.time()
+                        spoke_at = loop.time()
                         if source is self._source:
                             self._said()
                 until = spoke_at + SILENT + self._spread + len(text) / SLOWEST
@@ -342,7 +412,6 @@
         """The watch lives. Where it has nothing new that has to be told all the same: the decisions ask later after each
         watch that ended, and would go on from the failures of days ago."""
         self._heard.set()
-        self._longer = 1.0
         if self._lost:
             self._lost = False
             self._facade.listed((), False, clock.now())
@@ -355,6 +424,16 @@
             raise BadList(f"a line {error}") from None
 
 
+def _drop(call: asyncio.Task[str]) -> None:
+    call.cancel()
+    # It may have failed in the same turn of the loop: nobody asks with what.
+    call.add_done_callback(lambda over: over.cancelled() or over.exception())
+
+
+def _words(error: BaseException) -> str:
+    return f"{error}" if isinstance(error, Silent) else f"{type(error).__name__} {error}".strip()
+
+
 def _whole(text: bytes | bytearray) -> tuple[list[Any], bytes, BadList | None]:
     """What stands whole in `text`, the rest that has no end yet, and what is wrong behind what came whole. An object may stand
     in several lines, none of them empty: an empty one says that the watch lives, and so that the object was cut short."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -703,26 +703,108 @@
         self.assertLessEqual(balancer._ask_step, 4_000_000)
         self.assertEqual(0, sum("list lost" in line for line in self.logged))
 
-    async def test_a_call_without_a_word_has_longer_the_next_time(self) -> None:
-        """Left too soon, a call that only waits in discovery's queue begins anew at its end, for good."""
-        calls: list[float] = []
-        await self.open("a1")
+    async def test_a_call_without_a_word_keeps_its_place_and_others_go_out_beside_it(self) -> None:
+        """Left too soon, a call that only waits in discovery's queue begins anew at its end, for good. After a reset
+        the next goes out only when a queue is unlikely; four stand at the most, and of those the oldest goes."""
+        await self.open("a1", "b1")
+        calls: list[asyncio.StreamWriter] = []
+        came: list[float] = []
+        ended: list[int] = []
 
         async def mute(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            began = time.monotonic()
+            number = len(calls)
+            calls.append(writer)
+            came.append(time.monotonic())
+            await reader.readuntil(b"\r\n\r\n")
             await reader.read()   # till it is left
-            calls.append(time.monotonic() - began)
+            ended.append(number)
+            writer.close()
+
+        with mock.patch.multiple("pepperusher.net.discovery", FIRST_WITHIN=0.3, SILENT=0.05):
+            self.proxy._discovery._spread = 0.0
+            self.server.close()
+            server = await asyncio.start_server(mute, "127.0.0.1", self.discovery_port)
+            self.watches[-1].close()
+            await self.until(lambda: len(calls) == 4)
+            self.assertEqual([], ended)
+            await self.until(lambda: len(ended) == 1)
+            self.assertEqual([0], ended)
+            self.assertGreater(min(b - a for a, b in zip(came, came[1:])), 0.25)
+            await self.until(lambda: len(ended) == 3 and len(calls) == 7)
+            self.assertEqual([0, 1, 2], ended)
+            calls[3].write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            self.watches.append(calls[3])
+            servers = [self.line("b1", "draining")]
+            self.tell(json.dumps({"version": 2, "full": False, "servers": servers}).encode() + b"\n")
+            await self.until(lambda: self.ready() == ["a1"])
+            self.assertIs(self.proxy._discovery._source.watch, self.proxy._discovery._source.calls[0])
+            self.assertEqual(1, len(self.proxy._discovery._source.calls))
+            asked = len(calls)
+            await self.until(lambda: set(range(asked)) - set(ended) == {3})   # the others are left, and it stays
+            self.assertEqual(asked, len(calls))
+        server.close()
+
+    async def test_beside_a_call_the_next_goes_out_soon_after_a_silence_and_late_after_a_refusal(self) -> None:
+        """What was silent has most likely lost the call. One that refuses, or reset its watches, has too many
+        callers: each call more makes the queue longer, and broke a drain on a day."""
+        await self.open("a1")
+        came: list[float] = []
+
+        async def mute(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            came.append(time.monotonic())
+            with contextlib.suppress(OSError, asyncio.IncompleteReadError):
+                await reader.readuntil(b"\r\n\r\n")
+                if len(came) == 4:
+                    writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+                await reader.read()   # till it is left
             writer.close()
 
-        self.watched = mute
-        with mock.patch.multiple("pepperusher.net.discovery", FIRST_WITHIN=0.1, FIRST_MOST=0.2):
-            self.proxy._discovery._lost = False
+        with mock.patch.multiple("pepperusher.net.discovery", FIRST_WITHIN=1.5, SILENT=0.1):
+            self.proxy._discovery._spread = 0.0
+            self.server.close()
+            server = await asyncio.start_server(mute, "127.0.0.1", self.discovery_port)
+            self.tell(b"\n")   # the last word, and silence from here on
+            await self.until(lambda: len(came) == 4)
+            self.assertTrue(any("silent" in line for line in self.logged))
+            self.assertLess(came[3] - came[0], 1.5)
+            # The fourth was refused, and the three before it keep their places.
+            await self.until(lambda: len(came) == 5)
+            self.assertGreater(came[4] - came[3], 1.4)
+            self.assertEqual(4, len(self.proxy._discovery._source.calls))
+            self.assertEqual(0, self.proxy._facade._balancer._ask_step)
+        server.close()
+
+    async def test_of_two_calls_only_the_first_to_speak_is_heard(self) -> None:
+        """What the other had to say may be older, in the very same turn of the loop: it would lift a drain."""
+        await self.open("a1", "b1")
+        calls: list[asyncio.StreamWriter] = []
+        ended: list[asyncio.StreamWriter] = []
+
+        async def late(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            calls.append(writer)
+            with contextlib.suppress(OSError):
+                await reader.read()   # till it is left
+            ended.append(writer)
+
+        def line(version: int, state: str) -> bytes:
+            servers = [self.line("a1"), self.line("b1", state)]
+            text = json.dumps({"version": version, "full": True, "servers": servers}).encode() + b"\n"
+            return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(text), text)
+
+        with mock.patch.multiple("pepperusher.net.discovery", FIRST_WITHIN=0.3):
+            self.proxy._discovery._spread = 0.0
             self.server.close()
-            port = int(json.loads(self.given)["discovery"].split(":")[1])
-            server = await asyncio.start_server(mute, "127.0.0.1", port)
+            server = await asyncio.start_server(late, "127.0.0.1", self.discovery_port)
             self.watches[-1].close()
-            await self.until(lambda: len(calls) >= 1)
-            self.assertEqual(1.5, self.proxy._discovery._longer)
-            await self.until(lambda: len(calls) >= 3)
-            self.assertEqual(2.0, self.proxy._discovery._longer)
+            await self.until(lambda: len(calls) == 2)
+            calls[1].write(line(9, "draining"))
+            calls[0].write(line(8, "ready"))
+            await self.until(lambda: self.proxy._discovery._source.version in (8, 9))
+            source = self.proxy._discovery._source
+            first = source.version
+            self.assertIs(source.calls[0], source.watch)
+            await self.until(lambda: len(ended) == 1)   # the other is left, whatever it had said
+            self.assertEqual((first, 1), (source.version, len(source.calls)))
+            self.assertEqual(["a1"] if first == 9 else ["a1", "b1"], self.ready())
         server.close()
