--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -25,14 +25,14 @@
 # spread over proxies, since all watches may fall silent at once; asked is then without a further wait.
 SILENT = 2.5
 SPREAD = 0.5
-# Calls wait in turn at discovery, and one that waits looks like one that is lost: it is never left to begin anew
-# at the queue's end. Another goes out beside it, since a change counts 6 s after discovery had it and could be
-# reached. After a silence the call is most likely lost as well: the next goes out when that has lasted as long
-# as makes a watch dead. After a failure, or where nothing is known, a queue of many callers is as likely, and
-# each call more makes it longer for all: the next goes out so late that it leaves 1.5 s for the answer, and the
-# spread is added to either.
+# Calls wait in turn at discovery, and one that waits looks like one that is lost: it is never left to begin
+# anew at the queue's end. Another goes out beside it, since a change counts 6 s after discovery had it and
+# could be reached. After a silence the call is most likely lost as well: the next goes out when that lasted
+# as long as makes a watch dead. After a failure, or where nothing is known, a queue of many callers is as
+# likely, and each call more makes it longer for all: the next goes out so late that it leaves 1.5 s for the
+# answer. The spread is added to either.
 FIRST_WITHIN = 4.0
-# As many stand at once: for a fifth the oldest is given up, some 10 s old after a silence, otherwise some 16 s.
+# As many stand at once: for a fifth the oldest is given up, after a silence 10 s old, otherwise 16 s.
 ABREAST = 4
 # A line that has begun is whole as soon as that, and a second later for each so many bytes that came: discovery may
 # drip, or stop in the middle, and each byte alone is in time.
@@ -124,8 +124,8 @@
         self.version = version
         self.begun_anew = False   # its versions start again: what came after ours means nothing there
         self.following: asyncio.Task[None]
-        # Out and not over, the oldest first, `ABREAST` at the most; several only while none has spoken, and then
-        # that one is the watch.
+        # Out and not over, the oldest first, `ABREAST` at the most; several only while none has spoken, and
+        # then that one is the watch.
         self.calls: list[asyncio.Task[str]] = []
         self.watch: asyncio.Task[str] | None = None
         self.asked_at = 0.0   # when the newest call went out, in seconds of the loop's clock
@@ -279,8 +279,8 @@
             self._replaced.pop().following.cancel()
 
     async def _follow(self, source: Source, at_once: bool) -> None:
-        """Watches for as long as the proxy lives, asking again when the decisions say, and beside calls that have
-        had no word for long."""
+        """Watches for as long as the proxy lives, asking again when the decisions say, and beside calls that
+        have had no word for long."""
         try:
             while source is self._source or source.calls:
                 wait = None
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -704,8 +704,8 @@
         self.assertEqual(0, sum("list lost" in line for line in self.logged))
 
     async def test_a_call_without_a_word_keeps_its_place_and_others_go_out_beside_it(self) -> None:
-        """Left too soon, a call that only waits in discovery's queue begins anew at its end, for good. After a reset
-        the next goes out only when a queue is unlikely; four stand at the most, and of those the oldest goes."""
+        """Left too soon, a call that only waits in discovery's queue begins anew at its end for good. After a
+        reset the next goes out late; four stand at the most, and of those the oldest goes."""
         await self.open("a1", "b1")
         calls: list[asyncio.StreamWriter] = []
         came: list[float] = []
@@ -740,11 +740,12 @@
             self.assertIs(self.proxy._discovery._source.watch, self.proxy._discovery._source.calls[0])
             self.assertEqual(1, len(self.proxy._discovery._source.calls))
             asked = len(calls)
-            await self.until(lambda: set(range(asked)) - set(ended) == {3})   # the others are left, and it stays
+            # The others are left, and it stays.
+            await self.until(lambda: set(range(asked)) - set(ended) == {3})
             self.assertEqual(asked, len(calls))
         server.close()
 
-    async def test_beside_a_call_the_next_goes_out_soon_after_a_silence_and_late_after_a_refusal(self) -> None:
+    async def test_beside_a_call_another_goes_out_soon_after_a_silence_late_after_a_refusal(self) -> None:
         """What was silent has most likely lost the call. One that refuses, or reset its watches, has too many
         callers: each call more makes the queue longer, and broke a drain on a day."""
         await self.open("a1")
@@ -774,8 +775,35 @@
             self.assertEqual(0, self.proxy._facade._balancer._ask_step)
         server.close()
 
+    async def test_after_a_call_that_was_kept_and_refused_the_wait_is_as_long_as_after_any_refusal(self) -> None:
+        """A discovery with too many callers answers 503 to what waited too long. The wait counted from when the
+        call went out was mostly over by then: it was asked a third more often, and a drain broke on a day."""
+        await self.open("a1")
+        balancer = self.proxy._facade._balancer
+        came: list[float] = []
+        refused: list[float] = []
+
+        async def slow(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            came.append(time.monotonic())
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(0.4)   # its turn has not come
+            balancer._ask_step = 4_000_000   # as in an outage that is long
+            refused.append(time.monotonic())
+            writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
+            writer.close()
+
+        with mock.patch.multiple("pepperusher.net.discovery", FIRST_WITHIN=0.5, SILENT=0.5):
+            self.proxy._discovery._spread = 0.0
+            self.server.close()
+            server = await asyncio.start_server(slow, "127.0.0.1", self.discovery_port)
+            self.watches[-1].close()
+            await self.until(lambda: len(came) == 2)
+        self.assertGreaterEqual(came[1] - refused[0], 1.24)   # the longest wait is 2.5 s, and half of it by chance
+        server.close()
+
     async def test_of_two_calls_only_the_first_to_speak_is_heard(self) -> None:
-        """What the other had to say may be older, in the very same turn of the loop: it would lift a drain."""
+        """What the other had to say may be older, in the very same turn of the loop: it would lift a
+        drain."""
         await self.open("a1", "b1")
         calls: list[asyncio.StreamWriter] = []
         ended: list[asyncio.StreamWriter] = []
