Discovery: calls that were kept and refused come again spread over 5 s, so that a full queue is worked off

Cause: discovery works through calls in turn, also those that it has refused for waiting too long. Watches end together, so calls come together, and together again 1.25 to 2.5 s after each refusal: once the queue is as long as anybody may wait, all its work is for calls refused before.

Change: after a call that was kept for 1 s or more and refused, the next goes out by chance within 2.5 times as long, 5 s at the most. What is refused at once, or never reached, is asked again as before.

Test: the stand-in refuses what waits too long and works it through; a crowd of 60. Real sockets, by a clock that a busy machine does not move. With far more proxies than discovery can answer in 6 s it still fills: that is for relays.

--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -34,6 +34,14 @@
 FIRST_WITHIN = 4.0
 # As many stand at once: for a fifth the oldest is given up, after a silence 10 s old, otherwise 16 s.
 ABREAST = 4
+# A call that was kept so long and then refused stood in a queue that is longer than discovery lets anybody wait,
+# and is worked through all the same: once all that it works through was refused before, calls that come again
+# soon, and all at the same time, keep it so for good. So the next goes out by chance within 2.5 times as long,
+# not in the first tenth of that: far enough apart that the calls of a crowd come one after another. Within 5 s at
+# the most, since a change counts 6 s after discovery could be reached.
+KEPT_LONG = 1.0
+PAUSE, PAUSE_LEAST = 2.5, 0.1
+PAUSE_MOST = 5.0
 # A line that has begun is whole as soon as that, and a second later for each so many bytes that came: discovery may
 # drip, or stop in the middle, and each byte alone is in time.
 SLOWEST = 128 * 1024
@@ -52,6 +60,14 @@
     """A watch that was answered says no more."""
 
 
+class Refused(Exception):
+    """A call that ended without an answer, or with another than a watch, `kept` seconds after it was asked."""
+
+    def __init__(self, why: str, kept: float) -> None:
+        super().__init__(why)
+        self.kept = kept
+
+
 class EndpointUpdate(NamedTuple):
     version: int
     whole: bool
@@ -117,7 +133,8 @@
 class Source:
     """Discovery at one address. Each counts versions of its own; None is one that has told nothing yet."""
 
-    __slots__ = ("address", "version", "begun_anew", "following", "calls", "watch", "asked_at", "silent")
+    __slots__ = ("address", "version", "begun_anew", "following", "calls", "watch", "asked_at", "silent",
+                 "paused_till")
 
     def __init__(self, address: tuple[str, int], version: int | None) -> None:
         self.address = address
@@ -131,6 +148,7 @@
         self.asked_at = 0.0   # when the newest call went out, in seconds of the loop's clock
         # Since the last word it was silence that ended a watch, and no call was refused, reset or failed.
         self.silent = False
+        self.paused_till = 0.0   # no call before, by the same clock: the last was kept for long and refused
 
     @property
     def next_at(self) -> float:
@@ -160,7 +178,8 @@
 class Discovery:
     def __init__(self, address: tuple[str, int], facade: Facade, backends: Backends, log: Log,
                  narrows: Sequence[Narrow] = (), seed: int = 0) -> None:
-        self._spread = SPREAD * Random(seed).random()
+        self._chance = Random(seed)
+        self._spread = SPREAD * self._chance.random()
         self._heard = asyncio.Event()   # once any watch has spoken
         self._lost = False              # since a watch ended, until another speaks
         # What companions make of each line, in this order: the last has the last word.
@@ -305,6 +324,9 @@
         """Seconds till the next call."""
         if source.calls:
             return source.next_at + self._spread - asyncio.get_running_loop().time()
+        paused = source.paused_till - asyncio.get_running_loop().time()
+        if paused > 0:
+            return paused
         wait = self._facade.tick(clock.now())
         return wait / 1e6 if wait >= 0 else 1.0
 
@@ -333,13 +355,26 @@
         if not source.silent:
             # Whatever discovery says or does: without a watch drains are not kept.
             self._facade.list_failed(clock.now())
+        if isinstance(error, Refused) and error.kept >= KEPT_LONG:
+            longest = min(PAUSE * error.kept, PAUSE_MOST)
+            pause = self._chance.uniform(PAUSE_LEAST * longest, longest)
+            source.paused_till = asyncio.get_running_loop().time() + pause
         return source.silent
 
     async def _watch(self, source: Source) -> str:
         async with asyncio.timeout(CONNECT_WITHIN):
             line = await reach(source.address)
+        loop = asyncio.get_running_loop()
+        asked_at = loop.time()
         try:
             return await self._read(line, source)
+        except Refused as refused:
+            refused.kept = loop.time() - asked_at
+            raise
+        except Exception as error:
+            if line.received:
+                raise
+            raise Refused(_words(error), loop.time() - asked_at) from None
         finally:
             line.abort()
 
@@ -369,7 +404,7 @@
                     raise Silent("silent") from None
             elif isinstance(event, h11.Response):
                 if event.status_code != 200:
-                    return f"answered {event.status_code}"
+                    raise Refused(f"answered {event.status_code}", 0.0)
                 spoke_at = loop.time()
                 until = spoke_at + SILENT + self._spread
             elif isinstance(event, h11.Data):
@@ -431,7 +466,7 @@
 
 
 def _words(error: BaseException) -> str:
-    return f"{error}" if isinstance(error, Silent) else f"{type(error).__name__} {error}".strip()
+    return f"{error}" if isinstance(error, (Silent, Refused)) else f"{type(error).__name__} {error}".strip()
 
 
 def _whole(text: bytes | bytearray) -> tuple[list[Any], bytes, BadList | None]:
--- a/pepperusher/rehearsal/askers.py
+++ b/pepperusher/rehearsal/askers.py
@@ -30,13 +30,15 @@
 from pepperusher.net.discovery import Discovery
 from pepperusher.net.log import Log
 from pepperusher.rehearsal.steady import SteadyLoop
-from pepperusher.rehearsal.turns import REFUSING, SILENT, Turns
+from pepperusher.rehearsal.turns import KEEPING, REFUSING, SILENT, Turns
 
 Made = TypeVar("Made")
 BACKENDS = 20
 # A scene that has not come to its end by then has failed.
 MOST = 60.0
 LOOK_EVERY = 0.05
+# Seconds after which a call in the queue is refused, in the scene of that name.
+PATIENCE = 2.0
 SETTINGS: dict[str, Any] = {
     "group-size": 1, "ordinal": 0, "stage": 0, "zone": "here", "zones": ["here"], "tiers": ["only"],
     "policy-limits": {"cancel": True, "connect-timeout": 500.0, "keepalive": 10_000.0,
@@ -117,6 +119,13 @@
     turns.hush()
 
 
+def _keeping(turns: Turns) -> None:
+    """Its process is up, takes calls into its queue and works none through: each is refused when its patience
+    is over."""
+    turns.manner = KEEPING
+    turns.end_watches()
+
+
 def _ended(turns: Turns) -> None:
     turns.end_watches()
 
@@ -130,6 +139,8 @@
     "down": (_down, True), "refusing": (_refusing, True), "silent": (_silent, True),
     "unreachable": (Turns.unreachable, True),
     "watches-end": (_ended, False), "watches-silent": (_hushed, False)}
+# The same, where more is asked of discovery than it can work through while anybody waits.
+TROUBLES = {**SCENES, "keeping": (_keeping, True)}
 STARTS = ("start-slow", "start-full", "start-back")
 
 
@@ -157,11 +168,12 @@
 
 async def lags(scene: str, askers: int, each: float, queue: int, trials: int, seed: int,
                ask_within: float = 10.0, spans: tuple[float, float] = (3.0, 20.0),
-               most: float = MOST) -> Figures:
+               most: float = MOST, patience: float | None = None) -> Figures:
     """A change in the time of the trouble, told so much later than discovery had it and could be reached: for
     each asker and each of `trials` troubles of a length by chance. `each`, `ask_within` (the settings' time
-    for asking) are seconds."""
-    befalls, lasts = SCENES[scene]
+    for asking) and `patience` (after which a call in the queue is refused) are seconds."""
+    befalls, lasts = TROUBLES[scene]
+    patience = PATIENCE if scene == "keeping" and patience is None else patience
     chance = Random(seed)
     turns = Turns(BACKENDS, each, queue)
     late: list[float] = []
@@ -174,6 +186,7 @@
             if not await until(lambda: all(turns.version in one.heard_at for one in those)):
                 raise TimeoutError("the crowd was not told of the list as it is")
             await asyncio.sleep(3.0)   # calls beside the one that spoke are over
+            turns.patience = patience   # not at the start, where all are to be told
             if _ == 0:
                 turns.calls.clear()
                 turns.refused = turns.in_vain = 0
@@ -277,7 +290,7 @@
 def played(scenes: list[str], askers: int, whole: int, each: float, queue: int, trials: int, seed: int,
            ask_within: float) -> Iterator[Figures]:
     for scene in scenes:
-        if scene in SCENES:
+        if scene in TROUBLES:
             yield steadily(lags(scene, askers, each, queue, trials, seed, ask_within))
         elif whole:
             yield asyncio.run(starts(scene, askers, min(whole, askers), each, queue, seed))
--- a/pepperusher/rehearsal/commands.py
+++ b/pepperusher/rehearsal/commands.py
@@ -225,7 +225,7 @@
     from pepperusher.rehearsal import askers as crowds
 
     wanted = scenes.split(",")
-    if strange := [one for one in wanted if one not in (*crowds.SCENES, *crowds.STARTS)]:
+    if strange := [one for one in wanted if one not in (*crowds.TROUBLES, *crowds.STARTS)]:
         raise click.ClickException(f"--scene: there is no {strange[0]}")
     if not 1 <= crowd <= 220 or min(whole, trials, queue) < 0 or not 0 < each < 10_000:
         raise click.ClickException("--askers is from 1 to 220, the others are above 0")
--- a/pepperusher/rehearsal/turns.py
+++ b/pepperusher/rehearsal/turns.py
@@ -15,14 +15,15 @@
 EMPTY_EVERY = 2.0
 REFUSED = b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
 BEGUN = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-WELL, REFUSING, SILENT = "well", "refusing", "silent"
+WELL, REFUSING, SILENT, KEEPING = "well", "refusing", "silent", "keeping"
 
 
 class Turns:
-    """`each` seconds for a call, and 503 for those beyond `queue` that wait."""
+    """`each` seconds for a call, and 503 for those beyond `queue` that wait, as for those that have waited
+    `patience` seconds: at once, while the work for them is still done in its turn."""
 
-    def __init__(self, backends: int, each: float, queue: int) -> None:
-        self.each, self.queue = each, queue
+    def __init__(self, backends: int, each: float, queue: int, patience: float | None = None) -> None:
+        self.each, self.queue, self.patience = each, queue, patience
         self.manner = WELL
         self.version = 1
         self.calls: list[float] = []     # when each call came, by the loop's clock; one measurement long
@@ -30,6 +31,7 @@
         self._changed = {number: 1 for number in range(backends)}
         self._draining: set[int] = set()
         self._waiting: deque[tuple[asyncio.StreamWriter, int | None]] = deque()
+        self._waits: dict[asyncio.StreamWriter, asyncio.Timeout] = {}   # emptied as connections end
         self._come = asyncio.Event()
         self._open: set[asyncio.StreamWriter] = set()   # emptied as connections end
         self._watches: set[asyncio.StreamWriter] = set()
@@ -125,10 +127,17 @@
                 after = parse_qs(head.split()[1].decode().partition("?")[2]).get("after")
                 self._waiting.append((writer, int(after[0]) if after else None))
                 self._come.set()
-            await reader.read()   # till it is left
+            try:
+                async with asyncio.timeout(self.patience) as waits:
+                    self._waits[writer] = waits
+                    await reader.read()   # till it is left
+            except TimeoutError:
+                self.refused += 1
+                writer.write(REFUSED)
         except (OSError, asyncio.IncompleteReadError):
             pass
         finally:
+            self._waits.pop(writer, None)
             self._open.discard(writer)
             self._watches.discard(writer)
             writer.close()
@@ -145,6 +154,7 @@
             if self._waiting:
                 writer, after = self._waiting.popleft()
                 if writer in self._open and not writer.is_closing():
+                    self._waits[writer].reschedule(None)
                     writer.write(BEGUN)
                     self._say(writer, self._line(after))
                     self._watches.add(writer)
--- a/tests/test_told_in_time.py
+++ b/tests/test_told_in_time.py
@@ -42,3 +42,12 @@
         made = run(starts("start-slow", 40, 0, 0.2, 1000, 3))
         self.assertEqual((0, 40), (made.unheard, len(made.lags)))
         self.assertLess(max(made.lags), 11.0)
+
+    def test_a_queue_longer_than_anybody_may_wait_is_worked_off(self) -> None:
+        """Sixty proxies, 6.6 s of work for their calls, away for 8 s; a call that has waited 2 s is refused and
+        worked through all the same. Those that came again 1.25 to 2.5 s later kept it full of calls refused
+        before: half of them heard nothing in 25 s. Now few are refused once, and come within 5 s, after it."""
+        made = run(lags("keeping", 60, 0.11, 1000, 1, 3, 10.0, (8.0, 8.1), 25.0))
+        self.assertEqual((0, 60), (made.unheard, len(made.lags)))
+        self.assertLess(made.in_vain, 6)
+        self.assertLess(max(made.lags), 12.0)
