--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -777,7 +777,7 @@
 
     async def test_after_a_call_that_was_kept_and_refused_the_wait_is_as_long_as_ever(self) -> None:
         """A discovery with too many callers answers 503 to what waited too long. The wait counted from when
-        the call went out was mostly over by then: asked a third more often, it broke a drain on a day."""
+        the call went out was mostly over by then: asked so often, it broke a drain on a day."""
         await self.open("a1")
         balancer = self.proxy._facade._balancer
         came: list[float] = []
