The books find a broken drain however long a play's processes take to stand

Cause of a failed run of test_a_drain_not_kept ([] != ['drains kept']), and a fault of the check: until the play begins, the start of its time was the making of the director, so a proxy that was started 0.6 to 1.15 s after that (0.27 s on an idle machine, more beside a full suite) was recorded as started within the play, behind the word that desk-1 drains. The books hold a process to what it was told itself, found that it was told nothing, and let all of its 37 forbidden transmissions pass. Ruled out: nothing sent to desk-1, the word late, the slack: of a play with its records kept, 60 were sent there, the word came at 601 ms, and the slack is 50 ms.

Now the start lies ahead (NOT_YET) until it is told, and a process' own times are kept on the clock and dated when it has ended: what came before the play has a time below 0.

Test: test_a_drain_not_kept_is_found_however_long_all_takes_to_stand makes the proxies 0.55 s late.

--- a/pepperusher/rehearsal/proxies.py
+++ b/pepperusher/rehearsal/proxies.py
@@ -21,7 +21,7 @@
 from pepperusher.rehearsal.grouping import Grouping, parsed
 from pepperusher.rehearsal.records import Believed, Held, Ran, Sample, Turn, Writer
 from pepperusher.rehearsal.script import Script
-from pepperusher.rehearsal.wire import Broken, Start, clock, reach
+from pepperusher.rehearsal.wire import Broken, Start, clock, reach, since
 from pepperusher.rehearsal.worker import environment, with_parent
 
 CONSOLE_PORT = 7072
@@ -130,7 +130,7 @@
         self._found = found
         self._process: asyncio.subprocess.Process | None = None
         self._reading: asyncio.Task[None] | None = None
-        self._times: dict[str, int] = {}
+        self._times: dict[str, int] = {}   # on the clock: the rehearsal's start may be still to come
         self._stays = 0
         self.ready = False
 
@@ -177,7 +177,7 @@
         if self._script.proxies.console or self._grouping is not None:
             more += ["--console", f"{self.gate.address[0]}:{CONSOLE_PORT}"]
             seen["TMPDIR"] = str(self.folder())
-        self._times = {"started": self._now()}
+        self._times = {"started": clock()}
         self._process = process = await asyncio.create_subprocess_exec(
             python_of(self._build),
             *flags,
@@ -205,7 +205,7 @@
                     await asyncio.sleep(LOOK_EVERY)
         except TimeoutError:
             raise RuntimeError(f"{self.gate.name} was not ready in {READY_WITHIN:g} s") from None
-        self._times["ready"] = self._now()
+        self._times["ready"] = clock()
         self.ready = True
 
     async def _is_ready(self) -> bool:
@@ -246,10 +246,8 @@
             Ran(
                 self.gate.number,
                 process.pid,
-                times.get("started", -1),
-                times.get("ready", -1),
-                times.get("told", -1),
-                times.get("killed", -1),
+                *(since(times.get(what, -1), self._start.at)
+                  for what in ("started", "ready", "told", "killed")),
                 self._now(),
                 status,
             )
@@ -356,7 +354,7 @@
     async def kill(self) -> None:
         if self._process is None:
             return
-        self._times["killed"] = self._now()
+        self._times["killed"] = clock()
         self.ready = False
         self._signal(signal.SIGKILL)
         await self._gone()
@@ -365,7 +363,7 @@
         """As a planned restart does: SIGTERM, and SIGKILL when the platform would."""
         if self._process is None:
             return
-        self._times["told"] = self._now()
+        self._times["told"] = clock()
         self.ready = False
         self._signal(signal.SIGTERM)
         longest = max(use.outer for use in self._script.use_cases)
--- a/pepperusher/rehearsal/wire.py
+++ b/pepperusher/rehearsal/wire.py
@@ -22,14 +22,18 @@
     return monotonic_ns() // 1000
 
 
+# Far beyond what a fleet takes to stand.
+NOT_YET = 3_600_000_000
+
+
 class Start:
-    """When the rehearsal starts, on the clock; told once the fleet stands, and till then the time of its
-    making."""
+    """When the rehearsal starts, on the clock; told once the fleet stands, and till then still to come: what
+    happens before it has a time below 0."""
 
     __slots__ = ("at",)
 
     def __init__(self) -> None:
-        self.at = clock()
+        self.at = clock() + NOT_YET
 
 
 def since(at: int, start: int) -> int:
--- a/tests/test_rehearsal_play.py
+++ b/tests/test_rehearsal_play.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
+import os
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
-from pepperusher.rehearsal import books, director
+from pepperusher.rehearsal import books, director, records
 
-from tests.rehearsal_scene import played, small
+from tests.rehearsal_scene import WRONG, played, small
 
 
 class Stalls(unittest.TestCase):
@@ -138,6 +141,25 @@
         entries = self.broken("drains", books.DRAINS, **self.DRAIN)
         self.assertEqual({one.backend for one in entries}, {"desk-1"})
 
+    def test_a_drain_not_kept_is_found_however_long_all_takes_to_stand(self) -> None:
+        """The proxy's own start was dated from the making of the play, and so into it: by the books it was
+        a new process then, to whom nobody had said anything of the drain."""
+        stand = director.Director._stand_proxies
+
+        async def slowly(self: director.Director) -> None:
+            await asyncio.sleep(0.55)
+            await stand(self)
+
+        with (mock.patch.object(director.Director, "_stand_proxies", slowly),
+              mock.patch.dict(os.environ, {"WRONG": "drains"}), tempfile.TemporaryDirectory() as work):
+            result = director.rehearse(small(**self.DRAIN), WRONG, Path(work))
+            kept = list(records.read(Path(work) / "director.records"))
+        [ran] = [one for one in kept if isinstance(one, records.Ran)]
+        self.assertEqual([name for name, count in result.rules.items() if count], [books.DRAINS])
+        self.assertLess(ran.started, ran.ready)
+        self.assertLess(ran.ready, 0)
+        self.assertGreater(ran.ended, 4_000_000)
+
     def test_a_cold_backend_pushed_over(self) -> None:
         result = played("cold", **self.RETURN)
         self.assertEqual([one.backend for one in result.entries if one.rule == books.COLD], ["desk-1.1"])
