Processes that tests start listen at addresses of their own

Cause of a failed run of test_ctl_speaks_to_people_and_to_programs, whose process ended with 1 before its socket was up: a port that the kernel named as free at 127.0.0.1 was given back, and taken by an outgoing connection before the process listened. Forced by letting a connection have it: "Error: [Errno 98] Address already in use", ends with 1, no socket. Connections go out from 127.0.0.1 alone, so tests now name a port at a loopback address that their process alone goes by (own_address in tests/scene.py); at such a one the same port could be had while it was taken.

For test_house, test_handover, test_streams and the program's start in test_net; leavers.py, test_shelf, test_descriptors, test_crossings and test_distribution_processes name theirs at 127.0.0.1 still. Where a process of test_house does not come up its last words are told; they were not kept.

--- a/tests/scene.py
+++ b/tests/scene.py
@@ -10,6 +10,7 @@
 import functools
 import json
 import os
+import socket
 import tempfile
 import unittest
 from pathlib import Path
@@ -134,6 +135,27 @@
     {**use, "promised-time": 60_000.0, "outer-limit": 60_000.0} for use in SETTINGS["use-cases"]]}
 
 
+_given: set[str] = set()   # by this process, one for each that it starts; emptied by its end
+
+
+def own_address() -> str:
+    """host:port for a process that is told where to listen, on a loopback address that this process alone
+    goes by.
+
+    At 127.0.0.1 a port that the kernel says is free may be an outgoing connection's by the time the process
+    has come so far, also another test's: it then ends with "Address already in use". None goes out from here.
+    """
+    pid = os.getpid()
+    host = f"127.{240 + (pid >> 16) % 15}.{pid >> 8 & 255}.{pid & 255}"
+    while True:
+        with socket.socket() as free:
+            free.bind((host, 0))
+            made = f"{host}:{free.getsockname()[1]}"
+        if made not in _given:
+            _given.add(made)
+            return made
+
+
 def configuration(**changes: object) -> dict[str, object]:
     return {"name": "p1", "listen": "127.0.0.1:7070", "discovery": "127.0.0.1:1", "seed": "5",
             "limits": {"sockets": 1024}, "settings": SETTINGS, **changes}
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -7,7 +7,6 @@
 import os
 import resource
 import signal
-import socket
 import sys
 import tempfile
 import unittest
@@ -21,7 +20,7 @@
 from pepperusher.facade import Entry, Facade
 from pepperusher.ground import ground
 
-from tests.scene import SECOND, SETTINGS, Kept, Street
+from tests.scene import SECOND, SETTINGS, Kept, Street, own_address
 
 
 class Marks(unittest.TestCase):
@@ -157,13 +156,6 @@
             return await self.process.wait()
 
 
-def free_port() -> int:
-    with socket.socket() as taken:
-        taken.bind(("127.0.0.1", 0))
-        port: int = taken.getsockname()[1]
-        return port
-
-
 class Replaced(Street):
     """Clients, backends and discovery are the test's, the proxy is as many processes as it takes."""
 
@@ -172,8 +164,10 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = folder.name
-        self.port = free_port()
-        given = {**json.loads(self.given), "listen": f"127.0.0.1:{self.port}"}
+        listen = own_address()
+        host, _, port = listen.partition(":")
+        self.at = host, int(port)
+        given = {**json.loads(self.given), "listen": listen}
         self.file = Path(self.folder, "config.json")
         self.file.write_text(json.dumps(given))
         self.processes: list[Process] = []
@@ -181,7 +175,7 @@
         self.number = 1000
 
     async def process(self) -> Process:
-        made = await Process(self, f"127.0.0.1:{free_port()}").start()
+        made = await Process(self, own_address()).start()
         self.processes.append(made)
         await made.ready()
         return made
@@ -194,7 +188,7 @@
             number = self.number
             try:
                 if at is None:
-                    at = await asyncio.open_connection("127.0.0.1", self.port)
+                    at = await asyncio.open_connection(*self.at)
                 at[1].write(self.request("look", number))
                 async with asyncio.timeout(3):
                     said = await self.hear(at[0])
@@ -244,7 +238,7 @@
         self.assertIn("200", await first.call("POST", "/-/backends/a1/enable"))
         async with asyncio.timeout(8):
             while not any("    a1 gets" in line for line in self.lines):
-                await self.ask("look", self.request("look", self.number), await asyncio.open_connection("127.0.0.1", self.port))
+                await self.ask("look", self.request("look", self.number), await asyncio.open_connection(*self.at))
                 self.number += 1
 
     async def test_a_next_process_that_dies_leaves_the_first_whole_and_a_killed_one_is_followed(self) -> None:
@@ -259,19 +253,19 @@
         third = await self.process()
         del self.lines[:]
         await first.end(signal.SIGKILL)
-        at = await asyncio.open_connection("127.0.0.1", self.port)
+        at = await asyncio.open_connection(*self.at)
         at[1].write(b"GET /ready HTTP/1.1\r\nHost: p\r\n\r\n")
         self.assertIn("503", await self.hear(at[0]))   # the drain that it was told of stays in force
         self.assertIn("200", await third.call("POST", "/-/resume"))
         for number in range(4):
-            at = await asyncio.open_connection("127.0.0.1", self.port)
+            at = await asyncio.open_connection(*self.at)
             await self.ask("look", self.request("look", number), at)
         self.assertEqual(4, sum("    a1 gets" in line for line in self.lines))
         # Alone after all of them, over what the day before left: the ban stands, a drain does not.
         self.assertIn("200", await third.call("POST", "/-/drain"))
         await third.end(signal.SIGKILL)
         fourth = await self.process()
-        at = await asyncio.open_connection("127.0.0.1", self.port)
+        at = await asyncio.open_connection(*self.at)
         at[1].write(b"GET /ready HTTP/1.1\r\nHost: p\r\n\r\n")
         self.assertIn("200", await self.hear(at[0]))
         self.assertIn("200", await fourth.call("POST", "/-/backends/b1/enable"))
@@ -281,7 +275,7 @@
         made = []
         for _ in range(tickets):
             self.number += 1
-            at = await asyncio.open_connection("127.0.0.1", self.port)
+            at = await asyncio.open_connection(*self.at)
             at[1].write(self.request("look", self.number))
             try:
                 async with asyncio.timeout(3):
@@ -302,7 +296,7 @@
             kept = []
             for _ in range(12):   # about half of them at each
                 self.number += 1
-                kept.append(await asyncio.open_connection("127.0.0.1", self.port))
+                kept.append(await asyncio.open_connection(*self.at))
                 await self.ask("look", self.request("look", self.number), kept[-1])
             still.process.send_signal(signal.SIGSTOP)
             seen[lives] = await lives.logs("new connections come here", seen[lives])
@@ -321,7 +315,7 @@
                 writer.close()
             self.assertIn("200", await lives.call("POST", "/-/backends/a1/enable"))
             # Both have some of these.
-            held = [await asyncio.open_connection("127.0.0.1", self.port) for _ in range(40)]
+            held = [await asyncio.open_connection(*self.at) for _ in range(40)]
             for one in (first, second):
                 async with asyncio.timeout(10):
                     while len(os.listdir(f"/proc/{one.process.pid}/fd")) < 20:
@@ -334,7 +328,7 @@
         await first.end(signal.SIGKILL)
         third = await self.process()
         self.assertIn("200", await third.call("POST", "/-/resume"))
-        held = [await asyncio.open_connection("127.0.0.1", self.port) for _ in range(40)]
+        held = [await asyncio.open_connection(*self.at) for _ in range(40)]
         async with asyncio.timeout(10):
             while len(os.listdir(f"/proc/{third.process.pid}/fd")) < 20:
                 await asyncio.sleep(0.02)
@@ -353,7 +347,7 @@
         flood = [asyncio.create_task(self.client(False, stop)) for _ in range(40)]
         held = []
         for number in range(300):
-            held.append(await asyncio.open_connection("127.0.0.1", self.port))
+            held.append(await asyncio.open_connection(*self.at))
             held[-1][1].write(b"GET /look/page HTTP/1.1\r\nHo" if number % 2 else b"")
         longest = 0.0
         for _ in range(6):
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -24,7 +24,7 @@
 from pepperusher.control import client
 from pepperusher.own.reading import OwnError
 
-from tests.scene import UNHURRIED, Street, configuration
+from tests.scene import UNHURRIED, Street, configuration, own_address
 
 WATCH = '[changes]\nwatch = "2s"\nleast = 20\n[said]\nversion = true\n'
 UNWATCHED = WATCH.replace('"2s"', '"1m"').replace("least = 20", "least = 100000")
@@ -359,10 +359,7 @@
         self.socket = str(self.at / "control")
         self.first = f'[control]\nsocket = "{self.socket}"\n[changes]\nstate = "{self.at}/state"\nconfirm = "by hand"\nwatch = "1h"\n'
         self.own.write_text(self.first)
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            port = free.getsockname()[1]
-        (self.at / "p.json").write_text(json.dumps(configuration(listen=f"127.0.0.1:{port}")))
+        (self.at / "p.json").write_text(json.dumps(configuration(listen=own_address())))
         self.process: subprocess.Popen[str] | None = None
         self.addCleanup(self.kill)
 
@@ -388,8 +385,9 @@
                 client.ask(self.socket, "status")
                 return
             except client.Refused:
-                self.assertLess(time.monotonic(), until)
-                self.assertIsNone(self.process.poll())
+                if self.process.poll() is not None or time.monotonic() > until:
+                    ended = self.process.poll()
+                    self.fail(f"its socket is not up, ended with {ended}: {self.kill()[-1000:]}")
                 time.sleep(0.02)
 
     def kill(self) -> str:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -25,7 +25,7 @@
 from pepperusher.net.message import Answer, Request
 from pepperusher.net.proxy import READY
 
-from tests.scene import SETTINGS, UNHURRIED, Kept, Street, configuration
+from tests.scene import SETTINGS, UNHURRIED, Kept, Street, configuration, own_address
 
 NOT_STARTED = "HTTP/1.1 503 Full\r\nNot-Started: 1\r\nContent-Length: 0\r\n\r\n"
 
@@ -737,18 +737,16 @@
         self.kept("net_configuration")
 
     def test_the_program_serves_and_ends_by_itself_after_sigterm(self) -> None:
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            port = free.getsockname()[1]
+        host, _, port = (address := own_address()).partition(":")
         with tempfile.NamedTemporaryFile("w", suffix=".json") as file:
             json.dump(configuration(known={"version": 1, "servers": [
                 {"id": "a1", "addr": "127.0.0.1:1", "state": "ready"}]}), file)
             file.flush()
-            told = {**os.environ, "BALANCER_CONFIG": file.name, "BALANCER_LISTEN": f"127.0.0.1:{port}"}
+            told = {**os.environ, "BALANCER_CONFIG": file.name, "BALANCER_LISTEN": address}
             with subprocess.Popen([sys.executable, "-O", "-m", "pepperusher", "serve"], env=told, text=True,
                                   stderr=subprocess.PIPE) as served:
                 served.stderr.readline()   # serving
-                with socket.create_connection(("127.0.0.1", port), timeout=10) as at:
+                with socket.create_connection((host, int(port)), timeout=10) as at:
                     at.sendall(b"GET /ready HTTP/1.1\r\nHost: p\r\n\r\n")
                     self.lines = [f"ready -> {at.recv(1000).split()[1].decode()}"]
                     served.terminate()
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -18,8 +18,7 @@
 
 from pepperusher.net.buffers import HELD
 
-from tests.scene import SETTINGS, UNHURRIED, Street
-from tests.test_handover import free_port
+from tests.scene import SETTINGS, UNHURRIED, Street, own_address
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 LONG = 3 * HELD
@@ -317,15 +316,15 @@
             use.update({"promised-time": 60_000.0, "outer-limit": 60_000.0})
         given["settings"]["policy-limits"]["connect-timeout"] = 15_000.0
         with tempfile.TemporaryDirectory() as folder:
-            port = free_port()
+            host, _, port = (listen := own_address()).partition(":")
             file = Path(folder, "config.json")
-            file.write_text(json.dumps({**given, "listen": f"127.0.0.1:{port}"}))
+            file.write_text(json.dumps({**given, "listen": listen}))
             process = await asyncio.create_subprocess_exec(
                 sys.executable, "-O", "-m", "pepperusher", "serve", "--config", str(file), env={**os.environ, "TMPDIR": ""})
             try:
                 async def peer(number: int, length: int) -> str:
                     while True:   # a bounce may be asked again: fifty at once are more than strangers are given
-                        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=PIECE)
+                        reader, writer = await asyncio.open_connection(host, int(port), limit=PIECE)
                         writer.write(self.long(number, length, left=60_000))
                         for part in range(length // PIECE):
                             writer.write(bytes(PIECE))
@@ -342,7 +341,7 @@
                 async with asyncio.timeout(30):
                     while True:
                         try:
-                            _, writer = await asyncio.open_connection("127.0.0.1", port)
+                            _, writer = await asyncio.open_connection(host, int(port))
                             writer.close()
                             break
                         except OSError:
