Hollow proxies are members of a group, and agree with whole ones within a tenth

Hollow proxies had the list, the configuration and the decision state, and no membership, so no scene at scale could show what a group costs or finds.

A hollow proxy already is a proxy to its companions, so the very node of `serve` joins it as one: no line of net/node.py changed. Links count datagrams, bytes and streams, and may be cut and shaped between sides of several, so that two thousand members need no table of pairs. Ruled out: a copy of the node with a seam for its host, since the host was the same all along; and ports of one address, which would run out: each member has a host of its own.

--- a/pepperusher/capacity/scenes.py
+++ b/pepperusher/capacity/scenes.py
@@ -12,7 +12,7 @@
 
 import click
 
-from pepperusher.rehearsal import hollow_fidelity, hollow_scenes
+from pepperusher.rehearsal import hollow_fidelity, hollow_group_fidelity, hollow_scenes
 from pepperusher.rehearsal.worker import WorkerError
 
 
@@ -41,18 +41,23 @@
 @click.option("--size", default=20, show_default=True, type=click.IntRange(1, 100), help="Of each kind.")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--control", is_flag=True, help="Configuration from control machines, in place of lists.")
+@click.option("--group", is_flag=True, help="Membership in a group, in place of lists.")
 @click.option("--json", "as_json", is_flag=True, help="The figures as JSON.")
-def fidelity(size: int, seed: int, control: bool, as_json: bool) -> None:
+def fidelity(size: int, seed: int, control: bool, group: bool, as_json: bool) -> None:
     """Play whole and hollow proxies side by side, and hold what passed and what they hold against each
     other."""
+    if control and group:
+        raise click.ClickException("--control and --group are two comparisons")
     compare = hollow_fidelity.compare_control if control else hollow_fidelity.compare
+    if group:
+        compare = hollow_group_fidelity.compare
     told = played(lambda work: compare(size, seed, work, _say))
     if as_json:
         click.echo(json.dumps(told))
     else:
         for one in told["kinds"]:
             click.echo(
-                f"{one['kind']:<12} whole {one['whole']:>9} hollow {one['hollow']:>9}"
+                f"{one['kind']:<26} whole {one['whole']:>9} hollow {one['hollow']:>9}"
                 f"  {'agrees' if one['agrees'] else 'DIFFERS'}"
             )
         for what in ("processor_seconds_each", "memory_mb_each"):
--- a/pepperusher/rehearsal/hollow.py
+++ b/pepperusher/rehearsal/hollow.py
@@ -1,7 +1,8 @@
 """Hollow proxies: everything of a proxy that control reaches, many in one process, without its requests.
 
-Real are the watch at discovery, the list and the decision state it is put into, the own file's state with its
-versions and marks, and whatever speaks for control over sockets. Left out are the listener, requests with
+Real are the watch at discovery, the list and the decision state it is put into, the own file's state with
+its versions and marks, whatever speaks for control over sockets, and, where the play asks for it, the
+membership of a group. Left out are the listener, requests with
 their connections, and the timers that serve those alone (`docs/scale.md` says what that changes). Run as
 `python -m pepperusher.rehearsal.hollow NUMBER SPEC`, a process takes orders as `rehearsal.worker` has them.
 """
@@ -17,7 +18,7 @@
 from collections import Counter
 from collections.abc import Callable, Sequence
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from pepperusher.changes.ledger import LedgerError
 from pepperusher.changes.standing import Standing
@@ -30,13 +31,16 @@
 from pepperusher.net.companion import Companion, Host, Narrow
 from pepperusher.net.discovery import GONE, Discovery, News, Source, news_of
 from pepperusher.net.log import Log
-from pepperusher.net.proxy import Proxy
+from pepperusher.net.proxy import STILL_COMING, SWEEP_EVERY, Proxy
 from pepperusher.net.told import Told
 from pepperusher.own import reading
 from pepperusher.own.reading import OwnError, Read
 from pepperusher.rehearsal.worker import Orders
 from pepperusher.terms import Ground
 
+if TYPE_CHECKING:
+    from pepperusher.rehearsal.hollow_group import GroupOrders, MemberNode
+
 # One that is slow has its loop held so long at a time.
 SLOW_TURN = 0.05
 NOWHERE = ("127.0.0.1", 1)
@@ -102,20 +106,30 @@
 
 
 class Hollow(Proxy):
-    """One of them, told by discovery, by control machines, or by both."""
+    """One of them, told by discovery, by control machines, or by both; a member of a group where `group` says
+    which (`hollow_group.place_of`).
+    """
 
-    def __init__(self, told: Told, own: str | None, known: bool = False) -> None:
+    def __init__(self, told: Told, own: str | None, group: dict[str, Any] | None = None) -> None:
         self.own: OwnState | None = None
+        self.node: MemberNode | None = None
+        self._sweeping: asyncio.TimerHandle | None = None
         # What was in force when: (what, version, microseconds on the machine's clock). Emptied as it is
         # asked for.
         self.books: list[tuple[str, int, int]] = []
         self.latest: dict[str, int] = {}
 
         def company(of: Told, log: Log) -> list[Companion]:
-            if own is None:
-                return []
-            self.own = OwnState(own, of.ground, log)
-            return [self.own]
+            made: list[Companion] = []
+            if own is not None:
+                self.own = OwnState(own, of.ground, log)
+                made.append(self.own)
+            if group is not None:
+                from pepperusher.rehearsal.hollow_group import MemberNode
+
+                self.node = MemberNode(group, of.ground, of.name, log.tell, self.book)
+                made.append(self.node)
+            return made
 
         super().__init__(told, lambda before: before, company)
         self._discovery = NotedDiscovery(
@@ -175,6 +189,9 @@
 
     def note(self, what: str, version: int) -> None:
         self.latest[what] = version
+        self.book(what, version)
+
+    def book(self, what: str, version: int) -> None:
         self.books.append((what, version, time.monotonic_ns() // 1000))
 
     async def begin(self, watch: bool) -> None:
@@ -188,6 +205,23 @@
             self.client.start()
         for one in self._company:
             await one.start()
+        if self.node is not None:
+            self._sweep_later(self.node)
+
+    def _sweep_later(self, node: MemberNode) -> None:
+        self._sweeping = asyncio.get_running_loop().call_later(SWEEP_EVERY, self._sweep_group, node)
+
+    def _sweep_group(self, node: MemberNode) -> None:
+        """As a whole one's sweep does: the other companions here have nothing to do in it."""
+        self._sweep_later(node)
+        node.sweep()
+
+    async def leave(self) -> None:
+        """As a whole one that is told to stop, and has no client left."""
+        self._stopping.set()
+        self._tell("leaving", lambda one: one.leaving(clock.now()))
+        await asyncio.sleep(STILL_COMING)
+        await self.end()
 
     async def end(self) -> None:
         """In order."""
@@ -201,6 +235,10 @@
     def cut_off(self) -> None:
         """As a process that was killed: gone without a word."""
         self.on = False
+        if self._sweeping is not None:
+            self._sweeping.cancel()
+        if self.node is not None:
+            self.node.cut_off()
         if hasattr(self._discovery._source, "following"):
             self._discovery.stop()
         if self.client is not None:
@@ -306,6 +344,7 @@
         self._number = number
         self._hollows: dict[int, Hollow] = {}  # by index, those that ever ran here
         self._places: dict[int, dict[str, Any]] = {}
+        self._group: GroupOrders | None = None
         self._ended: Counter[str] = Counter()  # what those counted in whose place others stand now
         self._counted: Counter[str] = Counter()
         self._seconds: list[list[int]] = []  # emptied as they are asked for
@@ -313,8 +352,11 @@
     async def _begin(self, place: dict[str, Any]) -> None:
         spec = self._spec
         settings = spec["lacking"] if place.get("lacks") else spec["settings"]
+        group = place.get("group")
+        if group is not None:
+            settings = {**settings, "group-size": group["size"]}
         told = told_of(settings, place["name"], place["index"], place["zone"], tuple(place["discovery"]))
-        hollow = Hollow(told, spec.get("own"))
+        hollow = Hollow(told, spec.get("own"), group)
         if place.get("upstreams"):
             hollow.joins(place, spec["key"].encode())
         self._places[place["index"]] = place
@@ -323,6 +365,8 @@
             hollow.books = before.books
             if before.client is not None:
                 self._ended.update(before.client.counts)
+            if before.node is not None:
+                self._group_orders().ended(before.node)
         self._hollows[place["index"]] = hollow
         await hollow.begin(place.get("watch", True))
 
@@ -457,6 +501,17 @@
             time.sleep(SLOW_TURN)
             await asyncio.sleep(SLOW_TURN * part / (1 - part))
 
+    def _group_orders(self) -> GroupOrders:
+        if self._group is None:
+            from pepperusher.rehearsal.hollow_group import GroupOrders
+
+            self._group = GroupOrders(self._hollows)
+        return self._group
+
+    async def group(self, order: dict[str, Any]) -> dict[str, Any]:
+        """What is asked of those that are members of a group."""
+        return await self._group_orders().does(order)
+
     async def run(self) -> None:
         orders = await Orders.open()
         orders.say(standing=True, number=self._number)
@@ -470,6 +525,7 @@
             "state": self.state,
             "slow": self.slow,
             "traffic": self.traffic,
+            "group": self.group,
         }
         looking = asyncio.get_running_loop().create_task(self._look())
         while (order := await orders.next()) is not None:
--- a/pepperusher/rehearsal/hollow_fidelity.py
+++ b/pepperusher/rehearsal/hollow_fidelity.py
@@ -49,10 +49,12 @@
 
 
 class Whole:
-    """One `serve` process."""
+    """One `serve` process; of a group of `group` where there is one, and with a console if asked for."""
 
-    def __init__(self, work: Path, index: int) -> None:
+    def __init__(self, work: Path, index: int, group: int = 0, console: str = "") -> None:
         self._work, self._index = work, index
+        self._size = {"group-size": group} if group else {}
+        self._console = {"console": console} if console else {}
         self._socket = work / f"w{index}.socket"
         self.process: asyncio.subprocess.Process
 
@@ -66,7 +68,8 @@
                     "discovery": f"{discovery[0]}:{discovery[1]}",
                     "seed": f"{self._index:x}",
                     "limits": {"sockets": 256, "memory_mb": 256},
-                    "settings": {**SETTINGS, "zone": "z0", "ordinal": self._index},
+                    "settings": {**SETTINGS, **self._size, "zone": "z0", "ordinal": self._index},
+                    **self._console,
                 }
             )
         )
--- a/pepperusher/rehearsal/links.py
+++ b/pepperusher/rehearsal/links.py
@@ -39,12 +39,15 @@
 
 
 class Front:
-    """Where others reach one proxy, and where that really listens once it has said so."""
+    """Where others reach one proxy, and where that really listens once it has said so. `side` is what it
+    counts as where links are cut and shaped: its own name, or that of all who stand with it.
+    """
 
-    __slots__ = ("name", "address", "sock", "server", "stands")
+    __slots__ = ("name", "side", "address", "sock", "server", "stands")
 
-    def __init__(self, name: str, sock: socket.socket, server: asyncio.Server) -> None:
+    def __init__(self, name: str, side: str, sock: socket.socket, server: asyncio.Server) -> None:
         self.name = name
+        self.side = side
         self.sock = sock
         self.server = server
         self.address: tuple[str, int] = sock.getsockname()
@@ -56,15 +59,27 @@
         self._host = host
         self._chance = chance
         self._fronts: dict[str, Front] = {}
-        self._of_host: dict[str, str] = {}  # by a proxy's own host, its name
+        self._of_host: dict[str, str] = {}  # by a proxy's own host, its side
+        self._sides: set[str] = set()  # those of several, within which links are shaped as well
         self._cut: set[tuple[str, str]] = set()
         self._manners: dict[tuple[str, str], Manner] = {}
         self._free: dict[tuple[str, str], float] = {}  # when a slow link has sent what it holds back
         self._tasks: set[asyncio.Task[None]] = set()  # of streams; emptied as they end
         self._late: set[asyncio.TimerHandle] = set()
-        self.counts: dict[str, int] = {"passed": 0, "cut": 0, "lost": 0, "doubled": 0, "damaged": 0}
-
-    async def open(self, name: str) -> tuple[str, int]:
+        self.counts: dict[str, int] = {
+            "passed": 0,
+            "passed bytes": 0,
+            "came": 0,
+            "came bytes": 0,
+            "cut": 0,
+            "lost": 0,
+            "doubled": 0,
+            "damaged": 0,
+            "streams": 0,
+            "stream bytes": 0,
+        }
+
+    async def open(self, name: str, side: str = "") -> tuple[str, int]:
         """The address to be told of it; of the same number for datagrams and streams."""
         while True:
             server = await asyncio.start_server(
@@ -80,14 +95,21 @@
                 continue
             break
         sock.setblocking(False)
-        front = self._fronts[name] = Front(name, sock, server)
+        front = self._fronts[name] = Front(name, side or name, sock, server)
+        if side:
+            self._sides.add(side)
         asyncio.get_running_loop().add_reader(sock, self._come, front)
         return front.address
 
     def stands(self, name: str, address: tuple[str, int]) -> None:
         """Where its process listens now. Each has a host of its own: by that it is known as a sender."""
-        self._fronts[name].stands = address
-        self._of_host[address[0]] = name
+        front = self._fronts[name]
+        front.stands = address
+        self._of_host[address[0]] = front.side
+
+    def sends_from(self, host: str, side: str) -> None:
+        """One whose own front is in another process."""
+        self._of_host[host] = side
 
     def address(self, name: str) -> tuple[str, int]:
         return self._fronts[name].address
@@ -126,7 +148,7 @@
         receivers = list(receivers)
         for a in senders:
             for b in receivers:
-                if a != b:
+                if a != b or a in self._sides:
                     self._manners[a, b] = manner
 
     def heal(self) -> None:
@@ -142,10 +164,12 @@
                 data, source = front.sock.recvfrom(LONGEST)
             except OSError:
                 return
+            self.counts["came"] += 1
+            self.counts["came bytes"] += len(data)
             self._pass(self._of_host.get(source[0], ""), front, data)
 
     def _pass(self, sender: str, front: Front, data: bytes) -> None:
-        way = sender, front.name
+        way = sender, front.side
         if way in self._cut:
             self.counts["cut"] += 1
             return
@@ -196,6 +220,7 @@
         try:
             front.sock.sendto(data, front.stands)
             self.counts["passed"] += 1
+            self.counts["passed bytes"] += len(data)
         except OSError:
             self.counts["lost"] += 1
 
@@ -211,10 +236,11 @@
             front = self._fronts[name]
             if front.stands is None:
                 return
-            await self._open_way(sender, name)
+            self.counts["streams"] += 1
+            await self._open_way(sender, front.side)
             back, onward = await asyncio.open_connection(*front.stands)
             await asyncio.gather(
-                self._pump(sender, name, reader, onward), self._pump(name, sender, back, writer)
+                self._pump(sender, front.side, reader, onward), self._pump(front.side, sender, back, writer)
             )
         except (OSError, asyncio.CancelledError):
             pass
@@ -235,6 +261,7 @@
         self, sender: str, receiver: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         while data := await reader.read(LONGEST):
+            self.counts["stream bytes"] += len(data)
             await self._open_way(sender, receiver)
             manner = self._manners.get((sender, receiver), PLAIN)
             await asyncio.sleep(manner.delay + (len(data) / manner.rate if manner.rate else 0.0))
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -7,7 +7,7 @@
 import unittest
 from pathlib import Path
 
-from pepperusher.rehearsal import hollow_books, hollow_fidelity
+from pepperusher.rehearsal import hollow_books, hollow_fidelity, hollow_group_fidelity
 from pepperusher.rehearsal.hollow_books import Reached, Row
 from pepperusher.rehearsal.hollow_fidelity import Compared
 from pepperusher.rehearsal.hollow_plan import CALLS, VIEWS, ZONES, plan, sizes
@@ -39,6 +39,30 @@
         ):
             self.assertGreater(whole[kind], 0, kind)
 
+    def test_whole_and_hollow_groups_agree_in_datagrams_bytes_and_what_they_find(self) -> None:
+        async def run(work: Path) -> dict[str, object]:
+            async with asyncio.timeout(WITHIN):
+                return await hollow_group_fidelity.compare(
+                    6, 5, work, lambda line: None, period=200_000, within=60_000, settles=2.0, quiet=4.0
+                )
+
+        with tempfile.TemporaryDirectory() as work:
+            told = asyncio.run(run(Path(work)))
+        self.assertEqual(told["verdict"], "passed", told)
+        kinds = {one["kind"]: one for one in told["kinds"]}  # type: ignore[attr-defined]
+        for kind in ("datagrams sent", "join: streams", "join: stream bytes", "quiet: bytes sent"):
+            self.assertGreater(kinds[kind]["whole"], 0, kind)
+        # One was killed and one left, so four of six run, and find these two so; the place of who left is
+        # free, and that of who is silent is not.
+        for kind, many in (("alive", 12), ("lost", 4), ("gone", 4), ("orders on", 4), ("share of", 4 * 5)):
+            for what in ("whole", "hollow"):
+                self.assertEqual(kinds[f"finds: {kind}"][what], many, (kind, what))
+        # What hollow members count themselves, by which scenes go, is what the links count, but for what went
+        # out between the two looks.
+        for kind, key in (("datagrams sent", "sent"), ("bytes sent", "bytes sent")):
+            counted, seen = told["at_members"][key], kinds[kind]["hollow"]  # type: ignore[index]
+            self.assertLessEqual(abs(counted - seen), 0.02 * seen, kind)
+
     def test_a_tenth_is_the_bound(self) -> None:
         self.assertTrue(Compared("lines", 100, 90).agrees)
         self.assertTrue(Compared("lines", 90, 100).agrees)
