A scene of a group at scale: who found what when, in nine steps with a verdict each

Membership was measured with 40 whole members and, beyond that, in virtual time alone. `capacity scene group` plays hollow ones over real sockets, each on a host of its own behind the links of its zone: all join at once, quiet, one killed, one leaving, a ban, a tenth stopped and going on, a zone cut off and healed, links that lose 30%, and whether anything has grown. Figures are the members' own: their sockets count, their books say when.

Checks are docs/group.md's: 15 periods until silence is found, times the logarithm of the size since suspicion grows so, 6 until a word is told, 3 datagrams a period when nothing happens, shares that silence never moves. One of its sentences does not hold, and has a bound of its own: the smaller side of a cut doubts itself.

--- a/pepperusher/capacity/scenes.py
+++ b/pepperusher/capacity/scenes.py
@@ -12,7 +12,7 @@
 
 import click
 
-from pepperusher.rehearsal import hollow_fidelity, hollow_group_fidelity, hollow_scenes
+from pepperusher.rehearsal import hollow_fidelity, hollow_group_fidelity, hollow_group_scenes, hollow_scenes
 from pepperusher.rehearsal.worker import WorkerError
 
 
@@ -75,12 +75,14 @@
 @click.option("--quick", is_flag=True, help="Shorter spans, the same checks.")
 @click.option("--json", "as_json", is_flag=True, help="A line of JSON for each scene as it ends.")
 def scene(names: tuple[str, ...], size: int, controls: int, seed: int, quick: bool, as_json: bool) -> None:
-    """Play scenes at scale with hollow proxies: all where none is named; `before` has discovery alone."""
-    unknown = [name for name in names if name not in (*hollow_scenes.SCENES, "before")]
+    """Play scenes at scale with hollow proxies: all where none is named; `before` has discovery alone,
+    `group` a group of members without control machines."""
+    apart = "before", "group"
+    unknown = [name for name in names if name not in (*hollow_scenes.SCENES, *apart)]
     if unknown:
-        raise click.ClickException(
-            f"{unknown[0]!r} is none of {', '.join((*hollow_scenes.SCENES, 'before'))}"
-        )
+        raise click.ClickException(f"{unknown[0]!r} is none of {', '.join((*hollow_scenes.SCENES, *apart))}")
+    if "group" in names and size > hollow_group_scenes.LARGEST:
+        raise click.ClickException(f"a group ends at {hollow_group_scenes.LARGEST}")
 
     def each(told: dict[str, Any]) -> None:
         told = {**told, "size": size, "controls": controls, "seed": seed}
@@ -97,8 +99,10 @@
         made: list[dict[str, Any]] = []
         if "before" in names:
             made += await hollow_scenes.before(size, seed, work, _say, each)
-        if names != ("before",):
-            mine = [name for name in names if name != "before"] or list(hollow_scenes.SCENES)
+        if "group" in names:
+            made += await hollow_group_scenes.played(size, seed, quick, work, _say, each)
+        if not names or set(names) - set(apart):
+            mine = [name for name in names if name not in apart] or list(hollow_scenes.SCENES)
             made += await hollow_scenes.played(mine, size, controls, seed, quick, work, _say, each)
         return {"verdict": "passed" if all(one["verdict"] == "passed" for one in made) else "failed"}
 
--- a/pepperusher/rehearsal/hollow_group.py
+++ b/pepperusher/rehearsal/hollow_group.py
@@ -225,8 +225,8 @@
         return {"finds": finds, "of": of}
 
     async def there(self, order: dict[str, Any]) -> dict[str, Any]:
-        """How many find all others there: on the roll, gone or alive; and how many reach how far, as one of
-        how many.
+        """How many find all others there, on the roll and alive; and how many reach how far, as one of how
+        many.
         """
         made: Counter[str] = Counter()
         rows = self._here(order.get("by"))
@@ -235,7 +235,7 @@
             if swim is None:
                 continue
             made["finds all"] += len(swim.roll) + 1 >= order["size"] and not any(
-                one.health != ALIVE and one.said.phase != LEFT for one in swim.roll
+                one.health != ALIVE or one.said.phase == LEFT or one.said.doubled for one in swim.roll
             )
             made["lost"] += sum(one.health == LOST and one.said.phase != LEFT for one in swim.roll)
             made[f"reaches {swim.reach(clock.now()).word}"] += 1
--- a/pepperusher/rehearsal/hollow_group_links.py
+++ b/pepperusher/rehearsal/hollow_group_links.py
@@ -2,8 +2,8 @@
 through here.
 
 A member is told to others by the address of its front here (`rehearsal.links`). Who stands together is one
-side: links are cut and shaped between sides. Run as `python -m pepperusher.rehearsal.hollow_group_links SEED HOST`,
-under orders.
+side: links are cut and shaped between sides. Run as `python -m
+pepperusher.rehearsal.hollow_group_links SEED HOST`, under orders.
 """
 
 from __future__ import annotations
