--- a/pepperusher/capacity/scenes.py
+++ b/pepperusher/capacity/scenes.py
@@ -74,7 +74,18 @@
 @click.option("--seed", default=1, show_default=True)
 @click.option("--quick", is_flag=True, help="Shorter spans, the same checks.")
 @click.option("--json", "as_json", is_flag=True, help="A line of JSON for each scene as it ends.")
-def scene(names: tuple[str, ...], size: int, controls: int, seed: int, quick: bool, as_json: bool) -> None:
+@click.option(
+    "--report", type=click.Path(dir_okay=False, path_type=Path), help="A page with plots, to be written."
+)
+def scene(
+    names: tuple[str, ...],
+    size: int,
+    controls: int,
+    seed: int,
+    quick: bool,
+    as_json: bool,
+    report: Path | None,
+) -> None:
     """Play scenes at scale with hollow proxies: all where none is named; `before` has discovery alone,
     `group` a group of members without control machines, `group-join` its joining, a loss and a ban alone."""
     apart = "before", "group", "group-join"
@@ -84,8 +95,11 @@
     if set(names) & {"group", "group-join"} and size > hollow_group_scenes.LARGEST:
         raise click.ClickException(f"a group ends at {hollow_group_scenes.LARGEST}")
 
+    ended: list[dict[str, Any]] = []
+
     def each(told: dict[str, Any]) -> None:
         told = {**told, "size": size, "controls": controls, "seed": seed}
+        ended.append(told)
         if as_json:
             click.echo(json.dumps(told))
             return
@@ -109,4 +123,12 @@
             made += await hollow_scenes.played(mine, size, controls, seed, quick, work, _say, each)
         return {"verdict": "passed" if all(one["verdict"] == "passed" for one in made) else "failed"}
 
-    _ended(played(run))
+    try:
+        verdict = played(run)
+    finally:
+        # Of those that ended, also where a process of the play failed.
+        if report is not None:
+            from pepperusher.rehearsal import hollow_report
+
+            hollow_report.write(report, ended)
+    _ended(verdict)
--- a/pepperusher/rehearsal/page.py
+++ b/pepperusher/rehearsal/page.py
@@ -19,7 +19,8 @@
 COMPARED = 12
 
 
-def _table(head: Iterable[str], rows: Iterable[Iterable[object]]) -> str:
+def table(head: Iterable[str], rows: Iterable[Iterable[object]]) -> str:
+    """As HTML; whatever stands in the cells is escaped."""
     top = "".join(f"<th>{escape(one)}</th>" for one in head)
     body = "".join(
         "<tr>" + "".join(f"<td>{escape(str(one))}</td>" for one in row) + "</tr>\n" for row in rows
@@ -43,7 +44,7 @@
     )
     return (
         f"<h3>{title}</h3>"
-        + _table((title, "wishes", "in time", "late", "failed", "goodput", "p50", "p99"), rows)
+        + table((title, "wishes", "in time", "late", "failed", "goodput", "p50", "p99"), rows)
         + plots.groups(f"Goodput by {title.lower()}", those)
     )
 
@@ -58,8 +59,8 @@
         )
         lines.append(f"<li>{escape(rule)}: {word}</li>")
     rows = [(one.rule, one.ticket, said(one.at), one.backend, one.what) for one in result.entries]
-    table = _table(("rule", "ticket", "at", "backend", "what"), rows) if rows else ""
-    return f"<ul>{''.join(lines)}</ul>{table}"
+    entries = table(("rule", "ticket", "at", "backend", "what"), rows) if rows else ""
+    return f"<ul>{''.join(lines)}</ul>{entries}"
 
 
 def _result(result: Result) -> str:
@@ -94,7 +95,7 @@
     if costs:
         parts += [
             "<h3>Proxies</h3>",
-            _table(("proxy", "tickets", "CPU a ticket", "memory", "descriptors"), costs),
+            table(("proxy", "tickets", "CPU a ticket", "memory", "descriptors"), costs),
         ]
     return "\n".join(parts)
 
@@ -116,7 +117,7 @@
         )
         parts.append(
             f"<h2>{escape(each.other)} against {escape(each.base)}</h2><p>{escape(each.where)}</p>"
-            + _table(
+            + table(
                 ("measure", each.base, each.other, "difference", "95% interval", "pairs", "verdict"), rows
             )
         )
--- a/pepperusher/rehearsal/plots.py
+++ b/pepperusher/rehearsal/plots.py
@@ -4,6 +4,7 @@
 
 import io
 from collections import defaultdict
+from collections.abc import Sequence
 
 import matplotlib
 
@@ -99,6 +100,25 @@
     return _svg(figure)
 
 
+def bars(
+    title: str, x: str, parts: Sequence[str], rows: Sequence[tuple[str, Sequence[float | None]]]
+) -> str:
+    """A row of bars for each name, one for each part; none where there is no figure."""
+    figure, axes = _axes(title, x, "", (8.0, 0.8 + 0.12 * max(1, len(rows)) * (len(parts) + 1)))
+    high = 0.9 / max(1, len(parts))
+    for place, part in enumerate(parts):
+        axes.barh(
+            [row + (place - (len(parts) - 1) / 2) * high for row in range(len(rows))],
+            [values[place] or 0.0 for _, values in rows],
+            height=high,
+            label=part,
+        )
+    axes.set_yticks(range(len(rows)), [name for name, _ in rows], fontsize=7)
+    axes.invert_yaxis()
+    axes.legend(fontsize=7)
+    return _svg(figure)
+
+
 def breakers(result: Result) -> str:
     """Each backend's breakers over time, as the proxies' logs tell of them: the share that stands open."""
     spans: dict[str, list[tuple[float, float]]] = defaultdict(list)
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -7,7 +7,7 @@
 import unittest
 from pathlib import Path
 
-from pepperusher.rehearsal import hollow_books, hollow_fidelity, hollow_group_fidelity
+from pepperusher.rehearsal import hollow_books, hollow_fidelity, hollow_group_fidelity, hollow_report
 from pepperusher.rehearsal.hollow_books import Reached, Row
 from pepperusher.rehearsal.hollow_fidelity import Compared
 from pepperusher.rehearsal.hollow_plan import CALLS, VIEWS, ZONES, plan, sizes
@@ -102,6 +102,40 @@
         self.assertEqual((use.worst, use.mean, use.processes, use.memory), (0.75, 0.425, 2, 22.0))
 
 
+class Report(unittest.TestCase):
+    TOLD = {
+        "scene": "zone <lost>",
+        "verdict": "failed",
+        "size": 40,
+        "seed": 3,
+        "seconds": 9.5,
+        "checks": [{"what": "all have it", "holds": False, "seen": {"had": 39}}],
+        "figures": {
+            "bytes_out_a_second": 12.5,
+            "lost": {"rack": {"50%_s": 1.5, "99%_s": 2.5, "all_s": None, "had": 39, "of": 40}},
+        },
+    }
+
+    def test_every_spread_is_found_however_deep(self) -> None:
+        self.assertEqual(
+            list(hollow_report.spreads(self.TOLD["figures"])),  # type: ignore[arg-type]
+            [hollow_report.Spread("lost: rack", (1.5, 2.5, None), 39, 40)],
+        )
+
+    def test_a_page_has_verdict_checks_and_plots_and_nothing_unescaped(self) -> None:
+        with tempfile.TemporaryDirectory() as work:
+            path = Path(work) / "page.html"
+            hollow_report.write(path, [self.TOLD])
+            text = path.read_text()
+        self.assertIn('zone &lt;lost&gt;: <span class="broken">failed</span>', text)
+        self.assertNotIn("<lost>", text)
+        self.assertIn("DOES NOT HOLD", text)
+        self.assertIn("39 of 40", text)
+        self.assertEqual(text.count("<svg"), 2)
+        for outside in ("src=", "<script", "<link"):
+            self.assertNotIn(outside, text)
+
+
 class Plans(unittest.TestCase):
     def test_services_of_the_target(self) -> None:
         made = sizes(5000, 210)
