--- a/pepperusher/rehearsal/hollow_fidelity.py
+++ b/pepperusher/rehearsal/hollow_fidelity.py
@@ -51,8 +51,11 @@
 class Whole:
     """One `serve` process; of a group of `group` where there is one, and with a console if asked for."""
 
-    def __init__(self, work: Path, index: int, group: int = 0, console: str = "") -> None:
+    def __init__(
+        self, work: Path, index: int, group: int = 0, console: str = "", listen: str = ""
+    ) -> None:
         self._work, self._index = work, index
+        self._listen = listen or f"127.0.3.{index + 1}:7070"
         self._size = {"group-size": group} if group else {}
         self._console = {"console": console} if console else {}
         self._socket = work / f"w{index}.socket"
@@ -64,7 +67,7 @@
             json.dumps(
                 {
                     "name": f"w{self._index}",
-                    "listen": f"127.0.3.{self._index + 1}:7070",
+                    "listen": self._listen,
                     "discovery": f"{discovery[0]}:{discovery[1]}",
                     "seed": f"{self._index:x}",
                     "limits": {"sockets": 256, "memory_mb": 256},
--- a/pepperusher/rehearsal/hollow_group_fidelity.py
+++ b/pepperusher/rehearsal/hollow_group_fidelity.py
@@ -75,6 +75,9 @@
     def whole_host(self, number: int) -> str:
         return host_of(self._net, HOSTS_FROM + number)
 
+    def listen(self, number: int) -> str:
+        return f"{self.whole_host(number)}:7070"
+
     def console(self, number: int) -> str:
         return f"{self.whole_host(number)}:7071"
 
@@ -107,7 +110,8 @@
     def __init__(self, play: Beside, work: Path, size: int) -> None:
         self._play, self._work, self._size = play, work, size
         self.ones = [
-            Whole(work, index, size, play.console(index) if index == TELLS else "") for index in range(size)
+            Whole(work, index, size, play.console(index) if index == TELLS else "", play.listen(index))
+            for index in range(size)
         ]
         self.away: set[int] = set()
 
