--- a/pepperusher/capacity/scenes.py
+++ b/pepperusher/capacity/scenes.py
@@ -12,7 +12,7 @@
 
 import click
 
-from pepperusher.rehearsal import hollow_fidelity, hollow_scenes
+from pepperusher.rehearsal import hollow_fidelity, hollow_group_fidelity, hollow_group_scenes, hollow_scenes
 from pepperusher.rehearsal.worker import WorkerError
 
 
@@ -41,18 +41,23 @@
 @click.option("--size", default=20, show_default=True, type=click.IntRange(1, 100), help="Of each kind.")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--control", is_flag=True, help="Configuration from control machines, in place of lists.")
+@click.option("--group", is_flag=True, help="Membership in a group, in place of lists.")
 @click.option("--json", "as_json", is_flag=True, help="The figures as JSON.")
-def fidelity(size: int, seed: int, control: bool, as_json: bool) -> None:
+def fidelity(size: int, seed: int, control: bool, group: bool, as_json: bool) -> None:
     """Play whole and hollow proxies side by side, and hold what passed and what they hold against each
     other."""
+    if control and group:
+        raise click.ClickException("--control and --group are two comparisons")
     compare = hollow_fidelity.compare_control if control else hollow_fidelity.compare
+    if group:
+        compare = hollow_group_fidelity.compare
     told = played(lambda work: compare(size, seed, work, _say))
     if as_json:
         click.echo(json.dumps(told))
     else:
         for one in told["kinds"]:
             click.echo(
-                f"{one['kind']:<12} whole {one['whole']:>9} hollow {one['hollow']:>9}"
+                f"{one['kind']:<26} whole {one['whole']:>9} hollow {one['hollow']:>9}"
                 f"  {'agrees' if one['agrees'] else 'DIFFERS'}"
             )
         for what in ("processor_seconds_each", "memory_mb_each"):
@@ -69,16 +74,32 @@
 @click.option("--seed", default=1, show_default=True)
 @click.option("--quick", is_flag=True, help="Shorter spans, the same checks.")
 @click.option("--json", "as_json", is_flag=True, help="A line of JSON for each scene as it ends.")
-def scene(names: tuple[str, ...], size: int, controls: int, seed: int, quick: bool, as_json: bool) -> None:
-    """Play scenes at scale with hollow proxies: all where none is named; `before` has discovery alone."""
-    unknown = [name for name in names if name not in (*hollow_scenes.SCENES, "before")]
+@click.option(
+    "--report", type=click.Path(dir_okay=False, path_type=Path), help="A page with plots, to be written."
+)
+def scene(
+    names: tuple[str, ...],
+    size: int,
+    controls: int,
+    seed: int,
+    quick: bool,
+    as_json: bool,
+    report: Path | None,
+) -> None:
+    """Play scenes at scale with hollow proxies: all where none is named; `before` has discovery alone,
+    `group` a group of members without control machines, `group-join` its joining, a loss and a ban alone."""
+    apart = "before", "group", "group-join"
+    unknown = [name for name in names if name not in (*hollow_scenes.SCENES, *apart)]
     if unknown:
-        raise click.ClickException(
-            f"{unknown[0]!r} is none of {', '.join((*hollow_scenes.SCENES, 'before'))}"
-        )
+        raise click.ClickException(f"{unknown[0]!r} is none of {', '.join((*hollow_scenes.SCENES, *apart))}")
+    if set(names) & {"group", "group-join"} and size > hollow_group_scenes.LARGEST:
+        raise click.ClickException(f"a group ends at {hollow_group_scenes.LARGEST}")
+
+    ended: list[dict[str, Any]] = []
 
     def each(told: dict[str, Any]) -> None:
         told = {**told, "size": size, "controls": controls, "seed": seed}
+        ended.append(told)
         if as_json:
             click.echo(json.dumps(told))
             return
@@ -92,9 +113,22 @@
         made: list[dict[str, Any]] = []
         if "before" in names:
             made += await hollow_scenes.before(size, seed, work, _say, each)
-        if names != ("before",):
-            mine = [name for name in names if name != "before"] or list(hollow_scenes.SCENES)
+        if "group" in names:
+            made += await hollow_group_scenes.played(size, seed, quick, work, _say, each)
+        if "group-join" in names:
+            short = hollow_group_scenes.SHORT
+            made += await hollow_group_scenes.played(size, seed, quick, work, _say, each, steps=short)
+        if not names or set(names) - set(apart):
+            mine = [name for name in names if name not in apart] or list(hollow_scenes.SCENES)
             made += await hollow_scenes.played(mine, size, controls, seed, quick, work, _say, each)
         return {"verdict": "passed" if all(one["verdict"] == "passed" for one in made) else "failed"}
 
-    _ended(played(run))
+    try:
+        verdict = played(run)
+    finally:
+        # Of those that ended, also where a process of the play failed.
+        if report is not None:
+            from pepperusher.rehearsal import hollow_report
+
+            hollow_report.write(report, ended)
+    _ended(verdict)
