Play's links take a thousand streams at once, for a zone's proxies that start together

A front listened with asyncio's usual backlog of 100. Backlog 1024. Seen by reading, not measured by itself.

--- a/pepperusher/rehearsal/links.py
+++ b/pepperusher/rehearsal/links.py
@@ -18,6 +18,9 @@
 HELD_BACK = 1.0
 LOOK_EVERY = 0.02
 BATCH = 64
+# Streams that wait to be taken: a few hundred proxies of a zone may connect to one front at one moment, and beyond it
+# the kernel drops them, to be tried again after 1 s and 3 s.
+BACKLOG = 1024
 
 
 class Manner(NamedTuple):
@@ -68,7 +71,7 @@
         """The address to be told of it; of the same number for datagrams and streams."""
         while True:
             server = await asyncio.start_server(
-                lambda reader, writer: self._accepted(name, reader, writer), self._host, 0
+                lambda reader, writer: self._accepted(name, reader, writer), self._host, 0, backlog=BACKLOG
             )
             port = server.sockets[0].getsockname()[1]
             sock = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
