Proxies that wait for a control machine are told so, and try no other meanwhile

Arithmetic: 10,000 connections at 9 machines that take 400 at once and 800 a second are through in 0.9 s, so the rate was not the cause. The cause is what happens once a machine gets less processor time than that: a connection that waits in the kernel looks as a machine that is cut off, was taken back after 2.5 s and made anew elsewhere, and each one that was taken back cost the machine its turn. A proxy alone tried two a second for as long as nothing answered, and 2.7 a second while all refused: 12 attempts are used up in 4.5 s.

Change: a machine takes connections four times as fast as it serves them and says so at once; who has greeted stands in a bounded line (distribution/admission.py), and what it says there is heard at its turn. A proxy keeps an attempt for 8 s, tries a further machine after 1.5 s and then one each 0.75 s, one alone after a failure and up to 3 s apart while all refuse, and without haste where one upstream is there. Time in which its own process stood still is no evidence against anybody. It goes back to a better place after 5 to 10 s without a version, so that a change is not sent by both. What the second upstream offers is not asked of it while the first speaks, for two waves: 1 s was shorter than a machine's waves may differ by. Control machines of one's own region, where they are named (`near`), are used first and one of elsewhere second: a region that is cut off keeps its upstream, and need not search nine machines for two.

Ruled out: a higher rate alone (the storm begins again at a slower machine); an answer that says when to come back (each return costs a connection).

Not yet played with 5,000 on sockets.

--- a/pepperusher/distribution/client.py
+++ b/pepperusher/distribution/client.py
@@ -32,8 +32,8 @@
 
 
 class Client:
-    """`upstreams` are all control machines, `names` the resources that this proxy uses; nothing else is sent
-    to it. `apply` takes one whole: None for in force, a text for refused with this reason; it may be a
+    """`upstreams` are all control machines, each with its region where that is known: those of this proxy's own
+    are used before others. `names` are the resources that this proxy uses; nothing else is sent to it. `apply` takes one whole: None for in force, a text for refused with this reason; it may be a
     coroutine function. What `keep` holds is taken by it at the start. Its connections come from
     `local`; "" for whichever address leads there.
 
@@ -43,7 +43,7 @@
 
     def __init__(
         self,
-        upstreams: Sequence[tuple[str, int]],
+        upstreams: Sequence[tuple[str, int] | tuple[str, int, str]],
         names: Sequence[Key],
         apply: Callable[[Resource], str | None | Awaitable[str | None]],
         *,
@@ -57,7 +57,8 @@
         say: Callable[..., None] = _unheard,
         provisional: bool = False,
     ) -> None:
-        self._addresses = {f"{host}:{port}": (host, port) for host, port in upstreams}
+        self._addresses = {f"{one[0]}:{one[1]}": (one[0], one[1]) for one in upstreams}
+        self._near = [f"{one[0]}:{one[1]}" for one in upstreams if region and one[2:] == (region,)]
         self._names, self._apply, self._key, self._say = list(names), apply, key, say
         self._name, self._region, self._zone = name, region, zone
         self._chance = Random(seed)
@@ -101,7 +102,7 @@
         now = clock.now()
         self._subscriber = Subscriber(
             self._name, int.from_bytes(os.urandom(8)) >> 1, self._region, self._zone, list(self._addresses),
-            self._names, held, self._chance, now,
+            self._names, held, self._chance, now, near=self._near,
         )  # fmt: skip
         self._subscriber.confirmed_at = self._kept_at
         self._wake()
--- a/pepperusher/distribution/server.py
+++ b/pepperusher/distribution/server.py
@@ -1,7 +1,7 @@
-"""The control role under asyncio: accepts at a rate, reads, writes to whoever can be written to, keeps on disk.
+"""The control role under asyncio: accepts, reads, writes to whoever can be written to, keeps on disk.
 
-Decides nothing: `publisher` says who is sent what, `subscriber` what this one takes from other control
-machines.
+Decides nothing: `admission` says who is served when, `publisher` who is sent what, `subscriber` what this one
+takes from other control machines.
 """
 
 from __future__ import annotations
@@ -17,6 +17,7 @@
 from typing import NamedTuple
 
 from pepperusher.distribution import records, wire
+from pepperusher.distribution.admission import Admission
 from pepperusher.distribution.link import Link
 from pepperusher.distribution.publisher import NotTaken, Publisher, best, rollout_of
 from pepperusher.distribution.subscriber import Apply, Close, Connect, Say, Send, Subscriber
@@ -50,19 +51,24 @@
 from pepperusher.sealed import BadPacket
 from pepperusher.store.disk import Disk
 
-# Connections taken a second in the long run, and at once: the rest waits in the kernel.
-ACCEPTED_A_SECOND = 800.0
-ACCEPTED_AT_ONCE = 400.0
+# Connections taken a second in the long run, and at once: the rest waits in the kernel, and to whoever waits there
+# this machine looks as if it were cut off. So it is more than all proxies of nine machines make at one moment
+# within the time after which they try another (`subscriber.CONNECT_FIRST`); who is served when is `admission`'s.
+ACCEPTED_A_SECOND = 3200.0
+ACCEPTED_AT_ONCE = 2048.0
 BACKLOG = 4096
 # Who has not shown the key by then goes, and so many may be about it at once.
 HELLO_WITHIN = 5.0
-MOST_STRANGERS = 1024
+MOST_STRANGERS = 2048
 STRANGER_FOR = 1_500_000
+# Said by one that stands in the line to be served, before its turn: the rest of what it has to say comes after that.
+MOST_SAID = 256
 # Messages from one connection within ten seconds, by its role.
 MESSAGES = {PROXY: 1_000, RELAY: 20_000, OPERATOR: 1_000}
 MOST_RELAYS = 64
 MOST_OPERATORS = 32
 TICK = 0.1
+ADMIT_EVERY = 0.01
 BEAT_EVERY = 2_000_000
 SILENT_AFTER = 10_000_000
 FORGET_EVERY = 30_000_000
@@ -91,11 +97,13 @@
 class _Connection:
     """One that was accepted, until it ends."""
 
-    __slots__ = ("link", "hello", "heard_at", "beat_at", "timer", "allowance")
+    __slots__ = ("link", "hello", "greeting", "said", "heard_at", "beat_at", "timer", "allowance")
 
     def __init__(self, link: Link, now: int) -> None:
         self.link = link
-        self.hello: Hello | None = None
+        self.hello: Hello | None = None  # once it is served
+        self.greeting: Hello | None = None  # while it stands in the line
+        self.said: list[Message] = []  # in the line, MOST_SAID at the most
         self.heard_at = self.beat_at = now
         self.allowance = float(MESSAGES[PROXY])
         self.timer: asyncio.TimerHandle | None = None
@@ -112,6 +120,8 @@
         self._ids = count(1)
         self._connections: dict[int, _Connection] = {}  # emptied as they end
         self._strangers: dict[int, None] = {}  # MOST_STRANGERS at the most
+        self._admission = Admission(terms.subscribers, now)
+        self._admitting: asyncio.TimerHandle | None = None
         self._roles: Counter[int] = Counter()
         self._allowance, self._allowed_at = ACCEPTED_AT_ONCE, now
         self._socket: socket.socket | None = None
@@ -173,8 +183,9 @@
 
     async def stop(self) -> None:
         """What was taken is on disk, as far as it can be."""
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._admitting):
+            if timer is not None:
+                timer.cancel()
         for task in [*self._tasks, *self._peer_tasks.values()]:
             task.cancel()
         if self._socket is not None:
@@ -241,6 +252,7 @@
             return
         if one.timer is not None:
             one.timer.cancel()
+        self._admission.gone(id)
         if one.hello is None:
             self._strangers.pop(id, None)
         else:
@@ -262,15 +274,26 @@
             self.counts["floods"] += 1
             raise BadPacket("too many messages")
         one.allowance -= 1.0
-        publisher = self.publisher
-        if one.hello is None:
+        if one.greeting is not None:
+            if len(one.said) >= MOST_SAID:
+                raise BadPacket("too many messages")
+            if not isinstance(message, Beat):
+                one.said.append(message)
+        elif one.hello is None:
             if not isinstance(message, Hello):
                 raise BadPacket("sound, but no greeting")
             self._greeted(id, one, message, now)
-        elif isinstance(message, Beat):
-            if one.hello.role != OPERATOR:
+        else:
+            self._served(id, one, one.hello, message, now)
+        self._pump_soon()
+
+    def _served(self, id: int, one: _Connection, hello: Hello, message: Message, now: int) -> None:
+        """Raises BadPacket for what it may not say."""
+        publisher = self.publisher
+        if isinstance(message, Beat):
+            if hello.role != OPERATOR:
                 publisher.heard(id, now)
-        elif one.hello.role == OPERATOR:
+        elif hello.role == OPERATOR:
             self._operator(one, message)
         elif isinstance(message, Ack):
             publisher.ack(id, message, now)
@@ -278,13 +301,55 @@
             publisher.want(id, message.key, message.steady, message.base, now)
         elif isinstance(message, Bodies):
             publisher.bodies(id, message.on)
-        elif isinstance(message, AskRollout) and one.hello.role == RELAY:
+        elif isinstance(message, AskRollout) and hello.role == RELAY:
             self._say_to(one, publisher.rows(message.number, (message.kind, message.name), now))
         else:
             raise BadPacket("sound, but nothing that it may say")
-        self._pump_soon()
 
     def _greeted(self, id: int, one: _Connection, hello: Hello, now: int) -> None:
+        """Proxies stand in the line, and are told at once that this machine is there."""
+        if hello.role != PROXY:
+            self._serve(id, one, hello, now)
+            return
+        if not self._admission.came(id):
+            self._refuse(one, "too many wait to be served")
+            return
+        if one.timer is not None:
+            one.timer.cancel()
+        self._strangers.pop(id, None)
+        one.greeting, one.beat_at = hello, now
+        one.link.session.longest = LONGEST_WORD
+        self._admit()
+        if one.greeting is not None:
+            self.counts["waited to be served"] += 1
+            self._say_to(one, Beat())
+
+    def _admit(self) -> None:
+        """Serves whose turn it is, and comes back for the next."""
+        now = clock.now()
+        for id in self._admission.due(now):
+            one = self._connections[id]
+            hello, said, one.greeting, one.said = one.greeting, one.said, None, []
+            assert hello is not None, "in the line, and has not greeted"
+            try:
+                self._serve(id, one, hello, now)
+                for message in said:
+                    if one.hello is not None:
+                        self._served(id, one, one.hello, message, now)
+            except BadPacket as bad:
+                one.link.abort(str(bad))
+            except Exception as error:  # a fault of ours ends this connection, and the line goes on
+                one.link.abort(f"{type(error).__name__}: {error}")
+        self._pump_soon()
+        again = self._admission.again_in()
+        if again is not None and self._admitting is None:
+            self._admitting = asyncio.get_running_loop().call_later(max(again, ADMIT_EVERY), self._admit_again)
+
+    def _admit_again(self) -> None:
+        self._admitting = None
+        self._admit()
+
+    def _serve(self, id: int, one: _Connection, hello: Hello, now: int) -> None:
         most = {RELAY: MOST_RELAYS, OPERATOR: MOST_OPERATORS}.get(hello.role, self._terms.subscribers)
         if self._roles[hello.role] >= most:
             self._refuse(one, f"{most} of its kind are connected already")
@@ -358,10 +423,14 @@
         self.publisher.tick(now)
         beat: bytes | None = None
         for one in list(self._connections.values()):
-            if one.hello is None:
+            if one.hello is None and one.greeting is None:
                 continue
             if now - one.heard_at >= SILENT_AFTER:
                 one.link.abort("lost: silent")
+            elif one.hello is None:
+                if now - one.beat_at >= BEAT_EVERY:
+                    one.beat_at = now
+                    one.link.send(wire.encoded(Beat()))
             elif one.hello.role != OPERATOR and now - one.beat_at >= BEAT_EVERY:
                 one.beat_at = now
                 if one.link.idle:
@@ -419,6 +488,7 @@
         return {
             "name": self._terms.name,
             "connections": len(self._connections),
+            "waiting to be served": len(self._admission),
             "peers connected": len(self._peers),
             "disk": self._disk_fails or "written",
             "age us": self.publisher.beat(clock.now()).age,
--- a/pepperusher/distribution/subscriber.py
+++ b/pepperusher/distribution/subscriber.py
@@ -3,7 +3,11 @@
 
 Nothing older ever replaces something newer, whoever sends it. Two upstreams at a time, the first of an order
 by a hash of both names, so that a lost one's proxies go to all the others alike: the first sends bodies, the
-second offers what it has, and is asked for it where the first does not send it in time.
+second offers what it has, and is asked for it where the first does not send it in time. Where it is known which
+stand in one's own region, the first is one of those and the second is none.
+
+An attempt to connect is not taken back while there may be an answer: each one that is made anew costs the other
+side what the last one cost, and its place in the kernel's line. So few are made, and they wait for long.
 """
 
 from __future__ import annotations
@@ -46,23 +50,41 @@
 # Both sides speak so often, and a side that was silent for so long has gone, whatever its socket says.
 BEAT_EVERY = 2_000_000
 SILENT_AFTER = 5_000_000
-CONNECT_WITHIN = 2_500_000
+CONNECT_WITHIN = 8_000_000
+# A relay's: it has few others, and finds out by a new connection that a cut has healed.
+RELAY_CONNECT_WITHIN = 2_500_000
 # Before it tries a lost one again: doubled each time, up to the most, and drawn from the half of it to all.
 AGAIN_LEAST = 200_000
 AGAIN_MOST = 3_000_000
 RELAY_AGAIN_MOST = 1_500_000
-# An upstream that ended the connection for a reason is not asked again at once.
+# An upstream that ended the connection for a reason is not asked again at once: after this, drawn up to twice it.
 REFUSED_AGAIN = 5_000_000
 # At once under way, of a proxy.
-CONNECTING_MOST = 6
-# One that is being connected to keeps the next in order from being tried for so long.
-CONNECT_FIRST = 1_000_000
+CONNECTING_MOST = 9
+# One that is being connected to keeps the next in order from being tried for so long; that one keeps the next but
+# one for so long, where none is connected. Of nine machines the last is tried within 6.4 s.
+CONNECT_FIRST = 1_500_000
+HEDGE_EVERY = 750_000
+# With one upstream there the other is not in such a hurry.
+SECOND_FIRST = 3_000_000
 # After a loss the next is tried within this, drawn, and after each further failure no sooner than that: all
 # that lost the same machine, or all machines, at one moment must not come at one moment.
 NEXT_WITHIN = 400_000
-NEXT_MOST = 1_000_000
+NEXT_MOST = 3_000_000
+# A machine that stands before those in use is gone back to once nothing has come for so long, drawn up to twice
+# that: a change that finds a proxy between two machines is sent to it by both.
+QUIET_FOR = 5_000_000
+# While it is connecting it is woken so often, so that it sees how long its own process stood still: time in which
+# it could have read no answer is no evidence against anybody. So much of it at the most for one upstream.
+LOOK_EVERY = 250_000
+STOOD_STILL = 200_000
+EXCUSED_MOST = 10_000_000
 # So long the first upstream has to send what the second has offered.
 OFFERED_WITHIN = 1_000_000
+# Or so long where it speaks: it may be two waves behind (`publisher.WAVE_WITHIN` each).
+OFFERED_MOST = 3_500_000
+# One that said nothing for a beat and a little more is not speaking.
+SPEAKING = BEAT_EVERY + 500_000
 # The snapshot is asked for so often at the most: doubled each time up to the most, until one fits.
 WANT_AGAIN = 1_000_000
 WANT_MOST = 30_000_000
@@ -77,6 +99,19 @@
     return sorted(upstreams, key=weight)
 
 
+def order_of(name: str, upstreams: Iterable[str], near: Iterable[str] = ()) -> list[str]:
+    """The order in which this one uses them: by `rank`, one of its own region and one of elsewhere in turn. So a
+    region that is cut off has its upstream in it, one that lost its own has one elsewhere, and the bodies of a lost
+    one are sent by all of elsewhere alike.
+    """
+    near = set(near)
+    ranked = rank(name, upstreams)
+    mine, others = [one for one in ranked if one in near], [one for one in ranked if one not in near]
+    both = min(len(mine), len(others))
+    paired = [one for pair in zip(mine, others) for one in pair]
+    return paired + mine[both:] + others[both:]
+
+
 class Connect(NamedTuple):
     upstream: str
 
@@ -112,13 +147,17 @@
 
 
 class _Upstream:
-    __slots__ = ("name", "state", "since", "again_at", "wait", "heard_at", "beat_at", "offers", "bodies")
+    __slots__ = (
+        "name", "state", "since", "again_at", "wait", "heard_at", "spoke_at", "beat_at", "excused", "offers", "bodies",
+    )  # fmt: skip
 
     def __init__(self, name: str, now: int) -> None:
         self.name = name
         self.state = DOWN
         self.since = self.again_at = self.heard_at = self.beat_at = now
         self.wait = AGAIN_LEAST
+        self.spoke_at: int | None = None  # since it is connected
+        self.excused = 0
         self.offers: dict[Slot, tuple[Mark, int, str]] = {}  # as many as are subscribed to
         self.bodies = False
 
@@ -140,11 +179,12 @@
         chance: Random,
         now: int,
         role: int = PROXY,
+        near: Iterable[str] = (),
     ) -> None:
         self._name, self._life, self._region, self._zone, self._role = name, life, region, zone, role
         self._names = None if role == RELAY else frozenset(names)
         self._links = len(upstreams) if role == RELAY else min(UPSTREAMS, len(upstreams))
-        self._upstreams = {one: _Upstream(one, now) for one in rank(name, upstreams)}
+        self._upstreams = {one: _Upstream(one, now) for one in order_of(name, upstreams, near)}
         self._chance = chance
         self.out: list[Effect] = []
         self.held: dict[Key, Resource] = {one.key: one for one in held}  # as many as are subscribed to
@@ -160,6 +200,9 @@
         self.counts: Counter[str] = Counter()
         self._next_at = now + chance.randrange(NEXT_WITHIN)
         self._next_wait = AGAIN_LEAST
+        self._due = now
+        self._quiet_since = now
+        self._quiet_for = self._drawn_quiet()
 
     # --- upstreams ----------------------------------------------------------------------------------
 
@@ -186,19 +229,17 @@
             for one in under_way:
                 if one not in within:
                     self._close(one, "others stand before it", now, 0)
-        fresh = sum(now - one.since < CONNECT_FIRST for one in under_way)
-        more = min(
-            (1 if full else self._links - len(there)) - fresh,
-            (CONNECTING_MOST if self._role == PROXY else len(order)) - len(under_way),
-        )
+        more = self._to_connect(len(there), under_way, now)
         if more > 0 and now >= self._next_at:
             # Those that failed least lately first, so that each is tried before any is tried again: in a region that
             # is cut off the first of the order may be those that can't be reached.
             due = [one for one in within if one.state == DOWN and now >= one.again_at]
             for one in sorted(due, key=lambda one: one.wait)[:more]:
-                one.state, one.since = CONNECTING, now
+                one.state, one.since, one.excused = CONNECTING, now, 0
                 self.counts["connects"] += 1
                 self.out.append(Connect(one.name))
+                if self._role == PROXY and under_way:
+                    self._next_at = now + HEDGE_EVERY
         first = self._role == PROXY
         for one in self._upstreams.values():
             if one.state == UP:
@@ -207,6 +248,30 @@
                     self.out.append(Send(one.name, Bodies(first)))
                 first = False
 
+    def _to_connect(self, up: int, under_way: list[_Upstream], now: int) -> int:
+        """How many more it may try now."""
+        if self._role == RELAY:
+            return self._links - up - sum(now - one.since < CONNECT_FIRST for one in under_way)
+        if up >= self._links:
+            # A better place than the last in use; not in a hurry, and not in the middle of anything.
+            quiet = not self._behind and not self._applying and now - self._quiet_since >= self._quiet_for
+            return 1 if quiet and not under_way else 0
+        first = SECOND_FIRST if up else CONNECT_FIRST
+        fresh = sum(now - one.since < first for one in under_way)
+        room = CONNECTING_MOST - len(under_way)
+        if under_way:
+            # Beside what is waited for, one at a time: HEDGE_EVERY keeps them apart where none is connected.
+            late = sum(now - one.since >= first for one in under_way)
+            return min(1, room) if late and (not up or not fresh) else min(self._links - up - len(under_way), room)
+        return min(self._links - up if self._next_wait == AGAIN_LEAST else 1, room)
+
+    def _drawn_quiet(self) -> int:
+        return self._chance.randrange(QUIET_FOR, 2 * QUIET_FOR)
+
+    def _stirred(self, now: int) -> None:
+        """A version or an upstream came or went."""
+        self._quiet_since, self._quiet_for = now, self._drawn_quiet()
+
     def _close(self, one: _Upstream, why: str, now: int, wait: int | None = None) -> None:
         self.out.append(Close(one.name, why))
         self._down(one, now, wait)
@@ -221,13 +286,16 @@
         elif wait and self._role == PROXY:
             self._next_wait = min(2 * self._next_wait, NEXT_MOST)
             self._next_at = now + self._chance.randrange(self._next_wait // 2, self._next_wait)
-        one.state, one.since, one.again_at = DOWN, now, now + wait
+        one.state, one.since, one.again_at, one.spoke_at = DOWN, now, now + wait, None
         one.offers.clear()
+        self._stirred(now)
 
     def connected(self, upstream: str, now: int) -> None:
         """And the two sides have shown each other the key."""
         one = self._upstreams[upstream]
         one.state, one.since, one.heard_at, one.beat_at = UP, now, now, now
+        one.spoke_at, one.excused = None, 0
+        self._stirred(now)
         # The first in order sends bodies; it is told before it says anything.
         one.bodies = self._role == PROXY and not any(
             other.state == UP for other in self._before(one)
@@ -257,9 +325,11 @@
 
     def wake(self, now: int) -> int:
         """What is due by now; when there will be more."""
+        self._excuse(now)
+        within = RELAY_CONNECT_WITHIN if self._role == RELAY else CONNECT_WITHIN
         due = now + BEAT_EVERY
         for one in self._upstreams.values():
-            if one.state == CONNECTING and now - one.since >= CONNECT_WITHIN:
+            if one.state == CONNECTING and now - one.since >= within:
                 self._close(one, "not connected in time", now)
             elif one.state == UP and now - one.heard_at >= SILENT_AFTER:
                 self.counts["silent"] += 1
@@ -275,14 +345,25 @@
                 up += 1
                 due = min(due, one.beat_at + BEAT_EVERY, one.heard_at + SILENT_AFTER)
             elif one.state == CONNECTING:
-                late = now - one.since >= CONNECT_FIRST
-                due = min(due, one.since + (CONNECT_WITHIN if late else CONNECT_FIRST))
+                due = min(due, now + LOOK_EVERY)
             elif up < self._links:
                 due = min(due, max(one.again_at, self._next_at, now + 5_000))
         for at, _, _ in self._wants.values():
             due = min(due, max(at, now + 5_000))
+        self._due = due
         return due
 
+    def _excuse(self, now: int) -> None:
+        """Time in which this process stood still is taken off what others are waited for."""
+        late = now - self._due
+        if late < STOOD_STILL:
+            return
+        for one in self._upstreams.values():
+            if one.state != DOWN and one.excused < EXCUSED_MOST:
+                excused = min(late, EXCUSED_MOST - one.excused)
+                one.excused += excused
+                one.since, one.heard_at = min(now, one.since + excused), min(now, one.heard_at + excused)
+
     # --- what they send -----------------------------------------------------------------------------
 
     def received(self, upstream: str, message: Message, now: int) -> None:
@@ -290,8 +371,13 @@
         one = self._upstreams[upstream]
         if one.state != UP:
             return
-        one.heard_at = now
-        one.wait = self._next_wait = AGAIN_LEAST
+        one.heard_at, one.excused = now, 0
+        one.wait = AGAIN_LEAST
+        if one.spoke_at is None:
+            self._next_wait = AGAIN_LEAST
+        one.spoke_at = now
+        if not isinstance(message, Beat):
+            self._stirred(now)
         if isinstance(message, Beat):
             self._beat(one, message, now)
         elif isinstance(message, Offer):
@@ -302,7 +388,7 @@
             self._delta(one, message, now)
         elif isinstance(message, Refused):
             self.out.append(Say("a control machine ended the connection", {"upstream": one.name, "why": one_line(message.why)}))
-            self._close(one, "refused there", now, REFUSED_AGAIN)
+            self._close(one, "refused there", now, self._chance.randrange(REFUSED_AGAIN, 2 * REFUSED_AGAIN))
             self._settle(now)
         else:
             raise BadPacket("sound, but nothing that a control machine says")
@@ -377,6 +463,10 @@
         if now < due:
             self._wants[slot] = due, wait, asked
             return
+        if not asked and now < first - OFFERED_WITHIN + OFFERED_MOST and self._first_speaks(slot, last, now):
+            # It is there and has not come to this proxy yet: by a wave, or as it is busy. Looked at again soon.
+            self._wants[slot] = now + LOOK_EVERY, wait, asked
+            return
         # Another than the last time where there is one: that one may have stopped.
         one = next((one for one, _, _ in offers if one.name != asked), offers[0][0])
         self._wants[slot] = now + wait, min(2 * wait, WANT_MOST), one.name
@@ -384,6 +474,17 @@
         self.out.append(Send(one.name, Want(*key, steady, held and mark_of(held))))
         self.counts["wants"] += 1
 
+    def _first_speaks(self, slot: Slot, last: Version, now: int) -> bool:
+        """Whether a proxy's first upstream, which sends bodies, said something lately and has not offered this."""
+        if self._role == RELAY:
+            return False
+        first = next((one for one in self._upstreams.values() if one.state == UP), None)
+        if first is None or first.spoke_at is None:
+            return False
+        if slot in first.offers and first.offers[slot][0].version > last:
+            return False
+        return now - first.spoke_at < SPEAKING
+
     def _snapshot(self, one: _Upstream, said: Snapshot, now: int) -> None:
         if not self._known(said.key):
             self.counts["not asked for"] += 1
--- a/pepperusher/net/distributed.py
+++ b/pepperusher/net/distributed.py
@@ -76,7 +76,7 @@
         self._watched: Change | None = None
         self._ending: asyncio.Task[None] | None = None
         self._said_at = clock.now()
-        addresses = [address_of(one) for one in said.machines]
+        addresses = [(*address_of(one), said.region if one in said.near else "") for one in said.machines]
         self._client = Client(
             addresses, [self._key], self._apply, key=key, name=name, region=said.region, zone="",
             seed=int.from_bytes(os.urandom(8)), keep=None if said.keep is None else Path(said.keep), local="", say=say,
--- a/pepperusher/own/rules.py
+++ b/pepperusher/own/rules.py
@@ -286,6 +286,11 @@
         tell("distribution.machines", "sound distribution", f"are {len(said.machines)}, and {MOST_SEEDS} are enough")
     if len(set(said.machines)) < len(said.machines):
         tell("distribution.machines", "one of a name", "have one address twice")
+    for number, text in enumerate(said.near):
+        if text not in said.machines:
+            tell(f"distribution.near[{number}]", "sound distribution", f"{text!r} is none of the machines")
+    if said.near and not said.region:
+        tell("distribution.region", "sound distribution", "is missing, and machines are near to it")
     if said.key_file is None:
         tell("distribution.key_file", "sound distribution", "is missing: whoever answers there could say what is in force")
     if not said.config or len(said.config) > 100 or not said.config.isprintable():
--- a/pepperusher/own/tables.py
+++ b/pepperusher/own/tables.py
@@ -163,6 +163,9 @@
         str | None, _said("a file for what is in force, to start from when no control machine is there")
     ] = None
     region: Annotated[str, _said("where this proxy stands, as rollouts tell it")] = ""
+    near: Annotated[
+        list[str], _said("those of the machines that stand in its region: used first; nobody knows if left out")
+    ] = msgspec.field(default_factory=list)
 
 
 class Own(Table, kw_only=True, frozen=True):
--- a/pepperusher/rehearsal/hollow_play.py
+++ b/pepperusher/rehearsal/hollow_play.py
@@ -243,7 +243,10 @@
             "lacks": place.number in self.lacking,
         }
         if self.controls is not None and lists != DISCOVERY:
-            told["upstreams"] = [fronts[f"control {number}"] for number in range(self.controls.count)]
+            told["upstreams"] = [
+                [*fronts[f"control {number}"], f"r{region_of(self.controls.zone(number))}"]
+                for number in range(self.controls.count)
+            ]
             # The client binds before it connects, and one address has 28,000 ports for all its connections,
             # those just closed among them.
             told["local"] = f"127.{10 + place.zone}.{place.worker}.1"
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -6,12 +6,14 @@
 
 import unittest
 from collections import Counter, deque
+from collections.abc import Callable, Sequence
 from random import Random
 
 from pepperusher.distribution import delta, wire
+from pepperusher.distribution.admission import ADMITTED_A_SECOND, ADMITTED_AT_ONCE, Admission
 from pepperusher.distribution.publisher import REFUSED_AT_ONCE, WAVE_WITHIN, NotTaken, Publisher, place_of, rollout_of
 from pepperusher.distribution.subscriber import (
-    Apply, Close, Connect, Say, Send, Subscriber, SILENT_AFTER, WANT_AGAIN, rank,
+    Apply, Close, Connect, Say, Send, Subscriber, QUIET_FOR, SILENT_AFTER, WANT_AGAIN, order_of, rank,
 )  # fmt: skip
 from pepperusher.distribution.wire import OPENING, Session
 from pepperusher.distribution.words import (
@@ -514,6 +516,303 @@
         self.assertLess(max(to.values()) / (sum(to.values()) / 8), 1.4)
 
 
+class Admitting(unittest.TestCase):
+    """Whoever has greeted waits in a bounded line and is served at a rate, first come first."""
+
+    def test_at_once_then_at_a_rate_in_order(self) -> None:
+        one = Admission(10_000, 0)
+        self.assertTrue(all(one.came(id) for id in range(2_000)))
+        served = one.due(0)
+        self.assertEqual(list(range(int(ADMITTED_AT_ONCE))), served)
+        now = 0
+        while len(one):
+            again = one.again_in()
+            assert again is not None
+            now += max(1, int(again * 1e6))
+            served += one.due(now)
+        self.assertEqual(list(range(2_000)), served)
+        self.assertAlmostEqual((2_000 - ADMITTED_AT_ONCE) / ADMITTED_A_SECOND, now / 1e6, delta=0.1)
+        self.assertIsNone(one.again_in())
+
+    def test_bounded_and_who_ended_is_left_out(self) -> None:
+        one = Admission(3, 0)
+        self.assertEqual([True, True, True, False], [one.came(id) for id in range(4)])
+        one.gone(1)
+        one.gone(9)
+        self.assertIn(2, one)
+        self.assertTrue(one.came(5))
+        self.assertEqual([0, 2, 5], one.due(0))
+
+
+class Storm:
+    """Many proxies' subscribers and some machines in virtual time. Machines take connections at one rate and serve
+    them at another; those that are `away` refuse. Without a `line` a connection is taken as it is served.
+    """
+
+    ANSWER = 60_000
+
+    def __init__(self, proxies: int, machines: int, taken: float, served: float, line: bool = True) -> None:
+        self.names = [f"c{number}:1" for number in range(machines)]
+        self.taken, self.served, self.line = taken, served, line
+        self.now = 0
+        self.proxies = [
+            Subscriber(f"p{number}", 1, "east", "", self.names, [KEY], [], Random(number), 0) for number in range(proxies)
+        ]
+        self.due = [0] * proxies
+        self.backlog: dict[str, deque[tuple[int, int]]] = {name: deque() for name in self.names}
+        self.free = dict.fromkeys(self.names, 0.0)
+        self.attempts = [0] * proxies  # whose is whose: an attempt that was taken back is dead
+        self.live: dict[tuple[int, str], int] = {}
+        self.away: set[str] = set()
+        self.later: deque[tuple[int, int, str, int]] = deque()
+
+    def effects(self, number: int) -> None:
+        one = self.proxies[number]
+        while one.out:
+            out, one.out = one.out, []
+            for effect in out:
+                if isinstance(effect, Connect):
+                    self.attempts[number] += 1
+                    if effect.upstream in self.away:
+                        one.lost(effect.upstream, self.now)
+                        continue
+                    self.live[number, effect.upstream] = self.attempts[number]
+                    self.backlog[effect.upstream].append((number, self.attempts[number]))
+                elif isinstance(effect, Close):
+                    self.live.pop((number, effect.upstream), None)
+
+    def step(self) -> None:
+        self.now += 10_000
+        for name in self.names:
+            if name in self.away:
+                self.backlog[name].clear()
+                continue
+            for _ in range(self.many(name, self.taken if self.line else self.served)):
+                number, attempt = self.backlog[name].popleft()
+                # A dead one costs its turn too.
+                if self.live.get((number, name)) == attempt:
+                    self.proxies[number].connected(name, self.now)
+                    if self.live.get((number, name)) == attempt:
+                        self.later.append((self.now + self.ANSWER, number, name, attempt))
+        while self.later and self.later[0][0] <= self.now:
+            _, number, name, attempt = self.later.popleft()
+            if self.live.get((number, name)) == attempt:
+                self.proxies[number].received(name, Beat(), self.now)
+        for number, one in enumerate(self.proxies):
+            if self.now % (2 * S) == number % 200 * 10_000:
+                for name in one.up:
+                    one.received(name, Beat(), self.now)
+            if one.out or self.now >= self.due[number]:
+                self.effects(number)
+                self.due[number] = one.wake(self.now)
+                self.effects(number)
+
+    def many(self, name: str, rate: float) -> int:
+        self.free[name] = min(rate / 10, self.free[name] + rate / 100)
+        made = min(int(self.free[name]), len(self.backlog[name]))
+        self.free[name] -= made
+        return made
+
+    def until(self, true: Callable[[], bool], within: float) -> float:
+        begun = self.now
+        while not true():
+            self.step()
+            if (self.now - begun) / S > within:
+                return float("inf")
+        return (self.now - begun) / S
+
+
+class Storms(unittest.TestCase):
+    """Connections tried a proxy, counted; at a tenth of the size and of the rates of 5,000 and nine machines."""
+
+    PROXIES, MACHINES = 500, 9
+
+    def test_all_at_once_at_machines_that_serve_slowly(self) -> None:
+        """500 x 2 connections at 9 machines that serve 8 a second each take 14 s: nobody goes round meanwhile."""
+        storm = Storm(self.PROXIES, self.MACHINES, 320, 8)
+        took = storm.until(lambda: all(len(one.up) == 2 for one in storm.proxies), 60)
+        self.assertLess(took, 5)
+        for _ in range(2_000):
+            storm.step()
+        self.assertLessEqual(sum(storm.attempts) / self.PROXIES, 2.1)
+        # What it is against: the same where who waits can't be told from who is not there.
+        storm = Storm(self.PROXIES, self.MACHINES, 320, 8, False)
+        storm.until(lambda: all(len(one.up) == 2 for one in storm.proxies), 60)
+        self.assertGreater(sum(storm.attempts) / self.PROXIES, 3)
+
+    def test_all_machines_away_and_back(self) -> None:
+        for away in (3, 6, 10):
+            with self.subTest(away):
+                storm = Storm(self.PROXIES, self.MACHINES, 320, 80)
+                storm.until(lambda: all(len(one.up) == 2 for one in storm.proxies), 60)  # noqa: B023
+                storm.away = set(storm.names)
+                for number, name in list(storm.live):
+                    storm.proxies[number].lost(name, storm.now)
+                storm.live.clear()
+                before, begun = sum(storm.attempts), storm.now
+                while storm.now - begun < away * S:
+                    storm.step()
+                storm.away = set()
+                took = storm.until(lambda: all(one.up for one in storm.proxies), 60)  # noqa: B023
+                self.assertLess(took, 5)
+                storm.until(lambda: all(len(one.up) == 2 for one in storm.proxies), 60)  # noqa: B023
+                self.assertLess((sum(storm.attempts) - before) / self.PROXIES, 12)
+
+
+class Searching(unittest.TestCase):
+    """Which machines one proxy tries, and when."""
+
+    def setUp(self) -> None:
+        self.machines = [f"c{number}:1" for number in range(9)]
+        self.now = 0
+        self.tried: list[tuple[float, str]] = []
+
+    def one(self, name: str = "p", near: Sequence[str] = ()) -> Subscriber:
+        return Subscriber(name, 1, "east", "", self.machines, [KEY], [], Random(1), self.now, near=near)
+
+    def run_on(self, one: Subscriber, seconds: float, there: Sequence[str] = (), refuses: bool = False) -> None:
+        """Those that are `there` answer and beat; the others refuse, or are silent."""
+        until = self.now + seconds * S
+        while self.now < until:
+            self.now += 10_000
+            if self.now % S == 0:
+                for name in one.up:
+                    if name in there:
+                        one.received(name, Beat(1, self.now, 0), self.now)
+            one.wake(self.now)
+            out, one.out = one.out, []
+            for effect in out:
+                if isinstance(effect, Connect):
+                    self.tried.append((self.now / S, effect.upstream))
+                    if effect.upstream in there:
+                        one.connected(effect.upstream, self.now)
+                        one.received(effect.upstream, Beat(), self.now)
+                    elif refuses:
+                        one.lost(effect.upstream, self.now)
+
+    def test_machines_of_its_own_region_first_and_one_of_elsewhere(self) -> None:
+        near = {"c3:1", "c7:1"}
+        for number in range(50):
+            order = order_of(f"p{number}", self.machines, near)
+            self.assertEqual(sorted(self.machines), sorted(order))
+            self.assertEqual([True, False, True, False], [one in near for one in order[:4]])
+            others = [one for one in rank(f"p{number}", self.machines) if one not in near]
+            self.assertEqual(others, [one for one in order if one not in near])
+        self.assertEqual(rank("p", self.machines), order_of("p", self.machines))
+        self.assertEqual(rank("p", self.machines), order_of("p", self.machines, self.machines))
+
+    def test_even_by_regions_and_a_lost_ones_bodies_go_to_all_of_elsewhere(self) -> None:
+        """13 zones in four regions, nine machines in the first nine zones, as scale tests have them."""
+        region = {name: number % 4 for number, name in enumerate(self.machines)}
+        orders = [
+            order_of(f"p{n}", self.machines, [one for one in self.machines if region[one] == n % 13 % 4])
+            for n in range(5_000)
+        ]
+        two = Counter(name for one in orders for name in one[:2])
+        self.assertLess(max(two.values()) / (10_000 / 9), 1.15)
+        lost = self.machines[3]
+        to = Counter(one[1] for one in orders if one[0] == lost)
+        self.assertEqual(7, len(to))
+        self.assertLess(max(to.values()) / (sum(to.values()) / 7), 1.4)
+
+    def test_a_region_cut_off_keeps_its_upstream_and_searches_without_haste(self) -> None:
+        near = ["c3:1", "c7:1"]
+        one = self.one(near=near)
+        self.run_on(one, 20, self.machines)
+        self.assertIn(one.up[0], near)
+        one.out.clear()
+        self.tried.clear()
+        self.run_on(one, 60, near)
+        self.assertEqual(set(near), set(one.up))
+        self.assertLess(len(self.tried), 30)
+
+    def test_all_away_is_tried_less_and_less_often(self) -> None:
+        one = self.one()
+        self.run_on(one, 10, refuses=True)
+        self.assertLess(len(self.tried), 12)
+        self.assertGreater(len(self.tried), 5)
+        self.run_on(one, 4, self.machines)
+        self.assertEqual(2, len(one.up))
+
+    def test_an_attempt_is_not_taken_back_while_there_may_be_an_answer(self) -> None:
+        one = self.one()
+        self.run_on(one, 6)
+        tried = [name for _, name in self.tried]
+        self.assertEqual(len(set(tried)), len(tried))
+        self.assertEqual(2, sum(at < 1.5 for at, _ in self.tried))
+
+    def test_a_machine_before_those_in_use_is_gone_back_to_in_a_quiet_time(self) -> None:
+        one = self.one()
+        first, second, third = rank("p", self.machines)[:3]
+        self.run_on(one, 5, [second, third])
+        self.assertEqual([second, third], one.up)
+        self.run_on(one, 30, [second, third])
+        self.tried.clear()
+        for number in range(1, 11):
+            change = made(number)
+            one.received(second, Snapshot(*KEY, mark_of(change), change.body), self.now)
+            (apply,) = [effect for effect in one.out if isinstance(effect, Apply)]
+            one.applied(apply.resource, None, self.now)
+            self.run_on(one, 4, self.machines)
+        self.assertEqual([], self.tried)
+        self.run_on(one, 2 * QUIET_FOR / S, self.machines)
+        self.assertEqual([first, second], one.up)
+
+    def test_what_the_first_has_not_come_to_yet_is_not_asked_of_the_second(self) -> None:
+        """By its waves it may be some seconds behind; one that has fallen silent is not waited for."""
+        for speaks in (True, False):
+            with self.subTest(speaks=speaks):
+                one = self.one()
+                first, second = rank("p", self.machines)[:2]
+                self.run_on(one, 5, [first, second])
+                begun = self.now
+                one.received(second, Offer(*KEY, mark_of(made(1))), self.now)
+                asked = None
+                while asked is None:
+                    self.now += 10_000
+                    if speaks and self.now % (2 * S) == 0:
+                        one.received(first, Beat(), self.now)
+                    one.wake(self.now)
+                    if any(isinstance(effect, Send) and isinstance(effect.message, Want) for effect in one.out):
+                        asked = (self.now - begun) / S
+                    one.out.clear()
+                if speaks:
+                    self.assertGreater(asked, 2 * WAVE_WITHIN / S)
+                    self.assertLess(asked, 4)
+                else:
+                    self.assertLess(asked, 3)
+
+    def test_time_in_which_it_stood_still_is_no_evidence_against_others(self) -> None:
+        one = self.one()
+        first, second = rank("p", self.machines)[:2]
+        self.run_on(one, 5, [first, second])
+        self.now += 8 * S
+        one.wake(self.now)
+        self.assertEqual([first, second], one.up)
+        self.assertFalse([effect for effect in one.out if isinstance(effect, (Close, Connect))])
+        # And it is waited for again for as long as it may be silent, no longer.
+        self.now += SILENT_AFTER // 2
+        one.wake(self.now)
+        self.now += SILENT_AFTER // 2 + 200_000
+        one.wake(self.now)
+        self.assertEqual([], one.up)
+        other = self.one("q")
+        self.run_on(other, 1)
+        self.now += 4 * S
+        other.wake(self.now)
+        self.assertEqual([], other.out)
+
+    def test_a_process_that_always_stands_still_finds_out_in_the_end(self) -> None:
+        one = self.one()
+        first, second = rank("p", self.machines)[:2]
+        self.run_on(one, 5, [first, second])
+        begun = self.now
+        while one.up:
+            self.now += 4 * S
+            one.wake(self.now)
+        self.assertLess(self.now - begun, 30 * S)
+
+
 class Relaying(unittest.TestCase):
     def setUp(self) -> None:
         self.peers = [f"c{number}:1" for number in range(8)]
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -20,13 +20,14 @@
 from pathlib import Path
 from random import Random
 from typing import Any
+from unittest import mock
 
-from pepperusher.distribution import operate, publish, rollout, wire
+from pepperusher.distribution import admission, operate, publish, rollout, wire
 from pepperusher.distribution.client import Client
 from pepperusher.distribution.operate import NoAnswer
 from pepperusher.distribution.server import HELLO_WITHIN, SILENT_AFTER, Server, Terms
 from pepperusher.distribution.wire import Session
-from pepperusher.distribution.words import CONFIG, ENDPOINTS, MOST_NAMES, PROXY, Beat, Hello, Key, Resource, Version
+from pepperusher.distribution.words import CONFIG, ENDPOINTS, MOST_NAMES, PROXY, Beat, Hello, Key, Resource, Version, resource
 from pepperusher.net import clock
 from pepperusher.net.distributed import Distributed
 from pepperusher.net.house import House
@@ -446,6 +447,51 @@
         self.assertEqual(1, counts["floods"])
 
 
+class Line(unittest.IsolatedAsyncioTestCase):
+    async def test_who_waits_to_be_served_is_told_so_and_goes_nowhere_else(self) -> None:
+        """Forty proxies at once at three machines that serve four a second: none tries its third."""
+        key = (ENDPOINTS, "east/shop")
+        servers = []
+        with (
+            mock.patch.object(admission, "ADMITTED_AT_ONCE", 2.0),
+            mock.patch.object(admission, "ADMITTED_A_SECOND", 4.0),
+        ):
+            for name in "abc":
+                folder = Path(tempfile.mkdtemp())
+                self.addCleanup(shutil.rmtree, folder)
+                terms = Terms(name, "east", "", (HOST, 0), [], None, True, 100, "127.0.0.1")
+                servers.append(Server(terms, SECRET, Disk(folder), lambda *_, **__: None, 1))
+            ports = [await one.start() for one in servers]
+            versions = [await publish((HOST, port), SECRET, *key, b"one\n") for port in ports[:1]]
+            made = resource(*key, versions[0], b"one\n")
+            for one in servers[1:]:
+                self.assertIsNone(one.publisher.take(made, clock.now()))
+            upstreams = [(HOST, port) for port in ports]
+            clients = [
+                Client(upstreams, [key], lambda _: None, key=SECRET, name=f"p{number}", region="east", zone="", seed=number)
+                for number in range(40)
+            ]  # fmt: skip
+            for client in clients:
+                client.start()
+            try:
+                await until(lambda: all(len(one.upstreams) == 2 for one in clients), what="connected")
+                self.assertGreater(max(len(one._admission) for one in servers), 10)
+                await until(lambda: all(one.in_force.get(key) == versions[0] for one in clients), what="served")
+                await until(lambda: not any(len(one._admission) for one in servers), what="an empty line")
+                # What they said while they waited was heard.
+                await until(
+                    lambda: [one.in_force.get(key) for server in servers for one in server.publisher.proxies.values()]
+                    == 80 * versions,
+                    what="told",
+                )
+                self.assertEqual([2] * 40, [one.counts["connects"] for one in clients])
+            finally:
+                for client in clients:
+                    client.kill()
+                for one in servers:
+                    await one.stop()
+
+
 class Slow(unittest.IsolatedAsyncioTestCase):
     async def test_frozen_subscribers_delay_nobody_and_hold_little(self) -> None:
         """Twenty that never read, while a dozen versions of 1 MB go out: facts, which go out in no waves."""
