A relay does not ask for the version before the newest where it has it

Change: a steady version that is held is remembered and given to the publisher once the newer one is taken; nothing is asked for. Ruled out: telling the publisher at once, which has it as its newest then and would take it for done. The new test fails without it (each change asked twice).

--- a/pepperusher/distribution/subscriber.py
+++ b/pepperusher/distribution/subscriber.py
@@ -194,6 +194,8 @@
         self._behind: set[Slot] = set()  # what somebody offered that is newer than what is here
         self._wants: dict[Slot, tuple[int, int, str]] = {}  # when asked again, how long then, whom last
         self._steady: dict[Key, Version] = {}  # a relay's, as many as it holds
+        # What it holds and others call steady, until what is newer is taken: as many as it holds.
+        self._steady_here: dict[Key, Resource] = {}
         self._misfits: set[Key] = set()  # to be had whole
         self.confirmed: tuple[int, int] = (0, 0)
         self.confirmed_at: int | None = None
@@ -429,11 +431,14 @@
             return
         one.offers[key, False] = offer.mark, now, offer.halted
         if self._role == RELAY:
-            if offer.steady is not None and offer.steady.version < offer.mark.version:
-                one.offers[key, True] = offer.steady, now, ""
-            else:
-                one.offers.pop((key, True), None)
             held = self.held.get(key)
+            one.offers.pop((key, True), None)
+            if offer.steady is not None and offer.steady.version < offer.mark.version:
+                if held is not None and mark_of(held) == offer.steady:
+                    # The version before the newest, which it has: not to be sent again with each change.
+                    self._steady_here[key] = held
+                else:
+                    one.offers[key, True] = offer.steady, now, ""
             if offer.halted and held is not None and held.version == offer.mark.version:
                 self.out.append(Apply(held, offer.halted, False))
             self._ask_for((key, True), now)
@@ -562,6 +567,10 @@
             assert held is None or held.version < one.version
             self.held[one.key] = one
             self.refused.pop(one.key, None)
+            steady = self._steady_here.pop(one.key, None)
+            if steady is not None and self._steady.get(one.key, NEVER) < steady.version < one.version:
+                self._steady[one.key] = steady.version
+                self.out.append(Apply(steady, "", True))
         else:
             self.counts["refused"] += 1
             self.refused[one.key] = mark_of(one), one_line(reason) or "no reason given"
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -842,6 +842,27 @@
         self.assertEqual(300, len(again))
         self.assertNotIn(self.peers[0], {one.upstream for one in again})
 
+    def test_the_version_before_is_not_asked_for_where_it_is_here(self) -> None:
+        """With each change it is what all others call steady: a whole body from each, for nothing."""
+        self.one.received(self.peers[0], Offer(*KEY, mark_of(made(1))), self.now)
+        self.one.received(self.peers[0], Snapshot(*KEY, mark_of(made(1)), made(1).body), self.now)
+        (apply,) = [effect for effect in self.one.out if isinstance(effect, Apply)]
+        self.one.applied(apply.resource, None, self.now)
+        self.wants()
+        for peer in self.peers:
+            self.one.received(peer, Offer(*KEY, mark_of(made(2)), "", mark_of(made(1))), self.now)
+        (want,) = self.wants()
+        self.assertEqual(Want(*KEY, False, mark_of(made(1))), want.message)
+        self.one.received(self.peers[0], Snapshot(*KEY, mark_of(made(2)), made(2).body), self.now)
+        (apply,) = [effect for effect in self.one.out if isinstance(effect, Apply)]
+        self.one.out.clear()
+        self.one.applied(apply.resource, None, self.now)
+        self.assertEqual([Apply(made(1), "", True)], [effect for effect in self.one.out if isinstance(effect, Apply)])
+        self.one.out.clear()
+        for peer in self.peers[1:]:
+            self.one.received(peer, Offer(*KEY, mark_of(made(2)), "", mark_of(made(1))), self.now)
+        self.assertEqual([], self.wants())
+
     def test_a_steady_version_is_had_too_where_the_newest_is_halted(self) -> None:
         offer = Offer(*KEY, mark_of(made(2)), "refused", mark_of(made(1)))
         self.one.received(self.peers[0], offer, self.now)
