--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -582,6 +582,7 @@
 config = "shop"
 keep = "KEPT"
 region = "east"
+near = ["HOST:PORT"]
 [[routes]]
 name = "own"
 match = { path = "/own" }
@@ -640,6 +641,7 @@
         async with asyncio.timeout(2 * WITHIN):
             await self.open("a1", own=self.own)
             self.assertEqual(["own"], self.names())
+            self.assertEqual([f"{HOST}:{self.machine.port}"], self.distributed._client._near)
             machine = ("--machine", f"{HOST}:{self.machine.port}", "--key-file", str(self.folder / "key"))
             (self.folder / "shop.toml").write_text(SHARED % 2)
             said = await self.ctl("publish", "shop", str(self.folder / "shop.toml"), *machine)
