Scenes: a region apart for five minutes with changes on both sides, an origin's disk full or old

The scene region's wait also ended after 40 s where its span is 60 s, so the long form of it was never 60 s.

Change: region and the new scene apart share one play, with a change on each side in every round (15 in 300 s; quick: 3 in 30 s) and the slowest held to 12 s. The new scene origin: a change is refused, with why, while the origin's disk is full; all have the next once it is free; an origin that comes back with a disk from before a change gives no version twice and all have its next change.

--- a/pepperusher/rehearsal/hollow_scenes.py
+++ b/pepperusher/rehearsal/hollow_scenes.py
@@ -9,8 +9,9 @@
 from random import Random
 from typing import Any
 
+from pepperusher.distribution import operate
 from pepperusher.rehearsal import hollow_books
-from pepperusher.rehearsal.hollow_books import Row
+from pepperusher.rehearsal.hollow_books import Reached, Row
 from pepperusher.rehearsal.hollow_control import ORIGIN, Controls
 from pepperusher.rehearsal.hollow_plan import TEAMS, ZONES, list_of, names_of, plan, row
 from pepperusher.rehearsal.hollow_play import CONTROL, DISCOVERY, OWN, Play, body_of
@@ -298,38 +299,52 @@
 
 
 async def region(ground: Ground) -> dict[str, Any]:
-    """A region without a way out for a while, changes on both sides, healed."""
+    """A region without a way out for a while, a change on both sides, healed."""
+    return await _apart(ground, 8.0 if ground.quick else 60.0, 1)
+
+
+async def apart(ground: Ground) -> dict[str, Any]:
+    """The same for five minutes, with changes on both sides all the while."""
+    return await _apart(ground, 30.0 if ground.quick else 300.0, 3 if ground.quick else 15)
+
+
+async def _apart(ground: Ground, span: float, rounds: int) -> dict[str, Any]:
     cut = ground.play.parts - 1
-    span = 8.0 if ground.quick else 60.0
     inside = {place.number for place in ground.play.plan.places if place.region == cut}
     owned = next(
         service for service in range(len(ground.play.plan.services)) if service % ground.play.parts == cut
     )
     name = list_of(owned, ground.play.parts)
+    rows_ = list(ground.play.plan.services[owned])
     await ground.play.cut({cut}, True)
     began = time.monotonic()
-    outer = await ground.publish()
-    body = body_of([row(owned, 7000, cut), *ground.play.plan.services[owned]])
-    at = clock()
-    inner = f"endpoints/{name}", await ground.controls.publish("endpoints", name, body), at
-    until = time.monotonic() + PATIENCE
-    rows: list[Row] = []
-    outside_has = inside_has = None
-    while time.monotonic() < until:
-        rows = joined(rows, await ground.play.books())
-        outside_has = ground.play.reached_resource(rows, *outer, ground.everyone(inside))
-        inside_has = ground.play.reached_resource(rows, *inner, ground.subscribers(inner[0]) & inside)
-        if outside_has.all is not None and inside_has.all is not None and time.monotonic() - began >= span:
-            break
-        await asyncio.sleep(LOOK_EVERY * 5)
-    assert outside_has is not None and inside_has is not None
-    for label, told in (("outside has configuration", outside_has), ("inside has its own list", inside_has)):
+    both: list[tuple[Reached, Reached]] = []
+    leaked = 0
+    for number in range(rounds):
+        outer = await ground.publish()
+        rows_ = [row(owned, 7000 + number, cut), *rows_]
+        at = clock()
+        inner = f"endpoints/{name}", await ground.controls.publish("endpoints", name, body_of(rows_)), at
+        until = time.monotonic() + PATIENCE
+        rows: list[Row] = []
+        while True:
+            rows = joined(rows, await ground.play.books())
+            outside_has = ground.play.reached_resource(rows, *outer, ground.everyone(inside))
+            inside_has = ground.play.reached_resource(rows, *inner, ground.subscribers(inner[0]) & inside)
+            over = time.monotonic() - began >= span * (number + 1) / rounds
+            had = outside_has.all is not None and inside_has.all is not None
+            if over and (had or time.monotonic() >= until):
+                break
+            await asyncio.sleep(LOOK_EVERY * 5)
+        both.append((outside_has, inside_has))
+        leaked += ground.play.reached_resource(rows, *outer, inside).had
+    slowest = [max(those, key=lambda one: PATIENCE if one.all is None else one.all) for those in zip(*both)]
+    for label, told in zip(("outside has configuration", "inside has its own list"), slowest):
         ground.check(
             f"region cut off: {label} within {IN_FORCE_WITHIN:g} s",
             told.all is not None and told.all <= IN_FORCE_WITHIN,
             told.row(),
         )
-    leaked = ground.play.reached_resource(rows, *outer, inside).had
     ground.check("region cut off: the change did not pass the cut", leaked == 0, leaked)
     during = await ground.costs()
     healed = clock()
@@ -339,8 +354,9 @@
     rows = await ground.play.books()
     made: dict[str, Any] = {
         "cut_s": round(time.monotonic() - began, 1),
-        "outside": outside_has.row(),
-        "inside": inside_has.row(),
+        "changes_on_each_side": rounds,
+        "outside": slowest[0].row(),
+        "inside": slowest[1].row(),
         "during": during,
     }
     for label, change_, meant in (
@@ -448,6 +464,46 @@
     return made
 
 
+async def origin(ground: Ground) -> dict[str, Any]:
+    """The origin's disk is full and free again; then it is killed and comes back with one from before a change."""
+    made: dict[str, Any] = {}
+    controls = ground.controls
+    controls.full_disk(ORIGIN, True)
+    why = ""
+    try:
+        await ground.publish()
+    except operate.NoAnswer as error:
+        why = str(error)
+    controls.full_disk(ORIGIN, False)
+    ground.check("the origin's disk is full: a change is refused, with why", "can't be written" in why, why)
+    made["disk_free"] = await ground.taken(await ground.publish(), "the origin's disk is free again")
+    controls.keep_disk(ORIGIN)
+    last = await ground.publish()
+    made["change_after_the_copy"] = await ground.taken(last, "a change that the copy of its disk lacks")
+    await controls.kill(ORIGIN)
+    controls.old_disk(ORIGIN)
+    began = clock()
+    await ground.play.start_control(ORIGIN)
+    change_ = await _written(ground)
+    made["writes_again_s"] = round((clock() - began) / 1e6, 2)
+    ground.check("an old disk: no version is given twice", change_[1] > last[1], [last[1], change_[1]])
+    made["old_disk"] = await ground.taken(change_, "the origin is back with an old disk")
+    made.update(await ground.costs())
+    return made
+
+
+async def _written(ground: Ground) -> tuple[str, int, int]:
+    """A change, once the origin has compared with the others and fetched what it lacks. Raises operate.NoAnswer."""
+    until = time.monotonic() + PATIENCE
+    while True:
+        try:
+            return await ground.publish()
+        except operate.NoAnswer as error:
+            if time.monotonic() >= until or not any(one in str(error) for one in ("begins to write", "fetched")):
+                raise
+        await asyncio.sleep(LOOK_EVERY)
+
+
 async def refused(ground: Ground) -> dict[str, Any]:
     """A change that a fifth of the proxies refuse stops, and the next one goes on from what stands."""
     what, version, at = await ground.publish(more=REFUSED)
@@ -523,9 +579,11 @@
     "day": day,
     "control-lost": control_lost,
     "region": region,
+    "apart": apart,
     "release": release,
     "slow": slow,
     "troubled": troubled,
+    "origin": origin,
     "refused": refused,
     "zone": zone,
 }
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -53,7 +53,7 @@
         self.slopes(many, 200)
 
     def test_control_machines_and_a_region_lost_and_back_and_in_trouble(self) -> None:
-        names = ["control-lost", "region", "troubled"]
+        names = ["control-lost", "region", "troubled", "origin"]
         self.hold(play(names, 100, 3), *names)
 
 
