A proxy that waits for control machines wakes a few times a second, not each 5 ms

Cause: while a proxy waited for its first upstreams, each machine that it might try next counted as due at once, though none could be tried before the wait was over.

Change: when it is woken follows what may be tried (`_next_attempt`): under 100 wakes in ten seconds, every attempt as soon as before. Ruled out: waking four times a second and no more, which put the ninth machine 2 s later.

--- a/pepperusher/distribution/subscriber.py
+++ b/pepperusher/distribution/subscriber.py
@@ -77,6 +77,8 @@
 # While it is connecting it is woken so often, so that it sees how long its own process stood still: time in which
 # it could have read no answer is no evidence against anybody. So much of it at the most for one upstream.
 LOOK_EVERY = 250_000
+# Not woken again before this, whatever is due.
+SOONEST = 5_000
 STOOD_STILL = 200_000
 EXCUSED_MOST = 10_000_000
 # So long the first upstream has to send what the second has offered.
@@ -341,20 +343,34 @@
                 self.out.append(Send(one.name, Beat()))
         self._settle(now)
         self._ask(now)
-        up = 0
         for one in self._upstreams.values():
             if one.state == UP:
-                up += 1
                 due = min(due, one.beat_at + BEAT_EVERY, one.heard_at + SILENT_AFTER)
-            elif one.state == CONNECTING:
-                due = min(due, now + LOOK_EVERY)
-            elif up < self._links:
-                due = min(due, max(one.again_at, self._next_at, now + 5_000))
+        due = min(due, self._next_attempt(now))
         for at, _, _ in self._wants.values():
-            due = min(due, max(at, now + 5_000))
+            due = min(due, max(at, now + SOONEST))
         self._due = due
         return due
 
+    def _next_attempt(self, now: int) -> int:
+        """When another may be tried, or it is to be seen whether this process stood still."""
+        those = list(self._upstreams.values())
+        up = sum(one.state == UP for one in those)
+        under_way = [one for one in those if one.state == CONNECTING]
+        at = now + (LOOK_EVERY if under_way else BEAT_EVERY)
+        if up >= self._links:
+            return at
+        down = [max(one.again_at, self._next_at, now + SOONEST) for one in those if one.state == DOWN]
+        if under_way and down:
+            # Whatever else may be tried waits for these, as `_to_connect` has it.
+            if len(under_way) >= CONNECTING_MOST or self._role == RELAY:
+                return at
+            if len(under_way) < self._links - up:
+                return min(at, *down)
+            since = [one.since for one in under_way]
+            return min(at, max(max(since) + SECOND_FIRST if up else min(since) + CONNECT_FIRST, min(down)))
+        return min(at, *down) if down else at
+
     def _excuse(self, now: int) -> None:
         """Time in which this process stood still is taken off what others are waited for."""
         late = now - self._due
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -741,6 +741,29 @@
         self.assertEqual(len(set(tried)), len(tried))
         self.assertEqual(2, sum(at < 1.5 for at, _ in self.tried))
 
+    def test_it_is_woken_a_few_times_a_second_while_it_waits_and_misses_no_attempt(self) -> None:
+        """Woken each 5 ms, as it was, two hundred proxies in one process have no time to read any answer."""
+        for there in ((), *((machine,) for machine in self.machines), tuple(self.machines)):
+            with self.subTest(there=there):
+                one, now, wakes = self.one(), 0, 0
+                tried: dict[str, int] = {}
+                while now < 10 * S:
+                    now = max(now + 1, one.wake(now))
+                    wakes += 1
+                    out, one.out = one.out, []
+                    for effect in out:
+                        if isinstance(effect, Connect):
+                            tried.setdefault(effect.upstream, now)
+                            if effect.upstream in there:
+                                one.connected(effect.upstream, now)
+                                one.received(effect.upstream, Beat(), now)
+                    for name in one.up:
+                        one.received(name, Beat(), now)
+                self.assertLess(wakes, 100)
+                if not there:
+                    self.assertEqual(9, len(tried))
+                    self.assertLess(max(tried.values()) + SILENT_AFTER, 12 * S)
+
     def test_a_machine_before_those_in_use_is_gone_back_to_in_a_quiet_time(self) -> None:
         one = self.one()
         first, second, third = rank("p", self.machines)[:3]
