A control machine raises its soft limit of descriptors to what its subscribers need

Cause: of 5,000 proxies and nine machines each has 1,078 to 1,138 connections, 1,285 with one lost (counted by the order of upstreams), 16 more to and from its peers; the usual soft limit is 1,024, and beyond it a connection can't be accepted. `serve` raised its own, `control` did not.

Change: at its start it raises the soft limit to subscribers, strangers, relays, operators, peers and 64 beside them, or to the hard one, and says so where that is fewer. Ruled out: raising it always to the hard limit, which hides a leak. Test: a process begun with a soft limit of 50 and a hard one of 4,000 and of 100; fails without (50).

--- a/pepperusher/distribution/commands.py
+++ b/pepperusher/distribution/commands.py
@@ -5,13 +5,14 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 from pathlib import Path
 
 import click
 
 from pepperusher.distribution import operate, reading
-from pepperusher.distribution.server import Server, Terms
+from pepperusher.distribution.server import Server, Terms, descriptors_of
 from pepperusher.net.log import Log
 from pepperusher.own.reading import OwnError
 from pepperusher.own.rules import address_of
@@ -73,6 +74,16 @@
     )  # fmt: skip
 
 
+def raised(wanted: int) -> int:
+    """How many descriptors this process may hold; its soft limit is raised to what is wanted, or to the hard one."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft == resource.RLIM_INFINITY or soft >= wanted:
+        return wanted
+    most = wanted if hard == resource.RLIM_INFINITY else min(wanted, hard)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, hard))
+    return most
+
+
 async def _serve(read: reading.Read) -> None:
     file = read.file
     log = Log(file.name)
@@ -80,7 +91,11 @@
         from pepperusher.net.formed import form_of
 
         log.take_form(form_of(file.log))
-    server = Server(terms_of(file), read.key, Disk(Path(file.state_dir)), log.tell, int.from_bytes(os.urandom(8)))
+    terms = terms_of(file)
+    wanted = descriptors_of(terms)
+    if (may := raised(wanted)) < wanted:
+        log.tell("fewer descriptors than its subscribers may need", may=may, wanted=wanted)
+    server = Server(terms, read.key, Disk(Path(file.state_dir)), log.tell, int.from_bytes(os.urandom(8)))
     ended = asyncio.Event()
     for one in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(one, ended.set)
--- a/pepperusher/distribution/server.py
+++ b/pepperusher/distribution/server.py
@@ -67,6 +67,8 @@
 MESSAGES = {PROXY: 1_000, RELAY: 20_000, OPERATOR: 1_000}
 MOST_RELAYS = 64
 MOST_OPERATORS = 32
+# Held beside connections: the listener, the loop's own, the disk's files, standard streams, and some to spare.
+HELD_BESIDE = 64
 TICK = 0.1
 ADMIT_EVERY = 0.01
 BEAT_EVERY = 2_000_000
@@ -94,6 +96,11 @@
     local: str
 
 
+def descriptors_of(terms: Terms) -> int:
+    """What it may come to hold at once: all whom it admits, strangers among them, and its own connections."""
+    return terms.subscribers + MOST_STRANGERS + MOST_RELAYS + MOST_OPERATORS + len(terms.peers) + HELD_BESIDE
+
+
 class _Connection:
     """One that was accepted, until it ends."""
 
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -19,6 +19,7 @@
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
+from resource import RLIMIT_NOFILE, prlimit
 from typing import Any
 from unittest import mock
 
@@ -752,6 +753,32 @@
         self.assertEqual(1, code)
         self.assertIn("lissten: not known here; did you mean listen?", out)
 
+    async def test_as_many_descriptors_as_its_subscribers_need_or_it_says_so(self) -> None:
+        """A shell's usual soft limit is 1,024, and 5,000 proxies bring 1,300 connections to one machine of nine."""
+        for hard, told in ((4_000, False), (100, True)):
+            with self.subTest(hard=hard):
+                folder = Path(tempfile.mkdtemp())
+                self.addCleanup(shutil.rmtree, folder)
+                (folder / "key").write_bytes(SECRET)
+                machine = Machine(folder, 0, free_ports(1)[0], [], subscribers=1_500)
+                with open(machine.errors, "ab") as errors:
+                    process = await asyncio.create_subprocess_exec(
+                        "sh", "-c", f'ulimit -S -n 50; ulimit -H -n {hard}; exec "$@"', "sh",
+                        sys.executable, "-m", "pepperusher", "control", "--config", str(machine.file),
+                        stdout=asyncio.subprocess.PIPE, stderr=errors,
+                    )  # fmt: skip
+                assert process.stdout is not None
+                try:
+                    async with asyncio.timeout(WITHIN):
+                        self.assertIn(b"listening", await process.stdout.readline())
+                    soft, _ = prlimit(process.pid, RLIMIT_NOFILE)
+                    self.assertEqual(min(hard, 1_500 + 2_048 + 64 + 32 + 64), soft)
+                    said = [line for line in machine.lines() if "descriptors" in str(line)]
+                    self.assertEqual(told, bool(said), machine.lines())
+                finally:
+                    process.kill()
+                    await process.wait()
+
     async def test_a_folder_that_another_has(self) -> None:
         folder = Path(tempfile.mkdtemp())
         self.addCleanup(shutil.rmtree, folder)
