--- a/pepperusher/distribution/subscriber.py
+++ b/pepperusher/distribution/subscriber.py
@@ -244,13 +244,24 @@
                 self.out.append(Connect(one.name))
                 if self._role == PROXY and under_way:
                     self._next_at = now + HEDGE_EVERY
-        first = self._role == PROXY
+        sender = self._sender(now)
+        for one in self._upstreams.values():
+            if one.state == UP and one.bodies != (one is sender):
+                one.bodies = one is sender
+                self.out.append(Send(one.name, Bodies(one.bodies)))
+
+    def _sender(self, now: int) -> _Upstream | None:
+        """Who is to send bodies: the first that it is connected to. One that comes before those in front of it waits
+        for them a little with that, or both would send everything to a proxy that starts.
+        """
+        if self._role == RELAY:
+            return None
+        soon = False
         for one in self._upstreams.values():
             if one.state == UP:
-                if one.bodies != first:
-                    one.bodies = first
-                    self.out.append(Send(one.name, Bodies(first)))
-                first = False
+                return one if one.bodies or not soon else None
+            soon = soon or (one.state == CONNECTING and now - one.since < CONNECT_FIRST)
+        return None
 
     def _to_connect(self, up: int, under_way: list[_Upstream], now: int) -> int:
         """How many more it may try now."""
@@ -300,10 +311,9 @@
         one.state, one.since, one.heard_at, one.beat_at = UP, now, now, now
         one.spoke_at, one.excused = None, 0
         self._stirred(now)
-        # The first in order sends bodies; it is told before it says anything.
-        one.bodies = self._role == PROXY and not any(
-            other.state == UP for other in self._before(one)
-        )
+        # Who sends bodies is told before it says anything.
+        one.bodies = False
+        one.bodies = self._sender(now) is one
         refused = [Ack(*key, *mark.version, reason) for key, (mark, reason) in self.refused.items()]
         have = [Have(*key, mark_of(self.held[key])) for key in self.held]
         names = [] if self._names is None else sorted(self._names)
@@ -315,10 +325,6 @@
         )
         self._settle(now)
 
-    def _before(self, one: _Upstream) -> list[_Upstream]:
-        those = list(self._upstreams.values())
-        return those[: those.index(one)]
-
     def lost(self, upstream: str, now: int) -> None:
         """The connection ended, or was not to be had."""
         one = self._upstreams[upstream]
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -17,7 +17,7 @@
 )  # fmt: skip
 from pepperusher.distribution.wire import OPENING, Session
 from pepperusher.distribution.words import (
-    CONFIG, ENDPOINTS, NEVER, PROXY, RELAY, Ack, Beat, Delta, Have, Hello, Key, Mark, Message, Offer, Publish,
+    CONFIG, ENDPOINTS, NEVER, PROXY, RELAY, Ack, Beat, Bodies, Delta, Have, Hello, Key, Mark, Message, Offer, Publish,
     Resource, Snapshot, Version, Want, digest_of, mark_of, resource,
 )  # fmt: skip
 from pepperusher.sealed import BadPacket
@@ -741,6 +741,24 @@
         self.assertEqual(len(set(tried)), len(tried))
         self.assertEqual(2, sum(at < 1.5 for at, _ in self.tried))
 
+    def test_the_second_sends_nothing_where_the_first_is_about_to(self) -> None:
+        first, second = rank("p", self.machines)[:2]
+        for answers in (True, False):
+            with self.subTest(first_answers=answers):
+                one = self.one()
+                self.now += S
+                one.wake(self.now)
+                one.connected(second, self.now)
+                if answers:
+                    one.connected(first, self.now + S // 2)
+                for _ in range(20):
+                    self.now += S // 10
+                    one.wake(self.now)
+                said = [(effect.upstream, effect.message) for effect in one.out if isinstance(effect, Send)]
+                bodies = [(to, one.bodies) for to, one in said if isinstance(one, Hello)]
+                bodies += [(to, one.on) for to, one in said if isinstance(one, Bodies)]
+                self.assertEqual([(second, False), (first, True)] if answers else [(second, False), (second, True)], bodies)
+
     def test_it_is_woken_a_few_times_a_second_while_it_waits_and_misses_no_attempt(self) -> None:
         """Woken each 5 ms, as it was, two hundred proxies in one process have no time to read any answer."""
         for there in ((), *((machine,) for machine in self.machines), tuple(self.machines)):
