Where near machines are known a proxy waits twice as long before it tries a third

With near machines named, the two that can be reached in a cut are among the first three of the order, so nothing forces it to be quick: the third after 3 s, then one each 1.5 s.

--- a/pepperusher/distribution/client.py
+++ b/pepperusher/distribution/client.py
@@ -19,7 +19,7 @@
 from pepperusher.distribution.link import Link
 from pepperusher.distribution.subscriber import Apply, Close, Connect, Say, Send, Subscriber
 from pepperusher.distribution.wire import Session
-from pepperusher.distribution.words import LONGEST_MESSAGE, Key, Message, Resource, Version, one_line
+from pepperusher.distribution.words import LONGEST_MESSAGE, Beat, Key, Message, Resource, Version, one_line
 from pepperusher.net import clock
 from pepperusher.sealed import BadPacket
 
@@ -229,7 +229,9 @@
     def _came(self, upstream: str, link: Link, message: Message) -> None:
         if self._links.get(upstream) is link and self._subscriber is not None:
             self._subscriber.received(upstream, message, clock.now())
-            self._later()
+            # By far the most are beats, and nothing is due sooner for them.
+            if self._subscriber.out or not isinstance(message, Beat):
+                self._later()
 
     def _ended(self, upstream: str, link: Link, why: str) -> None:
         if self._links.get(upstream) is not link or self._subscriber is None:
--- a/pepperusher/distribution/subscriber.py
+++ b/pepperusher/distribution/subscriber.py
@@ -65,6 +65,9 @@
 # one for so long, where none is connected. Of nine machines the last is tried within 6.4 s.
 CONNECT_FIRST = 1_500_000
 HEDGE_EVERY = 750_000
+# Where it is known which are near, the two that can be reached in a cut are among the first three: all of this takes
+# so many times as long, since an answer that is late then is more likely one of a busy machine.
+NEAR_PATIENCE = 2
 # With one upstream there the other is not in such a hurry.
 SECOND_FIRST = 3_000_000
 # After a loss the next is tried within this, drawn, and after each further failure no sooner than that: all
@@ -79,7 +82,7 @@
 LOOK_EVERY = 250_000
 # Not woken again before this, whatever is due.
 SOONEST = 5_000
-STOOD_STILL = 200_000
+STOOD_STILL = 100_000
 EXCUSED_MOST = 10_000_000
 # So long the first upstream has to send what the second has offered.
 OFFERED_WITHIN = 1_000_000
@@ -187,6 +190,8 @@
         self._names = None if role == RELAY else frozenset(names)
         self._links = len(upstreams) if role == RELAY else min(UPSTREAMS, len(upstreams))
         self._upstreams = {one: _Upstream(one, now) for one in order_of(name, upstreams, near)}
+        patience = NEAR_PATIENCE if set(near) & set(upstreams) else 1
+        self._first, self._hedge_every = patience * CONNECT_FIRST, patience * HEDGE_EVERY
         self._chance = chance
         self.out: list[Effect] = []
         self.held: dict[Key, Resource] = {one.key: one for one in held}  # as many as are subscribed to
@@ -243,7 +248,7 @@
                 self.counts["connects"] += 1
                 self.out.append(Connect(one.name))
                 if self._role == PROXY and under_way:
-                    self._next_at = now + HEDGE_EVERY
+                    self._next_at = now + self._hedge_every
         sender = self._sender(now)
         for one in self._upstreams.values():
             if one.state == UP and one.bodies != (one is sender):
@@ -260,22 +265,22 @@
         for one in self._upstreams.values():
             if one.state == UP:
                 return one if one.bodies or not soon else None
-            soon = soon or (one.state == CONNECTING and now - one.since < CONNECT_FIRST)
+            soon = soon or (one.state == CONNECTING and now - one.since < self._first)
         return None
 
     def _to_connect(self, up: int, under_way: list[_Upstream], now: int) -> int:
         """How many more it may try now."""
         if self._role == RELAY:
-            return self._links - up - sum(now - one.since < CONNECT_FIRST for one in under_way)
+            return self._links - up - sum(now - one.since < self._first for one in under_way)
         if up >= self._links:
             # A better place than the last in use; not in a hurry, and not in the middle of anything.
             quiet = not self._behind and not self._applying and now - self._quiet_since >= self._quiet_for
             return 1 if quiet and not under_way else 0
-        first = SECOND_FIRST if up else CONNECT_FIRST
+        first = SECOND_FIRST if up else self._first
         fresh = sum(now - one.since < first for one in under_way)
         room = CONNECTING_MOST - len(under_way)
         if under_way:
-            # Beside what is waited for, one at a time: HEDGE_EVERY keeps them apart where none is connected.
+            # Beside what is waited for, one at a time: `_hedge_every` keeps them apart where none is connected.
             late = sum(now - one.since >= first for one in under_way)
             return min(1, room) if late and (not up or not fresh) else min(self._links - up - len(under_way), room)
         return min(self._links - up if self._next_wait == AGAIN_LEAST else 1, room)
@@ -374,7 +379,7 @@
             if len(under_way) < self._links - up:
                 return min(at, *down)
             since = [one.since for one in under_way]
-            return min(at, max(max(since) + SECOND_FIRST if up else min(since) + CONNECT_FIRST, min(down)))
+            return min(at, max(max(since) + SECOND_FIRST if up else min(since) + self._first, min(down)))
         return min(at, *down) if down else at
 
     def _excuse(self, now: int) -> None:
