Scenes say how often proxies asked for what they were offered

Need: of 5,000 proxies 68 were sent a change twice, and whether they asked their second upstream or stood between two machines could not be told apart from the figures. The count was there (Subscriber.counts); it goes into a client's counts and a scene's costs.

--- a/pepperusher/distribution/client.py
+++ b/pepperusher/distribution/client.py
@@ -190,7 +190,7 @@
                     self._take(effect.resource)
                 elif isinstance(effect, Say):
                     self._say(effect.what, **effect.figures)
-        for what in ("connects", "snapshots", "deltas", "refused"):
+        for what in ("connects", "snapshots", "deltas", "wants", "refused"):
             self.counts[what] = subscriber.counts[what]
 
     async def _connect(self, upstream: str) -> None:
--- a/pepperusher/rehearsal/hollow_scenes.py
+++ b/pepperusher/rehearsal/hollow_scenes.py
@@ -147,6 +147,7 @@
             "connects_worst_second": traffic["worst second connects"],
             "snapshots": traffic.get("snapshots", 0),
             "deltas": traffic.get("deltas", 0),
+            "wants": traffic.get("wants", 0),
             "messages_in": traffic.get("messages in", 0),
             "messages_out": traffic.get("messages out", 0),
             "seconds": seconds,
