--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -19,14 +19,16 @@
 from collections.abc import Callable
 from pathlib import Path
 from random import Random
+from resource import RLIMIT_NOFILE, prlimit
 from typing import Any
+from unittest import mock
 
-from pepperusher.distribution import operate, publish, rollout, wire
+from pepperusher.distribution import admission, operate, publish, rollout, wire
 from pepperusher.distribution.client import Client
 from pepperusher.distribution.operate import NoAnswer
 from pepperusher.distribution.server import HELLO_WITHIN, SILENT_AFTER, Server, Terms
 from pepperusher.distribution.wire import Session
-from pepperusher.distribution.words import CONFIG, ENDPOINTS, MOST_NAMES, PROXY, Beat, Hello, Key, Resource, Version
+from pepperusher.distribution.words import CONFIG, ENDPOINTS, MOST_NAMES, PROXY, Beat, Hello, Key, Resource, Version, resource
 from pepperusher.net import clock
 from pepperusher.net.distributed import Distributed
 from pepperusher.net.house import House
@@ -446,6 +448,51 @@
         self.assertEqual(1, counts["floods"])
 
 
+class Line(unittest.IsolatedAsyncioTestCase):
+    async def test_who_waits_to_be_served_is_told_so_and_goes_nowhere_else(self) -> None:
+        """Forty proxies at once at three machines that serve four a second: none tries its third."""
+        key = (ENDPOINTS, "east/shop")
+        servers = []
+        with (
+            mock.patch.object(admission, "ADMITTED_AT_ONCE", 2.0),
+            mock.patch.object(admission, "ADMITTED_A_SECOND", 4.0),
+        ):
+            for name in "abc":
+                folder = Path(tempfile.mkdtemp())
+                self.addCleanup(shutil.rmtree, folder)
+                terms = Terms(name, "east", "", (HOST, 0), [], None, True, 100, "127.0.0.1")
+                servers.append(Server(terms, SECRET, Disk(folder), lambda *_, **__: None, 1))
+            ports = [await one.start() for one in servers]
+            versions = [await publish((HOST, port), SECRET, *key, b"one\n") for port in ports[:1]]
+            made = resource(*key, versions[0], b"one\n")
+            for one in servers[1:]:
+                self.assertIsNone(one.publisher.take(made, clock.now()))
+            upstreams = [(HOST, port) for port in ports]
+            clients = [
+                Client(upstreams, [key], lambda _: None, key=SECRET, name=f"p{number}", region="east", zone="", seed=number)
+                for number in range(40)
+            ]  # fmt: skip
+            for client in clients:
+                client.start()
+            try:
+                await until(lambda: all(len(one.upstreams) == 2 for one in clients), what="connected")
+                self.assertGreater(max(len(one._admission) for one in servers), 10)
+                await until(lambda: all(one.in_force.get(key) == versions[0] for one in clients), what="served")
+                await until(lambda: not any(len(one._admission) for one in servers), what="an empty line")
+                # What they said while they waited was heard.
+                await until(
+                    lambda: [one.in_force.get(key) for server in servers for one in server.publisher.proxies.values()]
+                    == 80 * versions,
+                    what="told",
+                )
+                self.assertEqual([2] * 40, [one.counts["connects"] for one in clients])
+            finally:
+                for client in clients:
+                    client.kill()
+                for one in servers:
+                    await one.stop()
+
+
 class Slow(unittest.IsolatedAsyncioTestCase):
     async def test_frozen_subscribers_delay_nobody_and_hold_little(self) -> None:
         """Twenty that never read, while a dozen versions of 1 MB go out: facts, which go out in no waves."""
@@ -536,6 +583,7 @@
 config = "shop"
 keep = "KEPT"
 region = "east"
+near = ["HOST:PORT"]
 [[routes]]
 name = "own"
 match = { path = "/own" }
@@ -594,6 +642,7 @@
         async with asyncio.timeout(2 * WITHIN):
             await self.open("a1", own=self.own)
             self.assertEqual(["own"], self.names())
+            self.assertEqual([f"{HOST}:{self.machine.port}"], self.distributed._client._near)
             machine = ("--machine", f"{HOST}:{self.machine.port}", "--key-file", str(self.folder / "key"))
             (self.folder / "shop.toml").write_text(SHARED % 2)
             said = await self.ctl("publish", "shop", str(self.folder / "shop.toml"), *machine)
@@ -704,6 +753,32 @@
         self.assertEqual(1, code)
         self.assertIn("lissten: not known here; did you mean listen?", out)
 
+    async def test_as_many_descriptors_as_its_subscribers_need_or_it_says_so(self) -> None:
+        """A shell's usual soft limit is 1,024, and 5,000 proxies bring 1,300 connections to one machine of nine."""
+        for hard, told in ((4_000, False), (100, True)):
+            with self.subTest(hard=hard):
+                folder = Path(tempfile.mkdtemp())
+                self.addCleanup(shutil.rmtree, folder)
+                (folder / "key").write_bytes(SECRET)
+                machine = Machine(folder, 0, free_ports(1)[0], [], subscribers=1_500)
+                with open(machine.errors, "ab") as errors:
+                    process = await asyncio.create_subprocess_exec(
+                        "sh", "-c", f'ulimit -S -n 50; ulimit -H -n {hard}; exec "$@"', "sh",
+                        sys.executable, "-m", "pepperusher", "control", "--config", str(machine.file),
+                        stdout=asyncio.subprocess.PIPE, stderr=errors,
+                    )  # fmt: skip
+                assert process.stdout is not None
+                try:
+                    async with asyncio.timeout(WITHIN):
+                        self.assertIn(b"listening", await process.stdout.readline())
+                    soft, _ = prlimit(process.pid, RLIMIT_NOFILE)
+                    self.assertEqual(min(hard, 1_500 + 2_048 + 64 + 32 + 64), soft)
+                    said = [line for line in machine.lines() if "descriptors" in str(line)]
+                    self.assertEqual(told, bool(said), machine.lines())
+                finally:
+                    process.kill()
+                    await process.wait()
+
     async def test_a_folder_that_another_has(self) -> None:
         folder = Path(tempfile.mkdtemp())
         self.addCleanup(shutil.rmtree, folder)
