Capacity: slopes of control machines and of a proxy's client, by real processes

Control machines as processes and real clients over loopback are read as they connect, at rest, for a change by ctl publish, and as they come back with all held; state and the bytes of one message are counted in process.

--- a/pepperusher/capacity/slopes.py
+++ b/pepperusher/capacity/slopes.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Callable, Iterator
 
-from pepperusher.capacity import attempts, decisions, latency, membership, processes, storms, watching
+from pepperusher.capacity import attempts, control_play, control_state, decisions, latency, membership
+from pepperusher.capacity import processes, storms, watching
 from pepperusher.capacity.measures import CLOCKED, COUNTED, TIMED, Measure, Single
 from pepperusher.capacity.processes import ProcessError
 from pepperusher.capacity.stage import ZONES
@@ -169,8 +170,101 @@
             )
 
 
-QUICK: tuple[Callable[[], Iterator[Measure]], ...] = (_decisions, _list, _arcs, _membership, _config)
-WHOLE: tuple[Callable[[], Iterator[Measure]], ...] = (_discovery, _processes, _latency)
+# Proxies before two control machines; at the target one of nine has 556 proxies' worth of connections.
+FLEETS, FLEET_MOST = (25, 50, 100, 200, 400), 800
+
+
+def _control_state() -> Iterator[Measure]:
+    sizes, most = (5, 10, 20, 40, 60, 100), 200
+    yield Measure(
+        "control.state.subscriber", CONTROL, "what a machine holds, one resource subscribed to by each",
+        "subscriber", "bytes", COUNTED, (100, 250, 500, 750, 1000), 1500, control_state.by_subscriber,
+    )
+    yield Measure(
+        "control.state.subscription", CONTROL, "what it holds with 100 subscribers",
+        "resource that each subscribes to", "bytes", COUNTED, (1, 2, 4, 8, 16, 32), 64,
+        control_state.by_subscription,
+    )
+    yield Measure(
+        "control.state.resource", CONTROL,
+        f"what it holds, nobody connected, {control_play.ROUTES} routes each", "resource", "bytes", COUNTED,
+        (10, 20, 40, 80, 120), 210, control_state.by_resource,
+    )
+    for name, what, at in (
+        ("control.snapshot_bytes", "a configuration sent whole, on the connection",
+            control_state.snapshot_bytes),
+        ("control.delta_bytes", "a change of one route in it, on the connection", control_state.delta_bytes),
+    ):
+        yield Measure(name, CONTROL, what, "route", "bytes", COUNTED, sizes, most, at)
+    yield Measure(
+        "client.state", BESIDE, "what the decisions about control machines hold, with the configuration",
+        "route", "bytes", COUNTED, sizes, most, control_state.client_state,
+    )
+
+
+def _control() -> Iterator[Measure]:
+    """Of two machines together, both connections of each proxy."""
+    beside = "two control machines together, both connections of each proxy"
+    for occasion, said in (
+        ("start", "connecting, nothing held"), ("rest", "at rest, a second"), ("change", "one change to all"),
+        ("resume", "connecting again, all held"),
+    ):
+        a_second = "/s" if occasion == "rest" else ""
+        for name, what, unit, worth in (
+            ("out_messages", "messages out", "messages", COUNTED),
+            ("in_messages", "messages in", "messages", COUNTED),
+            ("out_bytes", "bytes out", "bytes", COUNTED), ("in_bytes", "bytes in", "bytes", COUNTED),
+            ("cpu", "processor time", "us", TIMED),
+        ):  # fmt: skip
+            yield Measure(
+                f"control.{occasion}.{name}", CONTROL, f"{said}: {what}, {beside}", "proxy", unit + a_second,
+                worth, FLEETS, FLEET_MOST, control_play.by_proxies(f"{occasion}.{name}"),
+            )
+        for name, what, unit, worth in (
+            ("out_bytes", "bytes out", "bytes", COUNTED), ("in_bytes", "bytes in", "bytes", COUNTED),
+            ("out_messages", "messages out", "messages", COUNTED),
+            ("in_messages", "messages in", "messages", COUNTED),
+            ("cpu", "processor time of the client alone, hundreds in one process", "us", TIMED),
+        ):  # fmt: skip
+            yield Measure(
+                f"client.{occasion}.{name}", BESIDE,
+                f"{said}: {what}, the mean of one proxy, both connections", "proxy", unit + a_second,
+                worth, FLEETS, FLEET_MOST, control_play.by_proxy(f"{occasion}.client_{name}"),
+            )
+    yield Measure(
+        "control.memory", CONTROL, "memory of its process (RSS)", "proxy connected to it", "bytes", TIMED,
+        FLEETS, FLEET_MOST, control_play.by_proxies("memory"),
+    )
+    yield Measure(
+        "control.descriptors", CONTROL, "descriptors of its process", "proxy connected to it", "descriptors",
+        COUNTED, FLEETS, FLEET_MOST, control_play.by_proxies("descriptors"),
+    )
+    yield Measure(
+        "operator.publish", OPERATOR, "processor time of one `ctl publish`, which all proxies take", "proxy",
+        "us", TIMED, FLEETS, FLEET_MOST, control_play.by_proxies("publish.cpu"),
+    )
+    for name, what, unit in (
+        ("out_messages", "messages out", "messages"), ("out_bytes", "bytes out", "bytes"),
+    ):  # fmt: skip
+        yield Measure(
+            f"control.some.{name}", CONTROL, f"one change to some of 100 proxies: {what}, {beside}",
+            "proxy that takes it", unit, COUNTED, (10, 20, 30, 40, 50), 80,
+            control_play.by_takers(f"change.{name}"),
+        )
+    for occasion, said, unit in (
+        ("rest", "at rest, a second", "bytes/s"), ("change", "one change", "bytes"),
+    ):  # fmt: skip
+        yield Measure(
+            f"control.relay.{occasion}", CONTROL,
+            f"{said}: bytes out of the origin to the others, no proxy there", "control machine", unit,
+            COUNTED, (2, 3, 4, 5, 6), 9, control_play.by_machines(f"{occasion}.origin_out_bytes"),
+        )
+
+
+QUICK: tuple[Callable[[], Iterator[Measure]], ...] = (
+    _decisions, _list, _arcs, _membership, _config, _control_state,
+)  # fmt: skip
+WHOLE: tuple[Callable[[], Iterator[Measure]], ...] = (_discovery, _processes, _control, _latency)
 
 
 def measures() -> list[Measure]:
