Capacity: rows of the control machine, of being told by it and of the front proxy

Need: the page had no row for the control machine, nothing of its own for a front proxy, and the operator's rows still stood as carried by nothing. Rows by occasion from the slopes of control machines; what a row was before stands beside it, with both ratios, once the slope that shows the mechanism is measured. What the target leaves open at front proxies (how many, the part of the calls that enter there) is named as our own assumption. Rows, target and assumptions now stand in modules of their own.

--- a/pepperusher/capacity/page.py
+++ b/pepperusher/capacity/page.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from pepperusher.capacity.measures import COUNTED, Book, Measured
-from pepperusher.capacity.projection import Assumed, Projection, Row
+from pepperusher.capacity.projection import Projection
+from pepperusher.capacity.target import Assumed, Row
 
 # What stands between these on the page is another hand's, and is kept when the page is printed anew.
 AFTER, AFTER_END = "<!-- after: begin -->", "<!-- after: end -->"
@@ -95,13 +96,46 @@
     return f"- {row.role}, {row.when}: {row.what}: **{mild}** mild, **{harsh}** harsh; {row.mechanism}."
 
 
+def _carried(of: Projection) -> Iterator[str]:
+    """What was missing when the mechanism was chosen, and what carries it now."""
+    rows = [row for row in of.rows() if row.before is not None]
+    if not rows:
+        return
+    worst = max(rows, key=lambda row: row.ratio(row.before[1]) or 0.0 if row.before else 0.0)
+    assert worst.before is not None
+    yield (
+        f"**Chosen before:** {worst.role}: {worst.what}, {figure(worst.before[1], worst.unit)}, **"
+        f"{_ratio(worst.ratio(worst.before[1]))} times** its budget, the row furthest over it that no"
+        f" mechanism carried: **distribution was missing** then. It is there now and carries these rows,"
+        f" which are no longer among those without a mechanism:"
+    )
+    yield ""
+    yield from _table(
+        ("role", "when", "what", "budget", "before: mild, harsh", "ratio", "after: mild, harsh", "ratio",
+            "mechanism that carries it", "from"),
+        (
+            [
+                row.role, row.when, row.what, figure(row.budget.value if row.budget else None, row.unit),
+                f"{figure(before[0], row.unit)}, {figure(before[1], row.unit)}",
+                f"{_ratio(row.ratio(before[0]))}, **{_ratio(row.ratio(before[1]))}**",
+                f"{figure(row.mild, row.unit)}, {figure(row.harsh, row.unit)}",
+                f"{_ratio(row.ratio(row.mild))}, **{_ratio(row.ratio(row.harsh))}**", row.mechanism,
+                ", ".join(row.from_) + f". {row.note}",
+            ]
+            for row in rows if (before := row.before) is not None
+        ),
+    )
+    yield ""
+
+
 def _choice(of: Projection) -> Iterator[str]:
+    yield from _carried(of)
     first = of.first_missing()
     if first is None:
         yield "No row that is over its budget is without a mechanism, as far as it was measured."
         return
     yield (
-        f"**{first.role}: {first.what}** ({first.when}): {figure(first.mild, first.unit)} mild,"
+        f"**Next: {first.role}: {first.what}** ({first.when}): {figure(first.mild, first.unit)} mild,"
         f" {figure(first.harsh, first.unit)} harsh against"
         f" {figure(first.budget.value if first.budget else None, first.unit)}: **{_ratio(first.worst)}"
         f" times** its budget. {first.mechanism}."
@@ -133,6 +167,9 @@
     " proxy",
     "marked": "backends banned or drained by hand at once",
     "failing": "levels of a chain that fail at once", "share": "part of their calls that they fail",
+    "fronts": "front proxies", "entering": "part of all calls that come in by way of front proxies",
+    "front_listed": "backends on the list of a front proxy",
+    "apart_s": "seconds for which regions lose each other",
 }
 
 
@@ -149,11 +186,10 @@
         if row.mild is None and row.harsh is None:
             yield f"- {row.role}, {row.when}: {row.what}."
     for role in ROLES:
-        there = {row.when for row in rows if row.role == role}
+        there = {row.when for row in rows if row.role == role and (row.mild, row.harsh) != (None, None)}
         gone = [when for when in OCCASIONS if when not in there]
         if not there:
-            why = ": there is no such role on this commit" if role == "control machine" else ""
-            yield f"- **{role}**: every occasion{why}."
+            yield f"- **{role}**: every occasion."
         else:
             beside = ", beside what holds always" if "always" in there else ""
             yield f"- {role}: nothing of its own for {', '.join(gone)}{beside}."
--- a/pepperusher/capacity/projection.py
+++ b/pepperusher/capacity/projection.py
@@ -1,119 +1,17 @@
 """From measured slopes and assumptions to what each role needs at the target, held against budgets; free of
-I/O.
+I/O. What control machines carry and what differs at a front proxy stand in modules of their own.
 """
 
 from __future__ import annotations
 
 from collections.abc import Iterator
-from typing import NamedTuple
 
+from pepperusher.capacity import control_rows, front_rows
+from pepperusher.capacity.control_rows import Before
 from pepperusher.capacity.measures import Book, Measured
+from pepperusher.capacity.target import HARSH, MB, MILD, MISSING, Assumed, Budget, Row, Target, plus, times
 
-MISSING = "missing"
 SECOND = 1_000_000.0
-MB = 1_000_000.0
-
-
-class Target(NamedTuple):
-    """The size that is coming, as it is given. Times in seconds but `added_us`."""
-
-    proxies: int = 5_000
-    services: int = 210
-    calls: float = 360_000.0
-    depth: int = 30
-    added_us: float = 1_300.0
-    regions: int = 4
-    zones: int = 13
-    changes_a_day: int = 2_400
-    in_force_s: float = 12.0
-    proxy_cpu_us: float = 14_000.0  # a second: 1.4% of a core
-    proxy_bytes: float = 256 * MB
-    proxy_wire: float = 21_000.0  # bytes a second for control
-    control_machines: int = 9
-    failures_a_day: int = 11
-    restarts_a_day: int = 1_500
-    told_s: float = 6.0  # after discovery had it
-
-
-class Assumed(NamedTuple):
-    """What the target leaves open. `listed` is the list that a proxy holds, `group` what its settings call
-    the group's size.
-    """
-
-    name: str
-    largest: int  # backends of the largest service; the mean is proxies / services
-    called: int  # services that one proxy calls
-    listed: int
-    group: int
-    callers: int  # proxies that call the service that most call
-    zoned: bool  # whether a proxy's settings name all zones
-    released: int  # backends replaced in a release
-    release_s: float
-    members: int  # of one group
-    routes: int  # in an own file
-    concerned: float  # part of the changes of configuration that concern one proxy
-    marked: int  # backends banned or drained by hand at once
-    failing: int  # levels of a chain that fail at once, and the part of their calls
-    share: float
-
-
-MILD = Assumed(
-    "mild", largest=150, called=3, listed=72, group=1_000, callers=1_000, zoned=False, released=24,
-    release_s=600.0, members=150,
-    routes=20, concerned=4 / 210, marked=40, failing=1, share=0.3,
-)
-HARSH = Assumed(
-    "harsh", largest=400, called=12, listed=5_000, group=1, callers=5_000, zoned=True, released=400,
-    release_s=180.0,
-    members=5_000, routes=200, concerned=1.0, marked=1_538, failing=1, share=1.0,
-)
-
-
-class Budget(NamedTuple):
-    value: float
-    of: str  # where it comes from: the target, or our own choice
-
-
-class Row(NamedTuple):
-    """One cost at the target. A value is None where its slope was not measured. `from_` names the slopes."""
-
-    role: str
-    when: str
-    what: str
-    unit: str
-    mild: float | None
-    harsh: float | None
-    budget: Budget | None
-    mechanism: str
-    from_: tuple[str, ...]
-    note: str = ""
-
-    def ratio(self, value: float | None) -> float | None:
-        return None if value is None or self.budget is None else value / self.budget.value
-
-    @property
-    def worst(self) -> float:
-        """The greater of both ratios; -1 where there is none."""
-        found = [one for one in (self.ratio(self.mild), self.ratio(self.harsh)) if one is not None]
-        return max(found, default=-1.0)
-
-    @property
-    def missing(self) -> bool:
-        return self.mechanism.startswith(MISSING)
-
-
-def _times(*parts: float | None) -> float | None:
-    made = 1.0
-    for one in parts:
-        if one is None:
-            return None
-        made *= one
-    return made
-
-
-def _plus(*parts: float | None) -> float | None:
-    known = [one for one in parts if one is not None]
-    return sum(known) if len(known) == len(parts) else None
 
 
 class Projection:
@@ -135,9 +33,14 @@
     def rows(self) -> list[Row]:
         """The worst first; those without a budget last."""
         return sorted(
-            [*self._beside(), *self._front(), *self._discovery(), *self._backend(), *self._operator(),
-                *self._chain()],
-                      key=lambda one: -one.worst)
+            [
+                *self._beside(), *front_rows.rows(self._at, self.target, self.mild, self.harsh),
+                *control_rows.machine(self._at, self.target, self.mild, self.harsh),
+                *control_rows.beside(self._at, self.target, self.mild, self.harsh),
+                *self._discovery(), *self._backend(), *self._operator(), *self._chain(),
+            ],
+            key=lambda one: -one.worst,
+        )  # fmt: skip
 
     def over(self) -> list[Row]:
         return [one for one in self.rows() if one.worst > 1.0]
@@ -172,8 +75,8 @@
         )
         yield Row(
             role, "ordinary day", "processor time a second: process and membership at rest", "us/s",
-            _plus(self._at("process.idle", mild.listed), self._at("group.cpu", mild.members)),
-            _plus(self._at("process.idle", harsh.listed), self._at("group.cpu", harsh.members)),
+            plus(self._at("process.idle", mild.listed), self._at("group.cpu", mild.members)),
+            plus(self._at("process.idle", harsh.listed), self._at("group.cpu", harsh.members)),
             cpu, "`group/swim.py`, `net/discovery.py`", ("process.idle", "group.cpu"),
         )
         yield Row(
@@ -203,15 +106,15 @@
             ("release", (3 * mild.released / mild.release_s, 3 * harsh.released / harsh.release_s))):
             yield Row(
                 role, when, "bytes a second in for changes of its list", "bytes/s",
-                _times(changes[0] * mild.listed / t.proxies, each),
-                _times(changes[1], each), wire, "`net/discovery.py`", ("discovery.change_bytes",),
+                times(changes[0] * mild.listed / t.proxies, each),
+                times(changes[1], each), wire, "`net/discovery.py`", ("discovery.change_bytes",),
             )
         for when, lost in (("a rack lost", 40), ("a zone lost", t.proxies // t.zones),
             ("a region lost", t.proxies * 4 // t.zones)):
             yield Row(
                 role, when, f"bytes in for {lost:,} changes of the list, of 12 s", "bytes",
-                _times(lost * mild.listed / t.proxies, each),
-                _times(lost, each), Budget(t.proxy_wire * t.in_force_s, "target: 21 KB a second, over 12 s"),
+                times(lost * mild.listed / t.proxies, each),
+                times(lost, each), Budget(t.proxy_wire * t.in_force_s, "target: 21 KB a second, over 12 s"),
                 "`net/discovery.py`",
                 ("discovery.change_bytes",),
             )
@@ -235,10 +138,10 @@
 
         yield Row(
             role, "release", "bytes a second out for membership", "bytes/s",
-            _plus(self._at("group.bytes", mild.members),
-                _times(words(mild), self._at("group.change_bytes", mild.members))),
-            _plus(self._at("group.bytes", harsh.members),
-                _times(words(harsh), self._at("group.change_bytes", harsh.members))),
+            plus(self._at("group.bytes", mild.members),
+                times(words(mild), self._at("group.change_bytes", mild.members))),
+            plus(self._at("group.bytes", harsh.members),
+                times(words(harsh), self._at("group.change_bytes", harsh.members))),
             wire, "`group/rumours.py`: each word told 4 log n times, by each",
             ("group.bytes", "group.change_bytes"),
             "words that share a packet cost less than one by one, so this is a bound from above",
@@ -262,10 +165,10 @@
 
         yield Row(
             role, "release", "processor time a second with the list's changes", "us/s",
-            _plus(self._at("process.idle", mild.listed),
-                _times(change_rate(mild), self._at("list.change", mild.listed))),
-            _plus(self._at("process.idle", harsh.listed),
-                _times(change_rate(harsh), self._at("list.change", harsh.listed))),
+            plus(self._at("process.idle", mild.listed),
+                times(change_rate(mild), self._at("list.change", mild.listed))),
+            plus(self._at("process.idle", harsh.listed),
+                times(change_rate(harsh), self._at("list.change", harsh.listed))),
             cpu, "`facade.listed`, which lays every ring anew for each change",
             ("process.idle", "list.change"),
         )
@@ -287,8 +190,8 @@
         )
         yield Row(
             role, "every proxy started", "how long a whole list holds the loop", "us",
-            _plus(self._at("list.parse", mild.listed), self._at("list.take", mild.listed)),
-            _plus(self._at("list.parse", harsh.listed), self._at("list.take", harsh.listed)),
+            plus(self._at("list.parse", mild.listed), self._at("list.take", mild.listed)),
+            plus(self._at("list.parse", harsh.listed), self._at("list.take", harsh.listed)),
             None, "`net/discovery.py`, at once on the loop", ("list.parse", "list.take"),
             "too rare for the 99th of 100, so no budget binds",
         )
@@ -306,8 +209,8 @@
         )
         yield Row(
             role, "ordinary day", "processor time a second for checking changes of configuration", "us/s",
-            _times(checks(mild), self._at("config.check", mild.routes)),
-            _times(checks(harsh), self._at("config.check", harsh.routes)), cpu,
+            times(checks(mild), self._at("config.check", mild.routes)),
+            times(checks(harsh), self._at("config.check", harsh.routes)), cpu,
             "`own/reading.py`, `changes/`", ("config.check",),
         )
         yield Row(
@@ -332,25 +235,6 @@
             "6.7 changes of the list a second in both",
         )
 
-    def _front(self) -> Iterator[Row]:
-        mild, harsh = self.mild, self.harsh
-        role = "front proxy"
-        arc = "arc.zone", "arc.zones"
-        sockets = Budget(1_024, "own choice: `net/told.py` SOCKETS, a proxy's descriptors where its"
-            " configuration names none")
-        yield Row(
-            role, "always", "backends it keeps connections to", "connections",
-            self._at(arc[mild.zoned], mild.listed),
-            self._at(arc[harsh.zoned], harsh.listed), sockets, "arcs (`policy.py` REACH, HEARD)", arc,
-        )
-        clients = 2_000
-        yield Row(
-            role, "always", f"memory with {clients:,} connections of clients", "bytes",
-            self._at("connection.memory", clients),
-            self._at("connection.memory", clients), Budget(self.target.proxy_bytes, "target: 256 MB"),
-            "`net/callers.py`", ("connection.memory",),
-        )
-
     def _discovery(self) -> Iterator[Row]:
         t, mild, harsh = self.target, self.mild, self.harsh
         role = "discovery"
@@ -359,22 +243,22 @@
         missing = f"{MISSING}: relays (9 control machines) and subscriptions by name"
         yield Row(
             role, "every proxy started", "bytes out", "bytes",
-            _times(t.proxies, self._at("list.bytes", mild.listed)),
-            _times(t.proxies, self._at("list.bytes", harsh.listed)), line, missing, ("list.bytes",),
+            times(t.proxies, self._at("list.bytes", mild.listed)),
+            times(t.proxies, self._at("list.bytes", harsh.listed)), line, missing, ("list.bytes",),
         )
         each = self._at("discovery.change_bytes", t.proxies)
         for when, lost in (("a rack lost", 40), ("a zone lost", t.proxies // t.zones),
             ("a region lost", t.proxies * 4 // t.zones)):
             yield Row(
                 role, when, f"bytes out for {lost:,} changes, told to every proxy", "bytes",
-                _times(lost * mild.listed / t.proxies, each),
-                _times(lost, each), line, missing, ("discovery.change_bytes",),
+                times(lost * mild.listed / t.proxies, each),
+                times(lost, each), line, missing, ("discovery.change_bytes",),
                 "mild: a proxy hears of its own list alone",
             )
         yield Row(
             role, "release", "bytes a second out for changes", "bytes/s",
-            _times(3 * mild.released / mild.release_s * mild.listed / t.proxies, each),
-            _times(3 * harsh.released / harsh.release_s, each),
+            times(3 * mild.released / mild.release_s * mild.listed / t.proxies, each),
+            times(3 * harsh.released / harsh.release_s, each),
             Budget(125 * MB, "own choice: one line of 1 Gbit/s"), missing, ("discovery.change_bytes",),
         )
         starts = self._at("discovery.start_calls", t.proxies)
@@ -415,25 +299,31 @@
         )
 
     def _operator(self) -> Iterator[Row]:
+        """A row counts as carried by control machines once what they take was measured."""
         t = self.target
         spent = self._at("operator.change", t.proxies)
-        yield Row(
-            "operator", "ordinary day", "seconds until a change of configuration is in force at every proxy",
-            "s", spent, spent,
-            Budget(t.in_force_s, "target: in force everywhere within 12 s"),
-            f"{MISSING}: distribution (one `ctl propose` after another, on each proxy's own machine, and"
-            f" no proof that all have it)",
-            ("operator.change",), "the processor time of `ctl` alone: neither remote shells nor the wait"
-            " by the clock, 0.5 to 2.6 s a proxy on a"
-            " busy machine; eight operators at once take an eighth",
-        )
         day = None if spent is None else spent * t.changes_a_day
-        yield Row(
-            "operator", "ordinary day", f"seconds of one operator for {t.changes_a_day} changes a day,"
-            f" each everywhere", "s",
-            None if day is None else day / t.services, day, Budget(86_400.0, "a day"),
-            f"{MISSING}: distribution", ("operator.change",),
-            "mild: each change concerns one service",
+        in_force = "seconds until a change of configuration is in force at every proxy"
+        whole_day = f"seconds of one operator for {t.changes_a_day} changes a day, each everywhere"
+        within = Budget(t.in_force_s, "target: in force everywhere within 12 s")
+        publish = self._at("operator.publish", t.proxies)
+        if publish is None:
+            yield Row(
+                "operator", "ordinary day", in_force, "s", spent, spent, within,
+                f"{MISSING}: distribution (one `ctl propose` after another, on each proxy's own machine, and"
+                f" no proof that all have it)",
+                ("operator.change",), "the processor time of `ctl` alone: neither remote shells nor the wait"
+                " by the clock, 0.5 to 2.6 s a proxy on a"
+                " busy machine; eight operators at once take an eighth",
+            )
+            yield Row(
+                "operator", "ordinary day", whole_day, "s", None if day is None else day / t.services, day,
+                Budget(86_400.0, "a day"), f"{MISSING}: distribution", ("operator.change",),
+                "mild: each change concerns one service",
+            )
+            return
+        yield from control_rows.operator(
+            self._at, t, self.mild, self.harsh, publish, Before(in_force, whole_day, spent, day), within
         )
 
     def _chain(self) -> Iterator[Row]:
--- a/pepperusher/capacity/slopes.py
+++ b/pepperusher/capacity/slopes.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 
 from pepperusher.capacity import attempts, control_play, control_state, decisions, latency, membership
-from pepperusher.capacity import processes, storms, watching
+from pepperusher.capacity import processes, storms, told_play, watching
 from pepperusher.capacity.measures import CLOCKED, COUNTED, TIMED, Measure, Single
 from pepperusher.capacity.processes import ProcessError
 from pepperusher.capacity.stage import ZONES
@@ -202,6 +202,26 @@
     )
 
 
+def _control_shares() -> Iterator[Measure]:
+    for name, what, lost in (
+        ("control.fullest", "connections of the fullest of nine machines", 0),
+        ("control.fullest_lost", "the same with one of them lost", 1),
+    ):
+        yield Measure(name, CONTROL, what, "proxy", "connections", COUNTED,
+            (500, 1000, 1500, 2000, 2500), 5000, told_play.fullest(lost))
+
+
+def _told() -> Iterator[Measure]:
+    for name, what, unit in (
+        ("memory", "memory of a whole proxy that a control machine tells (RSS), 24 listed", "bytes"),
+        ("rest_cpu", "its processor time a second at rest", "us/s"),
+        ("change_cpu", "its processor time for one change, until in force, beyond what it spends at rest",
+            "us"),
+    ):
+        yield Measure(f"client.whole.{name}", BESIDE, what, "route", unit, TIMED,
+            (5, 10, 20, 40, 60, 100), 200, told_play.whole(name))
+
+
 def _control() -> Iterator[Measure]:
     """Of two machines together, both connections of each proxy."""
     beside = "two control machines together, both connections of each proxy"
@@ -263,8 +283,11 @@
 
 QUICK: tuple[Callable[[], Iterator[Measure]], ...] = (
     _decisions, _list, _arcs, _membership, _config, _control_state,
+    _control_shares,
+)  # fmt: skip
+WHOLE: tuple[Callable[[], Iterator[Measure]], ...] = (
+    _discovery, _processes, _control, _told, _latency,
 )  # fmt: skip
-WHOLE: tuple[Callable[[], Iterator[Measure]], ...] = (_discovery, _processes, _control, _latency)
 
 
 def measures() -> list[Measure]:
