Capacity: processor time of a call alone in one proxy, at the middle and the 99th

Need: the time that a proxy adds at the 99th of 100 can't be read off the clock of a full machine. Processor time of single calls can, and is the least that they add: 400 calls one by one, each read when the proxy has come to rest behind its answer, without what passing time costs. Rows for one proxy and for 30 in a row.

--- a/pepperusher/capacity/latency.py
+++ b/pepperusher/capacity/latency.py
@@ -21,6 +21,8 @@
 ROUNDS = 2
 # Along a chain a third of that, and for longer: thirty proxies and their services then fit two cores.
 CHAIN_RATE, CHAIN_LASTS = 24.0, 10.0
+# One by one: a span without calls, and after each answer.
+IDLE, SETTLES = 2.0, 0.004
 WITHIN = 10.0
 IN_A_ROW = 8
 BARE = "127.0.0.1"  # where stand-in services listen
@@ -212,6 +214,52 @@
         )
 
 
+async def _one_by_one(host: str, port: int, one: Proxied, seed: int, calls: int) -> list[float]:
+    """Processor time of one proxy for each of so many calls, in us, each alone in it and without what passing
+    time costs.
+    """
+    loop = asyncio.get_running_loop()
+    line = _Line(*await asyncio.open_connection(host, port))
+    before, began = one.spent(), loop.time()
+    await asyncio.sleep(IDLE)
+    idle = (one.spent() - before) / (loop.time() - began)
+    took = []
+    for number in range(calls):
+        before, began = one.spent(), loop.time()
+        good, again = await line.ask(1 + seed * 1_000_000 + number)
+        if not good:
+            raise ProcessError("a call alone was not answered")
+        await asyncio.sleep(SETTLES)  # what the proxy does behind its answer is a part of the call
+        took.append(one.spent() - before - idle * (loop.time() - began))
+        if not again:
+            line.writer.close()
+            line = _Line(*await asyncio.open_connection(host, port))
+    line.writer.close()
+    return sorted(took)
+
+
+def processor(which: str, calls: int = 400) -> Callable[[int, int], float]:
+    """Of the processor times of calls one by one, by the list's size: `p50` or `p99`. What others on the
+    machine do lengthens a call and not this, but for caches that are shared.
+    """
+
+    def at(listed: int, seed: int) -> float:
+        if (listed, seed) not in _ALONE:
+            with standins() as others:
+                service = others.do(do="open", services=1)["ports"][0]
+                address = f"127.0.0.1:{service}"
+                discovery = others.do(do="discovery", entries=listed, address=address, changes=0)["port"]
+                with proxy(listed, 1_000, discovery, address) as one:
+                    asyncio.run(_one_by_one(HOST, one.port, one, 1, 50))
+                    _ALONE[listed, seed] = asyncio.run(_one_by_one(HOST, one.port, one, 2, calls))
+        took = _ALONE[listed, seed]
+        return took[int(len(took) * (0.99 if which == "p99" else 0.5))]
+
+    return at
+
+
+# one play gives two figures; as many as sizes are measured
+_ALONE: dict[tuple[int, int], list[float]] = {}
 # one play gives several figures; as many as sizes are measured
 _ADDED: dict[tuple[int, int, float, int], Added] = {}
 
--- a/pepperusher/capacity/projection.py
+++ b/pepperusher/capacity/projection.py
@@ -226,6 +226,21 @@
             "the whole proxy",
             ("added.calm.p99", "added.group1.p99"), "on a shared machine; see the load beside the slope",
         )
+        for name, said in (("alone.p50", "the middle"), ("alone.p99", "the 99th of 100")):
+            yield Row(
+                role, "always",
+                f"processor time of a call alone in one proxy, {said}: the least that it adds", "us",
+                self._at(name, mild.listed), self._at(name, harsh.listed), added, "the whole proxy", (name,),
+                "group size 1,000; neither its wait for a processor nor for the loop behind other calls",
+            )
+        yield Row(
+            role, "always",
+            f"processor time of a call along {t.depth} proxies in a row: the least that they add", "us",
+            times(self._at("alone.p50", mild.listed), float(t.depth)),
+            times(self._at("alone.p50", harsh.listed), float(t.depth)),
+            Budget(t.added_us * t.depth, "target: 1.3 ms, read as for each level"), "the whole proxy",
+            ("alone.p50",), f"{t.depth} times the middle, one after another",
+        )
         yield Row(
             role, "always", "processor time of a call through one proxy, the least that it adds", "us",
             self._at("added.calm.cpu", mild.listed),
--- a/pepperusher/capacity/slopes.py
+++ b/pepperusher/capacity/slopes.py
@@ -160,6 +160,11 @@
 
 def _latency() -> Iterator[Measure]:
     sizes, most = (24, 100, 250, 500, 1000), 2500
+    for which, said in (("p50", "the middle"), ("p99", "the 99th of 100")):
+        yield Measure(
+            f"alone.{which}", BESIDE, f"processor time of a call alone in one proxy, {said} of 400",
+            "backend listed", "us", TIMED, sizes, most, latency.processor(which),
+        )
     for group, changes, said in ((1000, 0.0, "calm"), (1000, RELEASE, "release"), (1, 0.0, "group1")):
         with_changes = f", {changes:.1f} changes of the list a second" if changes else ""
         for which, what in (
