Capacity: a connection that ends under a single call is said with the proxy's last lines

One run of alone.* ended as click's Aborted, which is how it takes an end of file, at 2,500 listed and a load of 30: the proxy had closed without an answer. Two plays after it did not. Cause not known; it is told now with what the proxy said last, and the measure is not taken.

--- a/pepperusher/capacity/latency.py
+++ b/pepperusher/capacity/latency.py
@@ -226,9 +226,13 @@
     took = []
     for number in range(calls):
         before, began = one.spent(), loop.time()
-        good, again = await line.ask(1 + seed * 1_000_000 + number)
+        try:
+            good, again = await line.ask(1 + seed * 1_000_000 + number)
+        except (OSError, asyncio.IncompleteReadError) as error:
+            said = (one.folder / "log").read_text(errors="replace").splitlines()[-3:]
+            raise ProcessError(f"call {number} alone: {error!r}; the proxy's last lines: {said}") from None
         if not good:
-            raise ProcessError("a call alone was not answered")
+            raise ProcessError(f"call {number} alone was not answered with 200")
         await asyncio.sleep(SETTLES)  # what the proxy does behind its answer is a part of the call
         took.append(one.spent() - before - idle * (loop.time() - began))
         if not again:
