Capacity: a proxy that starts from what it kept checks that too

The mild row of every proxy started had the client's processor time alone, 2.3 ms; what was kept is read and checked at each start, as a change is.

--- a/pepperusher/capacity/control_rows.py
+++ b/pepperusher/capacity/control_rows.py
@@ -378,6 +378,8 @@
                 if whole:
                     more = {"bytes": at("control.snapshot_bytes", of.routes), "messages": 1.0,
                         "cpu": applying(of)}[way]  # fmt: skip
+                elif way == "cpu" and when == "every proxy started":
+                    more = applying(of)  # what it kept is read and checked as well
                 made.append(
                     plus(times(part, mean("resume", way)), times(t.in_force_s, mean("rest", way)), more)
                 )
--- a/pepperusher/capacity/projection.py
+++ b/pepperusher/capacity/projection.py
@@ -238,10 +238,10 @@
             yield Row(
                 role, "always",
                 f"processor time of a call alone in one proxy, {said}: the least that it adds", "us",
-                self._level(name, mild.listed), self._level(name, harsh.listed), added, "the whole proxy",
-                (name,),
-                "group size 1,000, 400 calls some 10 ms apart on a full machine; neither its wait for a processor"
-                " nor for the loop behind other calls",
+                self._level(name, mild.listed), self._level(name, harsh.listed), added,
+                "the whole proxy", (name,),
+                "group size 1,000, 400 calls some 10 ms apart on a full machine; neither its wait for a"
+                " processor nor for the loop behind other calls",
             )
         yield Row(
             role, "always",
