--- a/pepperusher/capacity/latency.py
+++ b/pepperusher/capacity/latency.py
@@ -21,6 +21,8 @@
 ROUNDS = 2
 # Along a chain a third of that, and for longer: thirty proxies and their services then fit two cores.
 CHAIN_RATE, CHAIN_LASTS = 24.0, 10.0
+# One by one: a span without calls, and after each answer.
+IDLE, SETTLES = 2.0, 0.004
 WITHIN = 10.0
 IN_A_ROW = 8
 BARE = "127.0.0.1"  # where stand-in services listen
@@ -169,7 +171,9 @@
 
 
 @contextmanager
-def chain(depth: int, listed: int, group: int, changes: float = 0.0) -> Iterator[tuple[int, list[Proxied]]]:
+def chain(
+    depth: int, listed: int, group: int, changes: float = 0.0, most: int = 3
+) -> Iterator[tuple[int, list[Proxied]]]:
     """`depth` services twice: each calling the next, from the port that is given; and each calling the next
     through a proxy of its own, from the first of these proxies. They are warmed from the chain's end, since
     none of them knows yet how long a call takes.
@@ -182,7 +186,7 @@
         for port in ports:
             address = f"{BARE}:{port}"
             discovery = others.do(do="discovery", entries=listed, address=address, changes=changes)["port"]
-            proxies.append(held.enter_context(proxy(listed, group, discovery, address)))
+            proxies.append(held.enter_context(proxy(listed, group, discovery, address, most=most)))
         to = [(BARE, port) for port in bare[1:]], [(HOST, one.port) for one in proxies[1:]]
         others.do(do="forwards", to=[*to[0], None, *to[1], None])
         for place in reversed(range(depth)):
@@ -198,16 +202,69 @@
     changes: float = 0.0,
     lasts: float = CHAIN_LASTS,
     rounds: int = ROUNDS,
+    rate: float = CHAIN_RATE,
+    most: int = 3,
 ) -> Added:
-    """A chain of services with proxies against the same with none."""
-    with chain(depth, listed, group, changes) as (bare, proxies):
+    """A chain of services with proxies against the same with none; each proxy makes `most` attempts."""
+    with chain(depth, listed, group, changes, most) as (bare, proxies):
         return _rounds(
-            lambda place: load(BARE, bare, place, CHAIN_RATE, lasts),
-            lambda place: load(HOST, proxies[0].port, place, CHAIN_RATE, lasts), proxies[-1].spent,
+            lambda place: load(BARE, bare, place, rate, lasts),
+            lambda place: load(HOST, proxies[0].port, place, rate, lasts), proxies[-1].spent,
             seed + 1, rounds,
         )
 
 
+async def _one_by_one(host: str, port: int, one: Proxied, seed: int, calls: int) -> list[float]:
+    """Processor time of one proxy for each of so many calls, in us, each alone in it and without what passing
+    time costs.
+    """
+    loop = asyncio.get_running_loop()
+    before, began = one.spent(), loop.time()
+    await asyncio.sleep(IDLE)
+    idle = (one.spent() - before) / (loop.time() - began)
+    # Only now: one that says nothing for so long is closed by the proxy.
+    line = _Line(*await asyncio.open_connection(host, port))
+    took = []
+    for number in range(calls):
+        before, began = one.spent(), loop.time()
+        try:
+            good, again = await line.ask(1 + seed * 1_000_000 + number)
+        except (OSError, asyncio.IncompleteReadError) as error:
+            said = (one.folder / "log").read_text(errors="replace").splitlines()[-3:]
+            raise ProcessError(f"call {number} alone: {error!r}; the proxy's last lines: {said}") from None
+        if not good:
+            raise ProcessError(f"call {number} alone was not answered with 200")
+        await asyncio.sleep(SETTLES)  # what the proxy does behind its answer is a part of the call
+        took.append(one.spent() - before - idle * (loop.time() - began))
+        if not again:
+            line.writer.close()
+            line = _Line(*await asyncio.open_connection(host, port))
+    line.writer.close()
+    return sorted(took)
+
+
+def processor(which: str, calls: int = 400) -> Callable[[int, int], float]:
+    """Of the processor times of calls one by one, by the list's size: `p50` or `p99`. What others on the
+    machine do lengthens a call and not this, but for caches that are shared.
+    """
+
+    def at(listed: int, seed: int) -> float:
+        if (listed, seed) not in _ALONE:
+            with standins() as others:
+                service = others.do(do="open", services=1)["ports"][0]
+                address = f"127.0.0.1:{service}"
+                discovery = others.do(do="discovery", entries=listed, address=address, changes=0)["port"]
+                with proxy(listed, 1_000, discovery, address) as one:
+                    asyncio.run(_one_by_one(HOST, one.port, one, 1, 50))
+                    _ALONE[listed, seed] = asyncio.run(_one_by_one(HOST, one.port, one, 2, calls))
+        took = _ALONE[listed, seed]
+        return took[int(len(took) * (0.99 if which == "p99" else 0.5))]
+
+    return at
+
+
+# one play gives two figures; as many as sizes are measured
+_ALONE: dict[tuple[int, int], list[float]] = {}
 # one play gives several figures; as many as sizes are measured
 _ADDED: dict[tuple[int, int, float, int], Added] = {}
 
--- a/pepperusher/capacity/page.py
+++ b/pepperusher/capacity/page.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from pepperusher.capacity.measures import COUNTED, Book, Measured
-from pepperusher.capacity.projection import Assumed, Projection, Row
+from pepperusher.capacity.projection import Projection
+from pepperusher.capacity.target import Assumed, Row
 
 # What stands between these on the page is another hand's, and is kept when the page is printed anew.
 AFTER, AFTER_END = "<!-- after: begin -->", "<!-- after: end -->"
@@ -95,13 +96,46 @@
     return f"- {row.role}, {row.when}: {row.what}: **{mild}** mild, **{harsh}** harsh; {row.mechanism}."
 
 
+def _carried(of: Projection) -> Iterator[str]:
+    """What was missing when the mechanism was chosen, and what carries it now."""
+    rows = [row for row in of.rows() if row.before is not None]
+    if not rows:
+        return
+    worst = max(rows, key=lambda row: row.ratio(row.before[1]) or 0.0 if row.before else 0.0)
+    assert worst.before is not None
+    yield (
+        f"**Chosen before:** {worst.role}: {worst.what}, {figure(worst.before[1], worst.unit)}, **"
+        f"{_ratio(worst.ratio(worst.before[1]))} times** its budget, the row furthest over it that no"
+        f" mechanism carried: **distribution was missing** then. It is there now and carries these rows,"
+        f" which are no longer among those without a mechanism:"
+    )
+    yield ""
+    yield from _table(
+        ("role", "when", "what", "budget", "before: mild, harsh", "ratio", "after: mild, harsh", "ratio",
+            "mechanism that carries it", "from"),
+        (
+            [
+                row.role, row.when, row.what, figure(row.budget.value if row.budget else None, row.unit),
+                f"{figure(before[0], row.unit)}, {figure(before[1], row.unit)}",
+                f"{_ratio(row.ratio(before[0]))}, **{_ratio(row.ratio(before[1]))}**",
+                f"{figure(row.mild, row.unit)}, {figure(row.harsh, row.unit)}",
+                f"{_ratio(row.ratio(row.mild))}, **{_ratio(row.ratio(row.harsh))}**", row.mechanism,
+                ", ".join(row.from_) + f". {row.note}",
+            ]
+            for row in rows if (before := row.before) is not None
+        ),
+    )
+    yield ""
+
+
 def _choice(of: Projection) -> Iterator[str]:
+    yield from _carried(of)
     first = of.first_missing()
     if first is None:
         yield "No row that is over its budget is without a mechanism, as far as it was measured."
         return
     yield (
-        f"**{first.role}: {first.what}** ({first.when}): {figure(first.mild, first.unit)} mild,"
+        f"**Next: {first.role}: {first.what}** ({first.when}): {figure(first.mild, first.unit)} mild,"
         f" {figure(first.harsh, first.unit)} harsh against"
         f" {figure(first.budget.value if first.budget else None, first.unit)}: **{_ratio(first.worst)}"
         f" times** its budget. {first.mechanism}."
@@ -133,6 +167,9 @@
     " proxy",
     "marked": "backends banned or drained by hand at once",
     "failing": "levels of a chain that fail at once", "share": "part of their calls that they fail",
+    "fronts": "front proxies", "entering": "part of all calls that come in by way of front proxies",
+    "front_listed": "backends on the list of a front proxy",
+    "apart_s": "seconds for which regions lose each other",
 }
 
 
@@ -149,12 +186,11 @@
         if row.mild is None and row.harsh is None:
             yield f"- {row.role}, {row.when}: {row.what}."
     for role in ROLES:
-        there = {row.when for row in rows if row.role == role}
+        there = {row.when for row in rows if row.role == role and (row.mild, row.harsh) != (None, None)}
         gone = [when for when in OCCASIONS if when not in there]
         if not there:
-            why = ": there is no such role on this commit" if role == "control machine" else ""
-            yield f"- **{role}**: every occasion{why}."
-        else:
+            yield f"- **{role}**: every occasion."
+        elif gone:
             beside = ", beside what holds always" if "always" in there else ""
             yield f"- {role}: nothing of its own for {', '.join(gone)}{beside}."
 
@@ -188,19 +224,39 @@
     )
 
 
+def _slowed(book: Book) -> Iterator[str]:
+    factors = (1, 2, 3, 5, 10)
+    yield from _table(
+        ("levels", "attempts of each proxy", *(f"services take {one} times as long" for one in factors)),
+        (
+            [str(depth), str(most), *(
+                "not measured" if (one := book.single(f"slowed.{most}.{depth}.{factor}")) is None
+                else _short(one.value) for factor in factors
+            )]
+            for most in (3, 1) for depth in (5, 6, 7, 8, 10, 20, 30)
+        ),
+    )  # fmt: skip
+
+
 def _chain(book: Book) -> Iterator[str]:
     rows = []
-    for key, said in (("24", "24 listed"), ("250", "250 listed"), ("1000", "1,000 listed"),
-        ("250.release", "250 listed, a release's changes")):
-        found = [book.single(f"chain.30.{key}.{which}")
+    keys = [(f"{depth}.24.at{rate}{once}", f"{depth} in a row, {rate} calls a second, 24 listed"
+        + (", one attempt each" if once else "")) for depth in (1, 5, 10, 20, 30) for rate in (2, 4, 8, 24)
+        for once in ("", ".once") if book.single(f"chain.{depth}.24.at{rate}{once}.failed")]
+    keys += [("30.24.once", "30 in a row, 24 calls a second, 24 listed, one attempt each")] * (
+        book.single("chain.30.24.once.failed") is not None)
+    for key, said in (*keys, ("30.24", "24 listed"), ("30.250", "250 listed"), ("30.1000", "1,000 listed"),
+        ("30.250.release", "250 listed, a release's changes")):
+        said = said if "row" in said else f"30 in a row, 24 calls a second, {said}"
+        found = [book.single(f"chain.{key}.{which}")
             for which in ("bare99", "through99", "added99", "added50", "cpu", "failed")]
         load = next((f"{one.load:g}" for one in found if one is not None and one.load is not None), "-")
         failed = "not measured" if found[-1] is None else f"{found[-1].value:.0%}"
         rows.append([said, *(figure(one.value if one else None, "us") for one in found[:-1]), failed, load])
     yield from _table(
-        ("30 in a row, 24 calls a second", "99th without proxies", "99th with them", "added at the 99th",
+        ("chain", "99th without proxies", "99th with them", "added at the 99th",
             "added at the middle", "processor time of the last proxy, a call",
-            "calls failed, where over 1 in 100 in each round", "load beside it"), rows)
+            "calls failed", "load beside it"), rows)
 
 
 def printed(of: Projection, book: Book, after: str = NOTHING_YET) -> str:
@@ -275,11 +331,21 @@
         "",
         *_at_all(book),
         "",
+        "Warmed at 1 ms a service, which then take longer, none of them failing: the part of calls done,"
+        " after the first 20 (simulated). Each level leaves the next half of what is left, until that is"
+        " little more than what was usual (`policy.py` _patience); from there on each level has what was"
+        " usual once, what is cut at its end is sent again, and since nothing is done nothing new becomes"
+        " usual. With one attempt a level leaves all.",
+        "",
+        *_slowed(book),
+        "",
         "## A chain of whole proxies",
         "",
-        "`pepperusher capacity slopes --only nothing --chain`. Where the load is over the cores, it tells"
+        "`pepperusher capacity slopes --only nothing --chain --depth N --rate R --attempts A`."
+        " Where the load is over the cores, it tells"
         " of what"
-        " else ran, and is not projected. Open loop, Poisson, latency from the"
+        " else ran, and is not projected. Where over 1 in 100 calls failed in each round no time is told,"
+        " since those that fail end early. Open loop, Poisson, latency from the"
         " intended moment of sending, against the same services without proxies.",
         "",
         *_chain(book),
--- a/pepperusher/capacity/processes.py
+++ b/pepperusher/capacity/processes.py
@@ -66,9 +66,14 @@
         return float(len(os.listdir(f"/proc/{self.process.pid}/fd")))
 
     def spent(self) -> float:
-        """Processor time in us, to the nanosecond."""
+        """Processor time of the loop's thread in us, to the nanosecond."""
         return int(Path(f"/proc/{self.process.pid}/schedstat").read_text().split()[0]) / 1000
 
+    def spent_by_all(self) -> float:
+        """The same of all its threads: what is checked beside the loop is in it."""
+        tasks = Path(f"/proc/{self.process.pid}/task")
+        return sum(int((one / "schedstat").read_text().split()[0]) for one in tasks.iterdir()) / 1000
+
     def ready(self) -> bool:
         if self.process.poll() is not None:
             raise ProcessError(f"a proxy ended at its start: {_last(self.folder / 'log')}")
@@ -101,8 +106,11 @@
     address: str = "",
     own: str | None = None,
     zones: list[str] | None = None,
+    most: int = 3,
 ) -> Iterator[Proxied]:
-    """A proxy that knows so many backends at its start; ready, and ended behind it."""
+    """A proxy that knows so many backends at its start and makes `most` attempts; ready, and ended behind
+    it.
+    """
     with tempfile.TemporaryDirectory() as name:
         folder = Path(name)
         port = free_port()
@@ -113,7 +121,7 @@
             "seed": "5eed",
             "limits": {"sockets": SOCKETS, "memory_mb": 512},
             "known": stage.listing(listed, zones, address),
-            "settings": stage.settings(group, zones=zones, promised=PROMISED),
+            "settings": stage.settings(group, zones=zones, promised=PROMISED, most=most),
         }
         (folder / "proxy.json").write_text(json.dumps(told))
         words = ["--config", str(folder / "proxy.json")]
--- a/pepperusher/capacity/slopes.py
+++ b/pepperusher/capacity/slopes.py
@@ -4,7 +4,8 @@
 
 from collections.abc import Callable, Iterator
 
-from pepperusher.capacity import attempts, decisions, latency, membership, processes, storms, watching
+from pepperusher.capacity import attempts, control_play, control_state, decisions, latency, membership
+from pepperusher.capacity import processes, storms, told_play, watching
 from pepperusher.capacity.measures import CLOCKED, COUNTED, TIMED, Measure, Single
 from pepperusher.capacity.processes import ProcessError
 from pepperusher.capacity.stage import ZONES
@@ -19,6 +20,10 @@
 # Changes of a list in a release: 400 backends replaced in 3 minutes, each drains, goes and comes.
 RELEASE = 400 * 3 / 180
 DEPTH = 30
+# Backends listed along a chain of whole proxies, and changes of the list a second.
+STANDS = ((24, 0.0), (1000, 0.0), (250, RELEASE), (250, 0.0))
+CHAIN_RATE = latency.CHAIN_RATE
+SLOWED = (5, 6, 7, 8, 10, 20, DEPTH)
 
 
 def _decisions() -> Iterator[Measure]:
@@ -109,7 +114,7 @@
     sizes, most = (5, 10, 20, 40, 60, 100), 200
     for name, what, unit, worth, at, repeats in (
         ("bytes", "an own file", "bytes", COUNTED, decisions.config_bytes, 1),
-        ("check", "checking it, on the loop that carries calls", "us", TIMED, decisions.config_check, 5),
+        ("check", "checking it, in a thread beside the loop", "us", TIMED, decisions.config_check, 5),
         ("take", "taking the checked one in, on that loop", "us", TIMED, decisions.config_take, 5),
     ):
         yield Measure(f"config.{name}", BESIDE, what, "route", unit, worth, sizes, most, at, repeats)
@@ -155,6 +160,11 @@
 
 def _latency() -> Iterator[Measure]:
     sizes, most = (24, 100, 250, 500, 1000), 2500
+    for which, said in (("p50", "the middle"), ("p99", "the 99th of 100")):
+        yield Measure(
+            f"alone.{which}", BESIDE, f"processor time of a call alone in one proxy, {said} of 400",
+            "backend listed", "us", TIMED, sizes, most, latency.processor(which),
+        )
     for group, changes, said in ((1000, 0.0, "calm"), (1000, RELEASE, "release"), (1, 0.0, "group1")):
         with_changes = f", {changes:.1f} changes of the list a second" if changes else ""
         for which, what in (
@@ -169,8 +179,125 @@
             )
 
 
-QUICK: tuple[Callable[[], Iterator[Measure]], ...] = (_decisions, _list, _arcs, _membership, _config)
-WHOLE: tuple[Callable[[], Iterator[Measure]], ...] = (_discovery, _processes, _latency)
+# Proxies before two control machines; at the target one of nine has 556 proxies' worth of connections.
+FLEETS, FLEET_MOST = (25, 50, 100, 200, 400), 800
+
+
+def _control_state() -> Iterator[Measure]:
+    sizes, most = (5, 10, 20, 40, 60, 100), 200
+    yield Measure(
+        "control.state.subscriber", CONTROL, "what a machine holds, one resource subscribed to by each",
+        "subscriber", "bytes", COUNTED, (100, 250, 500, 750, 1000), 1500, control_state.by_subscriber,
+    )
+    yield Measure(
+        "control.state.subscription", CONTROL, "what it holds with 100 subscribers",
+        "resource that each subscribes to", "bytes", COUNTED, (1, 2, 4, 8, 16, 32), 64,
+        control_state.by_subscription,
+    )
+    yield Measure(
+        "control.state.resource", CONTROL,
+        f"what it holds, nobody connected, {control_play.ROUTES} routes each", "resource", "bytes", COUNTED,
+        (10, 20, 40, 80, 120), 210, control_state.by_resource,
+    )
+    for name, what, at in (
+        ("control.snapshot_bytes", "a configuration sent whole, on the connection",
+            control_state.snapshot_bytes),
+        ("control.delta_bytes", "a change of one route in it, on the connection", control_state.delta_bytes),
+    ):
+        yield Measure(name, CONTROL, what, "route", "bytes", COUNTED, sizes, most, at)
+    yield Measure(
+        "client.state", BESIDE, "what the decisions about control machines hold, with the configuration",
+        "route", "bytes", COUNTED, sizes, most, control_state.client_state,
+    )
+
+
+def _control_shares() -> Iterator[Measure]:
+    for name, what, lost in (
+        ("control.fullest", "connections of the fullest of nine machines", 0),
+        ("control.fullest_lost", "the same with one of them lost", 1),
+    ):
+        yield Measure(name, CONTROL, what, "proxy", "connections", COUNTED,
+            (500, 1000, 1500, 2000, 2500), 5000, told_play.fullest(lost))
+
+
+def _told() -> Iterator[Measure]:
+    for name, what, unit in (
+        ("memory", "memory of a whole proxy that a control machine tells (RSS), 24 listed", "bytes"),
+        ("rest_cpu", "its processor time a second at rest", "us/s"),
+        ("change_cpu", "its processor time for one change, until in force, beyond what it spends at rest",
+            "us"),
+    ):
+        yield Measure(f"client.whole.{name}", BESIDE, what, "route", unit, TIMED,
+            (5, 10, 20, 40, 60, 100), 200, told_play.whole(name))
+
+
+def _control() -> Iterator[Measure]:
+    """Of two machines together, both connections of each proxy."""
+    beside = "two control machines together, both connections of each proxy"
+    for occasion, said in (
+        ("start", "connecting, nothing held"), ("rest", "at rest, a second"), ("change", "one change to all"),
+        ("resume", "connecting again, all held"),
+    ):
+        a_second = "/s" if occasion == "rest" else ""
+        for name, what, unit, worth in (
+            ("out_messages", "messages out", "messages", COUNTED),
+            ("in_messages", "messages in", "messages", COUNTED),
+            ("out_bytes", "bytes out", "bytes", COUNTED), ("in_bytes", "bytes in", "bytes", COUNTED),
+            ("cpu", "processor time", "us", TIMED),
+        ):  # fmt: skip
+            yield Measure(
+                f"control.{occasion}.{name}", CONTROL, f"{said}: {what}, {beside}", "proxy", unit + a_second,
+                worth, FLEETS, FLEET_MOST, control_play.by_proxies(f"{occasion}.{name}"),
+            )
+        for name, what, unit, worth in (
+            ("out_bytes", "bytes out", "bytes", COUNTED), ("in_bytes", "bytes in", "bytes", COUNTED),
+            ("out_messages", "messages out", "messages", COUNTED),
+            ("in_messages", "messages in", "messages", COUNTED),
+            ("cpu", "processor time of the clients alone, in one process", "us", TIMED),
+        ):  # fmt: skip
+            yield Measure(
+                f"client.{occasion}.{name}", BESIDE,
+                f"{said}: {what}, clients of all proxies together, both connections", "proxy",
+                unit + a_second,
+                worth, FLEETS, FLEET_MOST, control_play.by_proxies(f"{occasion}.client_{name}"),
+            )
+    yield Measure(
+        "control.memory", CONTROL, "memory of its process (RSS)", "proxy connected to it", "bytes", TIMED,
+        FLEETS, FLEET_MOST, control_play.by_proxies("memory"),
+    )
+    yield Measure(
+        "control.descriptors", CONTROL, "descriptors of its process", "proxy connected to it", "descriptors",
+        COUNTED, FLEETS, FLEET_MOST, control_play.by_proxies("descriptors"),
+    )
+    yield Measure(
+        "operator.publish", OPERATOR, "processor time of one `ctl publish`, which all proxies take", "proxy",
+        "us", TIMED, FLEETS, FLEET_MOST, control_play.by_proxies("publish.cpu"),
+    )
+    for name, what, unit in (
+        ("out_messages", "messages out", "messages"), ("out_bytes", "bytes out", "bytes"),
+    ):  # fmt: skip
+        yield Measure(
+            f"control.some.{name}", CONTROL, f"one change to some of 100 proxies: {what}, {beside}",
+            "proxy that takes it", unit, COUNTED, (10, 20, 30, 40, 50), 80,
+            control_play.by_takers(f"change.{name}"),
+        )
+    for occasion, said, unit in (
+        ("rest", "at rest, a second", "bytes/s"), ("change", "one change", "bytes"),
+    ):  # fmt: skip
+        yield Measure(
+            f"control.relay.{occasion}", CONTROL,
+            f"{said}: bytes out of the origin to the others, no proxy there", "control machine", unit,
+            COUNTED, (2, 3, 4, 5, 6), 9, control_play.by_machines(f"{occasion}.origin_out_bytes"),
+        )
+
+
+QUICK: tuple[Callable[[], Iterator[Measure]], ...] = (
+    _decisions, _list, _arcs, _membership, _config, _control_state,
+    _control_shares,
+)  # fmt: skip
+WHOLE: tuple[Callable[[], Iterator[Measure]], ...] = (
+    _discovery, _processes, _control, _told, _latency,
+)  # fmt: skip
 
 
 def measures() -> list[Measure]:
@@ -203,20 +330,39 @@
             f" a time yet", "", came.done)
         yield single(f"cold.{depth}.sends", f"sends for a call along {depth} such levels", "sends",
             came.sends)
+    for most in (3, 1):
+        for depth in SLOWED:
+            for factor in (1, 2, 3, 5, 10):
+                _, after = attempts.slowed(depth, factor, seed, most)
+                yield single(f"slowed.{most}.{depth}.{factor}",
+                    f"part of calls done along {depth} warmed levels"
+                    f" whose services take {factor} times as long, {most} attempts, after the first 20", "",
+                    after.done)
     yield single("roll.most", "members that a group takes", "members", float(membership.most_members()))
     yield single("notices.most", "notices at once that a group takes", "notices",
         float(membership.most_notices()))
 
 
-def chain(seed: int, say: Callable[[str], None], depth: int = DEPTH) -> Iterator[Single]:
-    """A chain of whole proxies, by list size, and with a release's changes."""
-    for listed, changes in ((24, 0.0), (1000, 0.0), (250, RELEASE), (250, 0.0)):
+def chain_key(depth: int, listed: int, rate: float, changes: float = 0.0, attempts: int = 3) -> str:
+    """What the figures of a chain are called."""
+    at = "" if rate == latency.CHAIN_RATE else f".at{rate:g}"
+    return f"chain.{depth}.{listed}{'.release' * (changes > 0)}{at}{'.once' * (attempts == 1)}"
+
+
+def chain(
+    seed: int, say: Callable[[str], None], depth: int = DEPTH, rate: float = CHAIN_RATE,
+    stands: tuple[tuple[int, float], ...] = STANDS,
+    most: int = 3,
+) -> Iterator[Single]:
+    """A chain of whole proxies, by list size, and with a release's changes; each makes `most` attempts."""
+    for listed, changes in stands:
+        key = chain_key(depth, listed, rate, changes, most)
         try:
-            added = latency.through_chain(depth, listed, 1000, seed, changes)
+            added = latency.through_chain(depth, listed, 1000, seed, changes, rate=rate, most=most)
         except latency.Failing as error:
             say(f"a chain of {depth}, {listed} listed: no time added: {error}")
             yield Single(
-                name=f"chain.{depth}.{listed}{'.release' if changes else ''}.failed",
+                name=f"{key}.failed",
                 what=f"part of calls that failed along {depth} proxies", unit="", worth=CLOCKED, seed=seed,
                 value=error.share,
             )
@@ -225,13 +371,15 @@
             say(f"a chain of {depth}, {listed} listed: not measured: {error}")
             continue
         with_changes = f", {changes:.1f} changes a second" if changes else ""
-        said = f"{depth} proxies in a row, {listed} listed{with_changes}"
-        key = f"chain.{depth}.{listed}{'.release' if changes else ''}"
+        said = f"{depth} proxies in a row, {listed} listed{with_changes}, {rate:g} calls a second"
         for name, value in (
             ("added99", added.p99), ("added50", added.p50), ("bare99", added.bare.p99),
             ("through99", added.through.p99),
             ("cpu", added.cpu),
         ):
             say(f"{key}.{name}: {value:.6g} us")
-            yield Single(name=f"{key}.{name}", what=f"{name}: {said}", unit="us", worth=TIMED, seed=seed,
-                value=value)
+            yield Single(name=f"{key}.{name}", what=f"{name}: {said}", unit="us",
+                worth=TIMED if name == "cpu" else CLOCKED, seed=seed, value=value)
+        failed = added.through.failed / added.through.calls
+        yield Single(name=f"{key}.failed", what=f"part of calls that failed along {depth} proxies", unit="",
+            worth=CLOCKED, seed=seed, value=failed)
