A control machine waits 12 s for a greeting where it has room, not 5 s

Change: HELLO_WITHIN is 12 s. Who has not greeted still holds little, and beyond 2,048 of them the oldest go after 1.5 s as before. Ruled out: no bound at all.

--- a/pepperusher/distribution/server.py
+++ b/pepperusher/distribution/server.py
@@ -57,8 +57,10 @@
 ACCEPTED_A_SECOND = 3200.0
 ACCEPTED_AT_ONCE = 2048.0
 BACKLOG = 4096
-# Who has not shown the key by then goes, and so many may be about it at once.
-HELLO_WITHIN = 5.0
+# Who has not shown the key by then goes, and so many may be about it at once. Where there is room for it a proxy
+# whose process is busy, as many are at a start, is not sent round once more: beyond MOST_STRANGERS the oldest go
+# after STRANGER_FOR.
+HELLO_WITHIN = 12.0
 MOST_STRANGERS = 2048
 STRANGER_FOR = 1_500_000
 # Said by one that stands in the line to be served, before its turn: the rest of what it has to say comes after that.
