A wave counts those that its machine sends bodies to, five of them before all at the least

A machine's waves also waited for proxies that it only offers a change to. They used to ask it after 1 s; since the second upstream is not asked while the first speaks, they answer once their own first has sent it, which may be after the wave's 1.5 s, so waves went on without having heard anybody. It was seen once; the likely cause is that the rollout's answers of three machines are of different moments.

Change: the first of a wave is one that is sent bodies from here, and who is only offered the change counts once it answered. So waves no longer wait for other machines'. So the second wave has five at the least.

Ruled out: asking the second after 1 s again, by which a change was sent twice where machines are busy.

The two new tests fail without it. Not played with 5,000.

--- a/pepperusher/distribution/publisher.py
+++ b/pepperusher/distribution/publisher.py
@@ -9,6 +9,7 @@
 
 import hashlib
 from collections import Counter, OrderedDict
+from heapq import nsmallest
 from typing import NamedTuple
 
 from pepperusher.distribution import delta, wire
@@ -38,8 +39,10 @@
 )
 
 # A change goes out in waves: to these parts of the proxies, by a hash of their names and of the version, and
-# to one of them at the least. A wave ends once all of it have answered, or after so long.
+# to so many of those that are sent bodies from here at the least: one alone tells little before all are sent it.
+# A wave ends once all of it have answered, or after so long.
 WAVES = (0.02, 0.2, 1.0)
+WAVES_LEAST = (1, 5, 0)
 WAVE_WITHIN = 1_500_000
 # It stops where two or more refused it and these are at least a tenth of those that answered, at once from so
 # many on and else at the end of a wave; and where a wave ends with nobody but such as refused it.
@@ -184,9 +187,10 @@
         places = [
             place_of(one.hello.name, held.newest.version)
             for one in map(self.subscribers.__getitem__, held.subscribers)
-            if one.hello.role == PROXY
+            if one.hello.role == PROXY and one.bodies
         ]
-        held.bar = max(WAVES[held.wave], min(places, default=0.0))
+        least = nsmallest(WAVES_LEAST[held.wave], places)
+        held.bar = max(WAVES[held.wave], *least, 0.0)
 
     def draft(self, kind: str, name: str, body: bytes, now: int) -> Resource:
         """The version that a change would become here. Raises NotTaken.
@@ -579,12 +583,14 @@
                 continue
             if key in self.subscribers[id].dirty:
                 continue  # it does not take what it is sent: the others don't wait for it
-            sent += 1
             no = proxy.refused.get(key)
+            answers = proxy.in_force.get(key, NEVER) >= version or (no is not None and no[0] == version)
+            if not answers and not self.subscribers[id].bodies:
+                continue  # another machine sends it there, by waves of its own
+            sent += 1
+            answered += answers
             if no is not None and no[0] == version:
                 refused, reason = refused + 1, no[1]
-            if proxy.in_force.get(key, NEVER) >= version or (no is not None and no[0] == version):
-                answered += 1
         over = key in self._rolling and (over or (answered == sent and sent > 0))
         many = refused >= REFUSED_LEAST and refused >= REFUSED_PART * answered
         if (many and (over or refused >= REFUSED_AT_ONCE)) or (over and refused and refused == answered):
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -356,6 +356,54 @@
         self.assertEqual(50, len(had))
         self.assertTrue(self.one.held[KEY].done)
 
+    def test_a_wave_is_of_those_that_are_sent_it_from_here(self) -> None:
+        """Half of them are only offered it: they answer once their other upstream has sent it."""
+        self.put(1)
+        self.settle(0)
+        self.crowd(100)
+        offered = sorted(range(100), key=lambda n: place_of(f"p{n}", Version(1, 2)))[:50]
+        for number in offered:
+            self.one.bodies(number, False)
+        self.sent(100)
+        self.put(2, 10 * S)
+        had: set[int] = set()
+        now = 10 * S
+        for _ in range(4):
+            more = self.sent(100)
+            if not had:
+                self.assertEqual(1, len(more), "one at the least is sent it in the first wave")
+            had |= more
+            for number in more:
+                self.one.ack(number, Ack(*KEY, 1, 2), now)
+            now += S // 10
+            self.one.tick(now)
+        self.assertEqual(set(range(100)) - set(offered), had)
+        self.assertTrue(self.one.held[KEY].done, "no wave waited for those that another machine sends it")
+        # And what those say that answer for another machine counts.
+        self.put(3, 20 * S)
+        self.settle(20 * S)
+        self.sent(100)
+        for number in offered[:10]:
+            self.one.ack(number, Ack(*KEY, 1, 3, "no"), 30 * S)
+        self.assertTrue(self.one.held[KEY].halted)
+
+    def test_of_few_five_are_asked_before_all(self) -> None:
+        """A fifth of thirteen is two or three, and where half refuse, these tell too little too often."""
+        self.put(1)
+        self.settle(0)
+        self.crowd(13)
+        self.sent(13)
+        self.put(2, 10 * S)
+        sent = []
+        for step in range(3):
+            more = self.sent(13)
+            sent.append(len(more))
+            for number in more:
+                self.one.ack(number, Ack(*KEY, 1, 2), 10 * S)
+            self.one.tick(10 * S + (step + 1) * S // 10)
+        self.assertEqual((1, 13), (sent[0], sum(sent)))
+        self.assertGreaterEqual(sent[0] + sent[1], 5)
+
     def test_a_halt_elsewhere_is_one_here(self) -> None:
         self.put(1)
         self.settle(0)
