Capacity: tests hold the rows' constants to the code that they are taken from

Rows of control machines use admission rates, waves, kept bodies and the switch interval; the page's modules load no server, so they have them as figures.

--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -12,9 +12,11 @@
 
 import msgspec
 from click.testing import CliRunner
+from msgspec.structs import fields
 
 from pepperusher.capacity import attempts, control_play, control_rows, control_state, decisions, latency
-from pepperusher.capacity import membership, page, processes, slopes, stage, storms, told_play, watching
+from pepperusher.capacity import membership, page, processes, projection, slopes, stage, storms, told_play
+from pepperusher.capacity import watching
 from pepperusher.capacity.commands import COMMANDS, capacity
 from pepperusher.capacity.fit import Point, best, checked, fitted
 from pepperusher.capacity.measures import CLOCKED, COUNTED, TIMED, Book, Measure, Measured, Single
@@ -22,6 +24,8 @@
 from pepperusher.capacity.projection import HARSH, MILD, Projection
 from pepperusher.capacity.slope_commands import read
 from pepperusher.capacity.target import Target
+from pepperusher.distribution import publisher, server
+from pepperusher.distribution.reading import ControlFile
 
 LIMIT = 60  # seconds of a process that a test starts
 
@@ -180,6 +184,16 @@
         self.assertIn("**distribution was missing** then", printed)
         self.assertIn("| 2,500 s, 2,500 s | 208, **208** | 0.402 s, 3.51 s | 0.034, **0.29** |", printed)
 
+    def test_what_rows_take_from_the_code_is_the_codes(self) -> None:
+        self.assertEqual(control_rows.ADMITTED, server.ACCEPTED_A_SECOND)
+        self.assertEqual(control_rows.ADMITTED_AT_ONCE, server.ACCEPTED_AT_ONCE)
+        self.assertEqual(control_rows.WAVE_S * 1e6, publisher.WAVE_WITHIN)
+        self.assertEqual(control_rows.WAVES_BEFORE + 1, len(publisher.WAVES))
+        self.assertEqual(control_rows.BASES, publisher.BEFORE)
+        named = next(one for one in fields(ControlFile) if one.name == "subscribers")
+        self.assertEqual(control_rows.SUBSCRIBERS, named.default)
+        self.assertEqual(projection.SWITCH_US, sys.getswitchinterval() * 1e6)
+
     def test_a_machine_has_two_connections_in_nine_of_each_proxy(self) -> None:
         load, lost = control_rows.loads(lambda *_: None, Target(), False)
         self.assertAlmostEqual(2 * load, 10_000 / 9)
