--- a/pepperusher/capacity/page.py
+++ b/pepperusher/capacity/page.py
@@ -346,7 +346,8 @@
         " of what"
         " else ran, and is not projected. Where over 1 in 100 calls failed in each round no time is told,"
         " since those that fail end early. Open loop, Poisson, latency from the"
-        " intended moment of sending, against the same services without proxies.",
+        " intended moment of sending, against the same services without proxies. A round is 10 s: at 8 calls"
+        " a second the 99th of 100 is the worst of some 80.",
         "",
         *_chain(book),
         "",
