--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -42,6 +42,9 @@
 KEPT_LONG = 1.0
 PAUSE, PAUSE_LEAST = 2.5, 0.1
 PAUSE_MOST = 5.0
+# Those that are started together with a list that they were given ask within so long, by chance: they are as many as
+# discovery had callers, and come while those that lost their watches still wait.
+START_SPREAD = 2.0
 # A line that has begun is whole as soon as that, and a second later for each so many bytes that came: discovery may
 # drip, or stop in the middle, and each byte alone is in time.
 SLOWEST = 128 * 1024
@@ -260,7 +263,11 @@
             self._source.version, self._borrowed = None, True
             self._facade.list_failed(clock.now())
 
-    def start(self) -> None:
+    def start(self, at_once: bool = True) -> None:
+        """Asks at once, or where there is a list to go by, within START_SPREAD seconds by chance."""
+        if not at_once and self._told:
+            spread = START_SPREAD * self._chance.random()
+            self._source.paused_till = asyncio.get_running_loop().time() + spread
         self._source.following = asyncio.get_running_loop().create_task(self._follow(self._source, False))
 
     async def told(self, within: float) -> None:
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -478,9 +478,10 @@
         loop.add_signal_handler(signal.SIGHUP, self.tell_anew)
         for one in self._company:
             await one.enter(self)
-        self._discovery.start()
+        # What is known nearby binds from the first moment on; otherwise the settings leave time to ask.
+        self._discovery.start(at_once=told.pushed)
         if told.pushed:
-            # What is known nearby binds from the first moment on: the list that this process was told may be old.
+            # The list that this process was told may be old.
             await self._discovery.told(told.drain_within / 1e6)
         self.port = self._callers.listen(self._told.listen, any(one.shares_address for one in self._company))
         for one in self._company:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -801,6 +801,7 @@
             self.server.close()
             server = await asyncio.start_server(slow, "127.0.0.1", self.discovery_port)
             self.watches[-1].close()
+            await self.until(lambda: len(refused) == 1)
             await self.until(lambda: len(came) == 2)
         # The longest wait is 2.5 s, and half of it by chance.
         self.assertGreaterEqual(came[1] - refused[0], 1.24)
