--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -351,9 +351,8 @@
                  "at": next((sent.backend.address for sent in one.attempts if sent.ended is None), "")}
                 for one in sorted(self._tickets, key=lambda one: one.came)]
 
-    def list_failed(self, now: int, anew: bool = False) -> None:
-        """`anew`: the waits between calls begin again, since it failed in another way than those before."""
-        self._balancer.list_failed(now, anew)
+    def list_failed(self, now: int) -> None:
+        self._balancer.list_failed(now)
 
     def tick(self, now: int) -> int:
         """In how long to ask for the list; 0 is now, and counts as asked; -1 is when the asking has ended."""
--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -505,14 +505,14 @@
                 left -= backend.portion
         side.sharing *= sum(b.near for b in ring) / len(ring) / side.reach
 
-    def list_failed(self, now: int, anew: bool = False) -> None:
+    def list_failed(self, now: int) -> None:
         if not self._must_ask:
             return
         if not self._list_lost:
             self._list_lost = True
             self._say("list lost, asking again")
         # Doubled, against a list service drowned by the calls of every proxy at once.
-        self._ask_step = min(self._ask_longest, not anew and 2 * self._ask_step or SECOND // 2)
+        self._ask_step = min(self._ask_longest, 2 * self._ask_step or SECOND // 2)
         self._ask_at = now + int(self._ask_step * (0.5 + 0.5 * self._chance()))
         self._asked = False
 
