--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -37,11 +37,12 @@
 # A call that was kept so long and then refused stood in a queue that is longer than discovery lets anybody wait,
 # and is worked through all the same: once all that it works through was refused before, calls that come again
 # soon, and all at the same time, keep it so for good. So the next goes out by chance within 2.5 times as long,
-# not in the first tenth of that: far enough apart that the calls of a crowd come one after another. Within 5 s at
-# the most, since a change counts 6 s after discovery could be reached.
+# not in the first tenth of that: far enough apart that the calls of a crowd come one after another. Within 6 s of
+# the one refused, since it may have gone out just before discovery could be reached, and a change counts so long
+# after; but never in haste for having been kept for longer.
 KEPT_LONG = 1.0
 PAUSE, PAUSE_LEAST = 2.5, 0.1
-PAUSE_MOST = 5.0
+APART_MOST = 6.0
 # Those that are started together with a list that they were given ask within so long, by chance: they are as many as
 # discovery had callers, and come while those that lost their watches still wait.
 START_SPREAD = 2.0
@@ -363,7 +364,7 @@
             # Whatever discovery says or does: without a watch drains are not kept.
             self._facade.list_failed(clock.now())
         if isinstance(error, Refused) and error.kept >= KEPT_LONG:
-            longest = min(PAUSE * error.kept, PAUSE_MOST)
+            longest = min(PAUSE * error.kept, max(PAUSE, APART_MOST - error.kept))
             pause = self._chance.uniform(PAUSE_LEAST * longest, longest)
             source.paused_till = asyncio.get_running_loop().time() + pause
         return source.silent
