Tests: processes that start with a list ask one after another; where it is pushed, at once

The stand of the tests asks at once, by the same code with a spread of 0; the tests on the spread have one.

--- a/tests/scene.py
+++ b/tests/scene.py
@@ -223,6 +223,7 @@
     """A whole proxy on loopback between a toy client, toy backends and a toy discovery."""
 
     beats = True   # False where a watch is to be silent, or a line of it to come in parts
+    start_spread = 0.0   # seconds within which it asks for the list at its start
     left = 1500    # how long clients wait that say nothing else, in ms
 
     async def open(self, *names: str, own: str | None = None, passed: str | None = None, **changes: object) -> None:
@@ -234,6 +235,10 @@
         environment = mock.patch.dict(os.environ, {"TMPDIR": passed or ""})
         environment.start()
         self.addCleanup(environment.stop)
+        # Most tests are about what follows the first call; with 0 it goes out at once, by the same code.
+        spread = mock.patch("pepperusher.net.discovery.START_SPREAD", self.start_spread)
+        spread.start()
+        self.addCleanup(spread.stop)
         self.lines = []
         self.logged: list[str] = []
         self.toys = {name: Toy(name, self.lines) for name in names}
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -4,10 +4,50 @@
 
 import asyncio
 import json
+import unittest
+from collections import Counter
 from unittest import mock
 
+from pepperusher.net.discovery import START_SPREAD, endpoint_update_of
+from pepperusher.rehearsal.askers import Asker
+from tests.scene import SETTINGS, Street
 
-from tests.scene import Street
+
+class Together(unittest.IsolatedAsyncioTestCase):
+    """Processes that are started together, as many as discovery has callers."""
+
+    async def test_those_with_a_list_ask_one_after_another(self) -> None:
+        loop = asyncio.get_running_loop()
+        update = endpoint_update_of({"version": 1, "full": True, "servers": [
+            {"id": "a1", "addr": "127.0.0.1:2", "state": "ready"}]})
+        waits: dict[str, list[float]] = {"with a list": [], "with a list, told to": [], "without": []}
+        for number in range(60):
+            for what, lists, at_once in (("with a list", True, False), ("with a list, told to", True, True),
+                                         ("without", False, False)):
+                discovery = Asker(number, 60, ("127.0.0.1", 1), 1, 10.0).discovery
+                if lists:
+                    discovery.take(update)
+                discovery.start(at_once=at_once)
+                waits[what].append(discovery._source.paused_till - loop.time())
+                discovery.stop()
+        self.assertLessEqual(max(waits["without"] + waits["with a list, told to"]), 0.0)
+        thirds = Counter(int(3 * wait / START_SPREAD) for wait in waits["with a list"])
+        self.assertEqual({0, 1, 2}, set(thirds))
+        self.assertGreater(min(thirds.values()), 10)
+
+
+class Alone(Street):
+    start_spread = 0.2
+
+    async def test_it_waits_where_the_settings_leave_time_to_ask(self) -> None:
+        await self.open("a1")
+        self.assertGreater(self.proxy._discovery._source.paused_till, 0)
+        self.assertEqual(1, len(self.watches))   # and it asks
+
+    async def test_it_asks_at_once_where_the_list_is_pushed(self) -> None:
+        """What is known nearby binds from the first moment on."""
+        await self.open("a1", settings={**SETTINGS, "discovery": "push"})
+        self.assertEqual(0.0, self.proxy._discovery._source.paused_till)
 
 
 class Lists(Street):
