--- a/pepperusher/capacity/control_rows.py
+++ b/pepperusher/capacity/control_rows.py
@@ -143,8 +143,8 @@
             lambda of, hard, held=held: plus(  # type: ignore[misc]
                 of_connections("control.descriptors", held(of, hard)), peers
             ),
-            Budget(1_024, "own choice: the descriptors of a process that nobody has raised"),
-            f"{SERVER}: it does not raise its own limit", "control.descriptors", "control.fullest",
+            Budget(4_096, "own choice: a usual hard limit, to which it raises its own"),
+            "`distribution/commands.py` raised", "control.descriptors", "control.fullest",
         )
         yield row(
             when, "memory of its process", "bytes",
