Capacity: a machine's rate of admission stands in its own module; the row and its test say so

test_what_rows_take_from_the_code_is_the_codes failed on the joined program: since connections are taken at 3,200 a second and admitted at the 800, and 400 at once, that the row is reckoned by, in distribution/admission.py. The test holds the row to these, as strictly; the row names them.

--- a/pepperusher/capacity/control_rows.py
+++ b/pepperusher/capacity/control_rows.py
@@ -254,7 +254,7 @@
                 MACHINE, easy.when, "seconds until all that connect are admitted", "s",
                 seconds[0] if known else None, seconds[1] if known else None,
                 Budget(t.in_force_s, "target: in force everywhere within 12 s"),
-                "`server.py` ACCEPTED_A_SECOND, ACCEPTED_AT_ONCE", ("control.fullest",),
+                "`admission.py` ADMITTED_A_SECOND, ADMITTED_AT_ONCE", ("control.fullest",),
                 f"by the code's rates; {easy.note}",
             )
         for what, said, unit in (
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -24,7 +24,7 @@
 from pepperusher.capacity.projection import HARSH, MILD, Projection
 from pepperusher.capacity.slope_commands import read
 from pepperusher.capacity.target import Target
-from pepperusher.distribution import publisher, server
+from pepperusher.distribution import admission, publisher
 from pepperusher.distribution.reading import ControlFile
 
 LIMIT = 60  # seconds of a process that a test starts
@@ -185,8 +185,8 @@
         self.assertIn("| 2,500 s, 2,500 s | 208, **208** | 0.402 s, 3.51 s | 0.034, **0.29** |", printed)
 
     def test_what_rows_take_from_the_code_is_the_codes(self) -> None:
-        self.assertEqual(control_rows.ADMITTED, server.ACCEPTED_A_SECOND)
-        self.assertEqual(control_rows.ADMITTED_AT_ONCE, server.ACCEPTED_AT_ONCE)
+        self.assertEqual(control_rows.ADMITTED, admission.ADMITTED_A_SECOND)
+        self.assertEqual(control_rows.ADMITTED_AT_ONCE, admission.ADMITTED_AT_ONCE)
         self.assertEqual(control_rows.WAVE_S * 1e6, publisher.WAVE_WITHIN)
         self.assertEqual(control_rows.WAVES_BEFORE + 1, len(publisher.WAVES))
         self.assertEqual(control_rows.BASES, publisher.BEFORE)
