--- a/pepperusher/capacity/control_rows.py
+++ b/pepperusher/capacity/control_rows.py
@@ -16,7 +16,7 @@
 # As distribution.server and distribution.publisher have them: connections admitted a second and at once, a
 # wave that nobody ends, bodies that deltas are made from, connections at the most.
 ADMITTED, ADMITTED_AT_ONCE = 800.0, 400.0
-WAVE_S, WAVES_BEFORE = 1.5, 2
+WAVE_S, WAVES_BEFORE = 3.0, 2
 BASES = 4
 SUBSCRIBERS = 4_000.0
 DAY = 86_400.0
--- a/pepperusher/distribution/publisher.py
+++ b/pepperusher/distribution/publisher.py
@@ -40,10 +40,12 @@
 
 # A change goes out in waves: to these parts of the proxies, by a hash of their names and of the version, and
 # to so many of those that are sent bodies from here at the least: one alone tells little before all are sent it.
-# A wave ends once all of it have answered, or after so long.
+# A wave ends once all of it have answered, after so long where at least half have, or after the second time whoever
+# has: a machine that is slow for all would else send a change to all before it heard that some refuse it.
 WAVES = (0.02, 0.2, 1.0)
 WAVES_LEAST = (1, 5, 0)
 WAVE_WITHIN = 1_500_000
+WAVE_MOST = 3_000_000
 # It stops where two or more refused it and these are at least a tenth of those that answered, at once from so
 # many on and else at the end of a wave; and where a wave ends with nobody but such as refused it.
 REFUSED_PART = 0.1
@@ -409,7 +411,7 @@
                 self._has_still(sub, one.key, proxy.in_force.get(one.key, NEVER))
                 held = self.held.get(one.key)
                 if held is not None and held.newest.version == one.version and not held.halted:
-                    self._judge(one.key, now, False)
+                    self._judge(one.key, now)
         else:
             # As it says and not the greatest: a process that was made anew may have less.
             proxy.in_force[one.key] = one.version
@@ -557,7 +559,7 @@
     def tick(self, now: int) -> None:
         """A few times a second."""
         for key in list(self._rolling):
-            self._judge(key, now, now - self.held[key].wave_at >= WAVE_WITHIN)
+            self._judge(key, now, now - self.held[key].wave_at)
         if self.epoch is not None:
             self.confirmed, self.confirmed_at = (self.epoch, now), now
 
@@ -570,8 +572,8 @@
         ]:
             del self.proxies[name]
 
-    def _judge(self, key: Key, now: int, over: bool) -> None:
-        """Whether the wave goes on, is over, or the change is halted."""
+    def _judge(self, key: Key, now: int, spent: int = 0) -> None:
+        """Whether the wave goes on, is over after `spent` microseconds, or the change is halted."""
         held = self.held[key]
         version = held.newest.version
         sent = answered = refused = 0
@@ -591,7 +593,8 @@
             answered += answers
             if no is not None and no[0] == version:
                 refused, reason = refused + 1, no[1]
-        over = key in self._rolling and (over or (answered == sent and sent > 0))
+        heard = answered == sent > 0 or spent >= WAVE_WITHIN and 2 * answered >= sent or spent >= WAVE_MOST
+        over = key in self._rolling and heard
         many = refused >= REFUSED_LEAST and refused >= REFUSED_PART * answered
         if (many and (over or refused >= REFUSED_AT_ONCE)) or (over and refused and refused == answered):
             self.halt(key, version, f"refused by {refused} of {answered} that answered at {self.name}: {reason}")
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -11,7 +11,7 @@
 
 from pepperusher.distribution import delta, wire
 from pepperusher.distribution.admission import ADMITTED_A_SECOND, ADMITTED_AT_ONCE, Admission
-from pepperusher.distribution.publisher import REFUSED_AT_ONCE, WAVE_WITHIN, NotTaken, Publisher, place_of, rollout_of
+from pepperusher.distribution.publisher import REFUSED_AT_ONCE, WAVE_MOST, WAVE_WITHIN, NotTaken, Publisher, place_of, rollout_of
 from pepperusher.distribution.subscriber import (
     Apply, Close, Connect, Say, Send, Subscriber, QUIET_FOR, SILENT_AFTER, WANT_AGAIN, order_of, rank,
 )  # fmt: skip
@@ -340,6 +340,26 @@
         self.settle(10 * S)
         self.assertEqual(100, len(self.sent(100)))
 
+    def test_a_wave_goes_on_soon_where_half_answered_and_late_where_fewer_did(self) -> None:
+        """A machine that is slow for all had sent a change to everybody before it heard that a fifth refuse it."""
+        self.put(1)
+        self.settle(0)
+        self.crowd(100)
+        for version, goes_on in ((2, True), (3, False)):
+            start = version * 100 * S
+            self.sent(100)   # what came before
+            self.put(version, start)
+            first = self.sent(100)
+            self.assertTrue(0 < len(first) < 30, len(first))
+            half = (len(first) + 1) // 2
+            for number in sorted(first)[:half if goes_on else half - 1]:
+                self.one.ack(number, Ack(*KEY, 1, version), start)
+            self.one.tick(start + WAVE_WITHIN)
+            self.assertEqual(goes_on, self.one.held[KEY].wave > 0, (version, len(first)))
+            self.one.tick(start + WAVE_MOST)
+            self.assertGreater(self.one.held[KEY].wave, 0)
+            self.settle(start + WAVE_MOST)
+
     def test_one_whose_socket_takes_nothing_is_not_waited_for(self) -> None:
         self.put(1)
         self.settle(0)
