--- a/pepperusher/distribution/publisher.py
+++ b/pepperusher/distribution/publisher.py
@@ -40,7 +40,7 @@
 
 # A change goes out in waves: to these parts of the proxies, by a hash of their names and of the version, and
 # to so many of those that are sent bodies from here at the least: one alone tells little before all are sent it.
-# A wave ends once all of it have answered, after so long where at least half have, or after the second time whoever
+# A wave ends once all of it have answered, after so long where nine in ten have, or after the second time whoever
 # has: a machine that is slow for all would else send a change to all before it heard that some refuse it.
 WAVES = (0.02, 0.2, 1.0)
 WAVES_LEAST = (1, 5, 0)
@@ -593,7 +593,7 @@
             answered += answers
             if no is not None and no[0] == version:
                 refused, reason = refused + 1, no[1]
-        heard = answered == sent > 0 or spent >= WAVE_WITHIN and 2 * answered >= sent or spent >= WAVE_MOST
+        heard = answered == sent > 0 or spent >= WAVE_WITHIN and 10 * answered >= 9 * sent or spent >= WAVE_MOST
         over = key in self._rolling and heard
         many = refused >= REFUSED_LEAST and refused >= REFUSED_PART * answered
         if (many and (over or refused >= REFUSED_AT_ONCE)) or (over and refused and refused == answered):
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -340,19 +340,19 @@
         self.settle(10 * S)
         self.assertEqual(100, len(self.sent(100)))
 
-    def test_a_wave_goes_on_soon_where_half_answered_and_late_where_fewer_did(self) -> None:
+    def test_a_wave_goes_on_soon_where_nine_in_ten_answered_and_late_where_fewer_did(self) -> None:
         """A machine that is slow for all had sent a change to everybody before it heard that a fifth refuse it."""
         self.put(1)
         self.settle(0)
-        self.crowd(100)
+        self.crowd(1000)
         for version, goes_on in ((2, True), (3, False)):
             start = version * 100 * S
-            self.sent(100)   # what came before
+            self.sent(1000)   # what came before
             self.put(version, start)
-            first = self.sent(100)
-            self.assertTrue(0 < len(first) < 30, len(first))
-            half = (len(first) + 1) // 2
-            for number in sorted(first)[:half if goes_on else half - 1]:
+            first = self.sent(1000)
+            self.assertTrue(10 <= len(first) < 60, len(first))
+            most = -(-9 * len(first) // 10)
+            for number in sorted(first)[:most if goes_on else most - 1]:
                 self.one.ack(number, Ack(*KEY, 1, version), start)
             self.one.tick(start + WAVE_WITHIN)
             self.assertEqual(goes_on, self.one.held[KEY].wave > 0, (version, len(first)))
