--- a/pepperusher/distribution/subscriber.py
+++ b/pepperusher/distribution/subscriber.py
@@ -86,7 +86,8 @@
 EXCUSED_MOST = 10_000_000
 # So long the first upstream has to send what the second has offered.
 OFFERED_WITHIN = 1_000_000
-# Or so long where it speaks: it may be two waves behind (`publisher.WAVE_WITHIN` each).
+# Or so long where it speaks: it may be two waves behind. By `publisher.WAVE_WITHIN`, not by WAVE_MOST: where few
+# answer a wave a change may be sent by both; waited for longer, one that speaks and is cut off itself costs too much.
 OFFERED_MOST = 3_500_000
 # One that said nothing for a beat and a little more is not speaking.
 SPEAKING = BEAT_EVERY + 500_000
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -321,6 +321,18 @@
         return (f"{verb} /{use}/page?q=1 HTTP/1.1\r\nHost: backend.local\r\nRequest-Id: {number}\r\nRequest-Class: {use}\r\n"
                 f"Request-Timeout: {left}m\r\n{more}Content-Length: {len(body)}\r\n\r\n{body}").encode()
 
+    async def to_the_end(self, at: socket.socket) -> tuple[bytes, ConnectionError | None]:
+        """All that a client outside the loop hears till its connection ends, and what broke it."""
+        at.setblocking(False)
+        heard = b""
+        try:
+            async with asyncio.timeout(10):
+                while part := await asyncio.get_running_loop().sock_recv(at, 65536):
+                    heard += part
+        except ConnectionError as error:
+            return heard, error
+        return heard, None
+
     async def hear(self, reader: asyncio.StreamReader) -> str:
         """One answer, as its status, body and whether more may follow."""
         try:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -40,14 +40,11 @@
 
     async def said(self, at: socket.socket) -> str:
         """All that a client hears till its connection ends, and how it ended."""
-        at.setblocking(False)
-        heard = b""
-        try:
-            async with asyncio.timeout(10):
-                while part := await asyncio.get_running_loop().sock_recv(at, 65536):
-                    heard += part
-        except ConnectionResetError:
+        heard, broke = await self.to_the_end(at)
+        if isinstance(broke, ConnectionResetError):
             return f"{heard[9:12].decode()} reset"
+        if broke is not None:
+            raise broke
         return f"{heard[9:12].decode()} end"
 
     async def warm(self) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -441,15 +441,8 @@
 
     async def all_heard(self, at: socket.socket) -> str:
         """What a client that reads at last hears till the end, and how it ended."""
-        at.setblocking(False)
-        heard = b""
-        try:
-            async with asyncio.timeout(10):
-                while part := await asyncio.get_running_loop().sock_recv(at, 65536):
-                    heard += part
-        except ConnectionError as error:
-            return f"{heard[9:12].decode()}, {type(error).__name__}"
-        return f"{heard[9:12].decode()}, the end"
+        heard, broke = await self.to_the_end(at)
+        return f"{heard[9:12].decode()}, {'the end' if broke is None else type(broke).__name__}"
 
     async def test_a_message_too_late_is_told_so_though_its_client_writes_on(self) -> None:
         """Closed at once over what was unread, or had yet to come, its connection was reset and the answer lost.
