Capacity: sizes are measured in turn, with a reference loop beside; a list is taken in anew

Cause: slopes that were checked at 5,000 missed by up to 54%, and two runs minutes apart gave slopes that differ by twice at the same load. Found by trials (no figures of the page): - list.take measured two things. A list was taken in by the same watch again and again until 60 ms were spent: at 5,000 that was one turn, the first (98 ms), at 500 the mean of a first one (9.6 ms) and of twenty that changed nothing (2.8 ms each). The row is of a proxy that starts: now each turn has a new watch. - All else: a core's pace. The same plain loop took 25 to 56 ms of processor time within 30 s at a load of 13, since busy cores slow each other; each size was measured at a moment of its own, and a slow spell bent the line.

Change: all sizes in turn and then again, 15 times within the process and 3 times for whole processes; the middle of a reference loop between the sizes is kept and printed. Rows no longer say "on a full machine" in fixed words.

Tests: the_middle_of_several gave its values in the order of asking; they hang on the seed now, since sizes are asked in turn. What it asserts is the same, and the order is asserted beside it. New: a slow spell bends nothing, each list is a first one, medians over sound rounds, rows of time added by the load, the command.

No figure is measured anew yet.

--- a/pepperusher/capacity/decisions.py
+++ b/pepperusher/capacity/decisions.py
@@ -121,10 +121,17 @@
     return cost(lambda: endpoint_update_of(json.loads(text.decode())) and None)
 
 
-def list_take(size: int, seed: int) -> float:
-    watch = watch_of(GROUP, seed)
+def list_take(size: int, seed: int, enough: int = ENOUGH) -> float:
+    """By a watch that has none yet: the same list once more takes under half of that."""
     update = endpoint_update_of(stage.listing(size))
-    return cost(lambda: watch.take(update))
+    turns, spent = 0, 0.0
+    while spent < enough:
+        watch = watch_of(GROUP, seed)  # not timed, nor is the end of the one before
+        began = process_time()
+        watch.take(update)
+        spent += (process_time() - began) * 1e6
+        turns += 1
+    return spent / turns
 
 
 def list_change(size: int, seed: int) -> float:
--- a/pepperusher/capacity/front_rows.py
+++ b/pepperusher/capacity/front_rows.py
@@ -60,7 +60,7 @@
         FRONT, "ordinary day", "processor time a second for its calls", "us/s",
         times(calls[0], each[0]), times(calls[1], each[1]), core, "the whole proxy, on one core",
         ("added.calm.cpu",),
-        "by the processor time of a call at 72 calls a second on a full machine, the dearest measured",
+        "by the processor time of a call at 72 calls a second, load beside the slope",
     )
     yield Row(
         FRONT, "ordinary day", "processor time a second: process and membership at rest", "us/s",
--- a/pepperusher/capacity/latency.py
+++ b/pepperusher/capacity/latency.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterator
 from contextlib import ExitStack, contextmanager
 from random import Random
+from statistics import median
 from typing import NamedTuple
 
 from pepperusher.capacity.processes import HOST, ProcessError, Proxied, proxy, standins
@@ -16,8 +17,8 @@
 # Calls a second of one proxy at the target: 360,000 over 5,000.
 RATE = 72.0
 LASTS = 6.0
-# Without and with proxies in turn, so often: the round whose calls without proxies were quickest is the
-# quietest moment, and counts. Not chosen by what proxies add.
+# Without and with proxies in turn, so often; the medians over the rounds count. More where calls are to be
+# enough for a 99th.
 ROUNDS = 2
 # Along a chain a third of that, and for longer: thirty proxies and their services then fit two cores.
 CHAIN_RATE, CHAIN_LASTS = 24.0, 10.0
@@ -123,8 +124,8 @@
 
 
 class Added(NamedTuple):
-    """us that the proxies add: at the middle and at the 99th of 100, with what the calls took beside them;
-    `cpu` is what one of the proxies spent for a call, in us.
+    """us that the proxies add: at the middle and at the 99th of 100, medians over the rounds, with what the
+    calls took beside them; calls are of all rounds. `cpu` is what one of the proxies spent for a call, in us.
     """
 
     p50: float
@@ -141,8 +142,8 @@
     seed: int,
     rounds: int,
 ) -> Added:
-    """The quietest of several rounds; the processor time is of all. A round in which more than 1 in 100
-    failed does not count. Raises ProcessError where none does.
+    """Medians over several rounds; the processor time is of all. A round in which more than 1 in 100 failed
+    does not count. Raises ProcessError where none does.
     """
     before = cpu()
     made = [(without(seed + 2 * place), through(seed + 2 * place + 1)) for place in range(rounds)]
@@ -150,8 +151,15 @@
     sound = [one for one in made if all(100 * told.failed <= told.calls for told in one)]
     if not sound:
         raise Failing([two for _, two in made])
-    bare, with_them = min(sound, key=lambda one: one[0].p99)
-    return Added(with_them.p50 - bare.p50, with_them.p99 - bare.p99, bare, with_them, spent)
+    return Added(median(two.p50 - one.p50 for one, two in sound),
+        median(two.p99 - one.p99 for one, two in sound), _over([one for one, _ in sound]),
+        _over([two for _, two in sound]), spent)
+
+
+def _over(rounds: list[Told]) -> Told:
+    """The medians of several rounds, and all their calls."""
+    return Told(median(one.p50 for one in rounds), median(one.p99 for one in rounds),
+        sum(one.calls for one in rounds), sum(one.failed for one in rounds))
 
 
 def through_one(
--- a/pepperusher/capacity/measures.py
+++ b/pepperusher/capacity/measures.py
@@ -46,6 +46,7 @@
     points: list[tuple[float, float]]
     held_out: tuple[float, float]
     load: float | None = None  # of the machine over a minute, as the measurement ended
+    reference: int | None = None  # the middle of what the reference loop took between the sizes, in us
     commit: str = ""
     command: str = ""
 
@@ -109,16 +110,21 @@
     say: Callable[[str], None] = lambda _: None,
     commit: str = "",
     command: str = "",
+    pace: Callable[[], float] | None = None,
 ) -> Measured:
-    """Measures each size `repeats` times, each with the next seed; the median of them counts."""
-
-    def middle(size: int) -> tuple[float, float]:
-        made = [one.at(size, seed + place) for place in range(one.repeats)]
-        say(f"{one.name} at {size}: {median(made):.6g} {one.unit}")
-        return float(size), float(median(made))
-
-    points = [middle(size) for size in one.sizes]
-    held_out = middle(one.held_out)
+    """Measures each size `repeats` times, each with the next seed; the median of them counts. All sizes in
+    turn and then again: a machine that is slower for some seconds would else bend the curve.
+    """
+    made: dict[int, list[float]] = {size: [] for size in (*one.sizes, one.held_out)}
+    paces: list[float] = []
+    for place in range(one.repeats):
+        for size, values in made.items():
+            if pace is not None:
+                paces.append(pace())
+            values.append(one.at(size, seed + place))
+            say(f"{one.name} at {size}: {values[-1]:.6g} {one.unit}")
+    middles = [(float(size), float(median(values))) for size, values in made.items()]
+    *points, held_out = middles
     return Measured(
         name=one.name,
         role=one.role,
@@ -131,6 +137,7 @@
         points=points,
         held_out=held_out,
         load=None if load is None else round(load(), 1),
+        reference=round(median(paces)) if paces else None,
         commit=commit,
         command=command,
     )
--- a/pepperusher/capacity/page.py
+++ b/pepperusher/capacity/page.py
@@ -77,6 +77,8 @@
     # What discovery is asked is counted, but how soon it answers is not.
     alone = one.worth == COUNTED and one.role != "discovery"
     load = "" if one.load is None or alone else f"; load {one.load:g}"
+    if one.reference is not None and not alone:
+        load += f", reference loop {one.reference / 1000:.1f} ms"
     if one.spoilt(cores):
         load += f" on {cores} cores, so **not projected**"
     return [
@@ -238,6 +240,16 @@
     )  # fmt: skip
 
 
+def _one_proxy(book: Book) -> Iterator[tuple[str, str]]:
+    """Key and words of what was measured through one proxy at the target's calls a second."""
+    for listed in (24, 250, 1_000, 5_000):
+        for key, with_it in (("", ""), (".release", ", a release's changes")):
+            for group, said in (("", ""), (".group1", ", group size 1")):
+                name = f"1.{listed}{key}.at72{group}"
+                if book.single(f"chain.{name}.failed"):
+                    yield name, f"1 in a row, 72 calls a second, {listed:,} listed{with_it}{said}"
+
+
 def _chain(book: Book) -> Iterator[str]:
     rows = []
     keys = [(f"{depth}.24.at{rate}{once}", f"{depth} in a row, {rate} calls a second, 24 listed"
@@ -245,18 +257,20 @@
         for once in ("", ".once") if book.single(f"chain.{depth}.24.at{rate}{once}.failed")]
     keys += [("30.24.once", "30 in a row, 24 calls a second, 24 listed, one attempt each")] * (
         book.single("chain.30.24.once.failed") is not None)
-    for key, said in (*keys, ("30.24", "24 listed"), ("30.250", "250 listed"), ("30.1000", "1,000 listed"),
+    for key, said in (*_one_proxy(book), *keys, ("30.24", "24 listed"), ("30.250", "250 listed"), ("30.1000", "1,000 listed"),
         ("30.250.release", "250 listed, a release's changes")):
         said = said if "row" in said else f"30 in a row, 24 calls a second, {said}"
         found = [book.single(f"chain.{key}.{which}")
             for which in ("bare99", "through99", "added99", "added50", "cpu", "failed")]
         load = next((f"{one.load:g}" for one in found if one is not None and one.load is not None), "-")
         failed = "not measured" if found[-1] is None else f"{found[-1].value:.0%}"
-        rows.append([said, *(figure(one.value if one else None, "us") for one in found[:-1]), failed, load])
+        calls = book.single(f"chain.{key}.calls")
+        rows.append([said, *(figure(one.value if one else None, "us") for one in found[:-1]), failed,
+            "-" if calls is None else f"{calls.value:,.0f}", load])
     yield from _table(
         ("chain", "99th without proxies", "99th with them", "added at the 99th",
             "added at the middle", "processor time of the last proxy, a call",
-            "calls failed", "load beside it"), rows)
+            "calls failed", "calls", "load beside it"), rows)
 
 
 def printed(of: Projection, book: Book, after: str = NOTHING_YET) -> str:
@@ -272,7 +286,9 @@
         " more, checked at a size that was not"
         f" fitted. {book.machine}; the machine was shared, so times (medians, of `time.process_time` where"
         f" one process is measured) are worth"
-        " what the load beside them says. Counts are exact. A commit with a plus had changes that were not"
+        " what the load beside them says. A reference loop is the same 200,000 turns of plain Python, timed"
+        " between the sizes: where all cores are busy they slow each other, and processor time is longer for"
+        " the same work, by up to twice (docs/results.md). Counts are exact. A commit with a plus had changes that were not"
         " committed.",
         "",
         f"The target: {target.proxies:,} backends, each with its proxy, in {target.services} services;"
@@ -346,8 +362,10 @@
         " of what"
         " else ran, and is not projected. Where over 1 in 100 calls failed in each round no time is told,"
         " since those that fail end early. Open loop, Poisson, latency from the"
-        " intended moment of sending, against the same services without proxies. A round is 10 s: at 8 calls"
-        " a second the 99th of 100 is the worst of some 80.",
+        " intended moment of sending, against the same services without proxies; medians over the rounds."
+        " Where calls are told, so many are behind the figures, all rounds together; where none are, the"
+        " quieter of two rounds of 10 s counts, and at 8 calls a second the 99th of 100 is the worst of some"
+        " 80.",
         "",
         *_chain(book),
         "",
--- a/pepperusher/capacity/projection.py
+++ b/pepperusher/capacity/projection.py
@@ -229,10 +229,10 @@
         )
         yield Row(
             role, "always", "time added at the 99th of 100 by one proxy", "us",
-            self._at("added.calm.p99", mild.listed),
-            self._at("added.group1.p99" if harsh.group == 1 else "added.calm.p99", harsh.listed), added,
-            "the whole proxy",
-            ("added.calm.p99", "added.group1.p99"), "on a shared machine; see the load beside the slope",
+            self._single("chain.1.250.at72.added99"),
+            self._single("chain.1.5000.at72.group1.added99"), added, "the whole proxy",
+            ("chain.1.250.at72.added99", "chain.1.5000.at72.group1.added99"),
+            "72 calls a second; mild: 250 listed, harsh: 5,000 at group size 1",
         )
         for name, said in (("alone.p50", "the middle"), ("alone.p99", "the 99th of 100")):
             yield Row(
@@ -240,7 +240,7 @@
                 f"processor time of a call alone in one proxy, {said}: the least that it adds", "us",
                 self._level(name, mild.listed), self._level(name, harsh.listed), added,
                 "the whole proxy", (name,),
-                "group size 1,000, 400 calls some 10 ms apart on a full machine; neither its wait for a"
+                "group size 1,000, 400 calls some 10 ms apart, load beside the slope; neither its wait for a"
                 " processor nor for the loop behind other calls",
             )
         yield Row(
@@ -256,14 +256,15 @@
             self._at("added.calm.cpu", mild.listed),
             self._at("added.group1.cpu" if harsh.group == 1 else "added.calm.cpu", harsh.listed), added,
             "the whole proxy", ("added.calm.cpu", "added.group1.cpu"),
-            "72 calls a second on a full machine; some 0.29 ms where calls follow each other on a quiet one"
-            " (docs/results.md)",
+            "72 calls a second, load beside the slope; some 0.29 ms where calls follow each other on a quiet"
+            " machine (docs/results.md)",
         )
         yield Row(
             role, "release", "time added at the 99th of 100 by one proxy", "us",
-            self._at("added.release.p99", mild.listed),
-            self._at("added.release.p99", harsh.listed), added, "the whole proxy", ("added.release.p99",),
-            "6.7 changes of the list a second in both",
+            self._single("chain.1.250.release.at72.added99"),
+            self._single("chain.1.5000.release.at72.added99"), added, "the whole proxy",
+            ("chain.1.250.release.at72.added99", "chain.1.5000.release.at72.added99"),
+            "72 calls and 6.7 changes of the list a second in both; mild: 250 listed, harsh: 5,000",
         )
 
     def _discovery(self) -> Iterator[Row]:
--- a/pepperusher/capacity/slope_commands.py
+++ b/pepperusher/capacity/slope_commands.py
@@ -12,9 +12,10 @@
 import click
 import msgspec
 
-from pepperusher.capacity import page, slopes as measurements
+from pepperusher.capacity import latency, page, slopes as measurements
 from pepperusher.capacity.fit import LEAST_SIZES
 from pepperusher.capacity.measures import Book, Measured, merged, only, taken
+from pepperusher.capacity.pace import reference
 from pepperusher.capacity.processes import ProcessError
 from pepperusher.capacity.projection import Projection
 
@@ -77,6 +78,15 @@
 @click.option("--sizes", callback=_sizes, help="In place of each one's own: six or more by commas, the"
     " last one held out.")
 @click.option("--chain", is_flag=True, help="Also a chain of 30 whole proxies (31 processes, some minutes).")
+@click.option("--listed", multiple=True, type=click.IntRange(1), help="Backends listed along the chain;"
+    " several times for several.")
+@click.option("--release", is_flag=True, help="A release's changes of the list, with --listed.")
+@click.option("--group", default=measurements.CHAIN_GROUP, show_default=True, help="Group size along the"
+    " chain.")
+@click.option("--rounds", default=latency.ROUNDS, show_default=True, help="Without and with proxies in"
+    " turn.")
+@click.option("--lasts", default=latency.CHAIN_LASTS, show_default=True, help="Seconds of a round, each"
+    " way.")
 @click.option("--depth", default=measurements.DEPTH, show_default=True, help="Of the chain.")
 @click.option("--rate", default=measurements.CHAIN_RATE, show_default=True, help="Calls a second along the"
     " chain. Other than usual: 24 listed alone.")
@@ -86,8 +96,9 @@
     help="Keep the figures here, beside those that are there.")
 @click.option("--json", "as_json", is_flag=True, help="Print the figures as JSON.")
 @click.option("--list", "listing", is_flag=True, help="Print what can be measured, and measure nothing.")
-def slopes(names: tuple[str, ...], sizes: list[int] | None, chain: bool, depth: int, rate: float,
-    attempts: int, seed: int, out: Path | None, as_json: bool, listing: bool) -> None:  # fmt: skip
+def slopes(names: tuple[str, ...], sizes: list[int] | None, chain: bool, listed: tuple[int, ...],
+    release: bool, group: int, rounds: int, lasts: float, depth: int, rate: float, attempts: int, seed: int,
+    out: Path | None, as_json: bool, listing: bool) -> None:  # fmt: skip
     """Measure how each cost grows with its size.
 
     Each is measured at five sizes or more, fitted, and checked at a size that was not fitted.
@@ -106,7 +117,10 @@
         raise click.ClickException(f"nothing is measured under {', '.join(names)}; see --list")
     command = " ".join(
         ["pepperusher capacity slopes", *(f"--only {name}" for name in names), *(["--chain"] * chain),
-            *([f"--depth {depth} --rate {rate:g} --attempts {attempts}"] * chain), f"--seed {seed}"])
+            *([f"--depth {depth} --rate {rate:g} --attempts {attempts}"] * chain),
+            *(f"--listed {one}" for one in listed if chain), *(["--release"] * (chain and release)),
+            *([f"--group {group}"] * (chain and group != measurements.CHAIN_GROUP)),
+            *([f"--rounds {rounds} --lasts {lasts:g}"] * chain), f"--seed {seed}"])
     book = Book(commit=_commit(), command=command, machine=_machine(), cores=os.cpu_count() or 1)
 
     def keep() -> None:
@@ -119,7 +133,7 @@
             again = f"pepperusher capacity slopes --only {one.name} --seed {seed}"
             if sizes is not None:
                 again += f" --sizes {','.join(map(str, sizes))}"
-            book.measured.append(taken(one, seed, _load, _say, book.commit, again))
+            book.measured.append(taken(one, seed, _load, _say, book.commit, again, reference))
         except (ProcessError, TimeoutError) as error:
             click.echo(f"{one.name}: not measured: {error}", err=True)
             continue
@@ -131,7 +145,9 @@
     if chain:
         usual = (depth, rate, attempts) == (measurements.DEPTH, measurements.CHAIN_RATE, 3)
         stands = measurements.STANDS if usual else measurements.STANDS[:1]
-        for single in measurements.chain(seed, _say, depth, rate, stands, attempts):
+        if listed:
+            stands = tuple((one, measurements.RELEASE * release) for one in listed)
+        for single in measurements.chain(seed, _say, depth, rate, stands, attempts, group, rounds, lasts):
             book.singles.append(msgspec.structs.replace(single, commit=book.commit, command=command,
                 load=round(_load(), 1)))
             keep()
--- a/pepperusher/capacity/slopes.py
+++ b/pepperusher/capacity/slopes.py
@@ -20,9 +20,12 @@
 # Changes of a list in a release: 400 backends replaced in 3 minutes, each drains, goes and comes.
 RELEASE = 400 * 3 / 180
 DEPTH = 30
+# Of what is timed within this process, and of whole processes; each in turn at all sizes.
+REPEATS, PLAYS = 15, 3
 # Backends listed along a chain of whole proxies, and changes of the list a second.
 STANDS = ((24, 0.0), (1000, 0.0), (250, RELEASE), (250, 0.0))
 CHAIN_RATE = latency.CHAIN_RATE
+CHAIN_GROUP = 1_000
 SLOWED = (5, 6, 7, 8, 10, 20, DEPTH)
 
 
@@ -31,22 +34,24 @@
         yield Measure(
             f"decision.group{group}", BESIDE, f"take, pick and report of one call, group size {group}, one"
             f" zone", "backend listed",
-            "us", TIMED, LISTS, LIST_MOST, decisions.decision(group), 5,
+            "us", TIMED, LISTS, LIST_MOST, decisions.decision(group), REPEATS,
         )
     yield Measure(
         "decision.zones", BESIDE, "take, pick and report of one call, group size 1,000, 13 zones",
         "backend listed", "us", TIMED,
-        LISTS, LIST_MOST, decisions.decision(1000, ZONES), 5,
+        LISTS, LIST_MOST, decisions.decision(1000, ZONES), REPEATS,
     )
 
 
 def _list() -> Iterator[Measure]:
     for name, what, unit, worth, at, repeats in (
         ("list.bytes", "a whole list, as it is sent", "bytes", COUNTED, decisions.list_bytes, 1),
-        ("list.parse", "reading it, on the loop that carries calls", "us", TIMED, decisions.list_parse, 5),
-        ("list.take", "taking it in, on that loop", "us", TIMED, decisions.list_take, 5),
+        ("list.parse", "reading it, on the loop that carries calls", "us", TIMED, decisions.list_parse,
+            REPEATS),
+        ("list.take", "taking it in where there was none, on that loop", "us", TIMED, decisions.list_take,
+            REPEATS),
         ("list.change", "one change of it, read and taken in, on that loop", "us", TIMED,
-            decisions.list_change, 5),
+            decisions.list_change, REPEATS),
         ("list.memory", "what the watch and the decisions hold of it", "bytes", COUNTED,
             decisions.list_memory, 1),
     ):
@@ -114,7 +119,7 @@
     sizes, most = (5, 10, 20, 40, 60, 100), 200
     for name, what, unit, worth, at, repeats in (
         ("bytes", "an own file", "bytes", COUNTED, decisions.config_bytes, 1),
-        ("check", "checking it, in a thread beside the loop", "us", TIMED, decisions.config_check, 5),
+        ("check", "checking it, in a thread beside the loop", "us", TIMED, decisions.config_check, REPEATS),
         ("take", "taking the checked one in, on that loop", "us", TIMED, decisions.config_take, 5),
     ):
         yield Measure(f"config.{name}", BESIDE, what, "route", unit, worth, sizes, most, at, repeats)
@@ -134,12 +139,12 @@
     yield Measure(
         "process.idle", BESIDE, "processor time a second without tickets", "backend listed", "us/s", TIMED,
         LISTS, LIST_MOST,
-        processes.idle,
+        processes.idle, PLAYS,
     )
     yield Measure(
         "process.release", BESIDE, f"the same with {RELEASE:.1f} changes of the list a second",
         "backend listed", "us/s", TIMED, LISTS,
-        LIST_MOST, processes.release(RELEASE),
+        LIST_MOST, processes.release(RELEASE), PLAYS,
     )
     connections, most = (25, 50, 100, 200, 400), 800
     yield Measure(
@@ -163,7 +168,7 @@
     for which, said in (("p50", "the middle"), ("p99", "the 99th of 100")):
         yield Measure(
             f"alone.{which}", BESIDE, f"processor time of a call alone in one proxy, {said} of 400",
-            "backend listed", "us", TIMED, sizes, most, latency.processor(which),
+            "backend listed", "us", TIMED, sizes, most, latency.processor(which), PLAYS,
         )
     for group, changes, said in ((1000, 0.0, "calm"), (1000, RELEASE, "release"), (1, 0.0, "group1")):
         with_changes = f", {changes:.1f} changes of the list a second" if changes else ""
@@ -228,7 +233,7 @@
             "us"),
     ):
         yield Measure(f"client.whole.{name}", BESIDE, what, "route", unit, TIMED,
-            (5, 10, 20, 40, 60, 100), 200, told_play.whole(name))
+            (5, 10, 20, 40, 60, 100), 200, told_play.whole(name), PLAYS)
 
 
 def _control() -> Iterator[Measure]:
@@ -343,22 +348,27 @@
         float(membership.most_notices()))
 
 
-def chain_key(depth: int, listed: int, rate: float, changes: float = 0.0, attempts: int = 3) -> str:
+def chain_key(depth: int, listed: int, rate: float, changes: float = 0.0, attempts: int = 3,
+    group: int = CHAIN_GROUP) -> str:  # fmt: skip
     """What the figures of a chain are called."""
     at = "" if rate == latency.CHAIN_RATE else f".at{rate:g}"
-    return f"chain.{depth}.{listed}{'.release' * (changes > 0)}{at}{'.once' * (attempts == 1)}"
+    alone = "" if group == CHAIN_GROUP else f".group{group}"
+    return f"chain.{depth}.{listed}{'.release' * (changes > 0)}{at}{'.once' * (attempts == 1)}{alone}"
 
 
 def chain(
     seed: int, say: Callable[[str], None], depth: int = DEPTH, rate: float = CHAIN_RATE,
     stands: tuple[tuple[int, float], ...] = STANDS,
     most: int = 3,
+    group: int = CHAIN_GROUP,
+    rounds: int = latency.ROUNDS,
+    lasts: float = latency.CHAIN_LASTS,
 ) -> Iterator[Single]:
     """A chain of whole proxies, by list size, and with a release's changes; each makes `most` attempts."""
     for listed, changes in stands:
-        key = chain_key(depth, listed, rate, changes, most)
+        key = chain_key(depth, listed, rate, changes, most, group)
         try:
-            added = latency.through_chain(depth, listed, 1000, seed, changes, rate=rate, most=most)
+            added = latency.through_chain(depth, listed, group, seed, changes, lasts, rounds, rate, most)
         except latency.Failing as error:
             say(f"a chain of {depth}, {listed} listed: no time added: {error}")
             yield Single(
@@ -380,6 +390,8 @@
             say(f"{key}.{name}: {value:.6g} us")
             yield Single(name=f"{key}.{name}", what=f"{name}: {said}", unit="us",
                 worth=TIMED if name == "cpu" else CLOCKED, seed=seed, value=value)
+        yield Single(name=f"{key}.calls", what=f"calls that the figures stand on, {rounds} rounds: {said}",
+            unit="calls", worth=COUNTED, seed=seed, value=float(added.through.calls))
         failed = added.through.failed / added.through.calls
         yield Single(name=f"{key}.failed", what=f"part of calls that failed along {depth} proxies", unit="",
             worth=CLOCKED, seed=seed, value=failed)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -8,6 +8,7 @@
 import sys
 import tempfile
 import unittest
+import unittest.mock
 from pathlib import Path
 
 import msgspec
@@ -207,11 +208,47 @@
 
 class Measures(unittest.TestCase):
     def test_the_middle_of_several_counts_and_the_held_out_size_is_not_fitted(self) -> None:
-        told = iter([1.0, 9.0, 2.0] * 6)
-        one = Measure("x", "r", "w", "p", "us", TIMED, (1, 2, 3, 4, 5), 10, lambda _, __: next(told), 3)
+        told = {1: 1.0, 2: 9.0, 3: 2.0}
+        one = Measure("x", "r", "w", "p", "us", TIMED, (1, 2, 3, 4, 5), 10, lambda _, seed: told[seed], 3)
         made = taken(one, 1)
         self.assertEqual(made.points, [(float(size), 2.0) for size in (1, 2, 3, 4, 5)])
         self.assertEqual(made.held_out, (10.0, 2.0))
+        self.assertIsNone(made.reference)
+
+    def test_sizes_are_measured_in_turn_so_that_a_slow_spell_bends_nothing(self) -> None:
+        """What all sizes take is doubled for two rounds of five: the fit is the line of the other three."""
+        asked: list[tuple[int, int]] = []
+
+        def at(size: int, seed: int) -> float:
+            asked.append((size, seed))
+            return (2.0 if seed in (2, 3) else 1.0) * (10 + size)
+
+        one = Measure("x", "r", "w", "p", "us", TIMED, (1, 2, 3, 4, 5), 10, at, 5)
+        paces = iter([*range(29), 1000])
+        made = taken(one, 1, pace=lambda: float(next(paces)))
+        self.assertEqual(asked, [(size, seed) for seed in range(1, 6) for size in (1, 2, 3, 4, 5, 10)])
+        self.assertAlmostEqual(made.fit().slope, 1.0)
+        self.assertAlmostEqual(made.check().error, 0.0)
+        self.assertEqual(made.reference, 14)   # one before each value; their middle
+        self.assertEqual(list(paces), [])
+
+    def test_each_list_that_is_taken_in_is_a_first_one(self) -> None:
+        """The same list once more takes under half; where one turn was enough and where many were needed."""
+        made = []
+
+        def watch_of(*given: int) -> decisions.Discovery:
+            made.append(original(*given))
+            return made[-1]
+
+        original = decisions.watch_of
+        with unittest.mock.patch.object(decisions, "watch_of", watch_of):
+            decisions.list_take(50, 1, enough=1)
+            self.assertGreaterEqual(len(made), 1)
+            turns = len(made)
+            decisions.list_take(50, 1, enough=20_000)
+        self.assertGreater(len(made), turns + 1)
+        for watch in made:
+            self.assertEqual(len(watch._told), 50)
 
     def test_what_a_clock_said_on_a_full_machine_is_not_projected(self) -> None:
         made = book(operator__change=(0.0, 0.5))
@@ -418,6 +455,67 @@
             self.assertFalse(asyncio.run(ask()))
 
 
+    def test_what_is_added_is_the_median_over_rounds_that_are_sound(self) -> None:
+        """By round what the proxies add at the 99th: 5, 50, 7, 6 and, with 2 of 100 calls failed, 1."""
+        rounds = [(5, 0), (50, 0), (7, 0), (6, 0), (1, 2)]
+
+        def through(place: int) -> latency.Told:
+            more, failed = rounds[(place - 2) // 2]
+            return latency.Told(20 + more, 100 + more, 100, failed)
+
+        spent = iter((0.0, 5_000.0))
+        made = latency._rounds(lambda _: latency.Told(20, 100, 90, 0), through, lambda: next(spent), 1, 5)
+        self.assertEqual((made.p99, made.p50), (6.5, 6.5))
+        self.assertEqual((made.through.p99, made.through.calls, made.through.failed), (106.5, 400, 0))
+        self.assertEqual((made.bare.p99, made.bare.calls), (100, 360))
+        self.assertEqual(made.cpu, 10.0)   # of all rounds
+        with self.assertRaises(latency.Failing) as caught:
+            latency._rounds(lambda _: latency.Told(1, 1, 100, 0), lambda _: latency.Told(1, 1, 100, 3),
+                lambda: 0.0, 1, 2)
+        self.assertEqual(caught.exception.share, 0.03)
+
+
+class Added(unittest.TestCase):
+    """The rows on time added by one proxy stand on what was measured through one, on free cores alone."""
+
+    def of(self, load: float) -> dict[str, tuple[float | None, float | None]]:
+        singles = [
+            Single(name=f"chain.1.{key}.at72{group}.added99", what="", unit="us", worth=CLOCKED, seed=1,
+                value=value, load=load)
+            for key, group, value in (("250", "", 900.0), ("5000", ".group1", 9_000.0),
+                ("250.release", "", 1_000.0), ("5000.release", "", 8_000.0))
+        ]
+        made = Projection(Book(commit="", command="", machine="", cores=8, singles=singles)).rows()
+        return {row.when: (row.mild, row.harsh) for row in made
+            if row.what == "time added at the 99th of 100 by one proxy"}
+
+    def test_on_free_cores_they_are_held_against_the_budget(self) -> None:
+        self.assertEqual(self.of(7.9), {"always": (900.0, 9_000.0), "release": (1_000.0, 8_000.0)})
+
+    def test_where_the_load_passes_the_cores_they_are_not_measured(self) -> None:
+        self.assertEqual(self.of(8.1), {"always": (None, None), "release": (None, None)})
+
+    def test_each_has_a_name_of_its_own(self) -> None:
+        names = [slopes.chain_key(1, listed, 72.0, changes, 3, group) for listed in (24, 250)
+            for changes in (0.0, 6.7) for group in (1, 1_000)]
+        self.assertEqual(len(set(names)), 8)
+        self.assertEqual(names[1], "chain.1.24.at72")
+        self.assertEqual(slopes.chain_key(1, 250, 72.0, 6.7), "chain.1.250.release.at72")
+        self.assertEqual(slopes.chain_key(1, 5_000, 72.0, group=1), "chain.1.5000.at72.group1")
+
+    def test_the_command_measures_one_proxy_with_what_it_is_given(self) -> None:
+        words = ["slopes", "--only", "nothing", "--chain", "--depth", "1", "--rate", "60", "--listed", "3",
+            "--group", "1", "--release", "--rounds", "2", "--lasts", "0.5", "--json"]
+        run = CliRunner().invoke(capacity, words)
+        self.assertEqual(run.exit_code, 0, run.output)
+        told = {one["name"]: one for one in json.loads(run.stdout.splitlines()[-1])["singles"]}
+        key = "chain.1.3.release.at60.group1"
+        self.assertIn("--listed 3 --release --group 1 --rounds 2 --lasts 0.5 --seed 1",
+            told[f"{key}.failed"]["command"])
+        if f"{key}.calls" in told:   # none where over 1 in 100 failed in both rounds
+            self.assertTrue(20 < told[f"{key}.calls"]["value"] < 120, told)
+
+
 class Commands(unittest.TestCase):
     def test_slopes_are_kept_and_projected(self) -> None:
         with tempfile.TemporaryDirectory() as folder:
