No machine goes on to the next wave before the others have heard; a halt told before the body stays

Traced on sockets, 200 proxies and 3 machines: all 40 that refuse stand in one zone, so in one process, and as near machines go first one machine sends all of them their bodies. The two others ended both waves by their own proxies, 0.2 s each, and had sent it to all theirs before that machine had heard three refusals: half a second by which one process was behind was enough.

So: an offer tells of how many waves a machine has heard (a field at the end, which older ones read over), and none goes on before all others it is connected to have. One that has the version is waited for 3 s a wave at the most, one that has not taken it 1.5 s from when it came here, one with nobody to ask not at all: 6 s in all at the worst, as before, whichever machine's proxies are frozen.

Found by reading on the way, each with a test that fails without its mend: a proxy that the machine had not come to yet in its turns counted as one whose socket takes nothing, so a wave could end by those few that had been written to; and a relay that was told of a halt before the body came took the version as not halted, with a delta always, whole where another machine had told it.

test_one_whose_socket_takes_nothing_is_not_waited_for now takes those away from what is pending, as the server does when it tries to write: what it asserts is the same. The play without I/O tells machines of each other's offers and losses, as the server does.

--- a/pepperusher/distribution/publisher.py
+++ b/pepperusher/distribution/publisher.py
@@ -42,6 +42,9 @@
 # to so many of those that are sent bodies from here at the least: one alone tells little before all are sent it.
 # A wave ends once all of it have answered, after so long where nine in ten have, or after the second time whoever
 # has: a machine that is slow for all would else send a change to all before it heard that some refuse it.
+# No machine goes on before the others are as far, each told by its offers: those that refuse may all be one machine's,
+# as where a region has its own. A machine that has the version is waited for as long as a wave lasts at the most, one
+# that hasn't it yet as long as a wave lasts where nearly all answered, from when it came here.
 WAVES = (0.02, 0.2, 1.0)
 WAVES_LEAST = (1, 5, 0)
 WAVE_WITHIN = 1_500_000
@@ -80,7 +83,8 @@
     """One resource, as this control machine has it."""
 
     __slots__ = (
-        "newest", "steady", "halted", "before", "wave", "wave_at", "bar", "subscribers", "cache", "ahead",
+        "newest", "steady", "halted", "before", "wave", "wave_at", "begun_at", "heard", "bar", "subscribers", "cache",
+        "ahead",
     )  # fmt: skip
 
     def __init__(self, newest: Resource) -> None:
@@ -89,7 +93,8 @@
         self.halted = ""
         self.before: OrderedDict[Version, Resource] = OrderedDict()  # BEFORE at the most
         self.wave = 0
-        self.wave_at = 0
+        self.wave_at = self.begun_at = 0
+        self.heard = 0  # of so many waves
         self.bar = 0.0
         self.subscribers: set[int] = set()  # emptied as they leave
         # Messages of this version as bytes, by the base that they are for: emptied with each version.
@@ -157,6 +162,9 @@
         self.confirmed: tuple[int, int] = (epoch or 0, now if epoch is not None else 0)
         self.confirmed_at = now
         self._rolling: set[Key] = set()
+        # What the other control machines have, and of how many waves of it they have heard, by upstream: emptied as
+        # they are lost, and of as many resources as there are here.
+        self._elsewhere: dict[str, dict[Key, tuple[Version, int]]] = {}
         self._peers = peers
         self.compared: set[str] = set()  # control machines that showed what they have since the start
         # What others showed that is newer than what is here, and of that what other control machines have, so
@@ -178,7 +186,7 @@
         self._begin(held, now)
 
     def _begin(self, held: Held, now: int) -> None:
-        held.wave, held.wave_at = 0, now
+        held.wave, held.wave_at, held.begun_at, held.heard = 0, now, now, 0
         if held.newest.fact:
             held.steady = held.newest
         if held.done or held.halted:
@@ -502,11 +510,11 @@
         held = self.held[key]
         # What is steady goes along, and is no news of its own: it counts where a version is halted, and to one
         # that comes anew.
-        said = (held.newest.version, held.halted)
+        said = (held.newest.version, held.halted, held.heard)
         if sub.offered.get(key) != said:
             sub.offered[key] = said
             return wire.encoded(
-                Offer(*key, mark_of(held.newest), held.halted, held.steady and mark_of(held.steady))
+                Offer(*key, mark_of(held.newest), held.halted, held.steady and mark_of(held.steady), held.heard)
             )
         if (key, True) in sub.wants:
             sub.wants.discard((key, True))
@@ -594,7 +602,7 @@
             proxy = self.proxies.get(name)
             if proxy is None or proxy.connection != id or place_of(name, version) > held.bar:
                 continue
-            if key in self.subscribers[id].dirty:
+            if key in self.subscribers[id].dirty and id not in self.pending:
                 continue  # it does not take what it is sent: the others don't wait for it
             no = proxy.refused.get(key)
             answers = proxy.in_force.get(key, NEVER) >= version or (no is not None and no[0] == version)
@@ -609,7 +617,13 @@
         many = refused >= REFUSED_LEAST and refused >= REFUSED_PART * answered
         if (many and (over or refused >= REFUSED_AT_ONCE)) or (over and refused and refused == answered):
             self.halt(key, version, f"refused by {refused} of {answered} that answered at {self.name}: {reason}")
-        elif over and held.wave < len(WAVES) - 1:
+        elif held.wave < len(WAVES) - 1:
+            if over:
+                self._heard(held, held.wave + 1)
+            elif key in self._rolling and not sent:
+                self._heard(held, len(WAVES))  # there is nobody to ask
+            if not over or not self._heard_elsewhere(held, now):
+                return
             held.wave += 1
             held.wave_at = now
             self._set_bar(held)
@@ -620,6 +634,41 @@
             self.keep[key] = None
             self._mark(held)
 
+    def _heard(self, held: Held, waves: int) -> None:
+        """Of so many waves: the others are told."""
+        if held.heard < waves:
+            held.heard = waves
+            for id in held.subscribers:
+                if self.subscribers[id].names is None:
+                    self.subscribers[id].dirty[held.newest.key] = None
+                    self.pending[id] = None
+
+    def _heard_elsewhere(self, held: Held, now: int) -> bool:
+        """Whether the other control machines have heard of this wave, as far as they are waited for."""
+        for those in self._elsewhere.values():
+            version, heard = those.get(held.newest.key, (NEVER, 0))
+            if version < held.newest.version:
+                if now - held.begun_at < WAVE_WITHIN:
+                    return False
+            elif version == held.newest.version and heard <= held.wave and now - held.wave_at < WAVE_MOST:
+                return False
+        return True
+
+    def offered(self, upstream: str, offer: Offer, now: int) -> None:
+        """By another control machine."""
+        those = self._elsewhere.setdefault(upstream, {})
+        if offer.key in those or offer.key in self.held or len(those) < MOST_RESOURCES:
+            those[offer.key] = offer.mark.version, offer.heard
+        if offer.key in self._rolling and self._heard_elsewhere(self.held[offer.key], now):
+            self._judge(offer.key, now, now - self.held[offer.key].wave_at)
+
+    def linked(self, upstream: str) -> None:
+        """It is there, and tells what it has."""
+        self._elsewhere[upstream] = {}
+
+    def unlinked(self, upstream: str) -> None:
+        self._elsewhere.pop(upstream, None)
+
     def follow(self, confirmed: tuple[int, int], at: int | None) -> None:
         """A relay has the origin's word as the subscriber beside it has it, and is as old as that."""
         if self.epoch is None and at is not None:
--- a/pepperusher/distribution/server.py
+++ b/pepperusher/distribution/server.py
@@ -38,6 +38,7 @@
     Figures,
     Hello,
     Message,
+    Offer,
     Publish,
     Published,
     Refused,
@@ -595,6 +596,7 @@
                     self._connect(effect.upstream)
                 elif isinstance(effect, Close):
                     self._calls.close(effect.upstream)
+                    self.publisher.unlinked(effect.upstream)
                 elif isinstance(effect, Apply):
                     self._take(effect)
                 elif isinstance(effect, Say):
@@ -624,6 +626,7 @@
     def _peer_opened(self, upstream: str, link: Link) -> None:
         if self._calls.links.get(upstream) is link and self._subscriber is not None:
             self._subscriber.connected(upstream, clock.now())
+            self.publisher.linked(upstream)
             self._after()
 
     def _peer_came(self, upstream: str, link: Link, message: Message) -> None:
@@ -634,7 +637,10 @@
             if asked is not None and asked[0] == upstream and not asked[1].done():
                 asked[1].set_result(message)
             return
-        self._subscriber.received(upstream, message, clock.now())
+        now = clock.now()
+        self._subscriber.received(upstream, message, now)
+        if isinstance(message, Offer):
+            self.publisher.offered(upstream, message, now)
         self._after()
 
     def _peer_ended(self, upstream: str, link: Link, why: str) -> None:
@@ -643,6 +649,7 @@
         del self._calls.links[upstream]
         self.counts["peers lost"] += 1
         self._subscriber.lost(upstream, clock.now())
+        self.publisher.unlinked(upstream)
         self._after()
 
     def _after(self) -> None:
--- a/pepperusher/distribution/subscriber.py
+++ b/pepperusher/distribution/subscriber.py
@@ -528,13 +528,17 @@
         made = Resource(said.kind, said.name, said.mark.version, said.mark.digest, said.body, KINDS[said.kind])
         self._wants.pop((said.key, said.steady), None)
         self._misfits.discard(said.key)
-        halted = one.offers[said.key, False][2] if (said.key, False) in one.offers else ""
         if said.steady:
             if made.version > self._steady.get(made.key, NEVER):
                 self._steady[made.key] = made.version
                 self.out.append(Apply(made, "", True))
             return
-        self._take(made, halted, now)
+        self._take(made, self._halted(made), now)
+
+    def _halted(self, made: Resource) -> str:
+        """Why it is halted, where anybody said so: whoever sends the body may not know it yet, or said it before."""
+        offers = (one.offers.get((made.key, False)) for one in self._upstreams.values())
+        return next((one[2] for one in offers if one is not None and one[0].version == made.version and one[2]), "")
 
     def _delta(self, one: _Upstream, said: Delta, now: int) -> None:
         if not self._known(said.key):
@@ -565,9 +569,8 @@
             one.offers[said.key, False] = said.mark, now - OFFERED_WITHIN, ""
             self._ask_for((said.key, False), now)
             return
-        self._take(
-            Resource(said.kind, said.name, said.mark.version, said.mark.digest, body, KINDS[said.kind]), "", now
-        )
+        made = Resource(said.kind, said.name, said.mark.version, said.mark.digest, body, KINDS[said.kind])
+        self._take(made, self._halted(made), now)
 
     def _take(self, made: Resource, halted: str, now: int) -> None:
         if made.version <= self._last(made.key):
--- a/pepperusher/distribution/words.py
+++ b/pepperusher/distribution/words.py
@@ -179,8 +179,8 @@
 
 
 class Offer(_Message, tag=6):
-    """The version there is, without its body. To relays also whether it was halted, and which version those
-    are given that have none.
+    """The version there is, without its body. To relays also whether it was halted, which version those are given
+    that have none, and of how many waves this machine has heard.
     """
 
     kind: Name
@@ -188,6 +188,7 @@
     mark: Mark
     halted: Reason = ""
     steady: Mark | None = None
+    heard: int = 0
 
     @property
     def key(self) -> Key:
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -392,7 +392,11 @@
         self.crowd(100)
         self.put(2, 10 * S)
         now, had, frozen = 10 * S, set(), set(range(0, 100, 2))
+        for number in frozen:
+            self.one.pending.pop(number)  # it was to be written to, and its socket took nothing
         for _ in range(5):
+            for number in frozen:
+                self.one.pending.pop(number, None)
             for number in set(range(100)) - frozen - had:
                 if read(self.one, number):
                     had.add(number)
@@ -402,6 +406,82 @@
         self.assertEqual(50, len(had))
         self.assertTrue(self.one.held[KEY].done)
 
+    def test_one_that_this_machine_has_not_come_to_yet_is_waited_for(self) -> None:
+        """A busy machine writes to some connections a turn of its loop, and its tick may come between two turns."""
+        self.put(1)
+        self.settle(0)
+        self.crowd(100)
+        self.sent(100)
+        self.put(2, 10 * S)
+        first = min(range(100), key=lambda n: place_of(f"p{n}", Version(1, 2)))
+        self.assertTrue(read(self.one, first))
+        self.one.ack(first, Ack(*KEY, 1, 2), 10 * S)
+        self.one.tick(10 * S + S // 10)
+        self.assertEqual(1, self.one.held[KEY].wave)
+        asked = sorted(range(100), key=lambda n: place_of(f"p{n}", Version(1, 2)))[1:10]
+        for number in asked[:3]:
+            self.assertTrue(read(self.one, number))
+            self.one.ack(number, Ack(*KEY, 1, 2), 10 * S)
+        self.one.tick(10 * S + S // 5)
+        self.assertEqual(1, self.one.held[KEY].wave, "the others of the wave were not written to yet")
+
+    def test_no_machine_goes_on_before_the_others_have_heard_of_the_wave(self) -> None:
+        """Those that refuse may all be another machine's: as near ones go first, a region's are."""
+
+        def wave(version: int, now: int) -> int:
+            """All that were sent it have answered."""
+            for number in self.sent(100):
+                self.one.ack(number, Ack(*KEY, 1, version), now)
+            self.one.tick(now)
+            return self.one.held[KEY].wave
+
+        self.put(1)
+        self.settle(0)
+        self.crowd(100)
+        self.sent(100)
+        self.one.linked("b:1")
+        self.one.linked("c:1")
+        start = 10 * S
+        self.put(2, start)
+        self.assertEqual(0, wave(2, start), "neither has it yet")
+        self.one.offered("b:1", Offer(*KEY, mark_of(made(2)), heard=1), start)
+        self.assertEqual(0, wave(2, start + WAVE_WITHIN - 1))
+        self.assertEqual(1, wave(2, start + WAVE_WITHIN), "one that has not taken it by then is not waited for")
+        self.assertEqual(1, wave(2, start + 2 * WAVE_WITHIN))
+        self.one.offered("b:1", Offer(*KEY, mark_of(made(2)), heard=2), start + 2 * WAVE_WITHIN)
+        self.assertEqual(2, self.one.held[KEY].wave, "at once, as the last of them tells it")
+        # Not for longer than a wave lasts at the most, and not for one that is lost.
+        start = 20 * S
+        self.put(3, start)
+        for upstream in ("b:1", "c:1"):
+            self.one.offered(upstream, Offer(*KEY, mark_of(made(3))), start)
+        self.assertEqual(0, wave(3, start + WAVE_MOST - 1))
+        self.assertEqual(1, wave(3, start + WAVE_MOST))
+        self.one.offered("b:1", Offer(*KEY, mark_of(made(3)), heard=2), start + WAVE_MOST)
+        self.assertEqual(1, wave(3, start + WAVE_MOST))
+        self.one.unlinked("c:1")
+        self.assertEqual(2, wave(3, start + WAVE_MOST))
+
+    def test_other_machines_are_told_of_each_wave_and_at_once_where_nobody_is_to_be_asked(self) -> None:
+        def heard() -> list[int]:
+            return [one.heard for one in read(self.one, 900) if isinstance(one, Offer)]
+
+        self.one.join(900, hello("c2", [], RELAY), 0)
+        self.put(1)
+        self.one.tick(0)
+        self.assertEqual([3], heard())
+        self.settle(0)
+        self.crowd(20)
+        self.sent(20)
+        self.put(2, 10 * S)
+        told = heard()
+        for step in range(3):
+            for number in self.sent(20):
+                self.one.ack(number, Ack(*KEY, 1, 2), 10 * S)
+            self.one.tick(10 * S + step * S // 10)
+            told += heard()
+        self.assertEqual([0, 1, 2], told)
+
     def test_a_wave_is_of_those_that_are_sent_it_from_here(self) -> None:
         """Half of them are only offered it: they answer once their other upstream has sent it."""
         self.put(1)
@@ -992,6 +1072,24 @@
         self.assertEqual(300, len(again))
         self.assertNotIn(self.peers[0], {one.upstream for one in again})
 
+    def test_a_halt_that_is_told_before_the_body_comes_is_kept(self) -> None:
+        """By whoever sends the body, or by another; whole or as a delta."""
+        ops = delta.made(made(1).body, made(2).body)
+        change = Delta(*KEY, mark_of(made(2)), mark_of(made(1)), ops)
+        for sent in (Snapshot(*KEY, mark_of(made(2)), made(2).body), change):
+            for by in self.peers[:2]:
+                with self.subTest(by=by, whole=isinstance(sent, Snapshot)):
+                    self.setUp()
+                    self.one.received(self.peers[0], Snapshot(*KEY, mark_of(made(1)), made(1).body), self.now)
+                    (apply,) = [effect for effect in self.one.out if isinstance(effect, Apply)]
+                    self.one.applied(apply.resource, None, self.now)
+                    self.one.received(self.peers[0], Offer(*KEY, mark_of(made(2))), self.now)
+                    self.one.out.clear()
+                    self.one.received(by, Offer(*KEY, mark_of(made(2)), "refused"), self.now)
+                    self.one.received(self.peers[0], sent, self.now)
+                    (apply,) = [effect for effect in self.one.out if isinstance(effect, Apply)]
+                    self.assertEqual("refused", apply.halted)
+
     def test_the_version_before_is_not_asked_for_where_it_is_here(self) -> None:
         """With each change it is what all others call steady: a whole body from each, for nothing."""
         self.one.received(self.peers[0], Offer(*KEY, mark_of(made(1))), self.now)
@@ -1074,6 +1172,12 @@
         if machine is not None:
             machine.leave(id, self.now)
         self.subscriber(subscriber).lost(upstream, self.now)
+        self.unlinked(subscriber, upstream)
+
+    def unlinked(self, subscriber: str, upstream: str) -> None:
+        mine = self.machines.get(subscriber)
+        if mine is not None:
+            mine.unlinked(upstream)
 
     def subscriber(self, name: str) -> Subscriber:
         return self.relays[name] if name in self.relays else self.proxies[name]
@@ -1109,8 +1213,12 @@
                     self.ids += 1
                     self.links[name, effect.upstream] = self.ids, deque(), deque()
                     one.connected(effect.upstream, self.now)
+                    mine = self.machines.get(name)
+                    if mine is not None:
+                        mine.linked(effect.upstream)
                 elif isinstance(effect, Close):
                     link = name, effect.upstream
+                    self.unlinked(name, effect.upstream)
                     if link in self.links:
                         id, _, _ = self.links.pop(link)
                         machine = self.machines.get(effect.upstream)
@@ -1176,7 +1284,11 @@
             if data is not None:
                 down.append(wire.decoded(data))
             if down and link in self.links:
-                self.subscriber(name).received(upstream, down.popleft(), self.now)
+                told = down.popleft()
+                self.subscriber(name).received(upstream, told, self.now)
+                mine = self.machines.get(name)
+                if mine is not None and isinstance(told, Offer):
+                    mine.offered(upstream, told, self.now)
                 self.effects(name, self.subscriber(name))
 
     def step(self) -> None:
@@ -1377,6 +1489,36 @@
                     world.step()
                 self.assertEqual({third}, {one.held[KEY].version for one in world.proxies.values()})
 
+    def test_a_change_that_one_machines_proxies_refuse_and_say_late_stops(self) -> None:
+        """Those of the others answer at once; theirs are behind by more than both waves of the others take."""
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                world = World(seed, 4, 60)
+                for _ in range(40):
+                    world.step()
+                first = world.publish()
+                assert first is not None
+                self.until(world, first, set(world.proxies))
+                for _ in range(50):
+                    world.step()
+                world.refusing = {name for name, one in world.proxies.items() if one.up[0] == world.names[3]}
+                self.assertTrue(8 <= len(world.refusing) <= 22, len(world.refusing))
+                second = world.publish()
+                world.cut = {link for link in world.links if link[0] in world.refusing}
+                begun = world.now
+                while world.now - begun < 2 * S:
+                    world.step()
+                world.cut.clear()
+                for _ in range(200):
+                    world.step()
+                took = [name for name, one in world.proxies.items() if one.held[KEY].version == second]
+                self.assertLess(len(took), 30)
+                self.assertTrue(all(one.held[KEY].halted for one in world.machines.values() if one))
+                world.refusing.clear()
+                third = world.publish()
+                assert third is not None
+                self.until(world, third, set(world.proxies))
+
 
 if __name__ == "__main__":
     unittest.main()
