Decisions: whose list a proxy goes by, and how old the owner's word is

Need: a proxy that has its list from control machines must not be told later than the term in force says. Ways weighed: the version's age alone (a quiet list and a cut one look alike), the hop's beats (a relay that is cut off looks alive); taken is the owner's word with its age, of one moment the first hearing, so that it gets no younger as it goes round.

--- a/pepperusher/distribution/words.py
+++ b/pepperusher/distribution/words.py
@@ -168,14 +168,27 @@
     on: bool
 
 
+class Word(msgspec.Struct, frozen=True, array_like=True, gc=False):
+    """Of the fact `endpoints/name`: its owner's own source last spoke at `stamp`, in the owner's time, `age` us
+    before this is sent, and then this version was all that it had told.
+    """
+
+    name: Name
+    epoch: Count
+    number: Count
+    stamp: Count
+    age: Count
+
+
 class Beat(_Message, tag=5):
     """The sender is there. From a control machine: when the origin last spoke, in the origin's time, and how
-    long ago in us that reached the sender.
+    long ago in us that reached the sender; and words of the facts that the other side subscribes to.
     """
 
     epoch: Count = 0
     stamp: Count = 0
     age: Count = 0
+    words: list[Word] = []
 
 
 class Offer(_Message, tag=6):
