Lists of backends by way of control machines: one watch of discovery in the place of each proxy's

Need: what discovery sends to 5,000 proxies as all start, at its return, and the calls then. The reading of discovery is reused whole (net/discovery.py, its watch, silences and new beginnings); copied or cut down for a control machine it would have been a second one to keep right. Change: [relay] in a control machine's file writes the list as a fact, and words of its age; [distribution] endpoints in a proxy's takes it. Discovery has rest, ask and relayed; without them it does what it did. Entry moved to entry.py, so that a control machine loads no decisions. ctl status and control figures say by whom, since when, how old, how many calls.

--- a/pepperusher/control/commands.py
+++ b/pepperusher/control/commands.py
@@ -56,6 +56,17 @@
     return "\n".join(lines)
 
 
+def _said_endpoints(told: dict[str, Any]) -> str:
+    """By whom the list of backends is told, since when, and how old that word is."""
+    age = told["word_us_ago"]
+    return (
+        f"{told['resource']}, discovery's version {'none' if told['version'] is None else told['version']}: told by"
+        f" {told['by']} for {told['since_us_ago'] / 1e6:.1f} s, discovery's word by control machines"
+        f" {'none' if age is None else f'{age / 1e6:.1f} s old'}; {'watched' if told['watched'] else 'not watched'} here,"
+        f" {told['discovery_calls']} calls to discovery, left for it {told['left']} times, back {told['returned']}"
+    )
+
+
 @ctl.command()
 @click.pass_context
 def status(context: click.Context) -> None:
@@ -74,11 +85,14 @@
     shared = answer["distribution"]
     if shared is not None:
         age = shared["confirmed_us_ago"]
-        click.echo(
-            f"{shared['resource']} {shared['version'] or 'not yet in force'}, confirmed"
-            f" {'never' if age is None else f'{age / 1e6:.1f} s ago'} by {', '.join(shared['machines']) or 'nobody there'}"
-            f"{'; refused ' + shared['refused'] if shared['refused'] else ''}"
-        )
+        if shared["resource"] is not None:
+            click.echo(
+                f"{shared['resource']} {shared['version'] or 'not yet in force'}, confirmed"
+                f" {'never' if age is None else f'{age / 1e6:.1f} s ago'} by {', '.join(shared['machines']) or 'nobody there'}"
+                f"{'; refused ' + shared['refused'] if shared['refused'] else ''}"
+            )
+        if shared.get("endpoints") is not None:
+            click.echo(_said_endpoints(shared["endpoints"]))
     click.echo(client.table(answer["limits"]))
 
 
--- a/pepperusher/distribution/client.py
+++ b/pepperusher/distribution/client.py
@@ -19,7 +19,7 @@
 from pepperusher.distribution.link import Calls, Link
 from pepperusher.distribution.subscriber import Apply, Close, Connect, Say, Send, Subscriber
 from pepperusher.distribution.wire import Session
-from pepperusher.distribution.words import LONGEST_MESSAGE, Beat, Key, Message, Resource, Version, one_line
+from pepperusher.distribution.words import LONGEST_MESSAGE, Beat, Key, Message, Resource, Version, Word, one_line
 from pepperusher.net import clock
 from pepperusher.sealed import BadPacket
 
@@ -38,7 +38,7 @@
     `local`; "" for whichever address leads there.
 
     With `provisional` what is in force is kept only once `confirm` says that it lasts; `undone` says that it
-    did not.
+    did not. `words` hears what control machines say of how old facts are.
     """
 
     def __init__(
@@ -56,6 +56,7 @@
         local: str = "127.0.0.1",
         say: Callable[..., None] = _unheard,
         provisional: bool = False,
+        words: Callable[[Sequence[Word]], None] | None = None,
     ) -> None:
         self._addresses = {f"{one[0]}:{one[1]}": (one[0], one[1]) for one in upstreams}
         self._near = [f"{one[0]}:{one[1]}" for one in upstreams if region and one[2:] == (region,)]
@@ -76,6 +77,7 @@
         self._subscriber: Subscriber | None = None
         self._kept_at: int | None = None
         self._provisional = provisional
+        self._words = words
         self._lasting: dict[Key, Resource] = {}  # as many as there are names
 
     # --- start and end ------------------------------------------------------------------------------
@@ -206,6 +208,8 @@
     def _came(self, upstream: str, link: Link, message: Message) -> None:
         if self._calls.links.get(upstream) is link and self._subscriber is not None:
             self._subscriber.received(upstream, message, clock.now())
+            if self._words is not None and isinstance(message, Beat) and message.words:
+                self._words(message.words)
             # By far the most are beats, and nothing is due sooner for them.
             if self._subscriber.out or not isinstance(message, Beat):
                 self._later()
--- a/pepperusher/distribution/commands.py
+++ b/pepperusher/distribution/commands.py
@@ -49,6 +49,8 @@
     file = _read(path).file
     does = f"origin with epoch {file.epoch}" if file.origin else "relay"
     facts = f", owner of the facts of {file.region}" if file.owns_facts else ""
+    if file.relay is not None:
+        facts += f", hands on the list at {file.relay.discovery} as endpoints/{file.relay.endpoints}"
     click.echo(
         f"{file.name} in {file.region or 'no region'} listens at {file.listen}: {does}{facts},"
         f" {len(file.peers)} other control machines, {file.subscribers} proxies at the most"
@@ -71,6 +73,7 @@
     return Terms(
         file.name, file.region, file.zone, address_of(file.listen), [address_of(one) for one in file.peers],
         file.epoch if file.origin else None, file.owns_facts, file.subscribers, file.local,
+        None if file.relay is None else (address_of(file.relay.discovery), file.relay.endpoints),
     )  # fmt: skip
 
 
--- a/pepperusher/distribution/reading.py
+++ b/pepperusher/distribution/reading.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
 from typing import Annotated, Literal, NamedTuple
 
@@ -24,6 +25,13 @@
     return Meta(description=text)
 
 
+class RelayTable(Table, kw_only=True, frozen=True):
+    """Which list of backends it watches at discovery, and writes as a fact of its region."""
+
+    discovery: Annotated[str, _said("where discovery answers, address:port; as the proxies' configuration has it")]
+    endpoints: Annotated[str, _said("the fact's name, region/name")]
+
+
 class ControlFile(Table, kw_only=True, frozen=True):
     """The file of `pepperusher control`."""
 
@@ -40,6 +48,7 @@
     origin: Annotated[bool, _said("whether it is the one that writes configuration")] = False
     epoch: Annotated[int, _said("raised by hand whenever another becomes the origin, or it lost its disk")] = 1
     owns_facts: Annotated[bool, _said("whether it is the one that writes its region's facts")] = False
+    relay: Annotated[RelayTable | None, _said("the list that it hands on from discovery; none if left out")] = None
     subscribers: Annotated[int, _said("how many proxies may be connected at once")] = 4_000
     log: Annotated[Literal["plain", "text", "json"], _said("the form of its lines")] = "json"
 
@@ -62,6 +71,18 @@
     return key
 
 
+def _relay(said: RelayTable, file: ControlFile, tell: Callable[[str, str, str], None]) -> None:
+    try:
+        if address_of(said.discovery)[1] == 0:
+            tell("relay.discovery", "form", f"{said.discovery} has no port")
+    except ValueError as error:
+        tell("relay.discovery", "form", str(error))
+    if not file.owns_facts:
+        tell("relay", "one owner", "is for the machine that owns its region's facts (owns_facts)")
+    if not said.endpoints.startswith(f"{file.region}/") or not 1 < len(said.endpoints) <= 100 or not said.endpoints.isprintable():
+        tell("relay.endpoints", "form", f"{said.endpoints[:100]!r} is no name of a fact of {file.region}, as {file.region}/NAME")
+
+
 def read(path: str | Path) -> Read:
     """Raises OwnError with all that is wrong."""
     source = str(path)
@@ -113,6 +134,8 @@
             tell("subscribers", "sound limits", f"{file_.subscribers} is not from 1 to 50000")
         if file_.owns_facts and not file_.region:
             tell("owns_facts", "form", "there is no region whose facts it could own")
+        if file_.relay is not None:
+            _relay(file_.relay, file_, tell)
         try:
             key = read_key(file_.key_file)
         except ValueError as error:
--- a/pepperusher/distribution/server.py
+++ b/pepperusher/distribution/server.py
@@ -14,15 +14,17 @@
 from functools import partial
 from itertools import count
 from random import Random
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from pepperusher.distribution import records, wire
 from pepperusher.distribution.admission import Admission
+from pepperusher.distribution.freshness import Freshness
 from pepperusher.distribution.link import Calls, Link
 from pepperusher.distribution.publisher import NotTaken, Publisher, best, rollout_of
 from pepperusher.distribution.subscriber import Apply, Close, Connect, Say, Send, Subscriber
 from pepperusher.distribution.wire import Session
 from pepperusher.distribution.words import (
+    ENDPOINTS,
     LONGEST_ANSWER,
     LONGEST_MESSAGE,
     LONGEST_WORD,
@@ -44,6 +46,7 @@
     Resource,
     Row,
     Rows,
+    Version,
     Want,
     one_line,
 )
@@ -51,6 +54,9 @@
 from pepperusher.sealed import BadPacket
 from pepperusher.store.disk import Disk
 
+if TYPE_CHECKING:
+    from pepperusher.distribution.relay import Relay
+
 # Connections taken a second in the long run, and at once: the rest waits in the kernel, and to whoever waits there
 # this machine looks as if it were cut off. So it is more than all proxies of nine machines make at one moment
 # within the time after which they try another (`subscriber.CONNECT_FIRST`); who is served when is `admission`'s.
@@ -96,6 +102,7 @@
     owner: bool
     subscribers: int
     local: str
+    relay: tuple[tuple[str, int], str] | None = None  # where discovery answers, and the name of its list as a fact
 
 
 def descriptors_of(terms: Terms) -> int:
@@ -150,6 +157,9 @@
         self._timer: asyncio.TimerHandle | None = None
         self._asked: dict[int, tuple[str, asyncio.Future[Rows]]] = {}  # emptied after ASKED_WITHIN
         self._numbers = count(1)
+        self.freshness = Freshness()
+        self._unsaid: dict[int, None] = {}  # connections that a word is for; emptied as it is said, or they end
+        self._relay: Relay | None = None
 
     # --- start and end ------------------------------------------------------------------------------
 
@@ -181,6 +191,11 @@
             [held.newest for held in self.publisher.held.values()], self._chance, now, RELAY,
         )  # fmt: skip
         self._wake()
+        if self._terms.relay is not None:
+            from pepperusher.distribution.relay import Relay
+
+            self._relay = Relay(*self._terms.relay, self._write_fact, self._own_word, self._say, self._chance.getrandbits(32))
+            self._relay.start()
         port: int = made.getsockname()[1]
         return port
 
@@ -195,6 +210,8 @@
             if timer is not None:
                 timer.cancel()
         self._calls.cancel()
+        if self._relay is not None:
+            self._relay.stop()
         for task in self._tasks:
             task.cancel()
         if self._socket is not None:
@@ -262,6 +279,7 @@
         if one.timer is not None:
             one.timer.cancel()
         self._admission.gone(id)
+        self._unsaid.pop(id, None)
         if one.hello is None:
             self._strangers.pop(id, None)
         else:
@@ -379,7 +397,7 @@
             self.publisher.join(id, hello, now)
         one.beat_at = now
         if hello.role != OPERATOR:
-            self._say_to(one, self.publisher.beat(now))
+            self._say_to(one, self._beat(one, now))
 
     def _refuse(self, one: _Connection, why: str) -> None:
         self._say("a connection is refused", peer=one.link.peer, why=why)
@@ -430,7 +448,10 @@
 
     def _ticked(self, now: int) -> None:
         self.publisher.tick(now)
-        beat: bytes | None = None
+        if self._relay is not None:
+            self._relay.look()
+        self._say_words(now)
+        beats: dict[tuple[str, ...], bytes] = {}
         for one in list(self._connections.values()):
             if one.hello is None and one.greeting is None:
                 continue
@@ -444,13 +465,84 @@
                 one.beat_at = now
                 if one.link.idle:
                     # One that is being written to shows by that that this one is there.
-                    beat = beat or wire.encoded(self.publisher.beat(now))
-                    one.link.send(beat)
+                    one.link.send(self._encoded_beat(one, now, beats))
         if now - self._forgot_at >= FORGET_EVERY:
             self._forgot_at = now
             self.publisher.forget(now)
+            self.freshness.forget(now)
         self._pump_soon()
 
+    # --- how old facts are --------------------------------------------------------------------------
+
+    def _facts_of(self, hello: Hello) -> tuple[str, ...]:
+        """Of which facts there are words for this one."""
+        if hello.role == RELAY:
+            return tuple(self.freshness.names)
+        return tuple(name for kind, name in hello.names if kind == ENDPOINTS and self.freshness.get(name))
+
+    def _beat(self, one: _Connection, now: int) -> Beat:
+        beat = self.publisher.beat(now)
+        facts = self._facts_of(one.hello) if one.hello is not None else ()
+        return Beat(beat.epoch, beat.stamp, beat.age, self.freshness.of(facts, now)) if facts else beat
+
+    def _encoded_beat(self, one: _Connection, now: int, made: dict[tuple[str, ...], bytes]) -> bytes:
+        """One for all that hear of the same facts."""
+        facts = self._facts_of(one.hello) if one.hello is not None else ()
+        if facts not in made:
+            made[facts] = wire.encoded(self._beat(one, now))
+        return made[facts]
+
+    def _own_word(self, name: str, version: Version, told_at: int) -> bool:
+        """Whether this version is the newest of the fact."""
+        held = self.publisher.held.get((ENDPOINTS, name))
+        if held is None or held.newest.version != version:
+            return False
+        self.freshness.own(name, version, told_at, clock.now())
+        self._worded((name,))
+        return True
+
+    def _worded(self, names: Sequence[str]) -> None:
+        """There is a newer word of these: whoever subscribes is told, in the place of the next beat."""
+        for name in names:
+            held = self.publisher.held.get((ENDPOINTS, name))
+            if held is not None:
+                self._unsaid.update(dict.fromkeys(held.subscribers))
+        self._say_words(clock.now())
+
+    def _say_words(self, now: int) -> None:
+        """To all that can be written to; the others have the newest once they can."""
+        beats: dict[tuple[str, ...], bytes] = {}
+        for id in list(self._unsaid):
+            one = self._connections.get(id)
+            if one is None or one.hello is None:
+                del self._unsaid[id]
+            elif one.link.idle:
+                del self._unsaid[id]
+                one.beat_at = now
+                one.link.send(self._encoded_beat(one, now, beats))
+
+    def _write_fact(self, name: str, body: bytes) -> Version | None:
+        """As the owner, at once: the disk follows, since its number is the time and is not given twice. The version
+        that stands with this body; None where it can't be written now.
+        """
+        publisher, now = self.publisher, clock.now()
+        held = publisher.held.get((ENDPOINTS, name))
+        if held is not None and held.newest.body == body:
+            return held.newest.version
+        try:
+            made = publisher.draft(ENDPOINTS, name, body, now)
+        except NotTaken as no:
+            self.counts["facts not written"] += 1
+            if self.counts["facts not written"] % 100 == 1:
+                self._say("a fact is not written yet", name=name, why=str(no))
+            return None
+        if publisher.take(made, now) is not None:
+            return None
+        if self._subscriber is not None:
+            self._subscriber.held[made.key] = made
+        self._pump_soon()
+        return made.version
+
     # --- disk ---------------------------------------------------------------------------------------
 
     async def _keeping(self) -> None:
@@ -503,6 +595,7 @@
             "age us": self.publisher.beat(clock.now()).age,
             **self.publisher.figures(),
             **self.counts,
+            **(self._relay.figures() if self._relay is not None else {}),
         }
 
     async def _publish(self, one: _Connection, said: Publish) -> None:
@@ -634,8 +727,14 @@
             if asked is not None and asked[0] == upstream and not asked[1].done():
                 asked[1].set_result(message)
             return
-        self._subscriber.received(upstream, message, clock.now())
+        now = clock.now()
+        self._subscriber.received(upstream, message, now)
         self._after()
+        if isinstance(message, Beat):
+            # After what came before it is taken: a word is of a version.
+            newer = [word.name for word in message.words if self.freshness.said(word, now)]
+            if newer:
+                self._worded(newer)
 
     def _peer_ended(self, upstream: str, link: Link, why: str) -> None:
         if self._calls.links.get(upstream) is not link or self._subscriber is None:
--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from pepperusher import terms
+from pepperusher.entry import Entry as Entry
 from pepperusher.holds import must_hold
 from pepperusher.policy import OPEN_FOR, Balancer
 from pepperusher.terms import Backend, Ground, Listing, Ticket
@@ -41,19 +42,6 @@
     wait: int
 
 
-class Entry(NamedTuple):
-    """One line of the list of backends. `born` 0 is long ago; not `ready` means it drains, or is `gone`."""
-
-    id: str
-    zone: str
-    cell: int
-    weight: float
-    born: int
-    ready: bool
-    kind: str = ""
-    gone: bool = False
-
-
 OVER = Step(NOTHING, "", 0)
 
 
--- a/pepperusher/net/companion.py
+++ b/pepperusher/net/companion.py
@@ -7,17 +7,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from typing import TYPE_CHECKING, Any, Protocol
 
-from pepperusher.facade import Entry, Facade
+from pepperusher.entry import Entry
+from pepperusher.entry import Narrow as Narrow
+from pepperusher.facade import Facade
 
 if TYPE_CHECKING:
+    from pepperusher.net.discovery import Discovery
     from pepperusher.net.message import Answer, Request
     from pepperusher.terms import Ground
 
-Narrow = Callable[[list[Entry], bool], list[Entry]]
-
 
 class Host(Protocol):
     """The proxy, as its companions see it."""
@@ -49,6 +49,13 @@
     def narrowed(self, by: Companion, lines: list[Entry]) -> None:
         """The lines that change by what `by` narrows now; those behind it have their say of them."""
 
+    @property
+    def ground(self) -> Ground: ...
+
+    @property
+    def discovery(self) -> Discovery:
+        """For whoever has the list from elsewhere: `relayed`, `rest` and `ask` are meant."""
+
     @property
     def list_version(self) -> int: ...
 
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -4,16 +4,14 @@
 
 import asyncio
 import json
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from random import Random
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 import h11
 
-from pepperusher.facade import Entry, Facade
+from pepperusher.entry import Entry, Narrow
 from pepperusher.net import clock
-from pepperusher.net.backends import Backends
-from pepperusher.net.companion import Narrow
 from pepperusher.net.line import Line, reach
 from pepperusher.net.log import Log
 from pepperusher.net.message import HEAD, Request, framed_request
@@ -134,6 +132,25 @@
         yield held
 
 
+class Decides(Protocol):
+    """What a list is told to, and what says when to ask again: a proxy's decisions, or a control machine's part for
+    it."""
+
+    def listed(self, entries: Iterable[Entry], whole: bool, now: int) -> None: ...
+
+    def list_failed(self, now: int) -> None: ...
+
+    def tick(self, now: int) -> int: ...
+
+
+class Reaches(Protocol):
+    """What holds connections to those listed."""
+
+    def reached_at(self, name: str, address: tuple[str, int], ready: bool) -> None: ...
+
+    def only(self, names: set[str]) -> None: ...
+
+
 class Source:
     """Discovery at one address. Each counts versions of its own; None is one that has told nothing yet."""
 
@@ -180,7 +197,7 @@
 
 
 class Discovery:
-    def __init__(self, address: tuple[str, int], facade: Facade, backends: Backends, log: Log,
+    def __init__(self, address: tuple[str, int], facade: Decides, backends: Reaches, log: Log,
                  narrows: Sequence[Narrow] = (), seed: int = 0) -> None:
         self._chance = Random(seed)
         self._spread = SPREAD * self._chance.random()
@@ -201,6 +218,10 @@
         # When its source last said anything, or that of whom the list was borrowed; None where nobody ever has.
         self.confirmed_at: int | None = None
         self._borrowed = False
+        # Where the list comes from elsewhere: set while discovery is to be asked. None where nothing else tells it.
+        self._asks: asyncio.Event | None = None
+        self.calls = 0   # that went out
+        self.on_word: Callable[[], None] | None = None   # a watch has spoken; what it told stands in the list
 
     def take(self, update: EndpointUpdate, source: Source | None = None) -> None:
         source = source or self._source
@@ -264,6 +285,40 @@
             self._source.version, self._borrowed = None, True
             self._facade.list_failed(clock.now())
 
+    @property
+    def watched(self) -> bool:
+        """Whether a watch of its own has spoken and stands."""
+        return self._source.watch is not None
+
+    def rest(self) -> None:
+        """From here on another tells the list: no call goes out, and none is waited for, until `ask`."""
+        if self._asks is None:
+            self._asks = asyncio.Event()
+        self._asks.clear()
+        for source in (self._source, *self._replaced):
+            for call in source.calls:
+                _drop(call)
+            source.calls, source.watch = [], None
+
+    def ask(self) -> None:
+        """At once, and from then on as ever."""
+        if self._asks is not None:
+            self._asks.set()
+
+    def relayed(self, update: EndpointUpdate, confirmed_at: int) -> None:
+        """The whole list as another had it of the discovery that this one would ask. Only what is different is acted on."""
+        if self._told and not self._borrowed and self._source.version is not None:
+            there = {entry.id for entry in update.entries}
+            changed = [(entry, address) for entry, address in zip(update.entries, update.addresses)
+                       if self._told.get(entry.id) != (entry, address)]
+            changed += [(entry._replace(ready=False, gone=True), GONE)
+                        for name, (entry, _) in self._told.items() if name not in there]
+            update = EndpointUpdate(update.version, False, [one for one, _ in changed], [one for _, one in changed])
+        self.confirmed_at = max(confirmed_at, self.confirmed_at or 0)
+        self.take(update)
+        self._let_go()
+        self._said()
+
     def start(self, at_once: bool = True) -> None:
         """Asks at once, or where there is a list to go by, within START_SPREAD seconds by chance."""
         if not at_once and self._told:
@@ -311,6 +366,9 @@
         try:
             while source is self._source or source.calls:
                 wait = None
+                if self._asks is not None and not self._asks.is_set():
+                    await self._asks.wait()
+                    at_once = True
                 if source is self._source and source.watch is None:
                     wait = 0.0 if at_once else self._wait(source)
                     if wait <= 0:
@@ -345,6 +403,7 @@
             source.over(call)
             _drop(call)
         loop = asyncio.get_running_loop()
+        self.calls += 1
         source.asked_at = loop.time()
         source.calls.append(loop.create_task(self._watch(source)))
 
@@ -445,7 +504,10 @@
         if first and not update.whole and asked is not None and update.version < asked:
             source.begun_anew = True
             raise BadList(f"its versions begin anew: {update.version} after {asked}")
-        if first or source.version is None or update.version >= source.version:
+        if first and asked is not None and source.version is not None and asked <= update.version < source.version:
+            # On its way while another told what is newer: what it has beyond that follows.
+            pass
+        elif first or source.version is None or update.version >= source.version:
             self.take(update, source)
             source.begun_anew = False
         if source is self._source:
@@ -458,6 +520,8 @@
         if self._lost:
             self._lost = False
             self._facade.listed((), False, clock.now())
+        if self.on_word is not None:
+            self.on_word()
 
     @staticmethod
     def _update(told: Any) -> EndpointUpdate:
--- a/pepperusher/net/distributed.py
+++ b/pepperusher/net/distributed.py
@@ -11,7 +11,7 @@
 import os
 from collections.abc import Callable
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from pepperusher.changes import layered
 from pepperusher.changes.ledger import CONFIRMED, UNDONE, Change, LedgerError
@@ -19,13 +19,17 @@
 from pepperusher.distribution.client import Client
 from pepperusher.distribution.reading import read_key
 from pepperusher.distribution.subscriber import CONNECTING_MOST, UPSTREAMS
-from pepperusher.distribution.words import CONFIG, Resource
+from pepperusher.distribution.words import CONFIG, Key, Resource
 from pepperusher.net import clock
 from pepperusher.net.companion import Companion, Host
 from pepperusher.net.house import House
 from pepperusher.own.reading import Fault, OwnError
 from pepperusher.own.rules import address_of
 from pepperusher.own.tables import Distribution, Own
+from pepperusher.terms import Ground
+
+if TYPE_CHECKING:
+    from pepperusher.net.endpoint_relay import EndpointRelay
 
 LOOK_EVERY = 0.1
 # A change by hand that is open goes before it; after this it is refused for it.
@@ -51,10 +55,10 @@
 def kept(own: Own) -> str:
     """What was in force before, of what is shared; nothing where it can't be had, which the client says."""
     said = own.distribution
-    if not said.machines or said.keep is None:
+    if not said.machines or said.keep is None or said.config is None:
         return ""
     try:
-        for one in keeping.read(Path(said.keep), {(CONFIG, said.config or "")})[0]:
+        for one in keeping.read(Path(said.keep), {(CONFIG, said.config)})[0]:
             return _shared(one)
     except layered.NotShared:
         pass
@@ -66,40 +70,62 @@
 
     def __init__(self, said: Distribution, house: House, name: str, source: str, say: Callable[..., None]) -> None:
         """Raises OwnError for a key that can't be read."""
-        assert said.key_file is not None and said.config is not None
+        assert said.key_file is not None and (said.config or said.endpoints)
         try:
             key = read_key(said.key_file)
         except ValueError as error:
             raise OwnError([Fault(source, 0, "distribution.key_file", "sound distribution", str(error))]) from None
         self._house, self._say = house, say
-        self._key = CONFIG, said.config
+        self._key: Key | None = None if said.config is None else (CONFIG, said.config)
+        self._relay: EndpointRelay | None = None
+        seed = int.from_bytes(os.urandom(8))
+        if said.endpoints is not None:
+            from pepperusher.net.endpoint_relay import EndpointRelay
+
+            self._relay = EndpointRelay(said.endpoints, seed, say)
+        names = [key for key in (self._key, self._relay and self._relay.key) if key is not None]
         self._watched: Change | None = None
         self._ending: asyncio.Task[None] | None = None
         self._said_at = clock.now()
         addresses = [(*address_of(one), said.region if one in said.near else "") for one in said.machines]
         self._client = Client(
-            addresses, [self._key], self._apply, key=key, name=name, region=said.region, zone="",
-            seed=int.from_bytes(os.urandom(8)), keep=None if said.keep is None else Path(said.keep), local="", say=say,
-            provisional=True,
+            addresses, names, self._apply, key=key, name=name, region=said.region, zone="",
+            seed=seed, keep=None if said.keep is None else Path(said.keep), local="", say=say,
+            provisional=True, words=None if self._relay is None else self._relay.words,
         )  # fmt: skip
 
     async def enter(self, host: Host) -> None:
-        pass
+        if self._relay is not None:
+            self._relay.enter(host)
+
+    def told_anew(self, ground: Ground) -> None:
+        if self._relay is not None:
+            self._relay.look()
 
     async def start(self) -> None:
         self._client.start()
 
     def leaving(self, until: int) -> None:
-        """What is changed from now on is for whoever takes its place, under its name."""
+        """What is changed from now on is for whoever takes its place, under its name. Where the list comes this way and
+        the end takes long, discovery is asked as after any silence.
+        """
         self._ending = asyncio.get_running_loop().create_task(self._client.stop())
 
     async def stop(self) -> None:
+        if self._relay is not None:
+            self._relay.stop()
         if self._ending is None:
             self._ending = asyncio.get_running_loop().create_task(self._client.stop())
         await self._ending
 
     async def _apply(self, one: Resource) -> str | None:
-        """As a change; in force from when it is applied, and refused where it is undone before or after."""
+        """As a change; in force from when it is applied, and refused where it is undone before or after. A list as
+        discovery's word, at once.
+        """
+        if self._relay is not None and one.key == self._relay.key:
+            return self._relay.take(one)
+        assert self._key is not None
+        key = self._key
         try:
             shared = _shared(one)
         except layered.NotShared as error:
@@ -120,7 +146,7 @@
                     return str(error)
                 await asyncio.sleep(LOOK_EVERY)
         if change is None:
-            asyncio.get_running_loop().call_soon(self._client.confirm, self._key)
+            asyncio.get_running_loop().call_soon(self._client.confirm, key)
         elif change.state == UNDONE:
             return change.steps[-1].why
         else:
@@ -137,7 +163,7 @@
     def _look(self) -> None:
         """What became of the change that was taken last."""
         change = self._watched
-        if change is None or self._client.in_force.get(self._key) is None:
+        if change is None or self._key is None or self._client.in_force.get(self._key) is None:
             return
         if change.state == CONFIRMED:
             self._watched = None
@@ -148,13 +174,15 @@
 
     def said(self) -> dict[str, Any]:
         """For people: what is in force, how old that is, what was refused, and who is there."""
-        version = self._client.in_force.get(self._key)
-        refused = self._client.refused.get(self._key)
+        version = refused = None
+        if self._key is not None:
+            version, refused = self._client.in_force.get(self._key), self._client.refused.get(self._key)
         age = self._client.age(clock.now())
         return {
-            "resource": "/".join(self._key),
+            "resource": None if self._key is None else "/".join(self._key),
             "version": None if version is None else str(version),
             "confirmed_us_ago": age,
             "refused": None if refused is None else f"{refused[0]}: {refused[1]}",
             "machines": self._client.upstreams,
+            "endpoints": None if self._relay is None else self._relay.said(),
         }
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -25,6 +25,7 @@
 from pepperusher.net.log import Log
 from pepperusher.net.message import Answer, Headers, Request, end_to_end, plain
 from pepperusher.net.told import Told, ToldError
+from pepperusher.terms import Ground
 
 READY = plain(200, "ready")
 BROKEN = plain(500, "an error in the proxy")
@@ -431,6 +432,14 @@
         before = [one for one in self._company if one.narrow is not None]
         self._discovery.put(lines, False, before.index(by) + 1)
 
+    @property
+    def ground(self) -> Ground:
+        return self._told.ground
+
+    @property
+    def discovery(self) -> Discovery:
+        return self._discovery
+
     @property
     def list_version(self) -> int:
         return self._discovery.version
--- a/pepperusher/own/rules.py
+++ b/pepperusher/own/rules.py
@@ -273,7 +273,7 @@
 
 def _distribution(said: Distribution, tell: Tell) -> None:
     if not said.machines:
-        if said.key_file is not None or said.config is not None or said.keep is not None:
+        if any(one is not None for one in (said.key_file, said.config, said.endpoints, said.keep)):
             tell("distribution.machines", "sound distribution", "is missing, and without it nothing is distributed")
         return
     for number, text in enumerate(said.machines):
@@ -293,6 +293,12 @@
         tell("distribution.region", "sound distribution", "is missing, and machines are near to it")
     if said.key_file is None:
         tell("distribution.key_file", "sound distribution", "is missing: whoever answers there could say what is in force")
+    if said.endpoints is not None:
+        region, _, name = said.endpoints.partition("/")
+        if not region or not name or len(said.endpoints) > 100 or not said.endpoints.isprintable():
+            tell("distribution.endpoints", "sound distribution", f"{said.endpoints[:100]!r} is no name as region/name")
+    if said.config is None and said.endpoints is not None:
+        return
     if not said.config or len(said.config) > 100 or not said.config.isprintable():
         tell("distribution.config", "sound distribution", "is missing, or no name")
 
--- a/pepperusher/own/tables.py
+++ b/pepperusher/own/tables.py
@@ -161,6 +161,9 @@
     ] = msgspec.field(default_factory=list)
     key_file: Annotated[str | None, _said("a file with the key that control machines and proxies have")] = None
     config: Annotated[str | None, _said("the name of the configuration that this proxy takes from them")] = None
+    endpoints: Annotated[
+        str | None, _said("the list of backends that this proxy takes from them, region/name; watched at discovery if left out")
+    ] = None
     keep: Annotated[
         str | None, _said("a file for what is in force, to start from when no control machine is there")
     ] = None
