Whose list: a start is no coming back

Need: a proxy that started under a minute ago and left its control machines once stayed 10 to 20 s with discovery. Change: stays double where it came back and left again, not after a start. Result: tests/test_endpoint_source.py passes; the test of a first stay, which had waited a minute for it, holds at once.

--- a/pepperusher/distribution/endpoint_source.py
+++ b/pepperusher/distribution/endpoint_source.py
@@ -127,8 +127,10 @@
             if self._back_at is None:
                 self._back_at = now + (self._stay + self._chance.randrange(self._stay) if watched else 0)
             if not watched or now >= self._back_at:
+                # A start is no coming back.
+                self._returned_at = now if self.by == DISCOVERY else None
                 self.by, self.since, self._spoke_at = RELAY, now, spoke_at
-                self._limit, self._back_at, self._returned_at = self._drawn_limit(), None, now
+                self._limit, self._back_at = self._drawn_limit(), None
                 self.returned += 1
                 # Taken in any case: whoever was told that the list is lost is told that it is not.
                 self._taken = NEVER
--- a/tests/test_endpoint_source.py
+++ b/tests/test_endpoint_source.py
@@ -138,8 +138,8 @@
             with self.subTest(watched=watched):
                 self.made(None)
                 self.relayed(0)
-                self.assertTrue(self.source.step(70 * SECOND, False).ask)
-                at = 80 * SECOND
+                self.assertTrue(self.source.step(10 * SECOND, False).ask)
+                at = 20 * SECOND
                 self.source.word(version(1), at)
                 step = self.source.step(at, watched)
                 self.assertEqual(watched, step.ask)
