An owner asks ten to twenty times a second while discovery turns it away

Need: at the return of a discovery that turns most calls away the owners' calls stand among those of thousands of proxies; told by their owner all of these stop asking. Taken: 50 doubled to 100 ms, drawn from the half.

--- a/pepperusher/distribution/relay.py
+++ b/pepperusher/distribution/relay.py
@@ -18,10 +18,11 @@
 from pepperusher.net.discovery import Discovery
 from pepperusher.net.log import Log
 
-# After a call that failed: few ask in this way, and all their proxies are told by them. Doubled up to the most, and
-# drawn from the half of it to all.
-PAUSE_LEAST = 100_000
-PAUSE_MOST = 250_000
+# After a call that failed: few ask in this way, their proxies are told by them, and while these are not, each of them
+# may ask too: at a discovery that turns most calls away the few have to come in among thousands. Doubled up to the
+# most, and drawn from the half of it to all.
+PAUSE_LEAST = 50_000
+PAUSE_MOST = 100_000
 
 
 class _Asking:
