A machine whose proxies come after the version asks one first, before it tells others of a wave

Found by reading the traces of a start of all machines anew: where other machines are connected before any proxy, the wave's bar was not drawn anew as proxies came, so that of few proxies none was asked and each wave lasted 1.5 s of nobody; and since such a machine told the others that there is nobody to ask here. Now it asks the nearest of those that have come, and tells that nobody is to be asked only where nobody is there to whom it sends bodies.

--- a/pepperusher/distribution/publisher.py
+++ b/pepperusher/distribution/publisher.py
@@ -621,7 +621,7 @@
             if over:
                 self._heard(held, held.wave + 1)
             elif key in self._rolling and not sent:
-                self._heard(held, len(WAVES))  # there is nobody to ask
+                self._ask_others(held)
             if not over or not self._heard_elsewhere(held, now):
                 return
             held.wave += 1
@@ -634,6 +634,19 @@
             self.keep[key] = None
             self._mark(held)
 
+    def _ask_others(self, held: Held) -> None:
+        """Of the wave nobody is there: the nearest of those that came since, or the others are told that nobody is
+        to be asked here.
+        """
+        subs = [self.subscribers[id] for id in held.subscribers]
+        if not any(one.hello.role == PROXY and one.bodies for one in subs):
+            self._heard(held, len(WAVES))
+            return
+        bar = held.bar
+        self._set_bar(held)
+        if held.bar > bar:
+            self._mark(held)
+
     def _heard(self, held: Held, waves: int) -> None:
         """Of so many waves: the others are told."""
         if held.heard < waves:
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -482,6 +482,25 @@
             told += heard()
         self.assertEqual([0, 1, 2], told)
 
+    def test_a_machine_whose_proxies_come_after_the_version_asks_one_of_them_first(self) -> None:
+        """As after a start of all machines, other machines before any proxy; of few proxies none is of the 2%."""
+        self.put(1)
+        self.settle(0)
+        self.one.join(900, hello("c2", [], RELAY), 10 * S)
+        self.put(2, 10 * S)
+        names = [name for name in (f"p{n}" for n in range(100)) if place_of(name, Version(1, 2)) > 0.02][:12]
+        for number, name in enumerate(names):
+            self.one.join(number, hello(name, [Have(*KEY, mark_of(made(1)))]), 10 * S)
+        self.assertEqual(set(), self.sent(12))
+        self.one.tick(10 * S + S // 10)
+        self.assertEqual([0], [one.heard for one in read(self.one, 900) if isinstance(one, Offer)])
+        first = min(range(12), key=lambda n: place_of(names[n], Version(1, 2)))
+        self.assertEqual({first}, self.sent(12))
+        self.one.ack(first, Ack(*KEY, 1, 2), 10 * S + S // 10)
+        self.one.tick(10 * S + S // 5)
+        self.assertEqual(1, self.one.held[KEY].wave)
+        self.assertEqual([1], [one.heard for one in read(self.one, 900) if isinstance(one, Offer)])
+
     def test_a_wave_is_of_those_that_are_sent_it_from_here(self) -> None:
         """Half of them are only offered it: they answer once their other upstream has sent it."""
         self.put(1)
