Five lost answers in a row with nothing heard teach a chain that it has slowed

Each level leaves the next half of what is left. From eight levels on that is less than a slowed level needs, so it is cut, learns nothing, and cuts the next call as short: no call was done again. A chain that knows no time yet learns from its first cut calls a time that is far too short, and from then on nothing either: usual times of 53 us after 127 calls at the fourteenth of sixteen.

Ruled out, each played for 60 calls at 8, 16 and 30 levels with services twice as slow: breakers that stand open (all closed by hand before each call: still none done); the further attempts' budget (ten saved up before each call: none); both together (none).

Change: from the fifth lost answer in a row on (RUN), with no answer of any kind between them and nothing done at that side while each was out, each counts as twice the usual time, however long it was out. One server that hangs among others that answer makes no such row.

attempts.hung plays a chain with hung servers. Three of the five new tests fail without the change; the two on hung servers and on many calls at once pass with it and without, and guard it.

--- a/pepperusher/capacity/attempts.py
+++ b/pepperusher/capacity/attempts.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from random import Random
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from pepperusher.capacity import stage
 from pepperusher.capacity.decisions import NOW, quiet
@@ -46,11 +47,13 @@
         promised: float = 500.0) -> None:  # fmt: skip
         self.depth = depth
         self.failing, self.share = 0, 0.0
+        self._hung: dict[int, str] = {}   # by level, the address of the one server that answers none
         self.work, self._waits = WORK, waits
         self._passed = passed
         self._chance = Random(seed).random
         self._now = NOW
         self.sends = [0] * depth
+        self._spoke_to = [""] * depth
         self._facades = []
         for level in range(depth):
             told = stage.settings(BACKENDS * 4, promised=promised, most=most)
@@ -68,8 +71,9 @@
         step = facade.pick(ticket, self._now)
         while step.what == SEND:
             self.sends[level] += 1
+            self._spoke_to[level] = step.backend
             latest = min(until, self._now + step.wait)
-            done = sum(self.sends) < MOST and self._serve(level, latest)
+            done = sum(self.sends) < MOST and self._serve(level, step.backend, latest)
             if self._now >= latest:
                 self._now = latest
                 how = "timed out"
@@ -82,14 +86,23 @@
         facade.settle(ticket, self._now)
         return False
 
-    def _serve(self, level: int, until: int) -> bool:
-        self._now += self.work
+    def _serve(self, level: int, backend: str, until: int) -> bool:
+        self._now = until if self._hung.get(level) == backend else self._now + self.work
         if self._now >= until:
             return False
         if level + 1 < self.depth and not self.call(level + 1, until):
             return False
         return not (self.depth - 1 - level < self.failing and self._chance() < self.share)
 
+    def hang(self, level: int) -> None:
+        """The server that the proxy of this level spoke to last answers none from now on."""
+        self._hung[level] = self._spoke_to[level]
+
+    def usual(self, level: int) -> int:
+        """What the proxy of a level has learned to be the usual time, in us."""
+        times: Any = self._facades[level].learned(self._now)["times"]
+        return times["use-0"][0] if "use-0" in times else 0
+
     def warm(self, calls: int = 40) -> None:
         """Each level has calls of its own, the last first: what is usual is known everywhere."""
         for level in reversed(range(self.depth)):
@@ -137,3 +150,17 @@
     chain.play(100)
     chain.work = factor * WORK
     return chain.play(20), chain.play(calls)
+
+
+def hung(depth: int, levels: Iterable[int], seed: int, calls: int = 200) -> tuple[Came, Came, float]:
+    """A warmed chain at some of whose levels one of the servers that the proxy there speaks to (of 24 listed)
+    answers none from now on: the first 20 calls, the `calls` after those, and how many times what it was the
+    usual time then is at the first level.
+    """
+    chain = Chain(depth, seed)
+    chain.warm()
+    chain.play(100)
+    before = chain.usual(0)
+    for level in levels:
+        chain.hang(level)
+    return chain.play(20), chain.play(calls), chain.usual(0) / before
--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -61,7 +61,7 @@
     def __init__(self, ground: Ground, now: int, say: Callable[[str], None]) -> None:
         self._chance, self._say = Random(ground.seed).random, say
         self._tune(ground)
-        self._usual, self._list_lost = 0, False
+        self._usual, self._unheard, self._list_lost = 0, 0, False
         self._must_ask, self._asked = ground.must_ask, not ground.must_ask
         self._ask_step, self._ask_at = 0, now
         self._backends: list[Backend] = []   # emptied by the list: holds what it names as ready
@@ -235,13 +235,12 @@
         return best
 
     def _place(self, ticket: Ticket, backend: Backend, now: int) -> None:
-        trial = backend.state == HALF_OPEN
-        sent = Attempt(ticket, backend, now, self._patience(ticket, now), trial)
+        sent = Attempt(ticket, backend, now, self._patience(ticket, now), backend.state == HALF_OPEN)
         ticket.attempts.append(sent)
         backend.in_flight += 1
         if ticket.use_case in backend.shut:
             backend.shut[ticket.use_case] = now + sent.patience
-        if trial:
+        if sent.trial:
             backend.trials += 1
             backend.trial_due = now + sent.patience
         if backend.cold:
@@ -339,19 +338,22 @@
         return use.repeat != SINGLE_USE or self._anchor(ticket) is None
 
     def _count(self, sent: Attempt, how: int, now: int) -> None:
-        backend = sent.backend
-        use = sent.ticket.use_case
+        backend, use = sent.backend, sent.ticket.use_case
         backend.in_flight -= 1
         took = now - sent.sent
         long = use.usual + 6 * use.spread if use.usual and not self._first_tier else took
         if sent.ticket.cost and (how == DONE or how == TIMED_OUT and took >= use.usual):
             pace = took / sent.ticket.cost
             backend.pace += (pace - backend.pace) / FLOW_LEAST if backend.pace else pace
-        if how == DONE or (how == TIMED_OUT and use.usual <= took <= long):
+        lost = how == TIMED_OUT and took > long and self._side(backend).done_at <= sent.sent
+        self._unheard = self._unheard + lost if how in (TIMED_OUT, CALLED_OFF) else 0
+        if how == DONE or lost and self._unheard >= RUN or how == TIMED_OUT and use.usual <= took <= long:
             # Else a use case slow everywhere would keep its short patience. Far beyond what is done it is a
-            # lost answer, and in lower tiers no time for the next.
-            use.spread += (abs(took - use.usual) - use.spread) // 16 if use.usual else took // 2
-            use.usual += (took - use.usual) // 16 if use.usual else took
+            # lost answer, and in lower tiers no time for the next; but many in a row with nothing heard may
+            # be a chain that has slowed, whose levels would cut each other short for ever.
+            known = min(took, 2 * use.usual) if lost else took
+            use.spread += (abs(known - use.usual) - use.spread) // 16 if use.usual else took // 2
+            use.usual += (known - use.usual) // 16 if use.usual else took
         if how == DONE:
             side = self._side(backend)
             self._flow_now(side, now)
@@ -365,8 +367,7 @@
                 side.took_at = now
             self._usual += (took - self._usual) // 16 if self._usual else took
         current = sent.generation == backend.generation
-        if current and sent.trial:
-            backend.trials -= 1
+        backend.trials -= current and sent.trial
         # A caller that left less than the usual time says nothing about the server.
         if not current or how in (MOOT, CALLED_OFF) or how == TIMED_OUT and took < use.usual:
             return
@@ -397,8 +398,7 @@
         return ticket.pause
 
     def _patience(self, ticket: Ticket, now: int) -> int:
-        use = ticket.use_case
-        left = max(1, self._useful_until(ticket) - now)
+        use, left = ticket.use_case, max(1, self._useful_until(ticket) - now)
         if len(ticket.attempts) + 1 >= min(self._most, ticket.most) or use.repeat == SINGLE_USE:
             return left
         # Never under half of what is left: a call carries what its caller allows, so a short patience here
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -1,3 +1,6 @@
+import unittest
+
+from pepperusher.capacity import attempts
 from pepperusher.terms import CALLED_OFF, CLOSED, DONE, ERROR, FULL, MOOT, RESET, TIMED_OUT, UNREACHED
 
 from tests.scene import SECOND, Scene
@@ -112,6 +115,37 @@
         self.lines = said
         self.kept("lost_answer")
 
+    def test_lost_answers_in_a_row_with_nothing_heard_are_a_time(self) -> None:
+        """Four tell nothing, nor four and one that is answered, by an error too; from the fifth on each counts as
+        twice the usual time, however long it was out; one that was called off breaks no row."""
+        def learned(*hows: int) -> int:
+            self.open("a1", "b1", "c1", "d1", stage=1)
+            self.call(DONE, 0.05, times=40, quiet=True)
+            for how in hows:
+                self.call(how, 1.0 if how == TIMED_OUT else 0.05, quiet=True)
+            return self.use_cases["look"].usual
+        usual = learned()
+        for how in (DONE, ERROR, FULL, RESET):
+            self.assertEqual(usual, learned(*[*[TIMED_OUT] * 4, how] * 5))
+        self.assertEqual(usual, learned(*[TIMED_OUT] * 4))
+        self.assertEqual(usual + usual // 16, learned(*[TIMED_OUT] * 5))
+        self.assertEqual(usual + usual // 16, learned(TIMED_OUT, TIMED_OUT, CALLED_OFF, TIMED_OUT, TIMED_OUT, TIMED_OUT))
+        self.assertLess(1.5 * usual, learned(*[TIMED_OUT] * 20))
+
+    def test_lost_answers_while_others_come_are_no_time_at_a_proxy_with_many_calls(self) -> None:
+        """Ten out at once at a server that hangs all end together: others were done while they were out."""
+        self.open("a1", "b1", "c1", "d1", stage=1)
+        self.call(DONE, 0.05, times=40, quiet=True)
+        usual = self.use_cases["look"].usual
+        out = [self.ticket() for _ in range(10)]
+        for ticket in out:
+            self.where(ticket, quiet=True)
+        self.call(DONE, 0.05, quiet=True)
+        self.pass_time(1.0)
+        for ticket in out:
+            self.after(ticket, TIMED_OUT, over=True, quiet=True)
+        self.assertEqual(usual, self.use_cases["look"].usual)
+
     def test_a_caller_with_little_time_says_nothing_about_the_server(self) -> None:
         self.open("a1")
         self.call(DONE, 0.2, times=30, quiet=True)
@@ -131,3 +165,30 @@
         self.list("b1", "c1", ready=False)
         self.call(FULL, 0.01, times=10, quiet=True)
         self.kept("crowd")
+
+
+class Chains(unittest.TestCase):
+    """Levels of services, each with a proxy that makes up to three attempts, in virtual time."""
+
+    def test_a_chain_comes_through_when_its_services_are_slower(self) -> None:
+        """None fails: cut short by half of what was left, none was ever done again from eight levels on."""
+        for depth, factor in ((8, 2), (8, 10), (16, 2), (16, 5), (30, 2), (30, 3)):
+            _, after = attempts.slowed(depth, factor, 1, calls=50)
+            self.assertEqual(after.done, 1.0, f"{depth} levels, {factor} times as long")
+            self.assertLess(after.sends, 1.1 * depth, f"{depth} levels, {factor} times as long")
+
+    def test_a_chain_none_of_which_knows_a_time_comes_through(self) -> None:
+        """Sixteen levels and more got nothing through, at 109 sends a call, for ever."""
+        for depth in (8, 16, 30):
+            came = attempts.cold(depth, 1)
+            self.assertGreaterEqual(came.done, 0.95, f"{depth} levels")
+            self.assertLess(came.sends, 1.7 * depth, f"{depth} levels")
+
+    def test_one_server_that_hangs_does_not_make_all_wait(self) -> None:
+        for depth in (8, 30):
+            for level in (0, depth // 2, depth - 1):
+                first, after, grown = attempts.hung(depth, [level], 1, calls=50)
+                self.assertEqual((first.done, after.done), (1.0, 1.0), f"level {level} of {depth}")
+                self.assertLess(first.sends, 1.2 * depth, f"level {level} of {depth}")
+                self.assertLess(after.sends, 1.1 * depth, f"level {level} of {depth}")
+                self.assertLess(grown, 2.0, f"level {level} of {depth}")
