A standstill in the books excuses what it can explain, and nothing else

Cause: a missing answer, and a connection that ended without one, were excused wherever a generator stood still (or the proxy was kept from running) at any time between sending and end. On a busy machine, with stalls in most seconds, a lost request could hide behind one of 60 ms.

Weighed: to hold the request's whole time, less what stood still, to limit and slack. A client leaves at limit and slack, so that any stall, which is longer than the slack, would still excuse all of them.

An ended connection is excused only where no backend had seen the ticket, and it went on a kept connection or the standstill was before its last byte was written: nothing else that ends a connection hangs on a clock that stood still.

--- a/pepperusher/rehearsal/books.py
+++ b/pepperusher/rehearsal/books.py
@@ -132,10 +132,7 @@
     stays: dict[int, list[Ran]] = defaultdict(list)
     for ran in records.ran:
         stays[ran.proxy].append(ran)
-    silent = Spans((stall.at, stall.until) for stall in records.stalls)
-    # Whose process could not run answered nobody meanwhile.
-    kept_from = {number: Spans((held.at, held.until + CROSSING) for held in records.held if held.proxy == number)
-                 for number in {held.proxy for held in records.held}}
+    stills = _stills(records)
     slack = script.rules.slack
     for one in records.tries:
         if one.how == WRONG:
@@ -155,13 +152,15 @@
             continue
         if one.how not in (LOST, LEFT) or one.written < 0:
             continue
-        if _killed(stays[one.proxy], one) or silent.touch(one.sent, one.ended):
-            continue
-        if one.proxy in kept_from and kept_from[one.proxy].touch(one.sent, one.ended):
+        if _killed(stays[one.proxy], one):
             continue
+        still = stills[one.proxy]
         if one.how == LOST:
-            book.against(LOST_TICKET, one.name, one.ended, "", "its connection ended without a whole answer")
-        elif one.parent == "" and one.ended - one.sent >= one.limit + slack:
+            if not _end_seen_late(one, one.name in sent_of, still):
+                book.against(
+                    LOST_TICKET, one.name, one.ended, "", "its connection ended without a whole answer"
+                )
+        elif one.parent == "" and _waited(one, still) >= slack:
             book.against(
                 LOST_TICKET,
                 one.name,
@@ -171,6 +170,42 @@
             )
 
 
+def _stills(records: Records) -> dict[int, Spans]:
+    """By proxy, when its process could not run or a generator did not: what was due then is not held against
+    it. A little longer than it was kept, for what it has to catch up with.
+    """
+    silent = [(stall.at, stall.until) for stall in records.stalls]
+    kept: dict[int, list[tuple[int, int]]] = defaultdict(list)
+    for held in records.held:
+        kept[held.proxy].append((held.at, held.until + CROSSING))
+    none = Spans(silent)
+    return defaultdict(lambda: none, {proxy: Spans(silent + those) for proxy, those in kept.items()})
+
+
+def _waited(one: Try, still: Spans) -> int:
+    """How long after its answer was due the client looked for it and its proxy could run.
+
+    Due at the end of the time that the client told; where somebody stood still as the ticket was sent, that
+    time began when its proxy could read it. A standstill that was over before that excuses nothing: its proxy
+    could still say at least that there is no answer, and what had come meanwhile was read.
+    """
+    written = still.until(one.written)
+    moved = written != one.written or still.touch(one.sent, one.written)
+    due = (written if moved else one.sent) + one.limit
+    return one.ended - due - still.covered(due, one.ended) if due < one.ended else -1
+
+
+def _end_seen_late(one: Try, sent_on: bool, still: Spans) -> bool:
+    """Whether a standstill explains that its connection ended without an answer. Nobody's clock ends one that
+    a proxy works at. A proxy ends a kept connection that rests, and one on which the rest of a ticket does
+    not come; its client is to see that at once and to ask once more, and can't while it or the proxy stands
+    still. So never where the ticket had been sent on.
+    """
+    if sent_on or not still.touch(one.sent, one.ended):
+        return False
+    return not one.fresh or still.touch(one.sent, one.written)
+
+
 def _wrong(one: Try, sent_of: dict[str, list[Sent]], book: RuleBook) -> None:
     book.against(
         LOST_TICKET,
--- a/pepperusher/rehearsal/stalls.py
+++ b/pepperusher/rehearsal/stalls.py
@@ -58,6 +58,23 @@
         place = bisect_left(self._ends, at)
         return place < len(self.joined) and self.joined[place][0] <= until
 
+    def covered(self, at: int, until: int) -> int:
+        """How much of `at` to `until` lies in them."""
+        made = 0
+        for place in range(bisect_left(self._ends, at), len(self.joined)):
+            start, end = self.joined[place]
+            if start >= until:
+                break
+            made += min(end, until) - max(start, at)
+        return made
+
+    def until(self, at: int) -> int:
+        """When the one that `at` lies in is over; `at` where it lies in none."""
+        place = bisect_left(self._ends, at)
+        if place < len(self.joined) and self.joined[place][0] <= at:
+            return self.joined[place][1]
+        return at
+
     def seconds(self) -> list[int]:
         """The whole seconds (from 0) that hold a part of one."""
         return sorted(
--- a/tests/test_rehearsal_parts.py
+++ b/tests/test_rehearsal_parts.py
@@ -14,7 +14,7 @@
 from pepperusher.rehearsal import books, compare, page, records, results, spoken, tally
 from pepperusher.rehearsal.engine import FULL, RUNS, WAITS, Engine, Job, Memory, parts_of
 from pepperusher.rehearsal.manners import Wish
-from pepperusher.rehearsal.records import Ran, Sent, Stall, Stood, Told, Try
+from pepperusher.rehearsal.records import Held, Ran, Sent, Stall, Stood, Told, Try
 from pepperusher.rehearsal.script import Kind, Overload
 from pepperusher.rehearsal.stalls import Heart, Margin, Spans
 
@@ -293,6 +293,58 @@
             a_try(how="left", ended=2_050_020),
             Stall(0, 2_000_000, 2_060_000),
         ),
+        (
+            "no answer in time, a short standstill long before",
+            a_try(how="left", ended=2_050_020),
+            Stall(0, 300_000, 360_000),
+            Held(0, 1_000_000, 1_200_000),
+        ),
+        (
+            "no answer in time, its proxy kept from running then",
+            a_try(how="left", ended=2_050_020),
+            Held(0, 1_000_000, 2_030_000),
+        ),
+        (
+            "no answer in time, another proxy kept from running then",
+            a_try(how="left", ended=2_050_020),
+            Held(1, 1_000_000, 2_030_000),
+        ),
+        (
+            "no answer in time, its proxy kept from running as it was sent",
+            a_try(how="left", ended=2_050_020),
+            Held(0, 0, 600_000),
+        ),
+        (
+            "no answer in time, nobody looked for a part of what was left, and then long enough",
+            a_try(how="left", ended=2_150_020),
+            Stall(0, 1_990_000, 2_060_000),
+        ),
+        (
+            "connection ended beside a standstill, sent on",
+            a_try(how="lost", status=0, ended=500_000, fresh=False),
+            a_sent(answered=False),
+            Stall(0, 300_000, 360_000),
+            Held(0, 300_000, 360_000),
+        ),
+        (
+            "connection ended beside a standstill, a new one that had been read",
+            a_try(how="lost", status=0, ended=500_000),
+            Stall(0, 300_000, 360_000),
+        ),
+        (
+            "kept connection ended unread, seen late",
+            a_try(how="lost", status=0, ended=500_000, fresh=False),
+            Stall(0, 300_000, 499_000),
+        ),
+        (
+            "new connection ended before the rest was written",
+            a_try(how="lost", status=0, written=400_000, ended=500_000),
+            Stall(0, 100_000, 399_000),
+        ),
+        (
+            "kept connection ended unread, nobody stood still",
+            a_try(how="lost", status=0, ended=500_000, fresh=False),
+        ),
         ("left early", a_try(how="left", ended=900_000)),
         ("replayable twice, one after the other", a_try(), a_sent(), a_sent(**NEXT)),
         ("two at once", a_try(), a_sent(ended=200_000), a_sent(**NEXT)),
