An answer given up as its head comes is not begun, and one that comes with the last look is taken

Found by reading, and forced in the tests: the timer's last look may come between the arrival of an answer and its reader's turn. The attempt was given up and its connection aborted, but its reader went on with what had come, began the answer at the client, and cut it off.

Change: a look finds what has come and not been read, and looks again; and what is given up by then is not begun, so that its client has a whole final answer.

--- a/pepperusher/net/exchange.py
+++ b/pepperusher/net/exchange.py
@@ -198,6 +198,10 @@
         answer = Answer(head.status_code, list(head.headers), bytes(self._body.whole()))
         if whole:
             return how, answer
+        if self._out.how is not None:
+            # Given up as its head came: what is left of it is cut off, and begun its client would have a part of it
+            # in the place of its final answer.
+            return self._out.how, None
         if how not in PASSED_ON or onward is None:
             return how, None
         return await self._pass_on(how, answer, length, onward)
@@ -242,7 +246,9 @@
         self._silent = asyncio.get_running_loop().call_later(within, self._late, "reset", 2)
 
     def _late(self, how: str, looks: int) -> None:
-        """Under load timers run late, and an answer may have been read already: it has its turn first, and ends this."""
+        """Under load timers run late, and an answer may have been read already: it has its turn first, and ends this. So has
+        one that comes between two looks, whose reader takes it with the next turn."""
+        looks = looks or (1 if self._line.unread else 0)
         if looks:
             again = asyncio.get_running_loop().call_soon(self._late, how, looks - 1)
             # Kept, so that what calls off the timer calls off this: an answer whose head came in the same turn, and whose
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -14,12 +14,15 @@
 import tempfile
 import time
 import unittest
+from collections.abc import Callable
 from unittest import mock
 
 from pepperusher.net.callers import Callers
 from pepperusher.net.companion import Companion
+from pepperusher.net.exchange import Exchange
+from pepperusher.net.flows import Onward
 from pepperusher.net.line import Line, reach
-from pepperusher.net.message import read_head
+from pepperusher.net.message import Answer, Request, read_head
 
 from tests.scene import SETTINGS, Street, configuration
 
@@ -328,6 +331,58 @@
                 await self.ask(use, self.request(use, number))
             self.assertIn("-> 200 'abcd'", self.lines[-1], use)
 
+    async def long_answer(self, then: Callable[[Exchange], None]) -> bytes:
+        """All that a client hears of an answer of 200 kB; `then` is done in the turn in which its head comes, before that is
+        read, and the rest follows later."""
+        await self.open("a1")
+        out: list[Exchange] = []
+        run, came = Exchange.run, Line.data_received
+
+        async def kept(exchange: Exchange, request: Request, onward: Onward | None) -> tuple[str, Answer | None]:
+            out.append(exchange)
+            return await run(exchange, request, onward)
+
+        def received(line: Line, data: bytes) -> None:
+            came(line, data)
+            if data.startswith(b"HTTP/1.1 200"):
+                then(out[-1])
+
+        async def long(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+            head = await reader.readuntil(b"\r\n\r\n")
+            if b"content-length: " in head.lower():
+                await reader.readexactly(int(head.lower().split(b"content-length: ")[1].split(b"\r\n")[0]))
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 200000\r\n\r\n")
+            await asyncio.sleep(0.05)
+            writer.write(b"a" * 200_000)
+            return True
+
+        self.toys["a1"].answer = long
+        self.proxy._facade._balancer._most = 1
+        at = self.dial()
+        with mock.patch.object(Exchange, "run", kept), mock.patch.object(Line, "data_received", received):
+            at.sendall(self.request("look", 1))
+            at.setblocking(False)
+            heard = b""
+            async with asyncio.timeout(10):
+                while not heard.endswith(b"a" * 200_000) and b"bounced" not in heard:
+                    part = await asyncio.get_running_loop().sock_recv(at, 65536)
+                    heard += part
+                    if not part:
+                        break
+        return heard
+
+    async def test_a_head_that_comes_before_the_last_look_is_no_time_out(self) -> None:
+        """The looks after the timer were over, and its reader had not had its turn: a long answer was begun and cut off."""
+        heard = await self.long_answer(lambda exchange: exchange._late("timed out", 0))
+        self.assertTrue(heard.startswith(b"HTTP/1.1 200"), heard[:40])
+        self.assertTrue(heard.endswith(b"a" * 200_000), len(heard))
+
+    async def test_what_is_given_up_as_its_head_comes_is_not_begun(self) -> None:
+        """As at the end of a process: its client hears that it failed, and not a part of an answer."""
+        heard = await self.long_answer(lambda exchange: exchange._out.give_up("timed out"))
+        self.assertTrue(heard.startswith(b"HTTP/1.1 503"), heard[:40])
+        self.assertTrue(heard.endswith(b"bounced\n"), heard[-40:])
+
     async def test_a_second_answer_is_not_taken_for_that_to_the_next_ticket(self) -> None:
         """It came some milliseconds after the first, and on a connection used again at once it was handed to another."""
         await self.open("a1")
