--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -1538,6 +1538,31 @@
                 assert third is not None
                 self.until(world, third, set(world.proxies))
 
+    def test_frozen_proxies_and_a_machine_apart_from_its_own_stall_no_change(self) -> None:
+        """At all others within the two waves that wait to their end, whichever machines' proxies are frozen."""
+        for seed in range(3):
+            for frozen in (6, 30, 0):
+                with self.subTest(seed=seed, frozen=frozen):
+                    world = World(seed, 4, 60)
+                    for _ in range(40):
+                        world.step()
+                    first = world.publish()
+                    assert first is not None
+                    self.until(world, first, set(world.proxies))
+                    away = set(world.chance.sample(sorted(world.proxies), frozen))
+                    world.cut = {link for link in world.links if link[0] in away}
+                    if not frozen:
+                        # It has the change, and nothing passes between it and its proxies; other machines hear it.
+                        world.cut = {link for link in world.links if link[1] == world.names[3]} - {
+                            link for link in world.links if link[0] in world.names
+                        }
+                    second = world.publish()
+                    assert second is not None
+                    took = self.until(world, second, set(world.proxies) - away)
+                    self.assertLess(took, 2 * WAVE_MOST / S + (1.5 if frozen else 4.5))
+                    world.cut.clear()
+                    self.until(world, second, set(world.proxies))
+
 
 if __name__ == "__main__":
     unittest.main()
