--- a/pepperusher/group/parts.py
+++ b/pepperusher/group/parts.py
@@ -17,6 +17,8 @@
 from pepperusher.group.words import ALIVE, LEFT, Said
 
 MAJORITY, PART, NOBODY = "majority", "part", "nobody"
+# Where no more than one in so many answers, one in so many of the roll is taken to be there.
+HARDLY = 8
 
 
 class Reach(NamedTuple):
@@ -36,9 +38,11 @@
         return self.word == MAJORITY
 
 
-def reach(told: int, me: Said, roll: Roll, answered: bool) -> Reach:
+def reach(told: int, me: Said, roll: Roll, answered: bool, hardly: bool = False) -> Reach:
     """`told` is how many proxies the settings count in this tier. Unless anybody `answered` of late nobody is
-    there, whatever it holds of them: it may just have gone on after it stood still.
+    there, whatever it holds of them: it may just have gone on after it stood still. Where `hardly` anybody
+    does, of those that it turns to by chance, hardly anybody is: the others are not suspected only since
+    their turn has not come, or since too few are here to charge them.
     """
     here, silent, gone = 1, 0, 0
     met = 1
@@ -54,6 +58,9 @@
     whole = here + silent + never
     if not answered:
         here, silent = 1, silent + here - 1
+    elif hardly:
+        reached = min(here - 1, max(1, (here - 1) // HARDLY))
+        here, silent = 1 + reached, silent + here - 1 - reached
     if 2 * here > whole:
         word = MAJORITY
     else:
--- a/pepperusher/group/swim.py
+++ b/pepperusher/group/swim.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Sequence
 from random import Random
 from typing import NamedTuple
@@ -67,6 +68,8 @@
 FRAME = HEAD + 57
 # Without any answer for so many periods nobody is reached.
 UNHEARD = 8
+# Probes, each of a member by chance, by which it judges whether it reaches hardly anybody.
+SAMPLED = 8
 # A name that two processes live under is so for this long after the other last spoke.
 DOUBLED_FOR = 10 * SECOND
 # Between two words by which a life is put above another's under its name.
@@ -140,6 +143,8 @@
         self._probe: Probe | None = None
         self._probe_at = now + chance.randrange(max(1, terms.period))
         self._probes = 0
+        # Of the last probes, whom it turned to in each, the target and helpers, and who of them answered.
+        self._turned: deque[tuple[int, int]] = deque(maxlen=SAMPLED)
         self._tell_at = now
         self._join_at = now
         self._awaited: dict[int, Awaited] = {}  # emptied by answers and by time
@@ -152,7 +157,7 @@
         self._raised_at = -RAISE_EVERY
         self._answered_at = now - UNHEARD * terms.period
         self._reached = ""
-        self._reach_of: tuple[int, bool, int, int] | None = None
+        self._reach_of: tuple[int, bool, bool, int, int] | None = None
         self._due = now
         self._farewell: set[str] = set()
         self._rumours.put(SAID, me.name, self._part)
@@ -162,8 +167,14 @@
     def _answered(self, now: int) -> bool:
         return now - self._answered_at <= UNHEARD * self.health.stretched(self.terms.period)
 
+    def _hardly(self) -> bool:
+        """Lost packets alone do not make it so: most helpers still say that they have no answer either."""
+        to = sum(one for one, _ in self._turned)
+        answered = sum(one for _, one in self._turned)
+        return len(self._turned) == SAMPLED and parts.HARDLY * answered <= to
+
     def reach(self, now: int) -> Reach:
-        return parts.reach(self.terms.told, self.me, self.roll, self._answered(now))
+        return parts.reach(self.terms.told, self.me, self.roll, self._answered(now), self._hardly())
 
     def size(self) -> int:
         """Of how many this proxy is one, where they share."""
@@ -284,7 +295,8 @@
 
     def _say_reach(self, now: int) -> None:
         """A walk over the whole roll, so only where something that it hangs on is other than it was."""
-        stands = self.roll.version, self._answered(now), self.terms.told, self.me.tier
+        hardly = self._hardly()
+        stands = self.roll.version, self._answered(now), hardly, self.terms.told, self.me.tier
         if stands == self._reach_of:
             return
         self._reach_of = stands
@@ -358,11 +370,14 @@
 
     def _end_probe(self, now: int) -> None:
         probe, self._probe = self._probe, None
-        if probe is None or probe.done:
+        if probe is None:
+            return
+        self._turned.append((1, 1) if probe.done else (1 + probe.asked, probe.nacked))
+        if probe.done:
             return
         self._count("probes without an answer")
         # Whoever was asked and says nothing at all is a hint that it is this member that hears nobody.
-        self.health.worse(probe.asked - probe.nacked if probe.asked else 1)
+        self.health.unheard(probe.asked - probe.nacked if probe.asked else 1)
         one = self.roll.get(probe.name)
         if one is not None:
             said = one.said
--- a/tests/test_group.py
+++ b/tests/test_group.py
@@ -19,6 +19,8 @@
 from pepperusher.group.swim import Swim, Terms
 from pepperusher.group.wire import DATAGRAM, BadPacket, Wire
 from pepperusher.group.words import ALIVE, LEAVING, LEFT, LOST, SENT_AWAY, SERVING, TELL, Charge, Notice, Said
+from pepperusher.rehearsal import hollow_group_books
+from pepperusher.rehearsal.groupfigures import introduced
 from pepperusher.rehearsal.groupmodel import SECOND, Manner, Model
 
 NOW = 1_700_000_000 * SECOND
@@ -502,6 +504,133 @@
         self.assertLess(model.now - healed, 3 * SECOND)
 
 
+class CutOff(unittest.TestCase):
+    """How soon those inside a cut know that they reach no majority: within the periods that
+    `hollow_group_books` allows, by which docs/scale.md judges plays of processes.
+    """
+
+    PERIOD, WITHIN = 500_000, 150_000
+
+    def met(self, size: int, seed: int, periods: int = 12) -> Model:
+        """All have met, and have probed each other for so long."""
+        model = Model(seed, self.PERIOD, self.WITHIN, Manner(delay=1_000, jitter=30_000))
+        for number in range(size):
+            model.add(f"m{number}", told=size)
+        introduced(model)
+        model.run(periods * self.PERIOD)
+        self.assertEqual(
+            {parts.MAJORITY}, {one.swim.reach(model.now).word for one in model.ones.values()}, f"seed {seed}"
+        )
+        return model
+
+    def in_time(self, size: int, cuts: tuple[int, ...], seeds: range, periods: int) -> None:
+        """Cuts of so many each, at once: nothing passes between them, so each is one of a play of its own.
+        Whoever is in none is outside of all, and as good as gone.
+        """
+        allowed = hollow_group_books.silence(size, self.PERIOD) * SECOND / self.PERIOD
+        late = []
+        for seed in seeds:
+            model = self.met(size, seed, periods)
+            names = [f"m{number}" for number in range(size)]
+            inside = {name: cut for cut in cuts for name in [names.pop() for _ in range(cut)]}
+            for name in names:
+                model.kill(name)
+            model.cut = lambda a, b, inside=inside: inside.get(a) != inside.get(b)  # type: ignore[misc]
+            at = model.now
+            knew: dict[str, float] = {}
+
+            know = dict.fromkeys(cuts, 0)
+
+            def all_know() -> bool:
+                for name in inside.keys() - knew.keys():
+                    if model.ones[name].swim.reach(model.now).word != parts.MAJORITY:
+                        knew[name] = (model.now - at) / self.PERIOD
+                        know[inside[name]] += 1
+                        if know[inside[name]] == inside[name]:
+                            for other in [other for other, of in inside.items() if of == inside[name]]:
+                                model.kill(other)  # the play of this cut is over
+                return len(knew) == len(inside)
+
+            model.run(200 * self.PERIOD, all_know, every=self.PERIOD // 4)
+            for cut in cuts:
+                last = max(knew.get(name, 999.0) for name, of in inside.items() if of == cut)
+                if last > allowed:
+                    late.append((cut, seed, round(last, 1)))
+        self.assertEqual([], late, f"{allowed:.1f} periods are allowed")
+
+    def test_of_twenty_those_cut_off_know_in_time(self) -> None:
+        for cuts in ((1, 2, 4, 6), (3, 9)):
+            with self.subTest(cuts):
+                self.in_time(20, cuts, range(20), 12)
+
+    def of_two_hundred(self, seeds: range) -> None:
+        """Also the few that would need as many periods as the others are many to charge each of them."""
+        self.in_time(200, (1, 2, 5, 10, 40), seeds, 2)
+
+    # Each has its time by itself, on a busy machine as well.
+    def test_of_two_hundred_those_cut_off_know_in_time_seeds_0_to_4(self) -> None:
+        self.of_two_hundred(range(5))
+
+    def test_of_two_hundred_those_cut_off_know_in_time_seeds_5_to_9(self) -> None:
+        self.of_two_hundred(range(5, 10))
+
+    def test_of_two_hundred_those_cut_off_know_in_time_seeds_10_to_14(self) -> None:
+        self.of_two_hundred(range(10, 15))
+
+    def test_of_two_hundred_those_cut_off_know_in_time_seeds_15_to_19(self) -> None:
+        self.of_two_hundred(range(15, 20))
+
+    def test_outside_all_reach_a_majority_throughout_and_lose_nobody_else(self) -> None:
+        """And healed all do, in as many periods."""
+        allowed = round(hollow_group_books.silence(20, self.PERIOD) * SECOND)
+        for seed in range(20):
+            with self.subTest(seed):
+                model = self.met(20, seed)
+                inside = {f"m{number}" for number in range(6)}
+                model.cut = lambda a, b, inside=inside: (a in inside) != (b in inside)  # type: ignore[misc]
+                model.book.clear()
+                model.run(40 * self.PERIOD)
+                self.assertEqual(
+                    [],
+                    [
+                        (line.by, line.change.what)
+                        for line in model.book
+                        if line.by not in inside and line.change.what in ("reaches part", "reaches nobody")
+                    ],
+                )
+                wrong = [
+                    (line.by, line.change.name)
+                    for line in model.book
+                    if line.change.what == "lost" and (line.by in inside) == (line.change.name in inside)
+                ]
+                self.assertEqual([], wrong)
+                self.assertEqual({20}, {one.swim.size() for one in model.ones.values()})
+                self.assertEqual(
+                    {parts.PART}, {model.ones[name].swim.reach(model.now).word for name in inside}
+                )
+                model.cut = lambda _, __: False
+                self.assertTrue(
+                    model.run(
+                        allowed,
+                        lambda: all(
+                            one.swim.reach(model.now).word == parts.MAJORITY for one in model.ones.values()
+                        ),
+                    )
+                )
+
+    def test_lost_packets_alone_cut_nobody_off(self) -> None:
+        """A third of them lost, for 60 periods."""
+        for seed in range(6):
+            with self.subTest(seed):
+                model = self.met(20, seed)
+                model.manner = model.manner._replace(lost=0.3)
+                model.book.clear()
+                model.run(60 * self.PERIOD)
+                self.assertEqual(
+                    [], [line.by for line in model.book if line.change.what in ("reaches part", "reaches nobody")]
+                )
+
+
 class Bounds(unittest.TestCase):
     """Of how many one is one: the sum of all parts never passes the whole, whoever believes what."""
 
