The fields of a kind of table are worked out once, not twice for each table of a file

Ruled out: the matching of routes, whose cost did not change. Change: the answer is kept by type; as many as there are kinds of tables in the code.

--- a/pepperusher/typed.py
+++ b/pepperusher/typed.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import difflib
+import functools
 import re
 import types
 from typing import Annotated, Any, NamedTuple, Union, get_args, get_origin
@@ -74,6 +75,14 @@
     return text[:1].lower() + text[1:], "" if where.startswith("key") else where
 
 
+@functools.cache  # as many as there are kinds of tables in the code
+def _fields(kind: type) -> tuple[msgspec.structs.FieldInfo, ...]:
+    """msgspec works a kind's fields out anew each time, which for a file of many tables of a kind took most of the
+    time that the check took.
+    """
+    return msgspec.structs.fields(kind)
+
+
 def renamed(raw: Any, kind: type) -> Any:
     """The same with keys that stand under a former name, the table's `FORMER`, under the one of today.
 
@@ -83,7 +92,7 @@
     former: dict[str, str] = getattr(kind, "FORMER", {})
     made = {(name if former.get(name, name) in raw else former.get(name, name)): value
             for name, value in raw.items()}
-    for field in msgspec.structs.fields(kind):
+    for field in _fields(kind):
         table, listed = table_of(field.type)
         value = made.get(field.encode_name)
         if table is not None and listed and isinstance(value, list):
@@ -98,7 +107,7 @@
     if not isinstance(raw, dict):
         return None, [Wrong(at, "is no table", False)]
     wrong: list[Wrong] = []
-    fields = {field.encode_name: field for field in msgspec.structs.fields(kind)}
+    fields = {field.encode_name: field for field in _fields(kind)}
     values: dict[str, Any] = {}
     for name, value in raw.items():
         key = f"{at}.{name}".lstrip(".")
--- a/tests/test_own.py
+++ b/tests/test_own.py
@@ -7,7 +7,11 @@
 import unittest
 from pathlib import Path
 from random import Random
+from unittest import mock
 
+import msgspec
+
+from pepperusher import typed
 from pepperusher.own import reading, rules
 from pepperusher.own.lines import Lines
 from pepperusher.own.reading import OwnError
@@ -254,6 +258,22 @@
         self.assertGreater(len(read.own.routes), 1)
 
 
+class Cost(unittest.TestCase):
+    def test_the_fields_of_a_kind_of_table_are_worked_out_once_however_many_tables_there_are(self) -> None:
+        """Twice for each of some thousand tables they took most of the time that a file of 200 routes needs."""
+        text = "".join(
+            f'[[routes]]\nname = "r{number}"\nmatch = {{ path = "/r{number}/{{any*}}" }}\n'
+            "concurrency = { most = 5 }\n"
+            for number in range(200)
+        )
+        typed._fields.cache_clear()
+        with mock.patch("msgspec.structs.fields", wraps=msgspec.structs.fields) as asked:
+            read = reading.parse(text, "own.toml", ground())
+        self.assertEqual(200, len(read.own.routes))
+        kinds = [call.args[0] for call in asked.call_args_list]
+        self.assertEqual(len(set(kinds)), len(kinds))
+
+
 class Matching(unittest.TestCase):
     PATHS = (
         "/",
