--- a/pepperusher/capacity/projection.py
+++ b/pepperusher/capacity/projection.py
@@ -226,7 +226,6 @@
             times(checks(mild), self._at("config.check", mild.routes)),
             times(checks(harsh), self._at("config.check", harsh.routes)), cpu,
             "`own/reading.py`, `changes/`", ("config.check",),
-            "most of it asks msgspec anew for the fields of each table, twice (docs/results.md)",
         )
         yield Row(
             role, "always", "time added at the 99th of 100 by one proxy", "us",
