The timer looks once more at what came with its last look, and no longer

A backend that speaks before it has taken the request, and takes no more of it, keeps its reader waiting to write: the attempt was never given up, its client had no answer, and the loop spun. Ruled out: bodies that flow, whose timer begins once they are out. Change: one look more, which is the turn in which the reader takes what came.

--- a/pepperusher/net/exchange.py
+++ b/pepperusher/net/exchange.py
@@ -247,9 +247,9 @@
 
     def _late(self, how: str, looks: int) -> None:
         """Under load timers run late, and an answer may have been read already: it has its turn first, and ends this. So has
-        one that comes between two looks, whose reader takes it with the next turn."""
-        looks = looks or (1 if self._line.unread else 0)
-        if looks:
+        one that comes with the last look, whose reader takes it with the next turn; once, since a reader that waits to
+        write takes none."""
+        if looks > 0 or looks == 0 and self._line.unread:
             again = asyncio.get_running_loop().call_soon(self._late, how, looks - 1)
             # Kept, so that what calls off the timer calls off this: an answer whose head came in the same turn, and whose
             # rest came later, was cut off.
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -377,6 +377,18 @@
         self.assertTrue(heard.startswith(b"HTTP/1.1 200"), heard[:40])
         self.assertTrue(heard.endswith(b"a" * 200_000), len(heard))
 
+    async def test_a_backend_that_speaks_and_is_not_read_has_its_time_out_all_the_same(self) -> None:
+        """It takes nothing of the request, so that its words stay unread: looked at again for ever, nobody gave it up."""
+        await self.open("a1")
+        given_up: list[str] = []
+        line = mock.Mock(unread=5)
+        out = mock.Mock(give_up=given_up.append)
+        exchange = Exchange(line, mock.Mock(), mock.Mock(), out, 1_000, 0.1, mock.Mock())
+        exchange._late("timed out", 2)
+        for _ in range(5):
+            await asyncio.sleep(0)
+        self.assertEqual(["timed out"], given_up)
+
     async def test_what_is_given_up_as_its_head_comes_is_not_begun(self) -> None:
         """As at the end of a process: its client hears that it failed, and not a part of an answer."""
         heard = await self.long_answer(lambda exchange: exchange._out.give_up("timed out"))
