--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -103,6 +103,16 @@
         return [json.loads(line) for line in self.errors.read_text().splitlines()]
 
 
+async def ended(case: unittest.TestCase, machines: list[Machine]) -> None:
+    """All that run, those that stand still too; none may have said a traceback."""
+    for machine in machines:
+        if machine.process is not None:
+            if machine.process.returncode is None:
+                machine.process.send_signal(signal.SIGCONT)
+            await machine.end()
+            case.assertNotIn("Traceback", machine.errors.read_text())
+
+
 class Scene(unittest.IsolatedAsyncioTestCase):
     MACHINES, PROXIES = 3, 12
 
@@ -117,12 +127,7 @@
 
     async def asyncTearDown(self) -> None:
         await asyncio.gather(*(client.stop() for client in self.clients.values()))
-        for machine in self.machines:
-            if machine.process is not None:
-                if machine.process.returncode is None:
-                    machine.process.send_signal(signal.SIGCONT)
-                await machine.end()
-                self.assertNotIn("Traceback", machine.errors.read_text())
+        await ended(self, self.machines)
         shutil.rmtree(self.folder)
 
     async def begin(self, ports: list[int] | None = None, **more: Any) -> None:
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -27,7 +27,7 @@
 from pepperusher.own.reading import Fault, OwnError
 from pepperusher.store.disk import Disk
 from tests.scene import SETTINGS, UNHURRIED, configuration, own_address
-from tests.test_distribution_processes import HOST, SECRET, WITHIN, Machine, free_ports, until
+from tests.test_distribution_processes import HOST, SECRET, WITHIN, Machine, ended, free_ports, until
 
 NAME = "east/web"
 TERM = 6.0
@@ -220,12 +220,7 @@
 
     async def asyncTearDown(self) -> None:
         await asyncio.gather(*(gate.end() for gate in self.gates))
-        for machine in self.machines:
-            if machine.process is not None:
-                if machine.process.returncode is None:
-                    machine.process.send_signal(signal.SIGCONT)
-                await machine.end()
-                self.assertNotIn("Traceback", machine.errors.read_text())
+        await ended(self, self.machines)
         await self.discovery.stop()
         for gate in self.gates:
             self.assertNotIn("Traceback", gate.errors)
