Whose list: RELAY becomes CONTROL, since a relay is a role of control machines already

Need: words.RELAY is the role of a control machine that is not the origin; endpoint_source used the same word for "told by control machines", whatever their role. Mechanical, no other change. test_endpoint_source, test_relayed_list, test_relay_return and test_imports: 31 passed, 68 subtests.

--- a/pepperusher/distribution/endpoint_source.py
+++ b/pepperusher/distribution/endpoint_source.py
@@ -34,7 +34,7 @@
 AGAIN_WITHIN = 60_000_000
 LOOK_EVERY = 250_000
 
-BEGINNING, RELAY, DISCOVERY = range(3)
+BEGINNING, CONTROL, DISCOVERY = range(3)
 NAMES = ("nobody yet", "control machines", "discovery")
 
 
@@ -119,7 +119,7 @@
 
     def step(self, now: int, watched: bool) -> Step:
         """`watched`: a watch of discovery has spoken here, and stands."""
-        if self.by == RELAY:
+        if self.by == CONTROL:
             return self._relayed(now)
         spoke_at = self._confirmed()
         sound = self._sound()
@@ -129,7 +129,7 @@
             if not watched or now >= self._back_at:
                 # A start is no coming back.
                 self._returned_at = now if self.by == DISCOVERY else None
-                self.by, self.since, self._spoke_at = RELAY, now, spoke_at
+                self.by, self.since, self._spoke_at = CONTROL, now, spoke_at
                 self._limit, self._back_at = self._drawn_limit(), None
                 self.returned += 1
                 # Taken in any case: whoever was told that the list is lost is told that it is not.
--- a/pepperusher/net/endpoint_relay.py
+++ b/pepperusher/net/endpoint_relay.py
@@ -11,7 +11,7 @@
 from random import Random
 from typing import Any
 
-from pepperusher.distribution.endpoint_source import DISCOVERY, NAMES, RELAY, START_AFTER, EndpointSource
+from pepperusher.distribution.endpoint_source import CONTROL, DISCOVERY, NAMES, START_AFTER, EndpointSource
 from pepperusher.distribution.freshness import Freshness
 from pepperusher.distribution.words import ENDPOINTS, Key, Resource, Word
 from pepperusher.net import clock
@@ -107,7 +107,7 @@
             update = self._list[0]
             self._number = update.version
             discovery.relayed(update, now - (source.age(now) or 0))
-        elif source.by == RELAY and (age := source.age(now)) is not None:
+        elif source.by == CONTROL and (age := source.age(now)) is not None:
             # As an empty line of a watch of its own does.
             discovery.confirmed_at = max(now - age, discovery.confirmed_at or 0)
         if step.ask != self._asks:
@@ -118,7 +118,7 @@
                 discovery.rest()
         if source.by != self._by:
             self._by = source.by
-            if source.by in (RELAY, DISCOVERY):
+            if source.by in (CONTROL, DISCOVERY):
                 self._say("the list is told by " + NAMES[source.by], word_us_ago=source.age(now), version=self._number)
         self._due = step.wake_at
         if self._timer is not None:
@@ -127,7 +127,7 @@
         self._timer = asyncio.get_running_loop().call_later(wait, self._woke)
 
     def _woke(self) -> None:
-        if clock.now() - self._due >= STOOD_STILL and self._by == RELAY:
+        if clock.now() - self._due >= STOOD_STILL and self._by == CONTROL:
             self._due = clock.now()
             self._timer = asyncio.get_running_loop().call_later(READ_WITHIN, self._look)
         else:
--- a/tests/test_endpoint_source.py
+++ b/tests/test_endpoint_source.py
@@ -11,7 +11,7 @@
 
 from pepperusher.distribution import wire
 from pepperusher.distribution.endpoint_source import (
-    BEGINNING, DISCOVERY, LEAVE_AFTER, LEAVE_SPREAD, RELAY, START_AFTER, START_SPREAD, STAY, EndpointSource,
+    BEGINNING, CONTROL, DISCOVERY, LEAVE_AFTER, LEAVE_SPREAD, START_AFTER, START_SPREAD, STAY, EndpointSource,
 )  # fmt: skip
 from pepperusher.distribution.freshness import KEPT, Freshness
 from pepperusher.distribution.words import Beat, Version, Word
@@ -86,7 +86,7 @@
         self.source.held(version(1), number)
         self.source.word(version(1), at)
         step = self.source.step(at, False)
-        self.assertEqual((True, False, RELAY), (step.take, step.ask, self.source.by))
+        self.assertEqual((True, False, CONTROL), (step.take, step.ask, self.source.by))
 
     def test_a_start_waits_for_control_machines_and_then_asks(self) -> None:
         step = self.source.step(0, False)
@@ -105,7 +105,7 @@
         self.source.word(version(2), 0)
         self.assertFalse(self.source.step(1, False).take)
         self.source.held(version(2), 11)
-        self.assertEqual((True, RELAY), (self.source.step(2, False).take, self.source.by))
+        self.assertEqual((True, CONTROL), (self.source.step(2, False).take, self.source.by))
 
     def test_left_so_long_after_the_last_word_of_discovery(self) -> None:
         """However often control machines say the same old word again."""
@@ -150,7 +150,7 @@
                         self.assertTrue(self.source.step(later, True).ask)
                     self.source.word(version(1), step.wake_at)
                     self.assertFalse(self.source.step(step.wake_at, True).ask)
-                self.assertEqual((RELAY, 2), (self.source.by, self.source.returned))
+                self.assertEqual((CONTROL, 2), (self.source.by, self.source.returned))
 
     def test_an_older_list_is_not_gone_back_to_however_young_it_is_said_to_be(self) -> None:
         self.relayed(0)
@@ -224,7 +224,7 @@
             for at in range(at, back + SECOND, SECOND):
                 self.source.word(version(1), at)
                 self.source.step(at, True)
-            self.assertEqual(RELAY, self.source.by)
+            self.assertEqual(CONTROL, self.source.by)
         self.assertTrue(all(STAY <= one for one in stays))
         self.assertGreater(stays[-1], 4 * STAY)
 
@@ -397,7 +397,7 @@
                 self.mine.turn(step.ask, now)
                 self.wake_at = step.wake_at
                 assert step.wake_at > now
-            self.relayed += self.source.by == RELAY and not self.mine.on
+            self.relayed += self.source.by == CONTROL and not self.mine.on
             self._look(now)
 
     def _put(self, state: tuple[int, int] | None, by: str, now: int) -> None:
--- a/tests/test_relay_return.py
+++ b/tests/test_relay_return.py
@@ -9,7 +9,7 @@
 from random import Random
 from typing import Any
 
-from pepperusher.distribution.endpoint_source import RELAY, EndpointSource
+from pepperusher.distribution.endpoint_source import CONTROL, EndpointSource
 from pepperusher.distribution.relay import PAUSE_LEAST, PAUSE_MOST
 from pepperusher.distribution.words import Version
 
@@ -43,7 +43,7 @@
                 source.held(Version(1, 1), 1)
                 source.word(Version(1, 1), last)
                 self.at(source.step(last, False).wake_at, "wake", number)
-                assert source.by == RELAY
+                assert source.by == CONTROL
             self.at(gone, "owner calls", owner)
 
     def at(self, when: int, what: str, *of: Any) -> None:
@@ -72,7 +72,7 @@
             self.pauses[number] = 0
             if step.ask:
                 self.at(now, "calls", number, self.turns[number])
-        if self.sources[number].by == RELAY:
+        if self.sources[number].by == CONTROL:
             self.at(step.wake_at, "wake", number)
 
     def run(self) -> None:
