Capacity: descriptors of a machine are counted once they stand

Cause: they were counted as soon as each machine had been asked for its figures; the one asked last has that connection for a moment more. Ruled out: the number of proxies' connections, which stood. Change: read until ten looks agree. The assertion is as it was. Stored figures have that one in their constant part and are not anew.

--- a/pepperusher/capacity/control_play.py
+++ b/pepperusher/capacity/control_play.py
@@ -41,6 +41,8 @@
 ROUTES = 20
 WITHIN = 60.0
 LOOK = 0.02
+# Looks by which a count that stands is told from one that is on its way.
+ALIKE = 10
 # Beats of each connection that are waited for at rest, one way; whole ones, so that a span holds as many.
 BEATS = 4
 LOCAL = "127.0.0.1"
@@ -157,6 +159,21 @@
         await asyncio.sleep(LOOK)
 
 
+async def standing(read: Callable[[], float]) -> float:
+    """What is read once it has stood for ALIKE looks: whoever was asked for figures has the connection of who asked
+    for a moment more. Raises ProcessError.
+    """
+    end = time.monotonic() + WITHIN
+    last, alike = read(), 1
+    while alike < ALIKE:
+        if time.monotonic() > end:
+            raise ProcessError("descriptors that come and go")
+        await asyncio.sleep(LOOK)
+        now = read()
+        last, alike = now, alike + 1 if now == last else 1
+    return last
+
+
 class Fleet:
     """So many machines, and clients of them in this process. `some` of the clients take NAME, the others
     OTHER.
@@ -331,7 +348,7 @@
             await fleet.all_have(version)
             made.update(_between(before, await fleet.read(), "start"))
             made["memory"] = sum(one.resident() for one in fleet.machines) / machines
-            made["descriptors"] = sum(one.descriptors() for one in fleet.machines) / machines
+            made["descriptors"] = sum([await standing(one.descriptors) for one in fleet.machines]) / machines
             made.update(await _rest(fleet, beats))
             before = await fleet.read()
             version, made["publish.cpu"] = await _published(fleet, body_of(routes, 30))
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -381,6 +381,12 @@
             mean = 2 / (told_play.MACHINES - lost)
             self.assertTrue(mean < fit.slope < 1.15 * mean, fit)
 
+    def test_descriptors_are_read_once_they_stand(self) -> None:
+        """One that was just asked for its figures has the connection of who asked for a moment more."""
+        told = iter([15.0, *[14.0] * 3, 15.0, *[14.0] * 40])
+        self.assertEqual(14.0, asyncio.run(control_play.standing(lambda: next(told))))
+        self.assertEqual(40 - control_play.ALIKE, len(list(told)))
+
     def test_real_machines_send_each_proxy_as_much_whatever_their_number(self) -> None:
         """Two processes with four and with twelve proxies, over sockets. What each one more is sent beside
         beats: as it starts the body of one and, where it has not told that it has it, the offer of the other;
