--- a/pepperusher/capacity/attempts.py
+++ b/pepperusher/capacity/attempts.py
@@ -16,7 +16,7 @@
 from pepperusher.capacity.stage import SECOND
 from pepperusher.facade import SEND, Facade
 from pepperusher.ground import ground
-from pepperusher.net.discovery import endpoint_update_of
+from pepperusher.net.endpoint_update import endpoint_update_of
 
 # A service's own work, and how long a client at the top waits.
 WORK, WAITS = 1_000, 2 * SECOND
--- a/pepperusher/capacity/decisions.py
+++ b/pepperusher/capacity/decisions.py
@@ -21,7 +21,8 @@
 from pepperusher.net.backends import Backends
 from pepperusher.net.budget import Budget
 from pepperusher.net.buffers import Pool
-from pepperusher.net.discovery import Discovery, endpoint_update_of
+from pepperusher.net.discovery import Discovery
+from pepperusher.net.endpoint_update import endpoint_update_of
 from pepperusher.net.log import Log
 from pepperusher.own import reading
 from pepperusher.policy import Balancer
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import json
-from collections.abc import Callable, Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from random import Random
-from typing import Any, NamedTuple, Protocol
+from typing import Any, Protocol
 
 import h11
 
 from pepperusher.entry import Entry, Narrow
 from pepperusher.net import clock
+from pepperusher.net.endpoint_update import GONE, BadList, EndpointUpdate, complete_objects, endpoint_update_of, merged, text_of_address
 from pepperusher.net.line import Line, reach
 from pepperusher.net.log import Log
 from pepperusher.net.message import HEAD, Request, framed_request
@@ -49,13 +49,6 @@
 SLOWEST = 128 * 1024
 # One line of a watch; more is no list.
 LONGEST = 8 * 1024 * 1024
-DECODER = json.JSONDecoder()
-# The address of a backend that is gone.
-GONE = ("", 0)
-
-
-class BadList(ValueError):
-    """Not a list of backends; the text says what is wrong."""
 
 
 class Silent(Exception):
@@ -70,68 +63,6 @@
         self.kept = kept
 
 
-class EndpointUpdate(NamedTuple):
-    version: int
-    whole: bool
-    entries: list[Entry]
-    addresses: list[tuple[str, int]]
-
-
-def address_of(text: Any) -> tuple[str, int]:
-    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not colon or not host or not port.isdecimal() or not 0 < int(port) < 65536:
-        raise BadList(f"{text!r} is not an address and port")
-    return host.strip("[]"), int(port)
-
-
-def text_of_address(address: tuple[str, int]) -> str:
-    return f"[{address[0]}]:{address[1]}" if ":" in address[0] else f"{address[0]}:{address[1]}"
-
-
-def endpoint_update_of(told: Any) -> EndpointUpdate:
-    if not isinstance(told, dict) or not isinstance(told.get("servers"), list):
-        raise BadList("is not an object with servers")
-    entries, addresses = [], []
-    for one in told["servers"]:
-        if not isinstance(one, dict) or not isinstance(one.get("id"), str):
-            raise BadList("has a server without an id")
-        name = one["id"]
-        weight, cell, started = one.get("weight", 1.0), one.get("cell", 0), one.get("started_ms", 0)
-        for value, kind in ((weight, (int, float)), (cell, int), (started, (int, float))):
-            if isinstance(value, bool) or not isinstance(value, kind) or not abs(value) < 1e15:
-                raise BadList(f"{name}: {value!r} is not a number")
-        gone = one.get("state") == "gone"
-        addresses.append(GONE if gone else address_of(one.get("addr")))
-        entries.append(Entry(name, str(one.get("zone", "")), cell, weight if weight > 0 else 1.0,
-                             round(started * 1000), one.get("state") == "ready", str(one.get("kind", "")), gone))
-    version = told.get("version", 0)
-    if not isinstance(version, int):
-        raise BadList("has a version that is not a number")
-    return EndpointUpdate(version, told.get("full") is True, entries, addresses)
-
-
-def _together(lines: Iterable[EndpointUpdate]) -> Iterator[EndpointUpdate]:
-    """Changes that came at once, as one: each alone would lay the ring anew. A whole list stands by
-    itself."""
-    held: EndpointUpdate | None = None
-    try:
-        for update in lines:
-            if held is not None and not update.whole and update.version >= held.version:
-                held = EndpointUpdate(update.version, held.whole, [*held.entries, *update.entries],
-                                      [*held.addresses, *update.addresses])
-                continue
-            if held is not None:
-                yield held
-            held = update
-    except BadList:
-        # What came whole before it counts.
-        if held is not None:
-            yield held
-        raise
-    if held is not None:
-        yield held
-
-
 class Decides(Protocol):
     """What a list is told to, and what says when to ask again: a proxy's decisions, or a control machine's part for
     it."""
@@ -482,10 +413,10 @@
                 if len(text) > LONGEST:
                     raise BadList("a line is too long")
                 if b"\n" in event.data:
-                    told, rest, bad = _whole(text)
+                    told, rest, bad = complete_objects(text)
                     if told or not rest and bad is None:
                         source.spoken_by(call)
-                    for update in _together(map(self._update, told)):
+                    for update in merged(map(self._update, told)):
                         self._speaks(update, source, first, asked)
                         first = False
                     if bad is not None:
@@ -540,22 +471,3 @@
 
 def _words(error: BaseException) -> str:
     return f"{error}" if isinstance(error, (Silent, Refused)) else f"{type(error).__name__} {error}".strip()
-
-
-def _whole(text: bytes | bytearray) -> tuple[list[Any], bytes, BadList | None]:
-    """What stands whole in `text`, the rest that has no end yet, and what is wrong behind what came whole. An object may stand
-    in several lines, none of them empty: an empty one says that the watch lives, and so that the object was cut short."""
-    held, newline, rest = bytes(text).rpartition(b"\n")
-    found: list[Any] = []
-    try:
-        told = held.decode()
-        while told := told.lstrip():
-            one, end = DECODER.raw_decode(told)
-            found.append(one)
-            told = told[end:]
-    except ValueError as error:
-        # At the end of a line no word is cut: what is only not whole yet fails behind all that has come.
-        if isinstance(error, json.JSONDecodeError) and error.pos >= len(told.rstrip()) and "\n\n" not in told + "\n":
-            return found, told.encode() + newline + rest, None
-        return found, b"", BadList(f"a line {error}")
-    return found, rest, None
--- /dev/null
+++ b/pepperusher/net/endpoint_metrics.py
@@ -0,0 +1,30 @@
+"""What a proxy counts of its calls to discovery, and of the age of the list that it goes by."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(slots=True)
+class EndpointMetrics:
+    """Counts since the start; times are seconds of the loop's clock.
+
+    `given_up` are calls that were closed before they had an answer, of which `unread` had bytes of one waiting.
+    `overdue` counts the times that the list was not confirmed within its term, and `sent_overdue` the requests that
+    went to a backend meanwhile: each of these may have gone to one that drains.
+    """
+
+    calls: int = 0
+    refused: int = 0
+    given_up: int = 0
+    unread: int = 0
+    lost: int = 0
+    overdue: int = 0
+    sent_overdue: int = 0
+    longest_unconfirmed: float = 0.0
+
+    def line(self) -> str:
+        """For the log, in words that docs/on-call.md explains."""
+        return (f"list: {self.calls} calls, {self.refused} refused, {self.given_up} given up ({self.unread} with words unread),"
+                f" {self.lost} watches lost, {self.longest_unconfirmed:.1f} s unconfirmed at the longest,"
+                f" {self.overdue} times overdue, {self.sent_overdue} requests sent meanwhile")
--- a/pepperusher/net/endpoint_relay.py
+++ b/pepperusher/net/endpoint_relay.py
@@ -16,7 +16,7 @@
 from pepperusher.distribution.words import ENDPOINTS, Key, Resource, Word
 from pepperusher.net import clock
 from pepperusher.net.companion import Host
-from pepperusher.net.discovery import BadList, EndpointUpdate, endpoint_update_of
+from pepperusher.net.endpoint_update import BadList, EndpointUpdate, endpoint_update_of
 
 # Its timer came later than that: the process stood still, and what waits in its sockets is read before a word counts
 # as missing.
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -20,7 +20,8 @@
 from pepperusher.net.buffers import Pool
 from pepperusher.net.callers import SHY, Call, Callers
 from pepperusher.net.companion import Companion
-from pepperusher.net.discovery import Discovery, address_of, endpoint_update_of, text_of_address
+from pepperusher.net.discovery import Discovery
+from pepperusher.net.endpoint_update import address_of, endpoint_update_of, text_of_address
 from pepperusher.net.exchange import PASSED_ON, Attempt, Placed
 from pepperusher.net.log import Log
 from pepperusher.net.message import Answer, Headers, Request, end_to_end, plain
--- a/pepperusher/net/told.py
+++ b/pepperusher/net/told.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from pepperusher.ground import GroundError, ground, part, span
-from pepperusher.net.discovery import BadList, EndpointUpdate, address_of, endpoint_update_of
+from pepperusher.net.endpoint_update import BadList, EndpointUpdate, address_of, endpoint_update_of
 from pepperusher.terms import Ground
 
 SOCKETS = 1024
--- a/pepperusher/rehearsal/hollow.py
+++ b/pepperusher/rehearsal/hollow.py
@@ -29,7 +29,8 @@
 from pepperusher.net import clock
 from pepperusher.net.backends import Backends
 from pepperusher.net.companion import Companion, Host, Narrow
-from pepperusher.net.discovery import GONE, Discovery, EndpointUpdate, Source, endpoint_update_of
+from pepperusher.net.discovery import Discovery, Source
+from pepperusher.net.endpoint_update import GONE, EndpointUpdate, endpoint_update_of
 from pepperusher.net.log import Log
 from pepperusher.net.proxy import STILL_COMING, SWEEP_EVERY, Proxy
 from pepperusher.net.told import Told
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,7 +8,8 @@
 from collections import Counter
 from unittest import mock
 
-from pepperusher.net.discovery import START_SPREAD, endpoint_update_of
+from pepperusher.net.discovery import START_SPREAD
+from pepperusher.net.endpoint_update import endpoint_update_of
 from pepperusher.rehearsal.askers import Asker
 from tests.scene import SETTINGS, Street
 
--- a/tests/test_relayed_list.py
+++ b/tests/test_relayed_list.py
@@ -9,7 +9,7 @@
 from pepperusher.distribution.relay import Relay
 from pepperusher.distribution.words import Version
 from pepperusher.net import clock
-from pepperusher.net.discovery import EndpointUpdate, endpoint_update_of
+from pepperusher.net.endpoint_update import EndpointUpdate, endpoint_update_of
 from tests.scene import Street
 
 
