Log and count calls for the list: which, how old, why they ended, and a list past its term

A call is a small object beside its task. Two tests cut a log line at its figures, which hold ports and times: what they compare of it is as before; the trace of a silent watch has the new line 'list confirmed'.

--- a/pepperusher/distribution/relay.py
+++ b/pepperusher/distribution/relay.py
@@ -141,5 +141,5 @@
             "relay watch": "stands" if self._discovery.watched else "lost",
             "relay word age us": -1 if self._last_at is None else max(0, clock.now() - self._last_at),
             "relay words": self.words,
-            "relay calls": self._discovery.calls,
+            "relay calls": self._discovery.metrics.calls,
         }
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -12,6 +12,7 @@
 from pepperusher.entry import Entry, Narrow
 from pepperusher.net import clock
 from pepperusher.net.endpoint_update import GONE, BadList, EndpointUpdate, complete_objects, endpoint_update_of, merged, text_of_address
+from pepperusher.net.endpoint_metrics import EndpointMetrics
 from pepperusher.net.line import Line, reach
 from pepperusher.net.log import Log
 from pepperusher.net.message import HEAD, Request, framed_request
@@ -44,6 +45,12 @@
 # Those that are started together with a list that they were given ask within so long, by chance: they are as many as
 # discovery had callers, and come while those that lost their watches still wait.
 START_SPREAD = 2.0
+# What a list that is not confirmed may lack counts as told so long after a new configuration, or after a watch's last
+# word, in seconds (PROTOCOL, SIGHUP; STANDING, one clock for silence).
+RECONFIGURED_TERM = 4.0
+LOST_TERM = 6.0
+# So many endpoints are named in a line of the log at the most.
+NAMED_MOST = 8
 # A line that has begun is whole as soon as that, and a second later for each so many bytes that came: discovery may
 # drip, or stop in the middle, and each byte alone is in time.
 SLOWEST = 128 * 1024
@@ -82,6 +89,33 @@
     def only(self, names: set[str]) -> None: ...
 
 
+class Call:
+    """One request for the watch, from when it goes out until its connection ends. Times are the loop's, in seconds."""
+
+    __slots__ = ("number", "address", "asked_at", "line", "spoken", "task")
+
+    def __init__(self, number: int, address: tuple[str, int], asked_at: float) -> None:
+        self.number = number
+        self.address = address
+        self.asked_at = asked_at
+        self.line: Line | None = None   # once the connection is up
+        self.spoken = False
+        self.task: asyncio.Task[str]
+
+    def described(self, now: float) -> str:
+        return f"call {self.number} to {text_of_address(self.address)}, {now - self.asked_at:.2f} s old"
+
+    @property
+    def unread(self) -> int:
+        """Bytes that came and were not looked at."""
+        return self.line.unread if self.line is not None else 0
+
+    def drop(self) -> None:
+        self.task.cancel()
+        # It may have failed in the same turn of the loop: nobody asks with what.
+        self.task.add_done_callback(lambda over: over.cancelled() or over.exception())
+
+
 class Source:
     """Discovery at one address. Each counts versions of its own; None is one that has told nothing yet."""
 
@@ -95,8 +129,8 @@
         self.following: asyncio.Task[None]
         # Out and not over, the oldest first, `ABREAST` at the most; several only while none has spoken, and
         # then that one is the watch.
-        self.calls: list[asyncio.Task[str]] = []
-        self.watch: asyncio.Task[str] | None = None
+        self.calls: list[Call] = []
+        self.watch: Call | None = None
         self.asked_at = 0.0   # when the newest call went out, in seconds of the loop's clock
         # Since the last word it was silence that ended a watch, and no call was refused, reset or failed.
         self.silent = False
@@ -107,17 +141,18 @@
         """When another call goes out beside those without a word, before the spread over proxies."""
         return self.asked_at + (SILENT if self.silent else FIRST_WITHIN)
 
-    def spoken_by(self, call: asyncio.Task[str]) -> None:
-        """It is the watch from here on. The others end before a word of theirs is read: it might be older."""
+    def spoken_by(self, call: Call) -> list[Call]:
+        """It is the watch from here on. The others, which are returned, are to end before a word of theirs is read: it
+        might be older."""
         self.silent = False
-        if self.watch is None:
-            self.watch = call
-            for other in self.calls:
-                if other is not call:
-                    _drop(other)
-            self.calls = [call]
-
-    def over(self, call: asyncio.Task[str]) -> bool:
+        if self.watch is not None:
+            return []
+        self.watch = call
+        others = [other for other in self.calls if other is not call]
+        self.calls = [call]
+        return others
+
+    def over(self, call: Call) -> bool:
         """Whether it was still counted on."""
         if call not in self.calls:
             return False
@@ -151,7 +186,12 @@
         self._borrowed = False
         # Where the list comes from elsewhere: set while discovery is to be asked. None where nothing else tells it.
         self._asks: asyncio.Event | None = None
-        self.calls = 0   # that went out
+        self.metrics = EndpointMetrics()
+        self._unconfirmed_since: float | None = None   # by the loop's clock; None while a watch stands
+        # When a list that is not confirmed counts as told whatever came; None while a watch stands, before the first
+        # call, and once that was counted.
+        self._due_at: float | None = None
+        self._overdue = False
         self.on_word: Callable[[], None] | None = None   # a watch has spoken; what it told stands in the list
 
     def take(self, update: EndpointUpdate, source: Source | None = None) -> None:
@@ -161,6 +201,7 @@
             # beside them is gone.
             update, self._borrowed = update._replace(whole=True), False
         source.version = update.version
+        self._say_changes(update, source)
         if update.whole:
             self._told.clear()
         for entry, address in zip(update.entries, update.addresses):
@@ -171,6 +212,21 @@
             if address == GONE:
                 self._told.pop(entry.id, None)
 
+    def _say_changes(self, update: EndpointUpdate, source: Source) -> None:
+        """Which endpoints are to have nothing more from here on, or may have it again, and by which word."""
+        stopped, back = [], []
+        for entry in update.entries:
+            known, _ = self._told.get(entry.id, (None, GONE))
+            if known is not None and known.ready != entry.ready:
+                (back if entry.ready else stopped).append(f"{entry.id} {'ready again' if entry.ready else 'gone' if entry.gone else 'draining'}")
+        if update.whole:
+            named = {entry.id for entry in update.entries}
+            stopped += [f"{name} not listed" for name, (known, _) in self._told.items() if known.ready and name not in named]
+        changes = stopped + back
+        if changes:
+            more = f" and {len(changes) - NAMED_MOST} more" if len(changes) > NAMED_MOST else ""
+            self._log.say(f"version {update.version} of {text_of_address(source.address)}: {', '.join(changes[:NAMED_MOST])}{more}")
+
     def put(self, entries: list[Entry], whole: bool = False, past: int = 0) -> None:
         """Lines to be acted on, once those who narrow them had their say; the first `past` of these had it.
         What is drained by a mark or an order has no connection kept either."""
@@ -227,8 +283,7 @@
             self._asks = asyncio.Event()
         self._asks.clear()
         for source in (self._source, *self._replaced):
-            for call in source.calls:
-                _drop(call)
+            self._give_up(source.calls, "another tells the list")
             source.calls, source.watch = [], None
 
     def ask(self) -> None:
@@ -269,6 +324,49 @@
         self._source.following.cancel()
         self._let_go()
 
+    def sent(self, request: str, endpoint: str) -> None:
+        """The request of this id goes out to that endpoint, by the list as it stands."""
+        if self.overdue:
+            self.metrics.sent_overdue += 1
+            self._log.say(f"request {request} goes to {endpoint} by a list past its term")
+
+    @property
+    def overdue(self) -> bool:
+        """Whether the list is not confirmed and past its term: what it lacks counts as told."""
+        if self._due_at is not None and asyncio.get_running_loop().time() > self._due_at:
+            self._due_at, self._overdue = None, True
+            self.metrics.overdue += 1
+            self._log.say("list past its term; not confirmed yet")
+        return self._overdue
+
+    def _expect(self, within: float) -> None:
+        """The list is not confirmed from here on, and what it may lack counts `within` seconds from now at the latest."""
+        now = asyncio.get_running_loop().time()
+        if self._unconfirmed_since is None:
+            self._unconfirmed_since = now
+        if not self._overdue:
+            self._due_at = min(self._due_at or now + within, now + within)
+
+    def _confirmed(self) -> None:
+        if self._unconfirmed_since is not None:
+            now = asyncio.get_running_loop().time()
+            lasted = now - self._unconfirmed_since
+            self.metrics.longest_unconfirmed = max(self.metrics.longest_unconfirmed, lasted)
+            by = f" by {self._source.watch.described(now)}" if self._source.watch is not None else ""
+            self._log.say(f"list confirmed; after {lasted:.2f} s{', past its term' if self.overdue else ''}{by}")
+        self._unconfirmed_since, self._due_at, self._overdue = None, None, False
+
+    def _give_up(self, calls: Iterable[Call], why: str) -> None:
+        """Closes them with what may wait there unread."""
+        now = asyncio.get_running_loop().time()
+        for call in calls:
+            if not call.spoken:
+                self.metrics.given_up += 1
+                self.metrics.unread += bool(call.unread)
+            if not call.spoken or call.unread:
+                self._log.say(f"{call.described(now)}, is given up, {call.unread} bytes unread: {why}")
+            call.drop()
+
     def go_on(self, address: tuple[str, int], update: EndpointUpdate) -> None:
         """Before its start: from another process's list, told at that address."""
         self._source = Source(address, 0)
@@ -279,8 +377,10 @@
         told."""
         if address == self._source.address:
             return
+        self._expect(RECONFIGURED_TERM)
         if self._source.version is None:
             # Of several configurations one after another the last counts.
+            self._give_up(self._source.calls, "a newer configuration")
             self._source.following.cancel()
         else:
             self._replaced.append(self._source)
@@ -289,7 +389,9 @@
 
     def _let_go(self) -> None:
         while self._replaced:
-            self._replaced.pop().following.cancel()
+            replaced = self._replaced.pop()
+            self._give_up(replaced.calls, "the new one has told")
+            replaced.following.cancel()
 
     async def _follow(self, source: Source, at_once: bool) -> None:
         """Watches for as long as the proxy lives, asking again when the decisions say, and beside calls that
@@ -310,13 +412,13 @@
                 if not source.calls:
                     await asyncio.sleep(wait or 0.0)
                     continue
-                ended, _ = await asyncio.wait(source.calls, timeout=wait, return_when=asyncio.FIRST_COMPLETED)
-                for call in ended:
-                    if source.over(call):
-                        at_once = self._ended(call, source)
+                await asyncio.wait([call.task for call in source.calls], timeout=wait, return_when=asyncio.FIRST_COMPLETED)
+                for call in [call for call in source.calls if call.task.done()]:
+                    source.over(call)
+                    at_once = self._ended(call, source)
         finally:
             for call in source.calls:
-                _drop(call)
+                call.drop()
 
     def _wait(self, source: Source) -> float:
         """Seconds till the next call."""
@@ -331,23 +433,32 @@
     def _call(self, source: Source) -> None:
         if source.calls:
             self._log.say(f"no word of the watch, calls out: {len(source.calls)}")
-        for call in source.calls[:max(0, len(source.calls) - ABREAST + 1)]:
-            source.over(call)
-            _drop(call)
+        oldest = source.calls[:max(0, len(source.calls) - ABREAST + 1)]
+        for old in oldest:
+            source.over(old)
+        self._give_up(oldest, "too many calls out")
         loop = asyncio.get_running_loop()
-        self.calls += 1
+        self.metrics.calls += 1
         source.asked_at = loop.time()
-        source.calls.append(loop.create_task(self._watch(source)))
+        call = Call(self.metrics.calls, source.address, source.asked_at)
+        call.task = loop.create_task(self._watch(source, call))
+        source.calls.append(call)
 
-    def _ended(self, call: asyncio.Task[str], source: Source) -> bool:
+    def _ended(self, call: Call, source: Source) -> bool:
         """Whether the next is to go out at once."""
-        error = call.exception()
-        self._log.say(f"watch ended: {call.result() if error is None else _words(error)}")
+        error = call.task.exception()
+        now = asyncio.get_running_loop().time()
+        self._log.say(f"watch ended: {call.task.result() if error is None else _words(error)}; {call.described(now)}")
+        self.metrics.lost += call.spoken
+        self.metrics.refused += not call.spoken
         source.silent = isinstance(error, Silent)
         # The end of one that is replaced is expected, and says nothing of the new one.
         if source is not self._source:
             return False
         self._lost = True
+        if call.spoken:
+            # Counted from its last word.
+            self._expect(LOST_TERM - (SILENT + self._spread if source.silent else 0.0))
         # Those that are still out keep their places, and none goes out for the one that ended.
         if source.calls:
             return False
@@ -360,13 +471,13 @@
             source.paused_till = asyncio.get_running_loop().time() + pause
         return source.silent
 
-    async def _watch(self, source: Source) -> str:
+    async def _watch(self, source: Source, call: Call) -> str:
         async with asyncio.timeout(CONNECT_WITHIN):
-            line = await reach(source.address)
+            line = call.line = await reach(source.address)
         loop = asyncio.get_running_loop()
         asked_at = loop.time()
         try:
-            return await self._read(line, source)
+            return await self._read(line, source, call)
         except Refused as refused:
             refused.kept = loop.time() - asked_at
             raise
@@ -377,7 +488,7 @@
         finally:
             line.abort()
 
-    async def _read(self, line: Line, source: Source) -> str:
+    async def _read(self, line: Line, source: Source, call: Call) -> str:
         parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD)
         host = f"{source.address[0]}:{source.address[1]}".encode()
         # Versions of another address mean nothing here, nor those of before a new beginning: without one the whole list
@@ -391,8 +502,6 @@
         loop = asyncio.get_running_loop()
         until: float | None = None   # a call waits its turn till it is given up for another
         spoke_at = 0.0               # its head or last line; a part of one is no word
-        call = asyncio.current_task()
-        assert call is not None
         while True:
             event = parser.next_event()
             if event is h11.NEED_DATA:
@@ -415,7 +524,7 @@
                 if b"\n" in event.data:
                     told, rest, bad = complete_objects(text)
                     if told or not rest and bad is None:
-                        source.spoken_by(call)
+                        self._spoke(call, source)
                     for update in merged(map(self._update, told)):
                         self._speaks(update, source, first, asked)
                         first = False
@@ -430,6 +539,11 @@
             else:
                 return "closed"
 
+    def _spoke(self, call: Call, source: Source) -> None:
+        """Something whole came by it."""
+        call.spoken = True
+        self._give_up(source.spoken_by(call), "another call has told")
+
     def _speaks(self, update: EndpointUpdate, source: Source, first: bool, asked: int | None) -> None:
         """One word of a watch. Within one versions only rise: what is older came late, and would lift a drain. With its first
         word a discovery that has started again may well be behind; then only a whole list tells where it stands."""
@@ -449,6 +563,7 @@
         """The watch lives. Where it has nothing new that has to be told all the same: the decisions ask later after each
         watch that ended, and would go on from the failures of days ago."""
         self._heard.set()
+        self._confirmed()
         if self._lost:
             self._lost = False
             self._facade.listed((), False, clock.now())
@@ -463,11 +578,5 @@
             raise BadList(f"a line {error}") from None
 
 
-def _drop(call: asyncio.Task[str]) -> None:
-    call.cancel()
-    # It may have failed in the same turn of the loop: nobody asks with what.
-    call.add_done_callback(lambda over: over.cancelled() or over.exception())
-
-
 def _words(error: BaseException) -> str:
     return f"{error}" if isinstance(error, (Silent, Refused)) else f"{type(error).__name__} {error}".strip()
--- a/pepperusher/net/endpoint_relay.py
+++ b/pepperusher/net/endpoint_relay.py
@@ -145,7 +145,7 @@
             "word_us_ago": self._source.age(now),
             "version": self._number,
             "watched": self._host.discovery.watched,
-            "discovery_calls": self._host.discovery.calls,
+            "discovery_calls": self._host.discovery.metrics.calls,
             "left": self._source.left,
             "returned": self._source.returned,
         }
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -290,7 +290,7 @@
         placed = Placed(lambda: not call.gone() and self._facade.stands(ticket, clock.now()), lambda: call.left,
                         lambda: self._facade.aside(ticket, clock.now()), lambda: self._facade.back(ticket, clock.now()),
                         lambda: self._facade.remaining(ticket, clock.now()))
-        how, answer, end = "", None, "left"
+        how, answer, end, attempts = "", None, "left", 0
         try:
             step = self._facade.pick(ticket, clock.now())
             while step.what in (SEND, HOLD):
@@ -314,6 +314,10 @@
                             shelf.ended(use_case, mark, kept, how)
                         step = self._facade.report(ticket, how, clock.now(), False)
                         continue
+                if attempts:
+                    self._count("retried")
+                attempts += 1
+                self._discovery.sent(told[b"request-id"].decode("latin-1"), step.backend)
                 out = Attempt()
                 patience = step.wait
                 if passed is not None and self._gate is not None:
@@ -605,6 +609,7 @@
         self._log.say(f"since the start: {said or 'nothing yet'}; {self._callers.open} callers,"
                       f" {self._facade.in_hand} tickets in hand, {self._budget.open} connections,"
                       f" timers {self._late} us late" + (f", stood still {self._stood} times" if self._stood else ""))
+        self._log.say(self._discovery.metrics.line())
         for what, count in holds.broken.items():
             self._log.say(f"did not hold {count} times: {what}")
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -84,7 +84,7 @@
                 self.tell(text)
                 await self.until(lambda: len(self.watches) > watches and not self.proxy._discovery._source.following.done())
                 await self.settle()
-                told = [line.split(" line ")[0][:60] for line in self.logged[logged:] if "watch" in line]
+                told = [line.split(" line ")[0].partition(";")[0][:60] for line in self.logged[logged:] if "watch" in line]
                 said.append(f"{what}: {self.listed()}, log {told}")
         await self.ask("look 1", self.request("look", 1))
         said.append(self.lines[-1])
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -691,7 +691,8 @@
         with mock.patch("pepperusher.net.discovery.SILENT", 0.1):
             await self.open("a1")
             await self.until(lambda: len(self.watches) == 2)
-        self.lines += [line for line in self.logged if "watch" in line or "list" in line]
+        # Behind the mark stand figures: which call, and how old.
+        self.lines += [line.partition(";")[0] for line in self.logged if "watch" in line or "list" in line]
         self.kept("net_silent_watch")
 
     async def test_a_backend_long_gone_is_forgotten_while_the_watch_lives(self) -> None:
--- a/tests/test_relayed_list.py
+++ b/tests/test_relayed_list.py
@@ -31,7 +31,7 @@
         self.assertEqual(b"", await asyncio.wait_for(self.heard[0].read(), 5.0))
         discovery.relayed(self.update(7, self.line("a1"), self.line("b1", "draining")), clock.now())
         await asyncio.sleep(1.5)
-        self.assertEqual((1, 1, "a1", 7), (len(self.watches), discovery.calls, self.listed(), discovery.version))
+        self.assertEqual((1, 1, "a1", 7), (len(self.watches), discovery.metrics.calls, self.listed(), discovery.version))
         self.assertFalse([line for line in self.logged if "watch ended" in line])
         self.assertFalse(self.proxy.facade._balancer._list_lost)
         discovery.ask()
@@ -48,7 +48,7 @@
         discovery.ask()
         discovery.rest()
         await asyncio.sleep(0.5)
-        self.assertEqual((1, 1, False), (len(self.watches), discovery.calls, discovery.watched))
+        self.assertEqual((1, 1, False), (len(self.watches), discovery.metrics.calls, discovery.watched))
         discovery.ask()
         await self.until(lambda: discovery.watched)
 
