--- /dev/null
+++ b/tests/test_new_configurations.py
@@ -0,0 +1,60 @@
+"""A drain is kept while new configurations move discovery: whole proxies as processes, SIGHUP, and faults at discovery."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.reconfiguration_scene import REACHED_TERM, RECONFIGURED_TERM, ReconfigurationScene
+
+
+class InARow(ReconfigurationScene):
+    """Incident 47: each new configuration comes before the call of the one before was answered."""
+
+    ADDRESSES = 8
+
+    async def test_a_row_of_new_configurations_does_not_put_off_what_discovery_has_to_tell(self) -> None:
+        """Each answer takes 1.2 s, and each 0.9 s another address is to be asked: every call was given up 0.3 s before
+        its answer, and its place in the queue with it."""
+        for address in self.addresses:
+            address.delay = 1.2
+        began = self.now()
+        self.addresses[0].held = True  # what the old watch has to tell comes late
+        self.discovery.change("b0", "draining")
+        for number in range(1, self.ADDRESSES):
+            self.reconfigure_all(number)
+            await self.until(began + 0.9 * number)
+        await self.until(began + REACHED_TERM + 2.0)
+        self.assert_drained("b0", began + RECONFIGURED_TERM)
+
+
+class Refused(ReconfigurationScene):
+    """Incident 47: discovery refuses calls for a moment after a new configuration, and is slow after that."""
+
+    PROXIES = 6
+
+    async def test_refused_calls_are_made_again_soon_enough_for_the_term_of_a_new_configuration(self) -> None:
+        """The waits doubled as they do after an outage, for which the term is 6 s."""
+        old, new = self.addresses
+        old.refusing = new.refusing = True
+        old.cut()
+        began = self.now()
+        self.discovery.change("b0", "draining")
+        self.reconfigure_all(1)
+        await self.until(began + 1.6)
+        new.refusing, new.delay = False, 2.0
+        await self.until(began + REACHED_TERM + 2.0)
+        self.assert_drained("b0", began + RECONFIGURED_TERM)
+
+    async def test_waits_of_an_outage_are_not_carried_over_to_a_new_address(self) -> None:
+        """After 6 s of refusals the old address was asked every 1.25 to 2.5 s, and so was the new one."""
+        old, new = self.addresses
+        old.refusing = new.refusing = True
+        old.cut()
+        await asyncio.sleep(6.0)
+        began = self.now()
+        self.discovery.change("b0", "draining")
+        self.reconfigure_all(1)
+        await self.until(began + 1.2)
+        new.refusing, new.delay = False, 2.7
+        await self.until(began + REACHED_TERM + 2.0)
+        self.assert_drained("b0", began + RECONFIGURED_TERM)
