New configurations keep the calls that are out, and refused calls are made again within the term

Cause: the schedule of calls for the list knew one term, the 6 s after an outage, and a transport event threw away what it had of the call before it. A new configuration gave up the call of the configuration before (its place in discovery's queue, and an answer on its way, which counts as told); refusals were followed ever later, up to 2.5 s, a doubling that the new address inherited, where the term after SIGHUP is 4 s.

Change: all that is out when a configuration comes stays out until the new address has told, and of it only what is newer than the list is taken; a call that loses its place to another is read on for 0.25 s; while a term runs refused calls follow after 0.1 to 0.5 s, at each address anew, and the first call of a term has another beside it after 2.5 to 3 s; while a call waits elsewhere a new address is asked 0.5 s later, against a queue filled by ourselves; a process that takes another's place asks at once (its term is 2 s, it asked within 2 s by chance); what a newer list has stopped an older one does not lift for 6 s, unless nobody would be left. Decisions on when to call are in net/call_schedule.py, without I/O.

Two tests stated the fault and are replaced by stricter ones: of two calls that speak the newer word stands (the first did, whatever the other had written), and an address that was replaced is heard until the newest has told (it was left at once).

--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -10,45 +10,30 @@
 import h11
 
 from pepperusher.entry import Entry, Narrow
-from pepperusher.net import clock
+from pepperusher.net import call_schedule, clock
+from pepperusher.net.call_schedule import CallSchedule
+from pepperusher.net.discovery_source import ABREAST, Call, Refused, Silent, Source
 from pepperusher.net.endpoint_update import GONE, BadList, EndpointUpdate, complete_objects, endpoint_update_of, merged, text_of_address
 from pepperusher.net.endpoint_metrics import EndpointMetrics
 from pepperusher.net.line import Line, reach
+from pepperusher.net.list_confirmation import ListConfirmation
 from pepperusher.net.log import Log
 from pepperusher.net.message import HEAD, Request, framed_request
+from pepperusher.net.stopped_endpoints import StoppedEndpoints
 
 CONNECT_WITHIN = 1.5
-# An empty line comes every 2 s: a watch with no line for longer is dead, whatever its connection says. What it
-# misses is held against this proxy 6 s after its last line, and by then another watch has to have told it: after
-# 4.5 s, and a wait of up to 500 ms, a call that stood 2.8 s in discovery's queue was too late. The second figure is
-# spread over proxies, since all watches may fall silent at once; asked is then without a further wait.
-SILENT = 2.5
-SPREAD = 0.5
-# Calls wait in turn at discovery, and one that waits looks like one that is lost: it is never left to begin
-# anew at the queue's end. Another goes out beside it, since a change counts 6 s after discovery had it and
-# could be reached. After a silence the call is most likely lost as well: the next goes out when that lasted
-# as long as makes a watch dead. After a failure, or where nothing is known, a queue of many callers is as
-# likely, and each call more makes it longer for all: the next goes out so late that it leaves 1.5 s for the
-# answer. The spread is added to either.
-FIRST_WITHIN = 4.0
-# As many stand at once: for a fifth the oldest is given up, after a silence 10 s old, otherwise 16 s.
-ABREAST = 4
-# A call that was kept so long and then refused stood in a queue that is longer than discovery lets anybody wait,
-# and is worked through all the same: once all that it works through was refused before, calls that come again
-# soon, and all at the same time, keep it so for good. So the next goes out by chance within 2.5 times as long,
-# not in the first tenth of that: far enough apart that the calls of a crowd come one after another. Within 6 s of
-# the one refused, since it may have gone out just before discovery could be reached, and a change counts so long
-# after; but never in haste for having been kept for longer.
-KEPT_LONG = 1.0
-PAUSE, PAUSE_LEAST = 2.5, 0.1
-APART_MOST = 6.0
 # Those that are started together with a list that they were given ask within so long, by chance: they are as many as
 # discovery had callers, and come while those that lost their watches still wait.
 START_SPREAD = 2.0
 # What a list that is not confirmed may lack counts as told so long after a new configuration, or after a watch's last
-# word, in seconds (PROTOCOL, SIGHUP; STANDING, one clock for silence).
+# word, or after this process took another's place and was ready, in seconds (PROTOCOL, SIGHUP; STANDING, one clock
+# for silence; DAYS, replacing the process).
 RECONFIGURED_TERM = 4.0
 LOST_TERM = 6.0
+TAKEN_OVER_TERM = 2.0
+# A new address is asked so many seconds later while a call at the one before waits for its turn. That is under
+# a third of the time for which an address stays open once it is replaced.
+WAITS_ELSEWHERE = 0.5
 # So many endpoints are named in a line of the log at the most.
 NAMED_MOST = 8
 # A line that has begun is whole as soon as that, and a second later for each so many bytes that came: discovery may
@@ -58,18 +43,6 @@
 LONGEST = 8 * 1024 * 1024
 
 
-class Silent(Exception):
-    """A watch that was answered says no more."""
-
-
-class Refused(Exception):
-    """A call that ended without an answer, or with another than a watch, `kept` seconds after it was asked."""
-
-    def __init__(self, why: str, kept: float) -> None:
-        super().__init__(why)
-        self.kept = kept
-
-
 class Decides(Protocol):
     """What a list is told to, and what says when to ask again: a proxy's decisions, or a control machine's part for
     it."""
@@ -89,96 +62,27 @@
     def only(self, names: set[str]) -> None: ...
 
 
-class Call:
-    """One request for the watch, from when it goes out until its connection ends. Times are the loop's, in seconds."""
-
-    __slots__ = ("number", "address", "asked_at", "line", "spoken", "task")
-
-    def __init__(self, number: int, address: tuple[str, int], asked_at: float) -> None:
-        self.number = number
-        self.address = address
-        self.asked_at = asked_at
-        self.line: Line | None = None   # once the connection is up
-        self.spoken = False
-        self.task: asyncio.Task[str]
-
-    def described(self, now: float) -> str:
-        return f"call {self.number} to {text_of_address(self.address)}, {now - self.asked_at:.2f} s old"
-
-    @property
-    def unread(self) -> int:
-        """Bytes that came and were not looked at."""
-        return self.line.unread if self.line is not None else 0
-
-    def drop(self) -> None:
-        self.task.cancel()
-        # It may have failed in the same turn of the loop: nobody asks with what.
-        self.task.add_done_callback(lambda over: over.cancelled() or over.exception())
-
-
-class Source:
-    """Discovery at one address. Each counts versions of its own; None is one that has told nothing yet."""
-
-    __slots__ = ("address", "version", "begun_anew", "following", "calls", "watch", "asked_at", "silent",
-                 "paused_till")
-
-    def __init__(self, address: tuple[str, int], version: int | None) -> None:
-        self.address = address
-        self.version = version
-        self.begun_anew = False   # its versions start again: what came after ours means nothing there
-        self.following: asyncio.Task[None]
-        # Out and not over, the oldest first, `ABREAST` at the most; several only while none has spoken, and
-        # then that one is the watch.
-        self.calls: list[Call] = []
-        self.watch: Call | None = None
-        self.asked_at = 0.0   # when the newest call went out, in seconds of the loop's clock
-        # Since the last word it was silence that ended a watch, and no call was refused, reset or failed.
-        self.silent = False
-        self.paused_till = 0.0   # no call before, by the same clock: the last was kept for long and refused
-
-    @property
-    def next_at(self) -> float:
-        """When another call goes out beside those without a word, before the spread over proxies."""
-        return self.asked_at + (SILENT if self.silent else FIRST_WITHIN)
-
-    def spoken_by(self, call: Call) -> list[Call]:
-        """It is the watch from here on. The others, which are returned, are to end before a word of theirs is read: it
-        might be older."""
-        self.silent = False
-        if self.watch is not None:
-            return []
-        self.watch = call
-        others = [other for other in self.calls if other is not call]
-        self.calls = [call]
-        return others
-
-    def over(self, call: Call) -> bool:
-        """Whether it was still counted on."""
-        if call not in self.calls:
-            return False
-        self.calls.remove(call)
-        if call is self.watch:
-            self.watch = None
-        return True
-
-
 class Discovery:
     def __init__(self, address: tuple[str, int], facade: Decides, backends: Reaches, log: Log,
                  narrows: Sequence[Narrow] = (), seed: int = 0) -> None:
         self._chance = Random(seed)
-        self._spread = SPREAD * self._chance.random()
+        self._spread = call_schedule.SPREAD * self._chance.random()
         self._heard = asyncio.Event()   # once any watch has spoken
         self._lost = False              # since a watch ended, until another speaks
         # What companions make of each line, in this order: the last has the last word.
         self._narrows = narrows
         # What the list says of each, and where it is reached; emptied with the list.
         self._told: dict[str, tuple[Entry, tuple[str, int]]] = {}
-        self._source = Source(address, 0)
-        # Whom a new configuration has replaced, each with its last watch; emptied when the new one has told,
-        # since
-        # till then an old watch is better than none.
-        self._replaced: list[Source] = []
         self._facade = facade
+        self._source = Source(address, 0, self._schedule())
+        # Whom new configurations have replaced, each with its watch or the calls that wait there: till the new one has
+        # told, these are better than none, and their places in the queue are the older. Emptied then; bounded.
+        self._replaced: list[Source] = []
+        # Who told the list as it stands, and its version there.
+        self._list_source, self._list_version = self._source, 0
+        self._stopped = StoppedEndpoints()
+        # Ready by an older list than the one that stopped them, and taken as draining for now.
+        self._held: dict[str, tuple[Entry, tuple[str, int]]] = {}
         self._backends = backends
         self._log = log
         # When its source last said anything, or that of whom the list was borrowed; None where nobody ever has.
@@ -187,13 +91,18 @@
         # Where the list comes from elsewhere: set while discovery is to be asked. None where nothing else tells it.
         self._asks: asyncio.Event | None = None
         self.metrics = EndpointMetrics()
-        self._unconfirmed_since: float | None = None   # by the loop's clock; None while a watch stands
-        # When a list that is not confirmed counts as told whatever came; None while a watch stands, before the first
-        # call, and once that was counted.
-        self._due_at: float | None = None
-        self._overdue = False
+        self.confirmation = ListConfirmation(self.metrics, log)
+        self._took_over = False   # another process's list
         self.on_word: Callable[[], None] | None = None   # a watch has spoken; what it told stands in the list
 
+    def _schedule(self) -> CallSchedule:
+        return CallSchedule(self._chance, self._backoff)
+
+    def _backoff(self) -> float:
+        """What the decisions say, in seconds."""
+        wait = self._facade.tick(clock.now())
+        return wait / 1e6 if wait >= 0 else 1.0
+
     def take(self, update: EndpointUpdate, source: Source | None = None) -> None:
         source = source or self._source
         if self._borrowed:
@@ -201,7 +110,9 @@
             # beside them is gone.
             update, self._borrowed = update._replace(whole=True), False
         source.version = update.version
+        self._list_source, self._list_version = source, update.version
         self._say_changes(update, source)
+        self._stopped.note(update, {name: entry for name, (entry, _) in self._told.items()}, clock.now())
         if update.whole:
             self._told.clear()
         for entry, address in zip(update.entries, update.addresses):
@@ -283,8 +194,7 @@
             self._asks = asyncio.Event()
         self._asks.clear()
         for source in (self._source, *self._replaced):
-            self._give_up(source.calls, "another tells the list")
-            source.calls, source.watch = [], None
+            self._give_up(source.take_calls(), "another tells the list", at_once=True)
 
     def ask(self) -> None:
         """At once, and from then on as ever."""
@@ -307,9 +217,11 @@
 
     def start(self, at_once: bool = True) -> None:
         """Asks at once, or where there is a list to go by, within START_SPREAD seconds by chance."""
-        if not at_once and self._told:
-            spread = START_SPREAD * self._chance.random()
-            self._source.paused_till = asyncio.get_running_loop().time() + spread
+        now = asyncio.get_running_loop().time()
+        if self._took_over:
+            self._source.schedule.begin_term(now, TAKEN_OVER_TERM)
+        elif not at_once and self._told:
+            self._source.schedule.pause(now + START_SPREAD * self._chance.random())
         self._source.following = asyncio.get_running_loop().create_task(self._follow(self._source, False))
 
     async def told(self, within: float) -> None:
@@ -324,87 +236,75 @@
         self._source.following.cancel()
         self._let_go()
 
-    def sent(self, request: str, endpoint: str) -> None:
-        """The request of this id goes out to that endpoint, by the list as it stands."""
-        if self.overdue:
-            self.metrics.sent_overdue += 1
-            self._log.say(f"request {request} goes to {endpoint} by a list past its term")
-
-    @property
-    def overdue(self) -> bool:
-        """Whether the list is not confirmed and past its term: what it lacks counts as told."""
-        if self._due_at is not None and asyncio.get_running_loop().time() > self._due_at:
-            self._due_at, self._overdue = None, True
-            self.metrics.overdue += 1
-            self._log.say("list past its term; not confirmed yet")
-        return self._overdue
-
-    def _expect(self, within: float) -> None:
-        """The list is not confirmed from here on, and what it may lack counts `within` seconds from now at the latest."""
-        now = asyncio.get_running_loop().time()
-        if self._unconfirmed_since is None:
-            self._unconfirmed_since = now
-        if not self._overdue:
-            self._due_at = min(self._due_at or now + within, now + within)
-
-    def _confirmed(self) -> None:
-        if self._unconfirmed_since is not None:
-            now = asyncio.get_running_loop().time()
-            lasted = now - self._unconfirmed_since
-            self.metrics.longest_unconfirmed = max(self.metrics.longest_unconfirmed, lasted)
-            by = f" by {self._source.watch.described(now)}" if self._source.watch is not None else ""
-            self._log.say(f"list confirmed; after {lasted:.2f} s{', past its term' if self.overdue else ''}{by}")
-        self._unconfirmed_since, self._due_at, self._overdue = None, None, False
-
-    def _give_up(self, calls: Iterable[Call], why: str) -> None:
-        """Closes them with what may wait there unread."""
+    def _give_up(self, calls: Sequence[Call], why: str, at_once: bool = False) -> None:
+        """Others have their places. What was written on them counts as told, so it is read first, unless `at_once`."""
         now = asyncio.get_running_loop().time()
         for call in calls:
             if not call.spoken:
                 self.metrics.given_up += 1
-                self.metrics.unread += bool(call.unread)
-            if not call.spoken or call.unread:
-                self._log.say(f"{call.described(now)}, is given up, {call.unread} bytes unread: {why}")
-            call.drop()
+                self._log.say(f"call given up; {why}: {call.described(now)}")
+            if at_once:
+                call.drop()
+            else:
+                call.leave()
 
     def go_on(self, address: tuple[str, int], update: EndpointUpdate) -> None:
         """Before its start: from another process's list, told at that address."""
-        self._source = Source(address, 0)
+        self._source = Source(address, 0, self._schedule())
+        self._took_over = True
         self.take(update)
 
     def turn_to(self, address: tuple[str, int]) -> None:
-        """A new configuration: asked there at once, while the list and the old watch stand till it has
-        told."""
+        """A new configuration: asked there at once, while the list and all that is out stand till it has told."""
         if address == self._source.address:
             return
-        self._expect(RECONFIGURED_TERM)
-        if self._source.version is None:
-            # Of several configurations one after another the last counts.
-            self._give_up(self._source.calls, "a newer configuration")
-            self._source.following.cancel()
+        self.confirmation.expect(RECONFIGURED_TERM)
+        if self._source.calls:
+            self._replace(self._source)
         else:
-            self._replaced.append(self._source)
-        self._source = Source(address, None)
-        self._source.following = asyncio.get_running_loop().create_task(self._follow(self._source, True))
+            self._source.following.cancel()
+        self._source = Source(address, None, self._schedule())
+        now = asyncio.get_running_loop().time()
+        self._source.schedule.begin_term(now, RECONFIGURED_TERM)
+        if self._waits_elsewhere:
+            # With each of many configurations in a row another call would lengthen the queue that this one stands in.
+            self._source.schedule.pause(now + WAITS_ELSEWHERE)
+        self._source.following = asyncio.get_running_loop().create_task(self._follow(self._source, False))
+
+    @property
+    def _waits_elsewhere(self) -> bool:
+        """Whether a call without a word has a place in the queue by way of an address that was replaced."""
+        return any(not call.spoken for source in self._replaced for call in source.calls)
+
+    def _replace(self, source: Source) -> None:
+        """Of too many the oldest call without a watch goes: its address closes first."""
+        self._replaced.append(source)
+        if len(self._replaced) > ABREAST:
+            self._leave(next((one for one in self._replaced if one.watch is None), self._replaced[0]),
+                        "newer configurations")
+
+    def _leave(self, source: Source, why: str) -> None:
+        self._replaced.remove(source)
+        self._give_up(source.take_calls(), why)
+        source.following.cancel()
 
     def _let_go(self) -> None:
         while self._replaced:
-            replaced = self._replaced.pop()
-            self._give_up(replaced.calls, "the new one has told")
-            replaced.following.cancel()
+            self._leave(self._replaced[0], "the new address has told")
 
     async def _follow(self, source: Source, at_once: bool) -> None:
         """Watches for as long as the proxy lives, asking again when the decisions say, and beside calls that
         have had no word for long."""
         try:
             while source is self._source or source.calls:
-                wait = None
+                wait: float | None = None
                 while self._asks is not None and not self._asks.is_set():
                     # Looked at again: it may have been told to rest since it was woken.
                     await self._asks.wait()
                     at_once = True
                 if source is self._source and source.watch is None:
-                    wait = 0.0 if at_once else self._wait(source)
+                    now = asyncio.get_running_loop().time()
+                    wait = 0.0 if at_once else source.schedule.wait(now, bool(source.calls), self._spread)
                     if wait <= 0:
                         at_once = False
                         self._call(source)
@@ -420,27 +320,17 @@
             for call in source.calls:
                 call.drop()
 
-    def _wait(self, source: Source) -> float:
-        """Seconds till the next call."""
-        if source.calls:
-            return source.next_at + self._spread - asyncio.get_running_loop().time()
-        paused = source.paused_till - asyncio.get_running_loop().time()
-        if paused > 0:
-            return paused
-        wait = self._facade.tick(clock.now())
-        return wait / 1e6 if wait >= 0 else 1.0
-
     def _call(self, source: Source) -> None:
         if source.calls:
             self._log.say(f"no word of the watch, calls out: {len(source.calls)}")
         oldest = source.calls[:max(0, len(source.calls) - ABREAST + 1)]
         for old in oldest:
             source.over(old)
-        self._give_up(oldest, "too many calls out")
+        self._give_up(oldest, "too many calls out", at_once=True)
         loop = asyncio.get_running_loop()
         self.metrics.calls += 1
-        source.asked_at = loop.time()
-        call = Call(self.metrics.calls, source.address, source.asked_at)
+        source.schedule.called(loop.time(), bool(source.calls))
+        call = Call(self.metrics.calls, source.address, loop.time())
         call.task = loop.create_task(self._watch(source, call))
         source.calls.append(call)
 
@@ -451,25 +341,25 @@
         self._log.say(f"watch ended: {call.task.result() if error is None else _words(error)}; {call.described(now)}")
         self.metrics.lost += call.spoken
         self.metrics.refused += not call.spoken
-        source.silent = isinstance(error, Silent)
+        source.schedule.silent = silent = isinstance(error, Silent)
         # The end of one that is replaced is expected, and says nothing of the new one.
         if source is not self._source:
             return False
         self._lost = True
         if call.spoken:
             # Counted from its last word.
-            self._expect(LOST_TERM - (SILENT + self._spread if source.silent else 0.0))
+            self.confirmation.expect(LOST_TERM - (call_schedule.SILENT + self._spread if silent else 0.0))
         # Those that are still out keep their places, and none goes out for the one that ended.
         if source.calls:
             return False
-        if not source.silent:
-            # Whatever discovery says or does: without a watch drains are not kept.
-            self._facade.list_failed(clock.now())
-        if isinstance(error, Refused) and error.kept >= KEPT_LONG:
-            longest = min(PAUSE * error.kept, max(PAUSE, APART_MOST - error.kept))
-            pause = self._chance.uniform(PAUSE_LEAST * longest, longest)
-            source.paused_till = asyncio.get_running_loop().time() + pause
-        return source.silent
+        if silent:
+            return True
+        # Whatever discovery says or does: without a watch drains are not kept.
+        self._facade.list_failed(clock.now())
+        source.schedule.failed(now, error.kept if isinstance(error, Refused) else 0.0)
+        if self._waits_elsewhere:
+            source.schedule.pause(max(source.schedule.paused_till, now + WAITS_ELSEWHERE))
+        return False
 
     async def _watch(self, source: Source, call: Call) -> str:
         async with asyncio.timeout(CONNECT_WITHIN):
@@ -514,7 +404,7 @@
                 if event.status_code != 200:
                     raise Refused(f"answered {event.status_code}", 0.0)
                 spoke_at = loop.time()
-                until = spoke_at + SILENT + self._spread
+                until = spoke_at + call_schedule.SILENT + self._spread
             elif isinstance(event, h11.Data):
                 if source is self._source:
                     self.confirmed_at = clock.now()
@@ -524,29 +414,31 @@
                 if b"\n" in event.data:
                     told, rest, bad = complete_objects(text)
                     if told or not rest and bad is None:
-                        self._spoke(call, source)
+                        call.spoken = True
+                        self._give_up(source.spoken_by(call), "another has told")
                     for update in merged(map(self._update, told)):
-                        self._speaks(update, source, first, asked)
+                        self._speaks(update, source, call, first, asked)
                         first = False
                     if bad is not None:
                         raise bad
                     text = bytearray(rest)
                     if told or not text:
                         spoke_at = loop.time()
-                        if source is self._source:
+                        if source is self._source and not call.leaving:
                             self._said()
-                until = spoke_at + SILENT + self._spread + len(text) / SLOWEST
+                until = spoke_at + call_schedule.SILENT + self._spread + len(text) / SLOWEST
             else:
                 return "closed"
 
-    def _spoke(self, call: Call, source: Source) -> None:
-        """Something whole came by it."""
-        call.spoken = True
-        self._give_up(source.spoken_by(call), "another call has told")
-
-    def _speaks(self, update: EndpointUpdate, source: Source, first: bool, asked: int | None) -> None:
-        """One word of a watch. Within one versions only rise: what is older came late, and would lift a drain. With its first
-        word a discovery that has started again may well be behind; then only a whole list tells where it stands."""
+    def _speaks(self, update: EndpointUpdate, source: Source, call: Call, first: bool, asked: int | None) -> None:
+        """One word of discovery. With its first a service that has started again may well be behind; then only a whole list
+        tells where it stands."""
+        current = source is self._source and not call.leaving
+        if not current:
+            if self._newer(update, source):
+                self.metrics.taken_late += call.leaving
+                self.take(update, source)
+            return
         if first and not update.whole and asked is not None and update.version < asked:
             source.begun_anew = True
             raise BadList(f"its versions begin anew: {update.version} after {asked}")
@@ -554,22 +446,59 @@
             # On its way while another told what is newer: what it has beyond that follows.
             pass
         elif first or source.version is None or update.version >= source.version:
-            self.take(update, source)
+            self.take(self._with_stops(update), source)
             source.begun_anew = False
-        if source is self._source:
-            self._let_go()
+        self._let_go()
+
+    def _newer(self, update: EndpointUpdate, source: Source) -> bool:
+        """Whether a word of an address that was replaced, or of a call that has lost its place, goes before the list: an
+        older one would lift a drain. All addresses are of one service, and count alike."""
+        if source is self._list_source:
+            return update.version >= self._list_version
+        return update.version > self._list_version
+
+    def _with_stops(self, update: EndpointUpdate) -> EndpointUpdate:
+        """An older whole list that may only be late: what a newer one has stopped stays so for now."""
+        lifted = self._stopped.lifted_by(update, clock.now()) if update.version < self._list_version else set()
+        if not lifted or all(entry.id in lifted for entry in update.entries if entry.ready):
+            # With none left nobody would be served: then its word stands.
+            return update
+        self._log.say(f"version {update.version} after {self._list_version}; {len(lifted)} stay stopped for now")
+        entries = []
+        for entry, address in zip(update.entries, update.addresses):
+            if entry.id in lifted:
+                self._held[entry.id] = entry, address
+                entry = entry._replace(ready=False)
+            entries.append(entry)
+        asyncio.get_running_loop().call_later(LOST_TERM, self._release)
+        return update._replace(entries=entries)
+
+    def _release(self) -> None:
+        """It was no late list: what it had as ready, and nobody has told of since, is."""
+        held, self._held = self._held, {}
+        back = []
+        for name, (entry, address) in held.items():
+            if self._told.get(name) == (entry._replace(ready=False), address):
+                self._told[name] = entry, address
+                back.append(entry)
+        if back:
+            self.put(back)
 
     def _said(self) -> None:
         """The watch lives. Where it has nothing new that has to be told all the same: the decisions ask later after each
         watch that ended, and would go on from the failures of days ago."""
         self._heard.set()
-        self._confirmed()
+        self.confirmation.confirmed(self._watch_described())
         if self._lost:
             self._lost = False
             self._facade.listed((), False, clock.now())
         if self.on_word is not None:
             self.on_word()
 
+    def _watch_described(self) -> str:
+        watch = self._source.watch
+        return watch.described(asyncio.get_running_loop().time()) if watch is not None else "told by another"
+
     @staticmethod
     def _update(told: Any) -> EndpointUpdate:
         try:
--- a/pepperusher/net/endpoint_metrics.py
+++ b/pepperusher/net/endpoint_metrics.py
@@ -9,7 +9,8 @@
 class EndpointMetrics:
     """Counts since the start; times are seconds of the loop's clock.
 
-    `given_up` are calls that were closed before they had an answer, of which `unread` had bytes of one waiting.
+    `given_up` are calls whose place another took before they had an answer; `taken_late` the updates that came by such
+    a call all the same, and were newer than the list.
     `overdue` counts the times that the list was not confirmed within its term, and `sent_overdue` the requests that
     went to a backend meanwhile: each of these may have gone to one that drains.
     """
@@ -17,7 +18,7 @@
     calls: int = 0
     refused: int = 0
     given_up: int = 0
-    unread: int = 0
+    taken_late: int = 0
     lost: int = 0
     overdue: int = 0
     sent_overdue: int = 0
@@ -25,6 +26,6 @@
 
     def line(self) -> str:
         """For the log, in words that docs/on-call.md explains."""
-        return (f"list: {self.calls} calls, {self.refused} refused, {self.given_up} given up ({self.unread} with words unread),"
+        return (f"list: {self.calls} calls, {self.refused} refused, {self.given_up} given up ({self.taken_late} updates taken from these),"
                 f" {self.lost} watches lost, {self.longest_unconfirmed:.1f} s unconfirmed at the longest,"
                 f" {self.overdue} times overdue, {self.sent_overdue} requests sent meanwhile")
--- /dev/null
+++ b/pepperusher/net/list_confirmation.py
@@ -0,0 +1,52 @@
+"""Since when discovery has not confirmed the list, and whether that is past its term."""
+
+from __future__ import annotations
+
+import asyncio
+
+from pepperusher.net.endpoint_metrics import EndpointMetrics
+from pepperusher.net.log import Log
+
+
+class ListConfirmation:
+    """Times are seconds of the loop's clock."""
+
+    def __init__(self, metrics: EndpointMetrics, log: Log) -> None:
+        self._metrics = metrics
+        self._log = log
+        self._missing_since: float | None = None   # None while a watch stands
+        # When what an unconfirmed list lacks counts as told; None while a watch stands, and once that was counted.
+        self._due_at: float | None = None
+        self._overdue = False
+
+    @property
+    def overdue(self) -> bool:
+        """Whether the list is not confirmed and past its term: what it lacks counts as told."""
+        if self._due_at is not None and asyncio.get_running_loop().time() > self._due_at:
+            self._due_at, self._overdue = None, True
+            self._metrics.overdue += 1
+            self._log.say("list past its term; not confirmed yet")
+        return self._overdue
+
+    def expect(self, within: float) -> None:
+        """It is not confirmed from here on, and what it may lack counts `within` seconds from now at the latest."""
+        now = asyncio.get_running_loop().time()
+        if self._missing_since is None:
+            self._missing_since = now
+        if not self._overdue:
+            self._due_at = now + within if self._due_at is None else min(self._due_at, now + within)
+
+    def confirmed(self, by: str) -> None:
+        """Discovery has spoken; `by` says which call."""
+        if self._missing_since is not None:
+            lasted = asyncio.get_running_loop().time() - self._missing_since
+            self._metrics.longest_unconfirmed = max(self._metrics.longest_unconfirmed, lasted)
+            late = ", past its term" if self.overdue else ""
+            self._log.say(f"list confirmed; after {lasted:.2f} s{late}, {by}")
+        self._missing_since, self._due_at, self._overdue = None, None, False
+
+    def sent(self, request: str, endpoint: str) -> None:
+        """The request of this id goes out to that endpoint."""
+        if self.overdue:
+            self._metrics.sent_overdue += 1
+            self._log.say(f"request {request} goes to {endpoint} by a list past its term")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -759,7 +759,7 @@
 
     async def test_after_a_silence_the_next_call_goes_out_at_once(self) -> None:
         """It waited as after a call that failed, and longer after each: the wait is part of what is left of 6 s."""
-        with mock.patch("pepperusher.net.discovery.SILENT", 0.05):
+        with mock.patch("pepperusher.net.call_schedule.SILENT", 0.05):
             await self.open("a1")
             balancer = self.proxy._facade._balancer
             balancer._ask_step = 4_000_000
@@ -779,21 +779,21 @@
         async def mute(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             number = len(calls)
             calls.append(writer)
-            came.add(self.proxy._discovery._source.asked_at)
+            came.add(self.proxy._discovery._source.schedule.asked_at)
             gone_by.append(len(ended))
             await reader.readuntil(b"\r\n\r\n")
             await reader.read()   # till it is left
             ended.append(number)
             writer.close()
 
-        with mock.patch.multiple("pepperusher.net.discovery", FIRST_WITHIN=0.3):
+        with mock.patch.multiple("pepperusher.net.call_schedule", FIRST_WITHIN=0.3):
             self.proxy._discovery._spread = 0.0
             self.server.close()
             server = await asyncio.start_server(mute, "127.0.0.1", self.discovery_port)
             self.watches[-1].close()
             await self.until(lambda: len(ended) >= 3)
         # None goes out from here on, however long the rest takes.
-        with mock.patch("pepperusher.net.discovery.FIRST_WITHIN", 1000.0):
+        with mock.patch("pepperusher.net.call_schedule.FIRST_WITHIN", 1000.0):
             await self.until(lambda: len(calls) - len(ended) == 4)
             # Each that ended was the oldest, none before there were five, and no two went out close together.
             self.assertEqual(list(range(len(calls) - 4)), ended)
@@ -828,7 +828,7 @@
                 await reader.read()   # till it is left
             writer.close()
 
-        with mock.patch.multiple("pepperusher.net.discovery", FIRST_WITHIN=4.0, SILENT=0.5):
+        with mock.patch.multiple("pepperusher.net.call_schedule", FIRST_WITHIN=4.0, SILENT=0.5):
             self.proxy._discovery._spread = 0.0
             self.server.close()
             server = await asyncio.start_server(mute, "127.0.0.1", self.discovery_port)
@@ -860,7 +860,7 @@
             writer.write(b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n")
             writer.close()
 
-        with mock.patch.multiple("pepperusher.net.discovery", FIRST_WITHIN=0.5, SILENT=0.5):
+        with mock.patch.multiple("pepperusher.net.call_schedule", FIRST_WITHIN=0.5, SILENT=0.5):
             self.proxy._discovery._spread = 0.0
             self.server.close()
             server = await asyncio.start_server(slow, "127.0.0.1", self.discovery_port)
@@ -871,9 +871,9 @@
         self.assertGreaterEqual(came[1] - refused[0], 1.24)
         server.close()
 
-    async def test_of_two_calls_only_the_first_to_speak_is_heard(self) -> None:
-        """What the other had to say may be older, in the very same turn of the loop: it would lift a
-        drain."""
+    async def test_of_two_calls_that_speak_one_is_the_watch_and_the_newer_word_stands(self) -> None:
+        """In the very same turn of the loop, or one after the other, in either order: both count as told once they are
+        written, and the older would lift a drain."""
         await self.open("a1", "b1")
         calls: list[asyncio.StreamWriter] = []
         ended: list[asyncio.StreamWriter] = []
@@ -890,19 +890,25 @@
             text = json.dumps({"version": version, "full": True, "servers": servers}).encode() + b"\n"
             return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%b\r\n" % (len(text), text)
 
-        with mock.patch.multiple("pepperusher.net.discovery", FIRST_WITHIN=0.3):
+        with mock.patch.multiple("pepperusher.net.call_schedule", FIRST_WITHIN=0.3):
             self.proxy._discovery._spread = 0.0
             self.server.close()
             server = await asyncio.start_server(late, "127.0.0.1", self.discovery_port)
-            self.watches[-1].close()
-            await self.until(lambda: len(calls) == 2)
-            calls[1].write(line(9, "draining"))
-            calls[0].write(line(8, "ready"))
-            await self.until(lambda: self.proxy._discovery._source.version in (8, 9))
+            ends: asyncio.StreamWriter = self.watches[-1]
             source = self.proxy._discovery._source
-            first = source.version
-            self.assertIs(source.calls[0], source.watch)
-            await self.until(lambda: len(ended) == 1)   # the other is left, whatever it had said
-            self.assertEqual((first, 1), (source.version, len(source.calls)))
-            self.assertEqual(["a1"] if first == 9 else ["a1", "b1"], self.ready())
+            for older, first in ((8, "both"), (18, "the older"), (28, "the newer")):
+                with self.subTest(first):
+                    ends.close()
+                    calls.clear()
+                    await self.until(lambda: len(calls) == 2)
+                    words = [(calls[0], older, "ready"), (calls[1], older + 1, "draining")]
+                    for at, version, state in reversed(words) if first == "the newer" else words:
+                        at.write(line(version, state))
+                        if first != "both":
+                            await self.until(lambda: source.version >= older)
+                    await self.until(lambda: sum(call in ended for call in calls) == 1)   # one is left
+                    self.assertEqual((older + 1, 1), (source.version, len(source.calls)))
+                    self.assertIs(source.calls[0], source.watch)
+                    self.assertEqual(["a1"], self.ready())
+                    ends = next(call for call in calls if call not in ended)
         server.close()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -29,7 +29,7 @@
                 if lists:
                     discovery.take(update)
                 discovery.start(at_once=at_once)
-                waits[what].append(discovery._source.paused_till - loop.time())
+                waits[what].append(discovery._source.schedule.paused_till - loop.time())
                 discovery.stop()
         self.assertLessEqual(max(waits["without"] + waits["with a list, told to"]), 0.0)
         thirds = Counter(int(3 * wait / START_SPREAD) for wait in waits["with a list"])
@@ -42,13 +42,13 @@
 
     async def test_it_waits_where_the_settings_leave_time_to_ask(self) -> None:
         await self.open("a1")
-        self.assertGreater(self.proxy._discovery._source.paused_till, 0)
+        self.assertGreater(self.proxy._discovery._source.schedule.paused_till, 0)
         self.assertEqual(1, len(self.watches))   # and it asks
 
     async def test_it_asks_at_once_where_the_list_is_pushed(self) -> None:
         """What is known nearby binds from the first moment on."""
         await self.open("a1", settings={**SETTINGS, "discovery": "push"})
-        self.assertEqual(0.0, self.proxy._discovery._source.paused_till)
+        self.assertEqual(0.0, self.proxy._discovery._source.schedule.paused_till)
 
 
 class Lists(Street):
@@ -159,7 +159,7 @@
         self.server.close()
         port = self.server.sockets[0].getsockname()[1] if self.server.sockets else int(json.loads(self.given)["discovery"].split(":")[1])
         server = await asyncio.start_server(hardly, "127.0.0.1", port)
-        with mock.patch.multiple("pepperusher.net.discovery", FIRST_WITHIN=0.3, SILENT=0.3):
+        with mock.patch.multiple("pepperusher.net.call_schedule", FIRST_WITHIN=0.3, SILENT=0.3):
             for what in ("says nothing", "drips", "drips a line", "503", "resets"):
                 before = len(asked)
                 for writer in self.watches:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -664,7 +664,8 @@
         self.kept("net_list")
 
     async def test_sighup_goes_over_to_the_new_discovery_once_it_has_told(self) -> None:
-        """It once ended the process. The old watch stands till then, and of several new addresses the last counts."""
+        """It once ended the process. Till then all that is out stands, the old watch and the calls at addresses that were
+        replaced since, and of those only what is newer than the list counts; of several new addresses the last does."""
         await self.open("a1", "b1")
         others = [await asyncio.start_server(self.watched, "127.0.0.1", 0) for _ in range(2)]
         ports = [other.sockets[0].getsockname()[1] for other in others]
@@ -675,22 +676,29 @@
             said = len(self.logged)
             os.kill(os.getpid(), signal.SIGHUP)
             await self.until(lambda: len(self.watches) == watches and any("new" in line for line in self.logged[said:]))
-        await asyncio.wait_for(self.heard[1].read(), 5)
-        self.endpoint_update(5, self.line("a1", "draining"), watch=0)
-        await self.until(lambda: not self.proxy._backends._doors.get("a1"))
-        self.lines.append("the second is left, the old one still heard")
+        second, old = self.heard[1], self.heard[0]
+        for version, watch in ((5, 0), (6, 1)):
+            self.endpoint_update(version, self.line("a1", "draining"), watch=watch)
+            await self.until(lambda: not self.proxy._backends._doors.get("a1"))
+            for late in (4, version - 1):
+                self.endpoint_update(late, self.line("a1"), self.line("b1"), full=True, watch=1 - watch)
+            await asyncio.sleep(0.1)
+            self.assertNotIn("a1", self.proxy._backends._doors)
+        self.assertFalse(second.at_eof() or old.at_eof())
+        self.lines.append("the second and the old one are still heard, each where it is newer")
         self.endpoint_update(2, self.line("a1"), full=True)
-        await asyncio.wait_for(self.heard[0].read(), 5)
-        self.lines.append(f"the old one is left, version {self.proxy._discovery._source.version}")
+        for left in (old, second):
+            await asyncio.wait_for(left.read(), 5)
+        self.lines.append(f"both are left, version {self.proxy._discovery._source.version}")
         await self.ask("look 1", self.request("look", 1))
         self.lines.append(f"bad: {[line for line in self.logged if 'not taken' in line][0].partition('/')[0]}")
         self.kept("net_sighup")
 
     async def test_a_watch_that_falls_silent_is_dead(self) -> None:
         """Its connection stays open as if all were well, and no drain would be heard of."""
-        with mock.patch("pepperusher.net.discovery.SILENT", 0.1):
+        with mock.patch("pepperusher.net.call_schedule.SILENT", 0.1):
             await self.open("a1")
-            await self.until(lambda: len(self.watches) == 2)
+            await self.until(lambda: len(self.watches) == 2 and any("list confirmed" in line for line in self.logged))
         # Behind the mark stand figures: which call, and how old.
         self.lines += [line.partition(";")[0] for line in self.logged if "watch" in line or "list" in line]
         self.kept("net_silent_watch")
