--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -34,6 +34,8 @@
 # A new address is asked so many seconds later while a call at the one before waits for its turn. That is under
 # a third of the time for which an address stays open once it is replaced.
 WAITS_ELSEWHERE = 0.5
+# Addresses that were replaced and are still heard.
+REPLACED_MOST = 3
 # So many endpoints are named in a line of the log at the most.
 NAMED_MOST = 8
 # A line that has begun is whole as soon as that, and a second later for each so many bytes that came: discovery may
@@ -277,15 +279,20 @@
         return any(not call.spoken for source in self._replaced for call in source.calls)
 
     def _replace(self, source: Source) -> None:
-        """Of too many the oldest call without a watch goes: its address closes first."""
+        """Keeps its watch, or the call that has waited longest; of too many addresses the oldest without a watch goes. Each
+        holds a descriptor."""
+        kept = source.watch or source.calls[0]
+        others = [call for call in source.calls if call is not kept]
+        source.calls = [kept]
+        self._give_up(others, "a newer configuration", at_once=True)
         self._replaced.append(source)
-        if len(self._replaced) > ABREAST:
-            self._leave(next((one for one in self._replaced if one.watch is None), self._replaced[0]),
-                        "newer configurations")
+        if len(self._replaced) > REPLACED_MOST:
+            oldest = next((one for one in self._replaced if one.watch is None), self._replaced[0])
+            self._leave(oldest, "newer configurations", at_once=True)
 
-    def _leave(self, source: Source, why: str) -> None:
+    def _leave(self, source: Source, why: str, at_once: bool = False) -> None:
         self._replaced.remove(source)
-        self._give_up(source.take_calls(), why)
+        self._give_up(source.take_calls(), why, at_once)
         source.following.cancel()
 
     def _let_go(self) -> None:
--- a/pepperusher/net/list_confirmation.py
+++ b/pepperusher/net/list_confirmation.py
@@ -18,6 +18,7 @@
         # When what an unconfirmed list lacks counts as told; None while a watch stands, and once that was counted.
         self._due_at: float | None = None
         self._overdue = False
+        self._said_of: set[str] = set()   # endpoints named in the log since it is overdue; emptied with each confirmation
 
     @property
     def overdue(self) -> bool:
@@ -44,9 +45,12 @@
             late = ", past its term" if self.overdue else ""
             self._log.say(f"list confirmed; after {lasted:.2f} s{late}, {by}")
         self._missing_since, self._due_at, self._overdue = None, None, False
+        self._said_of.clear()
 
     def sent(self, request: str, endpoint: str) -> None:
         """The request of this id goes out to that endpoint."""
         if self.overdue:
             self._metrics.sent_overdue += 1
-            self._log.say(f"request {request} goes to {endpoint} by a list past its term")
+            if endpoint not in self._said_of:
+                self._said_of.add(endpoint)
+                self._log.say(f"request {request} goes to {endpoint} by a list past its term")
--- /dev/null
+++ b/tests/test_call_schedule.py
@@ -0,0 +1,85 @@
+"""When the next call for the list goes out, by the schedule alone."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from pepperusher.net.call_schedule import (
+    APART_MOST, FIRST_WITHIN, KEPT_LONG, PACE_HELD, RETRY_MOST, SILENT, CallSchedule,
+)  # fmt: skip
+
+BACKOFF = 2.5
+TERM = 4.0
+
+
+class Schedule(unittest.TestCase):
+    def setUp(self) -> None:
+        self.schedule = CallSchedule(Random(1), lambda: BACKOFF)
+
+    def refused_calls(self, begin: float, until: float) -> list[float]:
+        """When calls go out, each of which is refused at once."""
+        now, made = begin, []
+        while now < until:
+            self.schedule.called(now, False)
+            made.append(now)
+            self.schedule.failed(now, 0.0)
+            now += max(0.0, self.schedule.wait(now, False, 0.0))
+        return made
+
+    def test_without_a_term_refusals_are_followed_as_the_decisions_say(self) -> None:
+        self.assertEqual([100.0, 102.5, 105.0], self.refused_calls(100.0, 106.0))
+
+    def test_within_a_term_refusals_are_followed_soon_and_past_it_while_none_was_heard(self) -> None:
+        """Over many draws: whenever discovery is back in that time, it is called within RETRY_MOST."""
+        for seed in range(200):
+            self.schedule = CallSchedule(Random(seed), lambda: BACKOFF)
+            self.schedule.begin_term(100.0, TERM)
+            made = self.refused_calls(100.0, 100.0 + PACE_HELD * TERM)
+            gaps = [later - sooner for sooner, later in zip(made, made[1:])]
+            self.assertLessEqual(max(gaps[:-1]), RETRY_MOST)
+            self.assertGreaterEqual(min(gaps), 0.1)
+            self.assertLess(len(made), 2 * PACE_HELD * TERM / (0.75 * RETRY_MOST))
+            late = self.refused_calls(101.0 + PACE_HELD * TERM, 130.0)
+            self.assertEqual({BACKOFF}, {later - sooner for sooner, later in zip(late, late[1:])})
+
+    def test_what_was_kept_long_is_spread_within_a_term_too(self) -> None:
+        """Calls of a crowd that come again together keep a full queue full."""
+        waits = []
+        for seed in range(200):
+            self.schedule = CallSchedule(Random(seed), lambda: BACKOFF)
+            self.schedule.begin_term(100.0, TERM)
+            self.schedule.called(100.0, False)
+            self.schedule.failed(103.0, 3.0)
+            waits.append(self.schedule.wait(103.0, False, 0.0))
+        self.assertLess(min(waits), 0.6)
+        self.assertLessEqual(max(waits), APART_MOST - 3.0)
+        self.assertGreater(max(waits), 2 * KEPT_LONG)
+
+    def test_beside_the_first_call_of_a_term_one_goes_out_soon_and_no_more(self) -> None:
+        """The first may be lost, and the term is shorter than the time that a call is waited for alone."""
+        self.schedule.called(90.0, False)
+        self.assertEqual(FIRST_WITHIN, self.schedule.wait(90.0, True, 0.0))
+        self.schedule.begin_term(100.0, TERM)
+        self.schedule.called(100.0, False)
+        self.assertEqual(SILENT, self.schedule.wait(100.0, True, 0.0))
+        self.assertLess(SILENT, TERM)
+        self.schedule.called(102.5, True)
+        self.assertEqual(FIRST_WITHIN, self.schedule.wait(102.5, True, 0.0))
+
+    def test_a_word_begins_the_waits_of_a_term_anew(self) -> None:
+        self.schedule.begin_term(100.0, TERM)
+        self.refused_calls(100.0, 103.0)
+        self.schedule.spoken()
+        self.schedule.failed(103.0, 0.0)
+        self.assertLessEqual(self.schedule.wait(103.0, False, 0.0), 0.2)
+
+    def test_a_pause_is_kept_whatever_runs(self) -> None:
+        self.schedule.begin_term(100.0, TERM)
+        self.schedule.pause(100.5)
+        self.assertEqual(0.5, self.schedule.wait(100.0, False, 0.0))
+        self.assertEqual(0.0, self.schedule.wait(100.5, False, 0.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
