--- a/tests/reconfiguration_scene.py
+++ b/tests/reconfiguration_scene.py
@@ -211,6 +211,9 @@
         self._config.write_text(json.dumps(self._made))
         self._process.send_signal(signal.SIGHUP)
 
+    def signal(self, number: signal.Signals) -> None:
+        self._process.send_signal(number)
+
     async def ready(self) -> None:
         while f"{self.name}: serving at" not in self.log:
             await asyncio.sleep(0.02)
--- /dev/null
+++ b/tests/test_standstill.py
@@ -0,0 +1,71 @@
+"""After a process stood still nothing goes out before the list was read: what discovery wrote meanwhile counts as told."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from unittest import mock
+
+from pepperusher.net.backends import Link
+from tests.scene import Street
+
+STANDSTILL = 0.4  # seconds, more than a process may stand unnoticed
+
+
+class Standstill(Street):
+    async def test_requests_wait_for_what_is_read_however_slowly_the_loop_goes_on(self) -> None:
+        """They waited for 2 ms, which on a busy machine may pass before the loop comes round once."""
+        await self.open("a1", "b1")
+        kept = [await self.connect() for _ in range(4)]
+        for number, at in enumerate(kept):
+            await self.ask("look", self.request("look", number), at)
+        loop = asyncio.get_running_loop()
+
+        def stand() -> None:
+            for number, (_, writer) in enumerate(kept, 10):
+                writer.write(self.request("look", number))
+            self.endpoint_update(2, self.line("a1", "draining"))
+            del self.lines[:]
+            time.sleep(STANDSTILL)
+
+        # All are due in the next iteration, in this order: it stands, the pace notices that, and time passes.
+        loop.call_at(0.0, loop.call_soon, stand)
+        loop.call_at(loop.time() + 0.055, loop.call_soon, time.sleep, 0.01)
+        time.sleep(0.06)
+        for reader, _ in kept:
+            self.assertIn("200", await self.hear(reader))
+        self.assertEqual([], [line for line in self.lines if "    a1 gets" in line])
+
+    async def test_a_connection_that_came_up_meanwhile_is_not_written_to_before_the_list_is_read(self) -> None:
+        await self.open("a1", "b1")
+        connect = self.proxy._backends._connect
+
+        async def stands(*given: object) -> Link | str:
+            made = await connect(*given)  # type: ignore[arg-type]
+            self.endpoint_update(2, self.line("a1", "draining"))
+            time.sleep(STANDSTILL)
+            return made
+
+        with mock.patch.object(self.proxy._backends, "_connect", stands):
+            for number in range(2):
+                await self.ask(f"pay {number}", self.request("pay", number))
+        self.assertEqual([], [line for line in self.lines if "    a1 gets" in line])
+
+    async def test_an_attempt_that_ended_meanwhile_is_not_followed_by_another_before_the_list_is_read(self) -> None:
+        await self.open("a1", "b1")
+        self.toys["a1"].does = self.toys["b1"].does = ["HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"]
+        attempt = self.proxy._backends.attempt
+        tried: list[str] = []
+
+        async def stands(backend: str, *given: object) -> object:
+            made = await attempt(backend, *given)  # type: ignore[arg-type]
+            tried.append(backend)
+            if len(tried) == 1:
+                other = "b1" if backend == "a1" else "a1"
+                self.endpoint_update(2, self.line(other, "draining"))
+                time.sleep(STANDSTILL)
+            return made
+
+        with mock.patch.object(self.proxy._backends, "attempt", stands):
+            await self.ask("look 1", self.request("look", 1))
+        self.assertEqual([tried[0]], sorted(set(tried)))
