After a standstill nothing goes out before the list was read, wherever the standstill fell

The wait after a standstill was 2 ms by the clock and asked for as a request came in alone. Now it is asked for wherever something is about to go out (after a connection came up, after an attempt that ended, after a hold, after the store's write), and lasts five iterations of the loop and until discovery's connections hold nothing unread, 0.1 s at the most.

--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -243,6 +243,7 @@
             if isinstance(made, str):
                 return "moot" if out.how == "called off" else made, None
             link = made
+            await placed.list_read()
             # Never written to, whatever it is given up for: the ticket never ran, and where its client left that tells
             # nothing of the backend.
             if out.how is not None or not placed.stands():
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -190,6 +190,12 @@
         """Whether a watch of its own has spoken and stands."""
         return self._source.watch is not None
 
+    @property
+    def unread(self) -> bool:
+        """Whether words of discovery wait on a connection that stands, in the kernel or behind it."""
+        calls = [call for source in (self._source, *self._replaced) for call in source.calls]
+        return any(call.unread for call in calls)
+
     def rest(self) -> None:
         """From here on another tells the list: no call goes out, and none is waited for, until `ask`."""
         if self._asks is None:
--- a/pepperusher/net/discovery_source.py
+++ b/pepperusher/net/discovery_source.py
@@ -43,6 +43,11 @@
     def described(self, now: float) -> str:
         return f"call {self.number} to {text_of_address(self.address)}, {now - self.asked_at:.2f} s old"
 
+    @property
+    def unread(self) -> bool:
+        """Whether something came that was not looked at, be it in the kernel alone."""
+        return self.line is not None and not self.line.ended and not self.line.quiet()
+
     def drop(self) -> None:
         """Closes it at once."""
         self.task.cancel()
--- a/pepperusher/net/exchange.py
+++ b/pepperusher/net/exchange.py
@@ -4,7 +4,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import h11
 
@@ -63,15 +63,16 @@
     """What the decisions are told of an attempt under way: set aside while its body comes, and back in
     its place."""
 
-    __slots__ = ("stands", "left", "aside", "back", "remaining")
+    __slots__ = ("stands", "left", "aside", "back", "remaining", "list_read")
 
     def __init__(self, stands: Callable[[], bool], left: Callable[[], bool], aside: Callable[[], None],
-                 back: Callable[[], None], remaining: Callable[[], int]) -> None:
+                 back: Callable[[], None], remaining: Callable[[], int], list_read: Callable[[], Awaitable[None]]) -> None:
         self.stands = stands
         self.left = left     # whether its client has
         self.aside = aside
         self.back = back
         self.remaining = remaining   # how long its client waits yet, in microseconds
+        self.list_read = list_read   # returns once the list is as discovery has written it, also after a standstill
 
 
 class Exchange:
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -51,7 +51,10 @@
 PACE = 50_000
 # Timers that did not run for so long belong to a process that was stopped, or had no processor.
 STOOD = 300_000
-READ_AGAIN = 0.002
+# After that nothing goes out before the loop has come round so often, since sockets are read in one iteration and what
+# they brought is taken in the next ones, and until discovery's connections hold nothing unread, for so many seconds.
+READ_ITERATIONS = 5
+READ_WITHIN = 0.1
 COUNTS_EVERY = 240
 # Sound limits of what a caller may say; more is absurd.
 LONGEST_WAIT = 3600 * 1_000_000
@@ -153,24 +156,39 @@
         self._paced_at = clock.now()
         self._stood = 0
         self._reading: asyncio.Event | None = None   # while what waited for it is read, after it stood still
+        self._reader: asyncio.Task[None] | None = None
         self._counts: dict[str, int] = {}   # by the words of facade and pages here, so it grows with the code alone
 
     # --- one ticket -------------------------------------------------------------------------------
 
+    async def _list_read(self) -> None:
+        """Returns at once, but where the process stood still: then once what waits in its sockets was read, the list among
+        it. Others may have been told meanwhile what holds for this one too."""
+        if clock.now() - self._paced_at > STOOD:
+            self._woke()
+        if self._reading is not None:
+            await self._reading.wait()
+
     def _woke(self) -> None:
-        """It stood still: others may have been told meanwhile what holds for this one too. What waits in its sockets, the list
-        among it, is read within a few turns of the loop; requests were before timers in the first, and all of them wait."""
         self._paced_at = clock.now()
         self._stood += 1
         self._tell("woke", lambda one: one.woke())
-        self._reading = reading = asyncio.Event()
+        if self._reading is None:
+            self._reading = asyncio.Event()
+            self._reader = asyncio.get_running_loop().create_task(self._read_on(self._reading))
 
-        def read() -> None:
+    async def _read_on(self, reading: asyncio.Event) -> None:
+        """Counted in iterations of the loop and not by the clock, which goes on while a busy machine gives it no turn."""
+        try:
+            for _ in range(READ_ITERATIONS):
+                await asyncio.sleep(0)
+            until = clock.now() + round(READ_WITHIN * 1e6)
+            while self._discovery.unread and clock.now() < until:
+                await asyncio.sleep(0)
+        finally:
             self._reading = None
             reading.set()
 
-        asyncio.get_running_loop().call_later(READ_AGAIN, read)
-
     def _tell(self, what: str, does: Callable[[Companion], None]) -> None:
         """Each companion in its turn: what one trips over keeps nothing from the others, and no ticket from its answer."""
         for one in self._company:
@@ -181,10 +199,7 @@
 
     async def _handle(self, call: Call) -> Answer:
         try:
-            if clock.now() - self._paced_at > STOOD:
-                self._woke()
-            if self._reading is not None:
-                await self._reading.wait()
+            await self._list_read()
             told = _read_headers(call.request.headers)
             name = told.get(b"request-id")
             if not name:
@@ -289,14 +304,16 @@
             call.onward.dress = dress
         placed = Placed(lambda: not call.gone() and self._facade.stands(ticket, clock.now()), lambda: call.left,
                         lambda: self._facade.aside(ticket, clock.now()), lambda: self._facade.back(ticket, clock.now()),
-                        lambda: self._facade.remaining(ticket, clock.now()))
+                        lambda: self._facade.remaining(ticket, clock.now()), self._list_read)
         how, answer, end, attempts = "", None, "left", 0
         try:
+            await self._list_read()
             step = self._facade.pick(ticket, clock.now())
             while step.what in (SEND, HOLD):
                 if step.what == HOLD:
                     out = None
                     await asyncio.sleep(step.wait / 1e6)
+                    await self._list_read()
                     step = self._facade.pick(ticket, clock.now())
                     continue
                 if call.gone():
@@ -308,6 +325,7 @@
                 if shelf is not None and shelf.on:
                     kept = await shelf.sending(use_case, mark, step.backend, self._facade.cell_of(step.backend),
                                                self._facade.remembered(use_case))
+                    await self._list_read()
                     if kept is None or not placed.stands():
                         how = "moot"
                         if kept is not None:
@@ -334,6 +352,8 @@
                 again = passed is None or self._gate is None or self._gate.again(passed, how)
                 # What was read of its rest is gone, and a second copy would be without it.
                 again = again and (rest is None or not rest.touched)
+                if again and how != "done":
+                    await self._list_read()
                 step = self._facade.report(ticket, how, clock.now(), again)
                 if passed is not None and self._gate is not None and again and step.what != SEND:
                     self._gate.unspent(passed, how)
