--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+import signal
 import time
 from unittest import mock
 
 from pepperusher.net.backends import Link
+from tests.reconfiguration_scene import ReconfigurationScene
 from tests.scene import Street
 
 STANDSTILL = 0.4  # seconds, more than a process may stand unnoticed
@@ -69,3 +71,28 @@
         with mock.patch.object(self.proxy._backends, "attempt", stands):
             await self.ask("look 1", self.request("look", 1))
         self.assertEqual([tried[0]], sorted(set(tried)))
+
+
+class Stopped(ReconfigurationScene):
+    """Processes, by SIGSTOP and SIGCONT."""
+
+    PROXIES = 3
+    ADDRESSES = 1
+    CLIENTS = 15  # of each proxy, beside the one of the scene
+
+    async def test_nothing_goes_out_after_a_stop_before_the_list_is_read(self) -> None:
+        self.clients += [
+            asyncio.create_task(proxy.send_requests()) for proxy in self.proxies for _ in range(self.CLIENTS)
+        ]
+        await asyncio.sleep(0.5)
+        for drained in ("b0", "b1"):
+            for proxy in self.proxies:
+                proxy.signal(signal.SIGSTOP)
+            await asyncio.sleep(0.2)
+            self.discovery.change(drained, "draining")
+            told_at = self.now()
+            await asyncio.sleep(1.0)
+            for proxy in self.proxies:
+                proxy.signal(signal.SIGCONT)
+            await asyncio.sleep(1.0)
+            self.assert_drained(drained, told_at)
