A watch with words unread is not silent, and nothing chosen before a standstill is written after it

The timer of a silent watch and the bytes that end the silence are due together after a stop (or wherever the loop comes round late); the timer won, and the watch was left with a drain unread: requests went out 0.5 to 0.7 s past the grace until the next call was answered. The timer now looks whether something came, in the kernel too, and has it read. What was chosen before a standstill and not yet written is chosen again after the list was read (a clock is read before the first byte).

--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -36,6 +36,8 @@
 WAITS_ELSEWHERE = 0.5
 # Addresses that were replaced and are still heard.
 REPLACED_MOST = 3
+# What is there when the time for it is over is read within so many seconds.
+READ_WITHIN = 0.1
 # So many endpoints are named in a line of the log at the most.
 NAMED_MOST = 8
 # A line that has begun is whole as soon as that, and a second later for each so many bytes that came: discovery may
@@ -412,7 +414,10 @@
                     async with asyncio.timeout_at(until):
                         parser.receive_data(await line.read())
                 except TimeoutError:
-                    raise Silent("silent") from None
+                    if not call.unread:
+                        raise Silent("silent") from None
+                    # Both were due at once, as after a standstill: what came is read, and ends the silence or does not.
+                    until = loop.time() + READ_WITHIN
             elif isinstance(event, h11.Response):
                 if event.status_code != 200:
                     raise Refused(f"answered {event.status_code}", 0.0)
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -164,11 +164,15 @@
     async def _list_read(self) -> None:
         """Returns at once, but where the process stood still: then once what waits in its sockets was read, the list among
         it. Others may have been told meanwhile what holds for this one too."""
-        if clock.now() - self._paced_at > STOOD:
+        if self._stood_unnoticed:
             self._woke()
         if self._reading is not None:
             await self._reading.wait()
 
+    @property
+    def _stood_unnoticed(self) -> bool:
+        return clock.now() - self._paced_at > STOOD
+
     def _woke(self) -> None:
         self._paced_at = clock.now()
         self._stood += 1
@@ -304,7 +308,8 @@
             call.onward.dress = dress
         placed = Placed(lambda: not call.gone() and self._facade.stands(ticket, clock.now()), lambda: call.left,
                         lambda: self._facade.aside(ticket, clock.now()), lambda: self._facade.back(ticket, clock.now()),
-                        lambda: self._facade.remaining(ticket, clock.now()), self._list_read)
+                        lambda: self._facade.remaining(ticket, clock.now()), self._list_read,
+                        lambda: self._stood_unnoticed)
         how, answer, end, attempts = "", None, "left", 0
         try:
             await self._list_read()
@@ -618,7 +623,7 @@
             await asyncio.sleep(PACE / 1e6)
             # Forgotten by half in 7 s, a few times as long as a ticket lasts: what runs late does so in
             # spells.
-            if clock.now() - self._paced_at > STOOD:
+            if self._stood_unnoticed:
                 # It was due just as the loop began to stand, and has its turn ahead of what waited: that would go unnoticed.
                 self._woke()
             self._paced_at = clock.now()
