A late list lifts no drain in tests, and standstills have a module of their own

What an older list of a new address had as ready is let go 6 s later only where nobody has told of it since: a test found that one told to drain meanwhile came back. Tests: an older list of a new address, one that is the last or has started since, and a process that takes another's place asks at once. What was written on calls that give way to a control machine's list is read too.

net/standstill.py has what net/proxy.py held of standstills and late timers, unchanged.

--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -86,7 +86,7 @@
         self._list_source, self._list_version = self._source, 0
         self._stopped = StoppedEndpoints()
         # Ready by an older list than the one that stopped them, and taken as draining for now.
-        self._held: dict[str, tuple[Entry, tuple[str, int]]] = {}
+        self._held: dict[str, Entry] = {}
         self._backends = backends
         self._log = log
         # When its source last said anything, or that of whom the list was borrowed; None where nobody ever has.
@@ -119,6 +119,9 @@
         self._stopped.note(update, {name: entry for name, (entry, _) in self._told.items()}, clock.now())
         if update.whole:
             self._told.clear()
+            self._held.clear()
+        for entry in update.entries:
+            self._held.pop(entry.id, None)
         for entry, address in zip(update.entries, update.addresses):
             self._told[entry.id] = entry, address
         if update.entries or update.whole:
@@ -204,7 +207,7 @@
             self._asks = asyncio.Event()
         self._asks.clear()
         for source in (self._source, *self._replaced):
-            self._give_up(source.take_calls(), "another tells the list", at_once=True)
+            self._give_up(source.take_calls(), "another tells the list")
 
     def ask(self) -> None:
         """At once, and from then on as ever."""
@@ -464,7 +467,7 @@
             # On its way while another told what is newer: what it has beyond that follows.
             pass
         elif first or source.version is None or update.version >= source.version:
-            self.take(self._with_stops(update), source)
+            self._take_first(update, source)
             source.begun_anew = False
         self._let_go()
 
@@ -475,30 +478,25 @@
             return update.version >= self._list_version
         return update.version > self._list_version
 
-    def _with_stops(self, update: EndpointUpdate) -> EndpointUpdate:
-        """An older whole list that may only be late: what a newer one has stopped stays so for now."""
+    def _take_first(self, update: EndpointUpdate, source: Source) -> None:
+        """An older whole list may only be late: what a newer one has stopped stays so for now, unless nobody would be left."""
         lifted = self._stopped.lifted_by(update, clock.now()) if update.version < self._list_version else set()
         if not lifted or all(entry.id in lifted for entry in update.entries if entry.ready):
-            # With none left nobody would be served: then its word stands.
-            return update
+            self.take(update, source)
+            return
         self._log.say(f"version {update.version} after {self._list_version}; {len(lifted)} stay stopped for now")
-        entries = []
-        for entry, address in zip(update.entries, update.addresses):
-            if entry.id in lifted:
-                self._held[entry.id] = entry, address
-                entry = entry._replace(ready=False)
-            entries.append(entry)
-        asyncio.get_running_loop().call_later(LOST_TERM, self._release)
-        return update._replace(entries=entries)
-
-    def _release(self) -> None:
+        entries = [entry._replace(ready=False) if entry.id in lifted else entry for entry in update.entries]
+        self.take(update._replace(entries=entries), source)
+        held = {entry.id: entry for entry in update.entries if entry.id in lifted}
+        self._held.update(held)
+        asyncio.get_running_loop().call_later(LOST_TERM, self._release, held)
+
+    def _release(self, held: dict[str, Entry]) -> None:
         """It was no late list: what it had as ready, and nobody has told of since, is."""
-        held, self._held = self._held, {}
-        back = []
-        for name, (entry, address) in held.items():
-            if self._told.get(name) == (entry._replace(ready=False), address):
-                self._told[name] = entry, address
-                back.append(entry)
+        back = [entry for name, entry in held.items() if self._held.get(name) is entry]
+        for entry in back:
+            del self._held[entry.id]
+            self._told[entry.id] = entry, self._told[entry.id][1]
         if back:
             self.put(back)
 
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -25,6 +25,7 @@
 from pepperusher.net.exchange import PASSED_ON, Attempt, Placed
 from pepperusher.net.log import Log
 from pepperusher.net.message import Answer, Headers, Request, end_to_end, plain
+from pepperusher.net.standstill import Standstill
 from pepperusher.net.told import Told, ToldError
 from pepperusher.terms import Ground
 
@@ -48,13 +49,6 @@
 SWEEP_EVERY = 0.25
 # After operators sent clients away, fronts notice within this; connections that stand idle then are closed.
 SENT_AWAY = 600_000
-PACE = 50_000
-# Timers that did not run for so long belong to a process that was stopped, or had no processor.
-STOOD = 300_000
-# After that nothing goes out before the loop has come round so often, since sockets are read in one iteration and what
-# they brought is taken in the next ones, and until discovery's connections hold nothing unread, for so many seconds.
-READ_ITERATIONS = 5
-READ_WITHIN = 0.1
 COUNTS_EVERY = 240
 # Sound limits of what a caller may say; more is absurd.
 LONGEST_WAIT = 3600 * 1_000_000
@@ -151,48 +145,11 @@
         self._succeeded = False                 # at its end: whether another process serves on
         self._served = False                    # whether backends have been known
         self.port = 0
-        # How late timers have run of late, in microseconds, and when they last ran.
-        self._late = 0
-        self._paced_at = clock.now()
-        self._stood = 0
-        self._reading: asyncio.Event | None = None   # while what waited for it is read, after it stood still
-        self._reader: asyncio.Task[None] | None = None
+        self._standstill = Standstill(lambda: self._discovery.unread, lambda: self._tell("woke", lambda one: one.woke()))
         self._counts: dict[str, int] = {}   # by the words of facade and pages here, so it grows with the code alone
 
     # --- one ticket -------------------------------------------------------------------------------
 
-    async def _list_read(self) -> None:
-        """Returns at once, but where the process stood still: then once what waits in its sockets was read, the list among
-        it. Others may have been told meanwhile what holds for this one too."""
-        if self._stood_unnoticed:
-            self._woke()
-        if self._reading is not None:
-            await self._reading.wait()
-
-    @property
-    def _stood_unnoticed(self) -> bool:
-        return clock.now() - self._paced_at > STOOD
-
-    def _woke(self) -> None:
-        self._paced_at = clock.now()
-        self._stood += 1
-        self._tell("woke", lambda one: one.woke())
-        if self._reading is None:
-            self._reading = asyncio.Event()
-            self._reader = asyncio.get_running_loop().create_task(self._read_on(self._reading))
-
-    async def _read_on(self, reading: asyncio.Event) -> None:
-        """Counted in iterations of the loop and not by the clock, which goes on while a busy machine gives it no turn."""
-        try:
-            for _ in range(READ_ITERATIONS):
-                await asyncio.sleep(0)
-            until = clock.now() + round(READ_WITHIN * 1e6)
-            while self._discovery.unread and clock.now() < until:
-                await asyncio.sleep(0)
-        finally:
-            self._reading = None
-            reading.set()
-
     def _tell(self, what: str, does: Callable[[Companion], None]) -> None:
         """Each companion in its turn: what one trips over keeps nothing from the others, and no ticket from its answer."""
         for one in self._company:
@@ -203,7 +160,7 @@
 
     async def _handle(self, call: Call) -> Answer:
         try:
-            await self._list_read()
+            await self._standstill.list_read()
             told = _read_headers(call.request.headers)
             name = told.get(b"request-id")
             if not name:
@@ -252,7 +209,7 @@
         if given := told.get(b"request-timeout"):
             wait = _wait_of(given)
             # A loop that comes round late answers late: its client would have given up by then.
-            wait -= min(self._late, wait // 10)
+            wait -= min(self._standstill.late, wait // 10)
         if given := told.get(b"work-hint"):
             cost = _span("Work-Hint", given, 1, "a number")
         call.ticket = True
@@ -308,17 +265,17 @@
             call.onward.dress = dress
         placed = Placed(lambda: not call.gone() and self._facade.stands(ticket, clock.now()), lambda: call.left,
                         lambda: self._facade.aside(ticket, clock.now()), lambda: self._facade.back(ticket, clock.now()),
-                        lambda: self._facade.remaining(ticket, clock.now()), self._list_read,
-                        lambda: self._stood_unnoticed)
+                        lambda: self._facade.remaining(ticket, clock.now()), self._standstill.list_read,
+                        lambda: self._standstill.unnoticed)
         how, answer, end, attempts = "", None, "left", 0
         try:
-            await self._list_read()
+            await self._standstill.list_read()
             step = self._facade.pick(ticket, clock.now())
             while step.what in (SEND, HOLD):
                 if step.what == HOLD:
                     out = None
                     await asyncio.sleep(step.wait / 1e6)
-                    await self._list_read()
+                    await self._standstill.list_read()
                     step = self._facade.pick(ticket, clock.now())
                     continue
                 if call.gone():
@@ -330,7 +287,7 @@
                 if shelf is not None and shelf.on:
                     kept = await shelf.sending(use_case, mark, step.backend, self._facade.cell_of(step.backend),
                                                self._facade.remembered(use_case))
-                    await self._list_read()
+                    await self._standstill.list_read()
                     if kept is None or not placed.stands():
                         how = "moot"
                         if kept is not None:
@@ -358,7 +315,7 @@
                 # What was read of its rest is gone, and a second copy would be without it.
                 again = again and (rest is None or not rest.touched)
                 if again and how != "done":
-                    await self._list_read()
+                    await self._standstill.list_read()
                 step = self._facade.report(ticket, how, clock.now(), again)
                 if passed is not None and self._gate is not None and again and step.what != SEND:
                     self._gate.unspent(passed, how)
@@ -526,7 +483,7 @@
         for one in self._company:
             await one.start()
         sweep = loop.create_task(self._sweep())
-        pace = loop.create_task(self._pace())
+        pace = loop.create_task(self._standstill.watch())
         # What stands now stays for good: the collector need not walk it each time. Connections leave cycles
         # behind
         # in asyncio's transports: collected seldom they look like memory that goes on growing.
@@ -617,23 +574,12 @@
             if rounds % COUNTS_EVERY == 0:
                 self._say_counts()
 
-    async def _pace(self) -> None:
-        while True:
-            due = clock.now() + PACE
-            await asyncio.sleep(PACE / 1e6)
-            # Forgotten by half in 7 s, a few times as long as a ticket lasts: what runs late does so in
-            # spells.
-            if self._stood_unnoticed:
-                # It was due just as the loop began to stand, and has its turn ahead of what waited: that would go unnoticed.
-                self._woke()
-            self._paced_at = clock.now()
-            self._late = max(self._paced_at - due, self._late - self._late // 200)
-
     def _say_counts(self) -> None:
         said = ", ".join(f"{what} {count}" for what, count in sorted(self._counts.items()))
         self._log.say(f"since the start: {said or 'nothing yet'}; {self._callers.open} callers,"
                       f" {self._facade.in_hand} tickets in hand, {self._budget.open} connections,"
-                      f" timers {self._late} us late" + (f", stood still {self._stood} times" if self._stood else ""))
+                      f" timers {self._standstill.late} us late"
+                      + (f", stood still {self._standstill.count} times" if self._standstill.count else ""))
         self._log.say(self._discovery.metrics.line())
         for what, count in holds.broken.items():
             self._log.say(f"did not hold {count} times: {what}")
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -37,6 +37,19 @@
         self.assertGreater(min(thirds.values()), 10)
 
 
+    async def test_who_takes_anothers_place_asks_at_once(self) -> None:
+        """What discovery tells binds 2 s after its yes, and it asked within 2 s by chance."""
+        loop = asyncio.get_running_loop()
+        update = endpoint_update_of({"version": 1, "full": True, "servers": [
+            {"id": "a1", "addr": "127.0.0.1:2", "state": "ready"}]})
+        for number in range(10):
+            discovery = Asker(number, 60, ("127.0.0.1", 1), 1, 10.0).discovery
+            discovery.go_on(("127.0.0.1", 1), update)
+            discovery.start(at_once=False)
+            self.assertLessEqual(discovery._source.schedule.wait(loop.time(), False, 0.0), 0.0)
+            discovery.stop()
+
+
 class Alone(Street):
     start_spread = 0.2
 
@@ -110,6 +123,46 @@
         self.lines = said
         self.kept("discovery_order")
 
+    async def moved(self) -> None:
+        """Discovery is at another address from here on, and asked there."""
+        server = await asyncio.start_server(self.watched, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        self.given = json.dumps({**json.loads(self.given), "discovery": f"127.0.0.1:{server.sockets[0].getsockname()[1]}"})
+        watches = len(self.watches)
+        self.proxy.tell_anew()
+        await self.until(lambda: len(self.watches) > watches)
+
+    async def test_an_older_list_of_a_new_address_lifts_no_drain(self) -> None:
+        """A list that was on its way for long, or of a replica that is behind: by its word b1 had requests again."""
+        await self.open("a1", "b1", "c1")
+        a, b, c = (self.line(name) for name in self.toys)
+        self.tell(self.line_of(9, self.line("b1", "draining"), {**c, "state": "gone"}))
+        await self.settle()
+        await self.moved()
+        with mock.patch("pepperusher.net.discovery.LOST_TERM", 0.5):
+            self.tell(self.line_of(8, a, b, c, full=True))
+            await self.settle()
+            self.assertEqual("a1", self.listed())
+        # It was no late list: nobody has told of b1 since. Of c1 somebody has.
+        self.tell(self.line_of(10, {**c, "state": "draining"}))
+        await self.until(lambda: self.listed() == "a1, b1")
+
+    async def test_an_older_list_lifts_a_stop_where_the_endpoint_has_started_since_or_is_the_last(self) -> None:
+        await self.open("a1", "b1")
+        a, b = (self.line(name) for name in self.toys)
+        self.tell(self.line_of(9, self.line("b1", "draining")))
+        await self.settle()
+        await self.moved()
+        self.tell(self.line_of(8, a, {**b, "started_ms": 5}, full=True))
+        await self.settle()
+        self.assertEqual("a1, b1", self.listed())
+        self.tell(self.line_of(9, self.line("b1", "draining")))
+        await self.settle()
+        await self.moved()
+        self.tell(self.line_of(7, {**b, "started_ms": 5}, full=True))
+        await self.settle()
+        self.assertEqual("b1", self.listed())
+
     async def test_hundreds_of_lines_at_once_are_one_to_the_decisions(self) -> None:
         """Each laid the ring anew, in one turn of the loop."""
         await self.open("a1", "b1")
