The lines of a watch are read in a module of its own, net/watch_stream.py

Mechanical but for one look: where a connection has ended with words of its still to be read, these are read and it is no silence. net/discovery.py keeps whom to ask and which word counts. Imports in order.

--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -7,19 +7,17 @@
 from random import Random
 from typing import Any, Protocol
 
-import h11
-
 from pepperusher.entry import Entry, Narrow
 from pepperusher.net import call_schedule, clock
 from pepperusher.net.call_schedule import CallSchedule
 from pepperusher.net.discovery_source import ABREAST, Call, Refused, Silent, Source
-from pepperusher.net.endpoint_update import GONE, BadList, EndpointUpdate, complete_objects, endpoint_update_of, merged, text_of_address
 from pepperusher.net.endpoint_metrics import EndpointMetrics
+from pepperusher.net.endpoint_update import GONE, BadList, EndpointUpdate, endpoint_update_of, merged, text_of_address
 from pepperusher.net.line import Line, reach
 from pepperusher.net.list_confirmation import ListConfirmation
 from pepperusher.net.log import Log
-from pepperusher.net.message import HEAD, Request, framed_request
 from pepperusher.net.stopped_endpoints import StoppedEndpoints
+from pepperusher.net.watch_stream import WatchStream
 
 CONNECT_WITHIN = 1.5
 # Those that are started together with a list that they were given ask within so long, by chance: they are as many as
@@ -36,15 +34,8 @@
 WAITS_ELSEWHERE = 0.5
 # Addresses that were replaced and are still heard.
 REPLACED_MOST = 3
-# What is there when the time for it is over is read within so many seconds.
-READ_WITHIN = 0.1
 # So many endpoints are named in a line of the log at the most.
 NAMED_MOST = 8
-# A line that has begun is whole as soon as that, and a second later for each so many bytes that came: discovery may
-# drip, or stop in the middle, and each byte alone is in time.
-SLOWEST = 128 * 1024
-# One line of a watch; more is no list.
-LONGEST = 8 * 1024 * 1024
 
 
 class Decides(Protocol):
@@ -397,59 +388,26 @@
             line.abort()
 
     async def _read(self, line: Line, source: Source, call: Call) -> str:
-        parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEAD)
-        host = f"{source.address[0]}:{source.address[1]}".encode()
         # Versions of another address mean nothing here, nor those of before a new beginning: without one the whole list
         # comes.
         asked = None if source.begun_anew else source.version
-        after = b"" if asked is None else b"&after=%d" % asked
-        target = b"/v1/endpoints?watch=1" + after
-        line.send(framed_request(parser, Request(b"GET", target, [(b"host", host)], b"")))
-        text = bytearray()
+        stream = WatchStream(line, lambda: call_schedule.SILENT + self._spread)
+        stream.ask(source.address, asked)
         first = True
-        loop = asyncio.get_running_loop()
-        until: float | None = None   # a call waits its turn till it is given up for another
-        spoke_at = 0.0               # its head or last line; a part of one is no word
-        while True:
-            event = parser.next_event()
-            if event is h11.NEED_DATA:
-                try:
-                    async with asyncio.timeout_at(until):
-                        parser.receive_data(await line.read())
-                except TimeoutError:
-                    if not call.unread:
-                        raise Silent("silent") from None
-                    # Both were due at once, as after a standstill: what came is read, and ends the silence or does not.
-                    until = loop.time() + READ_WITHIN
-            elif isinstance(event, h11.Response):
-                if event.status_code != 200:
-                    raise Refused(f"answered {event.status_code}", 0.0)
-                spoke_at = loop.time()
-                until = spoke_at + call_schedule.SILENT + self._spread
-            elif isinstance(event, h11.Data):
-                if source is self._source:
-                    self.confirmed_at = clock.now()
-                text += event.data
-                if len(text) > LONGEST:
-                    raise BadList("a line is too long")
-                if b"\n" in event.data:
-                    told, rest, bad = complete_objects(text)
-                    if told or not rest and bad is None:
-                        call.spoken = True
-                        self._give_up(source.spoken_by(call), "another has told")
-                    for update in merged(map(self._update, told)):
-                        self._speaks(update, source, call, first, asked)
-                        first = False
-                    if bad is not None:
-                        raise bad
-                    text = bytearray(rest)
-                    if told or not text:
-                        spoke_at = loop.time()
-                        if source is self._source and not call.leaving:
-                            self._said()
-                until = spoke_at + call_schedule.SILENT + self._spread + len(text) / SLOWEST
-            else:
-                return "closed"
+        while (heard := await stream.next()) is not None:
+            if source is self._source:
+                self.confirmed_at = clock.now()
+            if heard.word:
+                call.spoken = True
+                self._give_up(source.spoken_by(call), "another has told")
+            for update in merged(map(self._update, heard.objects)):
+                self._speaks(update, source, call, first, asked)
+                first = False
+            if heard.bad is not None:
+                raise heard.bad
+            if heard.word and source is self._source and not call.leaving:
+                self._said()
+        return "closed"
 
     def _speaks(self, update: EndpointUpdate, source: Source, call: Call, first: bool, asked: int | None) -> None:
         """One word of discovery. With its first a service that has started again may well be behind; then only a whole list
--- a/pepperusher/net/discovery_source.py
+++ b/pepperusher/net/discovery_source.py
@@ -46,7 +46,7 @@
     @property
     def unread(self) -> bool:
         """Whether something came that was not looked at, be it in the kernel alone."""
-        return self.line is not None and not self.line.ended and not self.line.quiet()
+        return self.line is not None and self.line.holds_more
 
     def drop(self) -> None:
         """Closes it at once."""
--- a/pepperusher/net/line.py
+++ b/pepperusher/net/line.py
@@ -208,6 +208,11 @@
         look.register(self.transport.get_extra_info("socket"), select.POLLIN)
         return not look.poll(0)
 
+    @property
+    def holds_more(self) -> bool:
+        """Whether the other side's words wait to be read, here or in the kernel alone; its end counts as one there."""
+        return bool(self.unread) or not self.ended and not self.quiet()
+
     def left(self) -> bool:
         """Whether the other side has ended its sending or the connection, be it in the kernel alone: the loop tells it later,
         behind what came before it."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -88,7 +88,7 @@
         self.tell(self.line_of(2, self.line("b1", "draining")))
         await self.settle()
         said = [f"b1 drains: {self.listed()}"]
-        with mock.patch("pepperusher.net.discovery.LONGEST", 20_000):
+        with mock.patch("pepperusher.net.watch_stream.LONGEST", 20_000):
             for what, text in (("no JSON", b"{servers\n"), ("cut short", self.line_of(3, a, b)[:-30] + b"\n"),
                                ("no addresses", self.line_of(3, {"id": "b1", "state": "ready"})),
                                ("a good line before a bad one", self.line_of(4, self.line("c1", "draining")) + b"[]\n"),
