A test of two processes waits until what one has in hand was seen at its backend

Cause of its one failure in a whole run: the living process had requests on their way to a1 when the order came, and the toy backend, in the test's own loop, noted them after the test had begun to count.

--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -304,13 +304,16 @@
             for reader, writer in kept:
                 self.number += 1
                 writer.write(self.request("look", self.number, left=4000))
-            await asyncio.wait([asyncio.create_task(kept[0][0].readuntil(b"\r\n\r\n"))], timeout=0.2)
+            # What the living one has in hand reaches its backend before the order, and is seen there before it is answered.
+            heard = [asyncio.create_task(reader.readuntil(b"\r\n\r\n")) for reader, _ in kept]
+            await asyncio.wait(heard, timeout=0.5)
             self.assertIn("200", await lives.call("POST", "/-/backends/a1/disable"))
             del self.lines[:]
             still.process.send_signal(signal.SIGCONT)
             seen[lives] = await lives.logs("has its part of new connections again", seen[lives])
             self.assertEqual({"200"}, set(await self.asked(10)))
             self.assertEqual([], [line for line in self.lines if "    a1 gets" in line])
+            await asyncio.wait(heard)
             for _, writer in kept:
                 writer.close()
             self.assertIn("200", await lives.call("POST", "/-/backends/a1/enable"))
