--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -32,6 +32,8 @@
 # A new address is asked so many seconds later while a call at the one before waits for its turn. That is under
 # a third of the time for which an address stays open once it is replaced.
 WAITS_ELSEWHERE = 0.5
+# Seconds after which watching goes on that an unexpected error has ended.
+FOLLOW_AGAIN = 1.0
 # Addresses that were replaced and are still heard.
 REPLACED_MOST = 3
 # So many endpoints are named in a line of the log at the most.
@@ -302,8 +304,16 @@
             self._leave(self._replaced[0], "the new address has told")
 
     async def _follow(self, source: Source, at_once: bool) -> None:
-        """Watches for as long as the proxy lives, asking again when the decisions say, and beside calls that
-        have had no word for long."""
+        """Watches for as long as the proxy lives."""
+        while True:
+            try:
+                return await self._watch_on(source, at_once)
+            except Exception as error:   # without it no drain would be heard of again
+                self._log.say(f"the watch of the list ended by {type(error).__name__}: {error}")
+                await asyncio.sleep(FOLLOW_AGAIN)
+
+    async def _watch_on(self, source: Source, at_once: bool) -> None:
+        """Asks again as the schedule says, and beside calls that have had no word for long."""
         try:
             while source is self._source or source.calls:
                 wait: float | None = None
@@ -326,7 +336,7 @@
                     source.over(call)
                     at_once = self._ended(call, source)
         finally:
-            for call in source.calls:
+            for call in source.take_calls():
                 call.drop()
 
     def _call(self, source: Source) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -123,6 +123,18 @@
         self.lines = said
         self.kept("discovery_order")
 
+    async def test_an_error_of_ours_does_not_end_the_asking(self) -> None:
+        """No drain would be heard of again, and nobody would see why."""
+        await self.open("a1", "b1")
+        with mock.patch.object(self.proxy._facade, "tick", side_effect=RuntimeError("a fault")) as tick:
+            self.watches[-1].close()
+            await self.until(lambda: tick.called)
+        await self.until(lambda: len(self.watches) == 2)
+        self.tell(self.line_of(2, self.line("b1", "draining")))
+        await self.settle()
+        self.assertEqual("a1", self.listed())
+        self.assertEqual(1, sum("RuntimeError: a fault" in line for line in self.logged))
+
     async def moved(self) -> None:
         """Discovery is at another address from here on, and asked there."""
         server = await asyncio.start_server(self.watched, "127.0.0.1", 0)
