A new address that says an empty line alone confirms nothing; a test of the list's age

The counts and lines of a list past its term have a test of their own, which found that an empty line of an address that has told no list ended the wait for it. What a whole list leaves out is worked out for whole lists alone, once, and not for each change: a list of thousands has changes of single lines.

--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -108,8 +108,9 @@
             update, self._borrowed = update._replace(whole=True), False
         source.version = update.version
         self._list_source, self._list_version = source, update.version
-        self._say_changes(update, source)
-        self._stopped.note(update, {name: entry for name, (entry, _) in self._told.items()}, clock.now())
+        unlisted = self._unlisted_by(update)
+        self._say_changes(update, unlisted, source)
+        self._stopped.note(update, unlisted, clock.now())
         if update.whole:
             self._told.clear()
             self._held.clear()
@@ -123,17 +124,21 @@
             if address == GONE:
                 self._told.pop(entry.id, None)
 
-    def _say_changes(self, update: EndpointUpdate, source: Source) -> None:
+    def _unlisted_by(self, update: EndpointUpdate) -> list[Entry]:
+        """Those known that a whole list leaves out."""
+        if not update.whole:
+            return []
+        named = {entry.id for entry in update.entries}
+        return [entry for name, (entry, _) in self._told.items() if name not in named]
+
+    def _say_changes(self, update: EndpointUpdate, unlisted: list[Entry], source: Source) -> None:
         """Which endpoints are to have nothing more from here on, or may have it again, and by which word."""
-        stopped, back = [], []
+        changes = [f"{entry.id} not listed" for entry in unlisted if entry.ready]
         for entry in update.entries:
             known, _ = self._told.get(entry.id, (None, GONE))
             if known is not None and known.ready != entry.ready:
-                (back if entry.ready else stopped).append(f"{entry.id} {'ready again' if entry.ready else 'gone' if entry.gone else 'draining'}")
-        if update.whole:
-            named = {entry.id for entry in update.entries}
-            stopped += [f"{name} not listed" for name, (known, _) in self._told.items() if known.ready and name not in named]
-        changes = stopped + back
+                state = "ready again" if entry.ready else "gone" if entry.gone else "draining"
+                changes.append(f"{entry.id} {state}")
         if changes:
             more = f" and {len(changes) - NAMED_MOST} more" if len(changes) > NAMED_MOST else ""
             self._log.say(f"version {update.version} of {text_of_address(source.address)}: {', '.join(changes[:NAMED_MOST])}{more}")
@@ -472,7 +477,9 @@
         """The watch lives. Where it has nothing new that has to be told all the same: the decisions ask later after each
         watch that ended, and would go on from the failures of days ago."""
         self._heard.set()
-        self.confirmation.confirmed(self._watch_described())
+        if self._source.version is not None:
+            # An empty line of an address that has told nothing yet says nothing of the list.
+            self.confirmation.confirmed(self._watch_described())
         if self._lost:
             self._lost = False
             self._facade.listed((), False, clock.now())
--- a/pepperusher/net/list_confirmation.py
+++ b/pepperusher/net/list_confirmation.py
@@ -47,10 +47,10 @@
         self._missing_since, self._due_at, self._overdue = None, None, False
         self._said_of.clear()
 
-    def sent(self, request: str, endpoint: str) -> None:
+    def sent(self, request: bytes, endpoint: str) -> None:
         """The request of this id goes out to that endpoint."""
         if self.overdue:
             self._metrics.sent_overdue += 1
             if endpoint not in self._said_of:
                 self._said_of.add(endpoint)
-                self._log.say(f"request {request} goes to {endpoint} by a list past its term")
+                self._log.say(f"request {request.decode('latin-1')} goes to {endpoint} by a list past its term")
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -297,7 +297,7 @@
                 if attempts:
                     self._count("retried")
                 attempts += 1
-                self._discovery.confirmation.sent(told[b"request-id"].decode("latin-1"), step.backend)
+                self._discovery.confirmation.sent(told[b"request-id"], step.backend)
                 out = Attempt()
                 patience = step.wait
                 if passed is not None and self._gate is not None:
--- a/pepperusher/net/stopped_endpoints.py
+++ b/pepperusher/net/stopped_endpoints.py
@@ -24,18 +24,15 @@
     def __init__(self) -> None:
         self._stops: dict[str, _Stop] = {}   # emptied by age, and as endpoints come back
 
-    def note(self, update: EndpointUpdate, known: dict[str, Entry], now: int) -> None:
-        """What an update that is taken says of the endpoints known before it."""
+    def note(self, update: EndpointUpdate, unlisted: list[Entry], now: int) -> None:
+        """An update that is taken; `unlisted` are those known before that it leaves out as a whole list."""
         for entry in update.entries:
             if entry.ready:
                 self._stops.pop(entry.id, None)
             else:
                 self._stops[entry.id] = _Stop(update.version, entry.born, now)
-        if update.whole:
-            named = {entry.id for entry in update.entries}
-            for name, entry in known.items():
-                if name not in named:
-                    self._stops[name] = _Stop(update.version, entry.born, now)
+        for entry in unlisted:
+            self._stops[entry.id] = _Stop(update.version, entry.born, now)
         for name, stop in list(self._stops.items()):
             if now - stop.at >= KEPT_FOR:
                 del self._stops[name]
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -144,6 +144,28 @@
         self.proxy.tell_anew()
         await self.until(lambda: len(self.watches) > watches)
 
+    async def test_a_list_past_its_term_is_said_and_counted_with_what_goes_out_by_it(self) -> None:
+        await self.open("a1", "b1")
+        metrics = self.proxy._discovery.metrics
+        with mock.patch("pepperusher.net.discovery.RECONFIGURED_TERM", 0.1):
+            await self.moved()
+        await self.ask("look 1", self.request("look", 1))
+        self.assertEqual((0, 0), (metrics.overdue, metrics.sent_overdue))
+        await asyncio.sleep(0.15)
+        for number in range(2, 6):
+            await self.ask(f"look {number}", self.request("look", number))
+        self.assertEqual((1, 4), (metrics.overdue, metrics.sent_overdue))
+        said = sorted(line.rpartition("goes to ")[2] for line in self.logged if "goes to" in line)
+        self.assertEqual(["a1 by a list past its term", "b1 by a list past its term"], said)
+        self.tell(self.line_of(2, self.line("a1"), full=True))
+        await self.settle()
+        await self.ask("look 6", self.request("look", 6))
+        self.assertEqual((1, 4), (metrics.overdue, metrics.sent_overdue))
+        self.assertGreater(metrics.longest_unconfirmed, 0.15)
+        self.assertTrue(any(line.startswith("list confirmed; after") and "past its term" in line for line in self.logged))
+        self.assertTrue(any(line.startswith("version 2 of") and line.endswith("b1 not listed") for line in self.logged))
+        self.assertIn("1 times overdue, 4 requests sent meanwhile", metrics.line())
+
     async def test_an_older_list_of_a_new_address_lifts_no_drain(self) -> None:
         """A list that was on its way for long, or of a replica that is behind: by its word b1 had requests again."""
         await self.open("a1", "b1", "c1")
--- a/tests/test_stopped_endpoints.py
+++ b/tests/test_stopped_endpoints.py
@@ -24,26 +24,26 @@
         for stops in (update(5, READY._replace(ready=False), whole=False),
                       update(5, READY._replace(ready=False, gone=True), whole=False), update(5)):  # fmt: skip
             self.setUp()
-            self.stopped.note(stops, {"b0": READY}, NOW)
+            self.stopped.note(stops, [] if stops.entries else [READY], NOW)
             self.assertEqual({"b0"}, self.stopped.lifted_by(update(4, READY), NOW))
             self.assertEqual(set(), self.stopped.lifted_by(update(5, READY), NOW))
             self.assertEqual(set(), self.stopped.lifted_by(update(4, READY._replace(ready=False)), NOW))
 
     def test_one_that_has_started_since_is_another(self) -> None:
-        self.stopped.note(update(5), {"b0": READY}, NOW)
+        self.stopped.note(update(5), [READY], NOW)
         self.assertEqual(set(), self.stopped.lifted_by(update(4, READY._replace(born=1001)), NOW))
 
     def test_a_stop_is_forgotten_by_age_and_once_it_is_lifted(self) -> None:
-        self.stopped.note(update(5), {"b0": READY}, NOW)
+        self.stopped.note(update(5), [READY], NOW)
         self.assertEqual({"b0"}, self.stopped.lifted_by(update(4, READY), NOW + KEPT_FOR - 1))
         self.assertEqual(set(), self.stopped.lifted_by(update(4, READY), NOW + KEPT_FOR))
-        self.stopped.note(update(6, READY, whole=False), {}, NOW)
+        self.stopped.note(update(6, READY, whole=False), [], NOW)
         self.assertEqual(set(), self.stopped.lifted_by(update(4, READY), NOW))
 
     def test_what_is_kept_is_bounded_by_age(self) -> None:
         for number in range(100):
             at = NOW + number * KEPT_FOR
-            self.stopped.note(update(number, READY._replace(id=f"b{number}", ready=False), whole=False), {}, at)
+            self.stopped.note(update(number, READY._replace(id=f"b{number}", ready=False), whole=False), [], at)
         self.assertEqual(1, len(self.stopped._stops))
 
 
