--- a/tests/test_new_configurations.py
+++ b/tests/test_new_configurations.py
@@ -32,29 +32,28 @@
 
     PROXIES = 6
 
-    async def test_refused_calls_are_made_again_soon_enough_for_the_term_of_a_new_configuration(self) -> None:
-        """The waits doubled as they do after an outage, for which the term is 6 s."""
-        old, new = self.addresses
-        old.refusing = new.refusing = True
-        old.cut()
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        for address in self.addresses:
+            address.refusing = True
+        self.addresses[0].cut()
+
+    async def drains_as_it_moves(self, refuses_for: float, then_takes: float) -> None:
+        """b0 drains with a new configuration; its address refuses for some seconds, then takes some for each answer."""
+        new = self.addresses[1]
         began = self.now()
         self.discovery.change("b0", "draining")
         self.reconfigure_all(1)
-        await self.until(began + 1.6)
-        new.refusing, new.delay = False, 2.0
+        await self.until(began + refuses_for)
+        new.refusing, new.delay = False, then_takes
         await self.until(began + REACHED_TERM + 2.0)
         self.assert_drained("b0", began + RECONFIGURED_TERM)
 
+    async def test_refused_calls_are_made_again_soon_enough_for_the_term_of_a_new_configuration(self) -> None:
+        """The waits doubled as they do after an outage, for which the term is 6 s."""
+        await self.drains_as_it_moves(1.6, 2.0)
+
     async def test_waits_of_an_outage_are_not_carried_over_to_a_new_address(self) -> None:
         """After 6 s of refusals the old address was asked every 1.25 to 2.5 s, and so was the new one."""
-        old, new = self.addresses
-        old.refusing = new.refusing = True
-        old.cut()
         await asyncio.sleep(6.0)
-        began = self.now()
-        self.discovery.change("b0", "draining")
-        self.reconfigure_all(1)
-        await self.until(began + 1.2)
-        new.refusing, new.delay = False, 2.7
-        await self.until(began + REACHED_TERM + 2.0)
-        self.assert_drained("b0", began + RECONFIGURED_TERM)
+        await self.drains_as_it_moves(1.2, 2.7)
