--- a/pepperusher/distribution/endpoint_source.py
+++ b/pepperusher/distribution/endpoint_source.py
@@ -1,7 +1,7 @@
 """Whether a proxy goes by the list that control machines tell, or asks discovery itself; free of I/O.
 
 The term in force: a change counts as told 6 s after discovery had it and could be reached. A watch of one's own that
-falls silent is left after 2.5 to 3 s (`net.discovery.SILENT`, `SPREAD`), so that a second call may go out before 6 s
+falls silent is left after 2.5 to 3 s (`net.call_schedule.SILENT`, `SPREAD`), so that a second call may go out before 6 s
 are over. The same is held to here, by discovery's own word and not by the control machine's: a list of which
 discovery last spoke 2.5 to 3 s ago is left for discovery, however many machines between say that they are there.
 What an owner missed is so asked for no later than what a watch missed; not counted, here and there, is what a word
@@ -19,7 +19,7 @@
 from pepperusher.distribution.words import NEVER, Version
 
 # Without a word of discovery's for so long, and a spread that is drawn each time, since the words of all stop at
-# one moment: those of `net.discovery` for a watch.
+# one moment: those of `net.call_schedule` for a watch.
 LEAVE_AFTER = 2_500_000
 LEAVE_SPREAD = 500_000
 # At a start control machines have so long, and a spread that is as wide as a start's at discovery: the last ask 3.5 s
