The tests of standstills stand in one file and share what they set up

Two of test_net moved beside the newer ones by their names, with the same checks; the set-up stood twice.

--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -243,43 +243,6 @@
                           f" tickets in hand: {self.proxy._facade.in_hand}")
         self.kept("net_silent")
 
-    async def test_after_standing_still_no_ticket_goes_before_the_list_is_read(self) -> None:
-        """Four wait on kept connections while the loop stands, and a line of the list that drains a1: requests are read first."""
-        await self.open("a1", "b1")
-        kept = [await self.connect() for _ in range(4)]
-        for number, at in enumerate(kept):
-            await self.ask("look", self.request("look", number), at)
-        for number, (_, writer) in enumerate(kept, 10):
-            writer.write(self.request("look", number))
-        self.endpoint_update(2, self.line("a1", "draining"))
-        del self.lines[:]
-        time.sleep(0.4)   # the whole loop, with proxy and all
-        for reader, _ in kept:
-            self.assertIn("200", await self.hear(reader))
-        self.assertEqual([], [line for line in self.lines if "    a1 gets" in line])
-
-    async def test_standing_still_is_noticed_also_where_the_pace_was_due_just_then(self) -> None:
-        """The pace had its turn between the standing and the requests, and said that all was well."""
-        await self.open("a1", "b1")
-        kept = [await self.connect() for _ in range(4)]
-        for number, at in enumerate(kept):
-            await self.ask("look", self.request("look", number), at)
-        loop = asyncio.get_running_loop()
-
-        def stand() -> None:
-            for number, (_, writer) in enumerate(kept, 10):
-                writer.write(self.request("look", number))
-            self.endpoint_update(2, self.line("a1", "draining"))
-            del self.lines[:]
-            time.sleep(0.4)
-
-        # In the next turn both are due, this one first; and so they come in the turn behind it.
-        loop.call_at(0.0, loop.call_soon, stand)
-        time.sleep(0.06)
-        for reader, _ in kept:
-            self.assertIn("200", await self.hear(reader))
-        self.assertEqual([], [line for line in self.lines if "    a1 gets" in line])
-
     async def test_a_client_that_leaves_calls_its_ticket_off(self) -> None:
         await self.open("a1", settings=UNHURRIED)
         self.left = LONG
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -15,28 +15,51 @@
 
 
 class Standstill(Street):
-    async def test_requests_wait_for_what_is_read_however_slowly_the_loop_goes_on(self) -> None:
-        """They waited for 2 ms, which on a busy machine may pass before the loop comes round once."""
+    async def keep_connections(self) -> None:
+        """Four, each of which has had an answer."""
         await self.open("a1", "b1")
-        kept = [await self.connect() for _ in range(4)]
-        for number, at in enumerate(kept):
+        self.kept_open = [await self.connect() for _ in range(4)]
+        for number, at in enumerate(self.kept_open):
             await self.ask("look", self.request("look", number), at)
-        loop = asyncio.get_running_loop()
 
-        def stand() -> None:
-            for number, (_, writer) in enumerate(kept, 10):
-                writer.write(self.request("look", number))
-            self.endpoint_update(2, self.line("a1", "draining"))
-            del self.lines[:]
-            time.sleep(STANDSTILL)
+    def stand(self) -> None:
+        """The whole loop, with proxy and all: requests wait on the connections, and a line of the list that drains a1 behind
+        them."""
+        for number, (_, writer) in enumerate(self.kept_open, 10):
+            writer.write(self.request("look", number))
+        self.endpoint_update(2, self.line("a1", "draining"))
+        del self.lines[:]
+        time.sleep(STANDSTILL)
+
+    async def assert_drained(self) -> None:
+        for reader, _ in self.kept_open:
+            self.assertIn("200", await self.hear(reader))
+        self.assertEqual([], [line for line in self.lines if "    a1 gets" in line])
 
+    async def test_after_standing_still_no_ticket_goes_before_the_list_is_read(self) -> None:
+        """Requests are read first."""
+        await self.keep_connections()
+        self.stand()
+        await self.assert_drained()
+
+    async def test_standing_still_is_noticed_also_where_the_pace_was_due_just_then(self) -> None:
+        """The pace had its turn between the standing and the requests, and said that all was well."""
+        await self.keep_connections()
+        # In the next turn both are due, this one first; and so they come in the turn behind it.
+        loop = asyncio.get_running_loop()
+        loop.call_at(0.0, loop.call_soon, self.stand)
+        time.sleep(0.06)
+        await self.assert_drained()
+
+    async def test_requests_wait_for_what_is_read_however_slowly_the_loop_goes_on(self) -> None:
+        """They waited for 2 ms, which on a busy machine may pass before the loop comes round once."""
+        await self.keep_connections()
         # All are due in the next iteration, in this order: it stands, the pace notices that, and time passes.
-        loop.call_at(0.0, loop.call_soon, stand)
+        loop = asyncio.get_running_loop()
+        loop.call_at(0.0, loop.call_soon, self.stand)
         loop.call_at(loop.time() + 0.055, loop.call_soon, time.sleep, 0.01)
         time.sleep(0.06)
-        for reader, _ in kept:
-            self.assertIn("200", await self.hear(reader))
-        self.assertEqual([], [line for line in self.lines if "    a1 gets" in line])
+        await self.assert_drained()
 
     async def test_a_connection_that_came_up_meanwhile_is_not_written_to_before_the_list_is_read(self) -> None:
         await self.open("a1", "b1")
