--- a/tests/reconfiguration_scene.py
+++ b/tests/reconfiguration_scene.py
@@ -24,6 +24,8 @@
 RECONFIGURED_TERM = 4.0
 REACHED_TERM = 6.0
 GRACE = 0.5 + 0.05
+# So long a call waits in discovery's queue before it is refused.
+QUEUE_PATIENCE = 3.0
 # An address that was replaced takes no new connection, and ends those open after so long.
 RETIRED_AFTER = 1.5
 EMPTY_LINE_EVERY = 2.0
@@ -126,12 +128,16 @@
 
 class FaultProxy:
     """An address of discovery. `refusing`: calls are answered 503 at once. `delay`: so many seconds pass between a call
-    and its answer, as in a queue. `held`: what discovery says stops here until it is False again."""
+    and its answer, as in a queue. `full`: its queue is longer than a call may wait, so that each is refused after
+    QUEUE_PATIENCE. `replica`: the line that each call is answered with before its watch ends. `held`: what discovery
+    says stops here until it is False again."""
 
     def __init__(self, discovery: Discovery) -> None:
         self._discovery = discovery
         self.refusing = False
         self.delay = 0.0
+        self.full = False
+        self.replica: bytes | None = None
         self.held = False
         self.calls: list[float] = []
         self._open: set[asyncio.StreamWriter] = set()  # emptied as connections end
@@ -149,6 +155,13 @@
             if self.refusing:
                 writer.write(REFUSAL)
                 return
+            if self.replica is not None:
+                writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+                writer.write(b"%x\r\n%s\r\n" % (len(self.replica), self.replica))
+                return
+            if await self._refused_by_queue():
+                writer.write(REFUSAL)
+                return
             # Worked through in its turn, whether or not its caller still waits.
             await asyncio.sleep(self.delay)
             answer, onward = await asyncio.open_connection(HOST, self._discovery.port)
@@ -166,6 +179,14 @@
             if onward is not None:
                 onward.close()
 
+    async def _refused_by_queue(self) -> bool:
+        waits_until = asyncio.get_running_loop().time() + QUEUE_PATIENCE
+        while self.full:
+            if asyncio.get_running_loop().time() >= waits_until:
+                return True
+            await asyncio.sleep(0.01)
+        return False
+
     def cut(self) -> None:
         """Every connection is reset."""
         for writer in list(self._open):
--- /dev/null
+++ b/tests/test_expired_list.py
@@ -0,0 +1,79 @@
+"""A drain is kept where discovery does not answer before its term ends: whole proxies as processes, SIGHUP, and a full queue.
+
+What discovery has counts as told 4 s after a new configuration, whether or not it came (docs/design.md, "Terms for the list").
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from tests.reconfiguration_scene import RECONFIGURED_TERM, ReconfigurationScene
+
+# When the incident's proxies were told of new configurations, in seconds after the first.
+ROW = (0.0, 0.3, 0.7, 1.6)
+# Seconds after the first configuration at which discovery can answer again, well past the term of the last.
+ANSWERS_AT = 9.0
+SETTLES = 4.0
+
+
+class ExpiredListScene(ReconfigurationScene):
+    """Three processes; b0 drains as discovery stops answering calls, and they lose the watch that would tell them."""
+
+    PROXIES = 3
+    ADDRESSES = 1 + len(ROW)
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.listed_before = self.discovery.line(True)
+        self.discovery.change("b0", "draining")
+        for address in self.addresses:
+            address.full = True
+        self.addresses[0].cut()
+
+    async def answers_again(self, began: float) -> None:
+        await self.until(began + ANSWERS_AT)
+        for address in self.addresses:
+            address.full, address.replica = False, None
+        await self.until(began + ANSWERS_AT + SETTLES)
+
+    def assert_drained_and_answered(self, told_at: float) -> None:
+        """No send to b0 after its grace; each proxy answers while its list is past its term, and serves once it is told."""
+        late = self.sent_late("b0", told_at)
+        logs = "\n".join(f"{proxy.name}:\n{proxy.log}" for proxy in self.proxies if proxy.name in late)
+        self.assertEqual({}, late, f"b0 was sent requests after the grace, by so many seconds\n{logs}")
+        for proxy in self.proxies:
+            refused = [line for line in proxy.answers if b" 503 " in line]
+            self.assertGreater(len(refused), 10, "nobody refused what it could not send")
+        served = {one.proxy for one in self.received if one.at > told_at + ANSWERS_AT}
+        self.assertEqual({proxy.name for proxy in self.proxies}, served)
+
+
+class ANewConfiguration(ExpiredListScene):
+    async def test_nothing_goes_out_by_a_list_that_a_full_discovery_did_not_confirm_in_time(self) -> None:
+        """Incident 54: four new configurations in a row, each at another address, and no call is answered before the 4 s of the
+        last are over. Every proxy knew that its list was past its term, and sent on."""
+        began = self.now()
+        for number, at in enumerate(ROW, 1):
+            await self.until(began + at)
+            self.reconfigure_all(number)
+        await self.answers_again(began)
+        self.assert_drained_and_answered(began + ROW[-1] + RECONFIGURED_TERM)
+
+    async def test_an_older_list_of_the_new_address_does_not_end_the_term(self) -> None:
+        """A replica that is behind tells the list of before the drain and ends its watch: the term of 4 s was forgotten, and
+        6 s from that word took its place."""
+        began = self.now()
+        self.addresses[1].replica = self.listed_before
+        self.reconfigure_all(1)
+        await self.until(began + 0.5)
+        self.addresses[1].replica = None
+        await self.answers_again(began)
+        self.assert_drained_and_answered(began + RECONFIGURED_TERM)
+
+    async def test_a_new_configuration_with_the_same_address_begins_a_term_too(self) -> None:
+        """Its address is asked already, so nothing was done, and 6 s from the last word counted alone."""
+        began = self.now()
+        for proxy in self.proxies:
+            proxy.reconfigure(self.addresses[0].address)
+        await self.answers_again(began)
+        self.assert_drained_and_answered(began + RECONFIGURED_TERM)
