A list that is past a binding term and not confirmed has expired: nothing goes out by it

Class: knowledge with an end of validity is used past that end.

net/list_confirmation.py holds the terms and an expiry as of a lease: past a binding term (new configuration, another's place taken) requests are refused at once until the configuration in force has a word, for 30 s at the most, and not where no connection came up. Checked before each attempt, and again where it is written. Of the same class, found by reading and mended: a word within the term ended it, an older list too; the same address or an unreadable file began none; the place of another process began none here; a signal handled late began it late; an attempt chosen before was written after.

--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 from collections.abc import Callable, Iterable, Sequence
 from random import Random
 from typing import Any, Protocol
@@ -14,7 +15,8 @@
 from pepperusher.net.endpoint_metrics import EndpointMetrics
 from pepperusher.net.endpoint_update import GONE, BadList, EndpointUpdate, endpoint_update_of, merged, text_of_address
 from pepperusher.net.line import Line, reach
-from pepperusher.net.list_confirmation import Cause, ListConfirmation
+from pepperusher.net.list_confirmation import (
+    LOST_TERM, RECONFIGURED_TERM, TAKEN_OVER_TERM, Cause, ListConfirmation)
 from pepperusher.net.log import Log
 from pepperusher.net.stopped_endpoints import StoppedEndpoints
 from pepperusher.net.watch_stream import WatchStream
@@ -23,15 +25,11 @@
 # Those that are started together with a list that they were given ask within so long, by chance: they are as many as
 # discovery had callers, and come while those that lost their watches still wait.
 START_SPREAD = 2.0
-# What a list that is not confirmed may lack counts as told so long after a new configuration, or after a watch's last
-# word, or after this process took another's place and was ready, in seconds (PROTOCOL, SIGHUP; STANDING, one clock
-# for silence; DAYS, replacing the process).
-RECONFIGURED_TERM = 4.0
-LOST_TERM = 6.0
-TAKEN_OVER_TERM = 2.0
 # A new address is asked so many seconds later while a call at the one before waits for its turn. That is under
 # a third of the time for which an address stays open once it is replaced.
 WAITS_ELSEWHERE = 0.5
+# A connection fails by these for want of something on this machine, whether or not discovery could be reached.
+OWN_WANTS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
 # Seconds after which watching goes on that an unexpected error has ended.
 FOLLOW_AGAIN = 1.0
 # Addresses that were replaced and are still heard.
@@ -88,7 +86,7 @@
         # Where the list comes from elsewhere: set while discovery is to be asked. None where nothing else tells it.
         self._asks: asyncio.Event | None = None
         self.metrics = EndpointMetrics()
-        self.confirmation = ListConfirmation(self.metrics, log)
+        self.confirmation = ListConfirmation(self.metrics, log, lambda: self._source.reachable)
         self._took_over = False   # another process's list
         self.on_word: Callable[[], None] | None = None   # a watch has spoken; what it told stands in the list
 
@@ -231,6 +229,7 @@
         now = asyncio.get_running_loop().time()
         if self._took_over:
             self._source.schedule.begin_term(now, TAKEN_OVER_TERM)
+            self.confirmation.expect(Cause.TAKEN_OVER, TAKEN_OVER_TERM, now)
         elif not at_once and self._told:
             self._source.schedule.pause(now + START_SPREAD * self._chance.random())
         self._source.following = asyncio.get_running_loop().create_task(self._follow(self._source, False))
@@ -265,17 +264,33 @@
         self._took_over = True
         self.take(update)
 
-    def turn_to(self, address: tuple[str, int]) -> None:
-        """A new configuration: asked there at once, while the list and all that is out stand till it has told."""
-        if address == self._source.address:
+    @property
+    def expired(self) -> bool:
+        """Whether no request may go out by the list. Where another tells it, the terms of that hold."""
+        return self.confirmation.expired and (self._asks is None or self._asks.is_set())
+
+    def reconfigured(self, address: tuple[str, int] | None, waited: float) -> None:
+        """A new configuration with that address, None where it can't be read: the signal came at most `waited` seconds ago,
+        and what discovery has counts RECONFIGURED_TERM seconds after that."""
+        now = asyncio.get_running_loop().time()
+        if address is not None and address != self._source.address:
+            self._turn_to(address, now)
+            self.confirmation.expect(Cause.RECONFIGURED, RECONFIGURED_TERM, now - waited)
             return
-        self.confirmation.expect(Cause.RECONFIGURED, RECONFIGURED_TERM)
+        self._source.schedule.begin_term(now, RECONFIGURED_TERM)
+        if self._source.watch is not None:
+            self.confirmation.keep_term(RECONFIGURED_TERM, now - waited)
+        else:
+            self._source.reachable = False
+            self.confirmation.expect(Cause.RECONFIGURED, RECONFIGURED_TERM, now - waited)
+
+    def _turn_to(self, address: tuple[str, int], now: float) -> None:
+        """Asked there at once, while the list and all that is out stand till it has told."""
         if self._source.calls:
             self._replace(self._source)
         else:
             self._source.following.cancel()
         self._source = Source(address, None, self._schedule())
-        now = asyncio.get_running_loop().time()
         self._source.schedule.begin_term(now, RECONFIGURED_TERM)
         if self._waits_elsewhere:
             # With each of many configurations in a row another call would lengthen the queue that this one stands in.
@@ -367,9 +382,8 @@
         self._log.say(f"watch ended: {reason}; {call.described(now)}{self._next_described(source, now)}")
         self._count_end(call, error)
         if call.spoken and source is self._source:
-            # Counted from its last word.
             silence = call_schedule.SILENT + self._spread if source.schedule.silent else 0.0
-            self.confirmation.expect(Cause.LOST, LOST_TERM - silence)
+            self.confirmation.expect(Cause.LOST, LOST_TERM, now - silence)
         return at_once
 
     def _next_described(self, source: Source, now: float) -> str:
@@ -412,8 +426,13 @@
         return False
 
     async def _watch(self, source: Source, call: Call) -> str:
-        async with asyncio.timeout(CONNECT_WITHIN):
-            line = call.line = await reach(source.address)
+        try:
+            async with asyncio.timeout(CONNECT_WITHIN):
+                line = call.line = await reach(source.address)
+        except OSError as error:
+            source.reachable = source.reachable or error.errno in OWN_WANTS
+            raise
+        source.reachable = True
         loop = asyncio.get_running_loop()
         asked_at = loop.time()
         try:
--- a/pepperusher/net/endpoint_metrics.py
+++ b/pepperusher/net/endpoint_metrics.py
@@ -15,7 +15,8 @@
     `given_up` are calls whose place another took before they had an answer; `taken_late` the updates that came by such
     a call all the same, and were newer than the list.
     `overdue` counts the times that the list was not confirmed within its term, and `sent_overdue` the requests that
-    went to a backend meanwhile: each of these may have gone to one that drains.
+    went to a backend meanwhile: each of these may have gone to one that drains. `expired` counts the times that the term
+    was a binding one, and `refused_expired` the requests that did not go out for that (net/list_confirmation.py).
     """
 
     calls: int = 0
@@ -28,6 +29,8 @@
     lost: int = 0
     overdue: int = 0
     sent_overdue: int = 0
+    expired: int = 0
+    refused_expired: int = 0
     longest_unconfirmed: float = 0.0
 
     def line(self) -> str:
@@ -35,4 +38,5 @@
         return (f"list: {self.calls} calls, {self.refused} refused ({self.refused_at_once} at once, {self.refused_late} after a wait,"
                 f" {self.unconnected} without a connection), {self.given_up} given up ({self.taken_late} updates taken from these),"
                 f" {self.lost} watches lost, {self.longest_unconfirmed:.1f} s unconfirmed at the longest,"
-                f" {self.overdue} times overdue, {self.sent_overdue} requests sent meanwhile")
+                f" {self.overdue} times overdue, {self.sent_overdue} requests sent meanwhile,"
+                f" {self.expired} times expired, {self.refused_expired} requests refused for that")
--- a/pepperusher/net/exchange.py
+++ b/pepperusher/net/exchange.py
@@ -63,17 +63,18 @@
     """What the decisions are told of an attempt under way: set aside while its body comes, and back in
     its place."""
 
-    __slots__ = ("stands", "left", "aside", "back", "remaining", "list_read", "stood")
+    __slots__ = ("stands", "left", "aside", "back", "remaining", "list_read", "stood", "expired")
 
     def __init__(self, stands: Callable[[], bool], left: Callable[[], bool], aside: Callable[[], None],
                  back: Callable[[], None], remaining: Callable[[], int], list_read: Callable[[], Awaitable[None]],
-                 stood: Callable[[], bool]) -> None:
+                 stood: Callable[[], bool], expired: Callable[[], bool]) -> None:
         self.stands = stands
         self.left = left     # whether its client has
         self.aside = aside
         self.back = back
         self.remaining = remaining   # how long its client waits yet, in microseconds
         self.stood = stood           # whether the process stood still, and the list was not read since
+        self.expired = expired       # whether the list has: nothing may be written by it
         self.list_read = list_read   # returns once the list is as discovery has written it, also after a standstill
 
 
@@ -136,6 +137,8 @@
         """None once it is with the kernel, or the backend has spoken before that; else how it ended."""
         line, rest = self._line, request.rest
         framed = framed_request(self._parser, request)
+        if self._placed.expired():
+            return "moot"   # chosen before its term ended
         if self._placed.stood():
             return "unreached"
         sent = line.send(framed) or await line.sent()
--- a/pepperusher/net/list_confirmation.py
+++ b/pepperusher/net/list_confirmation.py
@@ -1,60 +1,140 @@
-"""Since when discovery has not confirmed the list, and whether that is past its term."""
+"""Whether discovery has confirmed the list, when what an unconfirmed one lacks counts as told, and whether it has expired.
+
+A *term* is the span after which the operators hold a change to be told, whether or not it came (docs/design.md, "Terms for
+the list"). That of an outage runs only while discovery can be reached, which a proxy can't know: a list past it is still
+used, and that is logged and counted. A *binding* term runs whatever discovery does. A list that was not confirmed by its
+end has expired: any endpoint of it may have been told to drain, so no request may go out by it.
+"""
 
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from enum import Enum
 
 from pepperusher.net.endpoint_metrics import EndpointMetrics
 from pepperusher.net.log import Log
 
+# Seconds after which a change counts as told: after a watch's last word, after a new configuration, and after this process
+# took another's place (PROTOCOL; SIGHUP in LATER; STANDING, one clock for silence; DAYS, replacing the process).
+LOST_TERM = 6.0
+RECONFIGURED_TERM = 4.0
+TAKEN_OVER_TERM = 2.0
+# Of several new configurations in a row the term of the last counts; what changed before the first of them counts so many
+# seconds after that all the same.
+ROW_MOST = 6.0
+# A list that has expired is used again after so many seconds: by then discovery is away for good, or was named wrongly, and
+# a proxy that refuses all is worse than one that sends to an endpoint that drains.
+EXPIRED_MOST = 30.0
+
 
 class Cause(Enum):
     """Why discovery has to confirm the list anew, in the log's words."""
 
     LOST = "discovery lost"
     RECONFIGURED = "a new configuration"
+    TAKEN_OVER = "another process's place taken"
+
+    @property
+    def binding(self) -> bool:
+        """Whether its term runs whatever discovery does."""
+        return self is not Cause.LOST
 
 
 class ListConfirmation:
-    """Times are seconds of the loop's clock."""
+    """Times are seconds of the loop's clock. `reachable` tells whether discovery has been reached since the last binding term
+    began: what nobody could have been told does not count."""
 
-    def __init__(self, metrics: EndpointMetrics, log: Log) -> None:
+    def __init__(self, metrics: EndpointMetrics, log: Log, reachable: Callable[[], bool]) -> None:
         self._metrics = metrics
         self._log = log
-        self._missing_since: float | None = None   # None while a watch stands
-        # When what an unconfirmed list lacks counts as told; None while a watch stands, and once that was counted.
-        self._due_at: float | None = None
-        self._overdue = False
+        self._reachable = reachable
+        self._missing_since: float | None = None   # None while the list is confirmed
+        self._lost_due_at: float | None = None     # None while the list is confirmed
+        # The end of the last binding term. It outlasts a confirmation until then: a word that came before its end need not
+        # have told all that counts there.
+        self._binding_due_at: float | None = None
+        self._row_began_at: float | None = None    # the first binding term since the list was confirmed
+        self._overdue_said = self._expired_said = False
+        self._refused = 0   # requests, since it has expired
         self._said_of: set[str] = set()   # endpoints named in the log since it is overdue; emptied with each confirmation
 
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
     @property
     def overdue(self) -> bool:
         """Whether the list is not confirmed and past its term: what it lacks counts as told."""
-        if self._due_at is not None and asyncio.get_running_loop().time() > self._due_at:
-            self._due_at, self._overdue = None, True
+        now = self._now()
+        overdue = self._missing_since is not None and any(
+            due is not None and now > due for due in (self._lost_due_at, self._binding_due_at))
+        if overdue and not self._overdue_said:
+            self._overdue_said = True
             self._metrics.overdue += 1
             self._log.say("list past its term; not confirmed yet")
-        return self._overdue
+        return overdue
 
-    def expect(self, cause: Cause, within: float) -> None:
-        """It is not confirmed from here on, and what it may lack counts `within` seconds from now at the latest."""
-        now = asyncio.get_running_loop().time()
+    @property
+    def expired(self) -> bool:
+        """Whether nothing may go out by it: it is past a binding term, discovery could be reached, and did not confirm it."""
+        due = self._binding_due_at
+        if self._missing_since is None or due is None or not due < self._now() <= due + EXPIRED_MOST:
+            return False
+        if not self._reachable():
+            return False
+        if not self._expired_said:
+            self._expired_said = True
+            self._metrics.expired += 1
+            self._log.say("list expired; requests are refused until discovery confirms it")
+        return self.overdue
+
+    def expect(self, cause: Cause, within: float, since: float) -> None:
+        """Discovery has to confirm it: what it may lack counts `within` seconds after `since` at the latest, which is when
+        it was known last to be whole, or when the signal may have come."""
+        if cause.binding:
+            self._begin_binding_term(within, since)
+        else:
+            self._begin_lost_term(within, since)
         if self._missing_since is None:
-            self._missing_since = now
-        self._log.say(f"list unconfirmed: {cause.value}; what it lacks counts in {within:.2f} s")
-        if not self._overdue:
-            self._due_at = now + within if self._due_at is None else min(self._due_at, now + within)
+            self._missing_since = since
+        due = min(due for due in (self._lost_due_at, self._binding_due_at) if due is not None)
+        self._log.say(f"list unconfirmed: {cause.value}; what it lacks counts in {due - self._now():.2f} s")
+
+    def _begin_lost_term(self, within: float, since: float) -> None:
+        if self._binding_due_at is not None and self._binding_due_at <= since:
+            self._binding_due_at = None   # confirmed to its end
+        due = since + within
+        self._lost_due_at = due if self._lost_due_at is None else min(self._lost_due_at, due)
+
+    def keep_term(self, within: float, since: float) -> None:
+        """A binding term begins while discovery still tells the list: it counts if discovery is lost before its end."""
+        self._begin_binding_term(within, since)
+
+    def _begin_binding_term(self, within: float, since: float) -> None:
+        due = self._binding_due_at
+        if due is not None and self._missing_since is not None and self._now() > due:
+            if self._now() <= due + EXPIRED_MOST:
+                return   # expired already: nothing but a confirmation ends that
+            self._row_began_at = None
+        if self._row_began_at is None:
+            self._row_began_at = since
+        self._binding_due_at = min(since + within, self._row_began_at + ROW_MOST)
 
     def confirmed(self, by: str) -> None:
         """Discovery has spoken; `by` says which call."""
         if self._missing_since is not None:
-            lasted = asyncio.get_running_loop().time() - self._missing_since
+            lasted = self._now() - self._missing_since
             self._metrics.longest_unconfirmed = max(self._metrics.longest_unconfirmed, lasted)
             late = ", past its term" if self.overdue else ""
-            self._log.say(f"list confirmed; after {lasted:.2f} s{late}, {by}")
-        self._missing_since, self._due_at, self._overdue = None, None, False
+            refused = f", {self._refused} requests refused" if self._refused else ""
+            self._log.say(f"list confirmed; after {lasted:.2f} s{late}{refused}, {by}")
+        self._missing_since = self._lost_due_at = self._row_began_at = None
+        self._overdue_said = self._expired_said = False
+        self._refused = 0
         self._said_of.clear()
+        if self._binding_due_at is not None and self._binding_due_at <= self._now():
+            self._binding_due_at = None
 
     def sent(self, request: bytes, endpoint: str) -> None:
         """The request of this id goes out to that endpoint."""
@@ -63,3 +143,10 @@
             if endpoint not in self._said_of:
                 self._said_of.add(endpoint)
                 self._log.say(f"request {request.decode('latin-1')} goes to {endpoint} by a list past its term")
+
+    def refused(self, request: bytes) -> None:
+        """The request of this id does not go out, since the list has expired."""
+        self._metrics.refused_expired += 1
+        self._refused += 1
+        if self._refused == 1:
+            self._log.say(f"request {request.decode('latin-1')} is refused: the list has expired")
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -225,6 +225,7 @@
                 return self._gate.refusal(passed)
             wait = passed.terms.wait(wait)
         ticket = self._facade.take(use_case, customer, call.came, wait, cost)
+        name = told[b"request-id"]
         if passed is not None:
             self._facade.narrow(ticket, passed.terms.most)
         # What was sent under a mark counts over tickets and restarts, where it is kept.
@@ -233,7 +234,7 @@
         if shelf is not None and shelf.on:
             for one in shelf.past(use_case, mark):
                 self._facade.remember(ticket, one.backend, one.cell, one.sent, one.ran)
-        elif shelf is not None and any(name == b"client-retry" for name, _ in headers):
+        elif shelf is not None and any(header == b"client-retry" for header, _ in headers):
             # Nobody knows any more how often it went out.
             self._facade.narrow(ticket, 1)
         onward = [pair for pair in end_to_end(headers) if pair[0] != b"request-timeout"]
@@ -266,11 +267,15 @@
         placed = Placed(lambda: not call.gone() and self._facade.stands(ticket, clock.now()), lambda: call.left,
                         lambda: self._facade.aside(ticket, clock.now()), lambda: self._facade.back(ticket, clock.now()),
                         lambda: self._facade.remaining(ticket, clock.now()), self._standstill.list_read,
-                        lambda: self._standstill.unnoticed)
+                        lambda: self._standstill.unnoticed, lambda: self._discovery.expired)
         how, answer, end, attempts = "", None, "left", 0
         try:
             await self._standstill.list_read()
-            step = self._facade.pick(ticket, clock.now())
+            if self._discovery.expired:
+                self._refused_by_expired_list(name)
+                step = Step(BOUNCE, "", 0)
+            else:
+                step = self._facade.pick(ticket, clock.now())
             while step.what in (SEND, HOLD):
                 if step.what == HOLD:
                     out = None
@@ -294,10 +299,17 @@
                             shelf.ended(use_case, mark, kept, how)
                         step = self._facade.report(ticket, how, clock.now(), False)
                         continue
+                if self._discovery.expired:
+                    self._refused_by_expired_list(name)
+                    how = "moot"
+                    if shelf is not None and kept is not None:
+                        shelf.ended(use_case, mark, kept, how)
+                    step = self._facade.report(ticket, how, clock.now(), False)
+                    continue
                 if attempts:
                     self._count("retried")
                 attempts += 1
-                self._discovery.confirmation.sent(told[b"request-id"], step.backend)
+                self._discovery.confirmation.sent(name, step.backend)
                 out = Attempt()
                 patience = step.wait
                 if passed is not None and self._gate is not None:
@@ -333,6 +345,10 @@
             if passed is not None and self._gate is not None:
                 self._gate.over(passed, end, how in WORKED)
 
+    def _refused_by_expired_list(self, name: bytes) -> None:
+        self._discovery.confirmation.refused(name)
+        self._count("list expired")
+
     def _answer(self, step: Step, how: str, answer: Answer | None) -> Answer | None:
         if how in PASSED_ON and answer is not None:
             # The answer to HEAD tells a length and has no body.
@@ -513,6 +529,7 @@
             told = self._again(self._told)
         except ToldError as error:
             self._log.say(f"the new configuration is not taken: {error}")
+            self._discovery.reconfigured(None, self._standstill.unwatched_for)
             return
         before = self._told
         self._log.say(f"configuration read anew, discovery at {text_of_address(told.discovery)},"
@@ -523,7 +540,7 @@
         self._facade.retuned(told.ground, clock.now())
         self._backends.retuned(told.connect_within, told.idle_most)
         self._callers.retuned(told.ground.longest_wait)
-        self._discovery.turn_to(told.discovery)
+        self._discovery.reconfigured(told.discovery, self._standstill.unwatched_for)
         self._tell("told anew", lambda one: one.told_anew(told.ground))
 
     async def _drain(self) -> None:
--- a/pepperusher/net/standstill.py
+++ b/pepperusher/net/standstill.py
@@ -40,6 +40,11 @@
         """Whether it stood still, and nobody has looked since."""
         return clock.now() - self._looked_at > STOOD
 
+    @property
+    def unwatched_for(self) -> float:
+        """Seconds since the last look: whatever is due now may have been due so long."""
+        return max(0, clock.now() - self._looked_at) / 1e6
+
     async def list_read(self) -> None:
         """Returns at once, but after a standstill: then once what waited was read, the list among it."""
         if self.unnoticed:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import json
+import time
 import unittest
 from collections import Counter
 from unittest import mock
@@ -66,6 +68,13 @@
 
 class Lists(Street):
     beats = False
+    keeps_silent = False   # discovery takes calls and says nothing, not even that it lives
+
+    async def watched(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.keeps_silent:
+            await reader.read()
+        else:
+            await super().watched(reader, writer)
 
     def listed(self) -> str:
         return ", ".join(sorted(one["id"] for one in self.proxy._facade.backends() if one["ready"])) or "nobody"
@@ -135,20 +144,29 @@
         self.assertEqual("a1", self.listed())
         self.assertEqual(1, sum("RuntimeError: a fault" in line for line in self.logged))
 
-    async def moved(self) -> None:
-        """Discovery is at another address from here on, and asked there."""
+    async def moved(self, stopped_for: float = 0.0) -> None:
+        """Discovery is at another address from here on, and asked there; the process hears of that after so many seconds in
+        which it was stopped."""
         server = await asyncio.start_server(self.watched, "127.0.0.1", 0)
         self.addCleanup(server.close)
         self.given = json.dumps({**json.loads(self.given), "discovery": f"127.0.0.1:{server.sockets[0].getsockname()[1]}"})
         watches = len(self.watches)
+        time.sleep(stopped_for)
         self.proxy.tell_anew()
         await self.until(lambda: len(self.watches) > watches)
 
-    async def test_a_list_past_its_term_is_said_and_counted_with_what_goes_out_by_it(self) -> None:
+    async def lost(self) -> None:
+        """Discovery takes no call from here on, and its watch ends."""
+        self.server.close()
+        self.watches[-1].close()
+        await self.until(lambda: not self.proxy._discovery.watched)
+
+    async def test_a_list_past_the_term_of_a_loss_is_said_and_counted_with_what_goes_out_by_it(self) -> None:
+        """That term runs only while discovery can be reached, which nobody here knows: the list is used on."""
         await self.open("a1", "b1")
         metrics = self.proxy._discovery.metrics
-        with mock.patch("pepperusher.net.discovery.RECONFIGURED_TERM", 0.1):
-            await self.moved()
+        with mock.patch("pepperusher.net.discovery.LOST_TERM", 0.1):
+            await self.lost()
         await self.ask("look 1", self.request("look", 1))
         self.assertEqual((0, 0), (metrics.overdue, metrics.sent_overdue))
         await asyncio.sleep(0.15)
@@ -157,6 +175,7 @@
         self.assertEqual((1, 4), (metrics.overdue, metrics.sent_overdue))
         said = sorted(line.rpartition("goes to ")[2] for line in self.logged if "goes to" in line)
         self.assertEqual(["a1 by a list past its term", "b1 by a list past its term"], said)
+        await self.moved()
         self.tell(self.line_of(2, self.line("a1"), full=True))
         await self.settle()
         await self.ask("look 6", self.request("look", 6))
@@ -164,7 +183,111 @@
         self.assertGreater(metrics.longest_unconfirmed, 0.15)
         self.assertTrue(any(line.startswith("list confirmed; after") and "past its term" in line for line in self.logged))
         self.assertTrue(any(line.startswith("version 2 of") and line.endswith("b1 not listed") for line in self.logged))
-        self.assertIn("1 times overdue, 4 requests sent meanwhile", metrics.line())
+        self.assertIn("1 times overdue, 4 requests sent meanwhile, 0 times expired", metrics.line())
+
+    async def test_nothing_goes_out_by_a_list_past_the_term_of_a_new_configuration(self) -> None:
+        """Each request is refused at once, said once and counted, until the new address has told."""
+        await self.open("a1", "b1")
+        metrics = self.proxy._discovery.metrics
+        with mock.patch("pepperusher.net.discovery.RECONFIGURED_TERM", 0.4):
+            await self.moved()
+        await self.ask("look 1", self.request("look", 1))
+        self.assertEqual((0, 0), (metrics.expired, metrics.refused_expired))
+        await asyncio.sleep(0.45)
+        self.lines = []
+        for number in range(2, 6):
+            await self.ask(f"look {number}", self.request("look", number))
+        self.assertEqual(4, sum("503" in line for line in self.lines), self.lines)
+        self.assertEqual((1, 4, 0), (metrics.expired, metrics.refused_expired, metrics.sent_overdue))
+        self.assertEqual(1, sum("is refused: the list has expired" in line for line in self.logged))
+        self.tell(self.line_of(2, self.line("a1"), full=True))
+        await self.settle()
+        await self.ask("look 6", self.request("look", 6))
+        self.assertIn("200", self.lines[-1])
+        self.assertEqual((1, 4), (metrics.expired, metrics.refused_expired))
+        self.assertTrue(any("past its term, 4 requests refused" in line for line in self.logged))
+        self.assertIn("1 times expired, 4 requests refused for that", metrics.line())
+
+    async def test_what_was_chosen_before_the_term_ended_is_not_written_after_it(self) -> None:
+        """Its connection comes up in between. The request never went out, which tells nothing of the backend."""
+        await self.open("a1")
+        connect = self.proxy._backends._connect
+
+        async def expires_meanwhile(*given: object) -> object:
+            made = await connect(*given)
+            await asyncio.sleep(0.45)
+            return made
+
+        with (mock.patch.object(self.proxy._backends, "_connect", expires_meanwhile),
+              mock.patch("pepperusher.net.discovery.RECONFIGURED_TERM", 0.4)):
+            await self.moved()
+            self.lines = []
+            await self.ask("look 1", self.request("look", 1))
+        self.assertEqual(["look 1 ...", "look 1 -> 503 'bounced'"], self.lines)
+        self.assertEqual(0, self.proxy._facade.backends()[0]["failed"])
+
+    async def test_where_a_new_address_can_not_be_reached_the_list_is_used_on(self) -> None:
+        """What nobody could have been told does not count, and an address that was written wrongly stops nobody."""
+        await self.open("a1")
+        self.given = json.dumps({**json.loads(self.given), "discovery": "127.0.0.1:1"})
+        with mock.patch("pepperusher.net.discovery.RECONFIGURED_TERM", 0.1):
+            self.proxy.tell_anew()
+        await asyncio.sleep(0.3)
+        await self.ask("look 1", self.request("look", 1))
+        self.assertIn("200", self.lines[-1])
+        metrics = self.proxy._discovery.metrics
+        self.assertEqual((1, 1, 0), (metrics.overdue, metrics.sent_overdue, metrics.expired))
+        self.assertGreater(metrics.unconnected, 0)
+
+    async def test_where_a_connection_fails_for_want_of_descriptors_discovery_counts_as_reachable(self) -> None:
+        await self.open("a1")
+        full = OSError(errno.EMFILE, "Too many open files")
+        with (mock.patch("pepperusher.net.discovery.reach", side_effect=full),
+              mock.patch("pepperusher.net.discovery.RECONFIGURED_TERM", 0.1)):
+            self.given = json.dumps({**json.loads(self.given), "discovery": "127.0.0.1:1"})
+            self.proxy.tell_anew()
+            await asyncio.sleep(0.3)
+            await self.ask("look 1", self.request("look", 1))
+        self.assertIn("503", self.lines[-1])
+
+    async def test_a_configuration_that_can_not_be_read_begins_a_term_too(self) -> None:
+        """Discovery may have moved, and nobody knows where to: with its watch gone the list expires."""
+        await self.open("a1")
+        self.given = "{"
+        with mock.patch("pepperusher.net.discovery.RECONFIGURED_TERM", 0.4):
+            self.proxy.tell_anew()
+        await asyncio.sleep(0.45)
+        await self.ask("look 1", self.request("look", 1))
+        self.assertIn("200", self.lines[-1], "its watch stood all the while")
+        with mock.patch("pepperusher.net.discovery.RECONFIGURED_TERM", 0.4):
+            self.proxy.tell_anew()
+        self.keeps_silent = True
+        self.watches[-1].close()
+        await asyncio.sleep(0.45)
+        await self.ask("look 2", self.request("look", 2))
+        self.assertIn("503", self.lines[-1])
+
+    async def test_a_signal_may_have_come_as_long_ago_as_the_process_last_looked(self) -> None:
+        """It was stopped: the term counts from the signal, not from when it was handled."""
+        await self.open("a1")
+        with mock.patch("pepperusher.net.discovery.RECONFIGURED_TERM", 0.6):
+            await self.moved(stopped_for=0.4)
+        await asyncio.sleep(0.3)
+        self.assertTrue(self.proxy._discovery.expired)
+
+    async def test_who_takes_anothers_place_sends_nothing_once_the_term_of_that_is_over(self) -> None:
+        await self.open("a1")
+        discovery = self.proxy._discovery
+        discovery.stop()
+        discovery.go_on(discovery._source.address, endpoint_update_of(discovery.listed()))
+        self.keeps_silent = True
+        with mock.patch("pepperusher.net.discovery.TAKEN_OVER_TERM", 0.3):
+            discovery.start(at_once=False)
+        await self.ask("look 1", self.request("look", 1))
+        self.assertIn("200", self.lines[-1])
+        await asyncio.sleep(0.35)
+        await self.ask("look 2", self.request("look", 2))
+        self.assertIn("503", self.lines[-1])
 
     async def test_an_older_list_of_a_new_address_lifts_no_drain(self) -> None:
         """A list that was on its way for long, or of a replica that is behind: by its word b1 had requests again."""
--- a/tests/test_expired_list.py
+++ b/tests/test_expired_list.py
@@ -5,8 +5,6 @@
 
 from __future__ import annotations
 
-import asyncio
-
 from tests.reconfiguration_scene import RECONFIGURED_TERM, ReconfigurationScene
 
 # When the incident's proxies were told of new configurations, in seconds after the first.
@@ -34,6 +32,7 @@
         await self.until(began + ANSWERS_AT)
         for address in self.addresses:
             address.full, address.replica = False, None
+        self.answers_since = self.now()
         await self.until(began + ANSWERS_AT + SETTLES)
 
     def assert_drained_and_answered(self, told_at: float) -> None:
@@ -44,7 +43,7 @@
         for proxy in self.proxies:
             refused = [line for line in proxy.answers if b" 503 " in line]
             self.assertGreater(len(refused), 10, "nobody refused what it could not send")
-        served = {one.proxy for one in self.received if one.at > told_at + ANSWERS_AT}
+        served = {one.proxy for one in self.received if one.at > self.answers_since}
         self.assertEqual({proxy.name for proxy in self.proxies}, served)
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -350,7 +350,7 @@
         """A ticket of HTTP/1.0 without a host ended by an exception, which counted against the backend's breaker."""
         await self.open("a1")
         sent = Request(b"GET", b"/", [], b"")
-        how, _ = await self.proxy._backends.attempt("a1", sent, Attempt(), 10**6, Placed(lambda: True, lambda: False, lambda: None, lambda: None, lambda: 10**6, lambda: asyncio.sleep(0), lambda: False))
+        how, _ = await self.proxy._backends.attempt("a1", sent, Attempt(), 10**6, Placed(lambda: True, lambda: False, lambda: None, lambda: None, lambda: 10**6, lambda: asyncio.sleep(0), lambda: False, lambda: False))
         self.lines.append(how)
         self.kept("net_unframed")
 
