A soak: short runs of a fleet whose trouble is drawn from the seed; books know the terms

One check where it is written and one before each attempt stay; two that no test could tell from these went. Test of the term of a silent watch, which a mutant had survived.

--- a/pepperusher/__main__.py
+++ b/pepperusher/__main__.py
@@ -19,7 +19,7 @@
 # Commands that live in packages of their own, loaded when they are asked for: `serve` must not grow by them.
 LATER = {**{name: ("pepperusher.rehearsal.commands", "rehearsal")
             for name in ("emulate", "load", "rehearse", "experiment", "report", "group-figures", "askers",
-                         "cold-figures")},
+                         "cold-figures", "soak")},
          **{name: ("pepperusher.own.commands", "own") for name in ("explain", "schema")},
          "capacity": ("pepperusher.capacity.commands", "rehearsal"),
          "control": ("pepperusher.distribution.commands", "own"),
--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -246,9 +246,9 @@
             await placed.list_read()
             # Never written to, whatever it is given up for: the ticket never ran, and where its client left that tells
             # nothing of the backend.
-            if out.how is not None or placed.expired() or not placed.stands():
+            if out.how is not None or not placed.stands():
                 self._keep(door, link)
-                return "moot" if out.how == "called off" or placed.left() or placed.expired() else "unreached", None
+                return "moot" if out.how == "called off" or placed.left() else "unreached", None
             if door.address != link.address or not link.line.quiet():
                 # Somebody else may be there now; or it has ended already, or speaks out of turn, in the kernel alone as yet:
                 # written to, a single-use ticket would count as one that may have run.
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -264,11 +264,6 @@
         self._took_over = True
         self.take(update)
 
-    @property
-    def expired(self) -> bool:
-        """Whether no request may go out by the list. Where another tells it, the terms of that hold."""
-        return self.confirmation.expired and (self._asks is None or self._asks.is_set())
-
     def reconfigured(self, address: tuple[str, int] | None, waited: float) -> None:
         """A new configuration with that address, None where it can't be read: the signal came at most `waited` seconds ago,
         and what discovery has counts RECONFIGURED_TERM seconds after that."""
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -267,15 +267,11 @@
         placed = Placed(lambda: not call.gone() and self._facade.stands(ticket, clock.now()), lambda: call.left,
                         lambda: self._facade.aside(ticket, clock.now()), lambda: self._facade.back(ticket, clock.now()),
                         lambda: self._facade.remaining(ticket, clock.now()), self._standstill.list_read,
-                        lambda: self._standstill.unnoticed, lambda: self._discovery.expired)
+                        lambda: self._standstill.unnoticed, lambda: self._discovery.confirmation.expired)
         how, answer, end, attempts = "", None, "left", 0
         try:
             await self._standstill.list_read()
-            if self._discovery.expired:
-                self._refused_by_expired_list(name)
-                step = Step(BOUNCE, "", 0)
-            else:
-                step = self._facade.pick(ticket, clock.now())
+            step = self._facade.pick(ticket, clock.now())
             while step.what in (SEND, HOLD):
                 if step.what == HOLD:
                     out = None
@@ -299,8 +295,9 @@
                             shelf.ended(use_case, mark, kept, how)
                         step = self._facade.report(ticket, how, clock.now(), False)
                         continue
-                if self._discovery.expired:
-                    self._refused_by_expired_list(name)
+                if self._discovery.confirmation.expired:
+                    self._discovery.confirmation.refused(name)
+                    self._count("list expired")
                     how = "moot"
                     if shelf is not None and kept is not None:
                         shelf.ended(use_case, mark, kept, how)
@@ -345,10 +342,6 @@
             if passed is not None and self._gate is not None:
                 self._gate.over(passed, end, how in WORKED)
 
-    def _refused_by_expired_list(self, name: bytes) -> None:
-        self._discovery.confirmation.refused(name)
-        self._count("list expired")
-
     def _answer(self, step: Step, how: str, answer: Answer | None) -> Answer | None:
         if how in PASSED_ON and answer is not None:
             # The answer to HEAD tells a length and has no body.
--- a/pepperusher/rehearsal/books.py
+++ b/pepperusher/rehearsal/books.py
@@ -13,6 +13,7 @@
 
 import msgspec
 
+from pepperusher.rehearsal.deemed import deemed
 from pepperusher.rehearsal.fleetplan import FleetPlan, Place
 from pepperusher.rehearsal.records import (
     BOUNCED,
@@ -23,6 +24,7 @@
     Believed,
     Held,
     Ran,
+    Reconfigured,
     Sample,
     Sent,
     Stall,
@@ -73,6 +75,7 @@
         self.turns: list[Turn] = []
         self.held: list[Held] = []
         self.believed: list[Believed] = []
+        self.reconfigured: list[Reconfigured] = []
         self._lists = {
             Try: self.tries,
             Sent: self.sent,
@@ -84,6 +87,7 @@
             Turn: self.turns,
             Held: self.held,
             Believed: self.believed,
+            Reconfigured: self.reconfigured,
         }
         for record in records:
             self.add(record)
@@ -303,9 +307,9 @@
 
 def _check_drains(script: Script, records: Records, book: RuleBook) -> None:
     """Nothing's first byte comes to a backend later than the grace after its sender was told that it
-    drains."""
+    drains, or that counts as told."""
     told: dict[tuple[int, str], list[Told]] = defaultdict(list)
-    for one in records.told:
+    for one in [*records.told, *deemed(script, records.reconfigured, records.ran)]:
         told[one.proxy, one.id].append(one)
     # What discovery wrote to a process that could not run it has read once it runs again.
     for held in sorted(records.held, key=lambda one: one.at):
--- a/pepperusher/rehearsal/caller.py
+++ b/pepperusher/rehearsal/caller.py
@@ -127,6 +127,11 @@
         self._idle: list[Peer] = []  # emptied by use, and by `close`
         self.opened = 0
 
+    @property
+    def rests(self) -> bool:
+        """Whether a connection stands open that nobody uses now."""
+        return any(not peer.ended for peer in self._idle)
+
     async def ask(self, asked: Asked, patience: int) -> Reply:
         """Never raises but for a cancellation, which closes the connection as a client that leaves does."""
         peer: Peer | None = None
--- a/pepperusher/rehearsal/commands.py
+++ b/pepperusher/rehearsal/commands.py
@@ -1,4 +1,4 @@
-"""The commands of rehearsals: emulate, load, rehearse, experiment, report, group-figures, askers."""
+"""The commands of rehearsals: emulate, load, rehearse, experiment, report, group-figures, askers, soak, cold-figures."""
 
 from __future__ import annotations
 
@@ -236,6 +236,36 @@
             click.echo(json.dumps(made._asdict()) if as_json else made.row())
 
 
+@click.command()
+@click.option("--seeds", default="1-50", show_default=True, help="One, or the first and the last with a - between.")
+@click.option("--span", default="20s", show_default=True, help="How long each run lasts.")
+@click.option("--work", type=click.Path(path_type=Path), help="Keep logs and records of runs that broke a rule here.")
+@click.option("--build", type=click.Path(path_type=Path), help="Another checkout, whose proxies are run.")
+def soak(seeds: str, span: str, work: Path | None, build: Path | None) -> None:
+    """Run a small fleet under trouble that is drawn from each seed, one run after another.
+
+    Ends with 1 if a rule was broken in one of them.
+    """
+    from pepperusher.rehearsal import soak as soaking
+
+    first, _, last = seeds.partition("-")
+    last = last or first
+    if not (first.isdecimal() and last.isdecimal() and int(first) <= int(last)):
+        raise click.ClickException("--seeds are such as 7, or 1-50")
+    with one_line():
+        try:
+            lasts = span_of(span)
+        except ValueError as error:
+            raise ScriptError(f"--span: {error}") from None
+        kept = True
+        for seed in range(int(first), int(last) + 1):
+            result = soaking.run(seed, lasts, work, build)
+            click.echo(soaking.line(result))
+            kept = kept and result.kept
+    if not kept:
+        sys.exit(RULE_BROKEN)
+
+
 @click.command("cold-figures")
 @click.option("--proxies", default=30, show_default=True, help="How many proxies.")
 @click.option("--seeds", default=2, show_default=True, help="Runs of each case, by seed.")
--- a/pepperusher/rehearsal/generator.py
+++ b/pepperusher/rehearsal/generator.py
@@ -42,8 +42,10 @@
     """Deals tickets out among the proxies of a client's zone that are in, in turn; those kept open go
     first. One of ONE_OF gets `uneven` times the mean."""
 
-    def __init__(self, clients: list[tuple[str, Client]], uneven: float = 1.0, seed: int = 0) -> None:
+    def __init__(self, clients: list[tuple[str, Client]], uneven: float = 1.0, seed: int = 0, stays: float = 0.0) -> None:
         self._clients = clients
+        self._stays = stays
+        self._staying = Random(f"{seed}:stays")
         busy = len(clients) // ONE_OF if uneven > 1.0 else 0
         rest = (len(clients) - uneven * busy) / (len(clients) - busy) if busy else 1.0
         self._weights = {id(one): uneven if place < busy else rest for place, (_, one) in enumerate(clients)}
@@ -58,7 +60,12 @@
             self._last = self._in
 
     def next(self, zone: str) -> Client | None:
-        """Where none is in, clients go on as they did; None where there never was one."""
+        """Where none is in, clients go on as they did; None where there never was one. Some stay with a proxy that is out,
+        for as long as a connection to it is open."""
+        if self._stays and self._staying.random() < self._stays:
+            left = [one for one in self._clients if one not in self._in and one[1].rests]
+            if left:
+                return self._staying.choice(left)[1]
         those = self._in or self._last
         near = [one for one in those if one[0] == zone] or those
         if not near:
@@ -229,7 +236,7 @@
         (str(one["zone"]), Client((str(one["host"]), int(str(one["port"]))), int(str(one["number"])), kept))
         for one in targets
     ]
-    front = Front(clients, script.load.uneven, script.seed)
+    front = Front(clients, script.load.uneven, script.seed, script.load.stays)
     writer = Writer(work / f"load-{process}.records")
     zones = sorted({zone for zone, _ in clients}) or [""]
     generator = Generator(script, process, front, zones, writer)
--- a/pepperusher/rehearsal/listing.py
+++ b/pepperusher/rehearsal/listing.py
@@ -20,6 +20,9 @@
 EMPTY_EVERY = 2_000_000
 # A discovery that has moved closes what is open at its old address after this.
 OLD_CLOSES = 1_500_000
+# So long a call waits in a full queue before it is refused, and how often it is looked at.
+QUEUE_PATIENCE = 3_000_000
+QUEUE_LOOK = 0.02
 
 
 class Listing:
@@ -98,6 +101,9 @@
                 asked = parse_qs(query)
                 if target != "/v1/endpoints":
                     peer.send(h11.Response(status_code=404, headers=[(b"content-length", b"0")]))
+                elif await self._refused_by_queue(peer, turn):
+                    peer.send(h11.Response(status_code=503, headers=[(b"content-length", b"0")]))
+                    break
                 elif asked.get("watch") == ["1"]:
                     after = asked.get("after", [""])[0]
                     await self._watch(peer, gate, turn, int(after) if after.isdecimal() else None)
@@ -115,6 +121,15 @@
             self._serving.discard(task)
             peer.abort()
 
+    async def _refused_by_queue(self, peer: Peer, turn: int) -> bool:
+        """A call waits while the queue is full; whether it waited too long, or its address was closed."""
+        until = clock() + QUEUE_PATIENCE
+        while self._roster.full(self._now()):
+            if clock() >= until or peer.ended or self._away(turn, self._now(), True):
+                return True
+            await asyncio.sleep(QUEUE_LOOK)
+        return False
+
     def _line(self, gate: Gate, version: int, after: int | None) -> bytes:
         told = self._roster.line(gate.tier, version, after, self._began_ms())
         now = self._now()
@@ -132,6 +147,11 @@
             empty_at = clock() + EMPTY_EVERY
             while True:
                 now = self._heard(gate)
+                if self._roster.silent(self._now()):
+                    if peer.ended or self._away(turn, self._now(), True):
+                        return
+                    await asyncio.sleep(QUEUE_LOOK)
+                    continue
                 if peer.ended or self._away(turn, self._now(), True) or self._roster.version(now) < version:
                     return
                 if self._roster.version(now) > version:
--- a/pepperusher/rehearsal/proxies.py
+++ b/pepperusher/rehearsal/proxies.py
@@ -19,7 +19,7 @@
 from pepperusher.control import client
 from pepperusher.rehearsal.fleetplan import Gate
 from pepperusher.rehearsal.grouping import Grouping, parsed
-from pepperusher.rehearsal.records import Believed, Held, Ran, Sample, Turn, Writer
+from pepperusher.rehearsal.records import Believed, Held, Ran, Reconfigured, Sample, Turn, Writer
 from pepperusher.rehearsal.script import Script
 from pepperusher.rehearsal.wire import Broken, Start, clock, reach, since
 from pepperusher.rehearsal.worker import environment, with_parent
@@ -344,7 +344,11 @@
         return lines[-1] if lines else "it said nothing"
 
     def hang_up(self) -> None:
+        """A new configuration; nothing where no process has been ready, also where it was told to stop since."""
+        if "ready" not in self._times:
+            return
         self.write_configuration()
+        self._writer.add(Reconfigured(self.gate.number, self._now()))
         self._signal(signal.SIGHUP)
 
     def _signal(self, number: int) -> None:
--- a/pepperusher/rehearsal/records.py
+++ b/pepperusher/rehearsal/records.py
@@ -159,7 +159,16 @@
     by: str
 
 
-KINDS: tuple[type[msgspec.Struct], ...] = (Try, Sent, Told, Stood, Ran, Stall, Sample, Turn, Held, Believed)
+class Reconfigured(msgspec.Struct, array_like=True, gc=False):
+    """A proxy's process got SIGHUP, with a configuration that was written anew."""
+
+    proxy: int
+    at: int
+
+
+KINDS: tuple[type[msgspec.Struct], ...] = (
+    Try, Sent, Told, Stood, Ran, Stall, Sample, Turn, Held, Believed, Reconfigured,
+)  # fmt: skip
 DECODERS = [msgspec.msgpack.Decoder(kind) for kind in KINDS]
 NUMBER = {kind: number for number, kind in enumerate(KINDS)}
 
--- a/pepperusher/rehearsal/roster.py
+++ b/pepperusher/rehearsal/roster.py
@@ -74,8 +74,19 @@
                 told = max(1, sum(1 for one in self._changes if one.told <= strike.at) - BACK_BY)
         return told
 
+    def _struck(self, what: str, now: int) -> bool:
+        return any(one.what == what and one.at <= now < one.until for one in self._strikes)
+
     def down(self, now: int) -> bool:
-        return any(one.what == "discovery-down" and one.at <= now < one.until for one in self._strikes)
+        return self._struck("discovery-down", now)
+
+    def full(self, now: int) -> bool:
+        """Whether the queue of calls is longer than one may wait in it."""
+        return self._struck("discovery-full", now)
+
+    def silent(self, now: int) -> bool:
+        """Whether open watches say nothing."""
+        return self._struck("discovery-silent", now)
 
     def next_change(self, now: int) -> int | None:
         """When the list, or whether it can be had, next changes; None if never."""
--- a/pepperusher/rehearsal/script.py
+++ b/pepperusher/rehearsal/script.py
@@ -153,6 +153,8 @@
     notice: Span = Span(1_000_000)
     late: Span = Span(1_000)
     stall: Span = Span(50_000)
+    # So many tickets go on open connections of proxies that were told to stop, while these stand.
+    stays: Share = 0.0
     # One in fifteen proxies gets so many times the mean, of what is left the others get even parts.
     uneven: float = 1.0
 
@@ -235,6 +237,8 @@
     "discovery-late",
     "discovery-moved",
     "discovery-back",
+    "discovery-full",
+    "discovery-silent",
     "new-ids",
     "pause-generator",
 ]
@@ -526,6 +530,7 @@
     _need(0 < load.patience <= 1, "load.patience", "is not over 0 and up to 1")
     _need(0 <= load.honours <= 1, "load.honours", "is not from 0 to 1")
     _need(0 <= load.leave <= 1, "load.leave", "is not from 0 to 1")
+    _need(0 <= load.stays <= 1, "load.stays", "is not from 0 to 1")
     _need(1 <= load.uneven < 15, "load.uneven", "is not from 1 to under 15")
     _need(1 <= load.processes <= 16, "load.processes", "is not from 1 to 16")
     _need(0 <= load.users <= 10_000, "load.users", "is not from 0 to 10000")
@@ -586,7 +591,7 @@
             "is not over 0 and up to 1",
         )
         _need(fault.what != "slow" or (fault.by or 2) >= 1, f"{key}.by", "is under 1, which is no slowing")
-        lasts = OF_BACKENDS - {"kill", "restart", "drain", "new-ids"} | {"discovery-down", "discovery-late"}
+        lasts = OF_BACKENDS - {"kill", "restart", "drain", "new-ids"} | {"discovery-down", "discovery-late", "discovery-full", "discovery-silent"}
         lasts |= {"proxy-stop", "proxy-starve", "proxy-twin", "proxy-hand", "disk-full", "disk-gone"} | OF_LINKS
         _check_group_fault(script, fault, key)
         _need(fault.what not in lasts or fault.span > 0, f"{key}.span", "missing: it lasts for a while")
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -273,7 +273,7 @@
         with mock.patch("pepperusher.net.discovery.RECONFIGURED_TERM", 0.6):
             await self.moved(stopped_for=0.4)
         await asyncio.sleep(0.3)
-        self.assertTrue(self.proxy._discovery.expired)
+        self.assertTrue(self.proxy._discovery.confirmation.expired)
 
     async def test_who_takes_anothers_place_sends_nothing_once_the_term_of_that_is_over(self) -> None:
         await self.open("a1")
@@ -289,6 +289,19 @@
         await self.ask("look 2", self.request("look", 2))
         self.assertIn("503", self.lines[-1])
 
+    async def test_the_term_of_a_silent_watch_counts_from_its_last_word(self) -> None:
+        await self.open("a1")
+        discovery = self.proxy._discovery
+        discovery._spread = 0.0
+        with (mock.patch("pepperusher.net.call_schedule.SILENT", 0.4), mock.patch("pepperusher.net.discovery.LOST_TERM", 0.6)):
+            self.tell(b"\n")
+            spoke_at = time.monotonic()
+            self.keeps_silent = True
+            await self.until(lambda: not discovery.watched)
+            self.assertFalse(discovery.confirmation.overdue)
+            await asyncio.sleep(spoke_at + 0.7 - time.monotonic())
+        self.assertTrue(discovery.confirmation.overdue)
+
     async def test_an_older_list_of_a_new_address_lifts_no_drain(self) -> None:
         """A list that was on its way for long, or of a replica that is behind: by its word b1 had requests again."""
         await self.open("a1", "b1", "c1")
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,67 @@
+"""The soak: its runs are drawn from the seed alone, its books hold the operators' terms, and a short one is played."""
+
+from __future__ import annotations
+
+import unittest
+
+import pytest
+
+from pepperusher.rehearsal import soak
+from pepperusher.rehearsal.deemed import deemed
+from pepperusher.rehearsal.records import Ran, Reconfigured
+from pepperusher.rehearsal.script import encoded
+from tests.rehearsal_scene import small
+
+SPAN = 20_000_000
+SEEDS_PLAYED = (54, 55, 56)
+
+
+class Scripts(unittest.TestCase):
+    def test_a_seed_gives_the_same_run_and_all_kinds_of_trouble_are_drawn(self) -> None:
+        scripts = [soak.script_of(seed, SPAN) for seed in range(1, 201)]
+        again = [soak.script_of(seed, SPAN) for seed in range(1, 201)]
+        self.assertEqual([encoded(one) for one in scripts], [encoded(one) for one in again])
+        drawn = {fault.what for one in scripts for fault in one.faults}
+        wanted = {"drain", "restart", "discovery-full", "discovery-down", "discovery-silent", "discovery-late", "discovery-moved",
+                  "proxy-hup", "proxy-term", "proxy-kill", "proxy-stop", "proxy-starve", "freeze"}  # fmt: skip
+        self.assertLessEqual(wanted, drawn)
+        self.assertTrue(all(one.load.stays > 0 for one in scripts))
+        crowds = [one for one in scripts if one.load.surges]
+        self.assertTrue(20 < len(crowds) < 150, len(crowds))
+
+
+class Deemed(unittest.TestCase):
+    """A proxy p1 and a backend whose drain discovery has from 1.1 s on (its notice is 0.1 s)."""
+
+    DRAIN = {"what": "drain", "at": "1s", "names": ["desk-1"]}
+
+    def due(self, signals: list[int], *faults: dict[str, object], started: int = -1) -> list[int]:
+        script = small(span="20s", faults=[self.DRAIN, *faults])
+        reconfigured = [Reconfigured(0, at) for at in signals]
+        return sorted(one.at for one in deemed(script, reconfigured, [Ran(0, 1, started, started, -1, -1, -1, 0)]))
+
+    def test_a_change_counts_six_seconds_after_discovery_has_it(self) -> None:
+        self.assertEqual([7_100_000], self.due([]))
+
+    def test_it_counts_four_seconds_after_the_last_new_configuration_of_a_row(self) -> None:
+        row = [1_200_000, 1_500_000, 1_900_000, 2_800_000]
+        self.assertEqual([6_800_000, 7_100_000], self.due(row))
+        self.assertEqual([7_100_000], self.due([1_000_000]), "discovery had it after the signal")
+
+    def test_the_six_seconds_run_from_when_discovery_can_be_reached(self) -> None:
+        away = {"what": "discovery-down", "at": "3s", "span": "4s"}
+        again = {"what": "discovery-full", "at": "9s", "span": "2s"}
+        self.assertEqual([17_000_000], self.due([], away, again))
+
+    def test_a_process_that_starts_within_a_term_is_not_held_to_it(self) -> None:
+        self.assertEqual([], self.due([1_200_000], started=5_000_000))
+
+
+class Played(unittest.TestCase):
+    @pytest.mark.timeout(240)
+    def test_a_short_soak_breaks_no_rule(self) -> None:
+        """A minute and more; 50 seeds and more are run by hand (`pepperusher soak`)."""
+        for seed in SEEDS_PLAYED:
+            with self.subTest(seed=seed):
+                result = soak.run(seed, SPAN)
+                self.assertTrue(result.kept, soak.line(result))
