The soak restarts each proxy once: two processes took one place

Traced: two overlapping restarts of one proxy started two processes at its address; the second ended with 'Address already in use' and took the record of the first, so the books held the first to words of the process before. The fault was the soak's own. A test holds its scripts to one end a proxy.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,9 @@
                   "proxy-hup", "proxy-term", "proxy-kill", "proxy-stop", "proxy-starve", "freeze"}  # fmt: skip
         self.assertLessEqual(wanted, drawn)
         self.assertTrue(all(one.load.stays > 0 for one in scripts))
+        for one in scripts:
+            ends = [name for fault in one.faults if fault.what in ("proxy-term", "proxy-kill") for name in fault.names]
+            self.assertEqual(len(ends), len(set(ends)), "two processes would take one place")
         crowds = [one for one in scripts if one.load.surges]
         self.assertTrue(20 < len(crowds) < 150, len(crowds))
 
