--- a/pepperusher/net/exchange.py
+++ b/pepperusher/net/exchange.py
@@ -8,7 +8,6 @@
 
 import h11
 
-from pepperusher.net import clock
 from pepperusher.net.buffers import HELD, Body, Pool
 from pepperusher.net.flows import Onward
 from pepperusher.net.line import Line
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import gc
-import re
 import resource
 import signal
 from collections.abc import Callable, Sequence
@@ -24,7 +23,8 @@
 from pepperusher.net.endpoint_update import address_of, endpoint_update_of, text_of_address
 from pepperusher.net.exchange import PASSED_ON, Attempt, Placed
 from pepperusher.net.log import Log
-from pepperusher.net.message import Answer, Headers, Request, end_to_end, plain
+from pepperusher.net.message import Answer, Request, end_to_end, plain
+from pepperusher.net.request_headers import BadRequest, duration_of, read_headers, timeout_of
 from pepperusher.net.standstill import Standstill
 from pepperusher.net.told import Told, ToldError
 from pepperusher.terms import Ground
@@ -50,9 +50,6 @@
 # After operators sent clients away, fronts notice within this; connections that stand idle then are closed.
 SENT_AWAY = 600_000
 COUNTS_EVERY = 240
-# Sound limits of what a caller may say; more is absurd.
-LONGEST_WAIT = 3600 * 1_000_000
-UNITS = {b"m": 1000, b"u": 1}
 # Of the memory that the process may take, so much is held of bodies at the most: the first part is the
 # program's own, and
 # each connection has buffers beside that.
@@ -62,57 +59,11 @@
 # The ends of an attempt that tell of the time that work takes.
 WORKED = ("done", "error", "timed out", "reset")
 ENDS = {BOUNCE: "bounced", SCRAP: "scrapped"}
-NUMBER = re.compile(rb"[0-9]{1,16}(\.[0-9]{1,16})?")
-READ = frozenset((b"host", b"request-id", b"request-class", b"tenant", b"request-timeout", b"work-hint",
-                  b"idempotency-key"))
-
 
 # Makes what a proxy has beside it, from what it is told at its start.
 Company = Callable[[Told, Log], Sequence[Companion]]
 
 
-class BadCall(Exception):
-    """A request that is no ticket; it is told why."""
-
-    def __init__(self, text: str, status: int = 400) -> None:
-        super().__init__(text)
-        self.status = status
-
-
-def _read_headers(headers: Headers) -> dict[bytes, bytes]:
-    read: dict[bytes, bytes] = {}
-    for name, value in headers:
-        if name in READ:
-            # A backend may go by the other of two.
-            if name in read:
-                raise BadCall(f"two of {name.decode()}")
-            read[name] = value
-        elif name == b"connection":
-            # Taken off for the connection's own, a mark against repeats would be gone from the tickets sent
-            # on.
-            if any(part.strip().lower() in READ for part in value.split(b",")):
-                raise BadCall("Connection names a header of the ticket")
-    return read
-
-
-def _span(name: str, number: bytes, unit: int, form: str) -> int:
-    """A header's time in microseconds. Not by float(), which reads 1e3, 1_0 and nan."""
-    if not NUMBER.fullmatch(number):
-        raise BadCall(f"{name} is not {form}")
-    span = round(float(number) * unit)
-    if span > LONGEST_WAIT:
-        raise BadCall(f"{name} is out of any range")
-    return span
-
-
-def _wait_of(given: bytes) -> int:
-    form = "a number and m or u"
-    unit = UNITS.get(given[-1:])
-    if unit is None:
-        raise BadCall(f"Request-Timeout is not {form}")
-    return _span("Request-Timeout", given[:-1], unit, form)
-
-
 def _descriptors(wanted: int) -> int:
     """What the process may really hold; a soft limit under what is wanted is raised as far as it goes."""
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -161,15 +112,15 @@
     async def _handle(self, call: Call) -> Answer:
         try:
             await self._standstill.list_read()
-            told = _read_headers(call.request.headers)
+            told = read_headers(call.request.headers)
             name = told.get(b"request-id")
             if not name:
                 if call.request.target.split(b"?")[0] == b"/ready":
                     return READY if self._takes_clients else NOT_READY
-                raise BadCall("Request-Id is missing")
+                raise BadRequest("Request-Id is missing")
             if name in self._names:
                 # Sent on, it would be the same ticket out twice.
-                raise BadCall("a ticket with this Request-Id is in hand", 409)
+                raise BadRequest("a ticket with this Request-Id is in hand", 409)
             self._names.add(name)
             try:
                 answer = await self._ticket(call, told)
@@ -178,7 +129,7 @@
             holds.must_hold(answer is not None or call.left or call.begun,
                             "a ticket ends with an answer unless its client left")
             return answer or (LEFT if call.left and not call.begun else BROKEN)
-        except BadCall as bad:
+        except BadRequest as bad:
             call.bad = True
             self._count("bad calls")
             return plain(bad.status, str(bad))
@@ -194,24 +145,24 @@
             headers = [(b"host", text_of_address(self._told.listen).encode()), *headers]
         named = target.partition(b"?")[0].removeprefix(b"/").partition(b"/")[0]
         if told.get(b"request-class", named) != named:
-            raise BadCall("Request-Class is not the first part of the path")
+            raise BadRequest("Request-Class is not the first part of the path")
         use_case = named.decode("latin-1")
         repeat = self._facade.repeat_of(use_case)
         if repeat is None:
-            raise BadCall("the use case is not known here")
+            raise BadRequest("the use case is not known here")
         # Backends turn the rest away, which would count as their failing.
         if method not in ((b"GET", b"HEAD") if repeat == REPLAYABLE else (b"POST",)) \
                 or repeat == REPLAYABLE and (body or rest is not None):
-            raise BadCall("the method or a body is not this use case's")
+            raise BadRequest("the method or a body is not this use case's")
         if repeat == REFERENCED and not told.get(b"idempotency-key"):
-            raise BadCall("Idempotency-Key is missing")
+            raise BadRequest("Idempotency-Key is missing")
         wait, cost = None, 0
         if given := told.get(b"request-timeout"):
-            wait = _wait_of(given)
+            wait = timeout_of(given)
             # A loop that comes round late answers late: its client would have given up by then.
             wait -= min(self._standstill.late, wait // 10)
         if given := told.get(b"work-hint"):
-            cost = _span("Work-Hint", given, 1, "a number")
+            cost = duration_of("Work-Hint", given, 1, "a number")
         call.ticket = True
         customer = told.get(b"tenant", b"").decode("latin-1")
         if call.left:
@@ -329,7 +280,7 @@
                 if passed is not None and self._gate is not None and again and step.what != SEND:
                     self._gate.unspent(passed, how)
             if rest is not None and rest.bad is not None:
-                raise BadCall(*rest.bad)
+                raise BadRequest(*rest.bad)
             end = "done" if how == "done" else ENDS.get(step.what, "left")
             answered = self._answer(step, how, answer)
             if answered is None and call.left and not call.begun:
@@ -591,8 +542,8 @@
                       f" timers {self._standstill.late} us late"
                       + (f", stood still {self._standstill.count} times" if self._standstill.count else ""))
         self._log.say(self._discovery.metrics.line())
-        for what, count in holds.broken.items():
-            self._log.say(f"did not hold {count} times: {what}")
+        for what, times in holds.broken.items():
+            self._log.say(f"did not hold {times} times: {what}")
 
 
 def run(told: Told, again: Callable[[Told], Told], company: Company | None = None) -> None:
