--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -1,24 +1,24 @@
-"""The list of backends: the watch at discovery and the reading of what it tells."""
+"""Discovery of endpoints: which address is asked, by which calls, and whose word counts."""
 
 from __future__ import annotations
 
 import asyncio
 import errno
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Sequence
 from random import Random
-from typing import Any, Protocol
+from typing import Any
 
 from pepperusher.entry import Entry, Narrow
 from pepperusher.net import call_schedule, clock
 from pepperusher.net.call_schedule import CallSchedule
 from pepperusher.net.discovery_source import ABREAST, Call, Refused, Silent, Source
 from pepperusher.net.endpoint_metrics import EndpointMetrics
-from pepperusher.net.endpoint_update import GONE, BadList, EndpointUpdate, endpoint_update_of, merged, text_of_address
+from pepperusher.net.endpoint_table import Decides, EndpointTable, Reaches
+from pepperusher.net.endpoint_update import BadList, EndpointUpdate, endpoint_update_of, merged, text_of_address
 from pepperusher.net.line import Line, reach
 from pepperusher.net.list_confirmation import (
     LOST_TERM, RECONFIGURED_TERM, TAKEN_OVER_TERM, Cause, ListConfirmation)
 from pepperusher.net.log import Log
-from pepperusher.net.stopped_endpoints import StoppedEndpoints
 from pepperusher.net.watch_stream import WatchStream
 
 CONNECT_WITHIN = 1.5
@@ -34,27 +34,6 @@
 FOLLOW_AGAIN = 1.0
 # Addresses that were replaced and are still heard.
 REPLACED_MOST = 3
-# So many endpoints are named in a line of the log at the most.
-NAMED_MOST = 8
-
-
-class Decides(Protocol):
-    """What a list is told to, and what says when to ask again: a proxy's decisions, or a control machine's part for
-    it."""
-
-    def listed(self, entries: Iterable[Entry], whole: bool, now: int) -> None: ...
-
-    def list_failed(self, now: int) -> None: ...
-
-    def tick(self, now: int) -> int: ...
-
-
-class Reaches(Protocol):
-    """What holds connections to those listed."""
-
-    def reached_at(self, name: str, address: tuple[str, int], ready: bool) -> None: ...
-
-    def only(self, names: set[str]) -> None: ...
 
 
 class Discovery:
@@ -64,10 +43,7 @@
         self._spread = call_schedule.SPREAD * self._chance.random()
         self._heard = asyncio.Event()   # once any watch has spoken
         self._lost = False              # since a watch ended, until another speaks
-        # What companions make of each line, in this order: the last has the last word.
-        self._narrows = narrows
-        # What the list says of each, and where it is reached; emptied with the list.
-        self._told: dict[str, tuple[Entry, tuple[str, int]]] = {}
+        self._table = EndpointTable(facade, backends, log, narrows)
         self._facade = facade
         self._source = Source(address, 0, self._schedule())
         # Whom new configurations have replaced, each with its watch or the calls that wait there: till the new one has
@@ -75,10 +51,6 @@
         self._replaced: list[Source] = []
         # Who told the list as it stands, and its version there.
         self._list_source, self._list_version = self._source, 0
-        self._stopped = StoppedEndpoints()
-        # Ready by an older list than the one that stopped them, and taken as draining for now.
-        self._held: dict[str, Entry] = {}
-        self._backends = backends
         self._log = log
         # When its source last said anything, or that of whom the list was borrowed; None where nobody ever has.
         self.confirmed_at: int | None = None
@@ -106,53 +78,16 @@
             update, self._borrowed = update._replace(whole=True), False
         source.version = update.version
         self._list_source, self._list_version = source, update.version
-        unlisted = self._unlisted_by(update)
-        self._say_changes(update, unlisted, source)
-        self._stopped.note(update, unlisted, clock.now())
-        if update.whole:
-            self._told.clear()
-            self._held.clear()
-        for entry in update.entries:
-            self._held.pop(entry.id, None)
-        for entry, address in zip(update.entries, update.addresses):
-            self._told[entry.id] = entry, address
-        if update.entries or update.whole:
-            self.put(update.entries, update.whole)
-        for entry, address in zip(update.entries, update.addresses):
-            if address == GONE:
-                self._told.pop(entry.id, None)
-
-    def _unlisted_by(self, update: EndpointUpdate) -> list[Entry]:
-        """Those known that a whole list leaves out."""
-        if not update.whole:
-            return []
-        named = {entry.id for entry in update.entries}
-        return [entry for name, (entry, _) in self._told.items() if name not in named]
-
-    def _say_changes(self, update: EndpointUpdate, unlisted: list[Entry], source: Source) -> None:
-        """Which endpoints are to have nothing more from here on, or may have it again, and by which word."""
-        changes = [f"{entry.id} not listed" for entry in unlisted if entry.ready]
-        for entry in update.entries:
-            known, _ = self._told.get(entry.id, (None, GONE))
-            if known is not None and known.ready != entry.ready:
-                state = "ready again" if entry.ready else "gone" if entry.gone else "draining"
-                changes.append(f"{entry.id} {state}")
-        if changes:
-            more = f" and {len(changes) - NAMED_MOST} more" if len(changes) > NAMED_MOST else ""
-            self._log.say(f"version {update.version} of {text_of_address(source.address)}: {', '.join(changes[:NAMED_MOST])}{more}")
+        self._table.apply(update, source.address)
 
     def put(self, entries: list[Entry], whole: bool = False, past: int = 0) -> None:
-        """Lines to be acted on, once those who narrow them had their say; the first `past` of these had it.
-        What is drained by a mark or an order has no connection kept either."""
-        for narrow in self._narrows[past:]:
-            entries = narrow(entries, whole)
-        for entry in entries:
-            _, address = self._told.get(entry.id, (None, GONE))
-            self._backends.reached_at(entry.id, address, entry.ready)
-        if whole:
-            self._backends.only({entry.id for entry in entries})
-        if entries or whole:
-            self._facade.listed(entries, whole, clock.now())
+        """As `EndpointTable.put`."""
+        self._table.put(entries, whole, past)
+
+    @property
+    def size(self) -> int:
+        """How many endpoints the list has."""
+        return self._table.size
 
     @property
     def source(self) -> str:
@@ -162,10 +97,7 @@
         """The list as it stands, in discovery's own form; None before its source has told anything."""
         if self._source.version is None:
             return None
-        return {"version": self._source.version, "full": True, "servers": [
-            {"id": entry.id, "addr": text_of_address(address), "zone": entry.zone, "cell": entry.cell, "weight": entry.weight,
-             "kind": entry.kind, "state": "ready" if entry.ready else "draining", "started_ms": entry.born / 1000}
-            for entry, address in self._told.values()]}
+        return {"version": self._source.version, "full": True, "servers": self._table.servers()}
 
     @property
     def version(self) -> int:
@@ -175,12 +107,12 @@
     @property
     def wanting(self) -> bool:
         """Whether there is no list at all."""
-        return not self._told
+        return self._table.empty
 
     def borrow(self, update: EndpointUpdate, confirmed_at: int) -> None:
         """Another proxy's list, for as long as discovery has told nothing: its own first word then replaces it, and it is asked
         on as before."""
-        if not self._told:
+        if self._table.empty:
             self.confirmed_at = confirmed_at
             self.take(update)
             self._source.version, self._borrowed = None, True
@@ -212,13 +144,8 @@
 
     def relayed(self, update: EndpointUpdate, confirmed_at: int) -> None:
         """The whole list as another had it of the discovery that this one would ask. Only what is different is acted on."""
-        if self._told and not self._borrowed and self._source.version is not None:
-            there = {entry.id for entry in update.entries}
-            changed = [(entry, address) for entry, address in zip(update.entries, update.addresses)
-                       if self._told.get(entry.id) != (entry, address)]
-            changed += [(entry._replace(ready=False, gone=True), GONE)
-                        for name, (entry, _) in self._told.items() if name not in there]
-            update = EndpointUpdate(update.version, False, [one for one, _ in changed], [one for _, one in changed])
+        if not self._table.empty and not self._borrowed and self._source.version is not None:
+            update = self._table.changes_to(update)
         self.confirmed_at = max(confirmed_at, self.confirmed_at or 0)
         self.take(update)
         self._let_go()
@@ -230,7 +157,7 @@
         if self._took_over:
             self._source.schedule.begin_term(now, TAKEN_OVER_TERM)
             self.confirmation.expect(Cause.TAKEN_OVER, TAKEN_OVER_TERM, now)
-        elif not at_once and self._told:
+        elif not at_once and not self._table.empty:
             self._source.schedule.pause(now + START_SPREAD * self._chance.random())
         self._source.following = asyncio.get_running_loop().create_task(self._follow(self._source, False))
 
@@ -493,25 +420,15 @@
 
     def _take_first(self, update: EndpointUpdate, source: Source) -> None:
         """An older whole list may only be late: what a newer one has stopped stays so for now, unless nobody would be left."""
-        lifted = self._stopped.lifted_by(update, clock.now()) if update.version < self._list_version else set()
+        lifted = self._table.lifted_by(update) if update.version < self._list_version else set()
         if not lifted or all(entry.id in lifted for entry in update.entries if entry.ready):
             self.take(update, source)
             return
         self._log.say(f"version {update.version} after {self._list_version}; {len(lifted)} stay stopped for now")
         entries = [entry._replace(ready=False) if entry.id in lifted else entry for entry in update.entries]
         self.take(update._replace(entries=entries), source)
-        held = {entry.id: entry for entry in update.entries if entry.id in lifted}
-        self._held.update(held)
-        asyncio.get_running_loop().call_later(LOST_TERM, self._release, held)
-
-    def _release(self, held: dict[str, Entry]) -> None:
-        """It was no late list: what it had as ready, and nobody has told of since, is."""
-        back = [entry for name, entry in held.items() if self._held.get(name) is entry]
-        for entry in back:
-            del self._held[entry.id]
-            self._told[entry.id] = entry, self._told[entry.id][1]
-        if back:
-            self.put(back)
+        held = self._table.hold(entry for entry in update.entries if entry.id in lifted)
+        asyncio.get_running_loop().call_later(LOST_TERM, self._table.release, held)
 
     def _said(self) -> None:
         """The watch lives. Where it has nothing new that has to be told all the same: the decisions ask later after each
--- a/pepperusher/rehearsal/hollow.py
+++ b/pepperusher/rehearsal/hollow.py
@@ -288,7 +288,7 @@
         backends = self._facade.backends()
         made = Counter(
             {
-                "told": len(self._discovery._told),
+                "told": self._discovery.size,
                 "backends": len(backends),
                 "ready": sum(1 for one in backends if one["ready"]),
                 "not closed": sum(1 for one in backends if one["state"] != "closed"),
--- a/pepperusher/rehearsal/proxies.py
+++ b/pepperusher/rehearsal/proxies.py
@@ -160,7 +160,9 @@
         return path
 
     async def run(self) -> None:
-        """Starts a process; returns once it is ready, or raises RuntimeError."""
+        """Starts a process; returns once it is ready, or raises RuntimeError. So it does where one stands already."""
+        if self._process is not None:
+            raise RuntimeError(f"{self.gate.name} was to be started while a process stands there")
         path = self.write_configuration()
         self._stays += 1
         flags = ["-O"] if self._script.proxies.optimised else []
