--- a/tests/test_expired_list.py
+++ b/tests/test_expired_list.py
@@ -76,3 +76,13 @@
             proxy.reconfigure(self.addresses[0].address)
         await self.answers_again(began)
         self.assert_drained_and_answered(began + RECONFIGURED_TERM)
+
+    async def test_another_new_configuration_does_not_let_an_expired_list_be_used(self) -> None:
+        """Found by the soak (seed 201): until a connection to the newest address came up, the list was used again."""
+        began = self.now()
+        row = (0.0, 5.0, 5.3, 5.7)
+        for number, at in enumerate(row, 1):
+            await self.until(began + at)
+            self.reconfigure_all(number)
+        await self.answers_again(began)
+        self.assert_drained_and_answered(began + RECONFIGURED_TERM)
