At rest a configuration with the same address begins no term of the list

By reading: where control machines tell the list nobody asks discovery, so nothing could confirm it, and from 4 s after a SIGHUP on each request would have been logged and counted as sent by a list past its term.

--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -137,6 +137,10 @@
         for source in (self._source, *self._replaced):
             self._give_up(source.take_calls(), "another tells the list")
 
+    @property
+    def _rests(self) -> bool:
+        return self._asks is not None and not self._asks.is_set()
+
     def ask(self) -> None:
         """At once, and from then on as ever."""
         if self._asks is not None:
@@ -202,7 +206,7 @@
         self._source.schedule.begin_term(now, RECONFIGURED_TERM)
         if self._source.watch is not None:
             self.confirmation.keep_term(RECONFIGURED_TERM, now - waited)
-        else:
+        elif not self._rests:   # whoever tells the list of that address then has terms of its own
             self.confirmation.expect(Cause.RECONFIGURED, RECONFIGURED_TERM, now - waited)
 
     def _turn_to(self, address: tuple[str, int], now: float) -> None:
@@ -258,7 +262,7 @@
         try:
             while source is self._source or source.calls:
                 wait: float | None = None
-                while self._asks is not None and not self._asks.is_set():
+                while self._asks is not None and self._rests:
                     # Looked at again: it may have been told to rest since it was woken.
                     await self._asks.wait()
                     at_once = True
--- a/tests/test_relayed_list.py
+++ b/tests/test_relayed_list.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import unittest
+from unittest import mock
 
 from pepperusher.distribution.relay import Relay
 from pepperusher.distribution.words import Version
@@ -38,6 +39,17 @@
         await self.until(lambda: len(self.watches) == 2)
         self.assertIn("after=7", [line for line in self.lines if "discovery gets" in line][-1])
 
+    async def test_at_rest_a_new_configuration_with_the_same_address_begins_no_term_of_its_own(self) -> None:
+        """Nobody is asked who could confirm the list: each request would be logged as sent by one past its term."""
+        await self.open("a1")
+        discovery = self.proxy.discovery
+        discovery.rest()
+        with mock.patch("pepperusher.net.discovery.RECONFIGURED_TERM", 0.1):
+            self.proxy.tell_anew()
+        await asyncio.sleep(0.2)
+        self.assertEqual((False, False), (discovery.confirmation.overdue, discovery.confirmation.expired))
+        self.assertFalse([line for line in self.logged if "unconfirmed" in line])
+
     async def test_asked_and_told_to_rest_in_one_turn_of_the_loop_it_rests(self) -> None:
         """As after the process stood still: a watch stood beside control machines' list for good."""
         await self.open("a1")
