--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -230,6 +230,29 @@
         self.assertEqual(["look 1 ...", "look 1 -> 503 'bounced'"], self.lines)
         self.assertEqual(0, self.proxy._facade.backends()[0]["failed"])
 
+    async def test_a_request_that_may_have_run_is_not_refused_as_harmless_where_its_retry_may_not_go_out(self) -> None:
+        """A refusal promises that it had no effect; its first attempt was reset after it was written."""
+        await self.open("a1", "b1")
+        confirmation = self.proxy._discovery.confirmation
+
+        class Expires:
+            """As the list does once the first attempt was written."""
+
+            looks = 0
+
+            def __get__(self, *_: object) -> bool:
+                self.looks += 1
+                return self.looks > 2
+
+        for use in ("book", "pay"):
+            for toy in self.toys.values():
+                toy.does = ["break"]
+            self.lines.clear()   # the backends write to it as well
+            with mock.patch.object(type(confirmation), "expired", Expires()):
+                await self.ask(f"{use} 1", self.request(use, 1, "a body"))
+            self.assertEqual(1, sum(" gets POST" in line for line in self.lines), self.lines)
+            self.assertIn("502", self.lines[-1])
+
     async def test_where_a_new_address_can_not_be_reached_the_list_is_used_on(self) -> None:
         """What nobody could have been told does not count, and an address that was written wrongly stops nobody."""
         await self.open("a1")
