--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -271,7 +271,7 @@
             decisions.list_take(50, 1, enough=20_000)
         self.assertGreater(len(made), turns + 1)
         for watch in made:
-            self.assertEqual(len(watch._told), 50)
+            self.assertEqual(watch.size, 50)
 
     def test_what_a_clock_said_on_a_full_machine_is_not_projected(self) -> None:
         made = book(operator__change=(0.0, 0.5))
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -169,11 +169,11 @@
         """That term runs only while discovery can be reached, which nobody here knows: the list is used on."""
         await self.open("a1", "b1")
         metrics = self.proxy._discovery.metrics
-        with mock.patch("pepperusher.net.discovery.LOST_TERM", 0.1):
+        with mock.patch("pepperusher.net.discovery.LOST_TERM", TERM):
             await self.lost()
         await self.ask("look 1", self.request("look", 1))
         self.assertEqual((0, 0), (metrics.overdue, metrics.sent_overdue))
-        await asyncio.sleep(0.15)
+        await asyncio.sleep(TERM + 0.05)
         for number in range(2, 6):
             await self.ask(f"look {number}", self.request("look", number))
         self.assertEqual((1, 4), (metrics.overdue, metrics.sent_overdue))
