--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -161,6 +161,7 @@
 
     async def lost(self) -> None:
         """Discovery takes no call from here on, and its watch ends."""
+        await self.until(lambda: self.proxy._discovery.watched)
         self.server.close()
         self.watches[-1].close()
         await self.until(lambda: not self.proxy._discovery.watched)
@@ -318,6 +319,7 @@
     async def test_the_term_of_a_silent_watch_counts_from_its_last_word(self) -> None:
         await self.open("a1")
         discovery = self.proxy._discovery
+        await self.until(lambda: discovery.watched)
         discovery._spread = 0.0
         with (mock.patch("pepperusher.net.call_schedule.SILENT", 0.4), mock.patch("pepperusher.net.discovery.LOST_TERM", 0.4 + TERM)):
             self.tell(b"\n")
