The first call of a term goes out however late the schedule is looked at

Cause: a call was owed only within three terms of a new configuration, and after that only what the decisions ask for, which is nothing where no call has failed; a process held up for longer never asked the new address. Change: the first call of a term stays owed until it was made or a word came.

--- a/pepperusher/net/call_schedule.py
+++ b/pepperusher/net/call_schedule.py
@@ -48,6 +48,7 @@
         self._chance = chance
         self._backoff = backoff
         self._soon_till = 0.0       # failed calls are made again soon
+        self._call_owed = False     # no call of this term was made yet, and no word has come in it
         self._beside_soon = False   # the first call of a term is out alone: lost, it would be missed past the term
         self._retry = RETRY_FIRST
         self.asked_at = 0.0     # when the newest call went out
@@ -57,6 +58,7 @@
     def begin_term(self, now: float, term: float) -> None:
         """Discovery's word has to have come within so many seconds."""
         self._soon_till = now + PACE_HELD * term
+        self._call_owed = True
         self._beside_soon = True
         self._retry = RETRY_FIRST
 
@@ -66,10 +68,11 @@
     def called(self, now: float, beside: bool) -> None:
         """Another goes out, `beside` calls that had no word."""
         self.asked_at = now
+        self._call_owed = False
         self._beside_soon = self._beside_soon and not beside
 
     def spoken(self) -> None:
-        self.silent = False
+        self.silent = self._call_owed = False
         self._retry = RETRY_FIRST
 
     def failed(self, now: float, kept: float) -> None:
@@ -89,4 +92,5 @@
             return self.asked_at + (SILENT if soon else FIRST_WITHIN) + spread - now
         if self.paused_till > now:
             return self.paused_till - now
-        return 0.0 if now < self._soon_till else self._backoff()
+        # However late this is looked at: where no call has failed, the decisions ask for none.
+        return 0.0 if self._call_owed or now < self._soon_till else self._backoff()
