--- a/tests/test_expired_list.py
+++ b/tests/test_expired_list.py
@@ -1,11 +1,12 @@
 """A drain is kept where discovery does not answer before its term ends: whole proxies as processes, SIGHUP, and a full queue.
 
-What discovery has counts as told 4 s after a new configuration, whether or not it came (docs/design.md, "Terms for the list").
+What discovery has counts as told 4 s after a new configuration, and 6 s after a watch fell silent, whether or not it came
+(docs/design.md, "Terms for the list").
 """
 
 from __future__ import annotations
 
-from tests.reconfiguration_scene import RECONFIGURED_TERM, ReconfigurationScene
+from tests.reconfiguration_scene import REACHED_TERM, RECONFIGURED_TERM, ReconfigurationScene
 
 # When the incident's proxies were told of new configurations, in seconds after the first.
 ROW = (0.0, 0.3, 0.7, 1.6)
@@ -23,15 +24,18 @@
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
         self.listed_before = self.discovery.line(True)
+        self.lose_watches()
         self.discovery.change("b0", "draining")
         for address in self.addresses:
             address.full = True
+
+    def lose_watches(self) -> None:
         self.addresses[0].cut()
 
     async def answers_again(self, began: float) -> None:
         await self.until(began + ANSWERS_AT)
         for address in self.addresses:
-            address.full, address.replica = False, None
+            address.full, address.held, address.replica = False, False, None
         self.answers_since = self.now()
         await self.until(began + ANSWERS_AT + SETTLES)
 
@@ -86,3 +90,16 @@
             self.reconfigure_all(number)
         await self.answers_again(began)
         self.assert_drained_and_answered(began + RECONFIGURED_TERM)
+
+
+class ASilentWatch(ExpiredListScene):
+    ADDRESSES = 1
+
+    def lose_watches(self) -> None:
+        self.addresses[0].held = True
+
+    async def test_nothing_goes_out_by_the_list_of_a_silent_watch_past_its_term(self) -> None:
+        """Each proxy notices the silence within 3 s and calls anew, and its calls are refused after a wait in a full queue."""
+        began = self.now()
+        await self.answers_again(began)
+        self.assert_drained_and_answered(began + REACHED_TERM)
