The term of a silent watch binds: its list expires 6 s after the last word

Cause: the term of a watch that fell silent was taken for that of an outage, which runs only while discovery can be reached; a silence counts whether or not discovery answers. Class: knowledge used past its end of validity, as with new configurations. Change: Cause.SILENT, a binding term from the last word itself (a word in pieces moved it), beside a new configuration's the sooner end counts, and the schedule of calls is told of it. Where no connection to discovery came up nothing expires, as before. A start by a list that was given begins the term of an outage, so that going by it past 6 s is logged and counted; it was not. The clock is not read for a list that is confirmed. The trace of a silent watch names the new cause.

--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -161,8 +161,10 @@
         if self._took_over:
             self._source.schedule.begin_term(now, TAKEN_OVER_TERM)
             self.confirmation.expect(Cause.TAKEN_OVER, TAKEN_OVER_TERM, now)
-        elif not at_once and not self._table.empty:
-            self._source.schedule.pause(now + START_SPREAD * self._chance.random())
+        elif not self._table.empty:
+            self.confirmation.expect(Cause.STARTED, LOST_TERM, now)
+            if not at_once:
+                self._source.schedule.pause(now + START_SPREAD * self._chance.random())
         self._source.following = asyncio.get_running_loop().create_task(self._follow(self._source, False))
 
     async def told(self, within: float) -> None:
@@ -307,10 +309,17 @@
         self._log.say(f"watch ended: {reason}; {call.described(now)}{self._next_described(source, now)}")
         self._count_end(call, error)
         if call.spoken and source is self._source:
-            silence = call_schedule.SILENT + self._spread if source.schedule.silent else 0.0
-            self.confirmation.expect(Cause.LOST, LOST_TERM, now - silence)
+            self._watch_lost(error, source, now)
         return at_once
 
+    def _watch_lost(self, error: BaseException | None, source: Source, now: float) -> None:
+        """What it missed counts from its last word where it fell silent, whatever discovery does."""
+        if isinstance(error, Silent):
+            source.schedule.begin_term(now, max(0.0, error.since + LOST_TERM - now))
+            self.confirmation.expect(Cause.SILENT, LOST_TERM, error.since)
+        else:
+            self.confirmation.expect(Cause.LOST, LOST_TERM, now)
+
     def _next_described(self, source: Source, now: float) -> str:
         """What follows a call that ended, for the log; nothing where the decisions say when the next goes out."""
         if source is not self._source:
--- a/pepperusher/net/discovery_source.py
+++ b/pepperusher/net/discovery_source.py
@@ -15,7 +15,11 @@
 
 
 class Silent(Exception):
-    """A watch that was answered says no more."""
+    """A watch that was answered says no more; its last word came at `since`, by the loop's clock."""
+
+    def __init__(self, since: float) -> None:
+        super().__init__("silent")
+        self.since = since
 
 
 class Refused(Exception):
--- a/pepperusher/net/list_confirmation.py
+++ b/pepperusher/net/list_confirmation.py
@@ -1,9 +1,9 @@
 """Whether discovery has confirmed the list, when what an unconfirmed one lacks counts as told, and whether it has expired.
 
 A *term* is the span after which the operators hold a change to be told, whether or not it came (docs/design.md, "Terms for
-the list"). That of an outage runs only while discovery can be reached, which a proxy can't know: a list past it is still
-used, and that is logged and counted. A *binding* term runs whatever discovery does. A list that was not confirmed by its
-end has expired: any endpoint of it may have been told to drain, so no request may go out by it.
+the list"). That of an outage or a start runs only while discovery can be reached, which a proxy can't know: a list past it
+is still used, and that is logged and counted. A *binding* term runs whatever discovery does. A list that was not confirmed
+by its end has expired: any endpoint of it may have been told to drain, so no request may go out by it.
 """
 
 from __future__ import annotations
@@ -30,14 +30,21 @@
 class Cause(Enum):
     """Why discovery has to confirm the list anew, in the log's words."""
 
+    STARTED = "this process started"
     LOST = "discovery lost"
+    SILENT = "a watch fell silent"
     RECONFIGURED = "a new configuration"
     TAKEN_OVER = "another process's place taken"
 
     @property
     def binding(self) -> bool:
         """Whether its term runs whatever discovery does."""
-        return self is not Cause.LOST
+        return self not in (Cause.STARTED, Cause.LOST)
+
+    @property
+    def supersedes(self) -> bool:
+        """Whether its term takes the place of a binding one that still runs, rather than running beside it."""
+        return self is not Cause.SILENT
 
 
 class ListConfirmation:
@@ -54,7 +61,7 @@
         self._row_began_at: float | None = None    # the first binding term since the list was confirmed
         # Since then, at whichever address: what nobody could have been told does not count.
         self._was_reached = False
-        self._overdue_said = self._expired_said = False
+        self._unconfirmed_said = self._overdue_said = self._expired_said = False
         self._refused = 0   # requests, since it has expired
         self._said_of: set[str] = set()   # endpoints named in the log since it is overdue; emptied with each confirmation
 
@@ -65,11 +72,12 @@
     @property
     def overdue(self) -> bool:
         """Whether the list is not confirmed and past its term: what it lacks counts as told."""
+        if self._missing_since is None:
+            return False
         now = self._now()
-        overdue = self._missing_since is not None and any(
-            due is not None and now > due for due in (self._lost_due_at, self._binding_due_at))
+        overdue = any(due is not None and now > due for due in (self._lost_due_at, self._binding_due_at))
         if overdue and not self._overdue_said:
-            self._overdue_said = True
+            self._unconfirmed_said = self._overdue_said = True
             self._metrics.overdue += 1
             self._log.say("list past its term; not confirmed yet")
         return overdue
@@ -92,11 +100,14 @@
         """Discovery has to confirm it: what it may lack counts `within` seconds after `since` at the latest, which is when
         it was known last to be whole, or when the signal may have come."""
         if cause.binding:
-            self._begin_binding_term(within, since)
+            self._begin_binding_term(within, since, cause.supersedes)
         else:
             self._begin_lost_term(within, since)
         if self._missing_since is None:
             self._missing_since = since
+        if cause is Cause.STARTED:
+            return   # as with every start, so not worth a line before its term is over
+        self._unconfirmed_said = True
         due = min(due for due in (self._lost_due_at, self._binding_due_at) if due is not None)
         self._log.say(f"list unconfirmed: {cause.value}; what it lacks counts in {due - self._now():.2f} s")
 
@@ -108,22 +119,26 @@
 
     def keep_term(self, within: float, since: float) -> None:
         """A binding term begins while discovery still tells the list: it counts if discovery is lost before its end."""
-        self._begin_binding_term(within, since)
+        self._begin_binding_term(within, since, supersedes=True)
         self._was_reached = True
 
     def reached(self) -> None:
         """A connection to discovery came up, or failed for want of something on this machine alone."""
         self._was_reached = True
 
-    def _begin_binding_term(self, within: float, since: float) -> None:
-        due = self._binding_due_at
-        if due is not None and self._missing_since is not None and self._now() > due:
-            if self._now() <= due + EXPIRED_MOST:
+    def _begin_binding_term(self, within: float, since: float, supersedes: bool) -> None:
+        running = self._binding_due_at
+        if running is not None and self._missing_since is not None and self._now() > running:
+            if self._now() <= running + EXPIRED_MOST:
                 return   # expired already: nothing but a confirmation ends that
-            self._row_began_at = None
+            self._row_began_at = running = None
+        if running is not None and running <= since:
+            running = None   # confirmed to its end
         if self._row_began_at is None:
-            self._row_began_at, self._was_reached = since, False
-        self._binding_due_at = min(since + within, self._row_began_at + ROW_MOST)
+            self._row_began_at = since
+            self._was_reached = self._was_reached and running is not None and not supersedes
+        due = min(since + within, self._row_began_at + ROW_MOST)
+        self._binding_due_at = due if supersedes or running is None else min(running, due)
 
     def confirmed(self, by: str) -> None:
         """Discovery has spoken; `by` says which call."""
@@ -132,9 +147,10 @@
             self._metrics.longest_unconfirmed = max(self._metrics.longest_unconfirmed, lasted)
             late = ", past its term" if self.overdue else ""
             refused = f", {self._refused} requests refused" if self._refused else ""
-            self._log.say(f"list confirmed; after {lasted:.2f} s{late}{refused}, {by}")
+            if self._unconfirmed_said:
+                self._log.say(f"list confirmed; after {lasted:.2f} s{late}{refused}, {by}")
         self._missing_since = self._lost_due_at = self._row_began_at = None
-        self._overdue_said = self._expired_said = False
+        self._unconfirmed_said = self._overdue_said = self._expired_said = False
         self._refused = 0
         self._said_of.clear()
         if self._binding_due_at is not None and self._binding_due_at <= self._now():
--- a/tests/test_list_confirmation.py
+++ b/tests/test_list_confirmation.py
@@ -27,8 +27,14 @@
         if reached:
             self.confirmation.reached()
 
-    def lose(self, silent_for: float = 0.0) -> None:
-        self.confirmation.expect(Cause.LOST, LOST_TERM, self.now - silent_for)
+    def lose(self) -> None:
+        self.confirmation.expect(Cause.LOST, LOST_TERM, self.now)
+
+    def fall_silent(self, since: float, reached: bool = True) -> None:
+        """Noticed now; the last word came at `since`."""
+        self.confirmation.expect(Cause.SILENT, LOST_TERM, since)
+        if reached:
+            self.confirmation.reached()
 
     def stands_until(self, at: float) -> None:
         """It has not expired up to that time, and has after it."""
@@ -91,9 +97,63 @@
         self.reconfigure()
         self.confirmation.confirmed("call 1")
         self.now = 101.0 + RECONFIGURED_TERM
-        self.lose(silent_for=2.5)
+        self.fall_silent(self.now - 2.5, reached=False)
         self.assertTrue(self.confirmation.expired)
 
+    def test_a_watch_that_fell_silent_expires_the_list_after_its_term_from_its_last_word(self) -> None:
+        self.now = 103.0
+        self.fall_silent(100.0)
+        self.stands_until(100.0 + LOST_TERM)
+        self.confirmation.confirmed("call 2")
+        self.never_expires()
+
+    def test_a_silence_alone_expires_nothing_where_discovery_can_not_be_reached(self) -> None:
+        """Also where it could be reached before: that says nothing of now."""
+        self.confirmation.reached()
+        self.now = 103.0
+        self.fall_silent(100.0, reached=False)
+        self.never_expires()
+        self.assertEqual((1, 0), (self.metrics.overdue, self.metrics.expired))
+
+    def test_of_a_silence_and_a_new_configuration_the_sooner_end_counts(self) -> None:
+        for signal_at, due in ((100.5, 100.5 + RECONFIGURED_TERM), (104.0, 100.0 + ROW_MOST)):
+            with self.subTest(signal_at=signal_at):
+                self.setUp()
+                self.now = 103.0
+                self.fall_silent(100.0)
+                self.now = max(self.now, signal_at)
+                self.reconfigure(since=signal_at)
+                self.stands_until(due)
+
+    def test_a_silence_does_not_put_off_the_end_of_a_term_that_runs(self) -> None:
+        self.reconfigure()
+        self.now = 100.2
+        self.confirmation.confirmed("call 1")
+        self.now = 103.2
+        self.fall_silent(100.2)
+        self.stands_until(100.0 + RECONFIGURED_TERM)
+
+    def test_a_list_that_a_silence_has_expired_is_used_again_after_the_longest_time(self) -> None:
+        self.now = 103.0
+        self.fall_silent(100.0)
+        self.now = 100.0 + LOST_TERM + EXPIRED_MOST + A_MOMENT
+        self.assertFalse(self.confirmation.expired)
+        began = self.now
+        self.reconfigure()
+        self.stands_until(began + RECONFIGURED_TERM)
+
+    def test_the_list_of_a_start_is_past_its_term_without_a_word_and_does_not_expire(self) -> None:
+        """It was not counted: a process that nobody had told went by its first list unnoticed."""
+        self.confirmation.expect(Cause.STARTED, LOST_TERM, self.now)
+        self.confirmation.reached()
+        self.now += LOST_TERM - A_MOMENT
+        self.assertFalse(self.confirmation.overdue)
+        self.assertEqual([], self.logged)
+        self.never_expires()
+        self.assertEqual((1, 0), (self.metrics.overdue, self.metrics.expired))
+        self.confirmation.confirmed("call 1")
+        self.assertIn("past its term", self.logged[-1])
+
     def test_a_term_begins_beside_a_watch_that_stands_and_counts_if_that_is_lost(self) -> None:
         self.confirmation.keep_term(RECONFIGURED_TERM, 100.0)
         self.now = 102.0
