Rehearsals and the soak know watches that fall silent; the books hold their term

Change: the fault watches-silent, the 6 s from it in deemed.py, an episode of the soak with a full queue and new configurations behind it.

--- a/pepperusher/rehearsal/deemed.py
+++ b/pepperusher/rehearsal/deemed.py
@@ -1,7 +1,7 @@
 """Changes that count as told although discovery did not write them, by the operators' terms; free of I/O.
 
-What discovery has counts as told RECONFIGURED_TERM after a SIGHUP, and REACHED_TERM after discovery had it and could be
-reached, whether or not it came. A process that was started within a term is not held to it. Times are us.
+What discovery has counts as told RECONFIGURED_TERM after a SIGHUP, SILENT_TERM after a watch fell silent that missed it, and
+REACHED_TERM after discovery had it and could be reached, whether or not it came. A process that was started within a term is not held to it. Times are us.
 """
 
 from __future__ import annotations
@@ -17,6 +17,11 @@
 
 RECONFIGURED_TERM = 4_000_000
 REACHED_TERM = 6_000_000
+SILENT_TERM = 6_000_000
+# No watch that fell silent is replaced within the first figure. Had discovery been out of reach within the second before
+# that, a proxy may have had none.
+MISSED_WITHIN = 2_500_000
+WATCHED_AFTER = 8_000_000
 # While one of these lasts discovery tells nobody of a change.
 UNREACHED = ("discovery-down", "discovery-full", "discovery-silent", "discovery-late")
 
@@ -27,6 +32,7 @@
     line = timeline(script, plan)
     stops = [one for one in changes(script, line) if one.told >= 0 and one.state != READY]
     unreached = [one for one in line.strikes if one.what in UNREACHED]
+    silences = [one.at for one in line.strikes if one.what == "watches-silent" and _all_watched(one.at, unreached)]
     signals: dict[int, list[int]] = defaultdict(list)
     for one in sorted(reconfigured, key=lambda one: one.at):
         signals[one.proxy].append(one.at)
@@ -38,18 +44,25 @@
                 continue
             made += [
                 Told(gate.number, change.id, change.state, due)
-                for since, due in _terms(change, signals[gate.number], unreached)
+                for since, due in _terms(change, signals[gate.number], silences, unreached)
                 if not any(since < started <= due for started in starts)
             ]
     return made
 
 
-def _terms(change: Change, signals: list[int], unreached: list[Strike]) -> Iterator[tuple[int, int]]:
+def _all_watched(at: int, unreached: list[Strike]) -> bool:
+    return not any(strike.at <= at and strike.until > at - WATCHED_AFTER for strike in unreached)
+
+
+def _terms(change: Change, signals: list[int], silences: list[int], unreached: list[Strike]) -> Iterator[tuple[int, int]]:
     """When each term that ends with this change began, and its end."""
     for signal, following in zip(signals, [*signals[1:], None]):
         # Of a row the last counts.
         if change.told <= signal and (following is None or following - signal >= RECONFIGURED_TERM):
             yield signal, signal + RECONFIGURED_TERM
+    for silence in silences:
+        if silence <= change.told < silence + MISSED_WITHIN:
+            yield silence, silence + SILENT_TERM
     reached = _reached_from(change.told, unreached)
     yield reached, reached + REACHED_TERM
 
--- a/pepperusher/rehearsal/listing.py
+++ b/pepperusher/rehearsal/listing.py
@@ -139,6 +139,7 @@
 
     async def _watch(self, peer: Peer, gate: Gate, turn: int, after: int | None) -> None:
         peer.writer.write(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n")
+        opened = self._now()
         version = self._roster.version(self._heard(gate))
         data = self._line(gate, version, after)
         while not peer.ended:
@@ -147,7 +148,7 @@
             empty_at = clock() + EMPTY_EVERY
             while True:
                 now = self._heard(gate)
-                if self._roster.silent(self._now()):
+                if self._roster.silent(self._now()) or self._roster.fell_silent(opened, self._now()):
                     if peer.ended or self._away(turn, self._now(), True):
                         return
                     await asyncio.sleep(QUEUE_LOOK)
--- a/pepperusher/rehearsal/roster.py
+++ b/pepperusher/rehearsal/roster.py
@@ -88,6 +88,10 @@
         """Whether open watches say nothing."""
         return self._struck("discovery-silent", now)
 
+    def fell_silent(self, opened: int, now: int) -> bool:
+        """Whether a watch that was opened then says nothing more, for good."""
+        return any(one.what == "watches-silent" and opened < one.at <= now for one in self._strikes)
+
     def next_change(self, now: int) -> int | None:
         """When the list, or whether it can be had, next changes; None if never."""
         edges = [one.told for one in self._changes if one.told > now]
--- a/pepperusher/rehearsal/script.py
+++ b/pepperusher/rehearsal/script.py
@@ -239,6 +239,7 @@
     "discovery-back",
     "discovery-full",
     "discovery-silent",
+    "watches-silent",
     "new-ids",
     "pause-generator",
 ]
--- a/pepperusher/rehearsal/soak.py
+++ b/pepperusher/rehearsal/soak.py
@@ -107,6 +107,16 @@
     _moved(draw, at)
 
 
+def _full_while_silent(draw: _Draw, at: float) -> None:
+    """Watches fall silent, and what they miss is told late, or not before the queue is worked through."""
+    draw.add("watches-silent", at)
+    draw.add("drain", at + draw.between(0.05, 1.5), names=draw.backend())
+    if draw.chance.random() < 0.7:
+        draw.add("discovery-full", at + draw.between(0.0, 2.0), draw.between(2.0, 8.0))
+    if draw.chance.random() < 0.3:
+        _moved(draw, at + draw.between(0.0, 5.0))
+
+
 def _same_address(draw: _Draw, at: float) -> None:
     draw.add("proxy-hup", at, names=draw.proxy(), times=draw.chance.randint(1, 4), every=_seconds(draw.between(0.1, 0.6)))
     if draw.chance.random() < 0.5:
@@ -153,7 +163,7 @@
 
 Episode = Callable[[_Draw, float], None]
 EPISODE_KINDS: tuple[Episode, ...] = (
-    _discovery_away, _moved, _full_while_it_moves, _same_address, _restarts, _killed, _held_up, _bad_backends,
+    _discovery_away, _moved, _full_while_it_moves, _full_while_silent, _same_address, _restarts, _killed, _held_up, _bad_backends,
 )  # fmt: skip
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -22,7 +22,7 @@
         again = [soak.script_of(seed, SPAN) for seed in range(1, 201)]
         self.assertEqual([encoded(one) for one in scripts], [encoded(one) for one in again])
         drawn = {fault.what for one in scripts for fault in one.faults}
-        wanted = {"drain", "restart", "discovery-full", "discovery-down", "discovery-silent", "discovery-late", "discovery-moved",
+        wanted = {"drain", "restart", "discovery-full", "discovery-down", "discovery-silent", "discovery-late", "discovery-moved", "watches-silent",
                   "proxy-hup", "proxy-term", "proxy-kill", "proxy-stop", "proxy-starve", "freeze"}  # fmt: skip
         self.assertLessEqual(wanted, drawn)
         self.assertTrue(all(one.load.stays > 0 for one in scripts))
@@ -56,6 +56,16 @@
         again = {"what": "discovery-full", "at": "9s", "span": "2s"}
         self.assertEqual([17_000_000], self.due([], away, again))
 
+    def test_it_counts_six_seconds_after_the_watch_fell_silent_that_missed_it(self) -> None:
+        """Also where discovery is full from then on; not where a proxy may have had no watch."""
+        silence = {"what": "watches-silent", "at": "1s"}
+        full = {"what": "discovery-full", "at": "1500ms", "span": "8s"}
+        self.assertEqual([7_000_000, 15_500_000], self.due([], silence, full))
+        self.assertEqual([15_500_000], self.due([], {**silence, "at": "1200ms"}, full), "it was told before that")
+        away = {"what": "discovery-down", "at": "100ms", "span": "200ms"}
+        self.assertEqual([7_100_000], self.due([], away, silence))
+        self.assertEqual([], self.due([], silence, started=1_500_000))
+
     def test_a_process_that_starts_within_a_term_is_not_held_to_it(self) -> None:
         self.assertEqual([], self.due([1_200_000], started=5_000_000))
 
