--- a/pepperusher/rehearsal/deemed.py
+++ b/pepperusher/rehearsal/deemed.py
@@ -11,7 +11,7 @@
 
 from pepperusher.rehearsal.fleetplan import FleetPlan
 from pepperusher.rehearsal.records import Ran, Reconfigured, Told
-from pepperusher.rehearsal.roster import READY, Change, changes
+from pepperusher.rehearsal.roster import READY, WATCHES_SILENT, Change, changes
 from pepperusher.rehearsal.script import Script
 from pepperusher.rehearsal.troubles import Strike, timeline
 
@@ -32,7 +32,7 @@
     line = timeline(script, plan)
     stops = [one for one in changes(script, line) if one.told >= 0 and one.state != READY]
     unreached = [one for one in line.strikes if one.what in UNREACHED]
-    silences = [one.at for one in line.strikes if one.what == "watches-silent" and _all_watched(one.at, unreached)]
+    silences = [one.at for one in line.strikes if one.what == WATCHES_SILENT and _all_watched(one.at, unreached)]
     signals: dict[int, list[int]] = defaultdict(list)
     for one in sorted(reconfigured, key=lambda one: one.at):
         signals[one.proxy].append(one.at)
--- a/pepperusher/rehearsal/roster.py
+++ b/pepperusher/rehearsal/roster.py
@@ -18,6 +18,9 @@
 BACK_BY = 3
 
 
+WATCHES_SILENT = "watches-silent"
+
+
 class Change(NamedTuple):
     """From `told` on (us after the start, under 0 before it) the list has `id` at `place` in `state`; `born`
     as in Life."""
@@ -64,7 +67,7 @@
         self._changes = changes(script, line)
         self._places = plan.places
         self._tiers = [place.tier for place in plan.places]
-        self._strikes = [one for one in line.strikes if one.what.startswith("discovery")]
+        self._strikes = [one for one in line.strikes if one.what.startswith("discovery") or one.what == WATCHES_SILENT]
 
     def version(self, now: int) -> int:
         """Version 1 is the list at the start."""
@@ -90,7 +93,7 @@
 
     def fell_silent(self, opened: int, now: int) -> bool:
         """Whether a watch that was opened then says nothing more, for good."""
-        return any(one.what == "watches-silent" and opened < one.at <= now for one in self._strikes)
+        return any(one.what == WATCHES_SILENT and opened < one.at <= now for one in self._strikes)
 
     def next_change(self, now: int) -> int | None:
         """When the list, or whether it can be had, next changes; None if never."""
--- a/tests/test_rehearsal_plan.py
+++ b/tests/test_rehearsal_plan.py
@@ -217,6 +217,16 @@
         self.lines.append(f"one that knows a later version is told all: {roster.entries(0, 4, 9)[0]}")
         self.kept("rehearsal_roster")
 
+    def test_watches_that_were_open_fall_silent_for_good(self) -> None:
+        of = small(span="20s", faults=[{"what": "watches-silent", "at": "3s"}])
+        line = troubles.timeline(of, FleetPlan(of, 16))
+        roster = Roster(of, FleetPlan(of, 16), line)
+        self.assertEqual(3_000_000, roster.next_change(-1))
+        self.assertFalse(roster.fell_silent(-1, 2_999_999))
+        self.assertTrue(roster.fell_silent(-1, 3_000_000))
+        self.assertTrue(roster.fell_silent(2_000_000, 19_000_000))
+        self.assertFalse(roster.fell_silent(3_000_000, 19_000_000))
+
 
 class Files(unittest.TestCase):
     """Each is refused in one line that names the key."""
