--- a/tests/reconfiguration_scene.py
+++ b/tests/reconfiguration_scene.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import os
 import shutil
 import signal
 import sys
@@ -19,10 +20,11 @@
 from tests.scene import UNHURRIED, configuration, own_address
 
 HOST = "127.0.0.1"
-# The rules on sockets: what discovery has counts as told so long after SIGHUP, and 6 s after it could be reached
-# whatever happens; a send is a break so long after that, with the sockets' slack.
+# The rules on sockets: what discovery has counts as told so long after SIGHUP, 6 s after it could be reached
+# whatever happens, and 2 s after a process that takes another's place has said that it is ready; a send is a break so long after that, with the sockets' slack.
 RECONFIGURED_TERM = 4.0
 REACHED_TERM = 6.0
+TAKEN_OVER_TERM = 2.0
 GRACE = 0.5 + 0.05
 # So long a call waits in discovery's queue before it is refused.
 QUEUE_PATIENCE = 3.0
@@ -218,13 +220,27 @@
         self.may_send = asyncio.Event()
         self.may_send.set()
         self.answers: list[bytes] = []  # status lines
+        self._replaced: asyncio.subprocess.Process | None = None
 
     async def start(self) -> None:
+        self._process = await self._launch()
+
+    async def _launch(self) -> asyncio.subprocess.Process:
         with open(self._folder / f"{self.name}.log", "ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
+            return await asyncio.create_subprocess_exec(
                 sys.executable, "-O", "-m", "pepperusher", "serve", "--config", str(self._config),
+                "--console", own_address(), env={**os.environ, "TMPDIR": str(self._folder)},
                 stdout=log, stderr=log)  # fmt: skip
 
+    async def replace(self) -> None:
+        """Another process takes the place of this one, which is told to end once the other serves."""
+        self._replaced = self._process
+        serving = self.log.count(f"{self.name}: serving at")
+        self._process = await self._launch()
+        while self.log.count(f"{self.name}: serving at") == serving:
+            await asyncio.sleep(0.02)
+        self._replaced.terminate()
+
     @property
     def log(self) -> str:
         return (self._folder / f"{self.name}.log").read_text()
@@ -242,7 +258,7 @@
             await asyncio.sleep(0.02)
 
     async def send_requests(self) -> None:
-        """One after another on one connection, while `may_send` is set."""
+        """One after another on one connection, while `may_send` is set; on a new one where an answer says that it ends."""
         host, _, port = self._listen.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         while True:
@@ -256,12 +272,16 @@
             length = int(head.lower().partition(b"content-length:")[2].partition(b"\r\n")[0])
             await reader.readexactly(length)
             self.answers.append(head.partition(b"\r\n")[0])
+            if b"connection: close" in head.lower():
+                writer.close()
+                reader, writer = await asyncio.open_connection(host, int(port))
             await asyncio.sleep(REQUEST_EVERY)
 
     async def end(self) -> None:
-        if self._process.returncode is None:
-            self._process.kill()
-        await self._process.wait()
+        for process in filter(None, (self._process, self._replaced)):
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
 
 
 class ReconfigurationScene(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_expired_list.py
+++ b/tests/test_expired_list.py
@@ -6,7 +6,11 @@
 
 from __future__ import annotations
 
-from tests.reconfiguration_scene import REACHED_TERM, RECONFIGURED_TERM, ReconfigurationScene
+import asyncio
+
+from tests.reconfiguration_scene import (
+    GRACE, REACHED_TERM, RECONFIGURED_TERM, TAKEN_OVER_TERM, ReconfigurationScene,
+)  # fmt: skip
 
 # When the incident's proxies were told of new configurations, in seconds after the first.
 ROW = (0.0, 0.3, 0.7, 1.6)
@@ -103,3 +107,33 @@
         began = self.now()
         await self.answers_again(began)
         self.assert_drained_and_answered(began + REACHED_TERM)
+
+
+class AnotherProcess(ReconfigurationScene):
+    PROXIES = 2
+
+    async def test_a_process_that_takes_another_s_place_knows_what_that_was_told(self) -> None:
+        """The other had a new configuration whose address had told nothing yet, so it passed on no list, and the list of the
+        configuration was used, in which b0 had not drained yet."""
+        drained_at = self.now()
+        self.discovery.change("b0", "draining")
+        await self.until(drained_at + GRACE)
+        self.addresses[1].full = True
+        self.reconfigure_all(1)
+        await self.until(drained_at + GRACE + 0.3)
+        await asyncio.gather(*(proxy.replace() for proxy in self.proxies))
+        await self.until(self.now() + TAKEN_OVER_TERM - 0.5)
+        self.assert_drained("b0", drained_at)
+
+
+class AnotherProcessInTheTerm(ExpiredListScene):
+    PROXIES = 2
+
+    async def test_a_process_that_takes_another_s_place_does_not_use_the_list_that_has_expired_there(self) -> None:
+        """It had a term of its own, 2 s from its start, and sent by the expired list till then."""
+        began = self.now()
+        self.reconfigure_all(1)
+        await self.until(began + RECONFIGURED_TERM + 0.5)
+        await asyncio.gather(*(proxy.replace() for proxy in self.proxies))
+        await self.answers_again(began)
+        self.assert_drained_and_answered(began + RECONFIGURED_TERM)
