A process that takes another's place goes by its list, and by the end of that list's term

Cause: what a process passed on had no end of validity, and no list at all while the newest address of discovery had told nothing; the next process then went by the list of its configuration, and only one that took a list over began the term of 2 s. Class: knowledge used past its end of validity, here since the end was not passed on. Change: PassedOn, one typed message; the list in use is passed on whoever told it (the whole is asked for where its number means nothing), with when it expires by the machine's monotonic clock; the term begins for whoever takes a place. A list that has expired is not lent to members of the group, and one that was borrowed begins the term of a start. An older release's file reads as before.

--- a/pepperusher/console/desk.py
+++ b/pepperusher/console/desk.py
@@ -17,6 +17,7 @@
 from pepperusher.net.companion import Companion, Host
 from pepperusher.net.log import Log
 from pepperusher.net.message import Answer, plain
+from pepperusher.net.passed_on import PassedOn
 from pepperusher.net.told import Told
 from pepperusher.terms import Ground
 
@@ -88,7 +89,7 @@
         left = await self._told()
         if left is not None:
             self._merge(left)
-            self._proxy.follow(left.source, left.listed, left.learned)
+        self._proxy.follow(left.passed_on if left is not None else PassedOn())
         self._log.say("taking the place of a process that serves" + ("" if left is not None else ", which tells nothing"))
 
     async def _told(self) -> State | None:
@@ -121,9 +122,9 @@
             self._proxy.send_away(self.orders.drain.on)
 
     def _state(self) -> State:
-        passed = self._proxy.passed_on() if self._sits and self._seen else ("", None, None)
+        passed = self._proxy.passed_on() if self._sits and self._seen else PassedOn()
         seen = self._seen if self._sits else self._token
-        return State(self.orders.bans, self.orders.drain, seen, self._serves, *passed, beats=True)
+        return State(self.orders.bans, self.orders.drain, seen, self._serves, beats=True, **passed._asdict())
 
     def _tell(self) -> None:
         """Raises OSError where it can't be kept."""
--- a/pepperusher/console/state.py
+++ b/pepperusher/console/state.py
@@ -9,6 +9,7 @@
 from typing import Any, NamedTuple
 
 from pepperusher.console.orders import NEVER, Order
+from pepperusher.net.passed_on import PassedOn
 
 FORM = 1
 LONGEST = 16 * 1024 * 1024
@@ -22,17 +23,23 @@
 
 class State(NamedTuple):
     """`seen` names the next process that its writer knows of, `serves` whether its writer takes clients,
-    `beats` whether it leaves marks as it turns its loop.
+    `beats` whether it leaves marks as it turns its loop. The others are those of `PassedOn`.
     """
 
     bans: dict[str, Order]
     drain: Order
     seen: str = ""
     serves: bool = False
-    source: str = ""                     # where discovery answers its writer
-    listed: dict[str, Any] | None = None   # in discovery's own form, and read as such
-    learned: dict[str, Any] | None = None   # the facade's, and read there
+    source: str = ""
+    listed: dict[str, Any] | None = None
+    learned: dict[str, Any] | None = None
     beats: bool = False
+    told_by_source: bool = True
+    expires_at: int | None = None
+
+    @property
+    def passed_on(self) -> PassedOn:
+        return PassedOn(self.source, self.listed, self.learned, self.told_by_source, self.expires_at)
 
 
 def text_of(state: State) -> str:
@@ -64,5 +71,9 @@
     for part in (listed, learned):
         if part is not None and not isinstance(part, dict):
             raise BadState("listed or learned is no object")
+    expires_at = told.get("expires_at")
+    if expires_at is not None and (isinstance(expires_at, bool) or not isinstance(expires_at, int)
+                                   or not 0 <= expires_at <= LATEST):
+        raise BadState("expires_at is no time")
     return State(made, _order(told.get("drain", list(NEVER)), "drain"), words[0], told.get("serves") is True,
-                 words[1], listed, learned, told.get("beats") is True)
+                 words[1], listed, learned, told.get("beats") is True, told.get("told_by_source") is not False, expires_at)
--- a/pepperusher/net/companion.py
+++ b/pepperusher/net/companion.py
@@ -16,6 +16,7 @@
 if TYPE_CHECKING:
     from pepperusher.net.discovery import Discovery
     from pepperusher.net.message import Answer, Request
+    from pepperusher.net.passed_on import PassedOn
     from pepperusher.terms import Ground
 
 
@@ -42,9 +43,10 @@
 
     def keep_to(self, part: float) -> None: ...
 
-    def passed_on(self) -> tuple[str, dict[str, Any] | None, dict[str, Any]]: ...
+    def passed_on(self) -> PassedOn: ...
 
-    def follow(self, source: str, listed: dict[str, Any] | None, learned: dict[str, Any] | None) -> None: ...
+    def follow(self, passed: PassedOn) -> None:
+        """Takes the place of another process, which passed this on, or nothing."""
 
     def narrowed(self, by: Companion, lines: list[Entry]) -> None:
         """The lines that change by what `by` narrows now; those behind it have their say of them."""
@@ -64,7 +66,7 @@
         """Whether it has no list at all."""
 
     def lent(self) -> tuple[int, dict[str, Any]] | None:
-        """The list and when discovery last confirmed it; None where nobody has."""
+        """The list and when discovery last confirmed it; None where nobody has, and where it has expired."""
 
     def borrow(self, listed: dict[str, Any], confirmed_at: int) -> None:
         """Another's list, until discovery tells one. Raises ValueError where it is none."""
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -59,7 +59,8 @@
         self._asks: asyncio.Event | None = None
         self.metrics = EndpointMetrics()
         self.confirmation = ListConfirmation(self.metrics, log)
-        self._took_over = False   # another process's list
+        self._took_over = False   # another process's place
+        self._taken_over_due_at: float | None = None   # when the list expires that it passed on
         self.on_word: Callable[[], None] | None = None   # a watch has spoken; what it told stands in the list
 
     def _schedule(self) -> CallSchedule:
@@ -99,6 +100,13 @@
             return None
         return {"version": self._source.version, "full": True, "servers": self._table.servers()}
 
+    def list_in_use(self) -> tuple[dict[str, Any] | None, bool]:
+        """The list that requests go by, whoever told it, None where it is empty; and whether its source has."""
+        if self._table.empty:
+            return None, False
+        told_by_source = self._source.version is not None
+        return {"version": max(0, self._list_version), "full": True, "servers": self._table.servers()}, told_by_source
+
     @property
     def version(self) -> int:
         """Of the list as it stands; 0 where none was told."""
@@ -113,6 +121,8 @@
         """Another proxy's list, for as long as discovery has told nothing: its own first word then replaces it, and it is asked
         on as before."""
         if self._table.empty:
+            age = max(0, clock.now() - confirmed_at) / 1e6
+            self.confirmation.expect(Cause.STARTED, LOST_TERM, asyncio.get_running_loop().time() - age)
             self.confirmed_at = confirmed_at
             self.take(update)
             self._source.version, self._borrowed = None, True
@@ -161,6 +171,8 @@
         if self._took_over:
             self._source.schedule.begin_term(now, TAKEN_OVER_TERM)
             self.confirmation.expect(Cause.TAKEN_OVER, TAKEN_OVER_TERM, now)
+            if self._taken_over_due_at is not None:
+                self.confirmation.end_by(self._taken_over_due_at)
         elif not self._table.empty:
             self.confirmation.expect(Cause.STARTED, LOST_TERM, now)
             if not at_once:
@@ -191,11 +203,18 @@
             else:
                 call.leave()
 
-    def go_on(self, address: tuple[str, int], update: EndpointUpdate) -> None:
-        """Before its start: from another process's list, told at that address."""
+    def take_over(self, due_at: float | None) -> None:
+        """Before its start: in the place of another process, whose list expires then by the loop's clock; None where no term
+        of it ends."""
+        self._took_over, self._taken_over_due_at = True, due_at
+
+    def go_on(self, address: tuple[str, int], update: EndpointUpdate, told_there: bool) -> None:
+        """Before its start: from another process's list; discovery is asked at that address, for what came after this list
+        where it was told there, or else for the whole."""
         self._source = Source(address, 0, self._schedule())
-        self._took_over = True
         self.take(update)
+        if not told_there:
+            self._source.version = None
 
     def reconfigured(self, address: tuple[str, int] | None, waited: float) -> None:
         """A new configuration with that address, None where it can't be read: the signal came at most `waited` seconds ago,
--- a/pepperusher/net/list_confirmation.py
+++ b/pepperusher/net/list_confirmation.py
@@ -117,6 +117,16 @@
         due = since + within
         self._lost_due_at = due if self._lost_due_at is None else min(self._lost_due_at, due)
 
+    @property
+    def binding_due_at(self) -> float | None:
+        """When the list expires unless it is confirmed; None where no binding term ends."""
+        return self._binding_due_at
+
+    def end_by(self, due: float) -> None:
+        """The list is another process's, and a binding term of it ends then."""
+        if self._binding_due_at is not None and self._now() <= due + EXPIRED_MOST:
+            self._binding_due_at = min(self._binding_due_at, due)
+
     def keep_term(self, within: float, since: float) -> None:
         """A binding term begins while discovery still tells the list: it counts if discovery is lost before its end."""
         self._begin_binding_term(within, since, supersedes=True)
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -24,6 +24,7 @@
 from pepperusher.net.exchange import PASSED_ON, Attempt, Placed
 from pepperusher.net.log import Log
 from pepperusher.net.message import Answer, Request, end_to_end, plain
+from pepperusher.net.passed_on import PassedOn
 from pepperusher.net.request_headers import BadRequest, duration_of, read_headers, timeout_of
 from pepperusher.net.standstill import Standstill
 from pepperusher.net.told import Told, ToldError
@@ -350,17 +351,23 @@
         self._budget.share(part)
         self._log.say(f"keeps to {self._budget.most} connections")
 
-    def passed_on(self) -> tuple[str, dict[str, Any] | None, dict[str, Any]]:
-        """For the next process: where discovery answers, the list, and what was learned."""
-        return self._discovery.source, self._discovery.listed(), self._facade.learned(clock.now())
+    def passed_on(self) -> PassedOn:
+        """For the next process."""
+        listed, told_by_source = self._discovery.list_in_use()
+        due = self._discovery.confirmation.binding_due_at
+        return PassedOn(self._discovery.source, listed, self._facade.learned(clock.now()), told_by_source,
+                        None if due is None else round(due * 1e6))
 
-    def follow(self, source: str, listed: dict[str, Any] | None, learned: dict[str, Any] | None) -> None:
+    def follow(self, passed: PassedOn) -> None:
         """Goes on from what the process before passed on, as far as it can be read."""
+        self._discovery.take_over(None if passed.expires_at is None else passed.expires_at / 1e6)
         try:
-            if listed is not None and source in (self._discovery.source, self._newest_discovery()):
-                self._discovery.go_on(address_of(source), endpoint_update_of(listed))
-            if learned is not None:
-                self._facade.taught(learned, clock.now())
+            if passed.listed is not None:
+                known = passed.source in (self._discovery.source, self._newest_discovery())
+                self._discovery.go_on(address_of(passed.source) if known else address_of(self._discovery.source),
+                                      endpoint_update_of(passed.listed), known and passed.told_by_source)
+            if passed.learned is not None:
+                self._facade.taught(passed.learned, clock.now())
         except ValueError as error:
             self._log.say(f"what the process before passed on is not taken: {error}")
 
@@ -396,6 +403,8 @@
         return self._discovery.wanting and not self._stopping.is_set()
 
     def lent(self) -> tuple[int, dict[str, Any]] | None:
+        if self._discovery.confirmation.expired:
+            return None
         listed, confirmed_at = self._discovery.listed(), self._discovery.confirmed_at
         return (confirmed_at, listed) if listed is not None and confirmed_at is not None and listed["servers"] else None
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -50,7 +50,8 @@
             {"id": "a1", "addr": "127.0.0.1:2", "state": "ready"}]})
         for number in range(10):
             discovery = Asker(number, 60, ("127.0.0.1", 1), 1, 10.0).discovery
-            discovery.go_on(("127.0.0.1", 1), update)
+            discovery.take_over(None)
+            discovery.go_on(("127.0.0.1", 1), update, told_there=True)
             discovery.start(at_once=False)
             self.assertLessEqual(discovery._source.schedule.wait(loop.time(), False, 0.0), 0.0)
             discovery.stop()
@@ -306,15 +307,32 @@
         await self.open("a1")
         discovery = self.proxy._discovery
         discovery.stop()
-        discovery.go_on(discovery._source.address, endpoint_update_of(discovery.listed()))
+        discovery.take_over(None)
+        discovery.go_on(discovery._source.address, endpoint_update_of(discovery.listed()), told_there=True)
         self.keeps_silent = True
         with mock.patch("pepperusher.net.discovery.TAKEN_OVER_TERM", TERM):
             discovery.start(at_once=False)
         await self.ask("look 1", self.request("look", 1))
         self.assertIn("200", self.lines[-1])
+        self.assertIsNotNone(self.proxy.lent())
         await asyncio.sleep(TERM + 0.05)
         await self.ask("look 2", self.request("look", 2))
         self.assertIn("503", self.lines[-1])
+        self.assertIsNone(self.proxy.lent(), "another process would send by a list that has expired here")
+
+    async def test_a_list_told_at_another_address_is_passed_on_and_asked_for_anew(self) -> None:
+        """Until its newest address has told, a proxy has no number to ask from, and the next process none."""
+        await self.open("a1")
+        discovery = self.proxy._discovery
+        told, told_by_source = discovery.list_in_use()
+        self.assertEqual((discovery.listed(), True), (told, told_by_source))
+        self.keeps_silent = True
+        discovery.reconfigured(("127.0.0.1", 9), 0.0)
+        self.assertEqual((None, (told, False)), (discovery.listed(), discovery.list_in_use()))
+        discovery.stop()
+        discovery.go_on(("127.0.0.1", 9), endpoint_update_of(told), told_there=False)
+        self.assertIsNone(discovery._source.version)
+        self.assertFalse(discovery.wanting)
 
     async def test_the_term_of_a_silent_watch_counts_from_its_last_word(self) -> None:
         await self.open("a1")
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -52,9 +52,11 @@
     def test_what_another_left_is_read_as_a_stranger_s(self) -> None:
         self.lines = []
         good = State({"a": Order(True, 5), "b": Order(False, 9)}, Order(True, 7), "next", True, "127.0.0.1:1",
-                     {"version": 4, "full": True, "servers": []}, {"times": {}})
+                     {"version": 4, "full": True, "servers": []}, {"times": {}}, True, False, 12_000_000)
         self.assertEqual(good, state_of(text_of(good)))
         told = json.loads(text_of(good))
+        older = {name: part for name, part in told.items() if name not in ("told_by_source", "expires_at")}
+        self.assertEqual(good._replace(told_by_source=True, expires_at=None), state_of(json.dumps(older)))
         for what, text in (("nothing", ""), ("half", text_of(good)[:70]), ("deep", "[" * 100_000), ("a list", "[]"),
                            ("another release's", json.dumps({**told, "form": 2})),
                            ("no bans", json.dumps({**told, "bans": None})),
@@ -62,6 +64,7 @@
                            ("a ban that is no order", json.dumps({**told, "bans": {"a": [1, 5]}})),
                            ("a time of no sort", json.dumps({**told, "bans": {"a": [True, 1e300]}})),
                            ("a drain that is none", json.dumps({**told, "drain": "yes"})),
+                           ("an end of its term that is none", json.dumps({**told, "expires_at": -1})),
                            ("a list that is none", json.dumps({**told, "listed": 3})),
                            ("a name that is none", json.dumps({**told, "seen": {}}))):
             try:
--- a/tests/test_list_confirmation.py
+++ b/tests/test_list_confirmation.py
@@ -7,7 +7,7 @@
 
 from pepperusher.net.endpoint_metrics import EndpointMetrics
 from pepperusher.net.list_confirmation import (
-    EXPIRED_MOST, LOST_TERM, RECONFIGURED_TERM, ROW_MOST, Cause, ListConfirmation,
+    EXPIRED_MOST, LOST_TERM, RECONFIGURED_TERM, ROW_MOST, TAKEN_OVER_TERM, Cause, ListConfirmation,
 )  # fmt: skip
 
 A_MOMENT = 0.01
@@ -142,6 +142,28 @@
         self.reconfigure()
         self.stands_until(began + RECONFIGURED_TERM)
 
+    def test_the_list_of_another_process_expires_at_the_end_of_a_term_there(self) -> None:
+        for due in (101.0, 95.0):
+            with self.subTest(due=due):
+                self.setUp()
+                self.confirmation.expect(Cause.TAKEN_OVER, TAKEN_OVER_TERM, self.now)
+                self.confirmation.end_by(due)
+                self.assertEqual(due, self.confirmation.binding_due_at)
+                self.confirmation.reached()
+                self.now = max(self.now, due) + A_MOMENT
+                self.assertTrue(self.confirmation.expired)
+                self.confirmation.confirmed("call 1")
+                self.never_expires()
+
+    def test_a_later_end_or_one_long_over_changes_nothing_for_the_list_of_another_process(self) -> None:
+        for due in (103.0, 100.0 - EXPIRED_MOST - A_MOMENT):
+            with self.subTest(due=due):
+                self.setUp()
+                self.confirmation.expect(Cause.TAKEN_OVER, TAKEN_OVER_TERM, self.now)
+                self.confirmation.reached()
+                self.confirmation.end_by(due)
+                self.stands_until(100.0 + TAKEN_OVER_TERM)
+
     def test_the_list_of_a_start_is_past_its_term_without_a_word_and_does_not_expire(self) -> None:
         """It was not counted: a process that nobody had told went by its first list unnoticed."""
         self.confirmation.expect(Cause.STARTED, LOST_TERM, self.now)
