--- a/tests/scene.py
+++ b/tests/scene.py
@@ -169,6 +169,7 @@
         self.name, self.said = name, said
         self.does: list[str] = []
         self.connections = 0
+        self.deadlines: list[int] = []   # as each request told it, in us
         self.may = asyncio.Event()   # set by the test: what is "held" goes on
         self.writers: list[asyncio.StreamWriter] = []
 
@@ -191,6 +192,8 @@
             body = await reader.readexactly(int(fields.get("content-length", 0)))
         except (asyncio.IncompleteReadError, ConnectionError):
             return False
+        if fields.get("request-timeout", "").endswith("u"):
+            self.deadlines.append(int(fields["request-timeout"][:-1]))
         wait = "with" if fields.get("request-timeout", "").endswith("u") else "without"
         key = f" key {fields['idempotency-key']}" if "idempotency-key" in fields else ""
         self.said.append(f"    {self.name} gets {first} id {fields.get('request-id')}{key} {len(body)} bytes, {wait} a wait")
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -346,6 +346,22 @@
         self.lines.append(f"look 1 -> {await self.hear(at[0])}, names kept: {len(self.proxy._names)}")
         self.kept("net_names")
 
+    async def test_the_deadline_told_is_what_is_left_when_the_request_is_written(self) -> None:
+        """It was that of when the backend was chosen: where the connection came up late, more than the client had left."""
+        await self.open("a1", settings=UNHURRIED)
+        connect = self.proxy._backends._connect
+
+        async def late(*given: object) -> object:
+            made = await connect(*given)
+            await asyncio.sleep(0.4)
+            return made
+
+        with mock.patch.object(self.proxy._backends, "_connect", late):
+            await self.ask("pay 1", self.request("pay", 1, left=1000))
+        self.assertIn("200", self.lines[-1])
+        self.assertLessEqual(self.toys["a1"].deadlines[0], 600_000)
+        self.assertGreater(self.toys["a1"].deadlines[0], 300_000)
+
     async def test_what_cannot_be_framed_is_no_fault_of_the_backend(self) -> None:
         """A ticket of HTTP/1.0 without a host ended by an exception, which counted against the backend's breaker."""
         await self.open("a1")
