The deadline told to a backend is what is left as the request is written

Cause: Request-Timeout was made at the choice of the backend, and the time in which a connection came up, a store synced or a list was read was told as if it were still there. Class: a value with an end of validity, read early and used late.

--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -216,7 +216,7 @@
     async def attempt(self, backend: str, request: Request, out: Attempt, patience: int, placed: Placed,
                        onward: Onward | None = None) -> tuple[str, Answer | None]:
         """How it ended, and the answer if a whole one came and was not passed on. Never sends a second
-        time."""
+        time. The backend is told what is left of `patience`, in microseconds, when the request is written."""
         door = self._doors.get(backend)
         if door is None:
             return "unreached", None
@@ -256,8 +256,9 @@
                 return "unreached", None
         link.answered = True
         began = clock.now()
-        exchange = Exchange(link.line, link.parser, self._pool, out, max(0, until - began), self._connect_within,
-                            placed)
+        left = max(0, until - began)
+        request = request._replace(headers=[*request.headers, (b"request-timeout", b"%du" % max(1, left))])
+        exchange = Exchange(link.line, link.parser, self._pool, out, left, self._connect_within, placed)
         kept = False
         try:
             how, answer = await exchange.run(request, onward)
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -263,9 +263,8 @@
                 patience = step.wait
                 if passed is not None and self._gate is not None:
                     patience = self._gate.goes(passed, step.wait)
-                wait_on = (b"request-timeout", b"%du" % max(1, patience))
                 how, answer = await self._backends.attempt(
-                    step.backend, Request(method, target, [*onward, wait_on], body, rest, length), out, patience, placed,
+                    step.backend, Request(method, target, onward, body, rest, length), out, patience, placed,
                     call.onward)
                 self._count(how)
                 if answer is not None:
