A call that was cut short beside one without an answer is made again soon

Cause: where a call had no answer the one that went out beside it was taken for a place in the queue also after it had been answered and had ended; the next followed 4 to 4.5 s later, past the 6 s of the term. Ruled out: hurry after a refusal beside a call that waits, which lengthens a full queue (test_crossings has it; tried and taken back). Change: CallSchedule.cut_short; discovery answers, so the older call is more likely lost, and the next goes out as after any failure.

--- a/pepperusher/net/call_schedule.py
+++ b/pepperusher/net/call_schedule.py
@@ -50,6 +50,7 @@
         self._soon_till = 0.0       # failed calls are made again soon
         self._call_owed = False     # no call of this term was made yet, and no word has come in it
         self._beside_soon = False   # the first call of a term is out alone: lost, it would be missed past the term
+        self._cut_short = False     # the newest call was, while others are out without an answer
         self._retry = RETRY_FIRST
         self.asked_at = 0.0     # when the newest call went out
         self.silent = False     # since the last word silence ended a watch, and no call was refused, reset or failed
@@ -68,11 +69,11 @@
     def called(self, now: float, beside: bool) -> None:
         """Another goes out, `beside` calls that had no word."""
         self.asked_at = now
-        self._call_owed = False
+        self._call_owed = self._cut_short = False
         self._beside_soon = self._beside_soon and not beside
 
     def spoken(self) -> None:
-        self.silent = self._call_owed = False
+        self.silent = self._call_owed = self._cut_short = False
         self._retry = RETRY_FIRST
 
     def failed(self, now: float, kept: float) -> None:
@@ -84,12 +85,22 @@
             self.paused_till = now + self._retry * self._chance.uniform(0.5, 1.0)
             self._retry = min(RETRY_MOST, RETRY_GROWTH * self._retry)
 
+    def cut_short(self, now: float) -> None:
+        """A call was answered and ended without a word, while others are out without an answer: discovery answers, so these
+        are more likely lost than waiting for their turn."""
+        self.failed(now, 0.0)
+        self._cut_short = True
+
     def wait(self, now: float, out: bool, spread: float) -> float:
         """Seconds until the next call, none or less for at once; `out` tells whether calls are out without a word, and
         `spread` is this proxy's part of SPREAD."""
         if out:
             soon = self.silent or self._beside_soon
-            return self.asked_at + (SILENT if soon else FIRST_WITHIN) + spread - now
+            beside = self.asked_at + (SILENT if soon else FIRST_WITHIN) + spread - now
+            return min(beside, self._wait_alone(now)) if self._cut_short else beside
+        return self._wait_alone(now)
+
+    def _wait_alone(self, now: float) -> float:
         if self.paused_till > now:
             return self.paused_till - now
         # However late this is looked at: where no call has failed, the decisions ask for none.
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -366,14 +366,18 @@
         if source is not self._source:
             return False
         self._lost = True
-        # Those that are still out keep their places, and none goes out for the one that ended.
-        if source.calls:
+        # Those that are still out keep their places, and none goes out for one that was refused: the queue is long.
+        cut_short = call.line is not None and not isinstance(error, (Refused, Silent))
+        if source.calls and not cut_short:
             return False
         if silent:
             return True
         # Whatever discovery says or does: without a watch drains are not kept.
         self._facade.list_failed(clock.now())
-        source.schedule.failed(now, error.kept if isinstance(error, Refused) else 0.0)
+        if source.calls:
+            source.schedule.cut_short(now)
+        else:
+            source.schedule.failed(now, error.kept if isinstance(error, Refused) else 0.0)
         if self._waits_elsewhere:
             source.schedule.pause(max(source.schedule.paused_till, now + WAITS_ELSEWHERE))
         return False
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -306,6 +306,7 @@
     async def test_who_takes_anothers_place_sends_nothing_once_the_term_of_that_is_over(self) -> None:
         await self.open("a1")
         discovery = self.proxy._discovery
+        await self.until(lambda: discovery.watched)
         discovery.stop()
         discovery.take_over(None)
         discovery.go_on(discovery._source.address, endpoint_update_of(discovery.listed()), told_there=True)
