--- a/pepperusher/net/call_schedule.py
+++ b/pepperusher/net/call_schedule.py
@@ -31,6 +31,11 @@
 KEPT_LONG = 1.0
 PAUSE, PAUSE_LEAST = 2.5, 0.1
 APART_MOST = 6.0
+# Where what the list lacks counts from a known time on, the next goes out so early that so many seconds are left for its
+# answer, unless that leaves less than the last figure to spread such calls over.
+ANSWERED_WITHIN = 0.5
+FIRST_ANSWERED_WITHIN = 1.5
+SPREAD_LEAST = 1.0
 # While a term runs a call that was refused at once is made again soon, since what counts is to be early in the queue:
 # the first wait, its growth with each further failure, and the longest. Half of each is by chance, against calls of
 # all proxies at once. Refused so, a call has cost discovery no turn.
@@ -63,6 +68,9 @@
         self._beside_soon = True
         self._retry = RETRY_FIRST
 
+    def expect_by(self, due: float) -> None:
+        """What the list lacks counts from then on."""
+
     def pause(self, till: float) -> None:
         self.paused_till = till
 
--- a/tests/test_call_schedule.py
+++ b/tests/test_call_schedule.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from pepperusher.net.call_schedule import (
-    APART_MOST, FIRST_WITHIN, KEPT_LONG, PACE_HELD, RETRY_MOST, SILENT, CallSchedule,
+    ANSWERED_WITHIN, APART_MOST, FIRST_ANSWERED_WITHIN, FIRST_WITHIN, KEPT_LONG, PACE_HELD, RETRY_MOST, SILENT, CallSchedule,
 )  # fmt: skip
 
 BACKOFF = 2.5
@@ -62,6 +62,41 @@
         self.assertLessEqual(max(waits), APART_MOST - 3.0)
         self.assertGreater(max(waits), 2 * KEPT_LONG)
 
+    def test_a_call_refused_after_a_wait_is_made_again_in_time_for_what_counts_from_then_on(self) -> None:
+        """Found on the bench, seed 602 of herd+mass: proxies that had just started were refused once, and asked again past
+        the 6 s from their start, since these were counted from the first call."""
+        waits = []
+        for seed in range(200):
+            self.schedule = CallSchedule(Random(seed), lambda: BACKOFF)
+            self.schedule.expect_by(106.0)
+            self.schedule.called(101.8, False)
+            self.schedule.failed(103.8, 2.0)
+            waits.append(self.schedule.wait(103.8, False, 0.0))
+        self.assertLessEqual(103.8 + max(waits), 106.0 - ANSWERED_WITHIN)
+        self.assertGreater(max(waits) - min(waits), 1.0, "they are spread all the same")
+
+    def test_where_there_is_no_time_left_for_that_the_spread_is_as_wide_as_ever(self) -> None:
+        waits = []
+        for seed in range(200):
+            self.schedule = CallSchedule(Random(seed), lambda: BACKOFF)
+            self.schedule.expect_by(106.0)
+            self.schedule.called(103.0, False)
+            self.schedule.failed(105.0, 2.0)
+            waits.append(self.schedule.wait(105.0, False, 0.0))
+        self.assertGreater(max(waits), 3.0)
+
+    def test_beside_a_call_another_goes_out_in_time_for_what_counts_from_then_on(self) -> None:
+        """A start asks within 2 s by chance, and the time for the first call was counted from there."""
+        self.schedule.expect_by(106.0)
+        self.schedule.called(100.2, False)
+        self.assertAlmostEqual(FIRST_WITHIN, self.schedule.wait(100.2, True, 0.0))
+        self.schedule.called(102.0, False)
+        self.assertAlmostEqual(106.0 - FIRST_ANSWERED_WITHIN - 102.0, self.schedule.wait(102.0, True, 0.0))
+        self.schedule.called(103.0, False)
+        self.assertAlmostEqual(SILENT, self.schedule.wait(103.0, True, 0.0))
+        self.schedule.called(106.1, False)
+        self.assertAlmostEqual(FIRST_WITHIN, self.schedule.wait(106.1, True, 0.0))
+
     def test_beside_the_first_call_of_a_term_one_goes_out_soon_and_no_more(self) -> None:
         """The first may be lost, and the term is shorter than the time that a call is waited for alone."""
         self.schedule.called(90.0, False)
