Calls for the list are made in time for what counts from a start or a loss on

Cause: after a refusal in discovery's queue the next call, and the one beside a call without an answer, were counted from the first call, which a start makes up to 2 s late. Change: the schedule is told when what the list lacks may count, at a start and at a loss; a refused call is made again 0.5 s before that at the latest, and one goes out beside another 1.5 s before, where a second or more is left to spread such calls over.

--- a/pepperusher/net/call_schedule.py
+++ b/pepperusher/net/call_schedule.py
@@ -52,6 +52,7 @@
     def __init__(self, chance: Random, backoff: Callable[[], float]) -> None:
         self._chance = chance
         self._backoff = backoff
+        self._due_at = 0.0          # what the list lacks may count from then on
         self._soon_till = 0.0       # failed calls are made again soon
         self._call_owed = False     # no call of this term was made yet, and no word has come in it
         self._beside_soon = False   # the first call of a term is out alone: lost, it would be missed past the term
@@ -64,12 +65,14 @@
     def begin_term(self, now: float, term: float) -> None:
         """Discovery's word has to have come within so many seconds."""
         self._soon_till = now + PACE_HELD * term
+        self._due_at = 0.0   # a term has a pace of its own
         self._call_owed = True
         self._beside_soon = True
         self._retry = RETRY_FIRST
 
     def expect_by(self, due: float) -> None:
-        """What the list lacks counts from then on."""
+        """What the list lacks may count from then on; until a word comes, or a term begins."""
+        self._due_at = due
 
     def pause(self, till: float) -> None:
         self.paused_till = till
@@ -82,12 +85,16 @@
 
     def spoken(self) -> None:
         self.silent = self._call_owed = self._cut_short = False
+        self._due_at = 0.0
         self._retry = RETRY_FIRST
 
     def failed(self, now: float, kept: float) -> None:
         """The last call that was out ended: `kept` seconds after it was made, 0 where it was none that waited."""
         if kept >= KEPT_LONG:
             longest = min(PAUSE * kept, max(PAUSE, APART_MOST - kept))
+            in_time = self._due_at - ANSWERED_WITHIN - now
+            if in_time >= SPREAD_LEAST:
+                longest = min(longest, in_time)
             self.paused_till = now + self._chance.uniform(PAUSE_LEAST * longest, longest)
         elif now < self._soon_till:
             self.paused_till = now + self._retry * self._chance.uniform(0.5, 1.0)
@@ -103,11 +110,19 @@
         """Seconds until the next call, none or less for at once; `out` tells whether calls are out without a word, and
         `spread` is this proxy's part of SPREAD."""
         if out:
-            soon = self.silent or self._beside_soon
-            beside = self.asked_at + (SILENT if soon else FIRST_WITHIN) + spread - now
+            beside = self._beside_at(now, spread) - now
             return min(beside, self._wait_alone(now)) if self._cut_short else beside
         return self._wait_alone(now)
 
+    def _beside_at(self, now: float, spread: float) -> float:
+        """When another goes out beside calls that have no answer."""
+        soonest, latest = (self.asked_at + within + spread for within in (SILENT, FIRST_WITHIN))
+        if self.silent or self._beside_soon:
+            return soonest
+        if now >= self._due_at:
+            return latest
+        return max(soonest, min(latest, self._due_at - FIRST_ANSWERED_WITHIN - spread))
+
     def _wait_alone(self, now: float) -> float:
         if self.paused_till > now:
             return self.paused_till - now
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -175,6 +175,7 @@
                 self.confirmation.end_by(self._taken_over_due_at)
         elif not self._table.empty:
             self.confirmation.expect(Cause.STARTED, LOST_TERM, now)
+            self._source.schedule.expect_by(now + LOST_TERM)
             if not at_once:
                 self._source.schedule.pause(now + START_SPREAD * self._chance.random())
         self._source.following = asyncio.get_running_loop().create_task(self._follow(self._source, False))
@@ -337,6 +338,7 @@
             source.schedule.begin_term(now, max(0.0, error.since + LOST_TERM - now))
             self.confirmation.expect(Cause.SILENT, LOST_TERM, error.since)
         else:
+            source.schedule.expect_by(now + LOST_TERM)
             self.confirmation.expect(Cause.LOST, LOST_TERM, now)
 
     def _next_described(self, source: Source, now: float) -> str:
