--- a/pepperusher/net/exchange.py
+++ b/pepperusher/net/exchange.py
@@ -74,7 +74,7 @@
         self.remaining = remaining   # how long its client waits yet, in microseconds
         self.stood = stood           # whether the process stood still, and the list was not read since
         self.expired = expired       # whether the list has: nothing may be written by it
-        self.list_read = list_read   # returns once the list is as discovery has written it, also after a standstill
+        self.list_read = list_read   # returns once the list is as discovery has written it, also after a process pause
 
 
 class Exchange:
--- a/pepperusher/net/standstill.py
+++ b/pepperusher/net/process_pause.py
@@ -23,8 +23,8 @@
 FORGOTTEN = 200
 
 
-class Standstill:
-    """`unread` tells whether words of discovery wait in its connections; `noticed` is called once for each standstill."""
+class ProcessPause:
+    """`unread` tells whether words of discovery wait in its connections; `noticed` is called once for each process pause."""
 
     def __init__(self, unread: Callable[[], bool], noticed: Callable[[], None]) -> None:
         self._unread = unread
@@ -46,7 +46,7 @@
         return max(0, clock.now() - self._looked_at) / 1e6
 
     async def list_read(self) -> None:
-        """Returns at once, but after a standstill: then once what waited was read, the list among it."""
+        """Returns at once, but after a process pause: then once what waited was read, the list among it."""
         if self.unnoticed:
             self._notice()
         if self._reading is not None:
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -26,7 +26,7 @@
 from pepperusher.net.message import Answer, Request, end_to_end, plain
 from pepperusher.net.passed_on import PassedOn
 from pepperusher.net.request_headers import BadRequest, duration_of, read_headers, timeout_of
-from pepperusher.net.standstill import Standstill
+from pepperusher.net.process_pause import ProcessPause
 from pepperusher.net.told import Told, ToldError
 from pepperusher.terms import Ground
 
@@ -97,7 +97,7 @@
         self._succeeded = False                 # at its end: whether another process serves on
         self._served = False                    # whether backends have been known
         self.port = 0
-        self._standstill = Standstill(lambda: self._discovery.unread, lambda: self._tell("woke", lambda one: one.woke()))
+        self._process_pause = ProcessPause(lambda: self._discovery.unread, lambda: self._tell("woke", lambda one: one.woke()))
         self._counts: dict[str, int] = {}   # by the words of facade and pages here, so it grows with the code alone
 
     # --- one ticket -------------------------------------------------------------------------------
@@ -112,7 +112,7 @@
 
     async def _handle(self, call: Call) -> Answer:
         try:
-            await self._standstill.list_read()
+            await self._process_pause.list_read()
             told = read_headers(call.request.headers)
             name = told.get(b"request-id")
             if not name:
@@ -161,7 +161,7 @@
         if given := told.get(b"request-timeout"):
             wait = timeout_of(given)
             # A loop that comes round late answers late: its client would have given up by then.
-            wait -= min(self._standstill.late, wait // 10)
+            wait -= min(self._process_pause.late, wait // 10)
         if given := told.get(b"work-hint"):
             cost = duration_of("Work-Hint", given, 1, "a number")
         call.ticket = True
@@ -218,17 +218,17 @@
             call.onward.dress = dress
         placed = Placed(lambda: not call.gone() and self._facade.stands(ticket, clock.now()), lambda: call.left,
                         lambda: self._facade.aside(ticket, clock.now()), lambda: self._facade.back(ticket, clock.now()),
-                        lambda: self._facade.remaining(ticket, clock.now()), self._standstill.list_read,
-                        lambda: self._standstill.unnoticed, lambda: self._discovery.confirmation.expired)
+                        lambda: self._facade.remaining(ticket, clock.now()), self._process_pause.list_read,
+                        lambda: self._process_pause.unnoticed, lambda: self._discovery.confirmation.expired)
         how, answer, end, attempts = "", None, "left", 0
         try:
-            await self._standstill.list_read()
+            await self._process_pause.list_read()
             step = self._facade.pick(ticket, clock.now())
             while step.what in (SEND, HOLD):
                 if step.what == HOLD:
                     out = None
                     await asyncio.sleep(step.wait / 1e6)
-                    await self._standstill.list_read()
+                    await self._process_pause.list_read()
                     step = self._facade.pick(ticket, clock.now())
                     continue
                 if call.gone():
@@ -240,7 +240,7 @@
                 if shelf is not None and shelf.on:
                     kept = await shelf.sending(use_case, mark, step.backend, self._facade.cell_of(step.backend),
                                                self._facade.remembered(use_case))
-                    await self._standstill.list_read()
+                    await self._process_pause.list_read()
                     if kept is None or not placed.stands():
                         how = "moot"
                         if kept is not None:
@@ -275,7 +275,7 @@
                 # What was read of its rest is gone, and a second copy would be without it.
                 again = again and (rest is None or not rest.touched)
                 if again and how != "done":
-                    await self._standstill.list_read()
+                    await self._process_pause.list_read()
                 step = self._facade.report(ticket, how, clock.now(), again)
                 if passed is not None and self._gate is not None and again and step.what != SEND:
                     self._gate.unspent(passed, how)
@@ -451,7 +451,7 @@
         for one in self._company:
             await one.start()
         sweep = loop.create_task(self._sweep())
-        pace = loop.create_task(self._standstill.watch())
+        pace = loop.create_task(self._process_pause.watch())
         # What stands now stays for good: the collector need not walk it each time. Connections leave cycles
         # behind
         # in asyncio's transports: collected seldom they look like memory that goes on growing.
@@ -481,7 +481,7 @@
             told = self._again(self._told)
         except ToldError as error:
             self._log.say(f"the new configuration is not taken: {error}")
-            self._discovery.reconfigured(None, self._standstill.unwatched_for)
+            self._discovery.reconfigured(None, self._process_pause.unwatched_for)
             return
         before = self._told
         self._log.say(f"configuration read anew, discovery at {text_of_address(told.discovery)},"
@@ -492,7 +492,7 @@
         self._facade.retuned(told.ground, clock.now())
         self._backends.retuned(told.connect_within, told.idle_most)
         self._callers.retuned(told.ground.longest_wait)
-        self._discovery.reconfigured(told.discovery, self._standstill.unwatched_for)
+        self._discovery.reconfigured(told.discovery, self._process_pause.unwatched_for)
         self._tell("told anew", lambda one: one.told_anew(told.ground))
 
     async def _drain(self) -> None:
@@ -547,8 +547,8 @@
         said = ", ".join(f"{what} {count}" for what, count in sorted(self._counts.items()))
         self._log.say(f"since the start: {said or 'nothing yet'}; {self._callers.open} callers,"
                       f" {self._facade.in_hand} tickets in hand, {self._budget.open} connections,"
-                      f" timers {self._standstill.late} us late"
-                      + (f", stood still {self._standstill.count} times" if self._standstill.count else ""))
+                      f" timers {self._process_pause.late} us late"
+                      + (f", paused {self._process_pause.count} times" if self._process_pause.count else ""))
         self._log.say(self._discovery.metrics.line())
         for what, times in holds.broken.items():
             self._log.say(f"did not hold {times} times: {what}")
--- a/pepperusher/net/watch_stream.py
+++ b/pepperusher/net/watch_stream.py
@@ -71,7 +71,7 @@
         except TimeoutError:
             if not self._line.holds_more:
                 raise Silent(self._spoke_at) from None
-            # Both were due at once, as after a standstill: what came is read, and ends the silence or does not.
+            # Both were due at once, as after a process pause: what came is read, and ends the silence or does not.
             self._until = asyncio.get_running_loop().time() + READ_WITHIN
 
     def _heard(self, data: bytes | bytearray) -> Heard:
--- a/pepperusher/rehearsal/books.py
+++ b/pepperusher/rehearsal/books.py
@@ -190,7 +190,7 @@
     """How long after its answer was due the client looked for it and its proxy could run.
 
     Due at the end of the time that the client told; where somebody stood still as the ticket was sent, that
-    time began when its proxy could read it. A standstill that was over before that excuses nothing: its proxy
+    time began when its proxy could read it. A process pause that was over before that excuses nothing: its proxy
     could still say at least that there is no answer, and what had come meanwhile was read.
     """
     written = still.until(one.written)
@@ -200,7 +200,7 @@
 
 
 def _end_seen_late(one: Try, sent_on: bool, still: Spans) -> bool:
-    """Whether a standstill explains that its connection ended without an answer. Nobody's clock ends one that
+    """Whether a process pause explains that its connection ended without an answer. Nobody's clock ends one that
     a proxy works at. A proxy ends a kept connection that rests, and one on which the rest of a ticket does
     not come; its client is to see that at once and to ask once more, and can't while it or the proxy stands
     still. So never where the ticket had been sent on.
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -292,7 +292,7 @@
         """With a quarter of a core timers ran 75 ms late, and tickets ended after their clients' time."""
         await self.open("a1")
         time.sleep(0.3)
-        await self.until(lambda: self.proxy._standstill.late > 100_000)
+        await self.until(lambda: self.proxy._process_pause.late > 100_000)
         self.toys["a1"].does = ["silent"]
         reader, writer = await self.connect()
         began = time.monotonic()
--- a/tests/test_standstill.py
+++ b/tests/test_process_pause.py
@@ -11,10 +11,10 @@
 from tests.reconfiguration_scene import ReconfigurationScene
 from tests.scene import Street
 
-STANDSTILL = 0.4  # seconds, more than a process may stand unnoticed
+PAUSE = 0.4  # seconds, more than a process may stand unnoticed
 
 
-class Standstill(Street):
+class ProcessPause(Street):
     async def keep_connections(self) -> None:
         """Four, each of which has had an answer."""
         await self.open("a1", "b1")
@@ -29,7 +29,7 @@
             writer.write(self.request("look", number))
         self.endpoint_update(2, self.line("a1", "draining"))
         del self.lines[:]
-        time.sleep(STANDSTILL)
+        time.sleep(PAUSE)
 
     async def assert_drained(self) -> None:
         for reader, _ in self.kept_open:
@@ -68,7 +68,7 @@
         async def stands(*given: object) -> Link | str:
             made = await connect(*given)  # type: ignore[arg-type]
             self.endpoint_update(2, self.line("a1", "draining"))
-            time.sleep(STANDSTILL)
+            time.sleep(PAUSE)
             return made
 
         with mock.patch.object(self.proxy._backends, "_connect", stands):
@@ -88,7 +88,7 @@
             if len(tried) == 1:
                 other = "b1" if backend == "a1" else "a1"
                 self.endpoint_update(2, self.line(other, "draining"))
-                time.sleep(STANDSTILL)
+                time.sleep(PAUSE)
             return made
 
         with mock.patch.object(self.proxy._backends, "attempt", stands):
@@ -107,7 +107,7 @@
             if not chosen:
                 chosen.append(next(name for name, one in self.proxy._backends._doors.items() if one is door))
                 self.endpoint_update(2, self.line(chosen[0], "draining"))
-                time.sleep(STANDSTILL)
+                time.sleep(PAUSE)
             return latest(door)
 
         with mock.patch.object(self.proxy._backends, "_latest", stands):
--- a/tests/test_rehearsal_parts.py
+++ b/tests/test_rehearsal_parts.py
@@ -294,7 +294,7 @@
             Stall(0, 2_000_000, 2_060_000),
         ),
         (
-            "no answer in time, a short standstill long before",
+            "no answer in time, a short process pause long before",
             a_try(how="left", ended=2_050_020),
             Stall(0, 300_000, 360_000),
             Held(0, 1_000_000, 1_200_000),
@@ -320,14 +320,14 @@
             Stall(0, 1_990_000, 2_060_000),
         ),
         (
-            "connection ended beside a standstill, sent on",
+            "connection ended beside a process pause, sent on",
             a_try(how="lost", status=0, ended=500_000, fresh=False),
             a_sent(answered=False),
             Stall(0, 300_000, 360_000),
             Held(0, 300_000, 360_000),
         ),
         (
-            "connection ended beside a standstill, a new one that had been read",
+            "connection ended beside a process pause, a new one that had been read",
             a_try(how="lost", status=0, ended=500_000),
             Stall(0, 300_000, 360_000),
         ),
