--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import subprocess
 import sys
@@ -384,9 +385,17 @@
     def test_descriptors_are_read_once_they_stand(self) -> None:
         """One that was just asked for its figures has the connection of who asked for a moment more."""
         told = iter([15.0, *[14.0] * 3, 15.0, *[14.0] * 40])
-        self.assertEqual(14.0, asyncio.run(control_play.standing(lambda: next(told))))
+        spent = itertools.count()
+        self.assertEqual(14.0, asyncio.run(control_play.standing(lambda: next(told), lambda: next(spent))))
         self.assertEqual(40 - control_play.ALIKE, len(list(told)))
 
+    def test_descriptors_of_a_machine_that_does_not_run_do_not_stand(self) -> None:
+        """Without the processor it closes nothing: what it had open stayed, and was counted."""
+        looks = 2 * control_play.ALIKE
+        told = iter([15.0] * looks + [14.0] * 40)
+        spent = iter([5.0] * (looks - control_play.ALIKE + 2) + [6.0 + look for look in range(60)])
+        self.assertEqual(14.0, asyncio.run(control_play.standing(lambda: next(told), lambda: next(spent))))
+
     def test_real_machines_send_each_proxy_as_much_whatever_their_number(self) -> None:
         """Two processes with four and with twelve proxies, over sockets. What each one more is sent beside
         beats: as it starts the body of one and, where it has not told that it has it, the offer of the other;
