--- a/pepperusher/net/call_schedule.py
+++ b/pepperusher/net/call_schedule.py
@@ -15,8 +15,6 @@
 # spread over proxies, since all watches may fall silent at once; asked is then without a further wait.
 SILENT = 2.5
 SPREAD = 0.5
-# A watch that ends so long after its last word had fallen silent before: an empty line was due.
-EMPTY_LINE_MISSED = 2.15
 # Calls wait in turn at discovery, and one that waits looks like one that is lost: it is never left to begin
 # anew at the queue's end. Another goes out beside it, since a change counts 6 s after discovery had it and
 # could be reached. After a silence the call is most likely lost as well: the next goes out when that lasted
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -329,14 +329,14 @@
         self._log.say(f"watch ended: {reason}; {call.described(now)}{self._next_described(source, now)}")
         self._count_end(call, error)
         if call.spoken and source is self._source:
-            self._watch_lost(call, error, source, now)
+            self._watch_lost(error, source, now)
         return at_once
 
-    def _watch_lost(self, call: Call, error: BaseException | None, source: Source, now: float) -> None:
-        """What it missed counts from its last word where it fell silent, noticed or not, whatever discovery does."""
-        if isinstance(error, Silent) or now - call.spoke_at > call_schedule.EMPTY_LINE_MISSED:
-            source.schedule.begin_term(now, max(0.0, call.spoke_at + LOST_TERM - now))
-            self.confirmation.expect(Cause.SILENT, LOST_TERM, call.spoke_at)
+    def _watch_lost(self, error: BaseException | None, source: Source, now: float) -> None:
+        """What it missed counts from its last word where it fell silent, whatever discovery does."""
+        if isinstance(error, Silent):
+            source.schedule.begin_term(now, max(0.0, error.since + LOST_TERM - now))
+            self.confirmation.expect(Cause.SILENT, LOST_TERM, error.since)
         else:
             source.schedule.expect_by(now + LOST_TERM)
             self.confirmation.expect(Cause.LOST, LOST_TERM, now)
@@ -418,7 +418,7 @@
             if source is self._source:
                 self.confirmed_at = clock.now()
             if heard.word:
-                call.spoken, call.spoke_at = True, asyncio.get_running_loop().time()
+                call.spoken = True
                 self._give_up(source.spoken_by(call), "another has told")
             for update in merged(map(self._update, heard.objects)):
                 self._speaks(update, source, call, first, asked)
--- a/pepperusher/net/discovery_source.py
+++ b/pepperusher/net/discovery_source.py
@@ -15,7 +15,11 @@
 
 
 class Silent(Exception):
-    """A watch that was answered says no more."""
+    """A watch that was answered says no more; its last word came at `since`, by the loop's clock."""
+
+    def __init__(self, since: float) -> None:
+        super().__init__("silent")
+        self.since = since
 
 
 class Refused(Exception):
@@ -29,7 +33,7 @@
 class Call:
     """One request for the watch, from when it goes out until its connection ends. Times are the loop's, in seconds."""
 
-    __slots__ = ("number", "address", "asked_at", "line", "spoken", "spoke_at", "leaving", "task")
+    __slots__ = ("number", "address", "asked_at", "line", "spoken", "leaving", "task")
 
     def __init__(self, number: int, address: tuple[str, int], asked_at: float) -> None:
         self.number = number
@@ -37,7 +41,6 @@
         self.asked_at = asked_at
         self.line: Line | None = None   # once the connection is up
         self.spoken = False
-        self.spoke_at = 0.0             # when its last word was read
         self.leaving = False            # another has its place; what still comes may be newer than the list
         self.task: asyncio.Task[str]
 
--- a/pepperusher/net/watch_stream.py
+++ b/pepperusher/net/watch_stream.py
@@ -70,7 +70,7 @@
                 self._parser.receive_data(await self._line.read())
         except TimeoutError:
             if not self._line.holds_more:
-                raise Silent("silent") from None
+                raise Silent(self._spoke_at) from None
             # Both were due at once, as after a process pause: what came is read, and ends the silence or does not.
             self._until = asyncio.get_running_loop().time() + READ_WITHIN
 
