--- a/review/standins.py
+++ b/review/standins.py
@@ -308,6 +308,7 @@
             "settings": proxy_settings,
         }
         self.environment: dict[str, str] = {}
+        self.arguments = ""  # what is added to `run`
         self.processes: list[asyncio.subprocess.Process] = []
         (self.folder / "tmp").mkdir()
 
@@ -324,7 +325,7 @@
         process = await asyncio.create_subprocess_exec(
             "/bin/sh",
             "-c",
-            run,
+            f"{run} {self.arguments}",
             cwd=ROOT,
             env={
                 "PATH": os.environ.get("PATH", ""),
