--- a/review/standins.py
+++ b/review/standins.py
@@ -319,7 +319,9 @@
 
     async def start(self, **environment: str) -> asyncio.subprocess.Process:
         """Starts a process with the deploy file's `run`; the seed is new with each start."""
-        self.configuration["seed"] = f"{0x8C1F30D27A5BE964 + 0x9E3779B97F4A7C15 * len(self.processes) & (1 << 64) - 1:016x}"
+        self.configuration["seed"] = (
+            f"{0x8C1F30D27A5BE964 + 0x9E3779B97F4A7C15 * len(self.processes) & (1 << 64) - 1:016x}"
+        )
         self.write_configuration()
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         log = (self.folder / f"log-{len(self.processes) + 1}.txt").open("w")
