--- a/review/standins.py
+++ b/review/standins.py
@@ -9,6 +9,7 @@
 import asyncio
 import json
 import os
+import shutil
 import signal
 import socket
 import tempfile
@@ -364,12 +365,13 @@
         return "\n".join(path.read_text() for path in sorted(self.folder.glob("log-*.txt")))
 
     async def stop(self) -> None:
-        """Ends all processes that were started here."""
+        """Ends all processes that were started here, and removes the folder."""
         for process in self.processes:
             if process.returncode is None:
                 process.send_signal(signal.SIGCONT)
                 process.kill()
                 await process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 async def read_answer(reader: asyncio.StreamReader) -> tuple[int, dict[str, str], bytes]:
