--- a/review/3/case.py
+++ b/review/3/case.py
@@ -88,6 +88,7 @@
                         str(standins.ROOT / ".venv/bin/python"),
                         str(HERE.parent / "crowd.py"),
                         *map(str, (proxy.port, CROWD // 2, CROWD_BODY_BYTES, CROWD_STAYS_S)),
+                        stdout=asyncio.subprocess.PIPE,
                     )
                     crowds.append(crowd)
                 record.say(f"crowd: {CROWD} clients send half of {CROWD_BODY_BYTES} bytes and stay {CROWD_STAYS_S} s")
@@ -96,6 +97,9 @@
             await asyncio.sleep(0.05)
         await asyncio.gather(*asked)
         watching.cancel()
+        for crowd in crowds:
+            said, _ = await crowd.communicate()
+            record.say(f"crowd: {said.decode().strip()}")
         record.say(f"ordinary clients: {outcomes}")
         record.say(f"most memory of its own: {peak_kb} kB, limit {MEMORY_MB * 1024} kB")
         if process.returncode is not None and not killed:
@@ -114,7 +118,7 @@
 
 if __name__ == "__main__":
     try:
-        sys.exit(asyncio.run(main()))
+        sys.exit(asyncio.run(standins.within_limit(main())))
     except Exception as error:  # the case could not run
         print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(2)
--- a/review/crowd.py
+++ b/review/crowd.py
@@ -28,7 +28,7 @@
         name = f"half-{os.getpid()}-{number}"
         request = request_bytes(name, "ajukan-faktur", 2000, f"key-{name}", half, size)
         selector.register(client, selectors.EVENT_READ | selectors.EVENT_WRITE, [memoryview(request)])
-    until, left = time.monotonic() + stay_s, count
+    until, left, whole = time.monotonic() + stay_s, count, 0
     while left and time.monotonic() < until:
         for key, events in selector.select(0.1):
             client, unsent = key.fileobj, key.data
@@ -41,6 +41,7 @@
                 elif events & selectors.EVENT_WRITE:
                     unsent[0] = unsent[0][client.send(unsent[0][:500_000]) :]
                     if not unsent[0]:
+                        whole += 1
                         selector.modify(client, selectors.EVENT_READ, unsent)
             except BlockingIOError:
                 pass
@@ -50,7 +51,7 @@
                 selector.unregister(client)
                 client.close()
                 left -= 1
-    print(f"{count - left} of {count} were answered or closed", flush=True)
+    print(f"{count} connected, {whole} sent their half whole, {count - left} were answered or closed", flush=True)
 
 
 if __name__ == "__main__":
--- a/review/standins.py
+++ b/review/standins.py
@@ -15,7 +15,7 @@
 import tempfile
 import time
 import tomllib
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -28,6 +28,12 @@
     return time.monotonic() - STARTED_AT
 
 
+async def within_limit(case: Coroutine[Any, Any, int]) -> int:
+    """Runs a case, and ends it with its processes before 120 s are over. Raises TimeoutError."""
+    async with asyncio.timeout(100.0):
+        return await case
+
+
 def free_port() -> int:
     """A port on 127.0.0.1 that is free now."""
     with socket.socket() as probe:
