Log the memory of the process near its limit, with what is held for whom

The explanations (readers' buffers, data read ahead, held bodies, unsent answers, the allocator) could not be told apart.

Change: each side of the proxy keeps a set of its open connections (net/peer_memory.py); net/memory_report.py logs, each time the process uses a further eighth of memory_mb, its own memory beside held bodies and, by side, bytes received and not consumed, read ahead, and unsent. The line also goes with the minute's counts. /proc/self/status is read four times a second.

--- a/pepperusher/console/admin_listener.py
+++ b/pepperusher/console/admin_listener.py
@@ -20,6 +20,7 @@
     read_head,
     buffer_body,
 )
+from pepperusher.net.peer_memory import PeerConnections
 
 # Concurrent connections. A further one replaces the oldest that has sent nothing.
 CONNECTIONS_MAX = 6
@@ -38,6 +39,7 @@
         self._answer = answer
         self._log = log
         self._pool = Pool(1)
+        self._peers = PeerConnections("console")
         # Connections without a complete call yet, the oldest first; emptied as calls complete and connections end.
         self._incomplete: dict[StreamConnection, None] = {}
         self._open: set[asyncio.Task[None]] = set()  # at most CONNECTIONS_MAX, and those that were just replaced
@@ -55,7 +57,7 @@
 
     def _accept(self) -> StreamConnection:
         """Accepts a connection, replacing an idle one if too many are open."""
-        connection = StreamConnection()
+        connection = StreamConnection(self._peers)
         if len(self._open) >= CONNECTIONS_MAX:
             # Only a connection without unread data in the kernel is replaced.
             oldest = next((candidate for candidate in self._incomplete if candidate.nothing_pending()), None)
--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -13,6 +13,7 @@
 from pepperusher.net.body_streaming import ResponseForwarder
 from pepperusher.net.connection import StreamConnection, connect
 from pepperusher.net.message import MAX_HEAD_BYTES, Answer, Request
+from pepperusher.net.peer_memory import PeerConnections
 
 # Connections to backends are opened only up to this share of all descriptors: the rest is for callers, who must always
 # be accepted, if only to be bounced.
@@ -60,6 +61,7 @@
     def __init__(self, budget: Budget, pool: Pool, connect_timeout: int, idle_timeout: int) -> None:
         self._budget = budget
         self._pool = pool
+        self.peers = PeerConnections("backends")
         self._connect_timeout = connect_timeout / 1e6
         # Well below the backend's own idle timeout: a request that crosses the backend's close may have run.
         self._idle_timeout = idle_timeout // 2
@@ -223,7 +225,7 @@
             # iteration the last were otherwise refused, although idle clients could be closed.
             await asyncio.sleep(0)
         address = connections.address
-        connecting = asyncio.ensure_future(connect(address))
+        connecting = asyncio.ensure_future(connect(address, self.peers))
         connecting.add_done_callback(self._return_descriptor)
         attempt.on_give_up(connecting.cancel)
         done, _ = await asyncio.wait((connecting,), timeout=timeout_s)
--- a/pepperusher/net/buffers.py
+++ b/pepperusher/net/buffers.py
@@ -73,6 +73,11 @@
         """The limit on lent buffers in bytes."""
         return self._max_buffers * BUFFER_BYTES
 
+    @property
+    def lent_bytes(self) -> int:
+        """The size of all lent buffers, and of bodies that are held in one piece."""
+        return self._lent * BUFFER_BYTES
+
     @property
     def exhausted(self) -> bool:
         """Whether as many buffers are lent as the limit allows."""
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -29,6 +29,7 @@
     read_head,
     buffer_body,
 )
+from pepperusher.net.peer_memory import PeerConnections
 
 # Connections accepted in a row before other tasks get a turn.
 ACCEPT_BATCH = 16
@@ -199,6 +200,7 @@
         self._max_client_wait = max_client_wait
         self._budget = budget
         self._pool = pool
+        self.peers = PeerConnections("callers")
         self._log = log
         self._serving: set[asyncio.Task[None]] = set()  # removed as connections end
         self._callers: dict[Caller, None] = {}  # likewise; in the order of their arrival
@@ -306,7 +308,7 @@
     async def _serve(self, accepted: socket.socket) -> None:
         """Serves one connection until it ends."""
         try:
-            connection = await wrap_socket(accepted)
+            connection = await wrap_socket(accepted, self.peers)
         except Exception as error:  # ends only this connection
             accepted.close()
             self._budget.release()
--- a/pepperusher/net/connection.py
+++ b/pepperusher/net/connection.py
@@ -10,6 +10,7 @@
 
 from pepperusher.net import clock
 from pepperusher.net.disconnect_watcher import DisconnectWatcher
+from pepperusher.net.peer_memory import PeerConnections
 
 # Offset of `tcpi_last_data_recv` (milliseconds since data last arrived) in the kernel's TCP_INFO, and the granularity
 # of that figure.
@@ -22,9 +23,12 @@
 class StreamConnection(asyncio.StreamReaderProtocol):
     """The two streams of a connection. Its end is reported by callbacks, so that watching an idle connection costs no
     task.
+
+    It is one of `peers` while it is open.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, peers: PeerConnections) -> None:
+        self._peers = peers
         self.reader = asyncio.StreamReader(READ_BYTES)
         super().__init__(self.reader)
         self.transport: asyncio.Transport
@@ -61,6 +65,7 @@
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         super().connection_made(transport)
         self.transport = transport
+        self._peers.add(self)
         # With no write buffer allowed, data counts as written only once the kernel has it, which decides whether an
         # attempt may have run.
         transport.set_write_buffer_limits(high=0)
@@ -165,6 +170,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
+        self._peers.remove(self)
         self._finish_discarding()
         self._stop_watching()
         self._reading_ahead = False
@@ -191,6 +197,16 @@
             if self.on_peer_end is not None:
                 self.on_peer_end()
 
+    @property
+    def read_ahead_bytes(self) -> int:
+        """The part of `unread_bytes` that was read ahead of the reader."""
+        return len(self._read_ahead)
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that were written and that the kernel has not taken."""
+        return self.transport.get_write_buffer_size()
+
     async def read(self) -> bytes:
         """Returns received data, or nothing at the end, whether that was a close or a reset."""
         try:
@@ -320,13 +336,13 @@
         self.transport.abort()
 
 
-async def connect(address: tuple[str, int]) -> StreamConnection:
-    """Opens a connection to an address."""
-    _, connection = await asyncio.get_running_loop().create_connection(StreamConnection, *address)
+async def connect(address: tuple[str, int], peers: PeerConnections) -> StreamConnection:
+    """Opens a connection to an address, one of `peers`."""
+    _, connection = await asyncio.get_running_loop().create_connection(lambda: StreamConnection(peers), *address)
     return connection
 
 
-async def wrap_socket(accepted: socket.socket) -> StreamConnection:
-    """Makes a connection of a socket that was accepted."""
-    _, connection = await asyncio.get_running_loop().create_connection(StreamConnection, sock=accepted)
+async def wrap_socket(accepted: socket.socket, peers: PeerConnections) -> StreamConnection:
+    """Makes a connection of a socket that was accepted, one of `peers`."""
+    _, connection = await asyncio.get_running_loop().create_connection(lambda: StreamConnection(peers), sock=accepted)
     return connection
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -30,6 +30,7 @@
     ListConfirmation,
 )
 from pepperusher.net.log import Log
+from pepperusher.net.peer_memory import PeerConnections
 from pepperusher.net.watch_stream import WatchStream
 
 CONNECT_TIMEOUT_S = 1.5
@@ -79,6 +80,7 @@
         # The source that delivered the current list, and the list's version there.
         self._list_source, self._list_version = self._source, 0
         self._log = log
+        self.peers = PeerConnections("calls of discovery")
         # When the list was last confirmed, in microseconds: the last message of its source, or of the source from which
         # a borrowed list came. None if it was never confirmed.
         self.confirmed_at: int | None = None
@@ -459,7 +461,7 @@
         """Connects, sends the watch request and reads the response to its end. Returns why it ended."""
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                connection = call.connection = await connect(source.address)
+                connection = call.connection = await connect(source.address, self.peers)
         except OSError as error:
             if error.errno in LOCAL_RESOURCE_ERRORS:
                 self.confirmation.note_discovery_reachable()
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -23,6 +23,7 @@
 from pepperusher.net.endpoint_update import parse_address, parse_endpoint_update, format_address
 from pepperusher.net.exchange import FORWARDED_OUTCOMES, Attempt, AttemptContext
 from pepperusher.net.log import Log
+from pepperusher.net.memory_report import MemoryReport, own_memory
 from pepperusher.net.message import Answer, Request, end_to_end_headers, text_answer
 from pepperusher.net.handover_state import HandoverState
 from pepperusher.net.request_headers import BadRequest, duration_of, read_headers, timeout_of
@@ -115,6 +116,12 @@
             [extension.filter_endpoints for extension in self._extensions if extension.filter_endpoints is not None],
             bootstrap.policy_settings.seed,
         )
+        self._memory_report = MemoryReport(
+            bootstrap.memory,
+            self._pool,
+            (self._callers.peers, self._backends.peers, self._discovery.peers),
+            self._log,
+        )
         self._open_request_ids: set[bytes] = set()  # Request-Ids of the tickets in hand; removed as the tickets end
         self._stopping = asyncio.Event()
         self._sent_away_at: int | None = None  # when operators began to redirect clients; None while they do not
@@ -642,6 +649,7 @@
             try:
                 self._backends.sweep(clock.now())
                 self._callers.sweep(clock.now())
+                self._memory_report.check()
                 # Idle connections are not closed at once: their clients would open new ones, which the load balancer in
                 # front still sends here.
                 if self._sent_away_at is not None and clock.now() - self._sent_away_at >= REDIRECT_CLOSE_DELAY_US:
@@ -662,6 +670,7 @@
             f" timers {self._process_pause.lateness_us} us late"
             + (f", paused {self._process_pause.count} times" if self._process_pause.count else "")
         )
+        self._log.say(self._memory_report.line(own_memory()))
         self._log.say(self._discovery.metrics.line())
         for invariant, times in invariants.violations.items():
             self._log.say(f"invariant violated {times} times: {invariant}")
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -23,6 +23,7 @@
 from pepperusher.net.exchange import Exchange
 from pepperusher.net.body_streaming import ResponseForwarder
 from pepperusher.net.connection import StreamConnection, connect
+from pepperusher.net.peer_memory import PeerConnections
 from pepperusher.net.message import Answer, Request, read_head
 
 from tests.scene import SETTINGS, ProxyTestCase, configuration
@@ -145,8 +146,8 @@
         slow_backend.setblocking(False)
         self.proxy._backends._connections_by_backend["a1"].address = slow_backend.getsockname()
 
-        async def connect_with_small_buffer(address: tuple[str, int]) -> StreamConnection:
-            connection = await connect(address)
+        async def connect_with_small_buffer(address: tuple[str, int], peers: PeerConnections) -> StreamConnection:
+            connection = await connect(address, peers)
             connection.transport.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
             return connection
 
