--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -61,7 +61,7 @@
     def __init__(self, budget: Budget, pool: Pool, connect_timeout: int, idle_timeout: int) -> None:
         self._budget = budget
         self._pool = pool
-        self.peers = PeerConnections("backends")
+        self.peers = PeerConnections("backends", pool.peer_memory)
         self._connect_timeout = connect_timeout / 1e6
         # Well below the backend's own idle timeout: a request that crosses the backend's close may have run.
         self._idle_timeout = idle_timeout // 2
--- a/pepperusher/net/buffers.py
+++ b/pepperusher/net/buffers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from pepperusher.net.peer_memory import PeerMemory
+
 # Up to MAX_HELD_BODY_BYTES of a body are buffered, in buffers of BUFFER_BYTES. Most bodies fit one buffer. With buffers of 64
 # KiB, a few hundred callers that send only a part took half of a small proxy's memory.
 MAX_HELD_BODY_BYTES = 64 * 1024
@@ -62,7 +64,10 @@
     buffer.
     """
 
-    def __init__(self, max_spare: int, max_bytes: int = 64 * 1024 * 1024) -> None:
+    def __init__(
+        self, max_spare: int, max_bytes: int = 64 * 1024 * 1024, peer_memory: PeerMemory | None = None
+    ) -> None:
+        self.peer_memory = PeerMemory() if peer_memory is None else peer_memory
         self._spare: list[bytearray] = []  # reduced by take; at most max_spare
         self._max_spare = max_spare
         self._max_buffers = max_bytes // BUFFER_BYTES
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -200,7 +200,7 @@
         self._max_client_wait = max_client_wait
         self._budget = budget
         self._pool = pool
-        self.peers = PeerConnections("callers")
+        self.peers = PeerConnections("callers", pool.peer_memory)
         self._log = log
         self._serving: set[asyncio.Task[None]] = set()  # removed as connections end
         self._callers: dict[Caller, None] = {}  # likewise; in the order of their arrival
--- a/pepperusher/net/connection.py
+++ b/pepperusher/net/connection.py
@@ -10,26 +10,32 @@
 
 from pepperusher.net import clock
 from pepperusher.net.disconnect_watcher import DisconnectWatcher
-from pepperusher.net.peer_memory import PeerConnections
+from pepperusher.net.peer_memory import MAX_READ_BYTES, PeerConnections
 
 # Offset of `tcpi_last_data_recv` (milliseconds since data last arrived) in the kernel's TCP_INFO, and the granularity
 # of that figure.
 TCP_INFO_LAST_DATA = struct.Struct("=52xI")
 TCP_INFO_GRANULARITY_MS = 4
-# Bytes per read; a peer that sends faster is slowed down by TCP flow control.
+# The most that a consumer is handed at a time.
 READ_BYTES = 16 * 1024
+# The stream reader stops reading above twice this many unread bytes, and goes on at this many; a peer that sends faster
+# is slowed down by TCP flow control. The last read may exceed that by what PeerMemory allows it.
+READER_LIMIT_BYTES = READ_BYTES // 2
+# Every connection receives into this buffer, and copies what it received before the next one does.
+_receive_buffer = memoryview(bytearray(MAX_READ_BYTES))
 
 
-class StreamConnection(asyncio.StreamReaderProtocol):
+class StreamConnection(asyncio.StreamReaderProtocol, asyncio.BufferedProtocol):
     """The two streams of a connection. Its end is reported by callbacks, so that watching an idle connection costs no
     task.
 
-    It is one of `peers` while it is open.
+    It is one of `peers` while it is open. As a BufferedProtocol it decides how much each read takes; asyncio would
+    otherwise take up to 256 KiB, whatever the limit of the stream reader.
     """
 
     def __init__(self, peers: PeerConnections) -> None:
         self._peers = peers
-        self.reader = asyncio.StreamReader(READ_BYTES)
+        self.reader = asyncio.StreamReader(READER_LIMIT_BYTES)
         super().__init__(self.reader)
         self.transport: asyncio.Transport
         self.writer: asyncio.StreamWriter
@@ -79,6 +85,17 @@
         self._write_pending = False  # the low-water mark is zero: the kernel has all of it
         super().resume_writing()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Where the next read goes, which limits its size."""
+        size = self._peers.memory.read_size()
+        if self._reading_ahead and self.disconnect_watcher is not None:
+            size = min(size, self.disconnect_watcher.read_size())
+        return _receive_buffer[:size]
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Called when so many bytes were received into the buffer."""
+        self.data_received(bytes(_receive_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         if self._discard_done is not None:
             self._discard_limit -= len(data)
@@ -86,7 +103,7 @@
                 self._finish_discarding()
             return
         self.last_received_at = clock.now()
-        self.unread_bytes += len(data)
+        self._count_unread(len(data))
         self.bytes_received += len(data)
         if self._reading_ahead and self.disconnect_watcher is not None:
             self._read_ahead += data
@@ -119,8 +136,9 @@
         """Called when data was consumed: passes on data that was read ahead and, once all of it is, resumes normal
         reading and reports a pending end.
         """
-        if self._reading_ahead and self.unread_bytes - len(self._read_ahead) <= READ_BYTES:
-            data = bytes(self._read_ahead[:READ_BYTES])
+        if self._reading_ahead and self.unread_bytes - len(self._read_ahead) <= READER_LIMIT_BYTES:
+            # No more than the stream reader accepts without pausing the transport.
+            data = bytes(self._read_ahead[:READER_LIMIT_BYTES])
             self._remove_read_ahead(len(data))
             if data:
                 self.reader.feed_data(data)
@@ -142,6 +160,14 @@
         if self.disconnect_watcher is not None:
             self.disconnect_watcher.read_ahead_bytes -= size
 
+    def _count_unread(self, change: int) -> None:
+        """Counts bytes that were received, or consumed if negative. A lost connection no longer counts: it receives
+        nothing more, and what it has is consumed or dropped at once.
+        """
+        self.unread_bytes += change
+        if not self._lost:
+            self._peers.memory.received += change
+
     def _stop_watching(self) -> None:
         """Ends the watch for the peer's end."""
         if self._watched and self.disconnect_watcher is not None:
@@ -171,6 +197,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
         self._peers.remove(self)
+        self._peers.memory.received -= self.unread_bytes
+        self._lost = True
         self._finish_discarding()
         self._stop_watching()
         self._reading_ahead = False
@@ -179,7 +207,6 @@
         # The writer refers back to this object: the cycle would last until a garbage collection.
         del self.writer
         self.on_peer_end = self.on_data = None
-        self._lost = True
         if self._on_lost is not None:
             self._on_lost()
 
@@ -213,7 +240,7 @@
             data = await self.reader.read(READ_BYTES)
         except OSError:
             return b""
-        self.unread_bytes -= len(data)
+        self._count_unread(-len(data))
         self._data_consumed()
         return data
 
--- a/pepperusher/net/disconnect_watcher.py
+++ b/pepperusher/net/disconnect_watcher.py
@@ -8,6 +8,7 @@
 import select
 from typing import Protocol
 
+from pepperusher.net.peer_memory import MIN_READ_BYTES
 
 # The most that is read ahead on one connection.
 MAX_READ_AHEAD_BYTES = 1024 * 1024
@@ -44,6 +45,12 @@
         """Whether a connection that has read `read_ahead` bytes ahead may continue."""
         return read_ahead < MAX_READ_AHEAD_BYTES and self.read_ahead_bytes < self._max_bytes
 
+    def read_size(self) -> int:
+        """How much the next read of a connection that reads ahead may take. Many may read in one loop iteration, before
+        `may_read_ahead` is asked again.
+        """
+        return max(MIN_READ_BYTES, self._max_bytes - self.read_ahead_bytes)
+
     def watch(self, connection: Watched) -> None:
         """Watches a connection for its end, if the platform can."""
         descriptor = connection.fileno()
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -30,7 +30,7 @@
     ListConfirmation,
 )
 from pepperusher.net.log import Log
-from pepperusher.net.peer_memory import PeerConnections
+from pepperusher.net.peer_memory import PeerConnections, PeerMemory
 from pepperusher.net.watch_stream import WatchStream
 
 CONNECT_TIMEOUT_S = 1.5
@@ -65,6 +65,7 @@
         log: Log,
         filters: Sequence[FilterEndpoints] = (),
         seed: int = 0,
+        peer_memory: PeerMemory | None = None,
     ) -> None:
         self._random = Random(seed)
         self._spread = call_schedule.CALL_SPREAD_S * self._random.random()
@@ -80,7 +81,7 @@
         # The source that delivered the current list, and the list's version there.
         self._list_source, self._list_version = self._source, 0
         self._log = log
-        self.peers = PeerConnections("calls of discovery")
+        self.peers = PeerConnections("calls of discovery", PeerMemory() if peer_memory is None else peer_memory)
         # When the list was last confirmed, in microseconds: the last message of its source, or of the source from which
         # a borrowed list came. None if it was never confirmed.
         self.confirmed_at: int | None = None
--- a/pepperusher/net/peer_memory.py
+++ b/pepperusher/net/peer_memory.py
@@ -1,10 +1,37 @@
-"""What open connections hold in memory for their peers, by side of the proxy."""
+"""What open connections hold in memory for their peers, and how much of it the proxy reads at a time."""
 
 from __future__ import annotations
 
 from typing import NamedTuple, Protocol
 
 
+# The most that one read takes from the kernel, and the least that it may take while the limit of received bytes is
+# reached: no peer is kept from sending, but a crowd of them is read in small pieces.
+MAX_READ_BYTES = 128 * 1024
+MIN_READ_BYTES = 4 * 1024
+# One read takes at most this part of what is left, so that the first connections of a crowd leave room for the others.
+READ_SHARE_DIVISOR = 16
+# More received bytes than this make nothing faster, however much memory there is.
+MAX_RECEIVED_BYTES = 16 * 1024 * 1024
+
+
+class PeerMemory:
+    """Counts the bytes that all connections of one proxy hold for their peers, and limits how much they read.
+
+    One loop iteration reads from every connection that has data, before any of it is consumed. The sum is therefore
+    limited where data is read: beyond the limit each connection adds MIN_READ_BYTES at most.
+    """
+
+    def __init__(self, max_received: int = MAX_RECEIVED_BYTES) -> None:
+        self._max_received = min(max_received, MAX_RECEIVED_BYTES)
+        self.received = 0  # received and not yet consumed, including what was read ahead
+
+    def read_size(self) -> int:
+        """How much the next read of a connection may take."""
+        available = self._max_received - self.received
+        return max(MIN_READ_BYTES, min(MAX_READ_BYTES, available // READ_SHARE_DIVISOR))
+
+
 class Connection(Protocol):
     """A connection, as far as its memory is concerned."""
 
@@ -29,10 +56,11 @@
 
 
 class PeerConnections:
-    """The open connections of one side of the proxy, such as the callers'."""
+    """The open connections of one side of the proxy, such as the callers', and the memory that they count in."""
 
-    def __init__(self, side: str) -> None:
+    def __init__(self, side: str, memory: PeerMemory) -> None:
         self.side = side
+        self.memory = memory
         self._open: set[Connection] = set()  # removed as connections end
 
     def add(self, connection: Connection) -> None:
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -26,6 +26,7 @@
 from pepperusher.net.memory_report import MemoryReport, own_memory
 from pepperusher.net.message import Answer, Request, end_to_end_headers, text_answer
 from pepperusher.net.handover_state import HandoverState
+from pepperusher.net.peer_memory import PeerMemory
 from pepperusher.net.request_headers import BadRequest, duration_of, read_headers, timeout_of
 from pepperusher.net.process_pause import ProcessPause
 from pepperusher.net.bootstrap import BootstrapConfiguration, BootstrapError
@@ -57,8 +58,10 @@
 REDIRECT_CLOSE_DELAY_US = 600_000
 SWEEPS_PER_COUNTS_LINE = 240  # one line a minute
 # Held bodies take at most this fraction of the memory that the process may use. The program itself takes the first
-# part, and each connection has buffers besides.
+# part.
 BODY_MEMORY_DIVISOR = 8
+# Data that was received and not yet consumed takes at most this fraction, and some kB more for each connection.
+RECEIVED_MEMORY_DIVISOR = 8
 # Settings that a running process cannot change when its configuration is reloaded.
 RESTART_ONLY_SETTINGS = ("name", "listen", "sockets", "memory", "console")
 # Outcomes of an attempt whose duration shows how long the work takes.
@@ -97,7 +100,8 @@
         admission_gates = [extension.gate for extension in self._extensions if extension.gate is not None]
         invariants.check_invariant(len(admission_gates) <= 1, "a ticket goes through one gate")
         self._gate = admission_gates[0] if admission_gates else None
-        self._pool = Pool(256, bootstrap.memory // BODY_MEMORY_DIVISOR)
+        peer_memory = PeerMemory(bootstrap.memory // RECEIVED_MEMORY_DIVISOR)
+        self._pool = Pool(256, bootstrap.memory // BODY_MEMORY_DIVISOR, peer_memory)
         self._budget = Budget(
             _available_descriptors(bootstrap.sockets), sum(extension.descriptors for extension in self._extensions)
         )
@@ -115,6 +119,7 @@
             self._log,
             [extension.filter_endpoints for extension in self._extensions if extension.filter_endpoints is not None],
             bootstrap.policy_settings.seed,
+            peer_memory,
         )
         self._memory_report = MemoryReport(
             bootstrap.memory,
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -1,14 +1,28 @@
-"""The memory of a proxy: what is logged of it, and that it stays under its limit, whatever its peers send or leave unread."""
+"""The memory of a proxy: what is logged of it, and that it stays under its limit, whatever its peers send or leave unread.
+
+Run as a program, this module prints the peak of each crowd at each limit: `python -m tests.test_memory`.
+"""
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import re
+import socket
 import unittest
+from collections.abc import Callable, Coroutine
+from pathlib import Path
+from typing import Any
 from unittest import mock
 
 from pepperusher.net import memory_report
 from pepperusher.net.buffers import Pool
+from pepperusher.net.connection import READER_LIMIT_BYTES, wrap_socket
 from pepperusher.net.memory_report import MemoryReport
-from pepperusher.net.peer_memory import PeerConnections
+from pepperusher.net.peer_memory import MAX_READ_BYTES, MIN_READ_BYTES, PeerConnections, PeerMemory
+
+from tests.leavers import ProxyProcess, request
+from tests.test_descriptors import ask
 
 MEGABYTE = 1024 * 1024
 LIMIT_MB = 80
@@ -35,7 +49,7 @@
 
 class Report(unittest.TestCase):
     def test_each_further_part_of_the_limit_is_logged_once_with_what_is_held(self) -> None:
-        callers, log = PeerConnections("callers"), RecordingLog()
+        callers, log = PeerConnections("callers", PeerMemory()), RecordingLog()
         callers.add(FakeConnection(5 * MEGABYTE, 3 * MEGABYTE, 0))
         callers.add(FakeConnection(0, 0, MEGABYTE))
         pool = Pool(4)
@@ -55,5 +69,122 @@
         self.assertGreater(own, MEGABYTE)
 
 
+class Received(unittest.IsolatedAsyncioTestCase):
+    async def test_connections_that_are_read_in_one_iteration_keep_within_the_limit_of_all(self) -> None:
+        """Each of them received up to 256 KiB before any of it was consumed."""
+        max_received, count = 256 * 1024, 40
+        memory = PeerMemory(max_received)
+        peers = PeerConnections("callers", memory)
+        pairs = [socket.socketpair() for _ in range(count)]
+        connections = []
+        for far, near in pairs:
+            self.addCleanup(far.close)
+            far.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                while True:
+                    far.send(bytes(MAX_READ_BYTES))
+            near.setblocking(False)
+            connections.append(await wrap_socket(near, peers))
+        for _ in range(10):
+            await asyncio.sleep(0)
+            self.assertLessEqual(memory.received, max_received + count * (2 * READER_LIMIT_BYTES + MIN_READ_BYTES))
+        self.assertGreaterEqual(memory.received, max_received)
+        self.assertEqual(memory.received, peers.held_bytes().received)
+        for connection in connections:
+            self.assertTrue(await connection.read())  # none is kept from being read
+            connection.abort()
+        await asyncio.sleep(0.01)
+        self.assertEqual((0, 0), (memory.received, peers.held_bytes().connections))
+
+
+# Limits that the operators' pages name, in MB and descriptors: the most, half of it on days with less room, and those that
+# their bench has given to proxies.
+LIMITS = ((192, 1024), (96, 512), (80, 384), (64, 256), (40, 192))
+# Of all descriptors, so many in ten are taken by a crowd: a little less than callers may have.
+CROWD_TENTHS = 6
+CROWD_STAYS_S = 3.0
+LONG_BODY_BYTES = 4_000_000
+
+
+def peak_memory(pid: int) -> int:
+    """The most resident memory that a process had of its own, in bytes."""
+    figures = {
+        name: int(kilobytes) * 1024
+        for name, kilobytes in re.findall(r"^(\w+):\s+(\d+) kB$", Path(f"/proc/{pid}/status").read_text(), re.MULTILINE)
+    }
+    return figures["VmHWM"] - figures["RssFile"] - figures["RssShmem"]
+
+
+async def stop_half_way(client: socket.socket, number: int) -> None:
+    """Sends the head and the first half of a long request."""
+    head = request("book", f"half-{number}").replace(b"Content-Length: 0", b"Content-Length: %d" % LONG_BODY_BYTES)
+    await asyncio.get_running_loop().sock_sendall(client, head + bytes(LONG_BODY_BYTES // 2))
+
+
+Client = Callable[[socket.socket, int], Coroutine[Any, Any, None]]
+
+
+async def peak_under_crowd(memory_mb: int, descriptors: int, client: Client) -> tuple[int, str]:
+    """Lets a crowd of clients loose on a proxy. Returns the proxy's peak memory, and how an ordinary request ends after it."""
+    loop = asyncio.get_running_loop()
+
+    async def stay(proxy_process: ProxyProcess, number: int) -> None:
+        """One client of the crowd, until it is answered or closed."""
+        with socket.socket() as crowd_socket, contextlib.suppress(OSError):
+            crowd_socket.setblocking(False)
+            await loop.sock_connect(crowd_socket, ("127.0.0.1", proxy_process.port))
+            await client(crowd_socket, number)
+            await loop.sock_recv(crowd_socket, 1)
+
+    async with ProxyProcess(8, limits={"memory_mb": memory_mb, "sockets": descriptors}) as proxy_process:
+        for backend in proxy_process.backends:
+            await backend.open()
+        staying = [
+            asyncio.create_task(stay(proxy_process, number)) for number in range(descriptors * CROWD_TENTHS // 10)
+        ]
+        await asyncio.sleep(CROWD_STAYS_S)
+        for task in staying:
+            task.cancel()
+        await asyncio.wait(staying)
+        status, _ = await ask(proxy_process.port, request("look", "ordinary"))
+        return peak_memory(proxy_process.process.pid), status
+
+
+class Crowds(unittest.IsolatedAsyncioTestCase):
+    """A proxy stays under each limit. The cases stand alone so that they run beside each other."""
+
+    async def check(self, memory_mb: int, descriptors: int, client: Client) -> None:
+        peak, status = await peak_under_crowd(memory_mb, descriptors, client)
+        self.assertLess(peak, memory_mb * MEGABYTE)
+        self.assertEqual("200", status)
+
+    # Guards against a proxy that is killed for its memory because each of many connections received up to 256 KiB in one
+    # iteration of the event loop (review/3).
+    async def test_clients_that_stop_half_way_at_192_mb(self) -> None:
+        await self.check(192, 1024, stop_half_way)
+
+    async def test_clients_that_stop_half_way_at_96_mb(self) -> None:
+        await self.check(96, 512, stop_half_way)
+
+    async def test_clients_that_stop_half_way_at_80_mb(self) -> None:
+        await self.check(80, 384, stop_half_way)
+
+    async def test_clients_that_stop_half_way_at_64_mb(self) -> None:
+        await self.check(64, 256, stop_half_way)
+
+    async def test_clients_that_stop_half_way_at_40_mb(self) -> None:
+        await self.check(40, 192, stop_half_way)
+
+
+async def print_peaks() -> None:
+    """Prints the peak of each crowd at each limit."""
+    for client in (stop_half_way,):
+        for memory_mb, descriptors in LIMITS:
+            peak, status = await peak_under_crowd(memory_mb, descriptors, client)
+            print(
+                f"{client.__name__}: {peak / MEGABYTE:.1f} of {memory_mb} MB, {descriptors} descriptors, then {status}"
+            )
+
+
 if __name__ == "__main__":
-    unittest.main()
+    asyncio.run(print_peaks())
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -23,7 +23,7 @@
 from pepperusher.net.connection import StreamConnection, wrap_socket
 from pepperusher.net.log import BURST_LINES, Log
 from pepperusher.net.message import Answer, Request
-from pepperusher.net.peer_memory import PeerConnections
+from pepperusher.net.peer_memory import PeerConnections, PeerMemory
 from pepperusher.net.proxy import READY_ANSWER
 
 from tests.scene import (
@@ -148,7 +148,7 @@
         for case in ("reads all", "is given up", "breaks"):
             far, near = socket.socketpair()
             near.setblocking(False)
-            connection = await wrap_socket(near, PeerConnections("tests"))
+            connection = await wrap_socket(near, PeerConnections("tests", PeerMemory()))
             results.append(f"{case}: at once {connection.send(b'x' * 4_000_000)}")
             if case == "reads all":
                 reading = asyncio.get_running_loop().run_in_executor(None, far.makefile("rb").read, 4_000_000)
