Drop what an ended connection received at once, not at the next garbage collection

Cause: a connection that was closed stays in memory until a garbage collection, since asyncio's transports are part of reference cycles, and with it the data that its reader had received and nobody reads any more.

Memory of bodies was ruled out: there are none.

Change: StreamConnection.drop_unread lets the reader go; the callers' side, the backends, discovery and the console call it (through `discard`) where they are done with a connection. An attempt that is given up from outside still only aborts: an answer that was read already counts.

--- a/pepperusher/console/admin_listener.py
+++ b/pepperusher/console/admin_listener.py
@@ -106,4 +106,4 @@
         finally:
             self._incomplete.pop(connection, None)
             body.release()
-            connection.abort()
+            connection.discard()
--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -132,7 +132,7 @@
         """Closes one connection, and removes it from the idle ones."""
         if connection in connections.idle:
             connections.idle.remove(connection)
-        connection.stream.abort()
+        connection.stream.discard()
 
     def _close_oldest(self, needed: bool = False) -> bool:
         """Closes the connection that has been idle for longest, if there is one."""
@@ -176,7 +176,7 @@
         another address.
         """
         if not connections.listed or connections.address != connection.address:
-            connection.stream.abort()
+            connection.stream.discard()
             return False
         self._add_idle(connections, connection)
         return True
@@ -195,7 +195,7 @@
             # that may have run.
             if now - connection.idle_since < self._max_idle_us and connection.stream.nothing_pending():
                 return connection
-            connection.stream.abort()
+            connection.stream.discard()
         return None
 
     def _adapt_max_idle(self, idle_time: int, reused_successfully: bool) -> None:
@@ -306,7 +306,7 @@
                 # The old address may belong to another process by now, or the peer has already closed or sent
                 # unexpected data that is still in the kernel. If a single-use ticket were written here, it would count
                 # as one that may have run.
-                connection.stream.abort()
+                connection.stream.discard()
                 return "unreached", None
         connection.has_answered = True
         began = clock.now()
@@ -336,7 +336,7 @@
             return outcome, answer
         finally:
             if not reusable or not self._keep_for_reuse(connections, connection):
-                connection.stream.abort()
+                connection.stream.discard()
                 # The loop closes the aborted connection in its next iteration. If the ticket were sent elsewhere before
                 # that, it would be out twice at the same time.
                 await asyncio.sleep(0)
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -332,6 +332,7 @@
             self._callers.pop(caller, None)
             self._closing_connections.pop(caller, None)
             caller.connection.close()
+            caller.connection.drop_unread()
 
     async def _serve_one(self, caller: Caller, body: Body) -> bool:
         """Serves one request and returns whether the connection stays open.
--- a/pepperusher/net/connection.py
+++ b/pepperusher/net/connection.py
@@ -75,7 +75,8 @@
         # With no write buffer allowed, data counts as written only once the kernel has it, which decides whether an
         # attempt may have run.
         transport.set_write_buffer_limits(high=0)
-        self.writer = asyncio.StreamWriter(transport, self, self.reader, asyncio.get_running_loop())
+        # Without the reader, which only this object refers to: see `drop_unread`.
+        self.writer = asyncio.StreamWriter(transport, self, None, asyncio.get_running_loop())
 
     def pause_writing(self) -> None:
         self._write_pending = True
@@ -355,6 +356,21 @@
     def abort(self) -> None:
         self.transport.abort()
 
+    def discard(self) -> None:
+        """Aborts the connection, and drops what nobody will read any more."""
+        self.transport.abort()
+        self.drop_unread()
+
+    def drop_unread(self) -> None:
+        """Drops received data that nobody will read any more. The connection itself stays in memory until a garbage
+        collection, because asyncio's transports are part of reference cycles.
+        """
+        self._count_unread(-self.unread_bytes)
+        self._remove_read_ahead(len(self._read_ahead))
+        self._reading_ahead = False
+        self.reader = asyncio.StreamReader()
+        self.reader.feed_eof()
+
     def reset(self) -> None:
         """Resets the connection at once, so that the peer does not take it for an orderly end."""
         if not self.transport.is_closing():
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -480,7 +480,7 @@
                 raise
             raise CallRefusedError(_describe_error(error), loop.time() - asked_at) from None
         finally:
-            connection.abort()
+            connection.discard()
 
     async def _read_watch(self, connection: StreamConnection, source: Source, call: Call) -> str:
         """Applies the updates of one watch until its connection closes."""
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -7,21 +7,24 @@
 
 import asyncio
 import contextlib
+import gc
 import re
 import socket
 import unittest
+import weakref
 from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 from unittest import mock
 
-from pepperusher.net import memory_report
+from pepperusher.net import backends, callers, memory_report
 from pepperusher.net.buffers import Pool
-from pepperusher.net.connection import READER_LIMIT_BYTES, wrap_socket
+from pepperusher.net.connection import READER_LIMIT_BYTES, StreamConnection, wrap_socket
 from pepperusher.net.memory_report import MemoryReport
 from pepperusher.net.peer_memory import MAX_READ_BYTES, MIN_READ_BYTES, PeerConnections, PeerMemory
 
 from tests.leavers import ProxyProcess, request
+from tests.scene import ProxyTestCase
 from tests.test_descriptors import ask
 
 MEGABYTE = 1024 * 1024
@@ -97,6 +100,40 @@
         self.assertEqual((0, 0), (memory.received, peers.held_bytes().connections))
 
 
+class Ended(ProxyTestCase):
+    # Guards against a proxy that goes over its memory limit by what connections received that have ended: they stay in
+    # memory until a garbage collection.
+    async def test_what_ended_connections_received_is_let_go_without_a_collection(self) -> None:
+        await self.open("a1")
+        self.fake_backends["a1"].behaviors = ["HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok" + "x" * 50_000]
+        readers: list[weakref.ref[asyncio.StreamReader]] = []
+
+        def recording(
+            open_connection: Callable[..., Coroutine[Any, Any, StreamConnection]],
+        ) -> Callable[..., Coroutine[Any, Any, StreamConnection]]:
+            async def open_and_record(*arguments: object) -> StreamConnection:
+                connection = await open_connection(*arguments)
+                readers.append(weakref.ref(connection.reader))
+                return connection
+
+            return open_and_record
+
+        gc.disable()
+        self.addCleanup(gc.enable)
+        with (
+            mock.patch.object(callers, "wrap_socket", recording(callers.wrap_socket)),
+            mock.patch.object(backends, "connect", recording(backends.connect)),
+        ):
+            for sent in (self.request("look", 1), b"GET / nonsense\r\n\r\n" + bytes(100_000)):
+                reader, writer = await self.connect()
+                writer.write(sent)
+                await reader.readuntil(b"\r\n\r\n")
+                writer.close()
+            await self.wait_until(lambda: not self.proxy._callers.open)
+            await self.wait_until(lambda: not self.proxy._backends.peers.held_bytes().connections)
+        self.assertEqual([None] * 3, [reader() for reader in readers])
+
+
 # Limits that the operators' pages name, in MB and descriptors: the most, half of it on days with less room, and those that
 # their bench has given to proxies.
 LIMITS = ((192, 1024), (96, 512), (80, 384), (64, 256), (40, 192))
