Unsent data counts toward the limit on held bodies

Cause, only suspected: an answer of up to 64 KiB is held whole; its buffers went back to the pool when the backend was done, though a client that does not read leaves it in the transport's buffer for as long as any client waits. Nothing counted it, so the limit on held bodies did not hold for a crowd of such clients: 320 callers and 64 KiB each are 20 MB at 512 descriptors.

Evidence: not seen over a limit. Where the kernel takes less, the bytes are the proxy's.

Change: a connection counts what the kernel has not taken when data is written, until it has all of it or the connection is lost; the pool is exhausted by lent buffers and unsent bytes together. Then bodies flow from their first buffer, as before.

--- a/pepperusher/net/buffers.py
+++ b/pepperusher/net/buffers.py
@@ -60,8 +60,8 @@
 
 
 class Pool:
-    """Lends buffers and keeps some spare ones. `max_bytes` limits what is lent; beyond it each body takes only one
-    buffer.
+    """Lends buffers and keeps some spare ones. `max_bytes` limits what is lent, together with what was written and not
+    yet taken by the kernel; beyond it each body takes only one buffer.
     """
 
     def __init__(
@@ -85,8 +85,8 @@
 
     @property
     def exhausted(self) -> bool:
-        """Whether as many buffers are lent as the limit allows."""
-        return self._lent >= self._max_buffers
+        """Whether as much is held as the limit allows."""
+        return self._lent + self.peer_memory.unsent // BUFFER_BYTES >= self._max_buffers
 
     def take(self) -> bytearray:
         """Lends a buffer, a spare one if there is any."""
--- a/pepperusher/net/connection.py
+++ b/pepperusher/net/connection.py
@@ -63,6 +63,8 @@
         self._end_pending = False
         # Bytes received and not yet consumed; bytes left after an answer belong to no ticket.
         self.unread_bytes = 0
+        # Bytes that the kernel had not taken when data was last written; zero again once it has all of it.
+        self.unsent_bytes = 0
         # Set once the last data has been sent: done when the peer closes too, or has sent more than `_discard_limit`
         # bytes.
         self._discard_done: asyncio.Future[None] | None = None
@@ -84,6 +86,7 @@
 
     def resume_writing(self) -> None:
         self._write_pending = False  # the low-water mark is zero: the kernel has all of it
+        self._count_unsent(0)
         super().resume_writing()
 
     def get_buffer(self, sizehint: int) -> memoryview:
@@ -169,6 +172,11 @@
         if not self._lost:
             self._peers.memory.received += change
 
+    def _count_unsent(self, unsent_bytes: int) -> None:
+        """Counts the bytes that the kernel has not taken."""
+        self._peers.memory.unsent += unsent_bytes - self.unsent_bytes
+        self.unsent_bytes = unsent_bytes
+
     def _stop_watching(self) -> None:
         """Ends the watch for the peer's end."""
         if self._watched and self.disconnect_watcher is not None:
@@ -204,6 +212,7 @@
         self._stop_watching()
         self._reading_ahead = False
         self._remove_read_ahead(len(self._read_ahead))
+        self._count_unsent(0)
         self._report_end()
         # The writer refers back to this object: the cycle would last until a garbage collection.
         del self.writer
@@ -230,11 +239,6 @@
         """The part of `unread_bytes` that was read ahead of the reader."""
         return len(self._read_ahead)
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Bytes that were written and that the kernel has not taken."""
-        return self.transport.get_write_buffer_size()
-
     async def read(self) -> bytes:
         """Returns received data, or nothing at the end, whether that was a close or a reset."""
         try:
@@ -297,6 +301,7 @@
             self._write_pending = True
             return False
         self.writer.write(data)
+        self._count_unsent(self.transport.get_write_buffer_size())
         if self.transport.is_closing():
             self._write_pending = True
         return not self._write_pending
--- a/pepperusher/net/peer_memory.py
+++ b/pepperusher/net/peer_memory.py
@@ -25,6 +25,7 @@
     def __init__(self, max_received: int = MAX_RECEIVED_BYTES) -> None:
         self._max_received = min(max_received, MAX_RECEIVED_BYTES)
         self.received = 0  # received and not yet consumed, including what was read ahead
+        self.unsent = 0  # written and not yet taken by the kernel
 
     def read_size(self) -> int:
         """How much the next read of a connection may take."""
@@ -36,15 +37,12 @@
     """A connection, as far as its memory is concerned."""
 
     unread_bytes: int
+    unsent_bytes: int
 
     @property
     def read_ahead_bytes(self) -> int:
         """The part of `unread_bytes` that was read ahead of the reader."""
 
-    @property
-    def unsent_bytes(self) -> int:
-        """Bytes that were written and that the kernel has not taken."""
-
 
 class HeldBytes(NamedTuple):
     """Bytes held for the peers of one side."""
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -57,8 +57,8 @@
 # closed after it.
 REDIRECT_CLOSE_DELAY_US = 600_000
 SWEEPS_PER_COUNTS_LINE = 240  # one line a minute
-# Held bodies take at most this fraction of the memory that the process may use. The program itself takes the first
-# part.
+# Held bodies and unsent data take at most this fraction of the memory that the process may use. The program itself
+# takes the first part.
 BODY_MEMORY_DIVISOR = 8
 # Data that was received and not yet consumed takes at most this fraction, and some kB more for each connection.
 RECEIVED_MEMORY_DIVISOR = 8
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -99,6 +99,26 @@
         await asyncio.sleep(0.01)
         self.assertEqual((0, 0), (memory.received, peers.held_bytes().connections))
 
+    async def test_what_a_peer_does_not_read_counts_until_the_connection_ends(self) -> None:
+        memory = PeerMemory()
+        pool = Pool(4, 1024 * 1024, memory)
+        for case in ("reads", "goes"):
+            far, near = socket.socketpair()
+            near.setblocking(False)
+            connection = await wrap_socket(near, PeerConnections("callers", memory))
+            self.assertFalse(connection.send(bytes(4 * 1024 * 1024)))
+            self.assertGreater(memory.unsent, 1024 * 1024)
+            self.assertTrue(pool.exhausted)
+            if case == "reads":
+                reading = asyncio.get_running_loop().run_in_executor(None, far.makefile("rb").read, 4 * 1024 * 1024)
+                self.assertTrue(await connection.flush())
+                await reading
+            far.close()
+            await connection.read()
+            connection.abort()
+            await asyncio.sleep(0.01)
+            self.assertEqual((0, False), (memory.unsent, pool.exhausted))
+
 
 class Ended(ProxyTestCase):
     # Guards against a proxy that goes over its memory limit by what connections received that have ended: they stay in
