The longest line of discovery depends on the memory limit

What callers would see: a proxy with 40 MB is killed for its memory where discovery answers two calls with lines of 8 MB that are no list.

Cause: a line of a watch may be 8 MiB long whatever the memory is, and decoding one takes several times its length.

Change: the longest line is a sixteenth of the memory, and 8 MiB at the most.

The test of lines without end sets the limit at the discovery of its proxy, where it lives now; its figure stays.

--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -31,7 +31,7 @@
 )
 from pepperusher.net.log import Log
 from pepperusher.net.peer_memory import PeerConnections, PeerMemory
-from pepperusher.net.watch_stream import WatchStream
+from pepperusher.net.watch_stream import LINE_MAX_BYTES, WatchStream
 
 CONNECT_TIMEOUT_S = 1.5
 # Processes that start with a configured or handed-over list open their first call after a random delay of up to this
@@ -66,7 +66,9 @@
         filters: Sequence[FilterEndpoints] = (),
         seed: int = 0,
         peer_memory: PeerMemory | None = None,
+        max_line_bytes: int = LINE_MAX_BYTES,
     ) -> None:
+        self._max_line_bytes = max_line_bytes
         self._random = Random(seed)
         self._spread = call_schedule.CALL_SPREAD_S * self._random.random()
         self._first_message = asyncio.Event()  # set by the first message of any watch
@@ -487,7 +489,9 @@
         # Versions of another address, or from before a restart of the version count, are meaningless here. Without a
         # version discovery sends the full list.
         asked_version = None if source.versions_restarted else source.version
-        stream = WatchStream(connection, lambda: call_schedule.WATCH_SILENCE_TIMEOUT_S + self._spread)
+        stream = WatchStream(
+            connection, lambda: call_schedule.WATCH_SILENCE_TIMEOUT_S + self._spread, self._max_line_bytes
+        )
         stream.send_request(source.address, asked_version)
         first = True
         while (data := await stream.read_next()) is not None:
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -30,6 +30,7 @@
 from pepperusher.net.request_headers import BadRequest, duration_of, read_headers, timeout_of
 from pepperusher.net.process_pause import ProcessPause
 from pepperusher.net.bootstrap import BootstrapConfiguration, BootstrapError
+from pepperusher.net.watch_stream import LINE_MAX_BYTES
 from pepperusher.terms import PolicySettings
 
 READY_ANSWER = text_answer(200, "ready")
@@ -62,6 +63,8 @@
 BODY_MEMORY_DIVISOR = 8
 # Data that was received and not yet consumed takes at most this fraction, and some kB more for each connection.
 RECEIVED_MEMORY_DIVISOR = 8
+# A line of discovery takes at most this fraction; parsing one takes several times its length.
+LINE_MEMORY_DIVISOR = 16
 # Settings that a running process cannot change when its configuration is reloaded.
 RESTART_ONLY_SETTINGS = ("name", "listen", "sockets", "memory", "console")
 # Outcomes of an attempt whose duration shows how long the work takes.
@@ -120,6 +123,7 @@
             [extension.filter_endpoints for extension in self._extensions if extension.filter_endpoints is not None],
             bootstrap.policy_settings.seed,
             peer_memory,
+            min(LINE_MAX_BYTES, bootstrap.memory // LINE_MEMORY_DIVISOR),
         )
         self._memory_report = MemoryReport(
             bootstrap.memory,
--- a/pepperusher/net/watch_stream.py
+++ b/pepperusher/net/watch_stream.py
@@ -36,11 +36,16 @@
 
 
 class WatchStream:
-    """Reads one watch. `silence_timeout` gives the seconds without a message after which the watch is dead."""
+    """Reads one watch. `silence_timeout` gives the seconds without a message after which the watch is dead;
+    `max_line_bytes` is the length of the longest line.
+    """
 
-    def __init__(self, connection: StreamConnection, silence_timeout: Callable[[], float]) -> None:
+    def __init__(
+        self, connection: StreamConnection, silence_timeout: Callable[[], float], max_line_bytes: int = LINE_MAX_BYTES
+    ) -> None:
         self._connection = connection
         self._silence_timeout = silence_timeout
+        self._max_line_bytes = max_line_bytes
         self._parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._text = bytearray()
         self._deadline: float | None = None  # None until the response head: a queued call waits without a deadline
@@ -87,7 +92,7 @@
     def _parse_data(self, data: bytes | bytearray) -> WatchData:
         """Adds received data to the text so far, and extends the deadline after a message."""
         self._text += data
-        if len(self._text) > LINE_MAX_BYTES:
+        if len(self._text) > self._max_line_bytes:
             raise BadList("a line is too long")
         result = WatchData([], None, False)
         if b"\n" in data:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -116,7 +116,7 @@
         self.send_line(self.update_line(2, self.line("b1", "draining")))
         await self.settle()
         results = [f"b1 drains: {self.ready_backends()}"]
-        with mock.patch("pepperusher.net.watch_stream.LINE_MAX_BYTES", 20_000):
+        with mock.patch.object(self.proxy._discovery, "_max_line_bytes", 20_000):
             for case, text in (
                 ("no JSON", b"{servers\n"),
                 ("cut short", self.update_line(3, a, b)[:-30] + b"\n"),
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -22,6 +22,7 @@
 from pepperusher.net.connection import READER_LIMIT_BYTES, StreamConnection, wrap_socket
 from pepperusher.net.memory_report import MemoryReport
 from pepperusher.net.peer_memory import MAX_READ_BYTES, MIN_READ_BYTES, PeerConnections, PeerMemory
+from pepperusher.net.watch_stream import LINE_MAX_BYTES
 
 from tests.leavers import ProxyProcess, request
 from tests.scene import ProxyTestCase
@@ -233,6 +234,33 @@
         await self.check(40, 192, stop_half_way)
 
 
+class LongLineProxyProcess(ProxyProcess):
+    """A proxy whose discovery sends a line as long as the longest, which is no list."""
+
+    watches = 0
+
+    async def _watched(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.watches += 1
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            writer.write(b"%x\r\n%s\n\r\n" % (LINE_MAX_BYTES, b"x" * (LINE_MAX_BYTES - 1)))
+            await reader.read()
+
+
+class DiscoveryLine(unittest.IsolatedAsyncioTestCase):
+    # Guards against a proxy with little memory that goes over its limit by one line of discovery, whose longest length
+    # did not depend on the memory.
+    async def test_a_long_line_of_discovery_at_40_mb(self) -> None:
+        async with LongLineProxyProcess(2, limits={"memory_mb": 40, "sockets": 192}) as proxy_process:
+            for backend in proxy_process.backends:
+                await backend.open()
+            await proxy_process.wait_until(lambda: proxy_process.watches > 2, 30.0)
+            status, _ = await ask(proxy_process.port, request("look", "ordinary"))
+            self.assertLess(peak_memory(proxy_process.process.pid), 40 * MEGABYTE)
+            self.assertEqual("200", status)
+
+
 async def print_peaks() -> None:
     """Prints the peak of each crowd at each limit."""
     for client in (stop_half_way,):
