A group member keeps nothing of what a peer sends behind its request

Cause: _serve_stream waited for the peer's end with a read of everything up to the end.

Change: it reads on in pieces of a datagram and drops them. Other reads of streams are of parts with a longest length.

--- a/pepperusher/net/node.py
+++ b/pepperusher/net/node.py
@@ -352,7 +352,9 @@
                         await writer.drain()
                     await writer.drain()
                     writer.write_eof()
-                    await reader.read()
+                    # Waits for the peer's end. What it may still send is of no use, and must not pile up.
+                    while await reader.read(MAX_DATAGRAM_BYTES):
+                        pass
             finally:
                 self._streams -= 1
         except (OSError, TimeoutError, asyncio.IncompleteReadError, ValueError, InvalidPacketError):
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -10,17 +10,21 @@
 import gc
 import re
 import socket
+import tracemalloc
 import unittest
 import weakref
 from collections.abc import Callable, Coroutine
 from pathlib import Path
+from types import SimpleNamespace
 from typing import Any
 from unittest import mock
 
+from pepperusher.group.messages import WANTS_STATE
 from pepperusher.net import backends, callers, memory_report
 from pepperusher.net.buffers import Pool
 from pepperusher.net.connection import READER_LIMIT_BYTES, StreamConnection, wrap_socket
 from pepperusher.net.memory_report import MemoryReport
+from pepperusher.net.node import PART_LENGTH, Node
 from pepperusher.net.peer_memory import MAX_READ_BYTES, MIN_READ_BYTES, PeerConnections, PeerMemory
 from pepperusher.net.watch_stream import LINE_MAX_BYTES
 
@@ -234,6 +238,31 @@
         await self.check(40, 192, stop_half_way)
 
 
+class GroupStream(unittest.IsolatedAsyncioTestCase):
+    # Guards against a member of a group that keeps whatever a peer sends after it has been sent the member list.
+    async def test_what_a_peer_sends_behind_its_request_is_not_kept(self) -> None:
+        sent_bytes, chunk = 16 * MEGABYTE, bytes(64 * 1024)
+        swim = SimpleNamespace(full_state=lambda: [b"state"])
+        wire = SimpleNamespace(unpack=lambda data: SimpleNamespace(seq=WANTS_STATE))
+        node = SimpleNamespace(_streams=0, swim=swim, _wire=wire)
+        server = await asyncio.start_server(
+            lambda reader, writer: Node._serve_stream(node, reader, writer), "127.0.0.1"
+        )
+        self.addCleanup(server.close)
+        reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+        self.addCleanup(tracemalloc.stop)
+        tracemalloc.start()
+        writer.write(PART_LENGTH.pack(len(b"hello")) + b"hello")
+        for _ in range(sent_bytes // len(chunk)):
+            writer.write(chunk)
+            await writer.drain()
+        writer.write_eof()
+        self.assertEqual(PART_LENGTH.pack(len(b"state")) + b"state", await reader.read())
+        _, peak = tracemalloc.get_traced_memory()
+        self.assertLess(peak, sent_bytes // 4)
+        writer.close()
+
+
 class LongLineProxyProcess(ProxyProcess):
     """A proxy whose discovery sends a line as long as the longest, which is no list."""
 
