Two processes of one proxy share the memory for peers, as they share descriptors

Cause, by reading, not seen over a limit: while one process replaces another the platform counts both against one limit of memory. They halve the descriptors, and each still took the whole limits of held bodies, received bytes and bytes read ahead: together up to half of the memory in place of a quarter.

Change: the share that the console sets for descriptors holds for these limits too (`limit_share`, before `limit_descriptors`).

Result: tests/test_memory.py, Shared, which fails without the change (there is no such call). test_leavers, test_handover, test_console and test_streams passed (47 with test_memory). One test of reading ahead sets the watcher's limit as the function that it is now; its figure stays. Two whole processes under a crowd were not played.

--- a/pepperusher/console/admin_handlers.py
+++ b/pepperusher/console/admin_handlers.py
@@ -92,7 +92,7 @@
             if (handed_over := self._read(self._active_slot)) is not None:
                 self._merge(handed_over._replace(drain=NEVER))
             return
-        host.limit_descriptors(SHARED_PART)
+        host.limit_share(SHARED_PART)
         self._store_state()
         handed_over = await self._wait_for_handover()
         if handed_over is not None:
@@ -161,7 +161,7 @@
                 self._merge(last_state)
             self._write_state()
             self._successor_slot.release()
-            self._proxy.limit_descriptors(1.0)
+            self._proxy.limit_share(1.0)
             self._log.say("the previous process has ended")
             return
         if not self._active:
@@ -175,7 +175,7 @@
             self._reset_steering()
             if self._successor_token:
                 self._successor_token, self._successor_serves = "", False
-                self._proxy.limit_descriptors(1.0)
+                self._proxy.limit_share(1.0)
                 self._write_state()
                 self._log.say("the successor process has ended")
             return
@@ -184,7 +184,7 @@
             self._successor_serves = other_state.serves
             if other_state.seen != self._successor_token:
                 self._successor_token = other_state.seen
-                self._proxy.limit_descriptors(SHARED_PART)
+                self._proxy.limit_share(SHARED_PART)
                 self._write_state()
         self._steer_around_hang(self._successor_slot)
 
--- a/pepperusher/net/buffers.py
+++ b/pepperusher/net/buffers.py
@@ -70,8 +70,14 @@
         self.peer_memory = PeerMemory() if peer_memory is None else peer_memory
         self._spare: list[bytearray] = []  # reduced by take; at most max_spare
         self._max_spare = max_spare
-        self._max_buffers = max_bytes // BUFFER_BYTES
+        self._max_bytes = max_bytes
         self._lent = 0
+        self.set_share(1.0)
+
+    def set_share(self, share: float) -> None:
+        """Sets this process's share of all limits; another process of the same proxy may hold the rest."""
+        self._max_buffers = int(self._max_bytes * share) // BUFFER_BYTES
+        self.peer_memory.set_share(share)
 
     @property
     def max_bytes(self) -> int:
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -212,7 +212,7 @@
         self._closing_connections: dict[Caller, None] = {}
         self._closing = False
         self._listener: socket.socket | None = None
-        self._disconnect_watcher = DisconnectWatcher(pool.max_bytes // READ_AHEAD_DIVISOR)
+        self._disconnect_watcher = DisconnectWatcher(lambda: pool.max_bytes // READ_AHEAD_DIVISOR)
         self._accept_task: asyncio.Task[None]
         budget.register_idle_closer(self._close_one)
 
--- a/pepperusher/net/disconnect_watcher.py
+++ b/pepperusher/net/disconnect_watcher.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import select
+from collections.abc import Callable
 from typing import Protocol
 
 from pepperusher.net.peer_memory import MIN_READ_BYTES
@@ -32,10 +33,10 @@
     the peer, where nothing shows it: therefore data is read ahead up to a limit.
 
     It uses one descriptor, opened when it is first needed. Where the platform has no epoll, such an end is noticed only
-    when an attempt is about to be sent. `max_bytes` limits what all connections together hold read ahead.
+    when an attempt is about to be sent. `max_bytes` tells what all connections together may hold read ahead.
     """
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(self, max_bytes: Callable[[], int]) -> None:
         self._max_bytes = max_bytes
         self.read_ahead_bytes = 0  # bytes read ahead; reduced as they are consumed and as connections end
         self._poll: select.epoll | None = None
@@ -43,13 +44,13 @@
 
     def may_read_ahead(self, read_ahead: int) -> bool:
         """Whether a connection that has read `read_ahead` bytes ahead may continue."""
-        return read_ahead < MAX_READ_AHEAD_BYTES and self.read_ahead_bytes < self._max_bytes
+        return read_ahead < MAX_READ_AHEAD_BYTES and self.read_ahead_bytes < self._max_bytes()
 
     def read_size(self) -> int:
         """How much the next read of a connection that reads ahead may take. Many may read in one loop iteration, before
         `may_read_ahead` is asked again.
         """
-        return max(MIN_READ_BYTES, self._max_bytes - self.read_ahead_bytes)
+        return max(MIN_READ_BYTES, self._max_bytes() - self.read_ahead_bytes)
 
     def watch(self, connection: Watched) -> None:
         """Watches a connection for its end, if the platform can."""
--- a/pepperusher/net/extension.py
+++ b/pepperusher/net/extension.py
@@ -47,8 +47,8 @@
         """Whether the endpoint list has a backend of this id."""
         ...
 
-    def limit_descriptors(self, part: float) -> None:
-        """Limits this process to a part of its connections, while two processes share the machine's descriptors."""
+    def limit_share(self, share: float) -> None:
+        """Limits this process to a share of the descriptors and the memory, while two processes share them."""
         ...
 
     def handover_state(self) -> HandoverState:
--- a/pepperusher/net/peer_memory.py
+++ b/pepperusher/net/peer_memory.py
@@ -23,10 +23,15 @@
     """
 
     def __init__(self, max_received: int = MAX_RECEIVED_BYTES) -> None:
-        self._max_received = min(max_received, MAX_RECEIVED_BYTES)
+        self._max_of_process = min(max_received, MAX_RECEIVED_BYTES)
+        self._max_received = self._max_of_process
         self.received = 0  # received and not yet consumed, including what was read ahead
         self.unsent = 0  # written and not yet taken by the kernel
 
+    def set_share(self, share: float) -> None:
+        """Sets this process's share of the limit; another process of the same proxy may hold the rest."""
+        self._max_received = int(self._max_of_process * share)
+
     def read_size(self) -> int:
         """How much the next read of a connection may take."""
         available = self._max_received - self.received
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -442,9 +442,12 @@
         """Whether operators redirect clients elsewhere."""
         return self._sent_away_at is not None
 
-    def limit_descriptors(self, share: float) -> None:
-        """Limits this process to a share of the descriptors, since two processes of one proxy share them."""
+    def limit_share(self, share: float) -> None:
+        """Limits this process to a share of the descriptors and of the memory for peers, since two processes of one
+        proxy share them.
+        """
         self._budget.set_share(share)
+        self._pool.set_share(share)
         self._log.say(f"limited to {self._budget.limit} connections")
 
     def handover_state(self) -> HandoverState:
--- a/tests/test_leavers.py
+++ b/tests/test_leavers.py
@@ -151,7 +151,7 @@
             with self.subTest(way), mock.patch("pepperusher.net.disconnect_watcher.MAX_READ_AHEAD_BYTES", 300_000):
                 await self.open("a1", "b1", "c1")
                 watcher = self.proxy._callers._disconnect_watcher
-                watcher._max_bytes = 500_000
+                watcher._max_bytes = lambda: 500_000
                 for fake_backend in self.fake_backends.values():
                     fake_backend.behaviors = ["silent"] * 3
                 clients = [self.connect_socket() for _ in range(3)]
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -22,10 +22,17 @@
 from pepperusher.group.messages import WANTS_STATE
 from pepperusher.net import backends, callers, memory_report
 from pepperusher.net.buffers import Pool
+from pepperusher.net.callers import READ_AHEAD_DIVISOR
 from pepperusher.net.connection import READER_LIMIT_BYTES, StreamConnection, wrap_socket
 from pepperusher.net.memory_report import MemoryReport
 from pepperusher.net.node import PART_LENGTH, Node
-from pepperusher.net.peer_memory import MAX_READ_BYTES, MIN_READ_BYTES, PeerConnections, PeerMemory
+from pepperusher.net.peer_memory import (
+    MAX_READ_BYTES,
+    MAX_RECEIVED_BYTES,
+    MIN_READ_BYTES,
+    PeerConnections,
+    PeerMemory,
+)
 from pepperusher.net.watch_stream import LINE_MAX_BYTES
 
 from tests.leavers import ProxyProcess, request
@@ -125,6 +132,19 @@
             self.assertEqual((0, False), (memory.unsent, pool.exhausted))
 
 
+class Shared(ProxyTestCase):
+    # Guards against two processes of one proxy that each take the memory of one, while one replaces the other.
+    async def test_two_processes_share_the_memory_for_peers(self) -> None:
+        await self.open("a1")
+        pool, watcher = self.proxy._pool, self.proxy._callers._disconnect_watcher
+        whole = pool.max_bytes
+        for share in (0.5, 1.0):
+            self.proxy.limit_share(share)
+            self.assertEqual(whole * share, pool.max_bytes)
+            self.assertEqual(MAX_RECEIVED_BYTES * share, pool.peer_memory._max_received)
+            self.assertEqual(pool.max_bytes // READ_AHEAD_DIVISOR, watcher.read_size())
+
+
 class Ended(ProxyTestCase):
     # Guards against a proxy that goes over its memory limit by what connections received that have ended: they stay in
     # memory until a garbage collection.
