Tests of a whole proxy end with the memory that it counts equal to what it holds

A byte that is counted and never given back would slow all reads for good, and one given back twice would lift the limit.

--- a/tests/scene.py
+++ b/tests/scene.py
@@ -478,3 +478,12 @@
         await asyncio.gather(self.serving, return_exceptions=True)
         for task in asyncio.all_tasks() - {asyncio.current_task()}:
             task.cancel()
+        self.check_counted_memory()
+
+    def check_counted_memory(self) -> None:
+        """The proxy counts as held for its peers exactly what its open connections hold."""
+        proxy = self.proxy
+        held = [side.peers.held_bytes() for side in (proxy._callers, proxy._backends, proxy._discovery)]
+        memory = proxy._pool.peer_memory
+        self.assertEqual(memory.received, sum(one.received + one.read_ahead for one in held))
+        self.assertEqual(memory.unsent, sum(one.unsent for one in held))
