Log each failed attempt, retry, refusal and close with its request id and reason

Change: RequestEvents counts every outcome and every close by reason, and logs the failed ones with the request id.

--- a/pepperusher/capacity/decisions.py
+++ b/pepperusher/capacity/decisions.py
@@ -24,6 +24,7 @@
 from pepperusher.net.discovery import Discovery
 from pepperusher.net.endpoint_update import parse_endpoint_update
 from pepperusher.net.log import Log
+from pepperusher.net.request_events import RequestEvents
 from pepperusher.configuration import loader
 from pepperusher.policy import Balancer
 from pepperusher.terms import Backend, Listing
@@ -83,7 +84,7 @@
 def new_watch(group: int, seed: int, zones: list[str] | None = None) -> Discovery:
     """Returns a discovery watch with the facade and backends behind it, but without sockets."""
     facade = Facade(fixtures.policy_settings(group, seed, zones=zones), NOW, discard_line)
-    backends = Backends(Budget(1024), Pool(16, 1 << 20), SECOND, 60 * SECOND)
+    backends = Backends(Budget(1024), Pool(16, 1 << 20), SECOND, 60 * SECOND, RequestEvents(Log("watch")))
     return Discovery(("127.0.0.1", 1), facade, backends, QuietLog("measured"))
 
 
--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -14,6 +14,7 @@
 from pepperusher.net.connection import StreamConnection, connect
 from pepperusher.net.message import MAX_HEAD_BYTES, Answer, Request
 from pepperusher.net.peer_memory import PeerConnections
+from pepperusher.net.request_events import RequestEvents
 
 # Connections to backends are opened only up to this share of all descriptors: the rest is for callers, who must always
 # be accepted, if only to be bounced.
@@ -28,6 +29,14 @@
 SETTLE_TIME_US = 20_000
 MAX_SETTLE_TIME_US = 200_000
 
+# Why an idle connection to a backend was closed.
+CLOSED_UNLISTED = "its backend is gone or moved, or does not respond"
+CLOSED_FOR_DESCRIPTOR = "idle and its descriptor is needed"
+CLOSED_IDLE = "idle"
+CLOSED_BY_PEER = "its backend ended it"
+CLOSED_UNEXPECTED_DATA = "unexpected data"
+CLOSED_NOT_REUSABLE = "not usable after an attempt"
+
 
 class BackendConnection:
     """One connection to a backend with its HTTP parser."""
@@ -58,8 +67,11 @@
 class Backends:
     """All backends of the list, the connections to them, and attempts on these."""
 
-    def __init__(self, budget: Budget, pool: Pool, connect_timeout: int, idle_timeout: int) -> None:
+    def __init__(
+        self, budget: Budget, pool: Pool, connect_timeout: int, idle_timeout: int, events: RequestEvents
+    ) -> None:
         self._budget = budget
+        self._events = events
         self._pool = pool
         self.peers = PeerConnections("backends", pool.peer_memory)
         self._connect_timeout = connect_timeout / 1e6
@@ -114,24 +126,24 @@
         if not connections.listed and not connections.attempts:
             self._connections_by_backend.pop(backend, None)
 
-    def give_up_all(self, outcome: str) -> None:
+    def give_up_all(self, outcome: str, reason: str) -> None:
         """Gives up all attempts under way, with this outcome."""
         for connections in self._connections_by_backend.values():
             for attempt in list(connections.attempts):
-                attempt.give_up(outcome)
+                attempt.give_up(outcome, reason)
 
     # --- idle connections -------------------------------------------------------------------------
 
     def _close_idle(self, connections: BackendConnections) -> None:
         """Closes all idle connections to a backend."""
         while connections.idle:
-            self._drop(connections, connections.idle[-1])
+            self._drop(connections, connections.idle[-1], CLOSED_UNLISTED)
 
-    @staticmethod
-    def _drop(connections: BackendConnections, connection: BackendConnection) -> None:
+    def _drop(self, connections: BackendConnections, connection: BackendConnection, reason: str) -> None:
         """Closes one connection, and removes it from the idle ones."""
         if connection in connections.idle:
             connections.idle.remove(connection)
+            self._events.connection_closed(self.peers.side, reason)
         connection.stream.discard()
 
     def _close_oldest(self, needed: bool = False) -> bool:
@@ -143,14 +155,14 @@
         )
         if connections is None:
             return False
-        self._drop(connections, connections.idle[0])
+        self._drop(connections, connections.idle[0], CLOSED_FOR_DESCRIPTOR)
         return True
 
     def sweep(self, now: int) -> None:
         """Closes connections that have been idle for too long."""
         for connections in self._connections_by_backend.values():
             while connections.idle and now - connections.idle[0].idle_since >= self._max_idle_us:
-                self._drop(connections, connections.idle[0])
+                self._drop(connections, connections.idle[0], CLOSED_IDLE)
 
     def _add_idle(self, connections: BackendConnections, connection: BackendConnection) -> None:
         """Keeps a connection as idle and watches it for unexpected events."""
@@ -162,11 +174,11 @@
             idle_time = clock.now() - connection.idle_since
             if 2 * idle_time < MAX_SETTLE_TIME_US:
                 self._settle_time = max(self._settle_time, 2 * idle_time)
-            self._drop(connections, connection)
+            self._drop(connections, connection, CLOSED_UNEXPECTED_DATA)
 
         # Whatever arrives now, an end or an unexpected second answer, the connection is not reused.
         connection.stream.on_peer_end, connection.stream.on_data = (
-            lambda: self._drop(connections, connection),
+            lambda: self._drop(connections, connection, CLOSED_BY_PEER),
             handle_unexpected_data,
         )
         connections.idle.append(connection)
@@ -220,6 +232,7 @@
             if self._budget.acquire(BACKEND_SHARE, True):
                 break
             if not turns_left or not self._budget.reserve_exhausted or attempt.outcome is not None:
+                attempt.reason = attempt.reason or f"no descriptor: {self._budget.open} of {self._budget.limit} in use"
                 return "moot"
             # Closed connections free their descriptors in the next loop iteration. Of many tickets that arrived in one
             # iteration the last were otherwise refused, although idle clients could be closed.
@@ -238,6 +251,8 @@
             connecting.cancel()
             await asyncio.wait((connecting,))
         if connecting.cancelled() or connecting.exception() is not None:
+            error = "no connection in time" if connecting.cancelled() else str(connecting.exception())
+            attempt.reason = attempt.reason or error
             return "unreached"
         return BackendConnection(connecting.result(), address)
 
@@ -300,12 +315,14 @@
             # Nothing was written, whatever the reason for giving up: the ticket has not run, and if its client left,
             # that says nothing about the backend.
             if attempt.outcome is not None or not context.may_still_send():
+                attempt.reason = attempt.reason or "it may no longer be sent"
                 self._keep_for_reuse(connections, connection)
                 return "moot" if attempt.outcome == "called off" or context.client_left() else "unreached", None
             if connections.address != connection.address or not connection.stream.nothing_pending():
                 # The old address may belong to another process by now, or the peer has already closed or sent
                 # unexpected data that is still in the kernel. If a single-use ticket were written here, it would count
                 # as one that may have run.
+                attempt.reason = "the connection ended as it came up, or the backend moved"
                 connection.stream.discard()
                 return "unreached", None
         connection.has_answered = True
@@ -336,6 +353,7 @@
             return outcome, answer
         finally:
             if not reusable or not self._keep_for_reuse(connections, connection):
+                self._events.connection_closed(self.peers.side, CLOSED_NOT_REUSABLE)
                 connection.stream.discard()
                 # The loop closes the aborted connection in its next iteration. If the ticket were sent elsewhere before
                 # that, it would be out twice at the same time.
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -30,6 +30,7 @@
     buffer_body,
 )
 from pepperusher.net.peer_memory import PeerConnections
+from pepperusher.net.request_events import RequestEvents
 
 # Connections accepted in a row before other tasks get a turn.
 ACCEPT_BATCH = 16
@@ -72,6 +73,18 @@
 # A share of the descriptor budget above its limit, used where refusing is not possible.
 SHARE_ABOVE_LIMIT = 2.0
 
+# Why a connection of a caller was closed.
+CLOSED_WITH_LAST_ANSWER = "its last answer was sent and its descriptor is needed"
+CLOSED_FOR_TICKET = "idle and a ticket needs its descriptor"
+CLOSED_FOR_CONNECTION = "idle and a new connection needs its descriptor"
+CLOSED_STALLED = "its request stalled and its descriptor is needed"
+CLOSED_UNREAD_ANSWER = "it did not read its answer"
+CLOSED_IDLE = "idle"
+CLOSED_LATE_REQUEST = "its request took too long"
+CLOSED_AT_END = "idle and clients are sent away"
+CLOSED_CUT_ANSWER = "its answer was cut short"
+CLOSED_BAD_MESSAGE = "its message was rejected with"
+
 REQUEST_TIMEOUT_ANSWER = text_answer(408, "the request did not end in time")
 
 
@@ -192,7 +205,13 @@
     """Accepts the callers' connections, serves their requests, and closes idle connections where descriptors run short."""
 
     def __init__(
-        self, handle: Callable[[Call], Awaitable[Answer]], budget: Budget, pool: Pool, log: Log, max_client_wait: int
+        self,
+        handle: Callable[[Call], Awaitable[Answer]],
+        budget: Budget,
+        pool: Pool,
+        log: Log,
+        max_client_wait: int,
+        events: RequestEvents,
     ) -> None:
         self._handle = handle
         # The longest time that any client waits for an answer. A client that takes longer to read its answer or to send
@@ -202,6 +221,7 @@
         self._pool = pool
         self.peers = PeerConnections("callers", pool.peer_memory)
         self._log = log
+        self._events = events
         self._serving: set[asyncio.Task[None]] = set()  # removed as connections end
         self._callers: dict[Caller, None] = {}  # likewise; in the order of their arrival
         # Idle connections between tickets, the longest idle first; removed with the first byte of a ticket and as
@@ -389,6 +409,7 @@
         call.release()
         caller.waiting_since, caller.waited_us = None, 0
         if forwarder.started and not forwarder.finished:
+            self._closed(CLOSED_CUT_ANSWER)
             connection.reset()  # the answer was cut short: the client must not take it for complete
         # A client that ended only its sending direction still reads, so it gets its answer; in the other cases there is
         # nobody left to answer.
@@ -442,6 +463,7 @@
         connection = caller.connection
         if caller.parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
+        self._closed(f"{CLOSED_BAD_MESSAGE} {error.status}")
         connection.send(encode_answer(caller.parser, text_answer(error.status, str(error)), True))
         await self._linger(connection, LINGER_S, LINGER_BYTES)
 
@@ -482,6 +504,7 @@
             del self._closing_connections[caller]
             connection = caller.connection
             if not connection.transport.is_closing():
+                self._closed(CLOSED_WITH_LAST_ANSWER)
                 connection.abort()
                 return True
         now = clock.now()
@@ -494,7 +517,7 @@
         silent = [caller for caller in self._idle if not caller.answered]
         if needed:
             return any(
-                self._close_unless_pending(caller)
+                self._close_unless_pending(caller, CLOSED_FOR_TICKET)
                 for caller in chain(
                     (caller for caller in silent if idle_for(caller, MIN_IDLE_US)),
                     (caller for caller in self._idle if caller.answered),
@@ -504,7 +527,7 @@
         # only make it open a new connection for its next request.
         active_grace = FIRST_BYTE_TIMEOUT_US if 2 * len(silent) > len(self._idle) else 0
         return any(
-            self._close_unless_pending(caller)
+            self._close_unless_pending(caller, CLOSED_FOR_CONNECTION)
             for caller in chain(
                 (caller for caller in silent if idle_for(caller, NEW_CONNECTION_GRACE_US)),
                 (caller for caller in self._idle if caller.answered and not caller.sent_ticket),
@@ -527,6 +550,7 @@
                 and caller.parser.our_state in (h11.IDLE, h11.SEND_RESPONSE)
                 and connection.nothing_pending()
             ):
+                self._closed(CLOSED_STALLED)
                 if connection.send(encode_answer(caller.parser, REQUEST_TIMEOUT_ANSWER, True)):
                     connection.close()
                 else:
@@ -534,10 +558,15 @@
                 return True
         return False
 
-    def _close_unless_pending(self, caller: Caller) -> bool:
+    def _closed(self, reason: str) -> None:
+        """Records that a connection is closed from this side."""
+        self._events.connection_closed(self.peers.side, reason)
+
+    def _close_unless_pending(self, caller: Caller, reason: str) -> bool:
         """Closes the connection unless the kernel holds unread data from it; returns whether it was closed."""
         if not caller.connection.nothing_pending():
             return False
+        self._closed(reason)
         self._set_idle(caller, False)
         caller.connection.abort()
         return True
@@ -566,10 +595,11 @@
             if now - since < limit:
                 continue
             if idle or reading_answer:
-                self._close_unless_pending(caller)
+                self._close_unless_pending(caller, CLOSED_UNREAD_ANSWER if reading_answer else CLOSED_IDLE)
             elif caller.connection.nothing_pending():
                 # The client may still be sending, and a reset would lose the answer; where descriptors are needed, this
                 # connection is closed first.
+                self._closed(CLOSED_LATE_REQUEST)
                 caller.waiting_since = None
                 self._closing_connections[caller] = None
                 caller.connection.send_last(encode_answer(caller.parser, REQUEST_TIMEOUT_ANSWER, True), LINGER_BYTES)
@@ -589,7 +619,7 @@
             if caller.waiting_since is None or now - caller.waiting_since >= (
                 min_idle if caller.answered else max(min_idle, NEW_CONNECTION_GRACE_US)
             ):
-                self._close_unless_pending(caller)
+                self._close_unless_pending(caller, CLOSED_AT_END)
 
     def close_watcher(self) -> None:
         """Releases the disconnect watcher's descriptor."""
--- a/pepperusher/net/exchange.py
+++ b/pepperusher/net/exchange.py
@@ -42,6 +42,9 @@
 # Outcomes whose answer is the answer to the ticket.
 FORWARDED_OUTCOMES = ("done", "turned away")
 
+# Why a timer gave an attempt up, by its outcome.
+TIMER_REASONS = {"timed out": "no answer in time", "reset": "the answer began and fell silent"}
+
 
 class Attempt:
     """One attempt to send a ticket to one backend. `outcome` is set if the attempt is given up from outside. `written`
@@ -51,13 +54,15 @@
 
     def __init__(self) -> None:
         self.outcome: str | None = None
+        self.reason = ""  # why it did not succeed, for the log
         self.written = False
         self._abort: Callable[[], object] | None = None
 
-    def give_up(self, outcome: str) -> None:
+    def give_up(self, outcome: str, reason: str) -> None:
         """Gives the attempt up from outside and aborts what it is doing."""
         if self.outcome is None:
             self.outcome = outcome
+            self.reason = reason
             if self._abort is not None:
                 self._abort()
 
@@ -156,15 +161,19 @@
                 if self._attempt.written or outcome in (*FORWARDED_OUTCOMES, "full", "called off")
                 else ("unreached", None)
             )
-        except h11.RemoteProtocolError:
+        except h11.RemoteProtocolError as error:
+            attempt.reason = attempt.reason or f"not HTTP: {error}"
             # the backend sent something other than HTTP before it had the whole body
             return attempt.outcome or "unreached", None
-        except h11.LocalProtocolError:
+        except h11.LocalProtocolError as error:
+            attempt.reason = f"the request cannot be framed: {error}"
             # the request cannot be framed, so nothing was written, which is not the backend's fault
             return "moot", None
-        except BadMessage:
+        except BadMessage as error:
+            attempt.reason = attempt.reason or str(error)
             return attempt.outcome or ("reset" if self._attempt.written else "unreached"), None
         except TimeoutError:
+            attempt.reason = attempt.reason or f"the backend neither sent nor read for {STALL_TIMEOUT_S} s"
             return attempt.outcome or ("reset" if self._attempt.written else "unreached"), None
         finally:
             for timer in (self._timeout_timer, self._silence_timer):
@@ -196,8 +205,10 @@
         connection, rest = self._connection, request.rest
         encoded = encode_request(self._parser, request)
         if self._context.list_expired():
-            return "moot"  # the backend was chosen from a list that has expired since
+            self._attempt.reason = "the list has expired since the backend was chosen"
+            return "moot"
         if self._context.was_paused():
+            self._attempt.reason = "the process was paused"
             return "unreached"
         sent = connection.send(encoded) or await connection.flush()
         if not sent:
@@ -249,6 +260,7 @@
         """Receives the answer, and streams it to the client if it is long or slow."""
         head = self._head or await read_head(self._parser, self._connection, self._restart_silence_timer)
         if head is None:
+            self._attempt.reason = self._attempt.reason or "the backend closed the connection before an answer"
             return self._attempt.outcome or ("reset" if self._attempt.written else "unreached"), None
         assert isinstance(head, h11.Response)
         self.head_received = True
@@ -257,6 +269,8 @@
             self._timeout_timer.cancel()
         length = content_length_of(head)
         outcome = _outcome_of(head)
+        if outcome not in FORWARDED_OUTCOMES:
+            self._attempt.reason = self._attempt.reason or f"status {head.status_code}"
         complete = False
         if length is None or length <= MAX_HELD_BODY_BYTES or outcome not in FORWARDED_OUTCOMES:
             try:
@@ -335,7 +349,7 @@
             else:
                 self._silence_timer = recheck
         else:
-            self._attempt.give_up(outcome)
+            self._attempt.give_up(outcome, TIMER_REASONS[outcome])
 
 
 def _outcome_of(head: h11.Response) -> str:
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -28,6 +28,7 @@
 from pepperusher.net.handover_state import HandoverState
 from pepperusher.net.peer_memory import PeerMemory
 from pepperusher.net.request_headers import BadRequest, duration_of, read_headers, timeout_of
+from pepperusher.net.request_events import RequestEvents
 from pepperusher.net.process_pause import ProcessPause
 from pepperusher.net.bootstrap import BootstrapConfiguration, BootstrapError
 from pepperusher.net.watch_stream import LINE_MAX_BYTES
@@ -99,6 +100,7 @@
         self._bootstrap = bootstrap
         self._reload = reload
         self._log = Log(bootstrap.name)
+        self._events = RequestEvents(self._log)
         self._extensions = make_extensions(bootstrap, self._log) if make_extensions is not None else ()
         admission_gates = [extension.gate for extension in self._extensions if extension.gate is not None]
         invariants.check_invariant(len(admission_gates) <= 1, "a ticket goes through one gate")
@@ -112,9 +114,11 @@
         # The callers' side registers first: where descriptors run out, its idle connections are closed first, since
         # they cost least.
         self._callers = Callers(
-            self._handle, self._budget, self._pool, self._log, bootstrap.policy_settings.max_outer_limit
+            self._handle, self._budget, self._pool, self._log, bootstrap.policy_settings.max_outer_limit, self._events
+        )
+        self._backends = Backends(
+            self._budget, self._pool, bootstrap.connect_timeout, bootstrap.idle_timeout, self._events
         )
-        self._backends = Backends(self._budget, self._pool, bootstrap.connect_timeout, bootstrap.idle_timeout)
         self._discovery = Discovery(
             bootstrap.discovery,
             self._facade,
@@ -141,7 +145,6 @@
             lambda: self._discovery.has_unread_data,
             lambda: self._notify_extensions("process resumed", lambda extension: extension.process_resumed()),
         )
-        self._counts: dict[str, int] = {}  # keyed by outcomes and texts in the code, so its size is bounded by the code
 
     # --- one ticket -------------------------------------------------------------------------------
 
@@ -180,10 +183,10 @@
             return answer or (CLIENT_LEFT_ANSWER if call.left and not call.answer_started else INTERNAL_ERROR_ANSWER)
         except BadRequest as error:
             call.bad = True
-            self._count("bad calls")
+            self._events.count("bad calls")
             return text_answer(error.status, str(error))
         except Exception as error:  # ends only this ticket, which gets an answer
-            self._count("exceptions")
+            self._events.count("exceptions")
             self._log.say(f"a ticket failed with {type(error).__name__}: {error}")
             return INTERNAL_ERROR_ANSWER
 
@@ -223,7 +226,7 @@
         customer = proxy_headers.get(b"tenant", b"").decode("latin-1")
         if call.left:
             # The client left while the request waited for its turn to be read.
-            self._count("left")
+            self._events.count("left")
             return CLIENT_LEFT_ANSWER
         admission = None
         if self._gate is not None:
@@ -255,7 +258,7 @@
             # Attempts under way continue where the settings forbid cancelling. A request that is not completely written
             # has not run and would only run later, after its client has left, so it is always cancelled.
             if attempt is not None and (may_cancel or not attempt.written):
-                attempt.give_up("called off")
+                attempt.give_up("called off", "the client left")
 
         call.on_disconnect = cancel_attempt
 
@@ -327,17 +330,18 @@
                         continue
                 if self._discovery.confirmation.expired:
                     self._discovery.confirmation.request_refused(request_id)
-                    self._count("list expired")
+                    self._events.count("list expired")
                     outcome = "moot"
                     if request_store is not None and record is not None:
                         request_store.record_outcome(use_case, idempotency_key, record, outcome)
                     step = self._facade.report(ticket, outcome, clock.now(), False)
                     continue
-                if attempts:
-                    self._count("retried")
                 attempts += 1
+                if attempts > 1:
+                    self._events.retry(request_id, step.backend, attempts)
                 self._discovery.confirmation.request_sent(request_id, step.backend)
                 attempt = Attempt()
+                attempt_began = clock.now()
                 attempt_timeout = step.wait
                 if admission is not None and self._gate is not None:
                     attempt_timeout = self._gate.start_attempt(admission, step.wait)
@@ -349,7 +353,9 @@
                     context,
                     call.forwarder,
                 )
-                self._count(outcome)
+                self._events.attempt_ended(
+                    request_id, step.backend, outcome, attempt.reason, clock.now() - attempt_began
+                )
                 if answer is not None:
                     answer = strip_load_report(answer)
                 if request_store is not None and record is not None:
@@ -365,9 +371,9 @@
             if rest is not None and rest.error is not None:
                 raise BadRequest(*rest.error)
             final_outcome = "done" if outcome == "done" else FINAL_OUTCOMES.get(step.action, "left")
-            final_answer = self._final_answer(step, outcome, answer)
+            final_answer = self._final_answer(request_id, step, outcome, answer)
             if final_answer is None and call.left and not call.answer_started:
-                self._count("left")
+                self._events.count("left")
                 final_answer = (
                     CLIENT_LEFT_ANSWER
                     if self._facade.choose_backend(ticket, clock.now()).action == BOUNCE
@@ -384,7 +390,7 @@
             if admission is not None and self._gate is not None:
                 self._gate.finish(admission, final_outcome, outcome in OUTCOMES_THAT_MEASURE_WORK)
 
-    def _final_answer(self, step: Step, outcome: str, answer: Answer | None) -> Answer | None:
+    def _final_answer(self, request_id: bytes, step: Step, outcome: str, answer: Answer | None) -> Answer | None:
         """The answer to the client: that of the backend, or one of the proxy for a bounced or scrapped ticket."""
         if outcome in FORWARDED_OUTCOMES and answer is not None:
             # The answer to HEAD has a Content-Length and no body.
@@ -393,18 +399,14 @@
                 length = next((int(value) for name, value in answer.headers if name == b"content-length"), None)
             return Answer(answer.status, end_to_end_headers(answer.headers), answer.body, length)
         if step.action == BOUNCE:
-            self._count("bounces")
+            self._events.request_failed(request_id, "bounces", outcome)
             retry_after = [(b"retry-after", f"{step.wait / 1e6:.3f}".encode())] if step.wait > 0 else []
             return text_answer(503, "bounced", *retry_after)
         if step.action == SCRAP:
-            self._count("scraps")
+            self._events.request_failed(request_id, "scraps", outcome)
             return text_answer(504 if outcome == "timed out" else 502, "scrapped")
         return None
 
-    def _count(self, event: str) -> None:
-        """Counts an event for the line of counts in the log."""
-        self._counts[event] = self._counts.get(event, 0) + 1
-
     # --- operations ---------------------------------------------------------------------------------
 
     @property
@@ -637,7 +639,7 @@
         self._notify_extensions(
             "drain started", lambda extension: extension.drain_started(clock.now() + round(give_up_after * 1e6))
         )
-        loop.call_later(give_up_after, self._backends.give_up_all, "timed out")
+        loop.call_later(give_up_after, self._backends.give_up_all, "timed out", "the process is about to exit")
         if self._has_successor:
             # New connections go to the next process, and those here close with their answers.
             self._callers.hand_over_listener()
@@ -675,13 +677,14 @@
 
     def _log_counts(self) -> None:
         """Logs what happened since the start, and broken invariants."""
-        counts = ", ".join(f"{event} {count}" for event, count in sorted(self._counts.items()))
+        counts = ", ".join(f"{event} {count}" for event, count in sorted(self._events.counts.items()))
         self._log.say(
             f"since the start: {counts or 'nothing yet'}; {self._callers.open} callers,"
             f" {self._facade.open_tickets} tickets in hand, {self._budget.open} connections,"
             f" timers {self._process_pause.lateness_us} us late"
             + (f", paused {self._process_pause.count} times" if self._process_pause.count else "")
         )
+        self._log.say(self._events.closes_line())
         self._log.say(self._memory_report.line(own_memory()))
         self._log.say(self._discovery.metrics.line())
         for invariant, times in invariants.violations.items():
--- a/pepperusher/rehearsal/discovery_clients.py
+++ b/pepperusher/rehearsal/discovery_clients.py
@@ -29,6 +29,7 @@
 from pepperusher.net.buffers import Pool
 from pepperusher.net.discovery import Discovery
 from pepperusher.net.log import Log
+from pepperusher.net.request_events import RequestEvents
 from pepperusher.rehearsal.steady_loop import SteadyLoop
 from pepperusher.rehearsal.queued_discovery import KEEPING, REFUSING, SILENT, QueuedDiscovery
 
@@ -114,7 +115,7 @@
         self.notified_at: dict[int, float] = {}  # version -> event loop time of its arrival
         policy_settings = read_settings(settings, seed * 1000 + number)
         self.facade = Facade(policy_settings, clock.now(), log.say)
-        backends = Backends(Budget(1024), Pool(4, 1024 * 1024), 500_000, 10_000_000)
+        backends = Backends(Budget(1024), Pool(4, 1024 * 1024), 500_000, 10_000_000, RequestEvents(log))
         self.discovery = Discovery(address, self.facade, backends, log, [self._record_update], policy_settings.seed)
 
     def _record_update(self, entries: list[Endpoint], whole: bool) -> list[Endpoint]:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -63,7 +63,7 @@
         await self.wait_until(
             lambda: all(connections.idle for connections in self.proxy._backends._connections_by_backend.values())
         )
-        self.proxy._counts.clear()
+        self.proxy._events.counts.clear()
 
     def backends_reached_by(self, number: int | str = "") -> list[str]:
         """The backends that received the request with this number, in order."""
@@ -85,7 +85,7 @@
             client.shutdown(socket.SHUT_WR)
             self.assertEqual("503 end", await self.read_to_end(client), use_case)
             self.assertEqual([], self.backends_reached_by(number))
-        self.assertEqual(3, self.proxy._counts["left"])
+        self.assertEqual(3, self.proxy._events.counts["left"])
         # It does not count against the backend.
         self.assertEqual(0, self.proxy._facade._backends["a1"].failures)
 
@@ -102,7 +102,7 @@
         self.assertEqual(
             [], [self.backends_reached_by(number) for number in (1, 2, 3) if self.backends_reached_by(number)]
         )
-        self.assertEqual({"left": 3}, self.proxy._counts)
+        self.assertEqual({"left": 3}, self.proxy._events.counts)
 
     async def test_one_that_left_between_two_attempts_goes_out_once(self) -> None:
         """The client's end and the outcome of the first attempt arrive in one loop iteration. Where cancelling is
@@ -166,7 +166,7 @@
                 accepted.close()
                 self.assertLess(bytes_received, 60_000, use_case)
         # The attempts were given up because the client left, not because of a timeout.
-        self.assertEqual({"moot": 2, "left": 2}, self.proxy._counts)
+        self.assertEqual({"moot": 2, "left": 2}, self.proxy._events.counts)
 
     async def test_an_end_is_noticed_while_nothing_more_is_read(self) -> None:
         """With more data pending than is buffered, the loop paused reading and did not report the end: the attempt
@@ -191,7 +191,7 @@
                 await self.wait_for_backend_close()
                 await self.wait_until(lambda: not self.proxy._facade.open_tickets and not self.proxy._callers.open)
                 self.assertEqual({}, self.proxy._callers._disconnect_watcher._watched)
-                self.assertEqual({"called off": 1, "left": 1}, self.proxy._counts)
+                self.assertEqual({"called off": 1, "left": 1}, self.proxy._events.counts)
                 await self.asyncTearDown()
 
     @mock.patch("pepperusher.net.disconnect_watcher.MAX_READ_AHEAD_BYTES", 0)
@@ -208,7 +208,7 @@
         await self.wait_until(lambda: not caller.connection.transport.is_reading())
         self.assertEqual([caller.connection], list(self.proxy._callers._disconnect_watcher._watched.values()))
         await sending
-        await self.wait_until(lambda: self.proxy._counts.get("done") == 21)
+        await self.wait_until(lambda: self.proxy._events.counts.get("done") == 21)
         self.assertEqual({}, self.proxy._callers._disconnect_watcher._watched)
 
     async def test_whoever_ends_its_sending_alone_is_told_what_became_of_it(self) -> None:
@@ -297,7 +297,7 @@
                 self.proxy._backends._close_idle(connections)
             await self.run_before_first_byte(
                 lambda: (
-                    self.proxy._backends.give_up_all("timed out"),
+                    self.proxy._backends.give_up_all("timed out", "in a test"),
                     setattr(self.proxy._facade._balancer, "_max_attempts", 1),
                 )
             )
@@ -434,7 +434,7 @@
         await self.open("a1")
         given_up: list[str] = []
         connection = mock.Mock(unread_bytes=5)
-        attempt = mock.Mock(give_up=given_up.append)
+        attempt = mock.Mock(give_up=lambda outcome, reason: given_up.append(outcome))
         exchange = Exchange(connection, mock.Mock(), mock.Mock(), attempt, 1_000, 0.1, mock.Mock())
         exchange._timer_fired("timed out", 2)
         for _ in range(5):
@@ -443,7 +443,7 @@
 
     async def test_what_is_given_up_as_its_head_comes_is_not_begun(self) -> None:
         """This happens when the process ends: the client gets an error instead of a part of an answer."""
-        received = await self.receive_long_answer(lambda exchange: exchange._attempt.give_up("timed out"))
+        received = await self.receive_long_answer(lambda exchange: exchange._attempt.give_up("timed out", "in a test"))
         self.assertTrue(received.startswith(b"HTTP/1.1 503"), received[:40])
         self.assertTrue(received.endswith(b"bounced\n"), received[-40:])
 
@@ -647,7 +647,7 @@
                 self.assertEqual(1, len(self.backends_reached_by(number)))
             self.assertEqual(0, self.proxy._facade.open_tickets)
             self.assertEqual(0, self.proxy._facade._backends["a1"].in_flight)
-            self.assertNotIn("exceptions", self.proxy._counts)
+            self.assertNotIn("exceptions", self.proxy._events.counts)
             await self.asyncTearDown()
 
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -256,7 +256,7 @@
         answers = [(await self.read_response(reader))[:3] for reader, _ in regular]
         # On a busy machine some requests time out, but none is refused for want of a descriptor.
         self.assertEqual(set(), set(answers) - {"200", "503", "504"})
-        self.assertNotIn("moot", self.proxy._counts)
+        self.assertNotIn("moot", self.proxy._events.counts)
         self.assertLessEqual(budget.open, budget.limit)
         for _, writer in silent_clients:
             writer.close()
--- a/tests/test_leavers.py
+++ b/tests/test_leavers.py
@@ -133,7 +133,7 @@
                 if limit:
                     await self.wait_until(lambda: self.proxy._callers._disconnect_watcher.read_ahead_bytes)
                 await sending
-                await self.wait_until(lambda: self.proxy._counts.get("done") == 41)
+                await self.wait_until(lambda: self.proxy._events.counts.get("done") == 41)
                 self.assertEqual(
                     [f"{number}" for number in range(1, 42)],
                     [line.split(" id ")[1].split()[0] for line in self.lines if " id " in line],
@@ -198,7 +198,7 @@
         client.close()
         await self.wait_for_backend_close()
         await self.wait_until(lambda: not self.proxy._callers.open)
-        self.assertEqual({"called off": 1, "left": 1}, self.proxy._counts)
+        self.assertEqual({"called off": 1, "left": 1}, self.proxy._events.counts)
 
     async def test_a_body_that_flows_is_not_read_ahead_of_its_backend(self) -> None:
         """No part of a streamed body is sent again, and reading it ahead of a slow backend would fill the memory."""
@@ -247,7 +247,7 @@
 
         with mock.patch.object(RequestStore, "record_attempt", record_and_leave):
             client.sendall(self.request("book", 1))
-            await self.wait_until(lambda: self.proxy._counts.get("left"))
+            await self.wait_until(lambda: self.proxy._events.counts.get("left"))
         self.assertEqual([], self.backends_reached_by(1))
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -21,7 +21,7 @@
 from pepperusher.net.buffers import Body, Pool
 from pepperusher.net.callers import LINGER_BYTES, Call
 from pepperusher.net.connection import StreamConnection, wrap_socket
-from pepperusher.net.log import BURST_LINES, Log
+from pepperusher.net.log import BURST_LINES, DETAIL_BURST_LINES, Log
 from pepperusher.net.message import Answer, Request
 from pepperusher.net.peer_memory import PeerConnections, PeerMemory
 from pepperusher.net.proxy import READY_ANSWER
@@ -321,7 +321,7 @@
             await self.wait_until(lambda: self.proxy._facade.open_tickets)
             writer.close()
             await self.wait_until(lambda: not self.proxy._facade.open_tickets)
-        self.lines.append(f"by words: {self.proxy._counts}")
+        self.lines.append(f"by words: {dict(self.proxy._events.counts)}")
         self.compare_trace("net_left")
 
     async def test_an_answer_already_read_counts_though_the_timer_is_late(self) -> None:
@@ -940,4 +940,9 @@
         with contextlib.redirect_stderr(io.StringIO()):
             for _ in range(3 * BURST_LINES):
                 log.say("storm")
-        self.assertGreater(log._dropped_lines, BURST_LINES)
+            dropped_lines = log._limit.dropped_lines
+            self.assertGreater(dropped_lines, BURST_LINES)
+            for _ in range(3 * DETAIL_BURST_LINES):
+                log.say_detail("storm")
+        self.assertGreater(log._detail_limit.dropped_lines, DETAIL_BURST_LINES)
+        self.assertEqual(dropped_lines, log._limit.dropped_lines)
