A long answer that pauses is passed on in place of being cut off

Cause: a silence of half a second after an answer's first byte counted as broken, whatever is known of the answer. It was made for short spoilt answers, which can be tried again; long ones were held to it until 64 KiB had come. Class: a time-out made for one kind of peer that decides on another.

Change: an answer of unknown length is held for a second, until 64 KiB are there, or until 0.1 s before its client's time, and passed on from there; no silence ends it before. A short one is still given up after half a second of silence where another attempt may follow, else waited for (5 s, or the client's time). So a short answer without a length that breaks off by a silence is no longer tried again: its client gets a broken 200.

--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -274,6 +274,10 @@
             return NO_ACTION
         return Step(FINAL_ACTIONS[answer], "", self._balancer.wait_time(ticket, now))
 
+    def may_retry(self, ticket: Ticket, at: int) -> bool:
+        """Returns whether another attempt could follow if the one in flight failed at that time."""
+        return self._balancer.may_retry(ticket, at)
+
     def caller_disconnected(self, ticket: Ticket, now: int) -> bool:
         """The client has disconnected. Returns whether the attempt in flight is to be cancelled."""
         if ticket.finished:
--- a/pepperusher/net/exchange.py
+++ b/pepperusher/net/exchange.py
@@ -27,13 +27,16 @@
 )
 
 # An answer that has begun no longer waits for the backend's work but for the network. After a silence of SILENCE_FACTOR
-# connect timeouts, or of the minimum if that is longer, it counts as broken; the client's deadline may end it sooner.
-# Some answers never end.
+# connect timeouts, or of the minimum if that is longer, a short one counts as broken if another attempt may follow; where
+# none may, its backend may be slow, and it is waited for. The client's deadline may end it sooner. Some answers never
+# end.
 SILENCE_FACTOR = 2
 MIN_SILENCE_TIMEOUT_S = 0.5
 # An answer that is still incomplete this many seconds after its head is streamed to the client: held back longer, it
 # might miss the client's deadline.
 HOLD_TIMEOUT_S = 1.0
+# One of unknown length is streamed this many seconds before its client's deadline at the latest.
+BEGIN_MARGIN_S = 0.1
 # While an answer or a request body is streamed, a backend that neither sends nor reads for this many seconds counts as
 # gone.
 STALL_TIMEOUT_S = 5.0
@@ -93,6 +96,7 @@
         "wait_for_list",
         "was_paused",
         "list_expired",
+        "may_retry",
     )
 
     def __init__(
@@ -105,6 +109,7 @@
         wait_for_list: Callable[[], Awaitable[None]],
         was_paused: Callable[[], bool],
         list_expired: Callable[[], bool],
+        may_retry: Callable[[int], bool],
     ) -> None:
         self.may_still_send = may_still_send
         self.client_left = client_left  # whether the client has left
@@ -113,6 +118,7 @@
         self.remaining_time = remaining_time  # how long the client still waits, in microseconds
         self.was_paused = was_paused  # whether the process was paused and has not read the list since
         self.list_expired = list_expired  # whether the list has expired: no request may be sent by it
+        self.may_retry = may_retry  # whether another attempt could follow if this one failed at the given time
         # returns once the list in use is as discovery has written it, also after a process pause
         self.wait_for_list = wait_for_list
 
@@ -301,12 +307,10 @@
         if outcome not in FORWARDED_OUTCOMES:
             self._attempt.reason = self._attempt.reason or f"status {head.status_code}"
         complete = False
-        if length is None or length <= MAX_HELD_BODY_BYTES or outcome not in FORWARDED_OUTCOMES:
-            try:
-                async with asyncio.timeout(HOLD_TIMEOUT_S):
-                    complete = await self._buffer_answer()
-            except TimeoutError:
-                pass
+        if length is None and outcome in FORWARDED_OUTCOMES:
+            complete = await self._hold_answer_of_unknown_length()
+        elif length is None or length <= MAX_HELD_BODY_BYTES or outcome not in FORWARDED_OUTCOMES:
+            complete = await self._hold_short_answer()
         answer = Answer(head.status_code, list(head.headers), bytes(self._body.contents()))
         if complete:
             return outcome, answer
@@ -318,14 +322,41 @@
             return outcome, None
         return await self._forward(outcome, answer, length, forwarder)
 
-    async def _buffer_answer(self) -> bool:
-        """Buffers the answer up to the limit and returns whether it is complete."""
+    async def _hold_answer_of_unknown_length(self) -> bool:
+        """Buffers an answer that may be long and returns whether it is complete. A long one has to begin while its
+        client still waits, and a silence does not tell that it is broken.
+        """
+        if self._silence_timer is not None:
+            self._silence_timer.cancel()
+        time_left_s = self._context.remaining_time() / 1e6 - BEGIN_MARGIN_S
+        try:
+            async with asyncio.timeout(max(0.0, min(HOLD_TIMEOUT_S, time_left_s))):
+                return await self._buffer_answer()
+        except TimeoutError:
+            return False
+
+    async def _hold_short_answer(self) -> bool:
+        """Buffers a short answer and returns whether it is complete. One that is silent is held until its silence timer
+        ends the attempt: its client can still be given another final answer.
+        """
+        self._restart_silence_timer()
+        while True:
+            try:
+                async with asyncio.timeout(HOLD_TIMEOUT_S):
+                    return await self._buffer_answer(self._restart_silence_timer)
+            except TimeoutError:
+                if clock.now() - self._connection.last_received_at < self._silence_timeout_s * 1e6:
+                    return False
+
+    async def _buffer_answer(self, on_part: Callable[[], None] | None = None) -> bool:
+        """Buffers the answer up to the limit and returns whether it is complete. `on_part` is called for each part."""
         while not self._body.full:
-            self._restart_silence_timer()
             data = await read_data(self._parser, self._connection)
             if not data:
                 return True
             self._body.add(data)
+            if on_part is not None:
+                on_part()
         return False
 
     async def _forward(
@@ -361,7 +392,9 @@
         """
         if self._silence_timer is not None:
             self._silence_timer.cancel()
-        timeout_s = min(self._silence_timeout_s, max(0, self._context.remaining_time()) / 1e6)
+        may_retry = self._context.may_retry(clock.now() + round(self._silence_timeout_s * 1e6))
+        silence_timeout_s = self._silence_timeout_s if may_retry else STALL_TIMEOUT_S
+        timeout_s = min(silence_timeout_s, max(0, self._context.remaining_time()) / 1e6)
         self._silence_timer = asyncio.get_running_loop().call_later(timeout_s, self._timer_fired, "reset", 2)
 
     def _timer_fired(self, outcome: str, rechecks: int) -> None:
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -295,6 +295,7 @@
             self._process_pause.wait_for_list,
             lambda: self._process_pause.unnoticed,
             lambda: self._discovery.confirmation.expired,
+            lambda at: (rest is None or not rest.started) and self._facade.may_retry(ticket, at),
         )
         outcome, answer, final_outcome, attempts = "", None, "left", 0
         try:
--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -457,6 +457,10 @@
             self._retry_budget -= 1.0
         return AGAIN
 
+    def may_retry(self, ticket: Ticket, at: int) -> bool:
+        """Returns whether another attempt could follow if the one in flight failed at that time and may have run."""
+        return self._retry_budget >= 1.0 and self._may_retry(ticket, at)
+
     def _may_retry(self, ticket: Ticket, now: int) -> bool:
         """Returns whether time, the limit on attempts and the retry class allow another attempt."""
         use_case, remaining = ticket.use_case, self._useful_deadline(ticket) - now
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -459,6 +459,7 @@
                 lambda: asyncio.sleep(0),
                 lambda: False,
                 lambda: False,
+                lambda at: False,
             ),
         )
         self.lines.append(outcome)
