--- a/tests/slow_backends.py
+++ b/tests/slow_backends.py
@@ -146,17 +146,19 @@
 
 
 class SlowProxyProcess(ProxyProcess):
-    """A proxy whose backends are slow as the request ids say."""
+    """A proxy whose backends are slow as the request ids say. With `small_buffers` its kernel holds little of what it writes."""
 
     def __init__(
         self,
         answers: dict[str, Answer] | None = None,
         readers: dict[str, SlowReader] | None = None,
         backends: int = 3,
+        small_buffers: bool = False,
         **bootstrap_changes: Any,
     ) -> None:
         super().__init__(0, **{"settings": SLOW_SETTINGS, **bootstrap_changes})
-        self.environment = {"PYTHONPATH": str(SMALL_SEND_BUFFERS)}
+        if small_buffers:
+            self.environment = {"PYTHONPATH": str(SMALL_SEND_BUFFERS)}
         self.slow_backends = [SlowBackend(answers or {}, readers or {}) for _ in range(backends)]
         self.backends = self.slow_backends  # type: ignore[assignment]
 
--- a/tests/test_slow_backends.py
+++ b/tests/test_slow_backends.py
@@ -97,7 +97,7 @@
         for name, (reader, size, timeout_ms) in STUCK_READERS.items():
             for chunked in (False, True):
                 with self.subTest(name, chunked=chunked):
-                    async with SlowProxyProcess(readers={name: reader}) as proxy_process:
+                    async with SlowProxyProcess(readers={name: reader}, small_buffers=True) as proxy_process:
                         request_bytes = long_request(f"{name}-1", size, chunked, timeout_ms)
                         received = await exchange(proxy_process.port, request_bytes)
                     self.assertRegex(received.status, "50[234]")
@@ -109,7 +109,7 @@
         readers = {"steady": SlowReader(ALL, LONG_UPLOAD_BYTES // 4)}
         for chunked in (False, True):
             with self.subTest(chunked=chunked):
-                async with SlowProxyProcess(readers=readers) as proxy_process:
+                async with SlowProxyProcess(readers=readers, small_buffers=True) as proxy_process:
                     request_bytes = long_request("steady-1", LONG_UPLOAD_BYTES, chunked, LONG_UPLOAD_TIMEOUT_MS)
                     received = await exchange(proxy_process.port, request_bytes)
                 self.assertEqual(("200", True), (received.status, received.whole))
