Heads with very many short fields are rejected unparsed, and headers are kept in one piece

Cause: a head of 16 KiB may have 2,680 fields. As tuples of bytes they take 270 kB once and three times that in all: the parser's event, the request's list and the list for backends were all kept while the request was in hand, and parsing and encoding one took 15 ms. Class: a limit in bytes on what is received, where the cost is in objects.

Change: over 256 fields a head is answered 431 before it is parsed, also behind another request; a request in hand keeps its fields in one piece of bytes, once.

--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -22,6 +22,7 @@
     MAX_BODY_BYTES,
     Answer,
     BadMessage,
+    PackedHeaders,
     Request,
     encode_answer,
     content_length_of,
@@ -157,6 +158,10 @@
             self.set_left()
         return self.left
 
+    def release_headers(self) -> None:
+        """Called once the request's headers are needed no longer, or only in another form."""
+        self.request = self.request._replace(headers=())
+
     def release(self) -> None:
         """Called once the request is answered. Drops the callback that refers back to the connection; the reference
         cycle would last until a garbage collection.
@@ -388,10 +393,11 @@
             return False
         assert isinstance(head, h11.Request)
         caller.set_waiting(False)
-        request = Request(head.method, head.target, list(head.headers), body.contents())
+        request = Request(head.method, head.target, PackedHeaders(head.headers), body.contents())
+        length = content_length_of(head)
+        del head  # its fields take many times the memory of the packed ones
         received_at = connection.received_at()
         if not complete:
-            length = content_length_of(head)
             rest = RequestBodyReader(parser, connection, body.length, length, caller.set_waiting)
             request = request._replace(rest=rest, length=length)
             received_at = clock.now()
@@ -399,6 +405,7 @@
             parser, connection, caller.set_waiting_for_reader, lambda: self._closes_with_answer(caller, call)
         )
         call = Call(request, received_at, forwarder, connection.peer_has_left)
+        del request  # the call lets go of what it needs no longer
         if connection.peer_ended:
             call.set_left()
         connection.on_peer_end = call.set_left
--- a/pepperusher/net/message.py
+++ b/pepperusher/net/message.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterator
+import re
+from collections.abc import Callable, Iterable, Iterator
 from contextlib import contextmanager
 from typing import NamedTuple, Protocol
 
@@ -15,6 +16,9 @@
 MAX_BODY_BYTES = 32 * 1024 * 1024
 # Largest message head; a longer one is bad input.
 MAX_HEAD_BYTES = 16 * 1024
+# Most header fields of a request; one with more is bad input. Each field takes some 100 bytes while it is parsed, however
+# short it is.
+MAX_HEADER_FIELDS = 256
 # Interim (1xx) answers accepted before the final one; a backend that sends more never ends.
 MAX_INTERIM_ANSWERS = 16
 STATUSES_WITHOUT_BODY = (204, 304)
@@ -35,6 +39,8 @@
 )
 
 Headers = list[tuple[bytes, bytes]]
+# The end of a head, as the parser accepts it.
+HEAD_END = re.compile(rb"\n\r?\n")
 
 
 class BadMessage(Exception):
@@ -59,12 +65,29 @@
         """The earliest time from which the client may wait for its answer; None if it is surely still sending."""
 
 
+class PackedHeaders:
+    """Header fields in one piece, for as long as a request is in hand: as separate objects, short ones take many times their
+    length.
+    """
+
+    __slots__ = ("_block",)
+
+    def __init__(self, headers: Iterable[tuple[bytes, bytes]]) -> None:
+        # Neither a name nor a value can hold a line end, and no name can hold a colon.
+        self._block = b"\n".join(b"%s:%s" % (name, value) for name, value in headers)
+
+    def __iter__(self) -> Iterator[tuple[bytes, bytes]]:
+        for line in self._block.split(b"\n") if self._block else ():
+            name, _, value = line.partition(b":")
+            yield name, value
+
+
 class Request(NamedTuple):
     """A request to a backend, whose body may be partly buffered."""
 
     method: bytes
     target: bytes
-    headers: Headers
+    headers: Iterable[tuple[bytes, bytes]]
     body: memoryview | bytes  # as much of it as is buffered
     rest: StreamedBody | None = None  # the part of the body behind `body`
     length: int | None = None  # of the whole body, if there is a rest and the head has a Content-Length
@@ -84,7 +107,7 @@
     return Answer(status, [(b"content-type", b"text/plain"), *more_headers], f"{text}\n".encode())
 
 
-def end_to_end_headers(headers: Headers) -> Headers:
+def end_to_end_headers(headers: Iterable[tuple[bytes, bytes]]) -> Headers:
     """The headers that a proxy forwards: without hop-by-hop headers and those that Connection names."""
     named_by_connection = frozenset(
         name.strip().lower() for key, value in headers if key == b"connection" for name in value.split(b",")
@@ -112,6 +135,13 @@
         raise BadMessage(413, "the body is too large")
 
 
+def check_field_count(head: bytes) -> None:
+    """Checks the number of fields of a head, or of what has arrived of one, before it is parsed."""
+    end = HEAD_END.search(head)
+    if head.count(b"\n", 0, len(head) if end is None else end.start()) > MAX_HEADER_FIELDS:
+        raise BadMessage(431, "too many header fields")
+
+
 async def read_head(
     parser: h11.Connection, connection: StreamConnection, on_data: Callable[[], None] | None = None
 ) -> h11.Request | h11.Response | None:
@@ -121,6 +151,8 @@
     interim_answers = 0
     with _parser_errors_as_bad_messages():
         while True:
+            if parser.our_role is h11.SERVER:
+                check_field_count(parser.trailing_data[0])
             event = parser.next_event()
             if event is h11.NEED_DATA:
                 if on_data is not None and parser.trailing_data[0]:
@@ -188,7 +220,7 @@
 
 def encode_request(parser: h11.Connection, request: Request) -> bytes:
     """Encodes the request, or its buffered part where the rest is streamed."""
-    headers = request.headers
+    headers = [*request.headers]
     if request.rest is not None:
         length = request.length
         framing_header = (b"transfer-encoding", b"chunked") if length is None else (b"content-length", b"%d" % length)
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -24,7 +24,7 @@
 from pepperusher.net.exchange import FORWARDED_OUTCOMES, Attempt, AttemptContext
 from pepperusher.net.log import Log
 from pepperusher.net.memory_report import MemoryReport, own_memory
-from pepperusher.net.message import Answer, Request, end_to_end_headers, text_answer
+from pepperusher.net.message import Answer, PackedHeaders, Request, end_to_end_headers, text_answer
 from pepperusher.net.handover_state import HandoverState
 from pepperusher.net.peer_memory import PeerMemory
 from pepperusher.net.request_headers import BadRequest, duration_of, read_headers, timeout_of
@@ -197,7 +197,7 @@
         method, target, headers, body, rest, length = call.request
         if b"host" not in proxy_headers:
             # HTTP/1.0 requests may omit Host; the request to the backend is HTTP/1.1, which requires it.
-            headers = [(b"host", format_address(self._bootstrap.listen).encode()), *headers]
+            headers = PackedHeaders([(b"host", format_address(self._bootstrap.listen).encode()), *headers])
         class_from_path = target.partition(b"?")[0].removeprefix(b"/").partition(b"/")[0]
         if proxy_headers.get(b"request-class", class_from_path) != class_from_path:
             raise BadRequest("Request-Class is not the first part of the path")
@@ -249,7 +249,8 @@
         elif request_store is not None and any(header == b"client-retry" for header, _ in headers):
             # Without the store there is no record of how often this request was sent: a retry gets one attempt.
             self._facade.limit_attempts(ticket, 1)
-        forwarded_headers = [pair for pair in end_to_end_headers(headers) if pair[0] != b"request-timeout"]
+        headers = PackedHeaders(pair for pair in end_to_end_headers(headers) if pair[0] != b"request-timeout")
+        call.release_headers()
         attempt: Attempt | None = None
 
         def cancel_attempt() -> None:
@@ -348,7 +349,7 @@
                     attempt_timeout = self._gate.start_attempt(admission, step.wait)
                 outcome, answer = await self._backends.attempt(
                     step.backend,
-                    Request(method, target, forwarded_headers, body, rest, length),
+                    Request(method, target, headers, body, rest, length),
                     attempt,
                     attempt_timeout,
                     context,
--- a/pepperusher/net/request_headers.py
+++ b/pepperusher/net/request_headers.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterable
 
-from pepperusher.net.message import Headers
 
 # Longest timeout that a client may give, in microseconds; a longer one is rejected as invalid.
 MAX_TIMEOUT_US = 3600 * 1_000_000
@@ -23,7 +23,7 @@
         self.status = status
 
 
-def read_headers(headers: Headers) -> dict[bytes, bytes]:
+def read_headers(headers: Iterable[tuple[bytes, bytes]]) -> dict[bytes, bytes]:
     """Returns the headers that the proxy itself uses, by name. Raises BadRequest."""
     values: dict[bytes, bytes] = {}
     for name, value in headers:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -21,6 +21,7 @@
 from pepperusher.net.buffers import Body, Pool
 from pepperusher.net.callers import LINGER_BYTES, Call
 from pepperusher.net.connection import StreamConnection, wrap_socket
+from pepperusher.net.message import MAX_HEADER_FIELDS, PackedHeaders
 from pepperusher.net.log import BURST_LINES, DETAIL_BURST_LINES, Log
 from pepperusher.net.message import Answer, Request
 from pepperusher.net.peer_memory import PeerConnections, PeerMemory
@@ -404,6 +405,19 @@
         self.assertEqual([line for line in self.logged if "serving" not in line], [])
         self.compare_trace("net_bad_input")
 
+    # Guards against heads whose many short fields take twenty times their length in memory while they are parsed and kept.
+    async def test_a_head_with_too_many_fields_is_rejected_before_it_is_parsed(self) -> None:
+        await self.open("a1")
+        for count, status in ((MAX_HEADER_FIELDS // 2, "200"), (2 * MAX_HEADER_FIELDS, "431")):
+            more = "".join(f"X-{number}: v:{number}\r\n" for number in range(count))
+            reader, writer = await self.connect()
+            # The second one arrives behind another request, and is checked all the same.
+            for number, fields in ((1, ""), (2, more)):
+                writer.write(self.request("look", f"{count}-{number}", more=fields))
+            self.assertIn("200", await self.read_response(reader))
+            self.assertIn(status, await self.read_response(reader))
+            writer.close()
+
     async def test_the_id_of_a_ticket_in_hand_is_not_taken_again(self) -> None:
         """Sending the second request on would put a second copy out. Once the first ticket has ended, its id is free
         again.
@@ -861,6 +875,10 @@
 
 
 class Start(TraceTestCase):
+    def test_packed_headers_are_the_same_headers(self) -> None:
+        for headers in ([], [(b"host", b"h"), (b"x", b""), (b"x", b"a:b  c"), (b"y", b"\xe9\t1")]):
+            self.assertEqual(headers, [*PackedHeaders(headers)])
+
     def test_a_body_takes_what_it_needs(self) -> None:
         """Each body took 64 KiB with its first byte: a few hundred that sent no more filled a small proxy's memory."""
         pool, self.lines = Pool(9), []
