--- a/pepperusher/__main__.py
+++ b/pepperusher/__main__.py
@@ -9,6 +9,7 @@
 
 import click
 
+import pepperusher.asyncio_without_tls  # noqa: F401  (before all others that import asyncio)
 from pepperusher import __version__
 from pepperusher.net import bootstrap
 from pepperusher.net.proxy import run
