Limits of memory count connections, parsers, heads and what uploads and answers keep

Not counted: connections, parsers and tasks (10 to 20 kB each), up to 16 KiB in each parser and as much in each reader whatever the limits, heads of requests in hand, the buffered part of a body for as long as its rest is sent on (with a second copy as it was encoded), the begun part of an answer while the rest is streamed, and what was read of a rejected message while its answer lingers (kept by the exception's traceback). Class: a limit on what is counted stands for a limit on what is used.

Change: MemoryLimits takes off the program and the descriptors first. What parsers and heads hold counts; at the limit each connection holds one read of 2 KiB, and is read again once it is consumed. Buffered bodies, begun answers and rejected messages are let go when they are used. Long heads are refused (503) while there is no memory; others are not.

--- a/pepperusher/console/admin_listener.py
+++ b/pepperusher/console/admin_listener.py
@@ -39,7 +39,7 @@
         self._answer = answer
         self._log = log
         self._pool = Pool(1)
-        self._peers = PeerConnections("console", self._pool.peer_memory)
+        self._peers = PeerConnections("console", self._pool.peer_memory, essential=True)
         # Connections without a complete call yet, the oldest first; emptied as calls complete and connections end.
         self._incomplete: dict[StreamConnection, None] = {}
         self._open: set[asyncio.Task[None]] = set()  # at most CONNECTIONS_MAX, and those that were just replaced
--- a/pepperusher/net/body_streaming.py
+++ b/pepperusher/net/body_streaming.py
@@ -9,6 +9,7 @@
 import h11
 
 from pepperusher.net import clock
+from pepperusher.net.buffers import Body
 from pepperusher.net.connection import StreamConnection
 from pepperusher.net.message import MAX_BODY_BYTES, Answer, BadMessage, read_data
 from pepperusher.net.upload_clock import UploadClock
@@ -17,25 +18,26 @@
 class RequestBodyReader:
     """The rest of a request's body. `set_waiting` is called with whether the proxy waits for the caller.
 
-    Once `started`, data that was read is gone: there is no second attempt.
+    Once `started`, data that was read is gone: there is no second attempt, and the buffered part is let go.
     """
 
-    __slots__ = ("_parser", "_connection", "_set_waiting", "_length", "_upload_clock", "started", "error")
+    __slots__ = ("_parser", "_connection", "_buffered", "_set_waiting", "_length", "_upload_clock", "started", "error")
 
     def __init__(
         self,
         parser: h11.Connection,
         connection: StreamConnection,
-        buffered: int,
+        buffered: Body,
         total: int | None,
         set_waiting: Callable[[bool], None],
     ) -> None:
         self._parser = parser
         self._connection = connection
+        self._buffered = buffered
         self._set_waiting = set_waiting
-        self._length = buffered
+        self._length = len(buffered)
         position = connection.bytes_received - connection.unread_bytes - len(parser.trailing_data[0])
-        end = None if total is None else position + total - buffered
+        end = None if total is None else position + total - self._length
         self._upload_clock = UploadClock(connection.arrived_bytes, end, clock.now())
         self.started = False
         self.error: tuple[str, int] | None = None
@@ -48,6 +50,7 @@
             # No further attempt can follow, so it no longer matters to know early whether the client has left: its end
             # is noticed when it is read in order.
             self.started, self._connection.may_read_ahead = True, False
+            self._buffered.release()
         connection = self._connection
         was_empty, received_before = connection.nothing_pending(), connection.bytes_received
         self._set_waiting(True)
--- a/pepperusher/net/buffers.py
+++ b/pepperusher/net/buffers.py
@@ -7,7 +7,7 @@
 # Up to MAX_HELD_BODY_BYTES of a body are buffered, in buffers of BUFFER_BYTES. Most bodies fit one buffer. With buffers of 64
 # KiB, a few hundred callers that send only a part took half of a small proxy's memory.
 MAX_HELD_BODY_BYTES = 64 * 1024
-BUFFER_BYTES = 4 * 1024
+BUFFER_BYTES = 2 * 1024
 
 
 class Body:
@@ -21,10 +21,15 @@
         self._joined = b""
         self.length = 0
 
+    def __len__(self) -> int:
+        return self.length
+
     @property
     def full(self) -> bool:
-        """Whether no more should be buffered: at the limit per body, or at one buffer while the pool is exhausted."""
-        return self.length > MAX_HELD_BODY_BYTES or self.length > BUFFER_BYTES and self._pool.exhausted
+        """Whether no more should be buffered: at the limit per body, or from its first byte on while the pool is
+        exhausted.
+        """
+        return self.length > MAX_HELD_BODY_BYTES or self.length > 0 and self._pool.exhausted
 
     def add(self, data: bytes) -> None:
         """Appends data, in buffers from the pool."""
@@ -64,12 +69,15 @@
     yet taken by the kernel; beyond it each body takes only one buffer.
     """
 
+    # Of all buffers that may be lent, one in so many is kept spare.
+    SPARE_DIVISOR = 8
+
     def __init__(
         self, max_spare: int, max_bytes: int = 64 * 1024 * 1024, peer_memory: PeerMemory | None = None
     ) -> None:
         self.peer_memory = PeerMemory() if peer_memory is None else peer_memory
         self._spare: list[bytearray] = []  # reduced by take; at most max_spare
-        self._max_spare = max_spare
+        self._max_spare = min(max_spare, max_bytes // BUFFER_BYTES // self.SPARE_DIVISOR)
         self._max_bytes = max_bytes
         self._lent = 0
         self.set_share(1.0)
@@ -96,7 +104,7 @@
 
     def take(self) -> bytearray:
         """Lends a buffer, a spare one if there is any."""
-        self._lent += 1
+        self.adjust_lent(1)
         return self._spare.pop() if self._spare else bytearray(BUFFER_BYTES)
 
     def adjust_lent(self, buffers: int) -> None:
@@ -104,8 +112,9 @@
         them if negative.
         """
         self._lent += buffers
+        self.peer_memory.bodies_exhausted = self.exhausted
 
     def release(self, buffer: bytearray) -> None:
-        self._lent -= 1
+        self.adjust_lent(-1)
         if len(self._spare) < self._max_spare:
             self._spare.append(buffer)
--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -375,7 +375,7 @@
         caller.bytes_before = connection.bytes_received - connection.unread_bytes - len(parser.trailing_data[0])
         connection.on_data = lambda: self._set_idle(caller, False)
         connection.may_read_ahead = True
-        complete = False
+        complete, head, rejection = False, None, None
         try:
             head = await read_head(parser, connection)
             if head is not None:
@@ -383,22 +383,27 @@
                 if complete:  # otherwise the data behind it belongs to its own body, which is streamed
                     await connection.wait_for_read_ahead()
         except BadMessage as error:
-            caller.waiting_since = None  # the linger time limits this connection from here on
-            await self._reject(caller, error)
-            return False
+            # The exception itself would keep what was read of the message while the answer lingers.
+            rejection = text_answer(error.status, str(error))
         finally:
             connection.on_data = None
             self._set_idle(caller, False)
+        if rejection is not None:
+            caller.waiting_since = None  # the linger time limits this connection from here on
+            await self._reject(caller, rejection)
+            return False
         if head is None or connection.closing:
             return False
         assert isinstance(head, h11.Request)
         caller.set_waiting(False)
-        request = Request(head.method, head.target, PackedHeaders(head.headers), body.contents())
+        headers = PackedHeaders(head.headers)
+        request = Request(head.method, head.target, headers, body)
+        connection.set_parser_bytes(len(parser.trailing_data[0]) + len(headers))
         length = content_length_of(head)
-        del head  # its fields take many times the memory of the packed ones
+        del head, headers  # its fields take many times the memory of the packed ones
         received_at = connection.received_at()
         if not complete:
-            rest = RequestBodyReader(parser, connection, body.length, length, caller.set_waiting)
+            rest = RequestBodyReader(parser, connection, body, length, caller.set_waiting)
             request = request._replace(rest=rest, length=length)
             received_at = clock.now()
         forwarder = ResponseForwarder(
@@ -464,13 +469,13 @@
         # Guards against hundreds of clients that only probe readiness or send bad requests and keep a connection each.
         return close or not call.ticket and not caller.sent_ticket and self._budget.is_above(CLOSE_WITHOUT_TICKET_SHARE)
 
-    async def _reject(self, caller: Caller, error: BadMessage) -> None:
+    async def _reject(self, caller: Caller, answer: Answer) -> None:
         """Answers a message that is invalid or too late, and ends the connection."""
         connection = caller.connection
         if caller.parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        self._closed(f"{CLOSED_BAD_MESSAGE} {error.status}")
-        connection.send(encode_answer(caller.parser, text_answer(error.status, str(error)), True))
+        self._closed(f"{CLOSED_BAD_MESSAGE} {answer.status}")
+        connection.send(encode_answer(caller.parser, answer, True))
         await self._linger(connection, LINGER_S, LINGER_BYTES)
 
     @staticmethod
--- a/pepperusher/net/connection.py
+++ b/pepperusher/net/connection.py
@@ -13,7 +13,7 @@
 
 from pepperusher.net import clock
 from pepperusher.net.disconnect_watcher import DisconnectWatcher
-from pepperusher.net.peer_memory import MAX_READ_BYTES, PeerConnections
+from pepperusher.net.peer_memory import MAX_READ_BYTES, MIN_READ_BYTES, PeerConnections
 
 # Offset of `tcpi_last_data_recv` (milliseconds since data last arrived) in the kernel's TCP_INFO, and the granularity
 # of that figure.
@@ -66,6 +66,10 @@
         self._end_pending = False
         # Bytes received and not yet consumed; bytes left after an answer belong to no ticket.
         self.unread_bytes = 0
+        # Bytes that the parser holds of a message that is not whole, or of the next one.
+        self._parser_bytes = 0
+        # Whether reading is paused until everything unread is consumed, because the memory for all peers is exhausted.
+        self._held_back = False
         # Bytes that the kernel had not taken when data was last written; zero again once it has all of it.
         self.unsent_bytes = 0
         # Set once the last data has been sent: done when the peer closes too, or has sent more than `_discard_limit`
@@ -94,7 +98,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Where the next read goes, which limits its size."""
-        size = self._peers.memory.read_size()
+        size = self._peers.read_size()
         if self._reading_ahead and self.disconnect_watcher is not None:
             size = min(size, self.disconnect_watcher.read_size())
         return _receive_buffer[:size]
@@ -117,6 +121,9 @@
             self.disconnect_watcher.read_ahead_bytes += len(data)
         else:
             super().data_received(data)
+            if self._peers.held_back:
+                self._held_back = True
+                self.transport.pause_reading()
         if self.on_data is not None:
             self.on_data()
         if (
@@ -130,7 +137,8 @@
         """Called when the reader accepts no more data: reads ahead within the limit, or watches for the peer's end
         only.
         """
-        if self.may_read_ahead and disconnect_watcher.may_read_ahead(len(self._read_ahead)):
+        may_read_ahead = self.may_read_ahead and not self._peers.held_back
+        if may_read_ahead and disconnect_watcher.may_read_ahead(len(self._read_ahead)):
             if not self._reading_ahead:
                 self._reading_ahead = True
                 self.transport.resume_reading()
@@ -143,6 +151,9 @@
         """Called when data was consumed: passes on data that was read ahead and, once all of it is, resumes normal
         reading and reports a pending end.
         """
+        if self._held_back and not self.unread_bytes:
+            self._held_back = False
+            self.transport.resume_reading()
         if self._reading_ahead and self.unread_bytes - len(self._read_ahead) <= READER_LIMIT_BYTES:
             # No more than the stream reader accepts without pausing the transport.
             data = bytes(self._read_ahead[:READER_LIMIT_BYTES])
@@ -175,6 +186,14 @@
         if not self._lost:
             self._peers.memory.received += change
 
+    def set_parser_bytes(self, size: int) -> None:
+        """Records how many bytes are held of messages in other places than the reader: by the parser, or as the head of a
+        request in hand. They count as received.
+        """
+        if not self._lost:
+            self._peers.memory.received += size - self._parser_bytes
+            self._parser_bytes = size
+
     def _count_unsent(self, unsent_bytes: int) -> None:
         """Counts the bytes that the kernel has not taken."""
         self._peers.memory.unsent += unsent_bytes - self.unsent_bytes
@@ -209,6 +228,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         super().connection_lost(exc)
         self._peers.remove(self)
+        self.set_parser_bytes(0)
         self._peers.memory.received -= self.unread_bytes
         self._lost = True
         self._finish_discarding()
@@ -237,6 +257,16 @@
             if self.on_peer_end is not None:
                 self.on_peer_end()
 
+    @property
+    def memory_exhausted(self) -> bool:
+        """Whether the memory for what is received on all connections is exhausted."""
+        return self._peers.held_back
+
+    @property
+    def parser_bytes(self) -> int:
+        """What the parser holds of messages that are not whole."""
+        return self._parser_bytes
+
     @property
     def read_ahead_bytes(self) -> int:
         """The part of `unread_bytes` that was read ahead of the reader."""
@@ -245,7 +275,7 @@
     async def read(self) -> bytes:
         """Returns received data, or nothing at the end, whether that was a close or a reset."""
         try:
-            data = await self.reader.read(READ_BYTES)
+            data = await self.reader.read(MIN_READ_BYTES if self._peers.held_back else READ_BYTES)
         except OSError:
             return b""
         self._count_unread(-len(data))
@@ -382,6 +412,7 @@
         """Drops received data that nobody will read any more. The connection itself stays in memory until a garbage
         collection, because asyncio's transports are part of reference cycles.
         """
+        self.set_parser_bytes(0)
         self._count_unread(-self.unread_bytes)
         self._remove_read_ahead(len(self._read_ahead))
         self._reading_ahead = False
--- a/pepperusher/net/discovery.py
+++ b/pepperusher/net/discovery.py
@@ -83,7 +83,9 @@
         # The source that delivered the current list, and the list's version there.
         self._list_source, self._list_version = self._source, 0
         self._log = log
-        self.peers = PeerConnections("calls of discovery", PeerMemory() if peer_memory is None else peer_memory)
+        self.peers = PeerConnections(
+            "calls of discovery", PeerMemory() if peer_memory is None else peer_memory, essential=True
+        )
         # When the list was last confirmed, in microseconds: the last message of its source, or of the source from which
         # a borrowed list came. None if it was never confirmed.
         self.confirmed_at: int | None = None
--- a/pepperusher/net/exchange.py
+++ b/pepperusher/net/exchange.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 import h11
 
@@ -123,6 +124,16 @@
         self.wait_for_list = wait_for_list
 
 
+class ReceivedAnswer(NamedTuple):
+    """The outcome of an attempt whose answer was received to its end, or as far as it is held back. `may_stream` is set
+    if the rest follows and may be streamed to the client.
+    """
+
+    outcome: str
+    answer: Answer | None = None
+    may_stream: bool = False
+
+
 class Exchange:
     """Runs one attempt on one connection. `timeout_us` runs from its start, or from the last byte of the request body
     where that is still to come.
@@ -162,7 +173,13 @@
             outcome = await self._send(request)
             if outcome is not None:
                 return outcome, None
-            outcome, answer = await self._receive(forwarder)
+            received = await self._receive()
+            outcome, answer = received.outcome, None if received.may_stream else received.answer
+            if received.may_stream and forwarder is not None:
+                accepted = await self._begin_streaming(received, forwarder)
+                del received  # what was held may be long, and streaming the rest may last
+                if not accepted or not await self._stream(forwarder):
+                    outcome = "called off"
             # Whatever the backend answered before the last byte was written, it has not run the request.
             return (
                 (outcome, answer)
@@ -219,6 +236,7 @@
             self._attempt.reason = "the process was paused"
             return "unreached"
         sent = connection.send(encoded)
+        del encoded  # it may be long, and this call may last
         if not sent:
             # Without the rest of a body to come, the attempt's own timer ends this wait.
             async with asyncio.timeout(None if rest is None else min(STALL_TIMEOUT_S, self._timeout_us / 1e6)):
@@ -291,12 +309,12 @@
 
     # --- the answer -------------------------------------------------------------------------------
 
-    async def _receive(self, forwarder: ResponseForwarder | None) -> tuple[str, Answer | None]:
-        """Receives the answer, and streams it to the client if it is long or slow."""
+    async def _receive(self) -> ReceivedAnswer:
+        """Receives the answer, or as much of it as is held back."""
         head = self._head or await read_head(self._parser, self._connection, self._restart_silence_timer)
         if head is None:
             self._attempt.reason = self._attempt.reason or "the backend closed the connection before an answer"
-            return self._attempt.outcome or ("reset" if self._attempt.written else "unreached"), None
+            return ReceivedAnswer(self._attempt.outcome or ("reset" if self._attempt.written else "unreached"))
         assert isinstance(head, h11.Response)
         self.head_received = True
         # The work is done: from here on a silence or the client's deadline ends the attempt, not its timeout.
@@ -313,14 +331,15 @@
             complete = await self._hold_short_answer()
         answer = Answer(head.status_code, list(head.headers), bytes(self._body.contents()))
         if complete:
-            return outcome, answer
+            return ReceivedAnswer(outcome, answer)
         if self._attempt.outcome is not None:
             # The attempt was given up as the head arrived, so the rest of the answer is cut off. Streaming it would
             # give the client a part of an answer in place of its final answer.
-            return self._attempt.outcome, None
-        if outcome not in FORWARDED_OUTCOMES or forwarder is None:
-            return outcome, None
-        return await self._forward(outcome, answer, length, forwarder)
+            return ReceivedAnswer(self._attempt.outcome)
+        if outcome not in FORWARDED_OUTCOMES:
+            return ReceivedAnswer(outcome)
+        # The status line and headers of a streamed answer are sent at once, and the length is that of the whole.
+        return ReceivedAnswer(outcome, answer._replace(length=length), may_stream=True)
 
     async def _hold_answer_of_unknown_length(self) -> bool:
         """Buffers an answer that may be long and returns whether it is complete. A long one has to begin while its
@@ -359,23 +378,25 @@
                 on_part()
         return False
 
-    async def _forward(
-        self, outcome: str, answer: Answer, length: int | None, forwarder: ResponseForwarder
-    ) -> tuple[str, Answer | None]:
-        """Streams an answer to the client as it arrives."""
+    async def _begin_streaming(self, received: ReceivedAnswer, forwarder: ResponseForwarder) -> bool:
+        """Sends what is held of a long answer to the client and returns whether it accepts it."""
         for timer in (self._timeout_timer, self._silence_timer):
             if timer is not None:
                 timer.cancel()
-        accepted = await forwarder.begin(answer, length)
+        assert received.answer is not None
+        accepted = await forwarder.begin(received.answer, received.answer.length)
         self._body.release()
-        while accepted:
+        return accepted
+
+    async def _stream(self, forwarder: ResponseForwarder) -> bool:
+        """Streams the rest of an answer as it arrives and returns whether the client accepted all of it."""
+        while True:
             async with asyncio.timeout(STALL_TIMEOUT_S):
                 data = await read_data(self._parser, self._connection)
             if not data:
-                accepted = await forwarder.end()
-                return outcome if accepted else "called off", None
-            accepted = await forwarder.write(data)
-        return "called off", None
+                return await forwarder.end()
+            if not await forwarder.write(data):
+                return False
 
     # --- timers -----------------------------------------------------------------------------------
 
--- a/pepperusher/net/memory_report.py
+++ b/pepperusher/net/memory_report.py
@@ -37,9 +37,8 @@
         self._log = log
         self._most_parts = 1  # the most parts of the limit in use so far; the first is the program itself
 
-    def check(self) -> None:
-        """Logs the line if the process uses more parts of its limit than ever before."""
-        own = own_memory()
+    def check(self, own: int | None) -> None:
+        """Logs the line if the process uses more parts of its limit than ever before; `own` is what it uses now."""
         if own is None:
             return
         parts = own * PARTS_OF_LIMIT // self._limit
--- a/pepperusher/net/message.py
+++ b/pepperusher/net/message.py
@@ -19,6 +19,8 @@
 # Most header fields of a request; one with more is bad input. Each field takes some 100 bytes while it is parsed, however
 # short it is.
 MAX_HEADER_FIELDS = 256
+# A head longer than this is refused while the memory for received data is exhausted; ordinary ones are far shorter.
+MAX_HEAD_BYTES_WITHOUT_MEMORY = 4 * 1024
 # Interim (1xx) answers accepted before the final one; a backend that sends more never ends.
 MAX_INTERIM_ANSWERS = 16
 STATUSES_WITHOUT_BODY = (204, 304)
@@ -76,6 +78,10 @@
         # Neither a name nor a value can hold a line end, and no name can hold a colon.
         self._block = b"\n".join(b"%s:%s" % (name, value) for name, value in headers)
 
+    def __len__(self) -> int:
+        """The length in bytes."""
+        return len(self._block)
+
     def __iter__(self) -> Iterator[tuple[bytes, bytes]]:
         for line in self._block.split(b"\n") if self._block else ():
             name, _, value = line.partition(b":")
@@ -88,7 +94,7 @@
     method: bytes
     target: bytes
     headers: Iterable[tuple[bytes, bytes]]
-    body: memoryview | bytes  # as much of it as is buffered
+    body: Body | bytes  # as much of it as is buffered
     rest: StreamedBody | None = None  # the part of the body behind `body`
     length: int | None = None  # of the whole body, if there is a rest and the head has a Content-Length
 
@@ -135,11 +141,16 @@
         raise BadMessage(413, "the body is too large")
 
 
-def check_field_count(head: bytes) -> None:
-    """Checks the number of fields of a head, or of what has arrived of one, before it is parsed."""
-    end = HEAD_END.search(head)
-    if head.count(b"\n", 0, len(head) if end is None else end.start()) > MAX_HEADER_FIELDS:
+def check_head(received: bytes, memory_exhausted: bool) -> None:
+    """Checks the number of fields of a request's head, or of what has arrived of one, before it is parsed, and its length
+    where memory is short.
+    """
+    end = HEAD_END.search(received)
+    length = len(received) if end is None else end.start()
+    if received.count(b"\n", 0, length) > MAX_HEADER_FIELDS:
         raise BadMessage(431, "too many header fields")
+    if memory_exhausted and length > MAX_HEAD_BYTES_WITHOUT_MEMORY:
+        raise BadMessage(503, "no memory for a head of this length")
 
 
 async def read_head(
@@ -152,13 +163,16 @@
     with _parser_errors_as_bad_messages():
         while True:
             if parser.our_role is h11.SERVER:
-                check_field_count(parser.trailing_data[0])
+                check_head(parser.trailing_data[0], connection.memory_exhausted)
             event = parser.next_event()
             if event is h11.NEED_DATA:
-                if on_data is not None and parser.trailing_data[0]:
+                unparsed_bytes = len(parser.trailing_data[0])
+                connection.set_parser_bytes(unparsed_bytes)
+                if on_data is not None and unparsed_bytes:
                     on_data()
                 parser.receive_data(await connection.read())
             elif isinstance(event, (h11.Request, h11.Response)):
+                connection.set_parser_bytes(len(parser.trailing_data[0]))
                 check_framing(event)
                 return event
             elif isinstance(event, h11.InformationalResponse):
@@ -199,7 +213,15 @@
         if not data:
             return True
         body.add(data)
-    return False
+    return _add_parsed_data(parser, body)
+
+
+def _add_parsed_data(parser: h11.Connection, body: Body) -> bool:
+    """Adds what the parser has of the body without reading more, and returns whether that completes it."""
+    with _parser_errors_as_bad_messages():
+        while isinstance(event := parser.next_event(), h11.Data):
+            body.add(bytes(event.data))
+    return isinstance(event, h11.EndOfMessage)
 
 
 @contextmanager
@@ -228,7 +250,8 @@
     elif request.body or request.method not in (b"GET", b"HEAD"):
         headers = [*headers, (b"content-length", b"%d" % len(request.body))]
     head = h11.Request(method=request.method, target=request.target, headers=headers)
-    return _encode(parser, head, request.body, request.rest is None)
+    buffered = request.body if isinstance(request.body, bytes) else request.body.contents()
+    return _encode(parser, head, buffered, request.rest is None)
 
 
 def encode_answer(parser: h11.Connection, answer: Answer, close: bool) -> bytes:
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -23,6 +23,7 @@
 from pepperusher.net.endpoint_update import parse_address, parse_endpoint_update, format_address
 from pepperusher.net.exchange import FORWARDED_OUTCOMES, Attempt, AttemptContext
 from pepperusher.net.log import Log
+from pepperusher.net.memory_limits import MemoryLimits
 from pepperusher.net.memory_report import MemoryReport, own_memory
 from pepperusher.net.message import Answer, PackedHeaders, Request, end_to_end_headers, text_answer
 from pepperusher.net.handover_state import HandoverState
@@ -59,11 +60,6 @@
 # closed after it.
 REDIRECT_CLOSE_DELAY_US = 600_000
 SWEEPS_PER_COUNTS_LINE = 240  # one line a minute
-# Held bodies and unsent data take at most this fraction of the memory that the process may use. The program itself
-# takes the first part.
-BODY_MEMORY_DIVISOR = 8
-# Data that was received and not yet consumed takes at most this fraction, and some kB more for each connection.
-RECEIVED_MEMORY_DIVISOR = 8
 # A line of discovery takes at most this fraction; parsing one takes several times its length.
 LINE_MEMORY_DIVISOR = 16
 # Settings that a running process cannot change when its configuration is reloaded.
@@ -105,11 +101,10 @@
         admission_gates = [extension.gate for extension in self._extensions if extension.gate is not None]
         invariants.check_invariant(len(admission_gates) <= 1, "a ticket goes through one gate")
         self._gate = admission_gates[0] if admission_gates else None
-        peer_memory = PeerMemory(bootstrap.memory // RECEIVED_MEMORY_DIVISOR)
-        self._pool = Pool(256, bootstrap.memory // BODY_MEMORY_DIVISOR, peer_memory)
-        self._budget = Budget(
-            _available_descriptors(bootstrap.sockets), sum(extension.descriptors for extension in self._extensions)
-        )
+        descriptors = _available_descriptors(bootstrap.sockets)
+        memory_limits = MemoryLimits.of(bootstrap.memory, descriptors)
+        self._pool = Pool(256, memory_limits.bodies, PeerMemory(memory_limits.received))
+        self._budget = Budget(descriptors, sum(extension.descriptors for extension in self._extensions))
         self._facade = Facade(bootstrap.policy_settings, clock.now(), self._log.say)
         # The callers' side registers first: where descriptors run out, its idle connections are closed first, since
         # they cost least.
@@ -126,7 +121,7 @@
             self._log,
             [extension.filter_endpoints for extension in self._extensions if extension.filter_endpoints is not None],
             bootstrap.policy_settings.seed,
-            peer_memory,
+            self._pool.peer_memory,
             min(LINE_MAX_BYTES, bootstrap.memory // LINE_MEMORY_DIVISOR),
         )
         self._memory_report = MemoryReport(
@@ -665,7 +660,8 @@
             try:
                 self._backends.sweep(clock.now())
                 self._callers.sweep(clock.now())
-                self._memory_report.check()
+                own = own_memory()
+                self._memory_report.check(own)
                 # Idle connections are not closed at once: their clients would open new ones, which the load balancer in
                 # front still sends here.
                 if self._sent_away_at is not None and clock.now() - self._sent_away_at >= REDIRECT_CLOSE_DELAY_US:
--- a/tests/memory_crowds.py
+++ b/tests/memory_crowds.py
@@ -1,7 +1,7 @@
 """Crowds of clients that cost a proxy memory, around a whole proxy in a process of its own, with ordinary clients beside them.
 
 Run as a program, this module prints for each crowd at one limit the proxy's peak memory and how the ordinary requests ended:
-`python -m tests.memory_crowds MEGABYTES DESCRIPTORS [crowd ...]`.
+`python -m tests.memory_crowds MEGABYTES DESCRIPTORS [crowd ...]`; crowds joined by + come one after another.
 """
 
 from __future__ import annotations
@@ -119,6 +119,33 @@
     await _receive(client)
 
 
+async def long_fields(client: socket.socket, name: str) -> None:
+    """Sends heads that are as long as may be, with fewer fields than may be."""
+    fields = b"".join(b"X-%d: %s\r\n" % (number, b"v" * 80) for number in range(LONG_HEAD_BYTES // 90))
+    for number in range(100):
+        await _send(client, request("look", f"slow-{name}.{number}")[:-2] + fields + b"\r\n")
+        await _receive(client)
+
+
+async def byte_chunks(client: socket.socket, name: str) -> None:
+    """Sends a body in chunks of a byte."""
+    await _send(client, _head_of_body(name, b"Transfer-Encoding: chunked") + b"1\r\nz\r\n" * 60_000)
+    await _receive(client)
+
+
+async def unread_answer(client: socket.socket, name: str) -> None:
+    """Asks for a long answer and reads nothing of it."""
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+    await _send(client, request("look", f"long-{name}"))
+    await asyncio.sleep(3.0)
+
+
+async def unsound(client: socket.socket, name: str) -> None:
+    """Sends what can't be read, with much behind it."""
+    await _send(client, b"GET / nonsense\r\n\r\n" + bytes(1_000_000))
+    await _receive(client)
+
+
 CROWDS: dict[str, tuple[Client, ...]] = {
     "many_fields": (many_fields,),
     "slow_head": (slow_head,),
@@ -127,6 +154,10 @@
     "slow_reader": (slow_reader,),
     "pipeline": (pipeline,),
     "silent": (silent,),
+    "long_fields": (long_fields,),
+    "byte_chunks": (byte_chunks,),
+    "unread_answer": (unread_answer,),
+    "unsound": (unsound,),
     "mixed": (many_fields, slow_head, slow_body, half_body, slow_reader, pipeline, silent),
 }
 
@@ -180,19 +211,22 @@
     return received.status, received.last_byte_s
 
 
-async def meet(megabytes: int, descriptors: int, kinds: tuple[Client, ...], stays_s: float = CROWD_STAYS_S) -> Outcome:
-    """Lets a crowd loose on a proxy, with ordinary requests beside it and after it."""
+async def meet(
+    megabytes: int, descriptors: int, *crowds: tuple[Client, ...], stays_s: float = CROWD_STAYS_S
+) -> Outcome:
+    """Lets crowds loose on a proxy, one after another, with ordinary requests beside them and after them."""
     loop = asyncio.get_running_loop()
     limits = {"memory_mb": megabytes, "sockets": descriptors}
     async with SlowProxyProcess(ANSWERS, backends=8, limits=limits, settings=LONG_TIMEOUT_SETTINGS) as proxy_process:
-        crowd = Crowd(proxy_process.port, kinds, descriptors * CROWD_TENTHS // 10)
-        ends_at = loop.time() + stays_s
-        asking = []
-        while loop.time() < ends_at and proxy_process.process.returncode is None:
-            asking.append(asyncio.create_task(ask_ordinary(proxy_process.port, len(asking))))
-            await asyncio.sleep(ORDINARY_PAUSE_S)
+        asking: list[asyncio.Task[tuple[str, float]]] = []
+        for kinds in crowds:
+            crowd = Crowd(proxy_process.port, kinds, descriptors * CROWD_TENTHS // 10)
+            ends_at = loop.time() + stays_s
+            while loop.time() < ends_at and proxy_process.process.returncode is None:
+                asking.append(asyncio.create_task(ask_ordinary(proxy_process.port, len(asking))))
+                await asyncio.sleep(ORDINARY_PAUSE_S)
+            await crowd.leave()
         results = await asyncio.gather(*asking)
-        await crowd.leave()
         after = ""
         for number in range(100):
             after, _ = await ask_ordinary(proxy_process.port, 1_000_000 + number)
@@ -210,7 +244,7 @@
 
 async def print_outcomes(megabytes: int, descriptors: int, names: list[str]) -> None:
     for name in names or CROWDS:
-        outcome = await meet(megabytes, descriptors, CROWDS[name])
+        outcome = await meet(megabytes, descriptors, *(CROWDS[one] for one in name.split("+")))
         print(
             f"{name} at {megabytes} MB, {descriptors} descriptors: peak {outcome.peak_bytes / MEGABYTE:.1f} MB,"
             f" ordinary {dict(outcome.statuses)}, slowest {outcome.slowest_s:.2f} s, then {outcome.after}",
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -21,9 +21,10 @@
 
 from pepperusher.group.messages import WANTS_STATE
 from pepperusher.net import backends, callers, memory_report
-from pepperusher.net.buffers import Pool
+from pepperusher.net.buffers import BUFFER_BYTES, Pool
 from pepperusher.net.callers import READ_AHEAD_DIVISOR
 from pepperusher.net.connection import READER_LIMIT_BYTES, StreamConnection, wrap_socket
+from pepperusher.net.memory_limits import MemoryLimits
 from pepperusher.net.memory_report import MemoryReport
 from pepperusher.net.node import PART_LENGTH, Node
 from pepperusher.net.peer_memory import (
@@ -48,6 +49,7 @@
 
     def __init__(self, unread_bytes: int, read_ahead_bytes: int, unsent_bytes: int) -> None:
         self.unread_bytes = unread_bytes
+        self.parser_bytes = 0
         self.read_ahead_bytes = read_ahead_bytes
         self.unsent_bytes = unsent_bytes
 
@@ -71,9 +73,8 @@
         pool.take()
         report = MemoryReport(LIMIT_MB * MEGABYTE, pool, (callers,), log)  # type: ignore[arg-type]
         for own_mb in (15, 25, 29, 15, 28, 71):
-            with mock.patch.object(memory_report, "own_memory", return_value=own_mb * MEGABYTE):
-                report.check()
-        held = "bodies 4; 2 callers: received 2048, read ahead 3072, unsent 1024"
+            report.check(own_mb * MEGABYTE)
+        held = f"bodies {BUFFER_BYTES // 1024}; 2 callers: received 2048, read ahead 3072, unsent 1024"
         self.assertEqual(
             [f"memory: {25 * 1024} of 81920 kB, {held}", f"memory: {71 * 1024} of 81920 kB, {held}"], log.lines
         )
@@ -84,6 +85,19 @@
         self.assertGreater(own, MEGABYTE)
 
 
+class Limits(unittest.TestCase):
+    def test_connections_come_first_and_what_is_held_has_a_part_of_the_rest(self) -> None:
+        for megabytes, descriptors, held_kilobytes in (
+            (192, 1024, 24 * 1024),
+            (64, 1024, 8 * 1024),
+            (40, 192, 5 * 1024),
+            (32, 1024, 512),
+            (16, 1024, 256),
+        ):
+            limits = MemoryLimits.of(megabytes * MEGABYTE, descriptors)
+            self.assertEqual((held_kilobytes * 1024,) * 2, tuple(limits))
+
+
 class Received(unittest.IsolatedAsyncioTestCase):
     async def test_connections_that_are_read_in_one_iteration_keep_within_the_limit_of_all(self) -> None:
         """Each of them received up to 256 KiB before any of it was consumed."""
--- a/tests/test_memory_crowds.py
+++ b/tests/test_memory_crowds.py
@@ -15,11 +15,11 @@
 @pytest.mark.timeout(240)
 class Crowds(unittest.IsolatedAsyncioTestCase):
     async def check(self, *names: str) -> None:
-        """Meets each crowd at each limit."""
+        """Meets each crowd at each limit; names joined by + are crowds that come one after another."""
         for name in names:
             for megabytes, descriptors in LIMITS:
                 with self.subTest(name, megabytes=megabytes):
-                    outcome = await meet(megabytes, descriptors, CROWDS[name])
+                    outcome = await meet(megabytes, descriptors, *(CROWDS[one] for one in name.split("+")))
                     self.assertLess(outcome.peak_bytes, megabytes * MEGABYTE, "".join(outcome.memory_lines))
                     self.assertEqual("200", outcome.after)
 
@@ -27,6 +27,9 @@
     async def test_heads_with_very_many_fields(self) -> None:
         await self.check("many_fields", "slow_head")
 
+    async def test_heads_that_are_as_long_as_may_be(self) -> None:
+        await self.check("long_fields")
+
     async def test_bodies_that_are_written_slowly(self) -> None:
         await self.check("slow_body")
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -19,7 +19,7 @@
 
 import pytest
 
-from pepperusher.net.buffers import MAX_HELD_BODY_BYTES
+from pepperusher.net.buffers import BUFFER_BYTES, MAX_HELD_BODY_BYTES
 
 from tests.scene import SETTINGS, LONG_TIMEOUT_SETTINGS, ProxyTestCase, own_address
 
@@ -345,19 +345,20 @@
         """Beyond the limit each body holds one or two buffers and is streamed from there on."""
         await self.open_with_handlers(LONG_TIMEOUT_SETTINGS, a1=self.answer_with_digest)
         pool = self.proxy._pool
-        pool._max_buffers = 40
-        most_lent = 0
+        limit_bytes = 160 * 1024
+        pool._max_buffers = limit_bytes // BUFFER_BYTES
+        most_lent_bytes = 0
         streams = [await self.connect() for _ in range(10)]
         for number, pair in enumerate(streams):
             pair[1].write(self.long_request(number, MAX_HELD_BODY_BYTES, left=60_000) + bytes(MAX_HELD_BODY_BYTES - 1))
         for _ in range(50):
             await asyncio.sleep(0.01)
-            most_lent = max(most_lent, pool._lent)
+            most_lent_bytes = max(most_lent_bytes, pool.lent_bytes)
         for pair in streams:
             pair[1].write(b"x")
         statuses = [(await self.read_response(pair[0])).split()[0] for pair in streams]
         self.assertEqual(["200"] * 10, statuses)
-        self.assertLess(most_lent, 40 + 10 * 5)
+        self.assertLess(most_lent_bytes, limit_bytes + 10 * 20 * 1024)
         await self.wait_until(lambda: pool._lent == 0)
 
     @pytest.mark.timeout(240)
