Freed memory is given back to the system when the process uses much of its limit

Cause: the C library keeps what is freed for later allocations, and each kind of load leaves gaps that another does not fit, so a process that meets one kind after another grows.

Change: from three fifths of the limit on, once a second at most, young garbage is collected (all of it every 10 s) and the free memory given back; without glibc garbage alone.

--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -24,6 +24,7 @@
 from pepperusher.net.exchange import FORWARDED_OUTCOMES, Attempt, AttemptContext
 from pepperusher.net.log import Log
 from pepperusher.net.memory_limits import MemoryLimits
+from pepperusher.net.memory_relief import MemoryRelief
 from pepperusher.net.memory_report import MemoryReport, own_memory
 from pepperusher.net.message import Answer, PackedHeaders, Request, end_to_end_headers, text_answer
 from pepperusher.net.handover_state import HandoverState
@@ -124,6 +125,7 @@
             self._pool.peer_memory,
             min(LINE_MAX_BYTES, bootstrap.memory // LINE_MEMORY_DIVISOR),
         )
+        self._memory_relief = MemoryRelief(bootstrap.memory)
         self._memory_report = MemoryReport(
             bootstrap.memory,
             self._pool,
@@ -662,6 +664,7 @@
                 self._callers.sweep(clock.now())
                 own = own_memory()
                 self._memory_report.check(own)
+                self._memory_relief.relieve(own, clock.now())
                 # Idle connections are not closed at once: their clients would open new ones, which the load balancer in
                 # front still sends here.
                 if self._sent_away_at is not None and clock.now() - self._sent_away_at >= REDIRECT_CLOSE_DELAY_US:
--- a/tests/test_memory.py
+++ b/tests/test_memory.py
@@ -20,11 +20,12 @@
 from unittest import mock
 
 from pepperusher.group.messages import WANTS_STATE
-from pepperusher.net import backends, callers, memory_report
+from pepperusher.net import backends, callers, memory_relief, memory_report
 from pepperusher.net.buffers import BUFFER_BYTES, Pool
 from pepperusher.net.callers import READ_AHEAD_DIVISOR
 from pepperusher.net.connection import READER_LIMIT_BYTES, StreamConnection, wrap_socket
 from pepperusher.net.memory_limits import MemoryLimits
+from pepperusher.net.memory_relief import MemoryRelief
 from pepperusher.net.memory_report import MemoryReport
 from pepperusher.net.node import PART_LENGTH, Node
 from pepperusher.net.peer_memory import (
@@ -98,6 +99,23 @@
             self.assertEqual((held_kilobytes * 1024,) * 2, tuple(limits))
 
 
+class Relief(unittest.TestCase):
+    # Guards against a process that keeps what it has freed until it passes its limit.
+    def test_memory_is_given_back_near_the_limit_and_once_a_second_at_most(self) -> None:
+        trimmed: list[int] = []
+        relief = MemoryRelief(100 * MEGABYTE)
+        with mock.patch.object(memory_relief, "_load_trim", return_value=trimmed.append):
+            for own_mb, now in ((59, 10), (61, 20), (70, 20.5), (70, 21), (50, 23), (None, 24)):
+                relief.relieve(None if own_mb is None else own_mb * MEGABYTE, int(now * 1e6))
+        self.assertEqual([0, 0], trimmed)
+
+    def test_a_platform_that_cannot_give_memory_back_collects_garbage_alone(self) -> None:
+        relief = MemoryRelief(MEGABYTE)
+        with mock.patch.object(memory_relief, "_load_trim", return_value=None):
+            relief.relieve(MEGABYTE, 10**7)
+        self.assertEqual(1, relief.count)
+
+
 class Received(unittest.IsolatedAsyncioTestCase):
     async def test_connections_that_are_read_in_one_iteration_keep_within_the_limit_of_all(self) -> None:
         """Each of them received up to 256 KiB before any of it was consumed."""
--- a/tests/test_memory_crowds.py
+++ b/tests/test_memory_crowds.py
@@ -45,6 +45,10 @@
     async def test_all_of_them_together(self) -> None:
         await self.check("mixed")
 
+    # Guards against memory that is freed by one kind of load and not given back for the next.
+    async def test_one_kind_after_another(self) -> None:
+        await self.check("half_body+long_fields+slow_reader+mixed")
+
 
 if __name__ == "__main__":
     unittest.main()
