A client's end that may be hidden behind unread data counts, and more is read ahead

Cause: an end stands behind all data. Beyond what is read ahead (1 MiB of a connection, a part of the memory of all) the client's data fills the kernel's buffer, the rest and the end wait in the client's own kernel, and nothing here shows them. A retry went out 0.25 to 0.6 s after the close. Class: the absence of a sign taken for a sign of life.

Change: where unread data fills a quarter of the kernel's buffer and the client has neither sent nor been written to without a reset for 50 ms, a request with others behind it is refused (503; what may have run as failed). Whoever pipelines and stays is served as before: each answer that is taken shows that it is there (test_leavers has 40 requests with no reading ahead). 4 MiB of one connection are read ahead in place of 1, within the same sum.

The stand-ins of the tests end their connections before the loop is closed: a writer that was collected afterwards made pytest itself fail while it printed a failure (AST constructor recursion depth mismatch).

--- a/pepperusher/net/callers.py
+++ b/pepperusher/net/callers.py
@@ -120,7 +120,17 @@
     leaving.
     """
 
-    __slots__ = ("request", "received_at", "forwarder", "on_disconnect", "left", "bad", "ticket", "_has_left")
+    __slots__ = (
+        "request",
+        "received_at",
+        "forwarder",
+        "on_disconnect",
+        "left",
+        "bad",
+        "ticket",
+        "_has_left",
+        "_end_may_be_hidden",
+    )
 
     def __init__(
         self,
@@ -128,8 +138,10 @@
         received_at: int,
         forwarder: ResponseForwarder | None = None,
         has_left: Callable[[], bool] = bool,
+        end_may_be_hidden: Callable[[], bool] = bool,
     ) -> None:
         self._has_left = has_left
+        self._end_may_be_hidden = end_may_be_hidden
         self.request = request
         self.received_at = received_at
         self.forwarder = forwarder
@@ -158,6 +170,12 @@
             self.set_left()
         return self.left
 
+    def may_have_left(self) -> bool:
+        """Whether the client may have left unseen, behind more requests than are read ahead. A longer body is no sign of
+        that: its own data fills the buffers.
+        """
+        return self.request.rest is None and self._end_may_be_hidden()
+
     def release_headers(self) -> None:
         """Called once the request's headers are needed no longer, or only in another form."""
         self.request = self.request._replace(headers=())
@@ -166,7 +184,7 @@
         """Called once the request is answered. Drops the callback that refers back to the connection; the reference
         cycle would last until a garbage collection.
         """
-        self._has_left = bool
+        self._has_left = self._end_may_be_hidden = bool
 
 
 class Caller:
@@ -408,7 +426,7 @@
         forwarder = ResponseForwarder(
             parser, connection, caller.set_waiting_for_reader, lambda: self._closes_with_answer(caller, call)
         )
-        call = Call(request, received_at, forwarder, connection.peer_has_left)
+        call = Call(request, received_at, forwarder, connection.peer_has_left, connection.end_may_be_hidden)
         del request  # the call lets go of what it needs no longer
         if connection.peer_ended:
             call.set_left()
--- a/pepperusher/net/connection.py
+++ b/pepperusher/net/connection.py
@@ -25,6 +25,10 @@
 # The stream reader stops reading above twice this many unread bytes, and goes on at this many; a peer that sends faster
 # is slowed down by TCP flow control. The last read may exceed that by what PeerMemory allows it.
 READER_LIMIT_BYTES = READ_BYTES // 2
+# The kernel announces less room to the peer than its buffer has, so this part of it may be all that it takes.
+HIDDEN_END_DIVISOR = 4
+# A peer that sent data, or was written to without a reset, so shortly before is still there.
+SIGN_OF_LIFE_US = 50_000
 # Every connection receives into this buffer, and copies what it received before the next one does.
 _receive_buffer = memoryview(bytearray(MAX_READ_BYTES))
 
@@ -54,6 +58,7 @@
         self._on_lost: Callable[[], None] | None = None
         self._lost = False
         self._write_pending = False
+        self._sent_at = 0  # when data was last written
         # Watches for the peer's end while so much unread data is buffered that the reader accepts no more; None where
         # the end need not be known at that time.
         self.disconnect_watcher: DisconnectWatcher | None = None
@@ -351,12 +356,26 @@
         poll.register(self.transport.get_extra_info("socket"), select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    def end_may_be_hidden(self) -> bool:
+        """Whether the peer may have ended the connection with nothing of it known here: so much unread data fills this
+        machine's buffer that the rest, and the end behind it, may wait at the peer, and nothing showed for a while that it
+        is still there. What is written to a peer that has gone is answered by a reset.
+        """
+        if self.peer_ended or self.transport.is_closing():
+            return False
+        unread_in_kernel = self.arrived_bytes - self.bytes_received
+        receive_buffer = self.transport.get_extra_info("socket").getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
+        if unread_in_kernel * HIDDEN_END_DIVISOR < receive_buffer:
+            return False
+        return clock.now() - max(self._sent_at, self.received_at()) > SIGN_OF_LIFE_US
+
     def send(self, data: bytes) -> bool:
         """Sends data and returns whether the kernel took all of it at once."""
         if self.closing:
             self._write_pending = True
             return False
         self.writer.write(data)
+        self._sent_at = clock.now()
         self._count_unsent(self.transport.get_write_buffer_size())
         if self.transport.is_closing():
             self._write_pending = True
--- a/pepperusher/net/disconnect_watcher.py
+++ b/pepperusher/net/disconnect_watcher.py
@@ -12,7 +12,7 @@
 from pepperusher.net.peer_memory import MIN_READ_BYTES
 
 # The most that is read ahead on one connection.
-MAX_READ_AHEAD_BYTES = 1024 * 1024
+MAX_READ_AHEAD_BYTES = 4 * 1024 * 1024
 
 
 class Watched(Protocol):
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -285,7 +285,11 @@
         if call.forwarder is not None:
             call.forwarder.prepare_head = prepare_head
         context = AttemptContext(
-            lambda: not call.check_disconnected() and self._facade.may_still_send(ticket, clock.now()),
+            lambda: (
+                not call.check_disconnected()
+                and not call.may_have_left()
+                and self._facade.may_still_send(ticket, clock.now())
+            ),
             lambda: call.left,
             lambda: self._facade.pause_attempt(ticket, clock.now()),
             lambda at: self._facade.resume_attempt(ticket, at),
@@ -306,8 +310,11 @@
                     await self._process_pause.wait_for_list()
                     step = self._facade.choose_backend(ticket, clock.now())
                     continue
-                if call.check_disconnected():
-                    # The client's end was found in the kernel before the event loop reported it: nothing more is sent.
+                if call.check_disconnected() or call.may_have_left():
+                    # The client's end was found in the kernel before the event loop reported it, or can't be found
+                    # there: nothing more is sent.
+                    if not call.left:
+                        self._events.count("end hidden")
                     outcome = "moot"
                     step = self._facade.report(ticket, outcome, clock.now(), False)
                     continue
--- a/tests/leavers.py
+++ b/tests/leavers.py
@@ -172,9 +172,11 @@
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             await reader.readuntil(b"\r\n\r\n")
             writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            while True:
+            while not writer.is_closing():
                 writer.write(b"1\r\n\n\r\n")
-                await asyncio.sleep(1)
+                await asyncio.wait([reading := asyncio.ensure_future(reader.read(1))], timeout=1)
+                reading.cancel()
+        writer.transport.abort()
 
     async def __aexit__(self, *_: object) -> None:
         if self.process.returncode is None:
@@ -184,6 +186,8 @@
         for backend in self.backends:
             backend.close()
         self.discovery.close()
+        # Lets the stand-ins see the end of the proxy's connections, so that no writer is left when the loop is closed.
+        await asyncio.sleep(0.05)
         self.folder.cleanup()
 
     def connect(self) -> socket.socket:
--- a/tests/slow_backends.py
+++ b/tests/slow_backends.py
@@ -63,20 +63,30 @@
         self.listener.bind(("127.0.0.1", 0))
         self.port: int = self.listener.getsockname()[1]
         self.server: asyncio.Server | None = None
+        self._serving: set[asyncio.Task[None]] = set()
 
     async def open(self) -> None:
         self.listener.listen(256)
         self.server = await asyncio.start_server(self._serve, sock=self.listener, limit=SMALL_BUFFER_BYTES)
 
     def close(self) -> None:
+        for task in self._serving:
+            task.cancel()
         if self.server is not None:
             self.server.close()
         self.listener.close()
 
     async def _serve(self, reader: asyncio.StreamReader, writer: Writer) -> None:
-        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-            while await self._serve_one(reader, writer):
-                pass
+        task = asyncio.current_task()
+        assert task is not None
+        self._serving.add(task)
+        task.add_done_callback(self._serving.discard)
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            try:
+                while await self._serve_one(reader, writer):
+                    pass
+            except asyncio.CancelledError:
+                writer.transport.abort()
         writer.close()
 
     async def _serve_one(self, reader: asyncio.StreamReader, writer: Writer) -> bool:
