--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -11,7 +11,7 @@
 from typing import Any
 
 from pepperusher import invariants
-from pepperusher.facade import BOUNCE, HOLD, REFERENCED, REPLAYABLE, SCRAP, SEND, Endpoint, Facade, Step
+from pepperusher.facade import BOUNCE, HOLD, OUTCOMES, REFERENCED, REPLAYABLE, SCRAP, SEND, Endpoint, Facade, Step
 from pepperusher.settings import parse_load_report
 from pepperusher.net import clock, load_reports
 from pepperusher.net.backends import Backends
@@ -30,11 +30,12 @@
 from pepperusher.net.handover_state import HandoverState
 from pepperusher.net.peer_memory import PeerMemory
 from pepperusher.net.request_headers import BadRequest, duration_of, read_headers, timeout_of
+from pepperusher.net.request_ids import RequestIds
 from pepperusher.net.request_events import RequestEvents
 from pepperusher.net.process_pause import ProcessPause
 from pepperusher.net.bootstrap import BootstrapConfiguration, BootstrapError
 from pepperusher.net.watch_stream import LINE_MAX_BYTES
-from pepperusher.terms import PolicySettings
+from pepperusher.terms import NEVER_RAN, PolicySettings
 
 READY_ANSWER = text_answer(200, "ready")
 INTERNAL_ERROR_ANSWER = text_answer(500, "an error in the proxy")
@@ -132,7 +133,7 @@
             (self._callers.peers, self._backends.peers, self._discovery.peers),
             self._log,
         )
-        self._open_request_ids: set[bytes] = set()  # Request-Ids of the tickets in hand; removed as the tickets end
+        self._request_ids = RequestIds()
         self._stopping = asyncio.Event()
         self._sent_away_at: int | None = None  # when operators began to redirect clients; None while they do not
         self._has_successor = False  # set when the stop begins: whether another process takes over the address
@@ -165,14 +166,13 @@
                 if call.request.target.split(b"?")[0] == b"/ready":
                     return READY_ANSWER if self._takes_clients else NOT_READY_ANSWER
                 raise BadRequest("Request-Id is missing")
-            if request_id in self._open_request_ids:
-                # Sending it on would put the same ticket out twice at the same time.
-                raise BadRequest("a ticket with this Request-Id is in hand", 409)
-            self._open_request_ids.add(request_id)
+            if not self._request_ids.add(request_id, clock.now()):
+                # Sent on, it would run twice.
+                raise BadRequest("a ticket with this Request-Id is in hand, or may have run", 409)
             try:
                 answer = await self._serve_ticket(call, proxy_headers)
             finally:
-                self._open_request_ids.discard(request_id)
+                self._request_ids.remove(request_id)
             invariants.check_invariant(
                 answer is not None or call.left or call.answer_started,
                 "a ticket ends with an answer unless its client left",
@@ -359,6 +359,8 @@
                     context,
                     call.forwarder,
                 )
+                if attempt.written and retry_class != REPLAYABLE and OUTCOMES[outcome] not in NEVER_RAN:
+                    self._request_ids.may_have_run(request_id, clock.now())
                 self._events.attempt_ended(
                     request_id, step.backend, outcome, attempt.reason, clock.now() - attempt_began
                 )
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -122,15 +122,15 @@
 
             fake_backend.answer = answer_and_leave
         await self.open_idle_connections()
-        for use_case, status in (("look", "503"), ("book", "502"), ("pay", "502")):
+        for number, (use_case, status) in enumerate((("look", "503"), ("book", "502"), ("pay", "502")), 7):
             client = self.connect_socket()
             for fake_backend in self.fake_backends.values():
                 fake_backend.behaviors = ["HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"]
             del self.lines[:]
             pending_leavers.append(client)
-            client.sendall(self.request(use_case, 7))
+            client.sendall(self.request(use_case, number))
             self.assertEqual(f"{status} end", await self.read_to_end(client), use_case)
-            self.assertEqual(1, len(self.backends_reached_by(7)), use_case)
+            self.assertEqual(1, len(self.backends_reached_by(number)), use_case)
             self.assertEqual([], pending_leavers)
 
     async def test_what_is_not_written_whole_goes_no_further(self) -> None:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -431,7 +431,7 @@
         await self.send_request("look 1 of another", self.request("look", 1))
         self.fake_backends["a1"].release.set()
         self.lines.append(
-            f"look 1 -> {await self.read_response(streams[0])}, names kept: {len(self.proxy._open_request_ids)}"
+            f"look 1 -> {await self.read_response(streams[0])}, names kept: {len(self.proxy._request_ids._in_hand)}"
         )
         self.compare_trace("net_names")
 
