Two processes of one proxy share the ids of their requests during an upgrade

Cause: each process knew its own ids alone, and both serve one address for up to 4 s.

Change: while another process stands, each appends the ids that it takes to a file of its own in $TMPDIR, before they are sent on, and reads the other's before it takes one; the active process writes what it has before it tells its successor that it was noticed, which is before the successor serves. Two writes and reads of a few bytes a request, for the seconds of an upgrade alone. What was told is kept for 30 s after the other's end.

Measured: test_handover, two processes: ids of a request whose client has left and of one in hand at the old process were sent on by the new one before (200), and have 409 now. 88 tests of handover, console, ids, net and descriptors pass. Not covered: both processes reading the same id within the same instant.

--- a/pepperusher/console/admin_handlers.py
+++ b/pepperusher/console/admin_handlers.py
@@ -12,6 +12,7 @@
 from pepperusher.console.admin_listener import CONNECTIONS_MAX, AdminListener
 from pepperusher.console.admin_commands import NEVER, AdminCommand, AdminCommands
 from pepperusher.console.process_slot import ProcessSlot, process_slots
+from pepperusher.console.shared_request_ids import SharedRequestIds
 from pepperusher.console.process_liveness import ProcessLiveness
 from pepperusher.console.state import BadState, State
 from pepperusher.net import clock
@@ -42,8 +43,8 @@
     second its successor. Each publishes its state in a file beside its lock, where the other reads it.
     """
 
-    # The listener, two lock files, and connections that were just closed in favor of others.
-    descriptors = 5 + CONNECTIONS_MAX
+    # The listener, two lock files, two files of request ids, and connections that were just closed in favor of others.
+    descriptors = 7 + CONNECTIONS_MAX
     shares_address = True
 
     def __init__(self, address: tuple[str, int], policy_settings: PolicySettings, log: Log) -> None:
@@ -59,6 +60,7 @@
         self._successor_slot: ProcessSlot | None = None
         # Returns how many proxies of the group hold this one's commands, and of how many; None outside a group.
         self.held: Callable[[], Awaitable[tuple[int, int] | None]] | None = None
+        self._shared_request_ids: SharedRequestIds | None = None
         self._token = f"{os.getpid()}-{clock.now()}"
         self._serving = False
         self._successor_token = ""  # the successor's token, once the successor has been noticed
@@ -93,6 +95,7 @@
                 self._merge(handed_over._replace(drain=NEVER))
             return
         host.limit_share(SHARED_PART)
+        self._share_request_ids()
         self._store_state()
         handed_over = await self._wait_for_handover()
         if handed_over is not None:
@@ -162,6 +165,7 @@
             self._write_state()
             self._successor_slot.release()
             self._proxy.limit_share(1.0)
+            self._stop_sharing_request_ids()
             self._log.say("the previous process has ended")
             return
         if not self._active:
@@ -176,6 +180,7 @@
             if self._successor_token:
                 self._successor_token, self._successor_serves = "", False
                 self._proxy.limit_share(1.0)
+                self._stop_sharing_request_ids()
                 self._write_state()
                 self._log.say("the successor process has ended")
             return
@@ -185,9 +190,31 @@
             if other_state.seen != self._successor_token:
                 self._successor_token = other_state.seen
                 self._proxy.limit_share(SHARED_PART)
+                # Before the successor is told that it was noticed, since it serves from then on.
+                self._share_request_ids()
                 self._write_state()
         self._steer_around_hang(self._successor_slot)
 
+    def _share_request_ids(self) -> None:
+        """Begins to share the ids of requests with the other process, so that none runs at both."""
+        assert self._active_slot is not None and self._successor_slot is not None
+        self._stop_sharing_request_ids()
+        paths = self._active_slot.request_ids_path, self._successor_slot.request_ids_path
+        own_path, other_path = paths if self._active else reversed(paths)
+        try:
+            self._shared_request_ids = SharedRequestIds(own_path, other_path)
+        except OSError as error:
+            self._log.say(f"the ids of requests are not shared: {error.strerror or error}")
+            return
+        self._proxy.request_ids.share(self._shared_request_ids, clock.now())
+
+    def _stop_sharing_request_ids(self) -> None:
+        """Ends that; what the other process has told until now is kept."""
+        if self._shared_request_ids is not None:
+            self._proxy.request_ids.share(None, clock.now())
+            self._shared_request_ids.close()
+            self._shared_request_ids = None
+
     def _steer_around_hang(self, other: ProcessSlot) -> None:
         """Steers all new connections to this process while the other one hangs.
 
--- a/pepperusher/console/process_slot.py
+++ b/pepperusher/console/process_slot.py
@@ -20,6 +20,7 @@
         self._lock = os.open(folder / f"{name}.lock", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
         self._path = folder / f"{name}.state"
         self._temporary_path = folder / f"{name}.state.new"
+        self.request_ids_path = folder / f"{name}.ids"  # where its holder writes the ids of its requests
         self._last_read: tuple[int, int, int] | None = None
         self.held = False
 
--- a/pepperusher/net/extension.py
+++ b/pepperusher/net/extension.py
@@ -15,6 +15,7 @@
 
 if TYPE_CHECKING:
     from pepperusher.net.discovery import Discovery
+    from pepperusher.net.request_ids import RequestIds
     from pepperusher.net.message import Answer, Request
     from pepperusher.net.handover_state import HandoverState
     from pepperusher.terms import PolicySettings
@@ -51,6 +52,10 @@
         """Limits this process to a share of the descriptors and the memory, while two processes share them."""
         ...
 
+    @property
+    def request_ids(self) -> RequestIds:
+        """The ids of the requests that this process has taken."""
+
     def handover_state(self) -> HandoverState:
         """The state to hand over to the next process."""
         ...
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -505,6 +505,10 @@
         filtering = [extension for extension in self._extensions if extension.filter_endpoints is not None]
         self._discovery.publish(endpoints, False, filtering.index(source) + 1)
 
+    @property
+    def request_ids(self) -> RequestIds:
+        return self._request_ids
+
     @property
     def policy_settings(self) -> PolicySettings:
         return self._bootstrap.policy_settings
--- a/pepperusher/net/request_ids.py
+++ b/pepperusher/net/request_ids.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
+from typing import Protocol
+
 # An id that may have run is rejected for this long. That is longer than a client waits for an answer, and than most backends
 # work on a request whose client has left.
 SENT_ID_RETENTION_US = 30_000_000
@@ -9,6 +12,16 @@
 MAX_SENT_IDS = 4096
 
 
+class OtherProcess(Protocol):
+    """Another process of the same proxy, which serves requests at the same address."""
+
+    def publish(self, request_ids: Iterable[bytes]) -> None:
+        """Tells it of ids that were taken in hand here."""
+
+    def received(self) -> list[bytes]:
+        """The ids that it has told since the last call."""
+
+
 class RequestIds:
     """Keeps one request from running twice under its id. A client gives each request an id of its own, its retries too."""
 
@@ -16,13 +29,31 @@
         self._in_hand: set[bytes] = set()  # removed as the tickets end
         # When each id was sent to a backend that may have run it, in the order of that; removed when it is old.
         self._sent: dict[bytes, int] = {}
+        self._other_process: OtherProcess | None = None
+
+    def share(self, other_process: OtherProcess | None, now: int) -> None:
+        """Shares all ids with another process from now on, or with none any more."""
+        if self._other_process is not None:
+            self._receive(now)
+        self._other_process = other_process
+        if other_process is not None:
+            other_process.publish([*self._in_hand, *self._sent])
+
+    def _receive(self, now: int) -> None:
+        """Takes over what the other process has told."""
+        if self._other_process is not None:
+            for request_id in self._other_process.received():
+                self.may_have_run(request_id, now)
 
     def add(self, request_id: bytes, now: int) -> bool:
         """Takes a request in hand. Returns False if its id is in hand, or may have run a short time ago."""
+        self._receive(now)
         self._drop_old(now)
         if request_id in self._in_hand or request_id in self._sent:
             return False
         self._in_hand.add(request_id)
+        if self._other_process is not None:
+            self._other_process.publish([request_id])
         return True
 
     def remove(self, request_id: bytes) -> None:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -284,6 +284,36 @@
                 )
                 self.number += 1
 
+    # Guards against an id that runs twice because it comes again at the other process of an upgrade (issue 69, d).
+    async def test_an_id_that_one_process_took_is_not_sent_on_by_the_other(self) -> None:
+        await self.start_scene("a1", "b1")
+        first = await self.process()
+        for fake_backend in self.fake_backends.values():
+            fake_backend.behaviors = ["silent"] * 4
+        left, stays = "left-before", "in-hand"
+        for number in (left, stays):
+            _, writer = await asyncio.open_connection(*self.at)
+            writer.write(self.request("pay", number, left=60_000))
+            await self.wait_until(lambda number=number: self.attempts_of(number))
+            if number == left:
+                writer.close()
+        await self.process()
+        ending = asyncio.create_task(first.end())
+        for fake_backend in self.fake_backends.values():
+            fake_backend.behaviors = []
+        await first.wait_for_log("another process takes over")
+        reader, writer = await asyncio.open_connection(*self.at)
+        for number, status in ((left, "409"), (stays, "409"), ("new", "200")):
+            writer.write(self.request("pay", number))
+            self.assertIn(status, await self.read_response(reader), number)
+            await asyncio.sleep(0.15)  # a request that is rejected has its connection read again after a pause
+        self.assertEqual([1, 1, 1], [self.attempts_of(number) for number in (left, stays, "new")])
+        writer.close()
+        await ending
+
+    def attempts_of(self, request_id: str) -> int:
+        return sum(f" id {request_id} " in f"{line} " for line in self.lines if " gets " in line)
+
     async def test_a_next_process_that_dies_leaves_the_first_whole_and_a_killed_one_is_followed(self) -> None:
         await self.start_scene("a1", "b1")
         first = await self.process()
