A repeat is bound to the group of the process that ran it, not to its id's present one

Cause: the group that drops repeats was read from the list's present entry under the id to which the first attempt went. Where another process is listed under that id in another cell or zone by then, the repeat went to the new one's group. So did a repeat that the store remembers: it has the cell, and the present one was taken. Class: an attribute of the past read from present state.

Change: an attempt keeps the cell and zone of its backend as it was sent; a remembered one the cell of the store.

--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -195,12 +195,10 @@
         """Restores an attempt that was sent under the same idempotency key before this ticket was opened, so that the
         retry rules apply to the key. `may_have_run` is false if it is known never to have run. Must be called before
         the first `choose_backend`."""
-        known = self._backends.get(backend)
-        if known is None:
-            # The backend is off the list, but its deduplication group may still exist, so only its cell is set.
-            known = Backend(backend)
-            known.cell = cell
-        attempt = terms.Attempt(ticket, known, sent_at, 0, False)
+        # The backend may be off the list, and its id may stand for another process by now; its deduplication group may
+        # still exist.
+        attempt = terms.Attempt(ticket, self._backends.get(backend) or Backend(backend), sent_at, 0, False)
+        attempt.cell = cell
         attempt.outcome = terms.UNKNOWN if may_have_run else terms.FULL
         ticket.attempts.append(attempt)
 
--- a/pepperusher/policy.py
+++ b/pepperusher/policy.py
@@ -198,7 +198,7 @@
             candidates = [
                 b
                 for b in self._backends
-                if _same_deduplication_group(bound_by.backend, b, use_case.scope)
+                if _same_deduplication_group(bound_by, b, use_case.scope)
                 and _placement_allows(use_case, b)
                 and (b.state == CLOSED or self._breaker_admits(b, now))
                 and self._has_capacity(b, now)
@@ -322,7 +322,7 @@
             if b.state == OPEN
             and self._has_capacity(b, now)
             and _placement_allows(use_case, b)
-            and (bound_by is None or _same_deduplication_group(bound_by.backend, b, use_case.scope))
+            and (bound_by is None or _same_deduplication_group(bound_by, b, use_case.scope))
         ]
         best = min(candidates, key=attrgetter("open_until"), default=None)
         if best is not None:
@@ -896,8 +896,8 @@
         return SCRAP
 
 
-def _same_deduplication_group(ran: Backend, other: Backend, scope: int) -> bool:
-    """Returns whether `other` recognizes and drops a repeat of a request that ran at `ran`."""
+def _same_deduplication_group(ran: Attempt, other: Backend, scope: int) -> bool:
+    """Returns whether `other` recognizes and drops a repeat of a request that ran in the attempt `ran`."""
     return ran.cell == other.cell if scope == SCOPE_CELL else scope != SCOPE_ZONE or ran.zone == other.zone
 
 
--- a/pepperusher/terms.py
+++ b/pepperusher/terms.py
@@ -283,13 +283,29 @@
 
 
 class Attempt:
-    """One attempt to send a ticket to a backend. `outcome` is None while it is in flight."""
+    """One attempt to send a ticket to a backend. `outcome` is None while it is in flight; `cell` and `zone` are the
+    backend's when it was sent.
+    """
 
-    __slots__ = ("ticket", "backend", "sent_at", "timeout", "generation", "is_trial", "outcome", "paused_at")
+    __slots__ = (
+        "ticket",
+        "backend",
+        "cell",
+        "zone",
+        "sent_at",
+        "timeout",
+        "generation",
+        "is_trial",
+        "outcome",
+        "paused_at",
+    )
 
     def __init__(self, ticket: Ticket, backend: Backend, sent_at: int, timeout: int, is_trial: bool) -> None:
         self.ticket = ticket
         self.backend = backend
+        # Another process may be listed under the same id by the time of a retry.
+        self.cell = backend.cell
+        self.zone = backend.zone
         self.sent_at = sent_at
         self.timeout = timeout
         self.generation = backend.generation
--- a/tests/test_tickets.py
+++ b/tests/test_tickets.py
@@ -1,4 +1,4 @@
-from pepperusher.terms import DONE, ERROR, FULL, OPEN, SCRAP, TIMED_OUT, Backend, Customer, Ticket
+from pepperusher.terms import DONE, ERROR, FULL, OPEN, SCRAP, TIMED_OUT, Backend, Customer, Listing, Ticket
 
 from tests.scene import SECOND, BalancerTestCase
 
@@ -282,3 +282,21 @@
         self.end_attempt(bound, ERROR, 0.01)
         self.choose_backend(bound)
         self.compare_trace("busy_cell")
+
+    # Guards against a repeat that runs twice because another process is listed under the id of the one that ran it, in a
+    # deduplication group that does not know the repeat (issue 69, e).
+    def test_a_repeat_goes_to_the_group_of_the_process_that_ran_it(self) -> None:
+        for moved_to, expected in ((2, "b1"), (1, "a1 b1")):
+            self.open("a1", "b1", "c2")
+            bound = self.ticket("book", timeout_s=4.0)
+            while (chosen := self.choose_backend(bound, quiet=True)) is not self.backends["a1"]:
+                self.assertIsInstance(chosen, Backend)
+                self.end_attempt(bound, FULL, quiet=True)
+                bound = self.ticket("book", timeout_s=4.0)
+            backend = self.backends["a1"]
+            replaced = Listing(backend, "here", moved_to, 1.0, self.now, True)
+            self.balancer.update_endpoints([replaced], False, self.now)
+            self.end_attempt(bound, ERROR, 0.01, quiet=True)
+            again = self.choose_backend(bound, quiet=True)
+            assert isinstance(again, Backend)
+            self.assertIn(again.address, expected.split())
