Data that still arrives is no sign that its client is there, its request alone is

Cause: the check of the hidden end took the arrival of any data within 50 ms for a sign of life. While memory is short a client's buffered requests are read a little at a time, and what its kernel still holds arrives long after it has closed. Now the request's own arrival counts, and answers that are taken.

--- a/pepperusher/net/call.py
+++ b/pepperusher/net/call.py
@@ -8,6 +8,11 @@
 from pepperusher.net.message import Request
 
 
+def _not_hidden(request_received_at: int) -> bool:
+    """Stands for the check of a call whose connection is not known."""
+    return False
+
+
 class Call:
     """One request from a caller. `on_disconnect` is called if its client leaves before the answer.
 
@@ -34,7 +39,7 @@
         received_at: int,
         forwarder: ResponseForwarder | None = None,
         has_left: Callable[[], bool] = bool,
-        end_may_be_hidden: Callable[[], bool] = bool,
+        end_may_be_hidden: Callable[[int], bool] = _not_hidden,
     ) -> None:
         self._has_left = has_left
         self._end_may_be_hidden = end_may_be_hidden
@@ -70,7 +75,7 @@
         """Whether the client may have left unseen, behind more requests than are read ahead. A longer body is no sign of
         that: its own data fills the buffers.
         """
-        return self.request.rest is None and self._end_may_be_hidden()
+        return self.request.rest is None and self._end_may_be_hidden(self.received_at)
 
     def release_headers(self) -> None:
         """Called once the request's headers are needed no longer, or only in another form."""
@@ -80,4 +85,5 @@
         """Called once the request is answered. Drops the callback that refers back to the connection; the reference
         cycle would last until a garbage collection.
         """
-        self._has_left = self._end_may_be_hidden = bool
+        self._has_left = bool
+        self._end_may_be_hidden = _not_hidden
--- a/pepperusher/net/connection.py
+++ b/pepperusher/net/connection.py
@@ -27,7 +27,7 @@
 READER_LIMIT_BYTES = READ_BYTES // 2
 # The kernel announces less room to the peer than its buffer has, so this part of it may be all that it takes.
 HIDDEN_END_DIVISOR = 4
-# A peer that sent data, or was written to without a reset, so shortly before is still there.
+# A peer that sent its request, or was written to without a reset, so shortly before is still there.
 SIGN_OF_LIFE_US = 50_000
 # Every connection receives into this buffer, and copies what it received before the next one does.
 _receive_buffer = memoryview(bytearray(MAX_READ_BYTES))
@@ -356,10 +356,11 @@
         poll.register(self.transport.get_extra_info("socket"), select.POLLRDHUP)
         return bool(poll.poll(0))
 
-    def end_may_be_hidden(self) -> bool:
+    def end_may_be_hidden(self, request_received_at: int) -> bool:
         """Whether the peer may have ended the connection with nothing of it known here: so much unread data fills this
-        machine's buffer that the rest, and the end behind it, may wait at the peer, and nothing showed for a while that it
-        is still there. What is written to a peer that has gone is answered by a reset.
+        machine's buffer that the rest, and the end behind it, may wait at the peer, and neither its request nor an answer
+        that it took shows that it was there a short time ago. What is written to a peer that has gone is answered by a
+        reset; data that still arrives shows nothing, since its kernel may hold it.
         """
         if self.peer_ended or self.transport.is_closing():
             return False
@@ -367,7 +368,7 @@
         receive_buffer = self.transport.get_extra_info("socket").getsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF)
         if unread_in_kernel * HIDDEN_END_DIVISOR < receive_buffer:
             return False
-        return clock.now() - max(self._sent_at, self.received_at()) > SIGN_OF_LIFE_US
+        return clock.now() - max(self._sent_at, request_received_at) > SIGN_OF_LIFE_US
 
     def send(self, data: bytes) -> bool:
         """Sends data and returns whether the kernel took all of it at once."""
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -288,12 +288,12 @@
                 self.looks += 1
                 return self.looks > 2
 
-        for use in ("book", "pay"):
+        for number, use in enumerate(("book", "pay"), 1):
             for toy in self.fake_backends.values():
                 toy.behaviors = ["break"]
             self.lines.clear()  # the backends add lines too
             with mock.patch.object(type(confirmation), "expired", Expires()):
-                await self.send_request(f"{use} 1", self.request(use, 1, "a body"))
+                await self.send_request(f"{use} {number}", self.request(use, number, "a body"))
             self.assertEqual(1, sum(" gets POST" in line for line in self.lines), self.lines)
             self.assertIn("502", self.lines[-1])
 
