--- a/pepperusher/net/connection.py
+++ b/pepperusher/net/connection.py
@@ -29,7 +29,7 @@
 # length tells.
 HIDDEN_END_BYTES = 4 * 1024
 # A peer that sent its request, or was written to without a reset, so shortly before is still there.
-SIGN_OF_LIFE_US = 50_000
+SIGN_OF_LIFE_US = 80_000
 # Every connection receives into this buffer, and copies what it received before the next one does.
 _receive_buffer = memoryview(bytearray(MAX_READ_BYTES))
 
