Ids that may have run are bounded by their length as well as their number

Change: 256 KiB of ids at the most, the oldest dropped first. A formatter's marker without use is gone from test_floods.

--- a/pepperusher/net/request_ids.py
+++ b/pepperusher/net/request_ids.py
@@ -8,8 +8,9 @@
 # An id that may have run is rejected for this long. That is longer than a client waits for an answer, and than most backends
 # work on a request whose client has left.
 SENT_ID_RETENTION_US = 30_000_000
-# The most ids that are kept; the oldest are dropped first.
+# The most ids that are kept, and their length in all, since a client may send long ones; the oldest are dropped first.
 MAX_SENT_IDS = 4096
+MAX_SENT_ID_BYTES = 256 * 1024
 
 
 class OtherProcess(Protocol):
@@ -29,6 +30,7 @@
         self._in_hand: set[bytes] = set()  # removed as the tickets end
         # When each id was sent to a backend that may have run it, in the order of that; removed when it is old.
         self._sent: dict[bytes, int] = {}
+        self._sent_bytes = 0  # their length in all
         self._other_process: OtherProcess | None = None
 
     def share(self, other_process: OtherProcess | None, now: int) -> None:
@@ -62,14 +64,20 @@
 
     def may_have_run(self, request_id: bytes, now: int) -> None:
         """Records that a request that must not run twice was sent and may have run."""
-        self._sent.pop(request_id, None)
+        if request_id in self._sent:
+            self._drop(request_id)
         self._sent[request_id] = now
-        if len(self._sent) > MAX_SENT_IDS:
-            del self._sent[next(iter(self._sent))]
+        self._sent_bytes += len(request_id)
+        while len(self._sent) > MAX_SENT_IDS or self._sent_bytes > MAX_SENT_ID_BYTES:
+            self._drop(next(iter(self._sent)))
+
+    def _drop(self, request_id: bytes) -> None:
+        del self._sent[request_id]
+        self._sent_bytes -= len(request_id)
 
     def _drop_old(self, now: int) -> None:
         while self._sent:
             request_id = next(iter(self._sent))
             if now - self._sent[request_id] < SENT_ID_RETENTION_US:
                 break
-            del self._sent[request_id]
+            self._drop(request_id)
--- a/tests/test_floods.py
+++ b/tests/test_floods.py
@@ -54,11 +54,9 @@
     "chunks of a byte": (BYTE_CHUNKS_HEAD, _byte_chunks),
     "many fields": (
         b"",
-        lambda: (
-            _many(lambda number: request("look", f"flood-{number}")[:-2] + b"a:\r\n" * 200 + b"\r\n")
-        ),
+        lambda: _many(lambda number: request("look", f"flood-{number}")[:-2] + b"a:\r\n" * 200 + b"\r\n"),
     ),
-}  # fmt: skip
+}
 
 
 def own_memory_of(pid: int) -> int:
