A body's reader that is cancelled while it waits for a turn loses no parsed chunk

An answer of unknown length is held back for a second at the most; where that time ended during the wait, the chunks were gone, and the client got an answer that no backend made.

--- a/pepperusher/net/message.py
+++ b/pepperusher/net/message.py
@@ -193,7 +193,8 @@
     parts: list[bytes] = []
     with _parser_errors_as_bad_messages():
         while parser.their_state in (h11.SEND_BODY, h11.ERROR):
-            await connection.wait_for_turn()
+            if not parts:
+                await connection.wait_for_turn()  # a reader that is cancelled here has taken nothing yet
             event = parser.next_event()
             if isinstance(event, h11.Data):
                 connection.count_parsed()
