--- a/review/common_2/stage.py
+++ b/review/common_2/stage.py
@@ -136,6 +136,8 @@
         self.servers: dict[str, dict[str, Any]] = {}
         self.port = 0
         self._watches: list[asyncio.Queue[bytes]] = []
+        self.silent = False  # open watches say nothing more, and stay open
+        self.refusing = False  # each call is answered 503
 
     async def start(self) -> None:
         self.port = await self._stage.listen(self._serve)
@@ -172,6 +174,11 @@
         while (message := await read_message(reader)) is not None:
             target = message[0].split(" ")[1]
             whole = json.dumps(self.whole()).encode() + b"\n"
+            if self.refusing:
+                self._stage.note("discovery refuses a call")
+                writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
+                await writer.drain()
+                return
             if "watch=1" not in target:
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(whole), whole))
                 await writer.drain()
@@ -182,6 +189,8 @@
             line = whole
             try:
                 while True:
+                    if self.silent:
+                        await asyncio.Event().wait()
                     writer.write(b"%x\r\n%b\r\n" % (len(line), line))
                     await writer.drain()
                     try:
