--- a/review/common_2/stage.py
+++ b/review/common_2/stage.py
@@ -138,6 +138,7 @@
         self._watches: list[asyncio.Queue[bytes]] = []
         self.silent = False  # open watches say nothing more, and stay open
         self.refusing = False  # each call is answered 503
+        self.delay = 0.0  # seconds that a call waits for its first word
 
     async def start(self) -> None:
         self.port = await self._stage.listen(self._serve)
@@ -173,6 +174,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while (message := await read_message(reader)) is not None:
             target = message[0].split(" ")[1]
+            await asyncio.sleep(self.delay)
             whole = json.dumps(self.whole()).encode() + b"\n"
             if self.refusing:
                 self._stage.note("discovery refuses a call")
