--- a/review/common_2/stage.py
+++ b/review/common_2/stage.py
@@ -83,6 +83,7 @@
         self.began = time.monotonic()
         self.lines: list[str] = []
         self.servers: list[asyncio.Server] = []
+        self.servers_by_port: dict[int, asyncio.Server] = {}
         self.writers: set[asyncio.StreamWriter] = set()
         self.proxies: list[Proxy] = []
         self._record = folder / "record.txt"
@@ -110,6 +111,7 @@
         server = await asyncio.start_server(guarded, HOST, port, limit=1 << 20)
         self.servers.append(server)
         found: int = server.sockets[0].getsockname()[1]
+        self.servers_by_port[found] = server
         return found
 
     async def close(self) -> None:
@@ -232,11 +234,27 @@
         self.runs: list[Run] = []
         self.act: Callable[[Run, asyncio.StreamWriter], Awaitable[bool]] | None = None
         self.remembered: dict[str, float] = {}  # shared by the backends of a cell
+        self._writers: set[asyncio.StreamWriter] = set()
 
     async def start(self, port: int = 0) -> None:
         self.port = await self.stage.listen(self._serve, port)
 
+    async def stop(self) -> None:
+        """Ends the backend as a process that dies does: connections are reset, and new ones are refused."""
+        server = self.stage.servers_by_port.pop(self.port)
+        server.close()
+        for writer in list(self._writers):
+            reset(writer)
+        await asyncio.sleep(0)
+
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.add(writer)
+        try:
+            await self._serve_requests(reader, writer)
+        finally:
+            self._writers.discard(writer)
+
+    async def _serve_requests(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while (message := await read_message(reader)) is not None:
             line, headers, body = message
             method, target, _ = line.split(" ", 2)
