--- a/review/common_2/stage.py
+++ b/review/common_2/stage.py
@@ -138,9 +138,6 @@
         self.servers: dict[str, dict[str, Any]] = {}
         self.port = 0
         self._watches: list[asyncio.Queue[bytes]] = []
-        self.silent = False  # open watches say nothing more, and stay open
-        self.refusing = False  # each call is answered 503
-        self.delay = 0.0  # seconds that a call waits for its first word
 
     async def start(self) -> None:
         self.port = await self._stage.listen(self._serve)
@@ -176,13 +173,7 @@
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         while (message := await read_message(reader)) is not None:
             target = message[0].split(" ")[1]
-            await asyncio.sleep(self.delay)
             whole = json.dumps(self.whole()).encode() + b"\n"
-            if self.refusing:
-                self._stage.note("discovery refuses a call")
-                writer.write(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n")
-                await writer.drain()
-                return
             if "watch=1" not in target:
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(whole), whole))
                 await writer.drain()
@@ -193,8 +184,6 @@
             line = whole
             try:
                 while True:
-                    if self.silent:
-                        await asyncio.Event().wait()
                     writer.write(b"%x\r\n%b\r\n" % (len(line), line))
                     await writer.drain()
                     try:
