Review cases 6 to 10: errors of a script exit with 2, and records hold what clients sent

An unexpected error of a script ended with 1, which stands for a broken rule; it ends with 2 now, tried with a script that raises.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -18,7 +18,7 @@
     Discovery,
     Proxy,
     Stage,
-    call,
+    ask,
     configuration,
     free_port,
     play,
@@ -49,10 +49,10 @@
         """Sends one request after the other, each on a connection of its own."""
         while going:
             request_id = f"c{next(numbers)}"
-            answer = await call(old.port, request_bytes("GET", "cek-status", request_id, 2000), 3.0)
+            request = request_bytes("GET", "cek-status", request_id, 2000)
+            answer = await ask(stage, old.port, request_id, request, 3.0)
             if not answer.status:
                 lost.append(f"{request_id}: {answer.why}")
-                stage.note(f"client: {request_id}: {answer.why}")
             await asyncio.sleep(0.02)
 
     clients = [asyncio.create_task(client()) for _ in range(8)]
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -22,7 +22,7 @@
     Discovery,
     Proxy,
     Stage,
-    call,
+    ask,
     configuration,
     free_port,
     play,
@@ -39,7 +39,12 @@
         str(ROOT / ".venv/bin/python"), "-B", "-m", "pepperusher", "ctl", "--socket", f"{stage.tmp}/control", *words,
         cwd=ROOT, stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.STDOUT,
     )  # fmt: skip
-    text = (await asyncio.wait_for(process.communicate(), 10.0))[0].decode().strip()
+    try:
+        text = (await asyncio.wait_for(process.communicate(), 10.0))[0].decode().strip()
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
     stage.note(f"ctl {' '.join(words)}: {process.returncode}: {text}")
     if process.returncode:
         raise CannotRun("ctl failed")
@@ -72,9 +77,8 @@
     async def client() -> None:
         while going:
             request_id = f"c{next(numbers)}"
-            answer = await call(proxy.port, request_bytes("GET", "cek-status", request_id, 2000), 3.0)
-            if answer.status != 200:
-                stage.note(f"client: {request_id}: {answer}")
+            request = request_bytes("GET", "cek-status", request_id, 2000)
+            await ask(stage, proxy.port, request_id, request, 3.0)
             await asyncio.sleep(0.05)
 
     clients = [asyncio.create_task(client()) for _ in range(4)]
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -19,7 +19,7 @@
     Discovery,
     Proxy,
     Stage,
-    call,
+    ask,
     configuration,
     free_port,
     play,
@@ -56,7 +56,9 @@
 
     async def client() -> None:
         while going:
-            await call(proxy.port, request_bytes("GET", "cek-status", f"c{next(numbers)}", 2000), 3.0)
+            request_id = f"c{next(numbers)}"
+            request = request_bytes("GET", "cek-status", request_id, 2000)
+            await ask(stage, proxy.port, request_id, request, 3.0)
             await asyncio.sleep(0.05)
 
     clients = [asyncio.create_task(client()) for _ in range(4)]
--- a/review/common_2/stage.py
+++ b/review/common_2/stage.py
@@ -377,6 +377,15 @@
         raise CannotRun(f"{self.label} was not ready within {within} s")
 
 
+async def ask(stage: Stage, port: int, request_id: str, request: bytes, within: float) -> Answer:
+    """A client's request, with what was sent and answered in the record."""
+    line = request.split(b"\r\n")[0].decode()
+    stage.note(f"client sends {request_id}: {line}")
+    answer = await call(port, request, within)
+    stage.note(f"client is answered {request_id}: {answer}")
+    return answer
+
+
 class Answer:
     """What a client was answered. `status` is 0 without a whole answer; `why` says then what happened."""
 
@@ -496,7 +505,7 @@
         try:
             try:
                 verdict = await asyncio.wait_for(case(stage), CASE_LIMIT_S)
-            except (CannotRun, TimeoutError, OSError) as error:
+            except Exception as error:  # whatever it was, it says nothing about the rule
                 stage.note(f"could not run: {type(error).__name__}: {error}")
                 verdict = COULD_NOT_RUN
             stage.note({HELD: "HELD", BROKEN: "BROKEN", COULD_NOT_RUN: "COULD NOT RUN"}[verdict])
@@ -504,4 +513,9 @@
             await stage.close()
         return verdict
 
-    sys.exit(asyncio.run(run()))
+    try:
+        verdict = asyncio.run(run())
+    except Exception as error:
+        print(f"could not run: {type(error).__name__}: {error}")
+        verdict = COULD_NOT_RUN
+    sys.exit(verdict)
