Ports for child processes come from one place, below those of outgoing connections

Cause: a port that the kernel reports as free (bind to port 0, close, bind again) is one that it gives to outgoing connections, and a connection of another test took it in between. Six copies of that probe stood in the tests, the rehearsals and the capacity runs.

Change: rehearsal/ports.py draws a port outside the kernel's range of ephemeral ports (net.ipv4.ip_local_port_range), does not hand out one twice in a process, and is used by all of them.

--- a/pepperusher/capacity/control_run.py
+++ b/pepperusher/capacity/control_run.py
@@ -24,7 +24,7 @@
 from typing import NamedTuple
 
 from pepperusher.capacity import fixtures
-from pepperusher.capacity.processes import HOST, PAGE_BYTES, ProcessError, free_port
+from pepperusher.capacity.processes import HOST, PAGE_BYTES, ProcessError
 from pepperusher.distribution import resource_cache, operator_client, wire
 from pepperusher.distribution.client import Client
 from pepperusher.distribution.link import Link
@@ -34,6 +34,7 @@
     CONFIG, OPERATOR, CountersRequest, Heartbeat, Counters, Hello, Key, Message, Resource, Version,
 )  # fmt: skip
 from pepperusher.rehearsal.worker import environment, with_parent
+from pepperusher.rehearsal.ports import free_port
 
 KEY = "a key of measurements, for all"
 NAME, OTHER_NAME = "measured", "other"
@@ -205,7 +206,7 @@
         self.folder, self.proxies, self._seed = folder, proxies, seed
         self.subscriber_count = proxies if subscriber_count is None else subscriber_count
         (folder / "key").write_text(KEY + "\n")
-        ports = [free_port() for _ in range(machines)]
+        ports = [free_port(HOST) for _ in range(machines)]
         self.machines: list[MachineProcess] = []
         for number in range(machines):
             self.machines.append(MachineProcess(number, folder, ports))
--- a/pepperusher/capacity/processes.py
+++ b/pepperusher/capacity/processes.py
@@ -20,6 +20,7 @@
 
 from pepperusher.capacity import fixtures
 from pepperusher.rehearsal.worker import environment, with_parent
+from pepperusher.rehearsal.ports import free_port
 
 READY_TIMEOUT_S = 30.0
 POLL_S = 0.02
@@ -40,14 +41,6 @@
 HOST = f"127.77.{os.getpid() // 250 % 250}.{1 + os.getpid() % 250}"
 
 
-def free_port() -> int:
-    """Returns a port that the kernel chose, since the configuration of a proxy must name one."""
-    with socket.socket() as listener:
-        listener.bind((HOST, 0))
-        port: int = listener.getsockname()[1]
-        return port
-
-
 class ProxyUnderTest:
     """The process of a running proxy."""
 
@@ -115,7 +108,7 @@
     """
     with tempfile.TemporaryDirectory() as folder_name:
         folder = Path(folder_name)
-        port = free_port()
+        port = free_port(HOST)
         configuration: dict[str, Any] = {
             "name": "measured",
             "listen": f"{HOST}:{port}",
--- a/pepperusher/rehearsal/discovery_clients.py
+++ b/pepperusher/rehearsal/discovery_clients.py
@@ -10,7 +10,6 @@
 import asyncio
 import json
 import os
-import socket
 import sys
 import tempfile
 from collections import Counter
@@ -32,6 +31,7 @@
 from pepperusher.net.request_events import RequestEvents
 from pepperusher.rehearsal.steady_loop import SteadyLoop
 from pepperusher.rehearsal.queued_discovery import KEEPING, REFUSING, SILENT, QueuedDiscovery
+from pepperusher.rehearsal.ports import free_port
 
 CoroutineResult = TypeVar("CoroutineResult")
 BACKENDS = 20
@@ -265,7 +265,7 @@
     def __init__(self, folder: Path, number: int, group_size: int, discovery: tuple[str, int], python: str) -> None:
         self._path = folder / f"{number}.json"
         self._python = python
-        self._port = _free_port()
+        self._port = free_port()
         self._path.write_text(
             json.dumps(
                 {
@@ -317,14 +317,6 @@
             writer.transport.abort()
 
 
-def _free_port() -> int:
-    """A free TCP port, as assigned by the kernel."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-    return port
-
-
 async def startup_times(
     scene: str, client_count: int, process_count: int, seconds_per_request: float, queue: int, seed: int
 ) -> Figures:
--- a/tests/leavers.py
+++ b/tests/leavers.py
@@ -13,7 +13,6 @@
 import os
 import signal
 import socket
-import struct
 import sys
 import tempfile
 import time
@@ -21,10 +20,10 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from tests.scene import SETTINGS, ProxyTestCase, configuration, local_port
+from pepperusher.rehearsal.ports import free_port
+from tests.scene import SETTINGS, ProxyTestCase, configuration, reset_on_close
 
 SLACK_S = 0.1
-LINGER_RESET = struct.pack("ii", 1, 0)
 LIMITS = {**SETTINGS["policy-limits"], "connect-timeout": 2500.0}
 # Timeouts long enough that the start of an attempt depends on the proxy and not on a client's deadline.
 LONG_TIMEOUT_SETTINGS = {
@@ -122,7 +121,7 @@
     async def __aenter__(self) -> ProxyProcess:
         self.folder = tempfile.TemporaryDirectory()
         self.discovery = await asyncio.start_server(self._watched, "127.0.0.1", 0)
-        self.port = local_port()
+        self.port = free_port()
         listed = {
             "version": 1,
             "full": True,
@@ -219,7 +218,7 @@
             asyncio.get_running_loop().call_later(8, client.close)
             return
         if way == "resets":
-            client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+            reset_on_close(client)
         client.close()
 
     async def wait_until(self, condition: Callable[[], object], timeout_s: float = 10.0) -> None:
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -10,8 +10,8 @@
 import functools
 import json
 import os
-import random
 import socket
+import struct
 import tempfile
 import unittest
 from pathlib import Path
@@ -23,6 +23,7 @@
 from pepperusher.net.proxy import Proxy
 from pepperusher.policy import Balancer
 from pepperusher.terms import Backend, Customer, PolicySettings, Listing, Ticket, UseCase
+from pepperusher.rehearsal.ports import free_port
 
 TRACES = Path(__file__).parent / "traces"
 SECOND = 1_000_000
@@ -210,6 +211,7 @@
     ],
 }
 
+SHARED_MEMORY = Path("/dev/shm")
 # A client timeout (ms) and settings under which no ticket is late, however busy the machine is.
 LONG_TIMEOUT_MS = 60_000
 LONG_TIMEOUT_SETTINGS = {
@@ -218,43 +220,23 @@
 }
 
 
-_assigned_addresses: set[str] = set()  # the addresses that this process has handed out
+def memory_folder() -> str | None:
+    """A folder in memory for the files of a scene that depends on the time, or None for the usual one. On a busy disk a plain
+    write took over 1 s, in which the test and the proxies that write stood still.
+    """
+    return str(SHARED_MEMORY) if os.access(SHARED_MEMORY, os.W_OK | os.X_OK) else None
 
 
-# Ports below those of outgoing connections (Linux: net.ipv4.ip_local_port_range begins at 32,768).
-LOCAL_PORTS = (12_000, 32_000)
+def reset_on_close(connection: socket.socket) -> None:
+    """Makes closing the connection reset it, as a process that dies does."""
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
 def own_address() -> str:
-    """Returns a free host:port for a child process, on a loopback address that only this test process uses.
-
-    At 127.0.0.1 a port that the kernel reports as free may be taken by an outgoing connection, also of another test,
-    before the child listens on it; the child then ends with "Address already in use". No connection goes out from this
-    address.
-    """
+    """Returns a free host:port for a child process, on a loopback address that only this test process uses."""
     pid = os.getpid()
     host = f"127.{240 + (pid >> 16) % 15}.{pid >> 8 & 255}.{pid & 255}"
-    while True:
-        with socket.socket() as probe:
-            probe.bind((host, 0))
-            address = f"{host}:{probe.getsockname()[1]}"
-        if address not in _assigned_addresses:
-            _assigned_addresses.add(address)
-            return address
-
-
-def local_port() -> int:
-    """Returns a free port of 127.0.0.1 for a child process, below those that the kernel gives to outgoing connections: one of
-    these may take a port that the kernel reports as free before the child listens on it.
-    """
-    while True:
-        port = random.randrange(*LOCAL_PORTS)
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            return port
+    return f"{host}:{free_port(host)}"
 
 
 def configuration(**changes: object) -> dict[str, object]:
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -10,7 +10,6 @@
 import contextlib
 import json
 import socket
-import struct
 import sys
 import tempfile
 import time
@@ -25,10 +24,10 @@
 from pepperusher.net.connection import StreamConnection, connect
 from pepperusher.net.peer_memory import PeerConnections
 from pepperusher.net.message import Answer, Request, read_head
+from pepperusher.rehearsal.ports import free_port
 
-from tests.scene import SETTINGS, ProxyTestCase, configuration
+from tests.scene import SETTINGS, ProxyTestCase, configuration, reset_on_close
 
-LINGER_RESET = struct.pack("ii", 1, 0)
 LIMITS = {**SETTINGS["policy-limits"]}
 # Settings that forbid cancelling: attempts under way continue when their client leaves.
 NO_CANCEL_SETTINGS = {**SETTINGS, "policy-limits": {**LIMITS, "cancel": False}}
@@ -186,7 +185,7 @@
                         client.send(b"GET /look/ahead HTTP/1.1\r\n" + b"x" * 8000)
                     await asyncio.sleep(0)
                 if way == "resets":
-                    client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+                    reset_on_close(client)
                 client.close()
                 await self.wait_for_backend_close()
                 await self.wait_until(lambda: not self.proxy._facade.open_tickets and not self.proxy._callers.open)
@@ -668,9 +667,7 @@
             writer.close()
 
         server = await asyncio.start_server(backend, "127.0.0.1", 0)
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            port = free.getsockname()[1]
+        port = free_port()
         bootstrap = configuration(
             listen=f"127.0.0.1:{port}",
             known={
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -11,13 +11,13 @@
 import contextlib
 import os
 import resource
-import socket
 import time
 import unittest
 from collections import Counter
 from typing import NamedTuple
 from unittest import mock
 
+from pepperusher.rehearsal.ports import free_port
 from tests.leavers import ProxyProcess, request
 from tests.test_crossings import Crossing
 
@@ -32,12 +32,6 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (DESCRIPTORS, DESCRIPTORS))
 
 
-def free_port() -> int:
-    with socket.socket() as free:
-        free.bind(("127.0.0.1", 0))
-        return int(free.getsockname()[1])
-
-
 class Result(NamedTuple):
     """What one run of the scenario measured."""
 
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -10,7 +10,6 @@
 import os
 import shutil
 import signal
-import socket
 import struct
 import subprocess
 import sys
@@ -44,6 +43,7 @@
 from pepperusher.net.distributed_configuration import DistributedConfiguration
 from pepperusher.net.configuration_manager import ConfigurationManager
 from pepperusher.store.disk import Disk
+from pepperusher.rehearsal.ports import free_port
 
 from tests.scene import ProxyTestCase
 
@@ -58,16 +58,6 @@
 TIMEOUT_S = 60.0
 
 
-def free_ports(count: int) -> list[int]:
-    sockets = [socket.socket() for _ in range(count)]
-    for bound in sockets:
-        bound.bind((HOST, 0))
-    ports = [bound.getsockname()[1] for bound in sockets]
-    for bound in sockets:
-        bound.close()
-    return ports
-
-
 async def wait_until(condition: Callable[[], bool], timeout: float = TIMEOUT_S, description: str = "") -> float:
     """Waits and returns the time it took in s. Raises AssertionError."""
     started = asyncio.get_running_loop().time()
@@ -142,7 +132,7 @@
         shutil.rmtree(self.folder)
 
     async def start_all(self, ports: list[int] | None = None, **settings: Any) -> None:
-        ports = ports or free_ports(self.MACHINES)
+        ports = ports or [free_port(HOST) for _ in range(self.MACHINES)]
         for number, port in enumerate(ports):
             self.machines.append(
                 Machine(self.folder, number, port, [peer for peer in ports if peer != port], **settings)
@@ -389,7 +379,7 @@
     PROXIES = 0
 
     async def test_a_region_cut_off_serves_on_ages_and_catches_up(self) -> None:
-        ports = free_ports(2)
+        ports = [free_port(HOST) for _ in range(2)]
         links = [CuttableForwarder(ports[0]), CuttableForwarder(ports[1])]
         forwarded_ports = [await link.start() for link in links]
         self.machines = [
@@ -714,7 +704,7 @@
         self.folder = Path(tempfile.mkdtemp())
         self.addCleanup(shutil.rmtree, self.folder)
         (self.folder / "key").write_bytes(SECRET)
-        self.machine = Machine(self.folder, 0, free_ports(1)[0], [])
+        self.machine = Machine(self.folder, 0, free_port(HOST), [])
         await self.machine.start()
         self.control_address = HOST, self.machine.port
         self.own = (
@@ -894,7 +884,7 @@
                 folder = Path(tempfile.mkdtemp())
                 self.addCleanup(shutil.rmtree, folder)
                 (folder / "key").write_bytes(SECRET)
-                machine = Machine(folder, 0, free_ports(1)[0], [], subscribers=1_500)
+                machine = Machine(folder, 0, free_port(HOST), [], subscribers=1_500)
                 with open(machine.errors, "ab") as errors:
                     process = await asyncio.create_subprocess_exec(
                         "sh", "-c", f'ulimit -S -n 50; ulimit -H -n {hard}; exec "$@"', "sh",
@@ -917,7 +907,7 @@
         folder = Path(tempfile.mkdtemp())
         self.addCleanup(shutil.rmtree, folder)
         (folder / "key").write_bytes(SECRET)
-        machine = Machine(folder, 0, free_ports(1)[0], [])
+        machine = Machine(folder, 0, free_port(HOST), [])
         await machine.start()
         code, out = await self.run_control("--config", str(machine.file))
         self.assertEqual(1, code)
--- a/tests/test_leavers.py
+++ b/tests/test_leavers.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import socket
-import struct
 import unittest
 from unittest import mock
 
@@ -15,9 +14,9 @@
 from pepperusher.net.request_store import RequestStore
 
 from tests.leavers import LEAVING_WAYS, ONE_TICKET_AT_A_TIME, LeavingClients, ProxyProcess, request
+from tests.scene import reset_on_close
 from tests.test_crossings import Crossing
 
-LINGER_RESET = struct.pack("ii", 1, 0)
 # More than the reader and the kernel buffer, so that the end stays with the client until that is read.
 PIPELINED_BYTES = 400_000
 
@@ -179,7 +178,7 @@
                 self.assertLess(most_held, 500_000 + 2 * 256 * 1024)
                 for client in clients:
                     if way == "resets":
-                        client.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
+                        reset_on_close(client)
                     client.close()
                 await self.wait_until(lambda: not self.proxy._callers.open)
                 self.assertEqual(0, watcher.read_ahead_bytes)
--- a/tests/test_relay_processes.py
+++ b/tests/test_relay_processes.py
@@ -29,8 +29,9 @@
 from pepperusher.configuration import loader
 from pepperusher.configuration.loader import Fault, ConfigurationError
 from pepperusher.store.disk import Disk
+from pepperusher.rehearsal.ports import free_port
 from tests.scene import SETTINGS, LONG_TIMEOUT_SETTINGS, configuration, own_address
-from tests.test_distribution_processes import HOST, SECRET, TIMEOUT_S, Machine, end_machines, free_ports, wait_until
+from tests.test_distribution_processes import HOST, SECRET, TIMEOUT_S, Machine, end_machines, wait_until
 
 NAME = "east/web"
 TIME_LIMIT_S = 6.0
@@ -199,7 +200,7 @@
         (self.folder / "key").write_bytes(SECRET)
         self.discovery = DiscoveryStandIn([f"b{number}" for number in range(6)])
         await self.discovery.start()
-        ports = free_ports(1 + self.RELAYS)
+        ports = [free_port(HOST) for _ in range(1 + self.RELAYS)]
         self.machines = [
             Machine(self.folder, 2 * number, port, [peer for peer in ports if peer != port], owns_facts=number == 0)
             for number, port in enumerate(ports)
--- a/tests/test_shelf.py
+++ b/tests/test_shelf.py
@@ -5,14 +5,14 @@
 import asyncio
 import json
 import signal
-import socket
 import sys
 import tempfile
 import time
 import unittest
 from pathlib import Path
 
-from tests.scene import configuration
+from pepperusher.rehearsal.ports import free_port
+from tests.scene import LONG_TIMEOUT_MS, LONG_TIMEOUT_SETTINGS, configuration
 
 
 class Backend:
@@ -66,7 +66,7 @@
             }
             for name, backend in self.backends.items()
         ]
-        self.port = self.free()
+        self.port = free_port()
         bootstrap = configuration(
             listen=f"127.0.0.1:{self.port}", known={"version": 1, "full": True, "servers": servers}
         )
@@ -74,12 +74,6 @@
         self.process: asyncio.subprocess.Process | None = None
         self.number = 0
 
-    @staticmethod
-    def free() -> int:
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            return int(free.getsockname()[1])
-
     async def asyncTearDown(self) -> None:
         await self.kill()
 
@@ -214,7 +208,7 @@
             "--own",
             str(self.own),
             "--listen",
-            f"127.0.0.1:{self.free()}",
+            f"127.0.0.1:{free_port()}",
             stderr=asyncio.subprocess.PIPE,
         )
         assert second.stderr is not None
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -10,7 +10,6 @@
 import os
 import signal
 import socket
-import struct
 import sys
 import tempfile
 from collections.abc import Awaitable, Callable
@@ -21,7 +20,7 @@
 
 from pepperusher.net.buffers import BUFFER_BYTES, MAX_HELD_BODY_BYTES
 
-from tests.scene import SETTINGS, LONG_TIMEOUT_SETTINGS, ProxyTestCase, own_address
+from tests.scene import SETTINGS, LONG_TIMEOUT_SETTINGS, ProxyTestCase, own_address, reset_on_close
 
 Streams = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 LONG_BODY_BYTES = 3 * MAX_HELD_BODY_BYTES
@@ -247,9 +246,7 @@
                     await writer.drain()
                     if case.endswith("reset"):
                         await asyncio.sleep(0.1)
-                        writer.get_extra_info("socket").setsockopt(
-                            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-                        )
+                        reset_on_close(writer.get_extra_info("socket"))
                         writer.transport.abort()
                     elif "end" in case or "cut" in case:
                         writer.close()
