--- a/pepperusher/changes/active_configuration.py
+++ b/pepperusher/changes/active_configuration.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Callable, Mapping
 
+from pepperusher.backend_commands import NEVER, AdminCommand, BackendCommands
 from pepperusher.changes import transaction_log
 from pepperusher.changes.transaction_log import (
     APPLIED,
@@ -21,6 +22,7 @@
 )
 from pepperusher.changes.overlay import Overlay
 from pepperusher.changes.error_watch import ErrorWatch
+from pepperusher.changes.manual_drains import LIFTED_KEPT, DrainProposal
 from pepperusher.facade import Endpoint
 from pepperusher.invariants import check_invariant
 from pepperusher.limits.gate import FULL, ADMITTED, TOO_LATE, QUEUED, Gate, AdmissionRequest
@@ -37,6 +39,7 @@
 DEFAULT_RETRY_AFTER_US = 200_000
 # A route logs that it rejects tickets at most once per this interval.
 LOG_INTERVAL_US = 10_000_000
+MAX_NAMES_LOGGED = 10
 
 
 class AdmittedTicket:
@@ -288,9 +291,19 @@
                     limits.buckets = limits.budget = None
                 else:
                     del self._limits_by_route[name]
-        changed = self.overlay.set_marks(self.version.marks)
-        if changed:
-            self._update_endpoints(changed)
+        self._override_endpoints(self.overlay.set_marks(self.version.marks))
+
+    def _override_endpoints(self, changed: list[Endpoint]) -> None:
+        """Passes on the endpoints whose effective state changed with the overrides, and logs them."""
+        if not changed:
+            return
+        self._say(
+            "endpoint overrides changed",
+            version=self.version.number,
+            drained=_names([endpoint.id for endpoint in changed if not endpoint.ready]),
+            ready=_names([endpoint.id for endpoint in changed if endpoint.ready]),
+        )
+        self._update_endpoints(changed)
 
     def _enter(self, read: Read, now: int) -> Version:
         self._last_number += 1
@@ -306,10 +319,28 @@
         change is open and may not be waited for."""
         if read.digest == self.version.read.digest:
             raise TransactionError(f"{read.digest} is already in force")
-        change = self.ledger.propose(read.digest, read, who, why, self.version.read.own.changes.wait, now)
+        return self._propose(read.digest, read, who, why, now)
+
+    def propose_drain(self, backend: str, on: bool, who: str, why: str, now: int) -> Change:
+        """Proposes to drain a backend by hand, or to lift that (not `on`). Raises TransactionError if that is so already,
+        for a backend that is not listed as ready, and where `propose` does."""
+        proposal = self.drain_proposal(backend, on, who, why, now)
+        return self._propose(proposal.name, proposal, who, why, now)
+
+    def _propose(self, name: str, payload: Read | DrainProposal, who: str, why: str, now: int) -> Change:
+        change = self.ledger.propose(name, payload, who, why, self.version.read.own.changes.wait, now)
         self._log_transition(change)
         return change
 
+    def drain_proposal(self, backend: str, on: bool, who: str, why: str, now: int) -> DrainProposal:
+        """A manual drain or its lift, on top of what is in force now. Raises TransactionError."""
+        previous = self.manual_drains.get(backend)
+        if previous.on == on:
+            raise TransactionError(f"{backend} {'is' if on else 'was not'} drained by hand{' already' if on else ''}")
+        if on and not any(entry.id == backend for entry in self.overlay.ready()):
+            raise TransactionError(f"{backend} is no backend that is listed as ready")
+        return DrainProposal(backend, self.manual_drains.next_command(backend, on, now, who, why), previous)
+
     def stage(self, change: Change, now: int) -> None:
         """Marks a change as ready to apply, once its preparations are done."""
         self._transition(change, STAGED, "the proxy", "checked", now)
@@ -317,7 +348,12 @@
     def apply(self, change: Change, now: int) -> None:
         """Puts a staged change into force: tickets that arrive from now on use it."""
         self._transition(change, APPLIED, "the proxy", "staged", now)
-        version = self._enter(change.what, now)
+        if isinstance(change.what, DrainProposal):
+            # A version of its own, so that the watch tells its tickets from those before.
+            version = self._enter(self.version.read, now)
+            self.merge_manual_drains({change.what.backend: change.what.command}, now)
+        else:
+            version = self._enter(change.what, now)
         own = version.read.own
         self.ledger.set_history_limit(own.changes.history)
         self.toll.start_comparison(version.number, own.changes.watch, now)
@@ -341,11 +377,41 @@
         self.toll.stop_comparison()
         undone_version = self.version
         self.confirmed = self._enter(self.confirmed.read, now)
+        if isinstance(change.what, DrainProposal):
+            self._undo_drain(change.what, now)
         for version in list(self.versions.values()):
             if version is not self.version and not version.open_tickets:
                 del self.versions[version.number]
         check_invariant(undone_version is not self.version, "a rollback creates a new version")
 
+    def _undo_drain(self, proposal: DrainProposal, now: int) -> None:
+        """Replaces the command of an undone change by the one before it, unless there has been a later one."""
+        if self.manual_drains.get(proposal.backend) == proposal.command:
+            _, _, who, why = proposal.previous
+            restored = self.manual_drains.next_command(proposal.backend, proposal.previous.on, now, who, why)
+            self.merge_manual_drains({proposal.backend: restored}, now)
+
+    @property
+    def manual_drains(self) -> BackendCommands:
+        """The drains that operators set by hand, and those that they lifted."""
+        return self.overlay.manual_drains
+
+    def merge_manual_drains(self, commands: Mapping[str, AdminCommand], now: int) -> None:
+        """Puts manual drains and lifts into force, of which later ones win."""
+        self._override_endpoints(self.overlay.merge_manual_drains(commands, now))
+        self.manual_drains.forget_oldest_lifted(LIFTED_KEPT)
+
+    def take_over_manual_drains(self, commands: Mapping[str, AdminCommand], now: int) -> bool:
+        """Puts into force, and logs, manual drains and lifts that were stored or that another process of this proxy has.
+        Returns whether any of them is new here."""
+        before = dict(self.manual_drains.by_backend)
+        self.merge_manual_drains(commands, now)
+        for backend, command in self.manual_drains.by_backend.items():
+            if command.on != before.get(backend, NEVER).on:
+                event = "manual drain taken over" if command.on else "manual drain taken over as lifted"
+                self._say(event, id=backend, who=command.who, why=command.why, since=command.at)
+        return self.manual_drains.by_backend != before
+
     def _transition(self, change: Change, state: str, who: str, why: str, now: int) -> None:
         self.ledger.move(change, state, who, why, now)
         self._log_transition(change)
@@ -360,7 +426,8 @@
         change = self.ledger.open
         if change is None:
             return None
-        proposed_settings = change.what.own.changes
+        proposed = self.version.read if isinstance(change.what, DrainProposal) else change.what
+        proposed_settings = proposed.own.changes
         # The stricter of the confirmed and the proposed settings counts, so a change can't loosen its own watch.
         confirmed_settings = self.confirmed.read.own.changes
         harm = self.toll.find_harm(
@@ -403,6 +470,12 @@
         ]
 
 
+def _names(ids: list[str]) -> str:
+    """The ids for a log line; the first MAX_NAMES_LOGGED of them."""
+    more = f" and {len(ids) - MAX_NAMES_LOGGED} more" if len(ids) > MAX_NAMES_LOGGED else ""
+    return " ".join(ids[:MAX_NAMES_LOGGED]) + more or "none"
+
+
 def _create_limit(settings: Concurrency, gate: Gate | None) -> Gradient | Fixed:
     """Creates the route's limit; an existing adaptive limit keeps its current value."""
     if not settings.adaptive:
--- a/pepperusher/changes/confirmed_file.py
+++ b/pepperusher/changes/confirmed_file.py
@@ -1,4 +1,5 @@
-"""The last confirmed configuration on disk and a marker for an unconfirmed change, each replaced atomically and synced.
+"""The last confirmed configuration on disk, a marker for an unconfirmed change, and the manual drains, each replaced
+atomically and synced.
 
 At startup the last confirmed configuration is used if the marker of an open change exists and the configuration file
 still holds the text of that change: the proxy ended before the change was confirmed. A file that was edited since
@@ -10,10 +11,19 @@
 import fcntl
 import json
 import os
+from collections.abc import Mapping
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
+
+from pepperusher.backend_commands import AdminCommand, InvalidCommandError
+from pepperusher.changes import manual_drains
 
 CONFIRMED_FILE_NAME, OPEN_CHANGE_FILE_NAME, LOCK_NAME = "confirmed.toml", "open.json", "lock"
+DRAINS_FILE_NAME = "drains.json"
+# The number of the marker of a change that was undone.
+UNDONE_NUMBER = "undone"
+# Who set a drain that an earlier release stored, which did not tell.
+EARLIER_RELEASE = "an earlier release"
 
 
 class Begin(NamedTuple):
@@ -80,17 +90,63 @@
     def begin(self, text: str) -> Begin:
         """Chooses the configuration to start with; `text` is the present text of the configuration file."""
         self.folder.mkdir(parents=True, exist_ok=True)
+        confirmed, marker = self._confirmed_text(), self._marker()
+        if confirmed is None:
+            return Begin(text, "")
+        confirmed = self._split_drains(confirmed, text)[0]
+        if marker.get("text") == text and confirmed != text:
+            return Begin(confirmed, f"change {marker.get('number')} was not confirmed when the proxy ended")
+        return Begin(text, "")
+
+    def _confirmed_text(self) -> str | None:
+        try:
+            return (self.folder / CONFIRMED_FILE_NAME).read_text()
+        except (FileNotFoundError, UnicodeDecodeError):
+            return None
+
+    def _marker(self) -> dict[str, Any]:
+        """The marker of an open or undone change; empty without one."""
         try:
-            confirmed = (self.folder / CONFIRMED_FILE_NAME).read_text()
             marker = json.loads((self.folder / OPEN_CHANGE_FILE_NAME).read_text())
         except FileNotFoundError:
-            return Begin(text, "")
+            return {}
         except ValueError:
             # An unreadable marker was still being written, so its change had not been applied yet.
-            marker = {}
-        if isinstance(marker, dict) and marker.get("text") == text and confirmed != text:
-            return Begin(confirmed, f"change {marker.get('number')} was not confirmed when the proxy ended")
-        return Begin(text, "")
+            return {}
+        return marker if isinstance(marker, dict) else {}
+
+    def _split_drains(self, stored: str, text: str) -> tuple[str, list[str]]:
+        """Takes the drains off a text that an earlier release stored. This release stores none in it."""
+        if (self.folder / DRAINS_FILE_NAME).exists():
+            return stored, []
+        return manual_drains.split_drain_blocks(stored, text)
+
+    def read_drains(self, text: str) -> dict[str, AdminCommand]:
+        """The stored manual drains, also those of an earlier release, which count as set when their file was written;
+        `text` is the present text of the configuration file. Raises InvalidCommandError.
+        """
+        try:
+            return manual_drains.decode_drains((self.folder / DRAINS_FILE_NAME).read_text())
+        except FileNotFoundError:
+            pass
+        except UnicodeDecodeError:
+            raise InvalidCommandError("is not UTF-8") from None
+        marker = self._marker()
+        stored = {
+            CONFIRMED_FILE_NAME: self._confirmed_text(),
+            OPEN_CHANGE_FILE_NAME: None if marker.get("number") == UNDONE_NUMBER else marker.get("text"),
+        }
+        drains: dict[str, AdminCommand] = {}
+        for name, stored_text in stored.items():
+            if isinstance(stored_text, str):
+                at = (self.folder / name).stat().st_mtime_ns // 1000
+                command = AdminCommand(True, at, EARLIER_RELEASE, "found in the state folder")
+                drains |= dict.fromkeys(self._split_drains(stored_text, text)[1], command)
+        return drains
+
+    def write_drains(self, drains: Mapping[str, AdminCommand]) -> None:
+        """Stores the manual drains; called before one takes effect."""
+        _replace(self.folder / DRAINS_FILE_NAME, manual_drains.encode_drains(drains))
 
     def open(self, number: int, text: str) -> None:
         """Writes the marker of a change; called before the change is applied."""
@@ -104,7 +160,7 @@
 
     def undo(self, text: str) -> None:
         """Keeps a marker with the text that was undone, so that the next startup does not use it again."""
-        _replace(self.folder / OPEN_CHANGE_FILE_NAME, json.dumps({"number": "undone", "text": text}).encode())
+        _replace(self.folder / OPEN_CHANGE_FILE_NAME, json.dumps({"number": UNDONE_NUMBER, "text": text}).encode())
 
     def restore(self, text: str) -> None:
         """Writes the confirmed configuration again if the stored one differs: a confirmation that raced with an undo
--- a/pepperusher/console/admin_handlers.py
+++ b/pepperusher/console/admin_handlers.py
@@ -6,11 +6,13 @@
 
 import asyncio
 import os
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
+from typing import Protocol
 
 from pepperusher.console import console_calls
 from pepperusher.console.admin_listener import CONNECTIONS_MAX, AdminListener
-from pepperusher.console.admin_commands import NEVER, AdminCommand, AdminCommands
+from pepperusher.backend_commands import NEVER, AdminCommand
+from pepperusher.console.admin_commands import AdminCommands
 from pepperusher.console.process_slot import ProcessSlot, process_slots
 from pepperusher.console.shared_request_ids import SharedRequestIds
 from pepperusher.console.process_liveness import ProcessLiveness
@@ -37,6 +39,17 @@
 SHARED_PART = 0.5
 
 
+class ManualDrains(Protocol):
+    """The drains of the control socket, as far as two processes of one proxy tell them to each other."""
+
+    @property
+    def manual_drains(self) -> Mapping[str, AdminCommand]: ...
+
+    def merge_manual_drains(self, drains: Mapping[str, AdminCommand]) -> bool:
+        """Takes those of another process, of which later ones win. Returns whether any did."""
+        ...
+
+
 class AdminHandlers(Extension):
     """The admin interface of a proxy, and its coordination with another process of the same proxy.
 
@@ -48,8 +61,15 @@
     descriptors = 7 + CONNECTIONS_MAX
     shares_address = True
 
-    def __init__(self, address: tuple[str, int], policy_settings: PolicySettings, log: Log) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        policy_settings: PolicySettings,
+        log: Log,
+        manual_drains: ManualDrains | None = None,
+    ) -> None:
         self._address = address
+        self._manual_drains = manual_drains
         self._log = log
         self.commands = AdminCommands(max(LIFTED_BAN_KEPT_MIN_US, policy_settings.warm_after))
         self._listener = AdminListener(self.answer, log)
@@ -97,7 +117,7 @@
             return
         host.limit_share(SHARED_PART)
         self._share_request_ids()
-        self._store_state()
+        self.store_state()
         handed_over = await self._wait_for_handover()
         if handed_over is not None:
             self._merge(handed_over)
@@ -116,7 +136,7 @@
             if state is not None and state.seen == self._token or loop.time() >= deadline:
                 return state
             if self._successor_slot is not None and not self._successor_slot.held:
-                self._store_state()  # another process may be just releasing the slot
+                self.store_state()  # another process may be just releasing the slot
             await asyncio.sleep(POLL_INTERVAL_S / 5)
 
     def _read(self, slot: ProcessSlot) -> State | None:
@@ -131,18 +151,31 @@
             return None
 
     def _merge(self, other: State) -> None:
-        """Applies the commands of the other process."""
-        drained = self.commands.drain
-        self._proxy.reapply_filters(self, self.commands.merge(other.bans, other.drain))
+        """Applies the commands of the other process, and publishes what changed: the other may be killed, and its state
+        with a lift in it would then be read by nobody.
+        """
+        bans, drained = dict(self.commands.bans), self.commands.drain
+        self._proxy.reapply_filters(self, self.commands.merge(other.bans, other.drain, clock.now()))
         if self.commands.drain != drained:
             self._proxy.send_away(self.commands.drain.on)
+        drains_changed = self._manual_drains is not None and self._manual_drains.merge_manual_drains(
+            other.manual_drains
+        )
+        if drains_changed or self.commands.bans != bans or self.commands.drain != drained:
+            self.store_state()
 
     def _state(self) -> State:
         """The state that this process publishes. The handover state is included once a successor is known."""
         handover = self._proxy.handover_state() if self._active and self._successor_token else HandoverState()
         other_token = self._successor_token if self._active else self._token
         return State(
-            self.commands.bans, self.commands.drain, other_token, self._serving, beats=True, **handover._asdict()
+            self.commands.bans,
+            self.commands.drain,
+            other_token,
+            self._serving,
+            beats=True,
+            manual_drains={} if self._manual_drains is None else self._manual_drains.manual_drains,
+            **handover._asdict(),
         )
 
     def _write_state(self) -> None:
@@ -288,7 +321,7 @@
 
     async def start(self) -> None:
         self._serving = True
-        self._store_state()
+        self.store_state()
         self._poll_task = asyncio.get_running_loop().create_task(self._poll())
         await self._listener.serve()
         self._log.say(f"console at {self._address[0]}:{self.port}")
@@ -296,7 +329,7 @@
     def drain_started(self, until: int) -> None:
         """Publishes that this process takes no more clients."""
         self._serving = False
-        self._store_state()
+        self.store_state()
 
     async def stop(self) -> None:
         self._listener.close()
@@ -309,8 +342,8 @@
     def sweep(self) -> None:
         self.commands.forget(clock.now())
 
-    def _store_state(self) -> bool:
-        """Writes the state for the successor, and returns whether that worked."""
+    def store_state(self) -> bool:
+        """Writes the state for the other process, and returns whether that worked."""
         try:
             self._write_state()
         except OSError as error:
@@ -320,8 +353,8 @@
 
     def merge_commands(self, bans: dict[str, AdminCommand]) -> None:
         """Merges commands that were given at another proxy."""
-        self._proxy.reapply_filters(self, self.commands.merge(bans, NEVER))
-        self._store_state()
+        self._proxy.reapply_filters(self, self.commands.merge(bans, NEVER, clock.now()))
+        self.store_state()
 
     async def answer(self, method: bytes, target: bytes) -> Answer:
         """Answers an admin call. A command applies here at once; in a group the answer says how many proxies hold it."""
@@ -346,7 +379,7 @@
             on = call.action == console_calls.DRAIN
             self.commands.send_away(on, clock.now())
             self._proxy.send_away(on)
-            if not self._store_state():
+            if not self.store_state():
                 return NOT_STORED_ANSWER, False
             return text_answer(200, "clients are sent away" if on else "clients may come"), False
         on, backend = call.action == console_calls.BAN, call.backend
@@ -355,7 +388,7 @@
         if self.commands.banned(backend) != on:
             self._log.say(f"{backend} {'banned' if on else 'put back'} at the console")
         self._proxy.reapply_filters(self, self.commands.ban(backend, on, clock.now()))
-        if not self._store_state():
+        if not self.store_state():
             return NOT_STORED_ANSWER, True
         return text_answer(200, "banned" if on else "in use"), True
 
--- a/pepperusher/console/state.py
+++ b/pepperusher/console/state.py
@@ -6,15 +6,21 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from typing import Any, NamedTuple
 
-from pepperusher.console.admin_commands import NEVER, AdminCommand
+from pepperusher.backend_commands import (
+    LATEST_TIME_US,
+    NEVER,
+    AdminCommand,
+    InvalidCommandError,
+    decode_command,
+    decode_commands,
+)
 from pepperusher.net.handover_state import HandoverState
 
 FORMAT = 1
 STATE_MAX_BYTES = 16 * 1024 * 1024
-# Latest valid time: the year 2200 in microseconds.
-LATEST_TIME_US = 7_258_118_400_000_000
 
 
 class BadState(ValueError):
@@ -25,7 +31,8 @@
     """The state that a process publishes.
 
     `seen` is the token of the other process that the writer knows of, `serves` says whether the writer takes clients,
-    and `beats` whether it publishes heartbeats. The other fields are those of `HandoverState`.
+    and `beats` whether it publishes heartbeats. `manual_drains` are the drains of the control socket. The other fields are
+    those of `HandoverState`.
     """
 
     bans: dict[str, AdminCommand]
@@ -38,6 +45,7 @@
     beats: bool = False
     told_by_source: bool = True
     expires_at: int | None = None
+    manual_drains: Mapping[str, AdminCommand] = {}
 
     @property
     def handover_state(self) -> HandoverState:
@@ -45,21 +53,10 @@
 
 
 def encode_state(state: State) -> str:
-    return json.dumps({"form": FORMAT, **state._asdict()}, separators=(",", ":"))
-
-
-def _decode_command(value: Any, where: str) -> AdminCommand:
-    """Validates a command of the JSON document; `where` names its place for the error."""
-    if (
-        not isinstance(value, list)
-        or len(value) != 2
-        or not isinstance(value[0], bool)
-        or isinstance(value[1], bool)
-        or not isinstance(value[1], int)
-        or not 0 <= value[1] <= LATEST_TIME_US
-    ):
-        raise BadState(f"{where} is not a command")
-    return AdminCommand(value[0], value[1])
+    # Earlier releases read commands of two parts alone, and nothing of the drains.
+    bans = {backend: command[:2] for backend, command in state.bans.items()}
+    document = {"form": FORMAT, **state._asdict(), "bans": bans, "drain": state.drain[:2]}
+    return json.dumps(document, separators=(",", ":"))
 
 
 def decode_state(text: str | bytes) -> State:
@@ -70,10 +67,12 @@
         raise BadState("is not JSON") from None
     if not isinstance(document, dict) or document.get("form") != FORMAT:
         raise BadState(f"is not of format {FORMAT}")
-    bans = document.get("bans")
-    if not isinstance(bans, dict):
-        raise BadState("bans: missing")
-    commands = {name: _decode_command(value, f"bans: {name}") for name, value in bans.items()}
+    try:
+        bans = decode_commands(document.get("bans"), "bans")
+        manual_drains = decode_commands(document.get("manual_drains", {}), "manual_drains")
+        drain = decode_command(document.get("drain", list(NEVER[:2])), "drain")
+    except InvalidCommandError as error:
+        raise BadState(str(error)) from None
     texts = [document.get(name, "") for name in ("seen", "source")]
     if not all(isinstance(text_value, str) for text_value in texts):
         raise BadState("seen or source is not a string")
@@ -87,8 +86,8 @@
     ):
         raise BadState("expires_at is not a valid time")
     return State(
-        commands,
-        _decode_command(document.get("drain", list(NEVER)), "drain"),
+        bans,
+        drain,
         texts[0],
         document.get("serves") is True,
         texts[1],
@@ -97,4 +96,5 @@
         document.get("beats") is True,
         document.get("told_by_source") is not False,
         expires_at,
+        manual_drains,
     )
--- a/pepperusher/control/commands.py
+++ b/pepperusher/control/commands.py
@@ -96,6 +96,11 @@
             )
         if distribution.get("endpoints") is not None:
             click.echo(_format_endpoints(distribution["endpoints"]))
+    for row in response.get("taken_out", ()):  # an earlier release does not tell them
+        click.echo(
+            f"{row['id']} is taken out by {row['by']} since {_format_time(row['since'])}"
+            f" ({row['who'] or 'unknown'}: {row['why'] or 'none given'})"
+        )
     click.echo(client.table(response["limits"]))
 
 
--- a/pepperusher/endpoint_filter.py
+++ b/pepperusher/endpoint_filter.py
@@ -32,7 +32,7 @@
             filtered.append(self._apply_mark(endpoint))
         return filtered
 
-    def replace_marks(self, update_marks: Callable[[], None]) -> list[Endpoint]:
+    def replace_marks(self, update_marks: Callable[[], object]) -> list[Endpoint]:
         """Changes the marks by calling `update_marks` and returns the entries that change, among endpoints that
         discovery lists as ready."""
         before = {endpoint_id: self._apply_mark(endpoint) for endpoint_id, endpoint in self._listed.items()}
--- a/pepperusher/extensions.py
+++ b/pepperusher/extensions.py
@@ -38,7 +38,8 @@
     if bootstrap.console is not None:
         from pepperusher.console.admin_handlers import AdminHandlers
 
-        admin_handlers = AdminHandlers(bootstrap.console, bootstrap.policy_settings, log)
+        admin_handlers = AdminHandlers(bootstrap.console, bootstrap.policy_settings, log, manager)
+        manager.on_drains_changed = admin_handlers.store_state
     if manager.own.group.listen is not None:
         from pepperusher.net.node import Node
 
@@ -60,7 +61,8 @@
     if manager.own.control.socket is not None:
         from pepperusher.net.answers import ControlAnswers
 
-        extensions.append(ControlAnswers(manager, node, log.write_event, distributed))
+        bans = admin_handlers.commands.bans if admin_handlers is not None else None
+        extensions.append(ControlAnswers(manager, node, log.write_event, distributed, bans))
     if admin_handlers is not None:
         extensions.append(admin_handlers)
     return extensions
--- a/pepperusher/net/answers.py
+++ b/pepperusher/net/answers.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable, Mapping
 from itertools import islice
 from typing import Any, Protocol
 
 from pepperusher import __version__
+from pepperusher.backend_commands import AdminCommand
 from pepperusher.changes.transaction_log import Change, TransactionError
 from pepperusher.control.socket import Control
 from pepperusher.control.messages import ROWS
@@ -38,6 +39,15 @@
     yield {"ok": True, key: rows_of_part}
 
 
+def _taken_out(by: str, commands: Mapping[str, AdminCommand]) -> list[dict[str, Any]]:
+    """The backends that operators took out, as they are shown to operators; `by` names where the commands were given."""
+    return [
+        {"id": backend, "by": by, "who": command.who, "why": command.why, "since": command.at}
+        for backend, command in sorted(commands.items())
+        if command.on
+    ]
+
+
 class Members(Protocol):
     """The group of proxies, as far as control commands use it."""
 
@@ -63,7 +73,9 @@
         members: Members | None,
         say: Callable[..., None],
         shared: Shared | None = None,
+        bans: Mapping[str, AdminCommand] | None = None,
     ) -> None:
+        self._bans = bans if bans is not None else {}
         self._manager = manager
         self._shared = shared
         self._members = members
@@ -158,6 +170,7 @@
                 "open_change": None if change is None else _change(change),
                 "kept_out": dict(manager.kept_out),
                 "limits": active.gates(),
+                "taken_out": [*_taken_out("ctl", manager.manual_drains), *_taken_out("console", self._bans)],
                 "distribution": None if self._shared is None else self._shared.status(),
                 "since_change": {
                     "done": active.toll.since.done,
--- a/pepperusher/net/configuration_manager.py
+++ b/pepperusher/net/configuration_manager.py
@@ -7,14 +7,14 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import os
 from collections.abc import Callable, Mapping
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from pepperusher.backend_commands import AdminCommand
 from pepperusher.changes import shared_section
-from pepperusher.changes.confirmed_file import ConfirmedFile
+from pepperusher.changes.manual_drains import DrainProposal
 from pepperusher.changes.transaction_log import APPLIED, CONFIRMED, UNDONE, Change, TransactionError
 from pepperusher.changes.active_configuration import (
     FULL,
@@ -31,6 +31,7 @@
 from pepperusher.net.extension import Extension, ExtensionHost
 from pepperusher.net.log import Log
 from pepperusher.net.message import Answer, Request, text_answer
+from pepperusher.net.state_folder import StateFolder
 from pepperusher.configuration import loader
 from pepperusher.configuration.loader import ConfigurationError, Read
 from pepperusher.configuration.tables import Own
@@ -46,8 +47,6 @@
 MIN_TIME_LEFT_US = 30_000
 # 429 means that the client caused the refusal, 503 that it did not; both count as bounces.
 STATUS = {RATE: 429, FULL: 503, TOO_LATE: 503}
-# A manual drain is appended to the file's text.
-DRAIN_BLOCK = "\n[[backends]]\nid = {id}\ndrain = true\n"
 REASONS = {RATE: "over its rate", FULL: "too many at once", TOO_LATE: "could not be in time"}
 
 
@@ -81,14 +80,13 @@
         self._environment = loader.from_environment(os.environ)
         self._policy_settings = policy_settings
         self._say = say
-        # The state folder, once this process holds it, and while another process of this proxy still does.
-        self._confirmed_file: ConfirmedFile | None = None
-        self._awaited_file: ConfirmedFile | None = None
-        self._initial_text = ""  # of the configuration file, as it was read at the start
+        # Called once manual drains have changed, for the other process of this proxy.
+        self.on_drains_changed: Callable[[], object] | None = None
         self._host: ExtensionHost | None = None
         self._watch_task: asyncio.Task[None] | None = None
         # Serializes changes, since each waits for its writes.
         self._change_lock = asyncio.Lock()
+        self._state_folder = StateFolder(self._change_lock, say)
         self._fallback_reason = ""
         self.shared = ""  # the section from control machines, which `changes.shared_section` appends to the file's text
         self._read_stored_shared = shared
@@ -109,6 +107,7 @@
             from pepperusher.net.structured_log import formatter_of
 
             log.set_formatter(formatter_of(form))
+        self._state_folder.attach(self.active_configuration)
 
     @property
     def own(self) -> Own:
@@ -126,80 +125,38 @@
         folder = read.own.changes.state
         if folder is None:
             return read
-        self._awaited_file, self._initial_text = ConfirmedFile(Path(folder)), read.text
-        try:
-            start = self._awaited_file.begin(read.text)
-        except OSError as error:
-            self._give_up_state_folder(error)
-            return read
+        start = self._state_folder.begin(folder, read.text)
         if start.instead:
             self._fallback_reason = start.instead
             self.shared = shared_section.shared_part(start.text)
             return self._parse(start.text, "the last confirmed file")
         return read
 
-    def _give_up_state_folder(self, error: OSError) -> None:
-        """Goes on without the state folder: a failing disk must not keep a proxy from serving, and a restart then uses the
-        file as it is.
-        """
-        state = self._confirmed_file or self._awaited_file
-        self._confirmed_file = self._awaited_file = None
-        if state is not None:
-            state.unlock()
-            self._say(
-                "the state folder cannot be used; confirmed files are not stored",
-                folder=str(state.folder),
-                why=error.strerror or str(error),
-            )
-
     def prepare(self) -> None:
-        """Takes the state folder, unless the process that this one replaces still holds it."""
-        if self._awaited_file is None:
-            return
-        try:
-            if not self._awaited_file.lock():
-                self._say("the state folder is held by another process")
-                return
-            start = self._awaited_file.begin(self._initial_text)
-            if start.text != self.active_configuration.confirmed.read.text:
-                # The previous process decided a change and ended since the folder was read: followed once this one serves.
-                self._awaited_file.unlock()
-                return
-            if not start.instead:
-                self._awaited_file.confirm(start.text)
-        except OSError as error:
-            self._give_up_state_folder(error)
-            return
-        self._confirmed_file, self._awaited_file = self._awaited_file, None
+        self._state_folder.prepare()
 
     async def _take_over_state_folder(self) -> None:
-        """Takes the state folder once the previous process has left it. What that process confirmed or undid since this one
-        read the folder is followed, as a change.
-        """
-        async with self._change_lock:
-            awaited = self._awaited_file
-            if awaited is None or not await asyncio.to_thread(awaited.lock):
-                return
-            start = await asyncio.to_thread(awaited.begin, self._initial_text)
-            confirmed, open_change = (
-                self.active_configuration.confirmed.read.text,
-                self.active_configuration.ledger.open,
-            )
-            if start.text == confirmed and not start.instead:
-                await asyncio.to_thread(awaited.confirm, confirmed)
-            if open_change is not None:
-                await asyncio.to_thread(awaited.open, open_change.number, open_change.what.text)
-            self._confirmed_file, self._awaited_file = awaited, None
-        self._say("the state folder is held by this process")
-        if start.text != confirmed:
-            await self.propose_text(start.text, "the proxy", start.instead or "confirmed by the previous process")
-
-    async def _leave_state_folder(self) -> None:
-        """Leaves the state folder to the successor, after what is being written."""
-        async with self._change_lock:
-            confirmed_file, self._confirmed_file = self._confirmed_file, None
-            if confirmed_file is not None:
-                await asyncio.to_thread(confirmed_file.unlock)
+        """Takes the state folder once the previous process has left it, and follows what that one has decided since."""
+        start = await self._state_folder.take_over()
+        if start is None:
+            return
+        await self.propose_text(start.text, "the proxy", start.instead or "confirmed by the previous process")
+
+    # --- manual drains ------------------------------------------------------------------------------
+
+    @property
+    def manual_drains(self) -> dict[str, AdminCommand]:
+        """The drains that operators set by hand, and those that they lifted, by backend."""
+        return dict(self.active_configuration.manual_drains.by_backend)
+
+    def merge_manual_drains(self, drains: Mapping[str, AdminCommand]) -> bool:
+        """Takes drains and lifts of another process of this proxy; later ones win. Returns whether any did."""
+        return self.active_configuration.take_over_manual_drains(drains, clock.now())
+
+    def _publish_drains(self) -> None:
+        """Tells the other process of this proxy."""
+        if self.on_drains_changed is not None:
+            self.on_drains_changed()
 
     def _add_stored_shared(self, read: Read, shared: str) -> Read:
         """Adds the stored shared section if the file still works with it."""
@@ -239,7 +196,7 @@
     def drain_started(self, until: int) -> None:
         self.active_configuration.limit_deadlines(until)
         if self._host is not None and self._host.has_successor:
-            self._leave_task = asyncio.get_running_loop().create_task(self._leave_state_folder())
+            self._leave_task = asyncio.get_running_loop().create_task(self._state_folder.leave())
 
     def _reapply_entries(self, entries: list[Endpoint]) -> None:
         if self._host is not None:
@@ -260,7 +217,7 @@
             await self.request_store.stop()
         if self._watch_task is not None:
             self._watch_task.cancel()
-        await self._leave_state_folder()
+        await self._state_folder.leave()
 
     def hang_up(self) -> None:
         """Proposes the file as it stands now, as SIGHUP does."""
@@ -419,24 +376,16 @@
             self.shared, self._shared_change = self._shared_change[1], None
 
     async def drain(self, backend: str, lift: bool, who: str, why: str) -> Change:
-        """Proposes a manual drain of a backend as a change; `lift` removes one. Raises ConfigurationError,
-        TransactionError.
-        """
-        text = self.active_configuration.version.read.text
-        block = DRAIN_BLOCK.format(id=json.dumps(backend))
-        if lift:
-            if block not in text:
-                raise TransactionError(f"{backend} was not drained by hand")
-            return await self.propose_text(text.replace(block, "", 1), who, why)
-        if not any(entry.id == backend for entry in self.active_configuration.overlay.ready()):
-            raise TransactionError(f"{backend} is no backend that is listed as ready")
-        if backend in self.active_configuration.version.marks:
-            raise TransactionError(f"{backend} has a mark already")
-        return await self.propose_text(text + block, who, why)
+        """Proposes a manual drain of a backend as a change; `lift` removes one. Raises TransactionError."""
+        change = self.active_configuration.propose_drain(backend, not lift, who, why, clock.now())
+        return await self._apply_if_open(change)
 
     async def _propose(self, read: Read, who: str, why: str) -> Change:
         """Opens a change for a parsed configuration, and applies it unless it has to wait for another."""
-        change = self.active_configuration.propose(read, who, why, clock.now())
+        return await self._apply_if_open(self.active_configuration.propose(read, who, why, clock.now()))
+
+    async def _apply_if_open(self, change: Change) -> Change:
+        """Applies a change unless it has to wait for another."""
         if change is self.active_configuration.ledger.open:
             await self._apply(change)
         return change
@@ -446,23 +395,24 @@
         async with self._change_lock:
             if change.over:
                 return
-            if self._confirmed_file is not None:
-                try:
-                    await asyncio.to_thread(self._confirmed_file.open, change.number, change.what.text)
-                except OSError as error:
-                    self.active_configuration.undo(
-                        change,
-                        "the proxy",
-                        f"the change cannot be written: {error.strerror or error}",
-                        clock.now(),
-                    )
-                    return
+            try:
+                await self._state_folder.write_open(change)
+            except OSError as error:
+                self.active_configuration.undo(
+                    change,
+                    "the proxy",
+                    f"the change cannot be written: {error.strerror or error}",
+                    clock.now(),
+                )
+                return
             if change.over:
                 # It was undone by an operator while it was being written.
-                await self._record_undone(change)
+                await self._state_folder.write_undone(change)
                 return
             self.active_configuration.stage(change, clock.now())
             self.active_configuration.apply(change, clock.now())
+            if isinstance(change.what, DrainProposal):
+                self._publish_drains()
 
     async def confirm(self, number: int | None, who: str, why: str) -> Change:
         """Confirms an applied change. Raises TransactionError."""
@@ -472,11 +422,10 @@
                 raise TransactionError(
                     f"change {change.number} is {change.state}, and only an applied one can be confirmed"
                 )
-            if self._confirmed_file is not None:
-                try:
-                    await asyncio.to_thread(self._confirmed_file.confirm, change.what.text)
-                except OSError as error:
-                    raise TransactionError(f"the change cannot be written: {error.strerror or error}") from None
+            try:
+                await self._state_folder.write_confirmed(change)
+            except OSError as error:
+                raise TransactionError(f"the change cannot be written: {error.strerror or error}") from None
             if change.state != APPLIED:
                 raise TransactionError(f"change {change.number} was undone meanwhile")
             self.active_configuration.confirm(change, who, why, clock.now())
@@ -490,42 +439,46 @@
         change = self.active_configuration.ledger.find(number)
         self.active_configuration.undo(change, who, why, clock.now())
         self._restore_shared(change)
+        if isinstance(change.what, DrainProposal):
+            self._publish_drains()
         async with self._change_lock:
-            await self._record_undone(change)
+            await self._state_folder.write_undone(change)
             change.what = None
+        await self._state_folder.store_drains()
         await self._start_next_change()
         return change
 
-    async def _record_undone(self, change: Change) -> None:
-        """Records on disk that a change was undone, and restores the last confirmed file."""
-        if self._confirmed_file is not None and change.what is not None:
-            try:
-                await asyncio.to_thread(self._confirmed_file.undo, change.what.text)
-                await asyncio.to_thread(self._confirmed_file.restore, self.active_configuration.confirmed.read.text)
-            except OSError as error:
-                self._say("an undone change cannot be written", why=error.strerror or str(error))
-
     async def _start_next_change(self) -> None:
         """Carries out the next waiting change after parsing it again on top of the active configuration."""
         change = self.active_configuration.ledger.next()
         while change is not None:
             try:
-                change.what = await asyncio.to_thread(self._parse, change.what.text, "what is proposed")
-                if change.what.digest == self.active_configuration.version.read.digest:
-                    raise TransactionError("it is what stands already")
+                await self._validate_again(change)
                 await self._apply(change)
                 return
             except (ConfigurationError, TransactionError) as error:
                 self.active_configuration.undo(change, "the proxy", str(error), clock.now())
                 change = self.active_configuration.ledger.next()
 
+    async def _validate_again(self, change: Change) -> None:
+        """Validates a change that has waited against what is in force now. Raises ConfigurationError, TransactionError."""
+        active, payload = self.active_configuration, change.what
+        if isinstance(payload, DrainProposal):
+            _, _, who, why = payload.command
+            change.what = active.drain_proposal(payload.backend, payload.command.on, who, why, clock.now())
+            return
+        change.what = await asyncio.to_thread(self._parse, payload.text, "what is proposed")
+        if change.what.digest == active.version.read.digest:
+            raise TransactionError("it is what stands already")
+
     async def _watch_changes(self) -> None:
         """Confirms or undoes the open change when its watch period ends, and cleans up periodically."""
         while True:
             await asyncio.sleep(POLL_INTERVAL_S)
             try:
-                if self._awaited_file is not None:
-                    await self._take_over_state_folder()
+                await self._take_over_state_folder()
+                await self._state_folder.reopen()
+                await self._state_folder.store_drains()
                 now = clock.now()
                 self.active_configuration.sweep(now)
                 outcome = self.active_configuration.due(now)
@@ -538,6 +491,6 @@
             except TransactionError as error:
                 self._say("a change could not be confirmed or undone automatically", why=str(error))
             except OSError as error:
-                self._give_up_state_folder(error)
+                self._state_folder.give_up(error)
             except Exception as error:  # without this loop a bad change would stay active
                 self._say("the change watch loop failed", why=f"{type(error).__name__}: {error}")
--- a/pepperusher/net/node.py
+++ b/pepperusher/net/node.py
@@ -16,7 +16,8 @@
 from random import Random
 from typing import Any
 
-from pepperusher.console.admin_commands import NEVER, AdminCommand, AdminCommands
+from pepperusher.backend_commands import NEVER, AdminCommand
+from pepperusher.console.admin_commands import AdminCommands
 from pepperusher.group import endpoint_borrowing
 from pepperusher.group.swim import Swim, SwimSettings
 from pepperusher.group.wire import MAX_DATAGRAM_BYTES, InvalidPacketError, Wire
@@ -119,7 +120,7 @@
         self._orders, self._apply_commands = commands, apply_commands
 
     def _apply_own_commands(self, bans: dict[str, AdminCommand]) -> None:
-        self._host.reapply_filters(self, self._orders.merge(bans, NEVER))
+        self._host.reapply_filters(self, self._orders.merge(bans, NEVER, clock.now()))
 
     # --- start and end ------------------------------------------------------------------------------
 
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,12 +8,15 @@
 
 import asyncio
 import ctypes
+import fcntl
 import gc
 import os
 import signal
 import sys
+import tempfile
 from collections import Counter
 from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from types import FrameType
 
@@ -113,14 +116,28 @@
     ctypes.CDLL(None).prctl(PR_SET_CHILD_SUBREAPER, 1, 0, 0, 0)
 
 
+@contextmanager
+def exclusive_turn(item: pytest.Item) -> Iterator[None]:
+    """Lets one test marked `one_at_a_time` run on this machine at a time."""
+    if item.get_closest_marker("one_at_a_time") is None:
+        yield
+        return
+    with open(f"{tempfile.gettempdir()}/pepperusher-one-at-a-time.{os.getuid()}", "w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        yield
+
+
 @pytest.hookimpl(wrapper=True, tryfirst=True)
 def pytest_runtest_protocol(item: pytest.Item) -> Iterator[object]:
-    """Kills the processes that a test started and left running."""
-    before = descendants(os.getpid())
-    try:
-        return (yield)
-    finally:
-        kill_all(descendants(os.getpid()) - before)
+    """Kills the processes that a test started and left running. The wait for its turn is no part of a test's time, which is
+    that of the test alone.
+    """
+    with exclusive_turn(item):
+        before = descendants(os.getpid())
+        try:
+            return (yield)
+        finally:
+            kill_all(descendants(os.getpid()) - before)
 
 
 @pytest.hookimpl(trylast=True)
--- a/tests/test_console.py
+++ b/tests/test_console.py
@@ -7,7 +7,8 @@
 import sys
 
 from pepperusher.console.admin_listener import CONNECTIONS_MAX
-from pepperusher.console.admin_commands import NEVER, AdminCommand, AdminCommands
+from pepperusher.backend_commands import NEVER, AdminCommand
+from pepperusher.console.admin_commands import AdminCommands
 from pepperusher.facade import Endpoint
 
 from tests.scene import SECOND, TraceTestCase, ProxyTestCase
@@ -44,7 +45,7 @@
         record("a whole list", orders.lines([entry("a", born=12 * SECOND), entry("b")], True))
         orders.forget(90 * SECOND)
         record("forgotten once it is warm", orders.lines([entry("a", born=12 * SECOND)], False))
-        record("a later order of another's", orders.merge({"a": AdminCommand(True, 21 * SECOND)}, NEVER))
+        record("a later order of another's", orders.merge({"a": AdminCommand(True, 21 * SECOND)}, NEVER, 95 * SECOND))
         self.compare_trace("console_orders")
 
     def test_without_a_console_nothing_of_it_is_loaded(self) -> None:
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -794,7 +794,8 @@
             # Changes made by hand are kept alongside the shared configuration.
             await self.configuration_manager.drain("a1", False, "test", "by hand")
             self.assertEqual(["own", "shared"], self.route_names())
-            self.assertIn("a1", self.configuration_manager.active_configuration.version.marks)
+            self.assertTrue(self.configuration_manager.manual_drains["a1"].on)
+            self.assertEqual(["a1"], [row["id"] for row in self.proxy._facade.backends() if not row["ready"]])
             output = await self.ctl("--socket", self.configuration_manager.own.control.socket or "", "status")
             self.assertIn(f"config/shop {first}, confirmed", output)
             # All control machines are gone and the proxy restarts: it uses its cache from the first request on.
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -14,7 +14,7 @@
 from pathlib import Path
 from unittest import mock
 
-from pepperusher.console.admin_commands import NEVER, AdminCommand
+from pepperusher.backend_commands import NEVER, AdminCommand
 from pepperusher.console.process_slot import process_slots
 from pepperusher.console.process_liveness import ProcessLiveness
 from pepperusher.console.state import BadState, State, decode_state, encode_state
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -203,7 +203,8 @@
     async def test_a_mark_drains_and_its_end_lifts_it(self) -> None:
         # Not WATCH: on a busy machine the tickets take longer than its 2 s, after which the change is confirmed
         # automatically.
-        await self.start_proxy(UNWATCHED, settings=LONG_TIMEOUT_SETTINGS)
+        rules = {**LONG_TIMEOUT_SETTINGS["rules"], "warm-after": 500.0}
+        await self.start_proxy(UNWATCHED, settings={**LONG_TIMEOUT_SETTINGS, "rules": rules})
         change = await self.manager.drain("a1", False, "ops", "a look at it")
         await asyncio.gather(*(self.send_ticket(time_left_ms=60_000) for _ in range(20)))
         self.assertEqual(self.backends["a1"].received, {})
@@ -213,6 +214,7 @@
         with self.assertRaisesRegex(TransactionError, "no backend that is listed"):
             await self.manager.drain("z9", False, "ops", "")
         await self.manager.drain("a1", True, "ops", "well again")
+        await asyncio.sleep(0.6)  # it returns cold
         await asyncio.gather(*(self.send_ticket(time_left_ms=60_000) for _ in range(20)))
         self.assertGreater(len(self.backends["a1"].received), 5)
 
