--- a/pepperusher/net/configuration_manager.py
+++ b/pepperusher/net/configuration_manager.py
@@ -86,7 +86,7 @@
         self._watch_task: asyncio.Task[None] | None = None
         # Serializes changes, since each waits for its writes.
         self._change_lock = asyncio.Lock()
-        self._state_folder = StateFolder(self._change_lock, say)
+        self._state_folder = StateFolder(self._change_lock, self._parse_confirmed, say)
         self._fallback_reason = ""
         self.shared = ""  # the section from control machines, which `changes.shared_section` appends to the file's text
         self._read_stored_shared = shared
@@ -129,7 +129,7 @@
         if start.instead:
             self._fallback_reason = start.instead
             self.shared = shared_section.shared_part(start.text)
-            return self._parse(start.text, "the last confirmed file")
+            return self._parse_confirmed(start.text)
         return read
 
     def prepare(self) -> None:
@@ -140,7 +140,10 @@
         start = await self._state_folder.take_over()
         if start is None:
             return
-        await self.propose_text(start.text, "the proxy", start.instead or "confirmed by the previous process")
+        try:
+            await self.propose_text(start.text, "the proxy", start.instead or "confirmed by the previous process")
+        except ConfigurationError as error:
+            self._say("what the previous process decided is not followed", why=str(error))
 
     # --- manual drains ------------------------------------------------------------------------------
 
@@ -177,6 +180,14 @@
         text = self._put_shared(text, self.shared, source) if self.shared else text
         return loader.parse(text, source, self._policy_settings, self._environment, self._command_line)
 
+    def _parse_confirmed(self, text: str) -> Read:
+        """Parses the last confirmed configuration, which contains the shared section of its time. Raises
+        ConfigurationError.
+        """
+        return loader.parse(
+            text, "the last confirmed file", self._policy_settings, self._environment, self._command_line
+        )
+
     @staticmethod
     def _put_shared(text: str, shared: str, source: str) -> str:
         """Replaces the shared section of `text`. Raises ConfigurationError."""
--- a/pepperusher/net/state_folder.py
+++ b/pepperusher/net/state_folder.py
@@ -15,7 +15,7 @@
 from pepperusher.changes.confirmed_file import EARLIER_RELEASE, Begin, ConfirmedFile
 from pepperusher.changes.manual_drains import DrainProposal
 from pepperusher.changes.transaction_log import Change
-from pepperusher.configuration.loader import Read
+from pepperusher.configuration.loader import ConfigurationError, Read
 from pepperusher.net import clock
 
 # How soon a folder that failed is tried again.
@@ -24,11 +24,12 @@
 
 class StateFolder:
     """`begin` names the folder, if there is one, and `attach` what is in force; `change_lock` is held by whoever carries out
-    a change.
+    a change. `validate` raises ConfigurationError for a stored configuration that does not fit the present settings.
     """
 
-    def __init__(self, change_lock: asyncio.Lock, say: Callable[..., None]) -> None:
+    def __init__(self, change_lock: asyncio.Lock, validate: Callable[[str], object], say: Callable[..., None]) -> None:
         self._change_lock = change_lock
+        self._validate = validate
         self._say = say
         self._active: ActiveConfiguration
         self._initial_text = ""  # of the configuration file, as it was read at the start
@@ -41,6 +42,7 @@
         self._store_drains_at = 0.0  # when writing them is tried again, by the event loop's clock
         self._drains_problem = ""  # why they cannot be written, as it was last logged
         self._unstored_reason = ""  # why manual drains are not stored, as it was last logged
+        self._unfit_reason = ""  # why the last confirmed file is not used, as it was last logged
 
     # --- start and end ------------------------------------------------------------------------------
 
@@ -48,11 +50,31 @@
         """Reads the folder, and chooses the configuration to start with; `text` is that of the configuration file."""
         self._awaited, self._initial_text = ConfirmedFile(Path(folder)), text
         try:
-            return self._awaited.begin(text)
+            return self._choose_text(self._awaited)
         except OSError as error:
             self.give_up(error)
             return Begin(text, "")
 
+    def _choose_text(self, file: ConfirmedFile) -> Begin:
+        """Chooses between the configuration file and the last confirmed one, which was validated against the settings of its
+        time: where it does not fit the present ones, the file counts. Raises OSError.
+        """
+        start = file.begin(self._initial_text)
+        if not start.instead:
+            return start
+        try:
+            self._validate(start.text)
+        except ConfigurationError as error:
+            self._log_unfit(str(error))
+            return Begin(self._initial_text, "")
+        return start
+
+    def _log_unfit(self, reason: str) -> None:
+        """Logs once why the last confirmed file is not used."""
+        if reason != self._unfit_reason:
+            self._unfit_reason = reason
+            self._say("the last confirmed file is not used: it does not fit the settings", why=reason)
+
     def attach(self, active: ActiveConfiguration) -> None:
         """Puts the stored manual drains into force, also while another process of this proxy holds the folder."""
         self._active = active
@@ -71,7 +93,7 @@
             if not self._awaited.lock():
                 self._say("the state folder is held by another process")
                 return
-            start = self._awaited.begin(self._initial_text)
+            start = self._choose_text(self._awaited)
             if start.text != self._active.confirmed.read.text:
                 # The previous process decided a change and ended since the folder was read: followed once this one serves.
                 self._awaited.unlock()
@@ -100,7 +122,7 @@
             await self._follow_drains(awaited)
             if not locked:
                 return None
-            start = await asyncio.to_thread(awaited.begin, self._initial_text)
+            start = await asyncio.to_thread(self._choose_text, awaited)
             confirmed = self._active.confirmed.read.text
             await self._write_all(awaited, confirm=start.text == confirmed and not start.instead)
             self._held, self._awaited = awaited, None
@@ -141,7 +163,7 @@
                 if not await asyncio.to_thread(failed.lock):
                     return
                 # Not over the marker of a change that nobody confirmed: the next start needs it.
-                start = await asyncio.to_thread(failed.begin, self._initial_text)
+                start = await asyncio.to_thread(self._choose_text, failed)
                 await self._write_all(failed, confirm=not start.instead)
             except OSError:
                 failed.unlock()
