--- a/pepperusher/facade.py
+++ b/pepperusher/facade.py
@@ -177,13 +177,20 @@
         if ticket.finished or attempt.backend.address in self._unlisted or now - attempt.sent_at >= attempt.timeout:
             return False
         # While the connection was being set up, the deduplication window of an earlier attempt may have ended.
-        sent_times = [earlier.sent_at for earlier in ticket.attempts[:-1] if earlier.outcome not in terms.NEVER_RAN]
-        use_case = ticket.use_case
-        return (
-            not sent_times
-            or use_case.retry_class == terms.REPLAYABLE
-            or not 0 < use_case.deduplication_window <= now - sent_times[0]
-        )
+        repeated = self._repeated_attempt(ticket)
+        return repeated is None or not 0 < ticket.use_case.deduplication_window <= now - repeated.sent_at
+
+    def is_bound_repeat(self, ticket: Ticket) -> bool:
+        """Returns whether the attempt just picked repeats one that may have run, and so has to reach the deduplication group
+        of that one."""
+        return ticket.use_case.scope != terms.SCOPE_ALL and self._repeated_attempt(ticket) is not None
+
+    @staticmethod
+    def _repeated_attempt(ticket: Ticket) -> terms.Attempt | None:
+        """Returns the first attempt before the present one that may have run, or None if it doesn't matter whether it did."""
+        if ticket.use_case.retry_class == terms.REPLAYABLE:
+            return None
+        return next((earlier for earlier in ticket.attempts[:-1] if earlier.outcome not in terms.NEVER_RAN), None)
 
     def remaining(self, ticket: Ticket, now: int) -> int:
         """Returns the time until the ticket's deadline, negative once it has passed. The time is frozen while an
--- a/pepperusher/net/attempt.py
+++ b/pepperusher/net/attempt.py
@@ -51,6 +51,7 @@
         "was_paused",
         "list_expired",
         "may_retry",
+        "is_bound_repeat",
     )
 
     def __init__(
@@ -64,6 +65,7 @@
         was_paused: Callable[[], bool],
         list_expired: Callable[[], bool],
         may_retry: Callable[[int], bool],
+        is_bound_repeat: Callable[[], bool],
     ) -> None:
         self.may_still_send = may_still_send
         self.client_left = client_left  # whether the client has left
@@ -72,6 +74,8 @@
         self.remaining_time = remaining_time  # how long the client still waits, in microseconds
         self.was_paused = was_paused  # whether the process was paused and has not read the list since
         self.list_expired = list_expired  # whether the list has expired: no request may be sent by it
+        # whether it repeats an attempt that may have run, and so is to reach the same deduplication group
+        self.is_bound_repeat = is_bound_repeat
         self.may_retry = may_retry  # whether another attempt could follow if this one failed at the given time
         # returns once it is known whether the client has left, and the list in use is as discovery has written it, also after
         # a process pause
--- a/pepperusher/net/backends.py
+++ b/pepperusher/net/backends.py
@@ -13,6 +13,7 @@
 from pepperusher.net.exchange import Exchange
 from pepperusher.net.body_streaming import ResponseForwarder
 from pepperusher.net.connection import StreamConnection, connect
+from pepperusher.net.listening_process import ListeningProcess
 from pepperusher.net.message import MAX_HEAD_BYTES, Answer, Request
 from pepperusher.net.peer_memory import PeerConnections
 from pepperusher.net.request_events import RequestEvents
@@ -37,28 +38,32 @@
 CLOSED_BY_PEER = "its backend ended it"
 CLOSED_UNEXPECTED_DATA = "unexpected data"
 CLOSED_NOT_REUSABLE = "not usable after an attempt"
+# Why a repeat was not sent.
+UNTOLD_PROCESS = "its process has ended, and another may listen there"
 
 
 class BackendConnection:
     """One connection to a backend with its HTTP parser."""
 
-    __slots__ = ("stream", "address", "has_answered", "parser", "idle_since")
+    __slots__ = ("stream", "address", "has_answered", "parser", "established_at", "idle_since")
 
     def __init__(self, stream: StreamConnection, address: tuple[str, int]) -> None:
         self.stream = stream
         self.address = address
         self.has_answered = False  # it has carried a ticket
         self.parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+        self.established_at = clock.now()
         self.idle_since = 0
 
 
 class BackendConnections:
-    """The address of one backend and the idle connections to it, ordered by last use."""
+    """The address of one backend, the process there, and the idle connections to it, ordered by last use."""
 
-    __slots__ = ("address", "idle", "listed", "last_answer_at", "attempts")
+    __slots__ = ("address", "process", "idle", "listed", "last_answer_at", "attempts")
 
     def __init__(self, address: tuple[str, int]) -> None:
         self.address = address
+        self.process = ListeningProcess()
         self.idle: list[BackendConnection] = []  # removed by use, by age, when the peer closes, and with the list
         self.listed = True
         self.last_answer_at = 0
@@ -109,6 +114,8 @@
                 return
             connections = self._connections_by_backend[backend] = BackendConnections(address)
         if connections.address != address or not is_listed:
+            if connections.address != address:
+                connections.process = ListeningProcess()
             connections.address = address
             self._close_idle(connections)
         connections.listed = is_listed
@@ -177,13 +184,22 @@
                 self._settle_time = max(self._settle_time, 2 * idle_time)
             self._drop(connections, connection, CLOSED_UNEXPECTED_DATA)
 
+        def handle_peer_end() -> None:
+            # Closing the connection on this side reports an end too.
+            if connection in connections.idle:
+                self._note_reset(connections, connection)
+            self._drop(connections, connection, CLOSED_BY_PEER)
+
         # Whatever arrives now, an end or an unexpected second answer, the connection is not reused.
-        connection.stream.on_peer_end, connection.stream.on_data = (
-            lambda: self._drop(connections, connection, CLOSED_BY_PEER),
-            handle_unexpected_data,
-        )
+        connection.stream.on_peer_end, connection.stream.on_data = handle_peer_end, handle_unexpected_data
         connections.idle.append(connection)
 
+    @staticmethod
+    def _note_reset(connections: BackendConnections, connection: BackendConnection) -> None:
+        """Records that the process behind a connection may have ended, if the peer has reset it."""
+        if connection.stream.peer_ended and not connection.stream.ended_cleanly:
+            connections.process.note_end(clock.now())
+
     def _keep_for_reuse(self, connections: BackendConnections, connection: BackendConnection) -> bool:
         """Keeps a connection for reuse and returns whether it did: not for a backend that is gone or has moved to
         another address.
@@ -194,13 +210,15 @@
         self._add_idle(connections, connection)
         return True
 
-    def _take_idle_connection(self, connections: BackendConnections) -> BackendConnection | None:
+    def _take_idle_connection(self, connections: BackendConnections, is_bound_repeat: bool) -> BackendConnection | None:
         """Takes the connection that was used last and can be reused, if there is one."""
         now = clock.now()
         for index in range(len(connections.idle) - 1, -1, -1):
             connection = connections.idle[index]
             if connection.has_answered and now - connection.idle_since < self._settle_time:
                 continue
+            if is_bound_repeat and connections.process.may_be_untold(connection.established_at, now):
+                continue
             del connections.idle[index]
             connection.stream.on_data = None
             connection.stream.on_peer_end = None
@@ -252,6 +270,8 @@
             connecting.cancel()
             await asyncio.wait((connecting,))
         if connecting.cancelled() or connecting.exception() is not None:
+            if not connecting.cancelled() and isinstance(connecting.exception(), ConnectionRefusedError):
+                connections.process.note_end(clock.now())
             error = "no connection in time" if connecting.cancelled() else str(connecting.exception())
             attempt.reason = attempt.reason or error
             return "unreached"
@@ -305,9 +325,13 @@
     ) -> tuple[str, Answer | None]:
         """Makes the attempt on an idle or a new connection."""
         deadline = clock.now() + timeout_us
-        connection = self._take_idle_connection(connections)
+        is_bound_repeat = context.is_bound_repeat()
+        connection = self._take_idle_connection(connections, is_bound_repeat)
         idle_time = None if connection is None else clock.now() - connection.idle_since
         if connection is None:
+            if is_bound_repeat and connections.process.may_be_untold(clock.now(), clock.now()):
+                attempt.reason = UNTOLD_PROCESS
+                return "unreached", None
             connected = await self._connect(connections, attempt, min(self._connect_timeout, timeout_us / 1e6))
             if isinstance(connected, str):
                 return "moot" if attempt.outcome == "called off" else connected, None
@@ -326,6 +350,10 @@
                 attempt.reason = "the connection ended as it came up, or the backend moved"
                 connection.stream.discard()
                 return "unreached", None
+            if is_bound_repeat and connections.process.may_be_untold(connection.established_at, clock.now()):
+                attempt.reason = UNTOLD_PROCESS
+                self._keep_for_reuse(connections, connection)
+                return "unreached", None
         connection.has_answered = True
         began = clock.now()
         time_left = max(0, deadline - began)
@@ -350,6 +378,8 @@
                 # Only an immediate reset without any data counts: an answer that broke off, or work that ended in a
                 # crash, says nothing about idle connections.
                 self._adapt_max_idle(idle_time, False)
+            if attempt.outcome is None and not exchange.head_received:
+                self._note_reset(connections, connection)
             reusable = exchange.reusable
             return outcome, answer
         finally:
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -315,6 +315,7 @@
             lambda: self._process_pause.unnoticed,
             lambda: self._discovery.confirmation.expired,
             lambda at: (rest is None or not rest.started) and self._facade.may_retry(ticket, at),
+            lambda: self._facade.is_bound_repeat(ticket),
         )
         outcome, answer, final_outcome, attempts = "", None, "left", 0
         try:
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -475,6 +475,7 @@
                 lambda: False,
                 lambda: False,
                 lambda at: False,
+                lambda: False,
             ),
         )
         self.lines.append(outcome)
--- a/tests/test_process_pause.py
+++ b/tests/test_process_pause.py
@@ -110,7 +110,7 @@
         take_idle_connection = self.proxy._backends._take_idle_connection
         chosen: list[str] = []
 
-        def choose_and_block(connections: BackendConnections) -> BackendConnection | None:
+        def choose_and_block(connections: BackendConnections, is_bound_repeat: bool) -> BackendConnection | None:
             if not chosen:
                 chosen.append(
                     next(
@@ -119,7 +119,7 @@
                 )
                 self.endpoint_update(2, self.line(chosen[0], "draining"))
                 time.sleep(PAUSE_S)
-            return take_idle_connection(connections)
+            return take_idle_connection(connections, is_bound_repeat)
 
         with mock.patch.object(self.proxy._backends, "_take_idle_connection", choose_and_block):
             await self.send_request("look 9", self.request("look", 9))
