A term that passed beside a standing watch does not expire a successor's list

Cause: the deadline of a new configuration that had passed while the watch stood, and so bound nothing, was handed over as one that had expired the list; the successor refused all by it. Told from a slow discovery by the log, which has the deadline and the refusals.

Tests: AnotherProcessAfterTheTerm (tests/test_expired_list.py) and one in tests/test_list_confirmation.py; both failed before.

--- a/pepperusher/net/list_confirmation.py
+++ b/pepperusher/net/list_confirmation.py
@@ -13,6 +13,7 @@
 import asyncio
 from enum import Enum
 
+from pepperusher.net.call_schedule import WATCH_SILENCE_TIMEOUT_S
 from pepperusher.net.endpoint_metrics import EndpointMetrics
 from pepperusher.net.log import Log
 
@@ -57,6 +58,7 @@
         self._metrics = metrics
         self._log = log
         self._unconfirmed_since: float | None = None  # None while the list is confirmed
+        self._confirmed_at: float | None = None  # when the last message came
         self._soft_deadline: float | None = None  # None while the list is confirmed
         # The last hard deadline. A confirmation before it does not clear it: the confirming message may precede some of
         # the changes that count at the deadline.
@@ -133,9 +135,16 @@
         self._soft_deadline = deadline if self._soft_deadline is None else min(self._soft_deadline, deadline)
 
     @property
-    def hard_deadline(self) -> float | None:
-        """When the list expires unless it is confirmed; None without a hard deadline."""
-        return self._hard_deadline
+    def handover_deadline(self) -> float | None:
+        """When the list expires in a successor unless it is confirmed there; None without a hard deadline.
+
+        A deadline that passed while the list was confirmed applies here only if the watch is found silent, with no message
+        since before that deadline. It does not apply sooner in the successor.
+        """
+        deadline = self._hard_deadline
+        if deadline is None or deadline > self._now() or self._unconfirmed_since is not None:
+            return deadline
+        return deadline if self._confirmed_at is None else max(deadline, self._confirmed_at + WATCH_SILENCE_TIMEOUT_S)
 
     def expire_by(self, deadline: float) -> None:
         """Applies the hard deadline that the previous process had for its handed-over list."""
@@ -181,6 +190,7 @@
             refused = f", {self._refused_requests} requests refused" if self._refused_requests else ""
             if self._unconfirmed_logged:
                 self._log.say(f"list confirmed; after {unconfirmed_for:.2f} s{late}{refused}, {call}")
+        self._confirmed_at = self._now()
         self._unconfirmed_since = self._soft_deadline = self._series_began_at = None
         self._unconfirmed_logged = self._overdue_logged = self._expired_logged = False
         self._refused_requests = 0
--- a/pepperusher/net/proxy.py
+++ b/pepperusher/net/proxy.py
@@ -486,7 +486,7 @@
     def handover_state(self) -> HandoverState:
         """The state that the next process takes over."""
         endpoints, received_from_source = self._discovery.handover_list()
-        deadline = self._discovery.confirmation.hard_deadline
+        deadline = self._discovery.confirmation.handover_deadline
         return HandoverState(
             self._discovery.source,
             endpoints,
--- a/tests/test_expired_list.py
+++ b/tests/test_expired_list.py
@@ -191,3 +191,22 @@
         await asyncio.gather(*(proxy.replace() for proxy in self.proxies))
         await self.let_discovery_answer(began)
         self.assert_drained_and_answered(began + RECONFIGURED_TERM)
+
+
+class AnotherProcessAfterTheTerm(ReconfigurationScene):
+    PROXIES = 2
+
+    async def test_a_term_that_passed_beside_a_watch_that_stands_refuses_nothing(self) -> None:
+        """Guards against a successor that refused all until discovery answered it: a term that had passed while the
+        predecessor's watch stood was handed over as one that had expired its list.
+        """
+        began = self.now()
+        # Messages 1.8 s and 3.8 s after the new configuration, and none between the end of its term and the handover.
+        self.addresses[1].delay = 1.8
+        self.reconfigure_all(1)
+        await self.until(began + RECONFIGURED_TERM + 0.1)
+        self.addresses[1].delay = 0.3
+        await asyncio.gather(*(proxy.replace() for proxy in self.proxies))
+        await asyncio.sleep(1.0)
+        for proxy in self.proxies:
+            self.assertEqual({b"200"}, {answer.split()[1] for answer in proxy.answers}, proxy.log)
--- a/tests/test_list_confirmation.py
+++ b/tests/test_list_confirmation.py
@@ -5,6 +5,7 @@
 import unittest
 from unittest import mock
 
+from pepperusher.net.call_schedule import WATCH_SILENCE_TIMEOUT_S
 from pepperusher.net.endpoint_metrics import EndpointMetrics
 from pepperusher.net.list_confirmation import (
     EXPIRED_LIST_MAX_S, LOST_DEADLINE_S, RECONFIGURED_DEADLINE_S, SERIES_DEADLINE_S, TAKEN_OVER_DEADLINE_S, Cause, ListConfirmation,
@@ -150,13 +151,24 @@
                 self.setUp()
                 self.confirmation.require_confirmation(Cause.TAKEN_OVER, TAKEN_OVER_DEADLINE_S, self.now)
                 self.confirmation.expire_by(due)
-                self.assertEqual(due, self.confirmation.hard_deadline)
+                self.assertEqual(due, self.confirmation.handover_deadline)
                 self.confirmation.note_discovery_reachable()
                 self.now = max(self.now, due) + MARGIN_S
                 self.assertTrue(self.confirmation.expired)
                 self.confirmation.note_confirmed("call 1")
                 self.assert_never_expires()
 
+    def test_a_term_that_passed_beside_a_watch_that_stands_is_not_over_for_another_process(self) -> None:
+        """Guards against a successor that refuses all by a deadline that had passed while the list was confirmed."""
+        self.reconfigure()
+        self.now = 103.0
+        self.confirmation.note_confirmed("call 1")
+        self.assertEqual(100.0 + RECONFIGURED_DEADLINE_S, self.confirmation.handover_deadline)
+        self.now = 100.0 + RECONFIGURED_DEADLINE_S + MARGIN_S
+        self.assertEqual(103.0 + WATCH_SILENCE_TIMEOUT_S, self.confirmation.handover_deadline)
+        self.fall_silent(103.0)
+        self.assertEqual(100.0 + RECONFIGURED_DEADLINE_S, self.confirmation.handover_deadline)
+
     def test_a_later_end_or_one_long_over_changes_nothing_for_the_list_of_another_process(self) -> None:
         for due in (103.0, 100.0 - EXPIRED_LIST_MAX_S - MARGIN_S):
             with self.subTest(due=due):
