A version that a proxy acknowledged before it came to a control machine is not sent again

A proxy acknowledges a version at each of its control machines; one that did not have it yet dropped the acknowledgement, and as the proxy's first upstream sent the whole body when the version came.

Change: a machine that stores a version notes which of its proxies have acknowledged it already.

--- a/pepperusher/distribution/publisher.py
+++ b/pepperusher/distribution/publisher.py
@@ -325,12 +325,25 @@
             self._newer_elsewhere.pop(resource.key, None)
         if self._being_fetched.get(resource.key, NO_VERSION) <= resource.version:
             self._being_fetched.pop(resource.key, None)
+        self._note_early_acks(stored)
         self._start_rollout(stored, now)
         self._mark_dirty(stored)
         self.unsaved[resource.key] = None
         self.counts["versions"] += 1
         return None
 
+    def _note_early_acks(self, stored: StoredResource) -> None:
+        """Notes which proxies have the newest version already: they may have received it from their other upstream, and
+        acknowledged it, before it came here.
+        """
+        resource = stored.newest
+        for subscriber in map(self.subscribers.__getitem__, stored.subscribers):
+            if subscriber.hello.role != PROXY:
+                continue
+            proxy = self.proxies.get(subscriber.hello.name)
+            if proxy is not None and proxy.in_force.get(resource.key) == resource.version:
+                subscriber.known_versions[resource.key] = mark_of(resource)
+
     def _add_delta_base(self, stored: StoredResource, base: Resource) -> None:
         """Keeps a version as a delta base, sorted by version. The oldest are dropped, and the newest of them becomes
         the stable version if the rollout is halted later.
--- a/tests/test_distribution.py
+++ b/tests/test_distribution.py
@@ -226,6 +226,28 @@
         (message,) = read(self.publisher, 2)
         self.assertIsInstance(message, Delta)
 
+    # Guards against whole bodies for proxies that have the version from their other upstream: what they acknowledged before
+    # the version came here was forgotten.
+    def test_a_version_acknowledged_before_it_came_here_is_not_sent(self) -> None:
+        for had_before in (False, True):
+            with self.subTest(had_before=had_before):
+                self.publisher = Publisher("c1", "east", 1, False, 0, 0)
+                now = 0
+                if had_before:
+                    self.accept_version(1)
+                    now = self.complete_waves(0)
+                have = [HaveVersion(*KEY, mark_of(version_of(1)))] if had_before else []
+                self.publisher.add_subscriber(1, hello("p", have), now)
+                self.publisher.ack(1, Ack(*KEY, 1, 2), now)
+                self.accept_version(2, now)
+                now = self.complete_waves(now)
+                self.assertEqual([], read(self.publisher, 1))
+                self.accept_version(3, now)
+                self.complete_waves(now)
+                (message,) = read(self.publisher, 1)
+                assert isinstance(message, Delta)
+                self.assertEqual(mark_of(version_of(2)), message.base)
+
     def test_what_is_steady_stays_a_base_however_late_it_comes(self) -> None:
         """A machine was disconnected while its proxies received a newer version: it is sent the newest version, then
         the stable one that they have.
