A write that waits for the disk does not put back the version before

A change that the origin had answered as published could be missing on its disk until its rollout ended: the task that saves resources read what to write and then waited for the disk, which a publication of the same resource held; the older version was written after the newer one, and nothing wrote it again before the rollout ended.

Change: what is written is chosen under the disk's lock. A rollout that ends while a change is published stays to be saved.

--- a/pepperusher/distribution/server.py
+++ b/pepperusher/distribution/server.py
@@ -660,27 +660,30 @@
 
     async def _save_next(self) -> bool:
         """Writes one unsaved resource to disk. Returns whether that succeeded."""
-        key = next(iter(self.publisher.unsaved))
-        del self.publisher.unsaved[key]
-        stored = self.publisher.resources[key]
-        error = await self._write_to_disk(stored.newest, stored.stable, stored.halted)
-        if error:
-            self.publisher.unsaved.setdefault(key, None)
+        async with self._disk_lock:
+            # Chosen once the disk is free: a change may have been published during the wait.
+            key = next(iter(self.publisher.unsaved), None)
+            if key is None:
+                return True
+            del self.publisher.unsaved[key]
+            stored = self.publisher.resources[key]
+            error = await self._write_to_disk(stored.newest, stored.stable, stored.halted)
+            if error:
+                self.publisher.unsaved.setdefault(key, None)
         if error != self._disk_error:
             self._disk_error = error
             self._say("the disk fails: serving from memory" if error else "the disk is written again", why=error or "-")
         return not error
 
     async def _write_to_disk(self, newest: Resource, stable: Resource | None, halted: str) -> str:
-        """Writes a resource to disk. Returns an error or an empty text."""
-        async with self._disk_lock:
-            self._write_began_at = clock.now()
-            try:
-                await asyncio.to_thread(version_records.write, self._disk, newest, stable, halted)
-            except OSError as error:
-                return error.strerror or str(error)
-            finally:
-                self._write_began_at = None
+        """Writes a resource to disk; the caller holds the disk's lock. Returns an error or an empty text."""
+        self._write_began_at = clock.now()
+        try:
+            await asyncio.to_thread(version_records.write, self._disk, newest, stable, halted)
+        except OSError as error:
+            return error.strerror or str(error)
+        finally:
+            self._write_began_at = None
         return ""
 
     # --- operators ----------------------------------------------------------------------------------
@@ -720,8 +723,10 @@
             except RejectedUpdateError as error:
                 self._send(connection, Published(*NO_VERSION, one_line(str(error))))
                 return
-            stored = publisher.resources.get(resource.key)
-            disk_error = await self._write_to_disk(resource, stored.stable if stored is not None else None, "")
+            async with self._disk_lock:
+                stored = publisher.resources.get(resource.key)
+                stable = stored.stable if stored is not None else None
+                disk_error = await self._write_to_disk(resource, stable, "")
             if disk_error:
                 self._send(
                     connection, Published(*NO_VERSION, one_line(f"the change can't be written to disk: {disk_error}"))
@@ -738,7 +743,8 @@
             if problem:
                 self._send(connection, Published(*NO_VERSION, one_line(problem)))
                 return
-            publisher.unsaved.pop(resource.key, None)
+            if publisher.resources[resource.key].stable is stable:
+                publisher.unsaved.pop(resource.key, None)
             if self._subscriber is not None:
                 self._subscriber.resources[resource.key] = resource
         name = connection.hello.name if connection.hello else "?"
--- a/tests/test_distribution_processes.py
+++ b/tests/test_distribution_processes.py
@@ -14,6 +14,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import unittest
 from collections.abc import Callable
 from pathlib import Path
@@ -22,7 +23,7 @@
 from typing import Any
 from unittest import mock
 
-from pepperusher.distribution import admission, resource_cache, operator_client, publish, rollout, wire
+from pepperusher.distribution import admission, resource_cache, operator_client, publish, rollout, version_records, wire
 from pepperusher.distribution.client import Client
 from pepperusher.distribution.operator_client import NoAnswerError
 from pepperusher.distribution.server import HELLO_TIMEOUT_S, SILENCE_TIMEOUT_US, Server, ServerSettings
@@ -645,6 +646,44 @@
                 writer.transport.abort()
             await server.stop()
 
+    # Guards against a published version that is overwritten on disk by the one before: the state of a resource was read before
+    # its write waited for the disk.
+    async def test_a_write_that_waits_for_the_disk_does_not_put_back_what_came_before(self) -> None:
+        class SlowDisk(Disk):
+            written = threading.Event()
+            may_write = threading.Event()
+
+            def sync(self, name: str) -> None:
+                super().sync(name)
+                self.written.set()
+                self.may_write.wait(TIMEOUT_S)
+
+        folder = Path(tempfile.mkdtemp())
+        self.addCleanup(shutil.rmtree, folder)
+        settings = ServerSettings("c", "east", "", (HOST, 0), [], 1, False, 100, "127.0.0.1")
+        disk = SlowDisk(folder)
+        server = Server(settings, SECRET, disk, lambda *_, **__: None, 1)
+        port = await server.start()
+        disk.may_write.set()
+        first = await publish((HOST, port), SECRET, *KEY, b"one\n")
+        await wait_until(lambda: server.publisher.resources[KEY].fully_rolled_out and not server.publisher.unsaved)
+        # The second version is being written when the rollout of the first has to be recorded once more.
+        disk.may_write.clear()
+        disk.written.clear()
+        publishing = asyncio.create_task(publish((HOST, port), SECRET, *KEY, b"two\n"))
+        await wait_until(disk.written.is_set)
+        server.publisher.unsaved[KEY] = None
+        server._save_due.set()
+        for _ in range(10):  # until that waits for the disk
+            await asyncio.sleep(0)
+        with mock.patch.object(server.publisher, "tick"):  # no rollout ends, and so nothing else is written
+            disk.may_write.set()
+            second = await publishing
+            await wait_until(lambda: not server._disk_lock.locked() and not server.publisher.unsaved)
+            ((newest, _, _),) = version_records.read(Disk(folder))[0]
+        self.assertEqual([first < second, second], [True, newest.version])
+        await server.stop()
+
     async def test_a_full_disk_is_said_and_nothing_is_half_written(self) -> None:
         class FullDisk(Disk):
             full = False
