A change undone while a shared section is parsed does not come back with it

Cause: `propose_shared` appends the section to the text in force and parses the whole in a thread; it asked afterwards whether a change is open, but not whether that text was still in force. A change undone in between was put into force again with the section.

Change: such a section is refused like one that meets an open change, which the caller proposes again.

--- a/pepperusher/net/configuration_manager.py
+++ b/pepperusher/net/configuration_manager.py
@@ -360,17 +360,21 @@
 
     async def propose_shared(self, shared: str, who: str, why: str) -> Change | None:
         """Proposes `shared` as the new shared section. Returns None if it changes nothing. Raises ConfigurationError,
-        and TransactionError where another change is open.
+        and TransactionError where another change is open or has just ended.
         """
 
+        version = self.active_configuration.version
+
         def parse() -> Read:
-            text = self._put_shared(self.active_configuration.version.read.text, shared, "what is shared")
+            text = self._put_shared(version.read.text, shared, "what is shared")
             return loader.parse(text, "what is shared", self._policy_settings, self._environment, self._command_line)
 
         read = await asyncio.to_thread(parse)
         if self.active_configuration.ledger.open is not None:
             # Unlike other changes it does not wait, since the file that it is appended to could change meanwhile.
             raise TransactionError(f"change {self.active_configuration.ledger.open.number} is open")
+        if self.active_configuration.version is not version:
+            raise TransactionError("the configuration that it was appended to has been replaced")
         if read.digest == self.active_configuration.version.read.digest:
             self.shared = shared
             return None
