Test of parallel calls: the gap is measured at the proxy, which counts from there

Cause: the proxy counts the 4 s from when it sends the fourth call, and the test from when its own server noticed that call, in the same event loop. A server that notices it 0.15 s late gives 3.850 s (shown by such a pause in the server). The test now takes the time at which the proxy sent each call. The bound stays; with the same pause it passes, and a call that is sent too early still fails it.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -923,10 +923,10 @@
         many callers: each further call lengthens the queue, which caused a drain to be broken on a simulated day.
         """
         await self.open("a1")
-        call_times: list[float] = []
+        call_times: list[float] = []  # when the proxy sent each, since this server may notice it late
 
         async def never_answer(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-            call_times.append(time.monotonic())
+            call_times.append(max(call.asked_at for call in self.proxy._discovery._source.calls))
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
                 await reader.readuntil(b"\r\n\r\n")
                 if len(call_times) == 4:
