--- a/tests/serve_process.py
+++ b/tests/serve_process.py
@@ -34,19 +34,14 @@
         self.process: subprocess.Popen[str] | None = None
         self.addCleanup(self.kill)
 
+    def command(self, *more: str) -> list[str]:
+        """The command line of `serve` on this scene's files, with further arguments."""
+        arguments = ["--config", str(self.at / "p.json"), "--own", str(self.own), *more]
+        return [sys.executable, "-m", "pepperusher", "serve", *arguments]
+
     def start(self, *more: str) -> None:
         self.process = subprocess.Popen(
-            [
-                sys.executable,
-                "-m",
-                "pepperusher",
-                "serve",
-                "--config",
-                str(self.at / "p.json"),
-                "--own",
-                str(self.own),
-                *more,
-            ],
+            self.command(*more),
             stderr=subprocess.PIPE,
             text=True,
         )
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -429,21 +429,7 @@
 
     def test_a_file_that_is_not_taken_ends_a_start_with_all_that_is_wrong(self) -> None:
         self.own.write_text("[chnages]\n[[routes]]\nname = 'r'\ntime_out = '9s'\n")
-        done = subprocess.run(
-            [
-                sys.executable,
-                "-m",
-                "pepperusher",
-                "serve",
-                "--config",
-                str(self.at / "p.json"),
-                "--own",
-                str(self.own),
-            ],
-            capture_output=True,
-            text=True,
-            timeout=20,
-        )
+        done = subprocess.run(self.command(), capture_output=True, text=True, timeout=20)
         self.assertEqual(done.returncode, 1)
         self.assertIn("own.toml:1: chnages: not known here; did you mean changes? [known key]", done.stderr)
         self.assertNotIn("Traceback", done.stderr)
